--- /dev/null
+++ b/Makefile
@@ -0,0 +1,96 @@
+# Builds lavenderpass, its test tools and its tests.
+#
+#   make                  build/release/lavenderpass and the tools
+#   make test             builds and runs all tests
+#   make test VARIANT=asan|tsan
+#   make format-check lint proto
+#
+# Sources are found by pattern: src/*.c is the product, tests/test_*.c are cmocka programs,
+# tests/lib_*.c are shared by them, tools/*.c are programs of their own, bench/*.c are benchmarks.
+
+VARIANT ?= release
+BUILD := build/$(VARIANT)
+CC := gcc
+PKGS := talloc tevent libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson libxxhash
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lcyaml -lm -pthread
+
+CFLAGS_common := -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Wno-unused-parameter -Werror -D_GNU_SOURCE -Isrc -Itests -MMD -MP -pthread
+CFLAGS_release := -O2
+CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=undefined
+CFLAGS_tsan := -O1 -fsanitize=thread -fno-omit-frame-pointer
+LDFLAGS_asan := -fsanitize=address,undefined
+LDFLAGS_tsan := -fsanitize=thread
+CFLAGS_all := $(CFLAGS_common) $(CFLAGS_$(VARIANT)) $(PKG_CFLAGS) $(CFLAGS)
+LDFLAGS_all := $(LDFLAGS_$(VARIANT)) $(LDFLAGS)
+
+SRC := $(wildcard src/*.c)
+LIB_SRC := $(filter-out src/main.c,$(SRC))
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/liblavenderpass.a
+BIN := $(BUILD)/lavenderpass
+TOOLS := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/*.c))
+TEST_LIB_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/lib_*.c))
+TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
+# Tests that start real processes; run one at a time and only in the release variant.
+PROCESS_TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_cluster_*.c))
+UNIT_TESTS := $(filter-out $(PROCESS_TESTS),$(TESTS))
+# Tests with threads, for the tsan variant.
+THREAD_TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_thread_*.c))
+
+.PHONY: all bench test test-unit test-process test-thread format format-check lint proto clean
+all: $(BIN) $(TOOLS)
+bench: $(BENCHES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_all) -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BIN): $(BUILD)/src/main.o $(LIB)
+	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS)
+
+$(BUILD)/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
+	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS) -lcmocka
+
+$(BUILD)/%: $(BUILD)/tools/%.o $(LIB)
+	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS)
+
+$(BUILD)/%: $(BUILD)/bench/%.o $(LIB)
+	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS)
+
+test: test-unit test-process
+test-unit: $(UNIT_TESTS)
+	scripts/run-tests $(UNIT_TESTS)
+test-process: all $(PROCESS_TESTS)
+	LAVENDERPASS_BUILD=$(BUILD) scripts/run-tests $(PROCESS_TESTS)
+test-thread: $(THREAD_TESTS)
+	scripts/run-tests $(THREAD_TESTS)
+
+HAND_WRITTEN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] tests/*.[ch] tools/*.[ch] bench/*.[ch]))
+HAND_WRITTEN_C := $(filter %.c,$(HAND_WRITTEN))
+format:
+	clang-format -i $(HAND_WRITTEN)
+format-check:
+	clang-format --dry-run -Werror $(HAND_WRITTEN)
+# cppcheck cannot expand the macros of sys/queue.h and takes their variables for uninitialised; the
+# clang analyzer checks that instead (uninitvar is suppressed).
+lint:
+	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability \
+		--inline-suppr --suppressions-list=.cppcheck-suppressions -Isrc $(HAND_WRITTEN_C)
+	printf '%s\n' $(HAND_WRITTEN_C) | xargs -P $$(nproc) -I FILE clang-tidy --quiet \
+		--warnings-as-errors='*' FILE -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests $(PKG_CFLAGS)
+
+proto:
+	cd proto && protoc-c --c_out=../src command.proto peer.proto
+
+clean:
+	rm -rf build
+
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+/**
+ * @file
+ * Structured logs on standard error, by GLib's logging. One line for each change of state; what
+ * happens often is counted instead (metrics.h).
+ */
+
+/**
+ * @param json one JSON object per line instead of text
+ * @param debug also debug messages
+ * @param node_id shown in each line; 0 for none
+ */
+void log_init(bool json, bool debug, unsigned node_id);
+
+/**
+ * Logs a change of state with fields, such as
+ * log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", id, "pool", pool), "VM drained").
+ */
+#define LOG_FIELDS(...)           \
+	(const char *const[])     \
+	{                         \
+		__VA_ARGS__, NULL \
+	}
+
+/** @param fields name and value alternating, ended by NULL; or NULL */
+void log_event_full(const char *domain, GLogLevelFlags level, const char *const *fields,
+		    const char *format, ...) G_GNUC_PRINTF(4, 5);
+#define log_event(level, fields, ...) log_event_full(G_LOG_DOMAIN, level, fields, __VA_ARGS__)
--- /dev/null
+++ b/src/main.c
@@ -0,0 +1,7 @@
+#include <stdio.h>
+
+int main(int argc, char **argv)
+{
+	fputs("usage: lavenderpass COMMAND\n", stderr);
+	return 2;
+}
--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <stdint.h>
+
+/**
+ * @file
+ * Counters, gauges and latency histograms with labels, and their text exposition. Any thread.
+ */
+
+struct metrics;
+typedef struct metrics metrics_t;
+struct metrics_counter;
+typedef struct metrics_counter metrics_counter_t;
+struct metrics_histogram;
+typedef struct metrics_histogram metrics_histogram_t;
+
+metrics_t *metrics_create(void);
+void metrics_destroy(metrics_t *metrics);
+
+/**
+ * Finds or creates a counter.
+ * @param labels text such as organisation="barid",class="orders", or ""
+ */
+metrics_counter_t *metrics_counter(metrics_t *metrics, const char *name, const char *labels);
+void metrics_add(metrics_counter_t *counter, uint64_t n);
+/** Sets a counter that is used as a gauge. */
+void metrics_set(metrics_counter_t *counter, uint64_t value);
+uint64_t metrics_get(const metrics_counter_t *counter);
+
+/** Finds or creates a histogram of microseconds, 1 µs to 100 s, about 5% wide buckets. */
+metrics_histogram_t *metrics_histogram(metrics_t *metrics, const char *name, const char *labels);
+void metrics_record_us(metrics_histogram_t *histogram, uint64_t us);
+/** @param quantile 0 to 1 @return upper edge of the bucket in µs; 0 when empty */
+uint64_t metrics_quantile_us(const metrics_histogram_t *histogram, double quantile);
+
+/** Text exposition (the Prometheus format). @return memory to be freed with free() */
+char *metrics_render(metrics_t *metrics);
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "peer.pb-c.h"
+#include "timer.h"
+
+/**
+ * @file
+ * Connections between entry processes: length-framed protobuf over TCP. Each process dials every
+ * other one; a process sends on the connections that it dialled and receives on those it accepted.
+ * Control thread only.
+ */
+
+struct tevent_context;
+
+#define PEER_MAX 64
+
+typedef struct {
+	uint32_t node_id;
+	const char *address; /**< IP:port */
+} peer_address_t;
+
+/** What is known of a peer from its latest Hello and pings. */
+typedef struct {
+	uint32_t node_id;
+	uint64_t replica_id;
+	uint64_t incarnation;
+	const char *data_centre;
+	const char *http_address;
+	bool disk;
+	bool up; /**< answered a ping within the peer timeout */
+	uint64_t last_heard_us;
+	uint64_t applied_index;
+} peer_info_t;
+
+typedef struct {
+	const char *cluster;
+	uint32_t node_id;
+	uint64_t replica_id;
+	uint64_t incarnation; /**< random at each start */
+	const char *data_centre;
+	const char *http_address;
+	bool disk;
+	const char *listen_address; /**< IP:port */
+	const peer_address_t *peers;
+	size_t peer_count;
+	uint32_t ping_ms;    /**< 500 */
+	uint32_t timeout_ms; /**< 2,000: silent for so long, the connection is replaced */
+} peer_config_t;
+
+typedef void (*peer_message_fn)(void *arg, uint32_t from, const Lp__Envelope *envelope);
+/** Called when a peer comes up, goes down, or comes back under another incarnation. */
+typedef void (*peer_change_fn)(void *arg, const peer_info_t *info);
+
+struct peer_set;
+typedef struct peer_set peer_set_t;
+
+typedef struct {
+	peer_message_fn message;
+	peer_change_fn change;
+	uint64_t (*applied_index)(void *arg); /**< sent with each ping */
+	void *arg;
+} peer_callbacks_t;
+
+/**
+ * @param parent talloc parent of the set
+ * @return the set, or NULL when the listen address cannot be bound (errno is set)
+ */
+peer_set_t *peer_set_create(void *parent, struct tevent_context *ev, timer_service_t *timers,
+			    const peer_config_t *config, const peer_callbacks_t *callbacks);
+void peer_set_destroy(peer_set_t *set);
+
+/** Replaces the address of a peer, or adds the peer. */
+void peer_set_address(peer_set_t *set, const peer_address_t *peer);
+
+/**
+ * Queues a message. Messages to one peer arrive in order or not at all.
+ * @return 0, or -1 when the peer has no connection or its send queue is full
+ */
+int peer_send(peer_set_t *set, uint32_t node_id, const Lp__Envelope *envelope);
+
+/** @return the peer's facts, or NULL for an unknown node. */
+const peer_info_t *peer_info(const peer_set_t *set, uint32_t node_id);
+size_t peer_count(const peer_set_t *set);
+const peer_info_t *peer_at(const peer_set_t *set, size_t i);
+
+typedef struct {
+	uint64_t bytes_sent;
+	uint64_t bytes_received;
+	uint64_t frames_sent;
+	uint64_t frames_received;
+	uint64_t frames_bad;
+	uint64_t wrong_cluster;
+	uint64_t reconnects;
+} peer_counters_t;
+const peer_counters_t *peer_counters(const peer_set_t *set);
--- /dev/null
+++ b/src/timer.c
@@ -0,0 +1,66 @@
+#include "timer.h"
+
+#include <tevent.h>
+
+#include "clock.h"
+
+/* Finest step of the service; subscribers need no better than this. */
+#define TICK_US (10 * US_PER_MS)
+
+static void arm(timer_service_t *service);
+
+static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
+		    void *private_data)
+{
+	timer_service_t *service = private_data;
+	uint64_t now_us = clock_now_us();
+	timer_sub_t *sub;
+
+	/* A subscriber may end any subscription, so the search starts anew after each call. */
+	do {
+		LIST_FOREACH (sub, &service->subs, link) {
+			if (sub->due_us <= now_us) {
+				sub->due_us = now_us + sub->period_us;
+				sub->fn(sub->arg, now_us);
+				break;
+			}
+		}
+	} while (sub != NULL);
+	arm(service);
+}
+
+static void arm(timer_service_t *service)
+{
+	struct timeval next = tevent_timeval_current_ofs(0, TICK_US);
+
+	service->timer = tevent_add_timer(service->ev, service->ev, next, on_tick, service);
+}
+
+void timer_service_init(timer_service_t *service, struct tevent_context *ev)
+{
+	*service = (timer_service_t){.ev = ev};
+	LIST_INIT(&service->subs);
+	arm(service);
+}
+
+void timer_service_finish(timer_service_t *service)
+{
+	TALLOC_FREE(service->timer);
+}
+
+void timer_subscribe(timer_service_t *service, timer_sub_t *sub, uint64_t period_us, timer_fn fn,
+		     void *arg)
+{
+	*sub = (timer_sub_t){
+		.period_us = period_us,
+		.due_us = clock_now_us() + period_us,
+		.fn = fn,
+		.arg = arg,
+	};
+	LIST_INSERT_HEAD(&service->subs, sub, link);
+}
+
+void timer_unsubscribe(timer_service_t *service, timer_sub_t *sub)
+{
+	LIST_REMOVE(sub, link);
+}
