--- /dev/null
+++ b/src/raft_internal.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "raft.h"
+
+/**
+ * @file
+ * Shared by the parts of the Raft core: raft.c (roles, terms, elections), raft_log.c (entries and
+ * configurations held in memory), raft_leader.c (replication), raft_follower.c (receiving entries
+ * and snapshots).
+ */
+
+#define ROUND_RING 32
+
+typedef enum {
+	PEER_PROBE,	/* the matching index is unknown; one empty message at a time */
+	PEER_REPLICATE, /* entries are sent ahead of the replies */
+	PEER_SNAPSHOT,
+} raft_peer_state_t;
+
+/* Leader's view of another member. */
+typedef struct {
+	raft_id_t id;
+	raft_peer_state_t state;
+	uint64_t match;
+	uint64_t next;
+	uint64_t window[RAFT_WINDOW]; /* last indexes of unanswered batches, oldest first */
+	size_t in_flight;
+	uint64_t commit_sent;
+	uint64_t acked_sent_us; /* when the latest acknowledged round was sent; 0: none */
+	uint64_t heard_us;
+	uint64_t applied;
+	uint64_t snapshot_index;
+	size_t snapshot_acked;
+	size_t snapshot_sent;
+	uint64_t snapshot_progress_us;
+} raft_peer_t;
+
+struct raft {
+	raft_options_t options;
+	TAILQ_HEAD(raft_action_list, raft_action) actions;
+	uint64_t random;
+	raft_role_t role;
+	uint64_t term;
+	raft_id_t vote;
+	raft_id_t leader;
+	bool disk_ok;
+
+	/* Entries base_index + 1 ... base_index + count. */
+	Lp__LogEntry **entries;
+	size_t count;
+	size_t capacity;
+	uint64_t base_index;
+	uint64_t base_term;
+	raft_config_t base_config;
+	raft_config_t config; /* latest in the log, committed or not */
+	uint64_t config_index;
+	raft_snapshot_t snapshot;
+	uint64_t commit;
+	uint64_t synced;
+	uint64_t applied;
+
+	uint64_t contact_us; /* last message of the current leader */
+	uint64_t election_us;
+	bool votes[RAFT_MEMBERS_MAX]; /* by position in config */
+
+	raft_peer_t peers[RAFT_MEMBERS_MAX];
+	size_t peer_count;
+	uint64_t term_start; /* index of this leader's first entry */
+	uint64_t heartbeat_us;
+	uint64_t round;
+	uint64_t round_sent_us[ROUND_RING];
+
+	raft_snapshot_t incoming; /* data is grown as chunks arrive */
+};
+
+/* raft.c */
+raft_action_t *raft_push(raft_t *raft, raft_action_type_t type);
+/* Queues a message; body is owned by the action. */
+Lp__RaftMessage *raft_send(raft_t *raft, raft_id_t to, bool after_sync);
+void raft_become_follower(raft_t *raft, uint64_t now_us, uint64_t term, raft_id_t leader);
+void raft_reset_election(raft_t *raft, uint64_t now_us);
+void raft_set_commit(raft_t *raft, uint64_t index);
+/* Reads the configuration of a message; false when malformed. */
+bool raft_config_from_message(raft_config_t *config, const Lp__RaftConfig *message);
+/* Configuration as a message under parent. */
+Lp__RaftConfig *raft_config_to_message(void *parent, const raft_config_t *config);
+
+/* raft_log.c */
+/* Term of an entry; false when it is not held and is not the base. */
+bool raft_log_term(const raft_t *raft, uint64_t index, uint64_t *term);
+void raft_log_append(raft_t *raft, const Lp__LogEntry *entry);
+void raft_log_truncate(raft_t *raft, uint64_t from);
+/* Drops entries up to index, which becomes the base. */
+void raft_log_compact(raft_t *raft, uint64_t index);
+/* Replaces the log by an empty one that starts after the snapshot. */
+void raft_log_reset(raft_t *raft, const raft_snapshot_t *snapshot);
+raft_config_t raft_log_config_at(const raft_t *raft, uint64_t index);
+void raft_snapshot_copy(raft_t *raft, raft_snapshot_t *to, const raft_snapshot_t *from);
+
+/* raft_leader.c */
+void raft_become_leader(raft_t *raft, uint64_t now_us);
+void raft_leader_tick(raft_t *raft, uint64_t now_us);
+void raft_leader_sync_peers(raft_t *raft);
+void raft_leader_advance_commit(raft_t *raft, uint64_t now_us);
+void raft_on_append_reply(raft_t *raft, uint64_t now_us, raft_id_t from,
+			  const Lp__AppendReply *reply);
+void raft_on_snapshot_reply(raft_t *raft, uint64_t now_us, raft_id_t from,
+			    const Lp__SnapshotReply *reply);
+
+/* raft_follower.c */
+void raft_on_append(raft_t *raft, uint64_t now_us, raft_id_t from, const Lp__AppendRequest *append);
+void raft_on_snapshot(raft_t *raft, uint64_t now_us, raft_id_t from,
+		      const Lp__SnapshotChunk *chunk);
