--- /dev/null
+++ b/src/raft.c
@@ -0,0 +1,402 @@
+#include "raft.h"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "raft_internal.h"
+
+/* xorshift64*; the seed makes election timeouts repeatable in tests. */
+static uint64_t next_random(raft_t *raft)
+{
+	raft->random ^= raft->random >> 12;
+	raft->random ^= raft->random << 25;
+	raft->random ^= raft->random >> 27;
+	return raft->random * 0x2545f4914f6cdd1dULL;
+}
+
+raft_action_t *raft_push(raft_t *raft, raft_action_type_t type)
+{
+	raft_action_t *action = talloc_zero(raft, raft_action_t);
+
+	action->type = type;
+	TAILQ_INSERT_TAIL(&raft->actions, action, link);
+	return action;
+}
+
+raft_action_t *raft_take(raft_t *raft)
+{
+	raft_action_t *action = TAILQ_FIRST(&raft->actions);
+
+	if (action != NULL)
+		TAILQ_REMOVE(&raft->actions, action, link);
+	return action;
+}
+
+static Lp__ReplicaId *id_message(void *parent, raft_id_t id)
+{
+	Lp__ReplicaId *message = talloc(parent, Lp__ReplicaId);
+
+	lp__replica_id__init(message);
+	message->node_id = id.node;
+	message->replica_id = id.replica;
+	return message;
+}
+
+Lp__RaftMessage *raft_send(raft_t *raft, raft_id_t to, bool after_sync)
+{
+	raft_action_t *action = raft_push(raft, RAFT_SEND);
+	Lp__RaftMessage *message = talloc(action, Lp__RaftMessage);
+
+	lp__raft_message__init(message);
+	message->from = id_message(message, raft->options.self);
+	message->to = id_message(message, to);
+	action->send.message = message;
+	action->send.after_sync = after_sync;
+	return message;
+}
+
+raft_t *raft_create(void *parent, const raft_options_t *options)
+{
+	raft_t *raft = talloc_zero(parent, raft_t);
+
+	raft->options = *options;
+	TAILQ_INIT(&raft->actions);
+	raft->random = options->seed * 0x9e3779b97f4a7c15ULL + 0x1234567887654321ULL;
+	if (raft->random == 0)
+		raft->random = 1;
+	raft->disk_ok = true;
+	return raft;
+}
+
+void raft_restore_vote(raft_t *raft, uint64_t term, raft_id_t vote)
+{
+	raft->term = term;
+	raft->vote = vote;
+}
+
+void raft_reset_election(raft_t *raft, uint64_t now_us)
+{
+	uint64_t min_us = raft->options.election_min_us;
+
+	raft->election_us = now_us + min_us + next_random(raft) % (min_us + 1);
+}
+
+/* Candidates retry sooner than the election timeout: a failed round means that votes were split or
+ * that a voter had heard the old leader a moment later. */
+static void reset_retry(raft_t *raft, uint64_t now_us)
+{
+	uint64_t quarter_us = raft->options.election_min_us / 4;
+
+	raft->election_us = now_us + quarter_us + next_random(raft) % (quarter_us + 1);
+}
+
+void raft_start(raft_t *raft, uint64_t now_us)
+{
+	raft->contact_us = now_us;
+	raft_reset_election(raft, now_us);
+}
+
+static void save_vote(raft_t *raft)
+{
+	raft_action_t *action = raft_push(raft, RAFT_SAVE_VOTE);
+
+	action->save_vote.term = raft->term;
+	action->save_vote.vote = raft->vote;
+}
+
+void raft_become_follower(raft_t *raft, uint64_t now_us, uint64_t term, raft_id_t leader)
+{
+	if (raft->role != RAFT_FOLLOWER)
+		raft_reset_election(raft, now_us);
+	if (term > raft->term) {
+		raft->term = term;
+		raft->vote = (raft_id_t){0};
+		save_vote(raft);
+	}
+	raft->role = RAFT_FOLLOWER;
+	raft->leader = leader;
+}
+
+void raft_set_commit(raft_t *raft, uint64_t index)
+{
+	if (index <= raft->commit)
+		return;
+	raft->commit = index;
+	raft_push(raft, RAFT_COMMIT)->commit = index;
+}
+
+static bool may_vote(const raft_t *raft)
+{
+	return raft->options.disk && raft->disk_ok;
+}
+
+static bool is_voter(const raft_t *raft)
+{
+	const raft_member_t *self = raft_config_find(&raft->config, raft->options.self);
+
+	return self != NULL && self->voter;
+}
+
+/* True when a lease of a leader may rest on this replica's promise not to vote. */
+static bool leader_is_recent(const raft_t *raft, uint64_t now_us)
+{
+	return raft->role == RAFT_LEADER ||
+	       now_us < raft->contact_us + raft->options.election_min_us;
+}
+
+static bool votes_suffice(const raft_t *raft)
+{
+	size_t voters = 0;
+	size_t granted = 0;
+
+	for (size_t i = 0; i < raft->config.count; i++) {
+		if (!raft->config.members[i].voter)
+			continue;
+		voters++;
+		granted += raft->votes[i];
+	}
+	return granted > voters / 2;
+}
+
+static void request_votes(raft_t *raft, bool pre_vote)
+{
+	uint64_t last_term = 0;
+
+	raft_log_term(raft, raft_last_index(raft), &last_term);
+	memset(raft->votes, 0, sizeof(raft->votes));
+	for (size_t i = 0; i < raft->config.count; i++) {
+		const raft_member_t *member = &raft->config.members[i];
+		Lp__RaftMessage *message;
+		Lp__VoteRequest *vote;
+
+		if (raft_id_equal(member->id, raft->options.self)) {
+			raft->votes[i] = true;
+			continue;
+		}
+		if (!member->voter)
+			continue;
+		message = raft_send(raft, member->id, !pre_vote);
+		vote = talloc(message, Lp__VoteRequest);
+		lp__vote_request__init(vote);
+		vote->term = pre_vote ? raft->term + 1 : raft->term;
+		vote->pre_vote = pre_vote;
+		vote->last_index = raft_last_index(raft);
+		vote->last_term = last_term;
+		message->body_case = LP__RAFT_MESSAGE__BODY_VOTE;
+		message->vote = vote;
+	}
+}
+
+static void start_election(raft_t *raft, uint64_t now_us)
+{
+	raft->role = RAFT_CANDIDATE;
+	raft->term++;
+	raft->vote = raft->options.self;
+	save_vote(raft);
+	reset_retry(raft, now_us);
+	request_votes(raft, false);
+	/* A single voter wins in raft_synced(), once its vote is durable. */
+}
+
+static void start_pre_vote(raft_t *raft, uint64_t now_us)
+{
+	raft->role = RAFT_PRE_CANDIDATE;
+	raft->leader = (raft_id_t){0};
+	reset_retry(raft, now_us);
+	request_votes(raft, true);
+	if (votes_suffice(raft))
+		start_election(raft, now_us);
+}
+
+void raft_tick(raft_t *raft, uint64_t now_us)
+{
+	if (raft->role == RAFT_LEADER) {
+		raft_leader_tick(raft, now_us);
+		return;
+	}
+	if (now_us < raft->election_us)
+		return;
+	if (may_vote(raft) && is_voter(raft)) {
+		start_pre_vote(raft, now_us);
+	} else {
+		raft->leader = (raft_id_t){0};
+		raft_reset_election(raft, now_us);
+	}
+}
+
+static bool log_is_current(const raft_t *raft, const Lp__VoteRequest *vote)
+{
+	uint64_t last_term = 0;
+
+	raft_log_term(raft, raft_last_index(raft), &last_term);
+	return vote->last_term > last_term ||
+	       (vote->last_term == last_term && vote->last_index >= raft_last_index(raft));
+}
+
+static void reply_vote(raft_t *raft, raft_id_t to, uint64_t term, bool pre_vote, bool granted)
+{
+	Lp__RaftMessage *message = raft_send(raft, to, true);
+	Lp__VoteReply *reply = talloc(message, Lp__VoteReply);
+
+	lp__vote_reply__init(reply);
+	reply->term = term;
+	reply->pre_vote = pre_vote;
+	reply->granted = granted;
+	message->body_case = LP__RAFT_MESSAGE__BODY_VOTE_REPLY;
+	message->vote_reply = reply;
+}
+
+static void on_vote(raft_t *raft, uint64_t now_us, raft_id_t from, const Lp__VoteRequest *vote)
+{
+	bool granted;
+
+	if (!may_vote(raft))
+		return;
+	if (vote->term < raft->term || leader_is_recent(raft, now_us)) {
+		reply_vote(raft, from, raft->term, vote->pre_vote, false);
+		return;
+	}
+	if (vote->pre_vote) {
+		granted = vote->term > raft->term && log_is_current(raft, vote);
+		reply_vote(raft, from, granted ? vote->term : raft->term, true, granted);
+		return;
+	}
+	if (vote->term > raft->term)
+		raft_become_follower(raft, now_us, vote->term, (raft_id_t){0});
+	granted = (raft->vote.node == 0 || raft_id_equal(raft->vote, from)) &&
+		  log_is_current(raft, vote);
+	if (granted && raft->vote.node == 0) {
+		raft->vote = from;
+		raft->role = RAFT_FOLLOWER;
+		save_vote(raft);
+		raft_reset_election(raft, now_us);
+	}
+	reply_vote(raft, from, raft->term, false, granted);
+}
+
+static void on_vote_reply(raft_t *raft, uint64_t now_us, raft_id_t from, const Lp__VoteReply *reply)
+{
+	uint64_t expected = raft->role == RAFT_PRE_CANDIDATE ? raft->term + 1 : raft->term;
+
+	if (!reply->granted) {
+		if (reply->term > raft->term)
+			raft_become_follower(raft, now_us, reply->term, (raft_id_t){0});
+		return;
+	}
+	if (raft->role != (reply->pre_vote ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE) ||
+	    reply->term != expected)
+		return;
+	for (size_t i = 0; i < raft->config.count; i++) {
+		if (raft_id_equal(raft->config.members[i].id, from))
+			raft->votes[i] = true;
+	}
+	if (!votes_suffice(raft))
+		return;
+	if (reply->pre_vote)
+		start_election(raft, now_us);
+	else
+		raft_become_leader(raft, now_us);
+}
+
+void raft_receive(raft_t *raft, uint64_t now_us, const Lp__RaftMessage *message)
+{
+	raft_id_t from;
+
+	if (message->from == NULL || message->to == NULL ||
+	    message->to->node_id != raft->options.self.node ||
+	    message->to->replica_id != raft->options.self.replica)
+		return;
+	from = (raft_id_t){message->from->node_id, message->from->replica_id};
+	switch (message->body_case) {
+	case LP__RAFT_MESSAGE__BODY_VOTE:
+		on_vote(raft, now_us, from, message->vote);
+		break;
+	case LP__RAFT_MESSAGE__BODY_VOTE_REPLY:
+		on_vote_reply(raft, now_us, from, message->vote_reply);
+		break;
+	case LP__RAFT_MESSAGE__BODY_APPEND:
+		raft_on_append(raft, now_us, from, message->append);
+		break;
+	case LP__RAFT_MESSAGE__BODY_APPEND_REPLY:
+		raft_on_append_reply(raft, now_us, from, message->append_reply);
+		break;
+	case LP__RAFT_MESSAGE__BODY_SNAPSHOT:
+		raft_on_snapshot(raft, now_us, from, message->snapshot);
+		break;
+	case LP__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY:
+		raft_on_snapshot_reply(raft, now_us, from, message->snapshot_reply);
+		break;
+	case LP__RAFT_MESSAGE__BODY__NOT_SET:
+	case _LP__RAFT_MESSAGE__BODY__CASE_IS_INT_SIZE:
+		break;
+	}
+}
+
+void raft_synced(raft_t *raft, uint64_t now_us)
+{
+	if (!raft->disk_ok)
+		return;
+	raft->synced = raft_last_index(raft);
+	if (raft->role == RAFT_LEADER)
+		raft_leader_advance_commit(raft, now_us);
+	else if (raft->role == RAFT_CANDIDATE && votes_suffice(raft))
+		raft_become_leader(raft, now_us);
+}
+
+void raft_applied(raft_t *raft, uint64_t index)
+{
+	raft->applied = index;
+}
+
+void raft_set_disk(raft_t *raft, uint64_t now_us, bool writable)
+{
+	raft->disk_ok = writable;
+	if (!writable && raft->role != RAFT_FOLLOWER)
+		raft_become_follower(raft, now_us, raft->term, (raft_id_t){0});
+}
+
+raft_role_t raft_role(const raft_t *raft)
+{
+	return raft->role;
+}
+
+uint64_t raft_term(const raft_t *raft)
+{
+	return raft->term;
+}
+
+raft_id_t raft_vote(const raft_t *raft)
+{
+	return raft->vote;
+}
+
+raft_id_t raft_leader(const raft_t *raft)
+{
+	return raft->leader;
+}
+
+uint64_t raft_committed(const raft_t *raft)
+{
+	return raft->commit;
+}
+
+const raft_config_t *raft_config(const raft_t *raft)
+{
+	return &raft->config;
+}
+
+const raft_config_t *raft_base_config(const raft_t *raft)
+{
+	return &raft->base_config;
+}
+
+uint64_t raft_base_term(const raft_t *raft)
+{
+	return raft->base_term;
+}
+
+uint64_t raft_contact_us(const raft_t *raft)
+{
+	return raft->contact_us;
+}
--- a/src/raft.h
+++ b/src/raft.h
@@ -18,7 +18,7 @@
 /** Most bytes of entries or snapshot in one message, unless a single entry is larger. */
 #define RAFT_BATCH_BYTES (64 * 1024)
 /** Most unanswered batches for each follower. */
-#define RAFT_WINDOW 8
+#define RAFT_WINDOW 4
 
 /** Identity of a replica; a node that lost its disk returns with another replica id. */
 typedef struct {
@@ -85,22 +85,26 @@
 	uint64_t election_min_us; /**< the maximum is twice as long */
 	uint64_t lease_us;	  /**< below election_min_us */
 	uint64_t seed;
-	raft_config_t config; /**< in force before the first entry */
-	uint64_t term;	      /**< recovered */
-	raft_id_t vote;	      /**< recovered; node 0 is none */
 } raft_options_t;
 
 struct raft;
 typedef struct raft raft_t;
 
 raft_t *raft_create(void *parent, const raft_options_t *options);
-/** Hands over the recovered snapshot; data is copied. Before raft_restore_entry(). */
-void raft_restore_snapshot(raft_t *raft, const raft_snapshot_t *snapshot);
+/** Recovery, first step: the entry before the first recovered one. */
+void raft_restore_base(raft_t *raft, uint64_t index, uint64_t term, const raft_config_t *config);
+/** Recovery: the latest durable term and vote. */
+void raft_restore_vote(raft_t *raft, uint64_t term, raft_id_t vote);
 /**
  * Hands over a recovered entry, in log order; an entry with an index already present cuts the log.
  * @return 0, or -1 when there is a gap before the entry
  */
 int raft_restore_entry(raft_t *raft, const Lp__LogEntry *entry);
+/**
+ * Recovery, after the entries: the snapshot; data is copied. Entries that do not continue it are
+ * dropped, as a snapshot that was received replaces the log.
+ */
+void raft_restore_snapshot(raft_t *raft, const raft_snapshot_t *snapshot);
 /** Ends recovery. Refuses votes for one election timeout, as a lease may rest on this replica. */
 void raft_start(raft_t *raft, uint64_t now_us);
 
--- /dev/null
+++ b/src/raft_follower.c
@@ -0,0 +1,154 @@
+#include <string.h>
+
+#include <talloc.h>
+
+#include "raft_internal.h"
+
+static void reply_append(raft_t *raft, raft_id_t to, const Lp__AppendRequest *append, bool success,
+			 uint64_t match)
+{
+	Lp__RaftMessage *message = raft_send(raft, to, true);
+	Lp__AppendReply *reply = talloc(message, Lp__AppendReply);
+
+	lp__append_reply__init(reply);
+	reply->term = raft->term;
+	reply->success = success;
+	reply->match = match;
+	reply->round = append->round;
+	reply->applied = raft->applied;
+	message->body_case = LP__RAFT_MESSAGE__BODY_APPEND_REPLY;
+	message->append_reply = reply;
+}
+
+static void accept_leader(raft_t *raft, uint64_t now_us, uint64_t term, raft_id_t leader)
+{
+	raft_become_follower(raft, now_us, term, leader);
+	raft->contact_us = now_us;
+	raft_reset_election(raft, now_us);
+}
+
+/* True when the entry before the sent ones is the leader's; *hint is the next one to try. */
+static bool matches(const raft_t *raft, const Lp__AppendRequest *append, uint64_t *hint)
+{
+	uint64_t term;
+	uint64_t conflict;
+
+	/* Every later leader holds the committed entries. */
+	if (append->prev_index <= raft->commit)
+		return true;
+	if (!raft_log_term(raft, append->prev_index, &conflict)) {
+		*hint = raft_last_index(raft);
+		return false;
+	}
+	if (conflict == append->prev_term)
+		return true;
+	*hint = append->prev_index - 1;
+	while (*hint > raft->commit && raft_log_term(raft, *hint, &term) && term == conflict)
+		(*hint)--;
+	return false;
+}
+
+static void add_entry(raft_t *raft, const Lp__LogEntry *entry)
+{
+	uint64_t term;
+
+	if (entry->index <= raft->commit)
+		return;
+	if (raft_log_term(raft, entry->index, &term)) {
+		if (term == entry->term)
+			return;
+		raft_log_truncate(raft, entry->index);
+	}
+	raft_log_append(raft, entry);
+	raft_push(raft, RAFT_SAVE_ENTRY)->entry = raft_entry(raft, entry->index);
+}
+
+void raft_on_append(raft_t *raft, uint64_t now_us, raft_id_t from, const Lp__AppendRequest *append)
+{
+	uint64_t last = append->prev_index + append->n_entries;
+	uint64_t hint = 0;
+
+	if (append->term < raft->term) {
+		reply_append(raft, from, append, false, 0);
+		return;
+	}
+	accept_leader(raft, now_us, append->term, from);
+	if (!matches(raft, append, &hint)) {
+		reply_append(raft, from, append, false, hint);
+		return;
+	}
+	for (size_t i = 0; i < append->n_entries; i++) {
+		if (append->entries[i]->index != append->prev_index + 1 + i)
+			return;
+	}
+	for (size_t i = 0; i < append->n_entries; i++)
+		add_entry(raft, append->entries[i]);
+	raft_set_commit(raft, append->commit < last ? append->commit : last);
+	if (last < raft->commit)
+		last = raft->commit;
+	/* Without a disk that can be written nothing may be counted on here; see on_mismatch(). */
+	reply_append(raft, from, append, raft->disk_ok, last);
+}
+
+static void reply_snapshot(raft_t *raft, raft_id_t to, uint64_t offset, bool done)
+{
+	Lp__RaftMessage *message = raft_send(raft, to, true);
+	Lp__SnapshotReply *reply = talloc(message, Lp__SnapshotReply);
+
+	lp__snapshot_reply__init(reply);
+	reply->term = raft->term;
+	reply->offset = offset;
+	reply->done = done;
+	message->body_case = LP__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY;
+	message->snapshot_reply = reply;
+}
+
+static void install(raft_t *raft)
+{
+	uint64_t term;
+
+	raft_snapshot_copy(raft, &raft->snapshot, &raft->incoming);
+	talloc_free(raft->incoming.data);
+	raft->incoming = (raft_snapshot_t){0};
+	if (raft_log_term(raft, raft->snapshot.index, &term) && term == raft->snapshot.term)
+		raft_log_compact(raft, raft->snapshot.index);
+	else
+		raft_log_reset(raft, &raft->snapshot);
+	raft->commit = raft->snapshot.index;
+	raft_push(raft, RAFT_SAVE_SNAPSHOT)->snapshot = &raft->snapshot;
+}
+
+void raft_on_snapshot(raft_t *raft, uint64_t now_us, raft_id_t from, const Lp__SnapshotChunk *chunk)
+{
+	raft_snapshot_t *incoming = &raft->incoming;
+
+	if (chunk->term < raft->term) {
+		reply_snapshot(raft, from, 0, false);
+		return;
+	}
+	accept_leader(raft, now_us, chunk->term, from);
+	if (chunk->last_index <= raft->commit) {
+		reply_snapshot(raft, from, 0, true);
+		return;
+	}
+	/* Two leaders may serialise the same state differently. */
+	if (chunk->last_index != incoming->index || chunk->last_term != incoming->term ||
+	    chunk->term != raft->incoming_term) {
+		raft->incoming_term = chunk->term;
+		talloc_free(incoming->data);
+		*incoming = (raft_snapshot_t){.index = chunk->last_index, .term = chunk->last_term};
+	}
+	if (chunk->offset != incoming->length ||
+	    !raft_config_from_message(&incoming->config, chunk->config)) {
+		reply_snapshot(raft, from, incoming->length, false);
+		return;
+	}
+	incoming->data = talloc_realloc(raft, incoming->data, uint8_t,
+					incoming->length + chunk->data.len + 1);
+	if (chunk->data.len > 0)
+		memcpy(incoming->data + incoming->length, chunk->data.data, chunk->data.len);
+	incoming->length += chunk->data.len;
+	if (chunk->done)
+		install(raft);
+	reply_snapshot(raft, from, incoming->length, chunk->done);
+}
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -65,12 +65,14 @@
 
 	raft_peer_t peers[RAFT_MEMBERS_MAX];
 	size_t peer_count;
+	uint64_t led_since_us;
 	uint64_t term_start; /* index of this leader's first entry */
 	uint64_t heartbeat_us;
 	uint64_t round;
 	uint64_t round_sent_us[ROUND_RING];
 
 	raft_snapshot_t incoming; /* data is grown as chunks arrive */
+	uint64_t incoming_term;	  /* of the leader that sends it */
 };
 
 /* raft.c */
--- /dev/null
+++ b/src/raft_leader.c
@@ -0,0 +1,493 @@
+#include <string.h>
+
+#include <talloc.h>
+
+#include "raft_internal.h"
+
+static raft_peer_t *find_peer(raft_t *raft, raft_id_t id)
+{
+	for (size_t i = 0; i < raft->peer_count; i++) {
+		if (raft_id_equal(raft->peers[i].id, id))
+			return &raft->peers[i];
+	}
+	return NULL;
+}
+
+void raft_leader_sync_peers(raft_t *raft)
+{
+	raft_peer_t peers[RAFT_MEMBERS_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < raft->config.count; i++) {
+		raft_id_t id = raft->config.members[i].id;
+		const raft_peer_t *old = find_peer(raft, id);
+
+		if (raft_id_equal(id, raft->options.self))
+			continue;
+		if (old != NULL)
+			peers[count++] = *old;
+		else
+			peers[count++] =
+				(raft_peer_t){.id = id, .next = raft_last_index(raft) + 1};
+	}
+	memcpy(raft->peers, peers, count * sizeof(*peers));
+	raft->peer_count = count;
+}
+
+static uint64_t append_own(raft_t *raft, Lp__EntryType type, const uint8_t *data, size_t length)
+{
+	Lp__LogEntry entry = LP__LOG_ENTRY__INIT;
+
+	entry.index = raft_last_index(raft) + 1;
+	entry.term = raft->term;
+	entry.type = type;
+	entry.data.data = (uint8_t *)data;
+	entry.data.len = length;
+	raft_log_append(raft, &entry);
+	raft_push(raft, RAFT_SAVE_ENTRY)->entry = raft_entry(raft, entry.index);
+	return entry.index;
+}
+
+/* The value that a majority of voters has reached: self for this replica, values[i] for peer i. */
+static uint64_t majority_value(const raft_t *raft, const uint64_t *values, uint64_t self)
+{
+	uint64_t sorted[RAFT_MEMBERS_MAX];
+	size_t count = 0;
+
+	for (size_t i = 0; i < raft->config.count; i++) {
+		const raft_member_t *member = &raft->config.members[i];
+		uint64_t value = self;
+		size_t at = count;
+
+		if (!member->voter)
+			continue;
+		for (size_t p = 0; p < raft->peer_count; p++) {
+			if (raft_id_equal(raft->peers[p].id, member->id))
+				value = values[p];
+		}
+		for (; at > 0 && sorted[at - 1] < value; at--)
+			sorted[at] = sorted[at - 1];
+		sorted[at] = value;
+		count++;
+	}
+	return count == 0 ? 0 : sorted[count / 2];
+}
+
+/* When the latest round was sent that a majority has acknowledged. */
+static uint64_t majority_acked_us(const raft_t *raft, uint64_t now_us)
+{
+	uint64_t values[RAFT_MEMBERS_MAX];
+
+	for (size_t i = 0; i < raft->peer_count; i++)
+		values[i] = raft->peers[i].acked_sent_us;
+	return majority_value(raft, values, now_us);
+}
+
+bool raft_has_lease(const raft_t *raft, uint64_t now_us)
+{
+	uint64_t acked_us;
+
+	if (raft->role != RAFT_LEADER || raft->commit < raft->term_start ||
+	    raft->applied < raft->commit)
+		return false;
+	acked_us = majority_acked_us(raft, now_us);
+	return acked_us > 0 && now_us < acked_us + raft->options.lease_us;
+}
+
+int raft_peer_info(const raft_t *raft, raft_id_t id, raft_peer_info_t *info)
+{
+	if (raft->role != RAFT_LEADER)
+		return -1;
+	for (size_t i = 0; i < raft->peer_count; i++) {
+		const raft_peer_t *peer = &raft->peers[i];
+
+		if (!raft_id_equal(peer->id, id))
+			continue;
+		*info = (raft_peer_info_t){
+			.match = peer->match, .applied = peer->applied, .heard_us = peer->heard_us};
+		return 0;
+	}
+	return -1;
+}
+
+static void add_entries(const raft_t *raft, Lp__AppendRequest *append, uint64_t first)
+{
+	size_t bytes = 0;
+	uint64_t last = first;
+
+	for (; last <= raft_last_index(raft); last++) {
+		bytes += lp__log_entry__get_packed_size(raft_entry(raft, last)) + 4;
+		if (bytes > RAFT_BATCH_BYTES && last > first)
+			break;
+	}
+	append->n_entries = last - first;
+	append->entries = talloc_array(append, Lp__LogEntry *, append->n_entries);
+	for (size_t i = 0; i < append->n_entries; i++)
+		append->entries[i] = (Lp__LogEntry *)raft_entry(raft, first + i);
+}
+
+/* Sends entries from prev + 1 on, or none. @return index of the last one */
+static uint64_t send_append(raft_t *raft, raft_peer_t *peer, uint64_t prev, uint64_t prev_term,
+			    bool entries)
+{
+	Lp__RaftMessage *message = raft_send(raft, peer->id, false);
+	Lp__AppendRequest *append = talloc(message, Lp__AppendRequest);
+
+	lp__append_request__init(append);
+	append->term = raft->term;
+	append->prev_index = prev;
+	append->prev_term = prev_term;
+	append->commit = raft->commit;
+	append->round = raft->round;
+	if (entries)
+		add_entries(raft, append, prev + 1);
+	message->body_case = LP__RAFT_MESSAGE__BODY_APPEND;
+	message->append = append;
+	peer->commit_sent = raft->commit;
+	return prev + append->n_entries;
+}
+
+static void send_chunk(raft_t *raft, raft_peer_t *peer)
+{
+	const raft_snapshot_t *snapshot = &raft->snapshot;
+	Lp__RaftMessage *message = raft_send(raft, peer->id, false);
+	Lp__SnapshotChunk *chunk = talloc(message, Lp__SnapshotChunk);
+	size_t length = snapshot->length - peer->snapshot_sent;
+
+	if (length > RAFT_BATCH_BYTES)
+		length = RAFT_BATCH_BYTES;
+	lp__snapshot_chunk__init(chunk);
+	chunk->term = raft->term;
+	chunk->last_index = snapshot->index;
+	chunk->last_term = snapshot->term;
+	chunk->config = raft_config_to_message(chunk, &snapshot->config);
+	chunk->offset = peer->snapshot_sent;
+	chunk->data.data = snapshot->data + peer->snapshot_sent;
+	chunk->data.len = length;
+	chunk->done = peer->snapshot_sent + length == snapshot->length;
+	message->body_case = LP__RAFT_MESSAGE__BODY_SNAPSHOT;
+	message->snapshot = chunk;
+	peer->snapshot_sent += length;
+}
+
+static void pump_snapshot(raft_t *raft, raft_peer_t *peer, uint64_t now_us)
+{
+	/* A newer snapshot replaced the one that was being sent. */
+	if (peer->snapshot_index != raft->snapshot.index) {
+		peer->snapshot_index = raft->snapshot.index;
+		peer->snapshot_acked = 0;
+		peer->snapshot_sent = 0;
+		peer->snapshot_progress_us = now_us;
+		send_chunk(raft, peer);
+	}
+	while (peer->snapshot_sent < raft->snapshot.length &&
+	       peer->snapshot_sent < peer->snapshot_acked + RAFT_WINDOW * RAFT_BATCH_BYTES)
+		send_chunk(raft, peer);
+}
+
+static void start_snapshot(raft_t *raft, raft_peer_t *peer, uint64_t now_us)
+{
+	peer->state = PEER_SNAPSHOT;
+	peer->snapshot_index = 0;
+	pump_snapshot(raft, peer, now_us);
+}
+
+/* Asks whether the follower holds the entry before next. */
+static void probe(raft_t *raft, raft_peer_t *peer, uint64_t now_us)
+{
+	uint64_t prev_term;
+
+	peer->state = PEER_PROBE;
+	peer->in_flight = 0;
+	if (raft_log_term(raft, peer->next - 1, &prev_term))
+		send_append(raft, peer, peer->next - 1, prev_term, false);
+	else
+		start_snapshot(raft, peer, now_us);
+}
+
+static void pump(raft_t *raft, raft_peer_t *peer, uint64_t now_us)
+{
+	uint64_t prev_term;
+
+	if (peer->state == PEER_SNAPSHOT) {
+		pump_snapshot(raft, peer, now_us);
+		return;
+	}
+	if (peer->state != PEER_REPLICATE)
+		return;
+	if (!raft_log_term(raft, peer->next - 1, &prev_term)) {
+		start_snapshot(raft, peer, now_us);
+		return;
+	}
+	while (peer->in_flight < RAFT_WINDOW && peer->next <= raft_last_index(raft)) {
+		uint64_t last;
+
+		raft_log_term(raft, peer->next - 1, &prev_term);
+		last = send_append(raft, peer, peer->next - 1, prev_term, true);
+		peer->window[peer->in_flight++] = last;
+		peer->next = last + 1;
+	}
+	/* Followers apply at once instead of at the next heartbeat. */
+	if (peer->in_flight == 0 && peer->commit_sent < raft->commit &&
+	    raft_log_term(raft, peer->next - 1, &prev_term))
+		send_append(raft, peer, peer->next - 1, prev_term, false);
+}
+
+void raft_replicate(raft_t *raft, uint64_t now_us)
+{
+	if (raft->role != RAFT_LEADER)
+		return;
+	for (size_t i = 0; i < raft->peer_count; i++)
+		pump(raft, &raft->peers[i], now_us);
+}
+
+static void heartbeat_peer(raft_t *raft, raft_peer_t *peer, uint64_t now_us)
+{
+	uint64_t prev = peer->state == PEER_SNAPSHOT ? peer->match : peer->next - 1;
+	uint64_t prev_term = 0;
+
+	if (!raft_log_term(raft, prev, &prev_term)) {
+		if (peer->state != PEER_SNAPSHOT)
+			start_snapshot(raft, peer, now_us);
+		prev = 0;
+	}
+	send_append(raft, peer, prev, prev_term, false);
+	if (peer->state != PEER_SNAPSHOT ||
+	    now_us < peer->snapshot_progress_us + 2 * raft->options.heartbeat_us ||
+	    now_us > peer->heard_us + raft->options.election_min_us)
+		return;
+	/* A chunk or its reply was lost. One chunk is sent until the follower answers. */
+	peer->snapshot_sent = peer->snapshot_acked;
+	peer->snapshot_progress_us = now_us;
+	send_chunk(raft, peer);
+}
+
+static void send_heartbeats(raft_t *raft, uint64_t now_us)
+{
+	raft->heartbeat_us = now_us + raft->options.heartbeat_us;
+	raft->round++;
+	raft->round_sent_us[raft->round % ROUND_RING] = now_us;
+	for (size_t i = 0; i < raft->peer_count; i++)
+		heartbeat_peer(raft, &raft->peers[i], now_us);
+}
+
+void raft_become_leader(raft_t *raft, uint64_t now_us)
+{
+	raft->role = RAFT_LEADER;
+	raft->leader = raft->options.self;
+	raft->led_since_us = now_us;
+	raft->round = 0;
+	raft->peer_count = 0;
+	raft_leader_sync_peers(raft);
+	raft->term_start = append_own(raft, LP__ENTRY_TYPE__ENTRY_NOOP, NULL, 0);
+	send_heartbeats(raft, now_us);
+}
+
+void raft_leader_tick(raft_t *raft, uint64_t now_us)
+{
+	uint64_t acked_us = majority_acked_us(raft, now_us);
+
+	if (acked_us < raft->led_since_us)
+		acked_us = raft->led_since_us;
+	if (now_us > acked_us + raft->options.election_min_us) {
+		raft_become_follower(raft, now_us, raft->term, (raft_id_t){0});
+		return;
+	}
+	if (now_us >= raft->heartbeat_us)
+		send_heartbeats(raft, now_us);
+}
+
+void raft_leader_advance_commit(raft_t *raft, uint64_t now_us)
+{
+	uint64_t values[RAFT_MEMBERS_MAX];
+	uint64_t term;
+	uint64_t index;
+
+	for (size_t i = 0; i < raft->peer_count; i++)
+		values[i] = raft->peers[i].match;
+	index = majority_value(raft, values, raft->synced);
+	/* An entry of an earlier term is committed only by a later one of this term: a count of
+	 * replicas does not prevent a new leader from overwriting it. */
+	if (index <= raft->commit || !raft_log_term(raft, index, &term) || term != raft->term)
+		return;
+	raft_set_commit(raft, index);
+	raft_replicate(raft, now_us);
+}
+
+static void acknowledge_round(raft_t *raft, raft_peer_t *peer, uint64_t round)
+{
+	uint64_t sent_us;
+
+	if (round == 0 || round > raft->round || round + ROUND_RING <= raft->round)
+		return;
+	sent_us = raft->round_sent_us[round % ROUND_RING];
+	if (sent_us > peer->acked_sent_us)
+		peer->acked_sent_us = sent_us;
+}
+
+static void on_success(raft_t *raft, raft_peer_t *peer, uint64_t now_us, uint64_t match)
+{
+	size_t answered = 0;
+
+	if (match > raft_last_index(raft))
+		return;
+	if (match > peer->match)
+		peer->match = match;
+	while (answered < peer->in_flight && peer->window[answered] <= peer->match)
+		answered++;
+	peer->in_flight -= answered;
+	memmove(peer->window, peer->window + answered, peer->in_flight * sizeof(*peer->window));
+	if (peer->state == PEER_PROBE ||
+	    (peer->state == PEER_SNAPSHOT && peer->match >= raft->base_index)) {
+		peer->state = PEER_REPLICATE;
+		peer->in_flight = 0;
+		peer->next = peer->match + 1;
+	}
+	if (peer->next <= peer->match)
+		peer->next = peer->match + 1;
+	raft_leader_advance_commit(raft, now_us);
+	pump(raft, peer, now_us);
+}
+
+static void on_mismatch(raft_t *raft, raft_peer_t *peer, uint64_t now_us, uint64_t hint)
+{
+	bool not_durable = hint + 1 >= peer->next;
+	uint64_t prev_term;
+
+	if (peer->state == PEER_SNAPSHOT)
+		return;
+	peer->next = hint + 1;
+	if (peer->next > raft_last_index(raft) + 1)
+		peer->next = raft_last_index(raft) + 1;
+	if (peer->next <= peer->match)
+		peer->next = peer->match + 1;
+	if (!not_durable || !raft_log_term(raft, peer->next - 1, &prev_term)) {
+		probe(raft, peer, now_us);
+		return;
+	}
+	/* The follower holds the entries but cannot write its disk: it gets further entries one
+	 * batch at a time and is not counted. */
+	peer->state = PEER_PROBE;
+	peer->in_flight = 0;
+	if (peer->next <= raft_last_index(raft))
+		send_append(raft, peer, peer->next - 1, prev_term, true);
+}
+
+void raft_on_append_reply(raft_t *raft, uint64_t now_us, raft_id_t from,
+			  const Lp__AppendReply *reply)
+{
+	raft_peer_t *peer;
+
+	if (reply->term > raft->term) {
+		raft_become_follower(raft, now_us, reply->term, (raft_id_t){0});
+		return;
+	}
+	peer = find_peer(raft, from);
+	if (raft->role != RAFT_LEADER || reply->term != raft->term || peer == NULL)
+		return;
+	peer->heard_us = now_us;
+	if (reply->applied > peer->applied)
+		peer->applied = reply->applied;
+	acknowledge_round(raft, peer, reply->round);
+	if (reply->success)
+		on_success(raft, peer, now_us, reply->match);
+	else
+		on_mismatch(raft, peer, now_us, reply->match);
+}
+
+void raft_on_snapshot_reply(raft_t *raft, uint64_t now_us, raft_id_t from,
+			    const Lp__SnapshotReply *reply)
+{
+	raft_peer_t *peer;
+
+	if (reply->term > raft->term) {
+		raft_become_follower(raft, now_us, reply->term, (raft_id_t){0});
+		return;
+	}
+	peer = find_peer(raft, from);
+	if (raft->role != RAFT_LEADER || reply->term != raft->term || peer == NULL)
+		return;
+	peer->heard_us = now_us;
+	if (peer->state != PEER_SNAPSHOT)
+		return;
+	if (reply->done) {
+		peer->next = peer->snapshot_index + 1;
+		probe(raft, peer, now_us);
+		return;
+	}
+	if (reply->offset > raft->snapshot.length)
+		return;
+	if (reply->offset > peer->snapshot_acked) {
+		peer->snapshot_progress_us = now_us;
+		peer->snapshot_acked = reply->offset;
+		if (peer->snapshot_sent < reply->offset)
+			peer->snapshot_sent = reply->offset;
+	} else if (reply->offset < peer->snapshot_acked) {
+		/* The follower restarted or lost the transfer; the resend timer goes back there. */
+		peer->snapshot_acked = reply->offset;
+	}
+	pump(raft, peer, now_us);
+}
+
+uint64_t raft_propose(raft_t *raft, Lp__EntryType type, const uint8_t *data, size_t length)
+{
+	if (raft->role != RAFT_LEADER)
+		return 0;
+	return append_own(raft, type, data, length);
+}
+
+/* Applies the change to config. @return false when there is nothing to change */
+static bool change_config(const raft_t *raft, raft_config_t *config, raft_change_t change,
+			  raft_id_t id)
+{
+	const raft_member_t *present = raft_config_find(config, id);
+	size_t kept = 0;
+
+	switch (change) {
+	case RAFT_REPLACE:
+		if (present != NULL || id.node == raft->options.self.node)
+			return false;
+		for (size_t i = 0; i < config->count; i++) {
+			if (config->members[i].id.node != id.node)
+				config->members[kept++] = config->members[i];
+		}
+		if (kept == RAFT_MEMBERS_MAX)
+			return false;
+		config->members[kept] = (raft_member_t){.id = id};
+		config->count = kept + 1;
+		return true;
+	case RAFT_PROMOTE:
+		if (present == NULL || present->voter)
+			return false;
+		config->members[present - config->members].voter = true;
+		return true;
+	case RAFT_REMOVE:
+		if (present == NULL || id.node == raft->options.self.node)
+			return false;
+		for (size_t i = 0; i < config->count; i++) {
+			if (!raft_id_equal(config->members[i].id, id))
+				config->members[kept++] = config->members[i];
+		}
+		config->count = kept;
+		return true;
+	}
+	return false;
+}
+
+int raft_change(raft_t *raft, raft_change_t change, raft_id_t id)
+{
+	raft_config_t config = raft->config;
+	uint8_t *data;
+	size_t length;
+
+	/* Without a committed entry of this term, a change of an earlier leader may be pending that
+	 * this leader does not know, and two majorities could be disjoint. */
+	if (raft->role != RAFT_LEADER || raft->commit < raft->term_start ||
+	    raft->config_index > raft->commit || !change_config(raft, &config, change, id))
+		return -1;
+	data = raft_config_pack(raft, &config, &length);
+	append_own(raft, LP__ENTRY_TYPE__ENTRY_CONFIG, data, length);
+	talloc_free(data);
+	raft_leader_sync_peers(raft);
+	return 0;
+}
--- /dev/null
+++ b/src/wal.c
@@ -0,0 +1,235 @@
+#include "wal.h"
+
+#include <endian.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "durable.h"
+
+#define FRAME_GROUP 1
+/* Header of a record within a frame: length (4 bytes), type (4). */
+#define RECORD_HEADER 8
+
+struct wal {
+	char *path;
+	int fd;
+	uint64_t size;
+	bool failed;
+	uint8_t *buffer;
+	size_t length;
+};
+
+static int destroy_wal(wal_t *wal)
+{
+	if (wal->fd >= 0)
+		close(wal->fd);
+	return 0;
+}
+
+wal_t *wal_create(void *parent, const char *path)
+{
+	wal_t *wal = talloc_zero(parent, wal_t);
+
+	wal->path = talloc_strdup(wal, path);
+	wal->fd = -1;
+	talloc_set_destructor(wal, destroy_wal);
+	return wal;
+}
+
+void wal_close(wal_t *wal)
+{
+	talloc_free(wal);
+}
+
+/* Hands the records of a frame over. @return 0, or -1 when one is malformed or refused */
+static int read_group(const frame_t *frame, wal_record_fn record, void *arg)
+{
+	size_t at = 0;
+
+	while (at < frame->length) {
+		uint32_t length;
+		uint32_t type;
+
+		if (frame->length - at < RECORD_HEADER)
+			return -1;
+		memcpy(&length, frame->payload + at, sizeof(length));
+		memcpy(&type, frame->payload + at + 4, sizeof(type));
+		length = le32toh(length);
+		at += RECORD_HEADER;
+		if (length > frame->length - at ||
+		    record(arg, (wal_type_t)le32toh(type), frame->payload + at, length) != 0)
+			return -1;
+		at += length;
+	}
+	return 0;
+}
+
+/* True when a frame is found at any later offset: the damage is then not an interrupted write. */
+static bool frame_follows(const uint8_t *data, size_t length)
+{
+	frame_t frame;
+
+	for (size_t at = 1; at + FRAME_HEADER <= length; at++) {
+		if (frame_read(&frame, data + at, length - at) > 0 && frame.type == FRAME_GROUP)
+			return true;
+	}
+	return false;
+}
+
+static int read_frames(wal_t *wal, const uint8_t *data, size_t length, wal_record_fn record,
+		       void *arg, char *error, size_t error_size)
+{
+	frame_t frame;
+	size_t at = 0;
+
+	while (at < length) {
+		size_t size = frame_read(&frame, data + at, length - at);
+
+		if (size == 0 && at > 0 && !frame_follows(data + at, length - at))
+			break;
+		if (size == 0 || frame.type != FRAME_GROUP) {
+			snprintf(error, error_size, "%s: offset %zu: damaged record", wal->path,
+				 at);
+			return -1;
+		}
+		if (read_group(&frame, record, arg) != 0) {
+			snprintf(error, error_size, "%s: offset %zu: record out of sequence",
+				 wal->path, at);
+			return -1;
+		}
+		at += size;
+	}
+	wal->size = at;
+	return 0;
+}
+
+wal_t *wal_open(void *parent, const char *path, wal_record_fn record, void *arg, char *error,
+		size_t error_size)
+{
+	g_autoptr(GError) read_error = NULL;
+	g_autofree char *data = NULL;
+	wal_t *wal = wal_create(parent, path);
+	gsize length;
+
+	if (!g_file_get_contents(path, &data, &length, &read_error)) {
+		snprintf(error, error_size, "%s", read_error->message);
+		goto fail;
+	}
+	if (length == 0) {
+		snprintf(error, error_size, "%s: offset 0: empty log", path);
+		goto fail;
+	}
+	if (read_frames(wal, (const uint8_t *)data, length, record, arg, error, error_size) != 0)
+		goto fail;
+	wal->fd = open(path, O_WRONLY | O_CLOEXEC);
+	/* A log that cannot be written is opened all the same; wal_sync() reports it. */
+	if (wal->fd < 0 || (wal->size < length && ftruncate(wal->fd, (off_t)wal->size) != 0))
+		wal->failed = true;
+	return wal;
+
+fail:
+	talloc_free(wal);
+	return NULL;
+}
+
+void wal_append(wal_t *wal, wal_type_t type, const uint8_t *payload, size_t length)
+{
+	uint32_t length_le = htole32((uint32_t)length);
+	uint32_t type_le = htole32((uint32_t)type);
+	uint8_t *at;
+
+	wal->buffer = talloc_realloc(wal, wal->buffer, uint8_t,
+				     wal->length + RECORD_HEADER + length);
+	at = wal->buffer + wal->length;
+	memcpy(at, &length_le, sizeof(length_le));
+	memcpy(at + 4, &type_le, sizeof(type_le));
+	if (length > 0)
+		memcpy(at + RECORD_HEADER, payload, length);
+	wal->length += RECORD_HEADER + length;
+}
+
+bool wal_pending(const wal_t *wal)
+{
+	return wal->length > 0;
+}
+
+void wal_discard(wal_t *wal)
+{
+	TALLOC_FREE(wal->buffer);
+	wal->length = 0;
+}
+
+static int write_all(wal_t *wal, const uint8_t *data, size_t length)
+{
+	size_t done = 0;
+
+	while (done < length) {
+		ssize_t n = pwrite(wal->fd, data + done, length - done, (off_t)(wal->size + done));
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return -1;
+		done += (size_t)n;
+	}
+	return fdatasync(wal->fd);
+}
+
+int wal_sync(wal_t *wal)
+{
+	uint8_t *frame;
+	size_t length = 0;
+	int saved_errno;
+
+	if (wal->length == 0)
+		return 0;
+	if (wal->failed) {
+		errno = EIO;
+		return -1;
+	}
+	frame = frame_append(NULL, &length, FRAME_GROUP, wal->buffer, wal->length);
+	if (write_all(wal, frame, length) != 0) {
+		saved_errno = errno;
+		wal->failed = true;
+		talloc_free(frame);
+		errno = saved_errno;
+		return -1;
+	}
+	talloc_free(frame);
+	wal->size += length;
+	wal_discard(wal);
+	return 0;
+}
+
+int wal_rewrite(wal_t *wal)
+{
+	size_t length = 0;
+	uint8_t *frame = frame_append(NULL, &length, FRAME_GROUP, wal->buffer, wal->length);
+	int result = durable_replace(wal->path, frame, length);
+	int fd;
+
+	talloc_free(frame);
+	if (result != 0)
+		return -1;
+	fd = open(wal->path, O_WRONLY | O_CLOEXEC);
+	if (fd < 0)
+		return -1;
+	if (wal->fd >= 0)
+		close(wal->fd);
+	wal->fd = fd;
+	wal->size = length;
+	wal->failed = false;
+	wal_discard(wal);
+	return 0;
+}
+
+uint64_t wal_size(const wal_t *wal)
+{
+	return wal->size;
+}
