--- a/src/durable.c
+++ b/src/durable.c
@@ -76,9 +76,9 @@
 	g_autoptr(GError) error = NULL;
 
 	errno = EIO;
-	if (!g_file_set_contents_full(
-		    path, (const char *)data, (gssize)length,
-		    G_FILE_SET_CONTENTS_CONSISTENT | G_FILE_SET_CONTENTS_DURABLE, 0600, &error))
+	if (!g_file_set_contents_full(path, (const char *)data, (gssize)length,
+				      G_FILE_SET_CONTENTS_CONSISTENT | G_FILE_SET_CONTENTS_DURABLE,
+				      0600, &error))
 		return -1;
 	return sync_directory_of(path);
 }
--- a/src/raft.c
+++ b/src/raft.c
@@ -400,3 +400,8 @@
 {
 	return raft->contact_us;
 }
+
+uint64_t raft_config_index(const raft_t *raft)
+{
+	return raft->config_index;
+}
--- a/src/raft.h
+++ b/src/raft.h
@@ -156,6 +156,8 @@
 /** @return the entry, or NULL when compacted or absent; valid until the next call */
 const Lp__LogEntry *raft_entry(const raft_t *raft, uint64_t index);
 const raft_config_t *raft_config(const raft_t *raft);
+/** Index of the entry that set it; the base index when none is held. */
+uint64_t raft_config_index(const raft_t *raft);
 /** Configuration in force before the first entry held. */
 const raft_config_t *raft_base_config(const raft_t *raft);
 /** Term of the entry before the first one held. */
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -27,8 +27,7 @@
 		if (old != NULL)
 			peers[count++] = *old;
 		else
-			peers[count++] =
-				(raft_peer_t){.id = id, .next = raft_last_index(raft) + 1};
+			peers[count++] = (raft_peer_t){.id = id, .next = raft_last_index(raft) + 1};
 	}
 	memcpy(raft->peers, peers, count * sizeof(*peers));
 	raft->peer_count = count;
--- a/src/raft_log.c
+++ b/src/raft_log.c
@@ -73,8 +73,7 @@
 
 	if (raft->count == raft->capacity) {
 		raft->capacity = raft->capacity == 0 ? 64 : raft->capacity * 2;
-		raft->entries =
-			talloc_realloc(raft, raft->entries, Lp__LogEntry *, raft->capacity);
+		raft->entries = talloc_realloc(raft, raft->entries, Lp__LogEntry *, raft->capacity);
 	}
 	copy = talloc(raft, Lp__LogEntry);
 	lp__log_entry__init(copy);
--- /dev/null
+++ b/src/replica.c
@@ -0,0 +1,389 @@
+#define G_LOG_DOMAIN "replica"
+
+#include "replica.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "clock.h"
+#include "replica_internal.h"
+
+#define TICK_US (20 * US_PER_MS)
+#define DISK_RETRY_US (1 * US_PER_S)
+
+static void on_flush(struct tevent_context *ev, struct tevent_immediate *im, void *private_data);
+
+void replica_schedule(replica_t *replica)
+{
+	if (replica->flush_scheduled)
+		return;
+	replica->flush_scheduled = true;
+	tevent_schedule_immediate(replica->flush, replica->timers->ev, on_flush, replica);
+}
+
+static void send_message(replica_t *replica, Lp__RaftMessage *message)
+{
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+
+	envelope.body_case = LP__ENVELOPE__BODY_RAFT;
+	envelope.raft = message;
+	replica->send(replica->send_arg, message->to->node_id, &envelope);
+}
+
+/* What was promised in messages that wait for the failed sync is not durable, so they are dropped.
+ */
+static void disk_failed(replica_t *replica, const char *what)
+{
+	raft_action_t *action;
+
+	if (!replica->disk_failed)
+		g_warning("%s: %s; this replica does not vote until the data folder can be written",
+			  what, strerror(errno));
+	replica->disk_failed = true;
+	replica->disk_retry_us = clock_now_us() + DISK_RETRY_US;
+	wal_discard(replica->wal);
+	while ((action = TAILQ_FIRST(&replica->unsynced)) != NULL) {
+		TAILQ_REMOVE(&replica->unsynced, action, link);
+		talloc_free(action);
+	}
+}
+
+static void install_snapshot(replica_t *replica, const raft_snapshot_t *snapshot)
+{
+	if (replica->machine.load(replica->machine.arg, snapshot->data, snapshot->length) != 0)
+		g_error("the snapshot at index %" PRIu64 " cannot be loaded", snapshot->index);
+	replica->applied = snapshot->index;
+	replica->snapshot_index = snapshot->index;
+	raft_applied(replica->raft, snapshot->index);
+	if (!replica->disk_failed &&
+	    (replica_store_snapshot(replica) != 0 || replica_store_rewrite(replica) != 0)) {
+		disk_failed(replica, replica->snapshot_path);
+		raft_set_disk(replica->raft, clock_now_us(), false);
+	}
+	replica_settle_skipped(replica, snapshot->index);
+}
+
+static void run_action(replica_t *replica, raft_action_t *action)
+{
+	switch (action->type) {
+	case RAFT_SAVE_VOTE:
+		replica_store_vote(replica, action->save_vote.term, action->save_vote.vote);
+		break;
+	case RAFT_SAVE_ENTRY:
+		replica_store_entry(replica, action->entry);
+		break;
+	case RAFT_SAVE_SNAPSHOT:
+		install_snapshot(replica, action->snapshot);
+		break;
+	case RAFT_SEND:
+		if (action->send.after_sync) {
+			TAILQ_INSERT_TAIL(&replica->unsynced, action, link);
+			return;
+		}
+		send_message(replica, action->send.message);
+		break;
+	case RAFT_COMMIT:
+		break;
+	}
+	talloc_free(action);
+}
+
+/* Runs the queued actions; to be called after each call of the core that can queue some. */
+static void run_actions(replica_t *replica)
+{
+	raft_action_t *action;
+	bool any = false;
+
+	while ((action = raft_take(replica->raft)) != NULL) {
+		any = true;
+		run_action(replica, action);
+	}
+	if (any)
+		replica_schedule(replica);
+}
+
+static void sync_and_send(replica_t *replica, uint64_t now_us)
+{
+	raft_action_t *action;
+
+	if (replica->wal != NULL && !replica->disk_failed && wal_sync(replica->wal) != 0) {
+		disk_failed(replica, replica->log_path);
+		raft_set_disk(replica->raft, now_us, false);
+		run_actions(replica);
+		return;
+	}
+	while ((action = TAILQ_FIRST(&replica->unsynced)) != NULL) {
+		TAILQ_REMOVE(&replica->unsynced, action, link);
+		send_message(replica, action->send.message);
+		talloc_free(action);
+	}
+	raft_synced(replica->raft, now_us);
+	run_actions(replica);
+}
+
+static void apply_entry(replica_t *replica, const Lp__LogEntry *entry)
+{
+	Lp__Result result = LP__RESULT__INIT;
+	Lp__Command *command = NULL;
+
+	if (entry->type == LP__ENTRY_TYPE__ENTRY_COMMAND)
+		command = lp__command__unpack(NULL, entry->data.len, entry->data.data);
+	if (command != NULL)
+		replica->machine.apply(replica->machine.arg, entry->index, command, &result);
+	else
+		result.code = LP__RESULT_CODE__RESULT_INVALID;
+	result.index = entry->index;
+	replica->applied = entry->index;
+	raft_applied(replica->raft, entry->index);
+	replica_settle(replica, entry, &result);
+	if (command != NULL)
+		lp__command__free_unpacked(command, NULL);
+}
+
+static void take_snapshot(replica_t *replica)
+{
+	size_t length = 0;
+	uint8_t *data = replica->machine.save(replica->machine.arg, &length);
+
+	replica->snapshot_index = replica->applied;
+	raft_compact(replica->raft, replica->applied, data, length, replica->config.snapshot_every);
+	free(data);
+	if (replica->disk_failed)
+		return;
+	if (replica_store_snapshot(replica) == 0 && replica_store_rewrite(replica) == 0)
+		return;
+	disk_failed(replica, replica->snapshot_path);
+	raft_set_disk(replica->raft, clock_now_us(), false);
+	run_actions(replica);
+}
+
+static void apply_committed(replica_t *replica)
+{
+	uint64_t before = replica->applied;
+	uint32_t leader = raft_leader(replica->raft).node;
+
+	while (replica->applied < raft_committed(replica->raft)) {
+		const Lp__LogEntry *entry = raft_entry(replica->raft, replica->applied + 1);
+
+		if (entry == NULL)
+			g_error("entry %" PRIu64 " is missing", replica->applied + 1);
+		apply_entry(replica, entry);
+	}
+	if (replica->applied >= replica->snapshot_index + replica->config.snapshot_every)
+		take_snapshot(replica);
+	if (replica->applied == before && leader == replica->last_leader)
+		return;
+	replica->last_leader = leader;
+	if (replica->machine.changed != NULL)
+		replica->machine.changed(replica->machine.arg);
+}
+
+/* One cycle: hand proposals to the core, send what may go before the sync, sync once for all that
+ * was saved, send what had to wait, apply. */
+static void on_flush(struct tevent_context *ev, struct tevent_immediate *im, void *private_data)
+{
+	replica_t *replica = private_data;
+	uint64_t now_us = clock_now_us();
+
+	replica->flush_scheduled = false;
+	replica_propose_queued(replica, now_us);
+	raft_replicate(replica->raft, now_us);
+	run_actions(replica);
+	sync_and_send(replica, now_us);
+	apply_committed(replica);
+}
+
+static void retry_disk(replica_t *replica, uint64_t now_us)
+{
+	if (!replica->disk_failed || now_us < replica->disk_retry_us)
+		return;
+	replica->disk_retry_us = now_us + DISK_RETRY_US;
+	if (raft_snapshot(replica->raft)->index > 0 && replica_store_snapshot(replica) != 0)
+		return;
+	if (replica_store_rewrite(replica) != 0) {
+		wal_discard(replica->wal);
+		return;
+	}
+	g_message("the data folder can be written again");
+	replica->disk_failed = false;
+	raft_set_disk(replica->raft, now_us, true);
+	raft_synced(replica->raft, now_us);
+}
+
+static void on_tick(void *arg, uint64_t now_us)
+{
+	replica_t *replica = arg;
+
+	retry_disk(replica, now_us);
+	raft_tick(replica->raft, now_us);
+	run_actions(replica);
+	replica_members_tick(replica, now_us);
+	run_actions(replica);
+	replica_propose_tick(replica, now_us);
+	if (raft_leader(replica->raft).node != replica->last_leader)
+		replica_schedule(replica);
+}
+
+static void create_core(replica_t *replica)
+{
+	const replica_config_t *config = &replica->config;
+	raft_config_t founding = {0};
+	raft_options_t options = {
+		.self = replica->self,
+		.disk = config->data_dir != NULL,
+		.heartbeat_us = config->heartbeat_ms * US_PER_MS,
+		.election_min_us = config->election_min_ms * US_PER_MS,
+		.lease_us = config->lease_ms * US_PER_MS,
+		.seed = config->seed ^ replica->self.replica ^ config->node_id,
+	};
+
+	for (size_t i = 0; i < config->voter_count && i < RAFT_MEMBERS_MAX; i++)
+		founding.members[founding.count++] =
+			(raft_member_t){.id = {config->voters[i], 1}, .voter = true};
+	replica->raft = raft_create(replica, &options);
+	raft_restore_base(replica->raft, 0, 0, &founding);
+}
+
+replica_t *replica_create(void *parent, timer_service_t *timers, const replica_config_t *config,
+			  const replica_machine_t *machine, replica_send_fn send, void *send_arg,
+			  char *error, size_t error_size)
+{
+	replica_t *replica = talloc_zero(parent, replica_t);
+
+	replica->config = *config;
+	replica->voters = talloc_memdup(replica, config->voters,
+					config->voter_count * sizeof(*config->voters));
+	replica->config.data_dir = talloc_strdup(replica, config->data_dir);
+	replica->machine = *machine;
+	replica->send = send;
+	replica->send_arg = send_arg;
+	replica->timers = timers;
+	replica->flush = tevent_create_immediate(replica);
+	TAILQ_INIT(&replica->unsynced);
+	TAILQ_INIT(&replica->queued);
+	TAILQ_INIT(&replica->entries);
+	if (replica_store_open(replica, error, error_size) != 0)
+		goto fail;
+	/* Replies to an earlier incarnation's proposals must not match new ones. */
+	replica->next_seq = ((uint64_t)g_random_int() << 32) | 1;
+	create_core(replica);
+	if (replica_store_recover(replica, error, error_size) != 0)
+		goto fail;
+	raft_start(replica->raft, clock_now_us());
+	timer_subscribe(timers, &replica->tick, TICK_US, on_tick, replica);
+	return replica;
+
+fail:
+	talloc_free(replica);
+	return NULL;
+}
+
+void replica_destroy(replica_t *replica)
+{
+	timer_unsubscribe(replica->timers, &replica->tick);
+	replica_propose_finish(replica);
+	talloc_free(replica);
+}
+
+void replica_receive(replica_t *replica, uint32_t from, const Lp__Envelope *envelope)
+{
+	switch ((int)envelope->body_case) {
+	case LP__ENVELOPE__BODY_RAFT:
+		raft_receive(replica->raft, clock_now_us(), envelope->raft);
+		run_actions(replica);
+		break;
+	case LP__ENVELOPE__BODY_PROPOSE:
+		replica_on_propose(replica, from, envelope->propose);
+		run_actions(replica);
+		break;
+	case LP__ENVELOPE__BODY_PROPOSE_REPLY:
+		replica_on_propose_reply(replica, envelope->propose_reply);
+		break;
+	default:
+		break;
+	}
+}
+
+uint64_t replica_id(const replica_t *replica)
+{
+	return replica->self.replica;
+}
+
+bool replica_is_leader(const replica_t *replica)
+{
+	return raft_role(replica->raft) == RAFT_LEADER;
+}
+
+bool replica_has_lease(const replica_t *replica)
+{
+	return raft_has_lease(replica->raft, clock_now_us());
+}
+
+uint32_t replica_leader(const replica_t *replica)
+{
+	return raft_leader(replica->raft).node;
+}
+
+uint64_t replica_term(const replica_t *replica)
+{
+	return raft_term(replica->raft);
+}
+
+uint64_t replica_applied(const replica_t *replica)
+{
+	return replica->applied;
+}
+
+uint64_t replica_committed(const replica_t *replica)
+{
+	return raft_committed(replica->raft);
+}
+
+bool replica_in_contact(const replica_t *replica, uint64_t now_us)
+{
+	if (raft_role(replica->raft) == RAFT_LEADER)
+		return true;
+	return raft_leader(replica->raft).node != 0 &&
+	       now_us <= raft_contact_us(replica->raft) +
+				 2 * replica->config.election_min_ms * US_PER_MS;
+}
+
+static bool peer_info_of(const replica_t *replica, uint32_t node_id, raft_peer_info_t *info)
+{
+	const raft_config_t *config = raft_config(replica->raft);
+
+	for (size_t i = 0; i < config->count; i++) {
+		if (config->members[i].id.node == node_id)
+			return raft_peer_info(replica->raft, config->members[i].id, info) == 0;
+	}
+	return false;
+}
+
+uint64_t replica_peer_applied(const replica_t *replica, uint32_t node_id)
+{
+	raft_peer_info_t info;
+
+	if (node_id == replica->self.node)
+		return replica->applied;
+	return peer_info_of(replica, node_id, &info) ? info.applied : 0;
+}
+
+uint64_t replica_peer_heard_us(const replica_t *replica, uint32_t node_id)
+{
+	raft_peer_info_t info;
+
+	if (node_id == replica->self.node)
+		return clock_now_us();
+	return peer_info_of(replica, node_id, &info) ? info.heard_us : 0;
+}
+
+bool replica_disk_failed(const replica_t *replica)
+{
+	return replica->disk_failed;
+}
--- /dev/null
+++ b/src/replica_members.c
@@ -0,0 +1,91 @@
+#define G_LOG_DOMAIN "replica"
+
+#include "replica_internal.h"
+
+#include "clock.h"
+
+/* A learner this close behind the leader's last entry is caught up. */
+#define CAUGHT_UP_ENTRIES 16
+
+static known_peer_t *find_known(replica_t *replica, uint32_t node)
+{
+	for (size_t i = 0; i < replica->known_count; i++) {
+		if (replica->known[i].id.node == node)
+			return &replica->known[i];
+	}
+	return NULL;
+}
+
+void replica_peer_up(replica_t *replica, uint32_t node_id, uint64_t peer_replica_id, bool disk)
+{
+	known_peer_t *known = find_known(replica, node_id);
+
+	if (node_id == replica->self.node || peer_replica_id == 0)
+		return;
+	if (known == NULL) {
+		if (replica->known_count == RAFT_MEMBERS_MAX)
+			return;
+		known = &replica->known[replica->known_count++];
+	}
+	*known = (known_peer_t){.id = {node_id, peer_replica_id}, .disk = disk};
+}
+
+/* A configuration that arrives after a node came up may name a newer identity of the node, which
+ * an earlier leader saw and this process did not. Without this, a new leader would replace it by
+ * the older one. */
+static void adopt_newer_config(replica_t *replica)
+{
+	const raft_config_t *config = raft_config(replica->raft);
+	uint64_t index = raft_config_index(replica->raft);
+
+	if (index == replica->config_seen)
+		return;
+	replica->config_seen = index;
+	if (raft_role(replica->raft) == RAFT_LEADER)
+		return;
+	for (size_t i = 0; i < config->count; i++) {
+		known_peer_t *known = find_known(replica, config->members[i].id.node);
+
+		if (known != NULL)
+			known->id = config->members[i].id;
+	}
+}
+
+static bool may_be_voter(const replica_t *replica, const known_peer_t *known)
+{
+	for (size_t i = 0; i < replica->config.voter_count; i++) {
+		if (replica->voters[i] == known->id.node)
+			return known->disk;
+	}
+	return false;
+}
+
+static bool caught_up(const replica_t *replica, raft_id_t id, uint64_t now_us)
+{
+	raft_peer_info_t info;
+
+	return raft_peer_info(replica->raft, id, &info) == 0 && info.match > 0 &&
+	       info.match + CAUGHT_UP_ENTRIES >= raft_last_index(replica->raft) &&
+	       now_us < info.heard_us + replica->config.election_min_ms * US_PER_MS;
+}
+
+void replica_members_tick(replica_t *replica, uint64_t now_us)
+{
+	adopt_newer_config(replica);
+	if (raft_role(replica->raft) != RAFT_LEADER)
+		return;
+	for (size_t i = 0; i < replica->known_count; i++) {
+		const known_peer_t *known = &replica->known[i];
+		const raft_member_t *member =
+			raft_config_find(raft_config(replica->raft), known->id);
+
+		if (member == NULL)
+			raft_change(replica->raft, RAFT_REPLACE, known->id);
+		else if (!member->voter && may_be_voter(replica, known) &&
+			 caught_up(replica, known->id, now_us))
+			raft_change(replica->raft, RAFT_PROMOTE, known->id);
+		else
+			continue;
+		replica_schedule(replica);
+	}
+}
--- /dev/null
+++ b/src/replica_propose.c
@@ -0,0 +1,326 @@
+#define G_LOG_DOMAIN "replica"
+
+#include <string.h>
+
+#include <talloc.h>
+
+#include "clock.h"
+#include "replica_internal.h"
+
+/* Wait before a refused or unsendable proposal is sent again. */
+#define RETRY_US (50 * US_PER_MS)
+/* After this the forwarding process has given up on its proposal. */
+#define FORWARDED_LIMIT_US (60 * US_PER_S)
+
+static Lp__Command *copy_command(const Lp__Command *command)
+{
+	size_t length = lp__command__get_packed_size(command);
+	uint8_t *packed = talloc_array(NULL, uint8_t, length + 1);
+	Lp__Command *copy;
+
+	lp__command__pack(command, packed);
+	copy = lp__command__unpack(NULL, length, packed);
+	talloc_free(packed);
+	return copy;
+}
+
+static Lp__Result *copy_result(const Lp__Result *result)
+{
+	size_t length = lp__result__get_packed_size(result);
+	uint8_t *packed = talloc_array(NULL, uint8_t, length + 1);
+	Lp__Result *copy;
+
+	lp__result__pack(result, packed);
+	copy = lp__result__unpack(NULL, length, packed);
+	talloc_free(packed);
+	return copy;
+}
+
+static int destroy_proposal(proposal_t *proposal)
+{
+	lp__command__free_unpacked(proposal->command, NULL);
+	if (proposal->result != NULL)
+		lp__result__free_unpacked(proposal->result, NULL);
+	return 0;
+}
+
+static proposal_t *new_proposal(replica_t *replica, const Lp__Command *command)
+{
+	proposal_t *proposal = talloc_zero(replica, proposal_t);
+
+	proposal->command = copy_command(command);
+	proposal->resend = command->op_id != NULL && command->op_id[0] != '\0';
+	talloc_set_destructor(proposal, destroy_proposal);
+	return proposal;
+}
+
+void replica_propose(replica_t *replica, const Lp__Command *command, uint32_t timeout_ms,
+		     replica_done_fn done, void *arg)
+{
+	proposal_t *proposal = new_proposal(replica, command);
+
+	proposal->deadline_us = clock_now_us() + timeout_ms * US_PER_MS;
+	proposal->done = done;
+	proposal->arg = arg;
+	TAILQ_INSERT_TAIL(&replica->queued, proposal, link);
+	replica_schedule(replica);
+}
+
+static void reply_remote(replica_t *replica, uint32_t node, uint64_t seq, const Lp__Result *result)
+{
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__ProposeReply reply = LP__PROPOSE_REPLY__INIT;
+
+	reply.seq = seq;
+	reply.result = (Lp__Result *)result;
+	envelope.body_case = LP__ENVELOPE__BODY_PROPOSE_REPLY;
+	envelope.propose_reply = &reply;
+	replica->send(replica->send_arg, node, &envelope);
+}
+
+/* Reports the result and frees the proposal, which is in list. */
+static void finish(replica_t *replica, struct proposal_list *list, proposal_t *proposal,
+		   const Lp__Result *result)
+{
+	TAILQ_REMOVE(list, proposal, link);
+	if (proposal->origin != 0)
+		reply_remote(replica, proposal->origin, proposal->origin_seq, result);
+	else
+		proposal->done(proposal->arg, result);
+	talloc_free(proposal);
+}
+
+static void finish_code(replica_t *replica, struct proposal_list *list, proposal_t *proposal,
+			Lp__ResultCode code, const char *message)
+{
+	Lp__Result result = LP__RESULT__INIT;
+
+	result.code = code;
+	result.message = (char *)message;
+	finish(replica, list, proposal, &result);
+}
+
+/* Proposals are kept by index; an index occurs twice when an entry was overwritten in this log,
+ * which may yet be committed by another leader. */
+static void insert_by_index(replica_t *replica, proposal_t *proposal)
+{
+	proposal_t *before = TAILQ_LAST(&replica->entries, proposal_list);
+
+	while (before != NULL && before->index > proposal->index)
+		before = TAILQ_PREV(before, proposal_list, link);
+	if (before != NULL)
+		TAILQ_INSERT_AFTER(&replica->entries, before, proposal, link);
+	else
+		TAILQ_INSERT_HEAD(&replica->entries, proposal, link);
+}
+
+static bool append(replica_t *replica, proposal_t *proposal)
+{
+	size_t length = lp__command__get_packed_size(proposal->command);
+	uint8_t *packed = talloc_array(replica, uint8_t, length + 1);
+
+	lp__command__pack(proposal->command, packed);
+	proposal->index =
+		raft_propose(replica->raft, LP__ENTRY_TYPE__ENTRY_COMMAND, packed, length);
+	talloc_free(packed);
+	if (proposal->index == 0)
+		return false;
+	proposal->term = raft_term(replica->raft);
+	proposal->state = PROPOSAL_APPENDED;
+	insert_by_index(replica, proposal);
+	return true;
+}
+
+static void forward(replica_t *replica, proposal_t *proposal, uint32_t leader, uint64_t now_us)
+{
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__Propose propose = LP__PROPOSE__INIT;
+
+	propose.seq = replica->next_seq++;
+	propose.command = proposal->command;
+	envelope.body_case = LP__ENVELOPE__BODY_PROPOSE;
+	envelope.propose = &propose;
+	if (replica->send(replica->send_arg, leader, &envelope) != 0) {
+		proposal->retry_us = now_us + RETRY_US;
+		return;
+	}
+	proposal->seq = propose.seq;
+	proposal->leader = leader;
+	proposal->state = PROPOSAL_FORWARDED;
+}
+
+void replica_propose_queued(replica_t *replica, uint64_t now_us)
+{
+	uint32_t leader = raft_leader(replica->raft).node;
+	proposal_t *proposal;
+	proposal_t *next;
+
+	for (proposal = TAILQ_FIRST(&replica->queued); proposal != NULL; proposal = next) {
+		next = TAILQ_NEXT(proposal, link);
+		/* The operation id makes a second send harmless, so the new leader gets it too. */
+		if (proposal->state == PROPOSAL_FORWARDED && proposal->resend && leader != 0 &&
+		    leader != proposal->leader) {
+			proposal->state = PROPOSAL_QUEUED;
+			proposal->uncertain = true;
+		}
+		if (proposal->state != PROPOSAL_QUEUED || now_us < proposal->retry_us)
+			continue;
+		if (raft_role(replica->raft) == RAFT_LEADER) {
+			TAILQ_REMOVE(&replica->queued, proposal, link);
+			append(replica, proposal);
+		} else if (leader != 0 && leader != replica->self.node) {
+			forward(replica, proposal, leader, now_us);
+		}
+	}
+}
+
+/* Another entry took the index, so that the proposal was certainly not applied there. */
+static void overwritten(replica_t *replica, proposal_t *proposal)
+{
+	if (proposal->origin != 0) {
+		finish_code(replica, &replica->entries, proposal,
+			    LP__RESULT_CODE__RESULT_UNAVAILABLE, "the leader changed");
+		return;
+	}
+	TAILQ_REMOVE(&replica->entries, proposal, link);
+	proposal->state = PROPOSAL_QUEUED;
+	TAILQ_INSERT_TAIL(&replica->queued, proposal, link);
+	replica_schedule(replica);
+}
+
+static void finish_answered(replica_t *replica)
+{
+	proposal_t *proposal;
+	bool found;
+
+	/* A callback may change the list. */
+	do {
+		found = false;
+		TAILQ_FOREACH (proposal, &replica->queued, link) {
+			if (proposal->state == PROPOSAL_ANSWERED &&
+			    proposal->index <= replica->applied) {
+				found = true;
+				finish(replica, &replica->queued, proposal, proposal->result);
+				break;
+			}
+		}
+	} while (found);
+}
+
+void replica_settle(replica_t *replica, const Lp__LogEntry *entry, const Lp__Result *result)
+{
+	proposal_t *proposal;
+
+	while ((proposal = TAILQ_FIRST(&replica->entries)) != NULL &&
+	       proposal->index <= entry->index) {
+		if (proposal->index == entry->index && proposal->term == entry->term)
+			finish(replica, &replica->entries, proposal, result);
+		else
+			overwritten(replica, proposal);
+	}
+	finish_answered(replica);
+}
+
+void replica_settle_skipped(replica_t *replica, uint64_t index)
+{
+	proposal_t *proposal;
+
+	while ((proposal = TAILQ_FIRST(&replica->entries)) != NULL && proposal->index <= index)
+		finish_code(replica, &replica->entries, proposal, LP__RESULT_CODE__RESULT_UNKNOWN,
+			    "the leader changed");
+	finish_answered(replica);
+}
+
+static void time_out(replica_t *replica, struct proposal_list *list, proposal_t *proposal)
+{
+	switch (proposal->state) {
+	case PROPOSAL_QUEUED:
+		if (proposal->uncertain)
+			break;
+		finish_code(replica, list, proposal, LP__RESULT_CODE__RESULT_UNAVAILABLE,
+			    "no leader");
+		return;
+	case PROPOSAL_ANSWERED:
+		finish(replica, list, proposal, proposal->result);
+		return;
+	case PROPOSAL_FORWARDED:
+	case PROPOSAL_APPENDED:
+		break;
+	}
+	finish_code(replica, list, proposal, LP__RESULT_CODE__RESULT_UNKNOWN,
+		    "no answer of the group in time");
+}
+
+static void time_out_list(replica_t *replica, struct proposal_list *list, uint64_t now_us)
+{
+	proposal_t *proposal;
+
+	do {
+		TAILQ_FOREACH (proposal, list, link) {
+			if (proposal->deadline_us <= now_us) {
+				time_out(replica, list, proposal);
+				break;
+			}
+		}
+	} while (proposal != NULL);
+}
+
+void replica_propose_tick(replica_t *replica, uint64_t now_us)
+{
+	time_out_list(replica, &replica->queued, now_us);
+	time_out_list(replica, &replica->entries, now_us);
+	if (!TAILQ_EMPTY(&replica->queued))
+		replica_schedule(replica);
+}
+
+void replica_on_propose(replica_t *replica, uint32_t from, const Lp__Propose *propose)
+{
+	proposal_t *proposal;
+	Lp__Result result = LP__RESULT__INIT;
+
+	if (propose->command == NULL)
+		return;
+	proposal = new_proposal(replica, propose->command);
+	proposal->origin = from;
+	proposal->origin_seq = propose->seq;
+	proposal->deadline_us = clock_now_us() + FORWARDED_LIMIT_US;
+	if (append(replica, proposal)) {
+		replica_schedule(replica);
+		return;
+	}
+	talloc_free(proposal);
+	result.code = LP__RESULT_CODE__RESULT_UNAVAILABLE;
+	result.message = (char *)"not the leader";
+	reply_remote(replica, from, propose->seq, &result);
+}
+
+void replica_on_propose_reply(replica_t *replica, const Lp__ProposeReply *reply)
+{
+	proposal_t *proposal;
+
+	TAILQ_FOREACH (proposal, &replica->queued, link) {
+		if (proposal->state == PROPOSAL_FORWARDED && proposal->seq == reply->seq)
+			break;
+	}
+	if (proposal == NULL || reply->result == NULL)
+		return;
+	if (reply->result->code == LP__RESULT_CODE__RESULT_UNAVAILABLE) {
+		proposal->state = PROPOSAL_QUEUED;
+		proposal->retry_us = clock_now_us() + RETRY_US;
+		return;
+	}
+	proposal->result = copy_result(reply->result);
+	proposal->index = reply->result->index;
+	proposal->state = PROPOSAL_ANSWERED;
+	finish_answered(replica);
+}
+
+void replica_propose_finish(replica_t *replica)
+{
+	proposal_t *proposal;
+
+	while ((proposal = TAILQ_FIRST(&replica->queued)) != NULL)
+		time_out(replica, &replica->queued, proposal);
+	while ((proposal = TAILQ_FIRST(&replica->entries)) != NULL)
+		time_out(replica, &replica->entries, proposal);
+}
--- a/src/wal.c
+++ b/src/wal.c
@@ -144,8 +144,8 @@
 	uint32_t type_le = htole32((uint32_t)type);
 	uint8_t *at;
 
-	wal->buffer = talloc_realloc(wal, wal->buffer, uint8_t,
-				     wal->length + RECORD_HEADER + length);
+	wal->buffer =
+		talloc_realloc(wal, wal->buffer, uint8_t, wal->length + RECORD_HEADER + length);
 	at = wal->buffer + wal->length;
 	memcpy(at, &length_le, sizeof(length_le));
 	memcpy(at + 4, &type_le, sizeof(type_le));
--- /dev/null
+++ b/tests/test_replica.c
@@ -0,0 +1,423 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "clock.h"
+#include "replica.h"
+
+#define NODES 5
+#define VOTERS 3
+
+/* The state machine: counts commands and hashes their operation ids in order. */
+typedef struct {
+	uint64_t count;
+	uint64_t hash;
+} state_t;
+
+typedef struct {
+	uint32_t node;
+	replica_t *replica;
+	state_t state;
+	char dir[300];
+	bool disk;
+	bool cut; /* nothing goes in or out */
+} node_t;
+
+typedef struct {
+	uint32_t from;
+	uint32_t to;
+	size_t length;
+	uint8_t *data;
+} packet_t;
+
+static struct tevent_context *ev;
+static timer_service_t timers;
+static GQueue packets = G_QUEUE_INIT;
+static node_t nodes[NODES + 1];
+static const uint32_t voters[VOTERS] = {1, 2, 3};
+static char root[64];
+static char error_text[512];
+static size_t largest_heartbeat;
+
+static void apply(void *arg, uint64_t index, const Lp__Command *command, Lp__Result *result)
+{
+	state_t *state = arg;
+
+	state->count++;
+	state->hash = state->hash * 31 + g_str_hash(command->op_id);
+	result->revision = state->count;
+}
+
+static uint8_t *save(void *arg, size_t *length)
+{
+	uint8_t *data = malloc(sizeof(state_t));
+
+	memcpy(data, arg, sizeof(state_t));
+	*length = sizeof(state_t);
+	return data;
+}
+
+static int load(void *arg, const uint8_t *data, size_t length)
+{
+	if (length != sizeof(state_t))
+		return -1;
+	memcpy(arg, data, length);
+	return 0;
+}
+
+static int send_packet(void *arg, uint32_t to, const Lp__Envelope *envelope)
+{
+	const node_t *node = arg;
+	packet_t *packet;
+	bool empty = envelope->body_case == LP__ENVELOPE__BODY_RAFT &&
+		     envelope->raft->body_case == LP__RAFT_MESSAGE__BODY_APPEND &&
+		     envelope->raft->append->n_entries == 0;
+
+	if (node->cut || nodes[to].replica == NULL || nodes[to].cut)
+		return -1;
+	packet = g_new(packet_t, 1);
+	*packet = (packet_t){node->node, to, lp__envelope__get_packed_size(envelope), NULL};
+	packet->data = g_malloc(packet->length);
+	lp__envelope__pack(envelope, packet->data);
+	if (empty && packet->length > largest_heartbeat)
+		largest_heartbeat = packet->length;
+	g_queue_push_tail(&packets, packet);
+	return 0;
+}
+
+static void deliver(void)
+{
+	packet_t *packet;
+
+	while ((packet = g_queue_pop_head(&packets)) != NULL) {
+		Lp__Envelope *envelope = lp__envelope__unpack(NULL, packet->length, packet->data);
+
+		if (nodes[packet->to].replica != NULL && !nodes[packet->to].cut)
+			replica_receive(nodes[packet->to].replica, packet->from, envelope);
+		lp__envelope__free_unpacked(envelope, NULL);
+		g_free(packet->data);
+		g_free(packet);
+	}
+}
+
+static void introduce(uint32_t a, uint32_t b)
+{
+	if (a != b && nodes[a].replica != NULL && nodes[b].replica != NULL)
+		replica_peer_up(nodes[a].replica, b, replica_id(nodes[b].replica), nodes[b].disk);
+}
+
+static bool start(uint32_t n)
+{
+	node_t *node = &nodes[n];
+	const replica_machine_t machine = {
+		.apply = apply, .save = save, .load = load, .arg = &node->state};
+	const replica_config_t config = {
+		.node_id = n,
+		.data_dir = node->disk ? node->dir : NULL,
+		.voters = voters,
+		.voter_count = VOTERS,
+		.heartbeat_ms = 40,
+		.election_min_ms = 160,
+		.lease_ms = 120,
+		.snapshot_every = 50,
+		.seed = n,
+	};
+
+	node->state = (state_t){0};
+	node->cut = false;
+	node->replica = replica_create(NULL, &timers, &config, &machine, send_packet, node,
+				       error_text, sizeof(error_text));
+	for (uint32_t other = 1; other <= NODES && node->replica != NULL; other++) {
+		introduce(n, other);
+		introduce(other, n);
+	}
+	return node->replica != NULL;
+}
+
+static void stop(uint32_t n)
+{
+	if (nodes[n].replica != NULL)
+		replica_destroy(nodes[n].replica);
+	nodes[n].replica = NULL;
+}
+
+static void wipe(const char *dir)
+{
+	static const char *const names[] = {"log", "snapshot", "identity"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_autofree char *path = g_build_filename(dir, names[i], NULL);
+
+		g_unlink(path);
+	}
+	g_rmdir(dir);
+}
+
+/* Runs the event loop until the condition holds; fails the test after 10 s. */
+#define RUN_UNTIL(condition)                                          \
+	do {                                                          \
+		uint64_t run_end_us = clock_now_us() + 10 * US_PER_S; \
+		while (!(condition)) {                                \
+			assert_true(clock_now_us() < run_end_us);     \
+			assert_int_equal(tevent_loop_once(ev), 0);    \
+			deliver();                                    \
+		}                                                     \
+	} while (0)
+
+static void run_for(uint64_t ms)
+{
+	uint64_t end_us = clock_now_us() + ms * US_PER_MS;
+
+	RUN_UNTIL(clock_now_us() >= end_us);
+}
+
+static uint32_t leader(void)
+{
+	for (uint32_t n = 1; n <= NODES; n++) {
+		if (nodes[n].replica != NULL && !nodes[n].cut &&
+		    replica_has_lease(nodes[n].replica))
+			return n;
+	}
+	return 0;
+}
+
+typedef struct {
+	int ok;
+	int other;
+	Lp__ResultCode last;
+} outcomes_t;
+
+static void on_done(void *arg, const Lp__Result *result)
+{
+	outcomes_t *outcomes = arg;
+
+	outcomes->last = result->code;
+	if (result->code == LP__RESULT_CODE__RESULT_OK)
+		outcomes->ok++;
+	else
+		outcomes->other++;
+}
+
+static void propose(uint32_t n, int number, uint32_t timeout_ms, outcomes_t *outcomes)
+{
+	Lp__Command command = LP__COMMAND__INIT;
+	char op_id[32];
+
+	snprintf(op_id, sizeof(op_id), "op-%d", number);
+	command.op_id = op_id;
+	replica_propose(nodes[n].replica, &command, timeout_ms, on_done, outcomes);
+}
+
+static void propose_many(uint32_t n, int count)
+{
+	outcomes_t outcomes = {0};
+
+	for (int i = 0; i < count; i++)
+		propose(n, i, 5000, &outcomes);
+	RUN_UNTIL(outcomes.ok + outcomes.other == count);
+	assert_int_equal(outcomes.ok, count);
+}
+
+/* True when all running replicas have applied the same commands. */
+static bool converged(void)
+{
+	uint32_t l = leader();
+
+	for (uint32_t n = 1; n <= NODES; n++) {
+		if (l == 0 ||
+		    (nodes[n].replica != NULL &&
+		     (replica_applied(nodes[n].replica) != replica_applied(nodes[l].replica) ||
+		      nodes[n].state.hash != nodes[l].state.hash ||
+		      nodes[n].state.count != nodes[l].state.count)))
+			return false;
+	}
+	return true;
+}
+
+static int set_up(void **state)
+{
+	strcpy(root, "/tmp/lp-replica-XXXXXX");
+	assert_non_null(g_mkdtemp(root));
+	ev = tevent_context_init(NULL);
+	timer_service_init(&timers, ev);
+	for (uint32_t n = 1; n <= NODES; n++) {
+		nodes[n] = (node_t){.node = n, .disk = n <= VOTERS};
+		snprintf(nodes[n].dir, sizeof(nodes[n].dir), "%s/%u", root, n);
+	}
+	for (uint32_t n = 1; n <= VOTERS; n++)
+		assert_int_equal(replica_found(nodes[n].dir, n, error_text, sizeof(error_text)), 0);
+	for (uint32_t n = 1; n <= NODES; n++)
+		assert_true(start(n));
+	RUN_UNTIL(leader() != 0);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	for (uint32_t n = 1; n <= NODES; n++) {
+		stop(n);
+		wipe(nodes[n].dir);
+	}
+	deliver();
+	timer_service_finish(&timers);
+	talloc_free(ev);
+	return g_rmdir(root);
+}
+
+static uint32_t some_follower(void)
+{
+	return leader() % VOTERS + 1;
+}
+
+/* Guards against proposals that get lost between follower, learner and leader, and against a
+ * heartbeat that exceeds the budget of control traffic. */
+static void test_proposals_from_every_node_reach_all(void **state)
+{
+	for (uint32_t n = 1; n <= NODES; n++)
+		propose_many(n, 60);
+	RUN_UNTIL(converged());
+	assert_int_equal(nodes[5].state.count, 5 * 60);
+	print_message("largest heartbeat: %zu bytes\n", largest_heartbeat);
+	assert_in_range(largest_heartbeat, 1, 80);
+}
+
+/* Guards against a second founding of a folder, which would repeat an identity. */
+static void test_founding_twice_is_refused(void **state)
+{
+	assert_int_equal(replica_found(nodes[1].dir, 1, error_text, sizeof(error_text)), -1);
+}
+
+/* Guards against entries lost in a failover or restart, and a slow election. */
+static void test_leader_failure_and_restart(void **state)
+{
+	uint32_t old = leader();
+	uint64_t since_us;
+
+	propose_many(old, 30);
+	stop(old);
+	since_us = clock_now_us();
+	RUN_UNTIL(leader() != 0);
+	print_message("new leader after %.2f of the minimum election timeout\n",
+		      (double)(clock_now_us() - since_us) / (160.0 * US_PER_MS));
+	propose_many(leader(), 200);
+	assert_true(start(old));
+	RUN_UNTIL(converged());
+	assert_int_equal(nodes[old].state.count, 230);
+	for (uint32_t n = 1; n <= VOTERS; n++)
+		stop(n);
+	for (uint32_t n = 1; n <= VOTERS; n++)
+		assert_true(start(n));
+	RUN_UNTIL(leader() != 0 && converged());
+	assert_int_equal(nodes[leader()].state.count, 230);
+}
+
+/* Guards against a replica that votes under its old identity after losing its disk, and one that
+ * never becomes a voter again. */
+static void test_lost_disk_returns_as_learner_and_is_promoted(void **state)
+{
+	uint32_t lost = some_follower();
+	uint32_t other;
+
+	propose_many(leader(), 130);
+	stop(lost);
+	wipe(nodes[lost].dir);
+	assert_true(start(lost));
+	assert_int_not_equal(replica_id(nodes[lost].replica), 1);
+	RUN_UNTIL(converged());
+	run_for(300);
+	/* The group only survives the loss of another voter when the new identity votes. */
+	other = 6 - lost - leader();
+	stop(other);
+	run_for(400);
+	RUN_UNTIL(leader() != 0);
+	propose_many(lost, 10);
+	assert_int_equal(nodes[lost].state.count, 140);
+}
+
+/* Guards against a change that is reported as made by a leader without a majority, and against a
+ * command that is run although it was reported as certainly not applied. */
+static void test_cut_off_leader_commits_nothing(void **state)
+{
+	uint32_t old = leader();
+	outcomes_t outcomes = {0};
+
+	nodes[old].cut = true;
+	propose(old, 1, 300, &outcomes);
+	RUN_UNTIL(outcomes.ok + outcomes.other == 1);
+	assert_int_equal(outcomes.last, LP__RESULT_CODE__RESULT_UNKNOWN);
+	assert_false(replica_has_lease(nodes[old].replica));
+	RUN_UNTIL(!replica_is_leader(nodes[old].replica));
+	propose(old, 2, 100, &outcomes);
+	RUN_UNTIL(outcomes.other == 2);
+	assert_int_equal(outcomes.last, LP__RESULT_CODE__RESULT_UNAVAILABLE);
+	RUN_UNTIL(leader() != 0);
+	propose_many(leader(), 5);
+	nodes[old].cut = false;
+	RUN_UNTIL(converged());
+	assert_int_equal(nodes[old].state.count, 5);
+}
+
+/* Guards against a replica that leads or acknowledges while it cannot write, and one that does not
+ * come back. */
+static void test_full_disk_steps_down_and_recovers(void **state)
+{
+	uint32_t full = leader();
+	struct rlimit old;
+	struct rlimit limit;
+
+	signal(SIGXFSZ, SIG_IGN);
+	getrlimit(RLIMIT_FSIZE, &old);
+	limit = old;
+	limit.rlim_cur = 1;
+	setrlimit(RLIMIT_FSIZE, &limit);
+	{
+		outcomes_t outcomes = {0};
+
+		propose(full, 1, 200, &outcomes);
+		RUN_UNTIL(outcomes.other == 1);
+		assert_int_equal(outcomes.last, LP__RESULT_CODE__RESULT_UNKNOWN);
+	}
+	assert_true(replica_disk_failed(nodes[full].replica));
+	assert_false(replica_is_leader(nodes[full].replica));
+	run_for(500);
+	assert_int_equal(leader(), 0);
+	setrlimit(RLIMIT_FSIZE, &old);
+	RUN_UNTIL(leader() != 0 && !replica_disk_failed(nodes[full].replica));
+	propose_many(full, 3);
+	stop(full);
+	assert_true(start(full));
+	RUN_UNTIL(converged());
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_proposals_from_every_node_reach_all, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_founding_twice_is_refused, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_leader_failure_and_restart, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_lost_disk_returns_as_learner_and_is_promoted,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_cut_off_leader_commits_nothing, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_full_disk_steps_down_and_recovers, set_up,
+						tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
