--- a/src/budget.h
+++ b/src/budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "fleet.h"
@@ -21,3 +22,11 @@
 } budget_t;
 
 budget_t budget_of(const fleet_pool_t *pool, const health_t *health, uint64_t now_us);
+/**
+ * The budget when the VMs of a set are taken away.
+ * @param taken set of fleet_vm_t *, or NULL
+ */
+budget_t budget_without(const fleet_pool_t *pool, const health_t *health, uint64_t now_us,
+			GHashTable *taken);
+/** True when the VM is active, announced and not in doubt. */
+bool budget_vm_usable(const fleet_vm_t *vm, const health_t *health, uint64_t now_us);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -114,7 +114,7 @@
 	struct fleet_wave_list waves; /**< newest first */
 	struct fleet_job_list jobs[FLEET_JOB_STATES];
 	uint32_t finished[FLEET_JOB_STATES]; /**< number of jobs kept in each final state */
-	struct fleet_member_list members; /**< by node id */
+	struct fleet_member_list members;    /**< by node id */
 	uint64_t member_epoch; /**< raised when the set of members or their data centres change */
 	uint64_t next_wave;
 	GHashTable *vm_by_id;
--- a/src/fleet_apply_vm.c
+++ b/src/fleet_apply_vm.c
@@ -254,9 +254,8 @@
 
 	if (vm == NULL)
 		return;
-	if (vm->phase != LP__VM_PHASE__VM_CORDONED ||
-	    vm->permit != LP__PERMIT_KIND__PERMIT_MOVE || vm->to_pool == NULL ||
-	    strcmp(vm->to_pool->name, cmd->pool) != 0) {
+	if (vm->phase != LP__VM_PHASE__VM_CORDONED || vm->permit != LP__PERMIT_KIND__PERMIT_MOVE ||
+	    vm->to_pool == NULL || strcmp(vm->to_pool->name, cmd->pool) != 0) {
 		fleet_answer(step->fleet, step->result, LP__RESULT_CODE__RESULT_CONFLICT,
 			     "VM %s is not cordoned for a move to pool %s", vm->id, cmd->pool);
 		return;
