--- a/src/template_fill.c
+++ b/src/template_fill.c
@@ -17,16 +17,16 @@
 
 static int check_value(const template_report_t *report, const char *name, const char *value)
 {
-	if (strpbrk(value, FORBIDDEN_IN_VALUE) != NULL || strstr(value, ": ") != NULL)
-		return template_error(report, 1, name,
-				      "parameter value \"%s\", expected none of %s and no \": \"",
-				      value, FORBIDDEN_IN_VALUE);
 	for (const char *c = value; *c != '\0'; c++) {
 		if (iscntrl((unsigned char)*c))
 			return template_error(report, 1, name,
 					      "parameter value holds a control character, expected "
 					      "one line of text");
 	}
+	if (strpbrk(value, FORBIDDEN_IN_VALUE) != NULL || strstr(value, ": ") != NULL)
+		return template_error(report, 1, name,
+				      "parameter value \"%s\", expected none of %s and no \": \"",
+				      value, FORBIDDEN_IN_VALUE);
 	return 0;
 }
 
