frame, peer: connect the entry processes

Cause: replicated log, claims and reports need ordered messages between entry processes that survive silent connections and restarts. Hello carries the number of the dial, so that an older connection delayed on the way is refused after a newer one. peer.proto also gets the fields that the read-back of claims needs; peer_counters_t gets duplicate_node.

--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,562 @@
+#define G_LOG_DOMAIN "peer"
+
+#include "peer.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "clock.h"
+#include "peer_conn.h"
+
+#define TICK_MS 50
+#define BACKOFF_MIN_MS 50
+#define BACKOFF_MAX_MS 1000
+/* Accepted connections that have not sent their Hello yet; more are closed at once. */
+#define PENDING_MAX 128
+
+struct peer;
+
+/* An accepted connection; peer is NULL until its Hello arrived. */
+typedef struct accepted {
+	TAILQ_ENTRY(accepted) link;
+	peer_set_t *set;
+	peer_conn_t *conn;
+	struct peer *peer;
+	uint64_t heard_us;
+} accepted_t;
+
+typedef struct peer {
+	peer_set_t *set;
+	peer_info_t info;
+	char *address; /* NULL: not dialled */
+	peer_conn_t *dialled;
+	bool ready; /* the dialled process has proved who it is */
+	uint64_t dialled_us;
+	uint64_t answered_us; /* latest pong */
+	uint64_t ping_due_us;
+	uint64_t dial_due_us;
+	uint32_t backoff_ms;
+	uint64_t ping_seq;
+	uint64_t connection; /* number of dials */
+	accepted_t *accepted;
+	uint64_t accepted_incarnation;
+	uint64_t accepted_connection;
+	uint64_t retired_incarnation;
+} peer_t;
+
+struct peer_set {
+	struct tevent_context *ev;
+	timer_service_t *timers;
+	timer_sub_t tick;
+	peer_config_t config;
+	peer_callbacks_t callbacks;
+	peer_counters_t counters;
+	int listen_fd;
+	struct tevent_fd *listen_watch;
+	GRand *rand;
+	TAILQ_HEAD(accepted_list, accepted) accepted;
+	size_t pending;
+	size_t count;
+	peer_t *peers[PEER_MAX];
+};
+
+static void dialled_frame(peer_conn_t *conn, const Lp__Envelope *envelope);
+static void dialled_ended(peer_conn_t *conn, peer_conn_end_t end);
+static void accepted_frame(peer_conn_t *conn, const Lp__Envelope *envelope);
+static void accepted_ended(peer_conn_t *conn, peer_conn_end_t end);
+
+static const peer_conn_callbacks_t dialled_callbacks = {
+	.frame = dialled_frame,
+	.ended = dialled_ended,
+};
+
+static const peer_conn_callbacks_t accepted_callbacks = {
+	.frame = accepted_frame,
+	.ended = accepted_ended,
+};
+
+static peer_t *find(const peer_set_t *set, uint32_t node_id)
+{
+	for (size_t i = 0; i < set->count; i++) {
+		if (set->peers[i]->info.node_id == node_id)
+			return set->peers[i];
+	}
+	return NULL;
+}
+
+static peer_t *add(peer_set_t *set, uint32_t node_id)
+{
+	peer_t *peer;
+
+	if (set->count == PEER_MAX)
+		return NULL;
+	peer = talloc_zero(set, peer_t);
+	peer->set = set;
+	peer->info.node_id = node_id;
+	peer->info.data_centre = talloc_strdup(peer, "");
+	peer->info.http_address = talloc_strdup(peer, "");
+	peer->backoff_ms = BACKOFF_MIN_MS;
+	set->peers[set->count++] = peer;
+	return peer;
+}
+
+static void report_change(peer_t *peer)
+{
+	const peer_callbacks_t *callbacks = &peer->set->callbacks;
+
+	if (callbacks->change != NULL)
+		callbacks->change(callbacks->arg, &peer->info);
+}
+
+static void send_hello(peer_set_t *set, peer_conn_t *conn, uint64_t connection)
+{
+	Lp__Hello hello = LP__HELLO__INIT;
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+
+	hello.cluster = (char *)set->config.cluster;
+	hello.node_id = set->config.node_id;
+	hello.replica_id = set->config.replica_id;
+	hello.incarnation = set->config.incarnation;
+	hello.data_centre = (char *)set->config.data_centre;
+	hello.http_address = (char *)set->config.http_address;
+	hello.disk = set->config.disk;
+	hello.connection = connection;
+	envelope.body_case = LP__ENVELOPE__BODY_HELLO;
+	envelope.hello = &hello;
+	peer_conn_send(conn, &envelope);
+}
+
+static uint64_t applied_index(const peer_set_t *set)
+{
+	if (set->callbacks.applied_index == NULL)
+		return 0;
+	return set->callbacks.applied_index(set->callbacks.arg);
+}
+
+static void send_ping(peer_t *peer, uint64_t now_us)
+{
+	Lp__Ping ping = LP__PING__INIT;
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+
+	ping.seq = ++peer->ping_seq;
+	ping.applied_index = applied_index(peer->set);
+	envelope.body_case = LP__ENVELOPE__BODY_PING;
+	envelope.ping = &ping;
+	peer_conn_send(peer->dialled, &envelope);
+	peer->ping_due_us = now_us + peer->set->config.ping_ms * US_PER_MS;
+}
+
+static void send_pong(peer_set_t *set, peer_conn_t *conn, uint64_t seq)
+{
+	Lp__Pong pong = LP__PONG__INIT;
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+
+	pong.seq = seq;
+	pong.applied_index = applied_index(set);
+	envelope.body_case = LP__ENVELOPE__BODY_PONG;
+	envelope.pong = &pong;
+	peer_conn_send(conn, &envelope);
+}
+
+static void schedule_dial(peer_t *peer, uint64_t now_us)
+{
+	/* Half of the delay is random, so that processes that lost a peer together do not come
+	 * back together. */
+	uint32_t half = peer->backoff_ms / 2;
+	uint32_t delay_ms = half + (uint32_t)g_rand_int_range(peer->set->rand, 0, (gint32)half + 1);
+
+	peer->dial_due_us = now_us + delay_ms * US_PER_MS;
+	peer->backoff_ms = MIN(peer->backoff_ms * 2, BACKOFF_MAX_MS);
+}
+
+static void close_dialled(peer_t *peer)
+{
+	if (peer->dialled != NULL)
+		peer_conn_free(peer->dialled);
+	peer->dialled = NULL;
+	peer->ready = false;
+}
+
+static void dial(peer_t *peer, uint64_t now_us)
+{
+	peer_set_t *set = peer->set;
+
+	peer->dialled_us = now_us;
+	peer->dialled = peer_conn_dial(set, set->ev, peer->address, set->config.timeout_ms,
+				       &dialled_callbacks, &set->counters, peer);
+	if (peer->dialled == NULL) {
+		schedule_dial(peer, now_us);
+		return;
+	}
+	send_hello(set, peer->dialled, ++peer->connection);
+}
+
+static void drop_dialled(peer_t *peer)
+{
+	close_dialled(peer);
+	schedule_dial(peer, clock_now_us());
+}
+
+static void dialled_ended(peer_conn_t *conn, peer_conn_end_t end)
+{
+	peer_t *peer = conn->owner;
+
+	if (end == PEER_CONN_BAD_FRAME)
+		peer->set->counters.frames_bad++;
+	drop_dialled(peer);
+}
+
+/* Takes over what a Hello says. @return true when a live peer has another incarnation now */
+static bool learn(peer_t *peer, const Lp__Hello *hello)
+{
+	bool other = peer->info.incarnation != hello->incarnation;
+
+	if (strcmp(peer->info.data_centre, hello->data_centre) != 0) {
+		talloc_free((char *)peer->info.data_centre);
+		peer->info.data_centre = talloc_strdup(peer, hello->data_centre);
+	}
+	if (strcmp(peer->info.http_address, hello->http_address) != 0) {
+		talloc_free((char *)peer->info.http_address);
+		peer->info.http_address = talloc_strdup(peer, hello->http_address);
+	}
+	peer->info.replica_id = hello->replica_id;
+	peer->info.incarnation = hello->incarnation;
+	peer->info.disk = hello->disk;
+	return other && peer->info.up;
+}
+
+static void dialled_hello(peer_t *peer, const Lp__Hello *hello)
+{
+	peer_set_t *set = peer->set;
+
+	if (strcmp(hello->cluster, set->config.cluster) != 0) {
+		set->counters.wrong_cluster++;
+		drop_dialled(peer);
+		return;
+	}
+	/* The address leads to another process than the settings say. */
+	if (hello->node_id != peer->info.node_id) {
+		set->counters.duplicate_node++;
+		drop_dialled(peer);
+		return;
+	}
+	peer->ready = true;
+	if (learn(peer, hello))
+		report_change(peer);
+	send_ping(peer, clock_now_us());
+}
+
+static void dialled_pong(peer_t *peer, const Lp__Pong *pong)
+{
+	uint64_t now_us = clock_now_us();
+
+	peer->answered_us = now_us;
+	peer->info.last_heard_us = now_us;
+	peer->info.applied_index = pong->applied_index;
+	peer->backoff_ms = BACKOFF_MIN_MS;
+	if (!peer->info.up) {
+		peer->info.up = true;
+		report_change(peer);
+	}
+}
+
+static void dialled_frame(peer_conn_t *conn, const Lp__Envelope *envelope)
+{
+	peer_t *peer = conn->owner;
+
+	if (envelope->body_case == LP__ENVELOPE__BODY_HELLO)
+		dialled_hello(peer, envelope->hello);
+	else if (envelope->body_case == LP__ENVELOPE__BODY_PONG && peer->ready)
+		dialled_pong(peer, envelope->pong);
+}
+
+static void drop_accepted(accepted_t *accepted)
+{
+	peer_set_t *set = accepted->set;
+
+	if (accepted->peer == NULL)
+		set->pending--;
+	else if (accepted->peer->accepted == accepted)
+		accepted->peer->accepted = NULL;
+	TAILQ_REMOVE(&set->accepted, accepted, link);
+	peer_conn_free(accepted->conn);
+	talloc_free(accepted);
+}
+
+static void accepted_ended(peer_conn_t *conn, peer_conn_end_t end)
+{
+	accepted_t *accepted = conn->owner;
+
+	if (end == PEER_CONN_BAD_FRAME)
+		accepted->set->counters.frames_bad++;
+	drop_accepted(accepted);
+}
+
+/*
+ * Two processes with one node id must not both be heard: the one that is live stays. An older
+ * connection of the same process must not follow a newer one, or messages would change order.
+ */
+static bool hello_is_duplicate(const peer_set_t *set, const peer_t *peer, const Lp__Hello *hello,
+			       uint64_t now_us)
+{
+	uint64_t timeout_us = set->config.timeout_ms * US_PER_MS;
+
+	if (hello->incarnation == peer->accepted_incarnation)
+		return hello->connection <= peer->accepted_connection;
+	if (hello->incarnation == peer->retired_incarnation)
+		return true;
+	return peer->accepted != NULL && now_us - peer->accepted->heard_us < timeout_us;
+}
+
+static peer_t *check_hello(peer_set_t *set, const Lp__Hello *hello)
+{
+	peer_t *peer;
+
+	if (strcmp(hello->cluster, set->config.cluster) != 0) {
+		set->counters.wrong_cluster++;
+		return NULL;
+	}
+	if (hello->node_id == set->config.node_id || hello->node_id == 0) {
+		set->counters.duplicate_node++;
+		return NULL;
+	}
+	peer = find(set, hello->node_id);
+	if (peer == NULL)
+		peer = add(set, hello->node_id);
+	if (peer == NULL || hello_is_duplicate(set, peer, hello, clock_now_us())) {
+		set->counters.duplicate_node++;
+		return NULL;
+	}
+	return peer;
+}
+
+static void accepted_hello(accepted_t *accepted, const Lp__Hello *hello)
+{
+	peer_set_t *set = accepted->set;
+	peer_t *peer = check_hello(set, hello);
+
+	if (peer == NULL) {
+		drop_accepted(accepted);
+		return;
+	}
+	if (peer->accepted != NULL)
+		drop_accepted(peer->accepted);
+	if (peer->accepted_incarnation != hello->incarnation)
+		peer->retired_incarnation = peer->accepted_incarnation;
+	peer->accepted_incarnation = hello->incarnation;
+	peer->accepted_connection = hello->connection;
+	peer->accepted = accepted;
+	accepted->peer = peer;
+	set->pending--;
+	send_hello(set, accepted->conn, 0);
+	if (learn(peer, hello))
+		report_change(peer);
+}
+
+static void accepted_frame(peer_conn_t *conn, const Lp__Envelope *envelope)
+{
+	accepted_t *accepted = conn->owner;
+	peer_set_t *set = accepted->set;
+	peer_t *peer = accepted->peer;
+
+	accepted->heard_us = clock_now_us();
+	if ((peer == NULL) != (envelope->body_case == LP__ENVELOPE__BODY_HELLO)) {
+		set->counters.frames_bad++;
+		drop_accepted(accepted);
+		return;
+	}
+	if (peer == NULL) {
+		accepted_hello(accepted, envelope->hello);
+		return;
+	}
+	peer->info.last_heard_us = accepted->heard_us;
+	if (envelope->body_case == LP__ENVELOPE__BODY_PING) {
+		peer->info.applied_index = envelope->ping->applied_index;
+		send_pong(set, conn, envelope->ping->seq);
+	} else if (envelope->body_case != LP__ENVELOPE__BODY__NOT_SET) {
+		set->callbacks.message(set->callbacks.arg, peer->info.node_id, envelope);
+	}
+}
+
+static void on_accept(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+		      void *private_data)
+{
+	peer_set_t *set = private_data;
+	int fd;
+
+	while ((fd = accept4(set->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+		accepted_t *accepted;
+
+		if (set->pending >= PENDING_MAX) {
+			close(fd);
+			continue;
+		}
+		accepted = talloc_zero(set, accepted_t);
+		accepted->set = set;
+		accepted->heard_us = clock_now_us();
+		accepted->conn = peer_conn_accepted(set, ev, fd, set->config.timeout_ms,
+						    &accepted_callbacks, &set->counters, accepted);
+		set->pending++;
+		TAILQ_INSERT_TAIL(&set->accepted, accepted, link);
+	}
+}
+
+/* Closes accepted connections that are silent; their senders replace them in the same time. */
+static void expire_accepted(peer_set_t *set, uint64_t now_us)
+{
+	uint64_t limit_us = 2 * set->config.timeout_ms * US_PER_MS;
+	accepted_t *accepted = TAILQ_FIRST(&set->accepted);
+
+	while (accepted != NULL) {
+		accepted_t *next = TAILQ_NEXT(accepted, link);
+
+		if (now_us - accepted->heard_us >= limit_us)
+			drop_accepted(accepted);
+		accepted = next;
+	}
+}
+
+static void tick_peer(peer_t *peer, uint64_t now_us)
+{
+	const peer_config_t *config = &peer->set->config;
+	uint64_t timeout_us = config->timeout_ms * US_PER_MS;
+	/* A replaced connection gets two pings' time to answer before the peer counts as down. */
+	uint64_t down_us = timeout_us + 2 * config->ping_ms * US_PER_MS;
+
+	if (peer->dialled != NULL &&
+	    now_us - MAX(peer->answered_us, peer->dialled_us) >= timeout_us) {
+		peer->set->counters.reconnects++;
+		close_dialled(peer);
+		peer->dial_due_us = now_us;
+	}
+	if (peer->info.up && now_us - peer->answered_us >= down_us) {
+		peer->info.up = false;
+		report_change(peer);
+	}
+	if (peer->dialled == NULL && peer->address != NULL && now_us >= peer->dial_due_us)
+		dial(peer, now_us);
+	else if (peer->ready && now_us >= peer->ping_due_us)
+		send_ping(peer, now_us);
+}
+
+static void on_tick(void *arg, uint64_t now_us)
+{
+	peer_set_t *set = arg;
+
+	expire_accepted(set, now_us);
+	for (size_t i = 0; i < set->count; i++)
+		tick_peer(set->peers[i], now_us);
+}
+
+static int listen_on(peer_set_t *set)
+{
+	set->listen_fd = peer_conn_listen(set->config.listen_address);
+	if (set->listen_fd < 0)
+		return -1;
+	set->listen_watch =
+		tevent_add_fd(set->ev, set, set->listen_fd, TEVENT_FD_READ, on_accept, set);
+	return 0;
+}
+
+static void copy_config(peer_set_t *set, const peer_config_t *config)
+{
+	set->config = *config;
+	set->config.cluster = talloc_strdup(set, config->cluster);
+	set->config.data_centre = talloc_strdup(set, config->data_centre);
+	set->config.http_address = talloc_strdup(set, config->http_address);
+	set->config.listen_address = talloc_strdup(set, config->listen_address);
+	set->config.peers = NULL;
+	set->config.peer_count = 0;
+}
+
+peer_set_t *peer_set_create(void *parent, struct tevent_context *ev, timer_service_t *timers,
+			    const peer_config_t *config, const peer_callbacks_t *callbacks)
+{
+	peer_set_t *set = talloc_zero(parent, peer_set_t);
+
+	set->ev = ev;
+	set->timers = timers;
+	set->callbacks = *callbacks;
+	TAILQ_INIT(&set->accepted);
+	copy_config(set, config);
+	if (listen_on(set) < 0) {
+		int error = errno;
+
+		talloc_free(set);
+		errno = error;
+		return NULL;
+	}
+	set->rand = g_rand_new_with_seed((guint32)config->incarnation);
+	for (size_t i = 0; i < config->peer_count; i++)
+		peer_set_address(set, &config->peers[i]);
+	timer_subscribe(timers, &set->tick, TICK_MS * US_PER_MS, on_tick, set);
+	return set;
+}
+
+void peer_set_destroy(peer_set_t *set)
+{
+	if (set == NULL)
+		return;
+	timer_unsubscribe(set->timers, &set->tick);
+	while (!TAILQ_EMPTY(&set->accepted))
+		drop_accepted(TAILQ_FIRST(&set->accepted));
+	for (size_t i = 0; i < set->count; i++)
+		close_dialled(set->peers[i]);
+	TALLOC_FREE(set->listen_watch);
+	close(set->listen_fd);
+	g_rand_free(set->rand);
+	talloc_free(set);
+}
+
+void peer_set_address(peer_set_t *set, const peer_address_t *address)
+{
+	peer_t *peer = find(set, address->node_id);
+
+	if (address->node_id == set->config.node_id)
+		return;
+	if (peer == NULL)
+		peer = add(set, address->node_id);
+	if (peer == NULL || (peer->address != NULL && strcmp(peer->address, address->address) == 0))
+		return;
+	talloc_free(peer->address);
+	peer->address = talloc_strdup(peer, address->address);
+	close_dialled(peer);
+	peer->dial_due_us = 0;
+}
+
+int peer_send(peer_set_t *set, uint32_t node_id, const Lp__Envelope *envelope)
+{
+	peer_t *peer = find(set, node_id);
+
+	if (peer == NULL || !peer->ready)
+		return -1;
+	return peer_conn_send(peer->dialled, envelope);
+}
+
+const peer_info_t *peer_info(const peer_set_t *set, uint32_t node_id)
+{
+	const peer_t *peer = find(set, node_id);
+
+	return peer != NULL ? &peer->info : NULL;
+}
+
+size_t peer_count(const peer_set_t *set)
+{
+	return set->count;
+}
+
+const peer_info_t *peer_at(const peer_set_t *set, size_t i)
+{
+	return &set->peers[i]->info;
+}
+
+const peer_counters_t *peer_counters(const peer_set_t *set)
+{
+	return &set->counters;
+}
--- a/src/peer.h
+++ b/src/peer.h
@@ -74,7 +74,7 @@
 void peer_set_destroy(peer_set_t *set);
 
 /** Replaces the address of a peer, or adds the peer. */
-void peer_set_address(peer_set_t *set, const peer_address_t *peer);
+void peer_set_address(peer_set_t *set, const peer_address_t *address);
 
 /**
  * Queues a message. Messages to one peer arrive in order or not at all.
@@ -94,6 +94,7 @@
 	uint64_t frames_received;
 	uint64_t frames_bad;
 	uint64_t wrong_cluster;
-	uint64_t reconnects;
+	uint64_t reconnects;	 /**< connections replaced because they were silent */
+	uint64_t duplicate_node; /**< Hello with this process's node id or that of a live peer */
 } peer_counters_t;
 const peer_counters_t *peer_counters(const peer_set_t *set);
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &lp__claim_batch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__claim_memory__init
+                     (Lp__ClaimMemory         *message)
+{
+  static const Lp__ClaimMemory init_value = LP__CLAIM_MEMORY__INIT;
+  *message = init_value;
+}
+size_t lp__claim_memory__get_packed_size
+                     (const Lp__ClaimMemory *message)
+{
+  assert(message->base.descriptor == &lp__claim_memory__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__claim_memory__pack
+                     (const Lp__ClaimMemory *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__claim_memory__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__claim_memory__pack_to_buffer
+                     (const Lp__ClaimMemory *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__claim_memory__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__ClaimMemory *
+       lp__claim_memory__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__ClaimMemory *)
+     protobuf_c_message_unpack (&lp__claim_memory__descriptor,
+                                allocator, len, data);
+}
+void   lp__claim_memory__free_unpacked
+                     (Lp__ClaimMemory *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__claim_memory__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lp__claim_reply_batch__init
                      (Lp__ClaimReplyBatch         *message)
 {
@@ -1447,7 +1492,7 @@
   assert(message->base.descriptor == &lp__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lp__hello__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lp__hello__field_descriptors[8] =
 {
   {
     "cluster",
@@ -1533,9 +1578,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "connection",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__Hello, connection),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__hello__field_indices_by_name[] = {
   0,   /* field[0] = cluster */
+  7,   /* field[7] = connection */
   4,   /* field[4] = data_centre */
   6,   /* field[6] = disk */
   5,   /* field[5] = http_address */
@@ -1546,7 +1604,7 @@
 static const ProtobufCIntRange lp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lp__hello__descriptor =
 {
@@ -1556,7 +1614,7 @@
   "Lp__Hello",
   "lp",
   sizeof(Lp__Hello),
-  7,
+  8,
   lp__hello__field_descriptors,
   lp__hello__field_indices_by_name,
   1,  lp__hello__number_ranges,
@@ -2975,7 +3033,58 @@
   (ProtobufCMessageInit) lp__claim_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__claim_reply_batch__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lp__claim_memory__field_descriptors[2] =
+{
+  {
+    "node_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimMemory, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimMemory, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__claim_memory__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = node_id */
+};
+static const ProtobufCIntRange lp__claim_memory__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lp__claim_memory__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.ClaimMemory",
+  "ClaimMemory",
+  "Lp__ClaimMemory",
+  "lp",
+  sizeof(Lp__ClaimMemory),
+  2,
+  lp__claim_memory__field_descriptors,
+  lp__claim_memory__field_indices_by_name,
+  1,  lp__claim_memory__number_ranges,
+  (ProtobufCMessageInit) lp__claim_memory__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__claim_reply_batch__field_descriptors[4] =
 {
   {
     "member_epoch",
@@ -3001,15 +3110,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimReplyBatch, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__ClaimReplyBatch, n_known),
+    offsetof(Lp__ClaimReplyBatch, known),
+    &lp__claim_memory__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__claim_reply_batch__field_indices_by_name[] = {
+  2,   /* field[2] = incarnation */
+  3,   /* field[3] = known */
   0,   /* field[0] = member_epoch */
   1,   /* field[1] = replies */
 };
 static const ProtobufCIntRange lp__claim_reply_batch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lp__claim_reply_batch__descriptor =
 {
@@ -3019,7 +3154,7 @@
   "Lp__ClaimReplyBatch",
   "lp",
   sizeof(Lp__ClaimReplyBatch),
-  2,
+  4,
   lp__claim_reply_batch__field_descriptors,
   lp__claim_reply_batch__field_indices_by_name,
   1,  lp__claim_reply_batch__number_ranges,
@@ -3116,7 +3251,7 @@
   (ProtobufCMessageInit) lp__claim_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__claim_sync_request__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lp__claim_sync_request__field_descriptors[5] =
 {
   {
     "member_epoch",
@@ -3154,16 +3289,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimSyncRequest, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimSyncRequest, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__claim_sync_request__field_indices_by_name[] = {
   2,   /* field[2] = cursor */
+  4,   /* field[4] = full */
+  3,   /* field[3] = incarnation */
   0,   /* field[0] = member_epoch */
   1,   /* field[1] = sync_id */
 };
 static const ProtobufCIntRange lp__claim_sync_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lp__claim_sync_request__descriptor =
 {
@@ -3173,14 +3334,14 @@
   "Lp__ClaimSyncRequest",
   "lp",
   sizeof(Lp__ClaimSyncRequest),
-  3,
+  5,
   lp__claim_sync_request__field_descriptors,
   lp__claim_sync_request__field_indices_by_name,
   1,  lp__claim_sync_request__number_ranges,
   (ProtobufCMessageInit) lp__claim_sync_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__claim_sync_reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lp__claim_sync_reply__field_descriptors[10] =
 {
   {
     "member_epoch",
@@ -3254,11 +3415,63 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "incarnation",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimSyncReply, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "intact_before",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimSyncReply, intact_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missing",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Lp__ClaimSyncReply, n_missing),
+    offsetof(Lp__ClaimSyncReply, missing),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missing_known",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimSyncReply, missing_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__claim_sync_reply__field_indices_by_name[] = {
   3,   /* field[3] = done */
+  6,   /* field[6] = incarnation */
   4,   /* field[4] = intact */
+  7,   /* field[7] = intact_before */
   0,   /* field[0] = member_epoch */
+  8,   /* field[8] = missing */
+  9,   /* field[9] = missing_known */
   2,   /* field[2] = next_cursor */
   5,   /* field[5] = records */
   1,   /* field[1] = sync_id */
@@ -3266,7 +3479,7 @@
 static const ProtobufCIntRange lp__claim_sync_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lp__claim_sync_reply__descriptor =
 {
@@ -3276,7 +3489,7 @@
   "Lp__ClaimSyncReply",
   "lp",
   sizeof(Lp__ClaimSyncReply),
-  6,
+  10,
   lp__claim_sync_reply__field_descriptors,
   lp__claim_sync_reply__field_indices_by_name,
   1,  lp__claim_sync_reply__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -36,6 +36,7 @@
 typedef struct Lp__ClaimRequest Lp__ClaimRequest;
 typedef struct Lp__ClaimReply Lp__ClaimReply;
 typedef struct Lp__ClaimBatch Lp__ClaimBatch;
+typedef struct Lp__ClaimMemory Lp__ClaimMemory;
 typedef struct Lp__ClaimReplyBatch Lp__ClaimReplyBatch;
 typedef struct Lp__ClaimRecord Lp__ClaimRecord;
 typedef struct Lp__ClaimSyncRequest Lp__ClaimSyncRequest;
@@ -86,10 +87,14 @@
   char *data_centre;
   char *http_address;
   protobuf_c_boolean disk;
+  /*
+   * number of the sender's connections to this peer so far
+   */
+  uint64_t connection;
 };
 #define LP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Lp__Ping
@@ -383,16 +388,39 @@
     , 0, 0,NULL }
 
 
+/*
+ * The memory of a claim replica, as a process has seen it in a read-back.
+ */
+struct  Lp__ClaimMemory
+{
+  ProtobufCMessage base;
+  uint32_t node_id;
+  uint64_t incarnation;
+};
+#define LP__CLAIM_MEMORY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__claim_memory__descriptor) \
+    , 0, 0 }
+
+
 struct  Lp__ClaimReplyBatch
 {
   ProtobufCMessage base;
   uint64_t member_epoch;
   size_t n_replies;
   Lp__ClaimReply **replies;
+  /*
+   * of the replica that answers
+   */
+  uint64_t incarnation;
+  /*
+   * replicas that read back from it since it started
+   */
+  size_t n_known;
+  Lp__ClaimMemory **known;
 };
 #define LP__CLAIM_REPLY_BATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__claim_reply_batch__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Lp__ClaimRecord
@@ -415,13 +443,21 @@
 struct  Lp__ClaimSyncRequest
 {
   ProtobufCMessage base;
+  /*
+   * may be an earlier one than the current
+   */
   uint64_t member_epoch;
   uint64_t sync_id;
   uint64_t cursor;
+  uint64_t incarnation;
+  /*
+   * the sender lost its memory; otherwise only what is new to it by the epoch
+   */
+  protobuf_c_boolean full;
 };
 #define LP__CLAIM_SYNC_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__claim_sync_request__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Lp__ClaimSyncReply
@@ -437,10 +473,24 @@
   protobuf_c_boolean intact;
   size_t n_records;
   Lp__ClaimRecord **records;
+  uint64_t incarnation;
+  /*
+   * the same for the member set before this epoch
+   */
+  protobuf_c_boolean intact_before;
+  /*
+   * not intact: members whose keys the sender cannot vouch for
+   */
+  size_t n_missing;
+  uint32_t *missing;
+  /*
+   * missing is complete
+   */
+  protobuf_c_boolean missing_known;
 };
 #define LP__CLAIM_SYNC_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__claim_sync_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 struct  Lp__TaskUsage
@@ -983,6 +1033,25 @@
 void   lp__claim_batch__free_unpacked
                      (Lp__ClaimBatch *message,
                       ProtobufCAllocator *allocator);
+/* Lp__ClaimMemory methods */
+void   lp__claim_memory__init
+                     (Lp__ClaimMemory         *message);
+size_t lp__claim_memory__get_packed_size
+                     (const Lp__ClaimMemory   *message);
+size_t lp__claim_memory__pack
+                     (const Lp__ClaimMemory   *message,
+                      uint8_t             *out);
+size_t lp__claim_memory__pack_to_buffer
+                     (const Lp__ClaimMemory   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__ClaimMemory *
+       lp__claim_memory__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__claim_memory__free_unpacked
+                     (Lp__ClaimMemory *message,
+                      ProtobufCAllocator *allocator);
 /* Lp__ClaimReplyBatch methods */
 void   lp__claim_reply_batch__init
                      (Lp__ClaimReplyBatch         *message);
@@ -1273,6 +1342,9 @@
 typedef void (*Lp__ClaimBatch_Closure)
                  (const Lp__ClaimBatch *message,
                   void *closure_data);
+typedef void (*Lp__ClaimMemory_Closure)
+                 (const Lp__ClaimMemory *message,
+                  void *closure_data);
 typedef void (*Lp__ClaimReplyBatch_Closure)
                  (const Lp__ClaimReplyBatch *message,
                   void *closure_data);
@@ -1338,6 +1410,7 @@
 extern const ProtobufCMessageDescriptor lp__claim_request__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_reply__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_batch__descriptor;
+extern const ProtobufCMessageDescriptor lp__claim_memory__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_reply_batch__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_record__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_sync_request__descriptor;
--- /dev/null
+++ b/src/peer_conn.c
@@ -0,0 +1,281 @@
+#include "peer_conn.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <talloc.h>
+#include <tevent.h>
+
+#define LISTEN_BACKLOG 128
+/* Most bytes read in one turn, so that one peer cannot keep the thread from the others. */
+#define READ_TURN_BYTES (256U << 10)
+
+/* Parses "IP:port"; an IPv6 address stands in brackets. */
+static int parse_address(const char *address, struct sockaddr_storage *storage, socklen_t *length)
+{
+	struct sockaddr_in *in4 = (struct sockaddr_in *)storage;
+	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)storage;
+	const char *colon = strrchr(address, ':');
+	char ip[INET6_ADDRSTRLEN + 2];
+	size_t ip_length;
+	unsigned long port;
+	char *end;
+
+	if (colon == NULL || colon[1] == '\0' || (size_t)(colon - address) >= sizeof(ip))
+		return -1;
+	port = strtoul(colon + 1, &end, 10);
+	if (*end != '\0' || port > UINT16_MAX)
+		return -1;
+	ip_length = (size_t)(colon - address);
+	memcpy(ip, address, ip_length);
+	ip[ip_length] = '\0';
+	memset(storage, 0, sizeof(*storage));
+	if (ip[0] == '[' && ip_length > 2 && ip[ip_length - 1] == ']') {
+		ip[ip_length - 1] = '\0';
+		in6->sin6_family = AF_INET6;
+		in6->sin6_port = htons((uint16_t)port);
+		*length = sizeof(*in6);
+		return inet_pton(AF_INET6, ip + 1, &in6->sin6_addr) == 1 ? 0 : -1;
+	}
+	in4->sin_family = AF_INET;
+	in4->sin_port = htons((uint16_t)port);
+	*length = sizeof(*in4);
+	return inet_pton(AF_INET, ip, &in4->sin_addr) == 1 ? 0 : -1;
+}
+
+static int open_socket(const char *address, struct sockaddr_storage *storage, socklen_t *length)
+{
+	if (parse_address(address, storage, length) < 0) {
+		errno = EINVAL;
+		return -1;
+	}
+	return socket(storage->ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+}
+
+static int close_failed(int fd)
+{
+	int error = errno;
+
+	close(fd);
+	errno = error;
+	return -1;
+}
+
+int peer_conn_listen(const char *address)
+{
+	struct sockaddr_storage storage;
+	socklen_t length;
+	int one = 1;
+	int fd = open_socket(address, &storage, &length);
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&storage, length) < 0 || listen(fd, LISTEN_BACKLOG) < 0)
+		return close_failed(fd);
+	return fd;
+}
+
+/* Ends the connection unless a callback has freed it already. */
+static void end(peer_conn_t *conn, peer_conn_end_t reason)
+{
+	conn->callbacks->ended(conn, reason);
+}
+
+static void flush(peer_conn_t *conn)
+{
+	while (conn->out_start < conn->out->len) {
+		ssize_t n = send(conn->fd, conn->out->data + conn->out_start,
+				 conn->out->len - conn->out_start, MSG_NOSIGNAL);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			return;
+		if (n < 0) {
+			end(conn, PEER_CONN_CLOSED);
+			return;
+		}
+		conn->out_start += (size_t)n;
+		conn->counters->bytes_sent += (uint64_t)n;
+	}
+	g_byte_array_set_size(conn->out, 0);
+	conn->out_start = 0;
+	TEVENT_FD_NOT_WRITEABLE(conn->watch);
+}
+
+/* Hands over the decoded frames. @return false when the connection has ended */
+static bool deliver(peer_conn_t *conn)
+{
+	Lp__Envelope *envelope;
+	frame_status_t status;
+	bool freed = false;
+
+	while ((status = frame_decoder_next(&conn->decoder, &envelope)) == FRAME_READY) {
+		conn->freed = &freed;
+		conn->counters->frames_received++;
+		conn->callbacks->frame(conn, envelope);
+		lp__envelope__free_unpacked(envelope, NULL);
+		if (freed)
+			return false;
+		conn->freed = NULL;
+	}
+	if (status == FRAME_BAD) {
+		end(conn, PEER_CONN_BAD_FRAME);
+		return false;
+	}
+	return true;
+}
+
+static void on_readable(peer_conn_t *conn)
+{
+	size_t total = 0;
+
+	while (total < READ_TURN_BYTES) {
+		size_t room;
+		uint8_t *to = frame_decoder_room(&conn->decoder, &room);
+		ssize_t n = recv(conn->fd, to, room, 0);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+			return;
+		if (n <= 0) {
+			end(conn, PEER_CONN_CLOSED);
+			return;
+		}
+		total += (size_t)n;
+		conn->counters->bytes_received += (uint64_t)n;
+		frame_decoder_received(&conn->decoder, (size_t)n);
+		if (!deliver(conn))
+			return;
+		if ((size_t)n < room)
+			return;
+	}
+}
+
+static void on_connected(peer_conn_t *conn)
+{
+	int error = 0;
+	socklen_t length = sizeof(error);
+
+	if (getsockopt(conn->fd, SOL_SOCKET, SO_ERROR, &error, &length) < 0 || error != 0) {
+		end(conn, PEER_CONN_CLOSED);
+		return;
+	}
+	conn->connecting = false;
+	flush(conn);
+}
+
+static void on_event(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+		     void *private_data)
+{
+	peer_conn_t *conn = private_data;
+
+	if (conn->connecting) {
+		on_connected(conn);
+		return;
+	}
+	/* One of the two per turn, as either may free the connection. */
+	if ((flags & TEVENT_FD_WRITE) != 0 && conn->out_start < conn->out->len)
+		flush(conn);
+	else if ((flags & TEVENT_FD_READ) != 0)
+		on_readable(conn);
+}
+
+static int close_conn(peer_conn_t *conn)
+{
+	if (conn->freed != NULL)
+		*conn->freed = true;
+	/* tevent requires that the watch goes before its descriptor. */
+	TALLOC_FREE(conn->watch);
+	close(conn->fd);
+	frame_decoder_finish(&conn->decoder);
+	g_byte_array_unref(conn->out);
+	return 0;
+}
+
+static peer_conn_t *wrap(void *parent, struct tevent_context *ev, int fd, uint32_t timeout_ms,
+			 const peer_conn_callbacks_t *callbacks, peer_counters_t *counters,
+			 void *owner)
+{
+	peer_conn_t *conn = talloc_zero(parent, peer_conn_t);
+	unsigned user_timeout = timeout_ms;
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof(user_timeout));
+	*conn = (peer_conn_t){
+		.ev = ev,
+		.fd = fd,
+		.callbacks = callbacks,
+		.counters = counters,
+		.owner = owner,
+		.out = g_byte_array_new(),
+	};
+	frame_decoder_init(&conn->decoder);
+	conn->watch = tevent_add_fd(ev, conn, fd, TEVENT_FD_READ, on_event, conn);
+	talloc_set_destructor(conn, close_conn);
+	return conn;
+}
+
+peer_conn_t *peer_conn_accepted(void *parent, struct tevent_context *ev, int fd,
+				uint32_t timeout_ms, const peer_conn_callbacks_t *callbacks,
+				peer_counters_t *counters, void *owner)
+{
+	return wrap(parent, ev, fd, timeout_ms, callbacks, counters, owner);
+}
+
+peer_conn_t *peer_conn_dial(void *parent, struct tevent_context *ev, const char *address,
+			    uint32_t timeout_ms, const peer_conn_callbacks_t *callbacks,
+			    peer_counters_t *counters, void *owner)
+{
+	struct sockaddr_storage storage;
+	socklen_t length;
+	int fd = open_socket(address, &storage, &length);
+	peer_conn_t *conn;
+
+	if (fd < 0)
+		return NULL;
+	if (connect(fd, (struct sockaddr *)&storage, length) < 0 && errno != EINPROGRESS) {
+		close_failed(fd);
+		return NULL;
+	}
+	conn = wrap(parent, ev, fd, timeout_ms, callbacks, counters, owner);
+	conn->connecting = true;
+	/* tevent reports a failed connect only to those who also wait for readability. */
+	tevent_fd_set_flags(conn->watch, TEVENT_FD_READ | TEVENT_FD_WRITE);
+	return conn;
+}
+
+void peer_conn_free(peer_conn_t *conn)
+{
+	talloc_free(conn);
+}
+
+int peer_conn_send(peer_conn_t *conn, const Lp__Envelope *envelope)
+{
+	guint before;
+
+	/* Drops what was sent before the array grows beyond twice the queue. */
+	if (conn->out_start > PEER_QUEUE_BYTES) {
+		g_byte_array_remove_range(conn->out, 0, (guint)conn->out_start);
+		conn->out_start = 0;
+	}
+	before = conn->out->len;
+	if (frame_append(conn->out, envelope) == 0)
+		return -1;
+	if (conn->out->len - conn->out_start > PEER_QUEUE_BYTES) {
+		g_byte_array_set_size(conn->out, before);
+		return -1;
+	}
+	conn->counters->frames_sent++;
+	if (!conn->connecting)
+		TEVENT_FD_WRITEABLE(conn->watch);
+	return 0;
+}
