--- a/Makefile
+++ b/Makefile
@@ -6,17 +6,18 @@
 #   make format-check lint proto
 #
 # Sources are found by pattern: src/*.c is the product, tests/test_*.c are cmocka programs,
-# tests/lib_*.c are shared by them, tools/*.c are programs of their own, bench/*.c are benchmarks.
+# tests/lib_*.c are shared by them, tools/*.c are programs of their own,
+# tools/lib_*.c are shared by these, bench/*.c are benchmarks.
 
 VARIANT ?= release
 BUILD := build/$(VARIANT)
 CC := gcc
 PKGS := talloc tevent libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson libxxhash
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lcyaml -lm -pthread
+PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lcyaml -lyaml -lm -pthread
 
 CFLAGS_common := -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
-	-Wno-unused-parameter -Werror -D_GNU_SOURCE -Isrc -Itests -MMD -MP -pthread
+	-Wno-unused-parameter -Werror -D_GNU_SOURCE -Isrc -Itests -Itools -MMD -MP -pthread
 CFLAGS_release := -O2
 CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=undefined
 CFLAGS_tsan := -O1 -fsanitize=thread -fno-omit-frame-pointer
@@ -30,7 +31,8 @@
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/liblavenderpass.a
 BIN := $(BUILD)/lavenderpass
-TOOLS := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
+TOOLS := $(patsubst tools/%.c,$(BUILD)/%,$(filter-out tools/lib_%.c,$(wildcard tools/*.c)))
+TOOL_LIB_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/lib_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/*.c))
 TEST_LIB_OBJ := $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/lib_*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
@@ -58,7 +60,7 @@
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(TEST_LIB_OBJ) $(LIB)
 	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS) -lcmocka
 
-$(BUILD)/%: $(BUILD)/tools/%.o $(LIB)
+$(BUILD)/%: $(BUILD)/tools/%.o $(TOOL_LIB_OBJ) $(LIB)
 	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS)
 
 $(BUILD)/%: $(BUILD)/bench/%.o $(LIB)
@@ -84,7 +86,7 @@
 	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability \
 		--inline-suppr --suppressions-list=.cppcheck-suppressions -Isrc $(HAND_WRITTEN_C)
 	printf '%s\n' $(HAND_WRITTEN_C) | xargs -P $$(nproc) -I FILE clang-tidy --quiet \
-		--warnings-as-errors='*' FILE -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests $(PKG_CFLAGS)
+		--warnings-as-errors='*' FILE -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests -Itools $(PKG_CFLAGS)
 
 proto:
 	cd proto && protoc-c --c_out=../src command.proto peer.proto
--- /dev/null
+++ b/src/yaml_locate.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <stddef.h>
+
+/**
+ * @file
+ * Line numbers of keys in a YAML text, for error messages. libcyaml reports where its parser
+ * stands, which for unknown, missing and repeated keys is another line than that of the key.
+ */
+
+/**
+ * Line of a key.
+ * @param key key of a mapping at any depth
+ * @param from_line first line to look at, from 1
+ * @return the line, from 1, or 0 when there is no such key
+ */
+unsigned yaml_locate_key(const char *text, size_t length, const char *key, unsigned from_line);
