emulator: add targets and platform on loopback

Process tests need targets that announce themselves, refuse truthfully, run tasks and can be drained and rebooted, with faults set from outside.

--- /dev/null
+++ b/tools/emulator.c
@@ -0,0 +1,192 @@
+#include <getopt.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+
+#include "lib_emulator.h"
+
+static const char usage[] =
+	"usage: emulator [OPTIONS]\n"
+	"Emulates targets and the platform on loopback, until SIGTERM or SIGINT.\n"
+	"  --targets N            number of targets (4)\n"
+	"  --first-port P         port of the first target (20000)\n"
+	"  --address-base IP      address of all listeners (127.0.0.1)\n"
+	"  --organisation NAME    (barid)\n"
+	"  --vm-prefix TEXT       VM ids are TEXT001, TEXT002, ... (organisation and -vm)\n"
+	"  --data-centres A,B     targets are dealt out in turn (a)\n"
+	"  --pools A,B            pool hints, in turn within a data centre (backoffice)\n"
+	"  --rack-size N          targets per rack (4)\n"
+	"  --entries DC=IP:P,...  entry processes of a data centre; repeat for each\n"
+	"  --platform-port P      platform API (none)\n"
+	"  --control-port P       GET /state, POST /behaviour, POST /platform (none)\n"
+	"  --service-ms N         service time (20)\n"
+	"  --reboot-ms N          (2000)\n"
+	"  --announce-ms N        (1000)\n"
+	"  --image NAME           (base)\n"
+	"  --journal FILE         one JSON line when a request starts to run, ends or is lost\n"
+	"  --cores N --mem-mib N --accelerators N --slots N --connections N  (64 262144 0 8 64)\n"
+	"  --threads N            HTTP threads (2)\n";
+
+enum {
+	OPT_FIRST = 256
+};
+
+/* Options that take a number, then those that take a word. */
+static const char *const numbers[] = {
+	"targets",	"first-port", "rack-size",   "platform-port", "control-port",
+	"service-ms",	"reboot-ms",  "announce-ms", "cores",	      "mem-mib",
+	"accelerators", "slots",      "connections", "threads",
+};
+static const char *const words[] = {
+	"address-base", "organisation", "vm-prefix", "data-centres",
+	"pools",	"entries",	"image",     "journal",
+};
+#define NUMBERS G_N_ELEMENTS(numbers)
+#define WORDS G_N_ELEMENTS(words)
+
+static bool add_entries(emulator_options_t *options, const char *text)
+{
+	const char *equals = strchr(text, '=');
+
+	if (equals == NULL)
+		return false;
+	g_hash_table_insert(options->entries, g_strndup(text, (gsize)(equals - text)),
+			    g_strsplit(equals + 1, ",", 0));
+	return true;
+}
+
+static bool take_word(emulator_options_t *options, size_t index, const char *value)
+{
+	switch (index) {
+	case 0:
+		options->address = value;
+		return true;
+	case 1:
+		options->organisation = value;
+		return true;
+	case 2:
+		options->vm_prefix = value;
+		return true;
+	case 3:
+		options->data_centres = g_strsplit(value, ",", 0);
+		return options->data_centres[0] != NULL;
+	case 4:
+		options->pools = g_strsplit(value, ",", 0);
+		return options->pools[0] != NULL;
+	case 5:
+		return add_entries(options, value);
+	case 6:
+		options->image = value;
+		return true;
+	default:
+		options->journal = value;
+		return true;
+	}
+}
+
+static bool take_number(emulator_options_t *options, size_t index, const char *text)
+{
+	unsigned *const fields[NUMBERS] = {
+		&options->targets,	 &options->first_port,	 &options->rack_size,
+		&options->platform_port, &options->control_port, &options->service_ms,
+		&options->reboot_ms,	 &options->announce_ms,	 &options->cores,
+		&options->mem_mib,	 &options->accelerators, &options->slots,
+		&options->connections,	 &options->threads,
+	};
+	guint64 value;
+
+	if (!g_ascii_string_to_unsigned(text, 10, 0, 1 << 24, &value, NULL))
+		return false;
+	*fields[index] = (unsigned)value;
+	return true;
+}
+
+static bool parse(emulator_options_t *options, int argc, char **argv)
+{
+	struct option table[NUMBERS + WORDS + 1] = {0};
+	int opt;
+
+	for (size_t i = 0; i < NUMBERS + WORDS; i++)
+		table[i] = (struct option){
+			.name = i < NUMBERS ? numbers[i] : words[i - NUMBERS],
+			.has_arg = required_argument,
+			.val = OPT_FIRST + (int)i,
+		};
+	while ((opt = getopt_long(argc, argv, "", table, NULL)) != -1) {
+		size_t index = (size_t)(opt - OPT_FIRST);
+
+		if (opt < OPT_FIRST)
+			return false;
+		if (index < NUMBERS ? !take_number(options, index, optarg)
+				    : !take_word(options, index - NUMBERS, optarg)) {
+			(void)fprintf(stderr, "bad value of --%s: %s\n", table[index].name, optarg);
+			return false;
+		}
+	}
+	return optind == argc && options->targets > 0 && options->rack_size > 0 &&
+	       options->announce_ms > 0 && options->first_port + options->targets <= 65536;
+}
+
+static emulator_options_t defaults(void)
+{
+	return (emulator_options_t){
+		.targets = 4,
+		.first_port = 20000,
+		.address = "127.0.0.1",
+		.organisation = "barid",
+		.data_centres = g_strsplit("a", ",", 0),
+		.pools = g_strsplit("backoffice", ",", 0),
+		.rack_size = 4,
+		.entries = g_hash_table_new(g_str_hash, g_str_equal),
+		.service_ms = 20,
+		.reboot_ms = 2000,
+		.announce_ms = 1000,
+		.cores = 64,
+		.mem_mib = 262144,
+		.slots = 8,
+		.connections = 64,
+		.threads = 2,
+		.image = "base",
+	};
+}
+
+int main(int argc, char **argv)
+{
+	static emulator_t emu;
+	emulator_options_t options = defaults();
+	void *(*const runs[])(void *) = {announce_run, accept_run, timer_run};
+	sigset_t signals;
+	int got;
+
+	if (!parse(&options, argc, argv)) {
+		(void)fputs(usage, stderr);
+		return 2;
+	}
+	if (options.vm_prefix == NULL)
+		options.vm_prefix = g_strdup_printf("%s-vm", options.organisation);
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	(void)signal(SIGPIPE, SIG_IGN);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	if (emulator_init(&emu, &options) != 0 || emulator_serve(&emu) != 0)
+		return 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
+		pthread_t thread;
+
+		if (pthread_create(&thread, NULL, runs[i], &emu) != 0)
+			return 1;
+	}
+	(void)printf("ready\n");
+	(void)fflush(stdout);
+	(void)sigwait(&signals, &got);
+	/* Ends at once; suspended requests are not waited for. */
+	pthread_mutex_lock(&emu.lock);
+	if (emu.journal != NULL)
+		(void)fflush(emu.journal);
+	_exit(0);
+}
