--- a/tools/lib_emulator.h
+++ b/tools/lib_emulator.h
@@ -197,7 +197,7 @@
 json_t *task_report(const target_t *target, uint64_t now_us);
 /** Extends a task's lease. */
 void task_renew(target_t *target, const char *job, uint32_t attempt, uint64_t lease_ms);
-void task_free(gpointer task);
+void task_free(gpointer pointer);
 
 /* --- lib_platform.c; lock held --- */
 answer_t platform_call(emulator_t *emu, request_t *request);
