--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,493 @@
+#define G_LOG_DOMAIN "http_client"
+
+#include "http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <tevent.h>
+
+#include "clock.h"
+
+/* Idle connections kept per thread; 1,600 targets share the pools of all threads and processes. */
+#define IDLE_CONNECTIONS 512
+/* Peers with the usual keep-alive of 60 s and more have not closed a connection of this age. */
+#define IDLE_AGE_S 20
+/* Unacknowledged data for so long closes the connection: a silent peer. */
+#define USER_TIMEOUT_MS 3000
+
+struct http_call {
+	GList link; /* in the client's queue */
+	http_client_t *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	struct tevent_timer *progress_timer;
+	http_call_done_fn done;
+	void *arg;
+	bool (*before_send)(void *arg);
+	void *before_send_arg;
+	uint64_t progress_timeout_us;
+	uint64_t progressed_us;
+	uint64_t started_us;
+	curl_off_t received;
+	curl_off_t written;
+	GArray *response_headers; /* http_header_t, strings owned */
+	GByteArray *body;
+	size_t response_limit;
+	bool head;
+	bool connected;
+	bool sent;
+	bool refused;
+	const char *error;
+	char error_text[CURL_ERROR_SIZE];
+};
+
+typedef struct {
+	struct tevent_fd *fde;
+	http_client_t *client;
+	curl_socket_t fd;
+} watch_t;
+
+static void collect_finished(http_client_t *client);
+
+/* --- event loop --- */
+
+static void on_socket_ready(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+			    void *private_data)
+{
+	const watch_t *watch = private_data;
+	http_client_t *client = watch->client;
+	int mask = 0;
+	int running;
+
+	if (flags & TEVENT_FD_READ)
+		mask |= CURL_CSELECT_IN;
+	if (flags & TEVENT_FD_WRITE)
+		mask |= CURL_CSELECT_OUT;
+	/* The library may free the watch in this call. */
+	curl_multi_socket_action(client->multi, watch->fd, mask, &running);
+	collect_finished(client);
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *client_data, void *socket_data)
+{
+	http_client_t *client = client_data;
+	watch_t *watch = socket_data;
+	uint16_t flags = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		if (watch != NULL) {
+			curl_multi_assign(client->multi, fd, NULL);
+			talloc_free(watch);
+		}
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		flags |= TEVENT_FD_READ;
+	if (what & CURL_POLL_OUT)
+		flags |= TEVENT_FD_WRITE;
+	if (watch != NULL) {
+		tevent_fd_set_flags(watch->fde, flags);
+		return 0;
+	}
+	watch = talloc(client->ev, watch_t);
+	*watch = (watch_t){.client = client, .fd = fd};
+	watch->fde = tevent_add_fd(client->ev, watch, fd, flags, on_socket_ready, watch);
+	curl_multi_assign(client->multi, fd, watch);
+	return 0;
+}
+
+static void on_timeout(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
+		       void *private_data)
+{
+	http_client_t *client = private_data;
+	int running;
+
+	client->timer = NULL;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	collect_finished(client);
+}
+
+static int on_set_timer(CURLM *multi, long timeout_ms, void *private_data)
+{
+	http_client_t *client = private_data;
+	struct timeval at;
+
+	TALLOC_FREE(client->timer);
+	if (timeout_ms < 0)
+		return 0;
+	at = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
+					(uint32_t)(timeout_ms % 1000 * US_PER_MS));
+	client->timer = tevent_add_timer(client->ev, client->ev, at, on_timeout, client);
+	return 0;
+}
+
+/* --- one call --- */
+
+static void response_header_clear(void *data)
+{
+	http_header_t *header = data;
+
+	g_free((char *)header->name);
+	g_free((char *)header->value);
+}
+
+static void call_free(http_call_t *call)
+{
+	g_queue_unlink(&call->client->in_progress, &call->link);
+	call->client->calls--;
+	TALLOC_FREE(call->progress_timer);
+	curl_multi_remove_handle(call->client->multi, call->easy);
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	g_array_unref(call->response_headers);
+	g_byte_array_unref(call->body);
+	g_free(call);
+}
+
+static size_t on_body(char *data, size_t size, size_t count, void *private_data)
+{
+	http_call_t *call = private_data;
+	size_t length = size * count;
+
+	if (call->body->len + length > call->response_limit) {
+		call->error = "the response is larger than the limit";
+		return 0;
+	}
+	g_byte_array_append(call->body, (const guint8 *)data, (guint)length);
+	return length;
+}
+
+static size_t on_header(char *data, size_t size, size_t count, void *private_data)
+{
+	http_call_t *call = private_data;
+	size_t length = size * count;
+	const char *colon = memchr(data, ':', length);
+	http_header_t header;
+
+	/* A status line starts the headers anew: those before belong to an interim response. */
+	if (length >= 5 && memcmp(data, "HTTP/", 5) == 0) {
+		g_array_set_size(call->response_headers, 0);
+		return length;
+	}
+	if (colon == NULL)
+		return length;
+	header.name = g_strndup(data, (gsize)(colon - data));
+	header.value = g_strstrip(g_strndup(colon + 1, length - (gsize)(colon + 1 - data)));
+	g_array_append_val(call->response_headers, header);
+	return length;
+}
+
+/*
+ * Runs when a connection is ready for the request. When a reused connection turns out to be closed
+ * before a byte of the response came, the library sends the request once more by itself, and no
+ * option switches that off (libcurl 7.88.1, Curl_retry_request). The peer may have run the first
+ * one, so a second passage ends the call; the caller decides about a retry.
+ */
+static int on_ready_to_send(void *private_data, char *remote_ip, char *local_ip, int remote_port,
+			    int local_port)
+{
+	http_call_t *call = private_data;
+
+	call->connected = true;
+	if (call->sent) {
+		call->error = "the connection was closed before a response; not sent again";
+		return CURL_PREREQFUNC_ABORT;
+	}
+	if (call->before_send != NULL && !call->before_send(call->before_send_arg)) {
+		call->refused = true;
+		call->error = "cancelled before the request was sent";
+		return CURL_PREREQFUNC_ABORT;
+	}
+	call->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static int on_progress(void *private_data, curl_off_t total_down, curl_off_t down,
+		       curl_off_t total_up, curl_off_t up)
+{
+	http_call_t *call = private_data;
+
+	if (down != call->received || up != call->written) {
+		call->received = down;
+		call->written = up;
+		call->progressed_us = clock_now_us();
+	}
+	return 0;
+}
+
+static int on_new_socket(void *private_data, curl_socket_t fd, curlsocktype purpose)
+{
+	unsigned timeout_ms = USER_TIMEOUT_MS;
+	int one = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	return CURL_SOCKOPT_OK;
+}
+
+static bool has_header(const http_call_t *call, const char *name)
+{
+	for (guint i = 0; i < call->response_headers->len; i++) {
+		const http_header_t *header =
+			&g_array_index(call->response_headers, http_header_t, i);
+
+		if (g_ascii_strcasecmp(header->name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* A body that only the end of the connection delimits cannot be told from a truncated one. */
+static bool body_is_delimited(const http_call_t *call, long status)
+{
+	return call->head || status == 204 || status == 304 || has_header(call, "Content-Length") ||
+	       has_header(call, "Transfer-Encoding");
+}
+
+static void finish_call(http_call_t *call, CURLcode code)
+{
+	http_call_result_t result = {
+		.connected = call->connected,
+		.sent = call->sent,
+		.refused_before_send = call->refused,
+		.headers = (const http_header_t *)call->response_headers->data,
+		.header_count = call->response_headers->len,
+		.body = call->body->data,
+		.body_length = call->body->len,
+		.error = call->error,
+		.elapsed_us = clock_now_us() - call->started_us,
+	};
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	result.status = (unsigned)status;
+	if (result.error == NULL && code != CURLE_OK)
+		result.error =
+			call->error_text[0] != '\0' ? call->error_text : curl_easy_strerror(code);
+	if (result.error == NULL && !body_is_delimited(call, status))
+		result.error = "the response does not say where its body ends";
+	result.complete = result.error == NULL;
+	/* Off the list before the callback, so that it cannot be found and cancelled. */
+	curl_multi_remove_handle(call->client->multi, call->easy);
+	call->done(call->arg, &result);
+	call_free(call);
+}
+
+static void collect_finished(http_client_t *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left)) != NULL) {
+		http_call_t *call = NULL;
+		CURLcode code = message->data.result;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		finish_call(call, code);
+	}
+}
+
+static void on_progress_timer(struct tevent_context *ev, struct tevent_timer *te,
+			      struct timeval current, void *private_data);
+
+static void arm_progress_timer(http_call_t *call, uint64_t wait_us)
+{
+	call->progress_timer = tevent_add_timer(
+		call->client->ev, call->client->ev,
+		tevent_timeval_current_ofs((uint32_t)(wait_us / US_PER_S), wait_us % US_PER_S),
+		on_progress_timer, call);
+}
+
+static void on_progress_timer(struct tevent_context *ev, struct tevent_timer *te,
+			      struct timeval current, void *private_data)
+{
+	http_call_t *call = private_data;
+	uint64_t idle_us = clock_now_us() - call->progressed_us;
+
+	call->progress_timer = NULL;
+	if (idle_us < call->progress_timeout_us) {
+		arm_progress_timer(call, call->progress_timeout_us - idle_us);
+		return;
+	}
+	call->error = "no progress";
+	finish_call(call, CURLE_OPERATION_TIMEDOUT);
+}
+
+static void set_transport(http_call_t *call, const http_call_request_t *request)
+{
+	CURL *easy = call->easy;
+
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, call->error_text);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)IDLE_AGE_S);
+	curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, (long)call->client->connection_age_max_s);
+	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
+	if (request->connect_timeout_ms > 0)
+		curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+				 (long)request->connect_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+	curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(easy, CURLOPT_XFERINFODATA, call);
+	curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+}
+
+static void add_header(http_call_t *call, const char *name, const char *value)
+{
+	/* The library sends a header with an empty value only when it is written as "Name;". */
+	char *line = *value != '\0' ? g_strdup_printf("%s: %s", name, value)
+				    : g_strdup_printf("%s;", name);
+
+	call->headers = curl_slist_append(call->headers, line);
+	g_free(line);
+}
+
+static void set_headers(http_call_t *call, const http_call_request_t *request)
+{
+	bool has_accept = false;
+	bool has_type = false;
+
+	for (size_t i = 0; i < request->header_count; i++) {
+		const http_header_t *header = &request->headers[i];
+
+		has_accept |= g_ascii_strcasecmp(header->name, "Accept") == 0;
+		has_type |= g_ascii_strcasecmp(header->name, "Content-Type") == 0;
+		add_header(call, header->name, header->value);
+	}
+	/* Keeps the library from adding headers of its own. */
+	if (!has_accept)
+		call->headers = curl_slist_append(call->headers, "Accept:");
+	if (!has_type)
+		call->headers = curl_slist_append(call->headers, "Content-Type:");
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+static void set_message(http_call_t *call, const http_call_request_t *request)
+{
+	CURL *easy = call->easy;
+	bool has_body = request->body_length > 0 || strcmp(request->method, "POST") == 0 ||
+			strcmp(request->method, "PUT") == 0 ||
+			strcmp(request->method, "PATCH") == 0;
+
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	call->head = strcmp(request->method, "HEAD") == 0;
+	if (has_body) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)request->body_length);
+		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS,
+				 request->body_length > 0 ? request->body : "");
+	} else if (call->head) {
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	}
+	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
+	set_headers(call, request);
+}
+
+/* --- interface --- */
+
+int http_client_init(http_client_t *client, struct tevent_context *ev,
+		     uint32_t connection_age_max_s)
+{
+	CURLM *multi = curl_multi_init();
+
+	*client = (http_client_t){
+		.ev = ev, .multi = multi, .connection_age_max_s = connection_age_max_s};
+	if (multi == NULL)
+		return -1;
+	g_queue_init(&client->in_progress);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_set_timer);
+	curl_multi_setopt(multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+	curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS);
+	return 0;
+}
+
+void http_client_finish(http_client_t *client)
+{
+	http_call_t *call;
+
+	while ((call = g_queue_peek_head(&client->in_progress)) != NULL) {
+		call->error = "the client is stopping";
+		finish_call(call, CURLE_ABORTED_BY_CALLBACK);
+	}
+	curl_multi_cleanup(client->multi);
+	TALLOC_FREE(client->timer);
+}
+
+http_call_t *http_client_send(http_client_t *client, const http_call_request_t *request,
+			      http_call_done_fn done, void *arg)
+{
+	CURL *easy = curl_easy_init();
+	http_call_t *call;
+
+	if (easy == NULL)
+		return NULL;
+	call = g_new0(http_call_t, 1);
+	*call = (http_call_t){
+		.client = client,
+		.easy = easy,
+		.done = done,
+		.arg = arg,
+		.before_send = request->before_send,
+		.before_send_arg = request->before_send_arg,
+		.progress_timeout_us = request->progress_timeout_ms * US_PER_MS,
+		.started_us = clock_now_us(),
+		.response_headers = g_array_new(FALSE, FALSE, sizeof(http_header_t)),
+		.body = g_byte_array_new(),
+		.response_limit = request->response_limit,
+	};
+	call->progressed_us = call->started_us;
+	g_array_set_clear_func(call->response_headers, response_header_clear);
+	set_transport(call, request);
+	set_message(call, request);
+	call->link.data = call;
+	g_queue_push_head_link(&client->in_progress, &call->link);
+	client->calls++;
+	if (call->progress_timeout_us > 0)
+		arm_progress_timer(call, call->progress_timeout_us);
+	curl_multi_add_handle(client->multi, easy);
+	return call;
+}
+
+void http_call_cancel(http_call_t *call)
+{
+	call_free(call);
+}
+
+verdict_t http_call_verdict(const http_call_result_t *result)
+{
+	if (result->complete)
+		return VERDICT_RAN;
+	return result->sent ? VERDICT_UNKNOWN : VERDICT_NOT_RUN;
+}
+
+const char *http_call_header(const http_call_result_t *result, const char *name)
+{
+	for (size_t i = 0; i < result->header_count; i++) {
+		if (g_ascii_strcasecmp(result->headers[i].name, name) == 0)
+			return result->headers[i].value;
+	}
+	return NULL;
+}
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -4,6 +4,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <glib.h>
+
 #include "http_server.h"
 #include "verdict.h"
 
@@ -30,6 +32,11 @@
 	/** Called right before the request is handed to the connection; false cancels the call. */
 	bool (*before_send)(void *arg);
 	void *before_send_arg;
+	/**
+	 * Uses a new connection, so that an idle connection that the peer has just closed cannot
+	 * leave the outcome unknown. For requests that may not be repeated.
+	 */
+	bool fresh_connection;
 } http_call_request_t;
 
 /** Result of a call; valid during the done function only. */
@@ -55,6 +62,7 @@
 	struct tevent_timer *timer;
 	unsigned calls;
 	uint32_t connection_age_max_s;
+	GQueue in_progress; /**< http_call_t */
 } http_client_t;
 
 /** @return 0, or -1 when out of memory. */
--- /dev/null
+++ b/src/http_server.c
@@ -0,0 +1,592 @@
+#define G_LOG_DOMAIN "http_server"
+
+#include "http_server.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdarg.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <tevent.h>
+
+#include "clock.h"
+
+#define LISTEN_BACKLOG 1024
+/* Longest sleep between two runs of the daemon; bounds the lateness of idle timeouts. */
+#define RUN_PERIOD_MS 1000
+
+typedef struct http_server_link {
+	pthread_mutex_t lock;
+	http_server_t *server; /* NULL once the server has finished */
+	unsigned references;
+	LIST_HEAD(suspended_list, http_request) suspended;
+} server_link_t;
+
+typedef struct {
+	char *name;
+	char *value;
+} header_copy_t;
+
+struct http_request {
+	LIST_ENTRY(http_request) suspended_link;
+	server_link_t *link;
+	http_server_t *server;		   /* valid in the server's thread while suspended */
+	struct MHD_Connection *connection; /* NULL once the connection is gone */
+	pthread_t thread;		   /* of the server */
+	char *method;
+	char *path;
+	char *query;
+	GArray *headers; /* header_copy_t */
+	GHashTable *params;
+	GByteArray *body;
+	struct MHD_Response *response; /* set by the reply */
+	unsigned status;
+	bool body_too_large;
+	bool in_handler;
+	bool handed_over; /* the handler owns the request until it replies */
+	bool suspended;
+	bool counted; /* in open_requests */
+	struct tevent_fd *hangup;
+	void (*abort_fn)(void *arg);
+	void *abort_arg;
+};
+
+static void link_unref(server_link_t *link)
+{
+	unsigned left;
+
+	pthread_mutex_lock(&link->lock);
+	left = --link->references;
+	pthread_mutex_unlock(&link->lock);
+	if (left > 0)
+		return;
+	pthread_mutex_destroy(&link->lock);
+	g_free(link);
+}
+
+static void header_copy_clear(void *data)
+{
+	header_copy_t *header = data;
+
+	g_free(header->name);
+	g_free(header->value);
+}
+
+static http_request_t *request_create(http_server_t *server, const char *uri)
+{
+	http_request_t *request = g_new0(http_request_t, 1);
+	const char *mark = strchr(uri, '?');
+
+	request->link = server->link;
+	request->server = server;
+	pthread_mutex_lock(&server->link->lock);
+	server->link->references++;
+	pthread_mutex_unlock(&server->link->lock);
+	request->thread = pthread_self();
+	request->path = mark != NULL ? g_strndup(uri, (gsize)(mark - uri)) : g_strdup(uri);
+	request->query = g_strdup(mark != NULL ? mark + 1 : "");
+	request->body = g_byte_array_new();
+	request->headers = g_array_new(FALSE, FALSE, sizeof(header_copy_t));
+	g_array_set_clear_func(request->headers, header_copy_clear);
+	return request;
+}
+
+static void request_free(http_request_t *request)
+{
+	if (request->response != NULL)
+		MHD_destroy_response(request->response);
+	if (request->params != NULL)
+		g_hash_table_destroy(request->params);
+	g_array_unref(request->headers);
+	g_byte_array_unref(request->body);
+	g_free(request->method);
+	g_free(request->path);
+	g_free(request->query);
+	link_unref(request->link);
+	g_free(request);
+}
+
+/* --- daemon on the event context --- */
+
+static void run_daemon(http_server_t *server);
+static void arm_timer(http_server_t *server, uint64_t wait_ms);
+
+static void on_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
+		     void *private_data)
+{
+	http_server_t *server = private_data;
+
+	server->timer = NULL;
+	run_daemon(server);
+}
+
+static void on_daemon_ready(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+			    void *private_data)
+{
+	run_daemon(private_data);
+}
+
+static void run_daemon(http_server_t *server)
+{
+	MHD_UNSIGNED_LONG_LONG wait_ms = RUN_PERIOD_MS;
+	MHD_UNSIGNED_LONG_LONG timeout_ms;
+
+	server->resumed = false;
+	MHD_run(server->daemon);
+	if (MHD_get_timeout(server->daemon, &timeout_ms) == MHD_YES)
+		wait_ms = MIN(timeout_ms, wait_ms);
+	if (server->resumed)
+		wait_ms = 0;
+	arm_timer(server, wait_ms);
+}
+
+static void arm_timer(http_server_t *server, uint64_t wait_ms)
+{
+	TALLOC_FREE(server->timer);
+	server->timer = tevent_add_timer(
+		server->ev, server->ev,
+		tevent_timeval_current_ofs(wait_ms / 1000, (wait_ms % 1000) * US_PER_MS), on_timer,
+		server);
+}
+
+/* The library has no other hook for requests that it answers with an error itself. */
+static void on_library_log(void *cls, const char *format, va_list args)
+{
+	http_server_t *server = cls;
+
+	if (g_str_has_prefix(format, "Error processing request"))
+		server->malformed++;
+}
+
+/* --- requests --- */
+
+static enum MHD_Result reply_text(struct MHD_Connection *connection, unsigned status,
+				  const char *text)
+{
+	struct MHD_Response *response =
+		MHD_create_response_from_buffer(strlen(text), (void *)text, MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result result;
+
+	if (response == NULL)
+		return MHD_NO;
+	MHD_add_response_header(response, "Lavenderpass-Outcome", "not-run");
+	MHD_add_response_header(response, "Connection", "close");
+	result = MHD_queue_response(connection, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static void watch_hangup(http_server_t *server, http_request_t *request);
+
+static enum MHD_Result queue_reply(http_server_t *server, http_request_t *request)
+{
+	struct MHD_Response *response = request->response;
+
+	if (server->draining && MHD_get_response_header(response, "Connection") == NULL)
+		MHD_add_response_header(response, "Connection", "close");
+	return MHD_queue_response(request->connection, request->status, response);
+}
+
+static enum MHD_Result copy_header(void *cls, enum MHD_ValueKind kind, const char *name,
+				   const char *value)
+{
+	http_request_t *request = cls;
+	header_copy_t copy = {.name = g_strdup(name), .value = g_strdup(value ? value : "")};
+
+	g_array_append_val(request->headers, copy);
+	return MHD_YES;
+}
+
+static enum MHD_Result hand_over(http_server_t *server, http_request_t *request)
+{
+	request->handed_over = true;
+	request->in_handler = true;
+	server->handler(server->arg, request);
+	request->in_handler = false;
+	if (request->response != NULL)
+		return queue_reply(server, request);
+	request->suspended = true;
+	LIST_INSERT_HEAD(&server->link->suspended, request, suspended_link);
+	MHD_suspend_connection(request->connection);
+	watch_hangup(server, request);
+	return MHD_YES;
+}
+
+/* A request with both lengths can be read in two ways (request smuggling, RFC 9112 section 6.1). */
+static bool has_two_lengths(struct MHD_Connection *connection)
+{
+	return MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length") != NULL &&
+	       MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Transfer-Encoding") !=
+		       NULL;
+}
+
+static enum MHD_Result start_request(http_server_t *server, http_request_t *request,
+				     struct MHD_Connection *connection, const char *method)
+{
+	const char *length =
+		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
+
+	request->connection = connection;
+	request->method = g_strdup(method);
+	request->counted = true;
+	server->open_requests++;
+	if (has_two_lengths(connection)) {
+		server->malformed++;
+		return reply_text(connection, 400, "both Content-Length and Transfer-Encoding\n");
+	}
+	if (length != NULL && g_ascii_strtoull(length, NULL, 10) > server->config.body_limit)
+		return reply_text(connection, 413, "the body is larger than the limit\n");
+	MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header, request);
+	return MHD_YES;
+}
+
+static enum MHD_Result on_access(void *cls, struct MHD_Connection *connection, const char *url,
+				 const char *method, const char *version, const char *upload_data,
+				 size_t *upload_data_size, void **con_cls)
+{
+	http_server_t *server = cls;
+	http_request_t *request = *con_cls;
+
+	if (request == NULL)
+		return MHD_NO;
+	if (request->connection == NULL)
+		return start_request(server, request, connection, method);
+	if (*upload_data_size > 0) {
+		if (request->body->len + *upload_data_size > server->config.body_limit)
+			request->body_too_large = true;
+		else
+			g_byte_array_append(request->body, (const guint8 *)upload_data,
+					    (guint)*upload_data_size);
+		*upload_data_size = 0;
+		return MHD_YES;
+	}
+	if (request->response != NULL)
+		return queue_reply(server, request);
+	if (request->body_too_large)
+		return reply_text(connection, 413, "the body is larger than the limit\n");
+	return hand_over(server, request);
+}
+
+static void *on_uri(void *cls, const char *uri, struct MHD_Connection *connection)
+{
+	return request_create(cls, uri);
+}
+
+static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
+			 enum MHD_RequestTerminationCode code)
+{
+	http_server_t *server = cls;
+	http_request_t *request = *con_cls;
+
+	*con_cls = NULL;
+	if (request == NULL)
+		return;
+	if (request->counted)
+		server->open_requests--;
+	TALLOC_FREE(request->hangup);
+	request->connection = NULL;
+	if (!request->handed_over || request->response != NULL) {
+		request_free(request);
+		return;
+	}
+	if (request->abort_fn != NULL)
+		request->abort_fn(request->abort_arg);
+}
+
+/*
+ * The library does not watch a suspended connection. A client that closed its side is taken for
+ * gone even if it still reads: its reply stays truthful, but the work for it may be cancelled.
+ */
+static void on_hangup(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+		      void *private_data)
+{
+	http_request_t *request = private_data;
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char byte;
+	ssize_t got = recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	if (got < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	TALLOC_FREE(request->hangup);
+	/* Readable data is the next request of the client. */
+	if (got <= 0 && request->abort_fn != NULL)
+		request->abort_fn(request->abort_arg);
+}
+
+static void watch_hangup(http_server_t *server, http_request_t *request)
+{
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	request->hangup = tevent_add_fd(server->ev, server->ev, info->connect_fd, TEVENT_FD_READ,
+					on_hangup, request);
+}
+
+const char *http_request_method(const http_request_t *request)
+{
+	return request->method;
+}
+
+const char *http_request_path(const http_request_t *request)
+{
+	return request->path;
+}
+
+const char *http_request_query(const http_request_t *request)
+{
+	return request->query;
+}
+
+const char *http_request_header(http_request_t *request, const char *name)
+{
+	for (guint i = 0; i < request->headers->len; i++) {
+		const header_copy_t *header = &g_array_index(request->headers, header_copy_t, i);
+
+		if (g_ascii_strcasecmp(header->name, name) == 0)
+			return header->value;
+	}
+	return NULL;
+}
+
+const char *http_request_param(http_request_t *request, const char *name)
+{
+	if (request->params == NULL)
+		request->params =
+			g_uri_parse_params(request->query, -1, "&", G_URI_PARAMS_WWW_FORM, NULL);
+	if (request->params == NULL)
+		request->params = g_hash_table_new(g_str_hash, g_str_equal);
+	return g_hash_table_lookup(request->params, name);
+}
+
+const void *http_request_body(const http_request_t *request, size_t *length)
+{
+	*length = request->body->len;
+	return request->body->data;
+}
+
+void http_request_headers(http_request_t *request,
+			  void (*fn)(void *arg, const char *name, const char *value), void *arg)
+{
+	for (guint i = 0; i < request->headers->len; i++) {
+		const header_copy_t *header = &g_array_index(request->headers, header_copy_t, i);
+
+		fn(arg, header->name, header->value);
+	}
+}
+
+void http_request_on_abort(http_request_t *request, void (*fn)(void *arg), void *arg)
+{
+	request->abort_fn = fn;
+	request->abort_arg = arg;
+}
+
+static void resume(http_server_t *server, http_request_t *request)
+{
+	request->suspended = false;
+	LIST_REMOVE(request, suspended_link);
+	TALLOC_FREE(request->hangup);
+	MHD_resume_connection(request->connection);
+	/* In external mode the library has no descriptor of its own that would wake the loop. */
+	if (!server->resumed)
+		arm_timer(server, 0);
+	server->resumed = true;
+}
+
+/* Runs in the server's thread. */
+static void finish_reply(void *arg)
+{
+	http_request_t *request = arg;
+
+	request->abort_fn = NULL;
+	if (request->connection == NULL) {
+		request_free(request);
+		return;
+	}
+	if (request->suspended)
+		resume(request->server, request);
+}
+
+static struct MHD_Response *make_response(const http_header_t *headers, size_t header_count,
+					  const void *body, size_t length)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		length, length > 0 ? (void *)body : (void *)"", MHD_RESPMEM_MUST_COPY);
+
+	if (response == NULL)
+		g_error("out of memory for a response of %zu bytes", length);
+	for (size_t i = 0; i < header_count; i++)
+		MHD_add_response_header(response, headers[i].name, headers[i].value);
+	return response;
+}
+
+void http_request_reply(http_request_t *request, unsigned status, const http_header_t *headers,
+			size_t header_count, const void *body, size_t length)
+{
+	struct MHD_Response *response = make_response(headers, header_count, body, length);
+	server_link_t *link = request->link;
+
+	request->status = status;
+	if (pthread_equal(pthread_self(), request->thread) && link->server != NULL) {
+		request->response = response;
+		if (!request->in_handler)
+			finish_reply(request);
+		return;
+	}
+	pthread_mutex_lock(&link->lock);
+	request->response = response;
+	if (link->server != NULL) {
+		mailbox_post(&link->server->mailbox, finish_reply, request);
+		request = NULL;
+	}
+	pthread_mutex_unlock(&link->lock);
+	if (request != NULL)
+		request_free(request);
+}
+
+/* --- server --- */
+
+static int set_address(struct sockaddr_storage *storage, socklen_t *length, const char *address,
+		       uint16_t port)
+{
+	struct sockaddr_in *in = (struct sockaddr_in *)storage;
+	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)storage;
+
+	memset(storage, 0, sizeof(*storage));
+	if (inet_pton(AF_INET, address, &in->sin_addr) == 1) {
+		in->sin_family = AF_INET;
+		in->sin_port = htons(port);
+		*length = sizeof(*in);
+		return 0;
+	}
+	if (inet_pton(AF_INET6, address, &in6->sin6_addr) == 1) {
+		in6->sin6_family = AF_INET6;
+		in6->sin6_port = htons(port);
+		*length = sizeof(*in6);
+		return 0;
+	}
+	errno = EINVAL;
+	return -1;
+}
+
+static int open_listener(const http_server_config_t *config)
+{
+	struct sockaddr_storage storage;
+	socklen_t length;
+	int one = 1;
+	int saved_errno;
+	int fd;
+
+	if (set_address(&storage, &length, config->address, config->port) != 0)
+		return -1;
+	fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+	if (fd < 0)
+		return -1;
+	if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) != 0 ||
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one)) != 0 ||
+	    bind(fd, (struct sockaddr *)&storage, length) != 0 || listen(fd, LISTEN_BACKLOG) != 0)
+		goto fail;
+	return fd;
+
+fail:
+	saved_errno = errno;
+	close(fd);
+	errno = saved_errno;
+	return -1;
+}
+
+static struct MHD_Daemon *start_daemon(http_server_t *server, int listener)
+{
+	const http_server_config_t *config = &server->config;
+
+	return MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, config->port, NULL,
+		NULL, on_access, server, MHD_OPTION_EXTERNAL_LOGGER, on_library_log, server,
+		MHD_OPTION_LISTEN_SOCKET, listener, MHD_OPTION_CONNECTION_LIMIT,
+		config->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT, config->idle_timeout_s,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_URI_LOG_CALLBACK,
+		on_uri, server, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+}
+
+int http_server_init(http_server_t *server, struct tevent_context *ev,
+		     const http_server_config_t *config, http_handler_fn handler, void *arg)
+{
+	const union MHD_DaemonInfo *info;
+	int saved_errno;
+	int listener;
+
+	*server = (http_server_t){.ev = ev, .handler = handler, .arg = arg, .config = *config};
+	listener = open_listener(config);
+	if (listener < 0)
+		return -1;
+	if (mailbox_init(&server->mailbox, ev) != 0)
+		goto fail_listener;
+	server->link = g_new0(server_link_t, 1);
+	pthread_mutex_init(&server->link->lock, NULL);
+	server->link->server = server;
+	server->link->references = 1;
+	errno = ENOMEM;
+	server->daemon = start_daemon(server, listener);
+	if (server->daemon == NULL)
+		goto fail_mailbox;
+	info = MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	server->watch =
+		tevent_add_fd(ev, ev, info->epoll_fd, TEVENT_FD_READ, on_daemon_ready, server);
+	run_daemon(server);
+	return 0;
+
+fail_mailbox:
+	saved_errno = errno;
+	mailbox_finish(&server->mailbox);
+	link_unref(server->link);
+	errno = saved_errno;
+fail_listener:
+	saved_errno = errno;
+	close(listener);
+	errno = saved_errno;
+	return -1;
+}
+
+void http_server_drain(http_server_t *server)
+{
+	int listener;
+
+	if (server->draining)
+		return;
+	server->draining = true;
+	/* Accepts what waits in the listen queue: closing the socket would reset it. */
+	MHD_run(server->daemon);
+	listener = MHD_quiesce_daemon(server->daemon);
+	if (listener >= 0)
+		close(listener);
+	run_daemon(server);
+}
+
+unsigned http_server_open_requests(const http_server_t *server)
+{
+	return server->open_requests;
+}
+
+void http_server_finish(http_server_t *server)
+{
+	server_link_t *link = server->link;
+
+	pthread_mutex_lock(&link->lock);
+	link->server = NULL;
+	pthread_mutex_unlock(&link->lock);
+	mailbox_finish(&server->mailbox);
+	/* The library refuses to stop while connections are suspended. */
+	while (!LIST_EMPTY(&link->suspended))
+		resume(server, LIST_FIRST(&link->suspended));
+	TALLOC_FREE(server->watch);
+	TALLOC_FREE(server->timer);
+	MHD_stop_daemon(server->daemon);
+	link_unref(link);
+}
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -45,6 +45,10 @@
 	http_server_config_t config;
 	unsigned open_requests;
 	bool draining;
+	bool resumed; /**< connections were resumed since the last run of the daemon */
+	/** Shared with the requests: tells a late reply that the server is gone. */
+	struct http_server_link *link;
+	uint64_t malformed; /**< requests that the HTTP parser answered with an error */
 } http_server_t;
 
 /** @return 0, or -1 when the address cannot be bound (errno is set). */
@@ -54,6 +58,10 @@
 void http_server_drain(http_server_t *server);
 /** Requests whose reply has not been written completely. */
 unsigned http_server_open_requests(const http_server_t *server);
+/**
+ * Ends all connections. Requests without a reply stay with their owners, whose replies are dropped;
+ * all functions on such a request stay valid until the reply.
+ */
 void http_server_finish(http_server_t *server);
 
 const char *http_request_method(const http_request_t *request);
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,432 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <tevent.h>
+
+#include "clock.h"
+#include "http_client.h"
+#include "http_server.h"
+
+#define PORT 18431
+#define RAW_PORT 18432
+
+typedef struct {
+	struct tevent_context *ev;
+	http_server_t server;
+	http_client_t client;
+	http_request_t *held;
+	bool hold;
+	unsigned aborted;
+	bool done;
+	http_call_result_t result; /* without headers and body */
+	char *body;
+	char *error;
+} fixture_t;
+
+static void on_abort(void *arg)
+{
+	((fixture_t *)arg)->aborted++;
+}
+
+static void on_request(void *arg, http_request_t *request)
+{
+	fixture_t *f = arg;
+	size_t length;
+	const void *body = http_request_body(request, &length);
+	const char *param = http_request_param(request, "p");
+	const http_header_t headers[] = {
+		{"X-Path", http_request_path(request)},
+		{"X-Param", param != NULL ? param : "none"},
+		{"X-Echo", http_request_header(request, "x-in")},
+	};
+
+	if (f->hold) {
+		f->held = request;
+		http_request_on_abort(request, on_abort, f);
+		return;
+	}
+	http_request_reply(request, 200, headers, headers[2].value != NULL ? 3 : 2, body, length);
+}
+
+static int set_up(void **state)
+{
+	fixture_t *f = g_new0(fixture_t, 1);
+	const http_server_config_t config = {
+		.address = "127.0.0.1",
+		.port = PORT,
+		.body_limit = 1000,
+		.connection_limit = 50,
+		.idle_timeout_s = 10,
+	};
+
+	f->ev = tevent_context_init(NULL);
+	assert_int_equal(http_server_init(&f->server, f->ev, &config, on_request, f), 0);
+	assert_int_equal(http_client_init(&f->client, f->ev, 60), 0);
+	*state = f;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *f = *state;
+
+	http_client_finish(&f->client);
+	http_server_finish(&f->server);
+	talloc_free(f->ev);
+	g_free(f->body);
+	g_free(f->error);
+	g_free(f);
+	return 0;
+}
+
+static void on_done(void *arg, const http_call_result_t *result)
+{
+	fixture_t *f = arg;
+
+	f->done = true;
+	f->result = *result;
+	g_free(f->body);
+	g_free(f->error);
+	f->body = g_strndup(result->body, result->body_length);
+	f->error = g_strdup(result->error);
+}
+
+static http_call_t *start(fixture_t *f, uint16_t port, const char *path, const char *body,
+			  bool fresh)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%u%s", port, path);
+	const http_header_t header = {"X-In", "in"};
+	const http_call_request_t request = {
+		.method = "POST",
+		.url = url,
+		.headers = &header,
+		.header_count = 1,
+		.body = body,
+		.body_length = strlen(body),
+		.connect_timeout_ms = 500,
+		.timeout_ms = 3000,
+		.progress_timeout_ms = 500,
+		.response_limit = 4000,
+		.fresh_connection = fresh,
+	};
+	http_call_t *call = http_client_send(&f->client, &request, on_done, f);
+
+	f->done = false;
+	g_free(url);
+	return call;
+}
+
+static void wait_done(fixture_t *f)
+{
+	uint64_t end_us = clock_now_us() + 5 * US_PER_S;
+
+	while (!f->done && clock_now_us() < end_us)
+		assert_int_equal(tevent_loop_once(f->ev), 0);
+	assert_true(f->done);
+}
+
+static void exchange(fixture_t *f, uint16_t port, const char *path, const char *body, bool fresh)
+{
+	assert_non_null(start(f, port, path, body, fresh));
+	wait_done(f);
+}
+
+/* Guards against a body, path or query that is changed on its way. */
+static void test_exchange_is_whole(void **state)
+{
+	fixture_t *f = *state;
+
+	for (unsigned i = 0; i < 3; i++) {
+		exchange(f, PORT, "/a%20b/../c?p=x%20y", "body", false);
+		assert_true(f->result.complete);
+		assert_int_equal(f->result.status, 200);
+		assert_string_equal(f->body, "body");
+	}
+	assert_int_equal(http_server_open_requests(&f->server), 0);
+}
+
+/* Guards against unbounded memory for a body. */
+static void test_large_body_is_refused(void **state)
+{
+	fixture_t *f = *state;
+	char *body = g_strnfill(1001, 'x');
+
+	exchange(f, PORT, "/", body, false);
+	assert_int_equal(f->result.status, 413);
+	g_free(body);
+}
+
+static void *reply_elsewhere(void *arg)
+{
+	http_request_reply(arg, 202, NULL, 0, "late", 4);
+	return NULL;
+}
+
+/* Guards against replies that get lost or race when another thread gives them. */
+static void test_reply_from_another_thread(void **state)
+{
+	fixture_t *f = *state;
+	pthread_t thread;
+
+	f->hold = true;
+	start(f, PORT, "/", "", false);
+	while (f->held == NULL)
+		tevent_loop_once(f->ev);
+	assert_int_equal(http_server_open_requests(&f->server), 1);
+	pthread_create(&thread, NULL, reply_elsewhere, f->held);
+	wait_done(f);
+	pthread_join(thread, NULL);
+	assert_int_equal(f->result.status, 202);
+	assert_string_equal(f->body, "late");
+}
+
+/* Guards against work for clients that are gone, and against a reply to a freed connection. */
+static void test_abort_is_told_once_and_reply_is_dropped(void **state)
+{
+	fixture_t *f = *state;
+	http_call_t *call;
+
+	f->hold = true;
+	call = start(f, PORT, "/", "", false);
+	while (f->held == NULL)
+		tevent_loop_once(f->ev);
+	http_call_cancel(call);
+	while (f->aborted == 0)
+		tevent_loop_once(f->ev);
+	http_request_reply(f->held, 200, NULL, 0, "", 0);
+	for (unsigned i = 0; i < 3; i++)
+		tevent_loop_once(f->ev);
+	assert_int_equal(f->aborted, 1);
+	assert_int_equal(http_server_open_requests(&f->server), 0);
+}
+
+/* Guards against a crash when the server ends before a handler has replied. */
+static void test_finish_with_unanswered_request(void **state)
+{
+	fixture_t *f = *state;
+	const http_server_config_t config = f->server.config;
+
+	f->hold = true;
+	start(f, PORT, "/", "", false);
+	while (f->held == NULL)
+		tevent_loop_once(f->ev);
+	http_server_finish(&f->server);
+	assert_non_null(http_request_header(f->held, "X-In"));
+	http_request_reply(f->held, 200, NULL, 0, "", 0);
+	wait_done(f);
+	assert_false(f->result.complete);
+	assert_int_equal(http_call_verdict(&f->result), VERDICT_UNKNOWN);
+	assert_int_equal(http_server_init(&f->server, f->ev, &config, on_request, f), 0);
+}
+
+/* --- a server that misbehaves --- */
+
+typedef struct {
+	const char *replies[3]; /* to the requests of one connection; NULL closes it */
+	int listener;
+	unsigned connections; /* to be served */
+	unsigned requests;    /* read */
+} raw_server_t;
+
+static bool read_request(int fd)
+{
+	char buffer[2000];
+	size_t used = 0;
+
+	while (used < sizeof(buffer) - 1) {
+		ssize_t got = read(fd, buffer + used, sizeof(buffer) - 1 - used);
+
+		if (got <= 0)
+			return false;
+		used += (size_t)got;
+		buffer[used] = '\0';
+		/* The requests of these tests have the body "body". */
+		if (strstr(buffer, "\r\n\r\nbody") != NULL)
+			return true;
+	}
+	return false;
+}
+
+static void *run_raw_server(void *arg)
+{
+	raw_server_t *server = arg;
+
+	for (unsigned c = 0; c < server->connections; c++) {
+		int fd = accept(server->listener, NULL, NULL);
+
+		for (unsigned i = 0; i < 3 && read_request(fd); i++) {
+			server->requests++;
+			if (server->replies[i] == NULL)
+				break;
+			if (write(fd, server->replies[i], strlen(server->replies[i])) < 0)
+				break;
+		}
+		shutdown(fd, SHUT_RDWR);
+		close(fd);
+	}
+	return NULL;
+}
+
+static pthread_t start_raw_server(raw_server_t *server)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET, .sin_port = htons(RAW_PORT)};
+	struct timeval timeout = {.tv_sec = 2};
+	pthread_t thread;
+	int one = 1;
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server->listener = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(server->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	setsockopt(server->listener, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+	assert_int_equal(bind(server->listener, (struct sockaddr *)&in, sizeof(in)), 0);
+	listen(server->listener, 5);
+	pthread_create(&thread, NULL, run_raw_server, server);
+	return thread;
+}
+
+static const char answer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/*
+ * Guards against a request that runs twice: the library sends a request again by itself when a
+ * reused connection is closed before a response.
+ */
+static void test_request_is_never_sent_again(void **state)
+{
+	fixture_t *f = *state;
+	raw_server_t server = {.replies = {answer}, .connections = 2};
+	pthread_t thread = start_raw_server(&server);
+
+	exchange(f, RAW_PORT, "/", "body", false);
+	assert_true(f->result.complete);
+	exchange(f, RAW_PORT, "/", "body", false);
+	assert_false(f->result.complete);
+	assert_int_equal(http_call_verdict(&f->result), VERDICT_UNKNOWN);
+	shutdown(server.listener, SHUT_RDWR);
+	pthread_join(thread, NULL);
+	close(server.listener);
+	assert_int_equal(server.requests, 2);
+}
+
+/* The same for a request on a connection of its own. */
+static void test_request_on_fresh_connection_is_never_sent_again(void **state)
+{
+	fixture_t *f = *state;
+	raw_server_t server = {.replies = {NULL}, .connections = 2};
+	pthread_t thread = start_raw_server(&server);
+
+	exchange(f, RAW_PORT, "/", "body", true);
+	assert_int_equal(http_call_verdict(&f->result), VERDICT_UNKNOWN);
+	shutdown(server.listener, SHUT_RDWR);
+	pthread_join(thread, NULL);
+	close(server.listener);
+	assert_int_equal(server.requests, 1);
+}
+
+/* Guards against partial responses, or those of unknown length, being taken for whole ones. */
+static void test_partial_response_is_not_complete(void **state)
+{
+	static const char *const partial[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+		"HTTP/1.1 200 OK\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+	};
+	fixture_t *f = *state;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(partial); i++) {
+		raw_server_t server = {.replies = {partial[i]}, .connections = 1};
+		pthread_t thread = start_raw_server(&server);
+
+		exchange(f, RAW_PORT, "/", "body", true);
+		assert_false(f->result.complete);
+		assert_int_equal(http_call_verdict(&f->result), VERDICT_UNKNOWN);
+		pthread_join(thread, NULL);
+		close(server.listener);
+	}
+}
+
+/* Guards against a call that hangs on a silent peer, and a refused connection taken for sent. */
+static void test_silence_and_refusal(void **state)
+{
+	fixture_t *f = *state;
+
+	f->hold = true;
+	exchange(f, PORT, "/", "", false);
+	assert_string_equal(f->error, "no progress");
+	assert_int_equal(http_call_verdict(&f->result), VERDICT_UNKNOWN);
+	assert_in_range(f->result.elapsed_us, 450 * US_PER_MS, 1500 * US_PER_MS);
+	http_request_reply(f->held, 200, NULL, 0, "", 0);
+	exchange(f, RAW_PORT, "/", "", false);
+	assert_int_equal(http_call_verdict(&f->result), VERDICT_NOT_RUN);
+}
+
+static void raw_exchange(fixture_t *f, const char *text, char *answer_text, size_t size)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	ssize_t got = -1;
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	assert_true(write(fd, text, strlen(text)) > 0);
+	for (unsigned i = 0; i < 20 && got < 0; i++) {
+		tevent_loop_once(f->ev);
+		got = recv(fd, answer_text, size - 1, MSG_DONTWAIT);
+	}
+	answer_text[got < 0 ? 0 : got] = '\0';
+	close(fd);
+}
+
+/* Guards against malformed input that is passed on, hangs or goes uncounted. */
+static void test_malformed_input_is_answered_and_counted(void **state)
+{
+	static const char *const bad[] = {
+		"GET / HTTP/9.9\r\nHost: a\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: "
+		"chunked\r\n\r\n0\r\n\r\n",
+		"GET / HTTP/1.1\r\n\r\n",
+	};
+	fixture_t *f = *state;
+
+	f->hold = true;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char text[1000];
+
+		raw_exchange(f, bad[i], text, sizeof(text));
+		if (strncmp(text, "HTTP/1.1 4", 10) != 0 && strncmp(text, "HTTP/1.1 5", 10) != 0)
+			fail_msg("%zu was answered with: %s", i, text);
+		assert_int_equal(f->server.malformed, i + 1);
+	}
+	assert_null(f->held);
+}
+
+#define CASE(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		CASE(test_exchange_is_whole),
+		CASE(test_large_body_is_refused),
+		CASE(test_reply_from_another_thread),
+		CASE(test_abort_is_told_once_and_reply_is_dropped),
+		CASE(test_finish_with_unanswered_request),
+		CASE(test_request_is_never_sent_again),
+		CASE(test_request_on_fresh_connection_is_never_sent_again),
+		CASE(test_partial_response_is_not_complete),
+		CASE(test_silence_and_refusal),
+		CASE(test_malformed_input_is_answered_and_counted),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
