--- /dev/null
+++ b/src/auth.c
@@ -0,0 +1,161 @@
+#define G_LOG_DOMAIN "auth"
+
+#include "auth.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include <glib.h>
+
+#define BEARER "Bearer "
+
+typedef struct {
+	auth_role_t role;
+	char *token;
+} token_t;
+
+struct auth {
+	bool has_file;
+	bool has_target_token;
+	bool loopback;
+	GPtrArray *tokens;
+};
+
+static void token_free(gpointer data)
+{
+	token_t *token = data;
+
+	g_free(token->token);
+	g_free(token);
+}
+
+static int parse_role(const char *word, auth_role_t *role)
+{
+	if (strcmp(word, "read") == 0)
+		*role = AUTH_READ;
+	else if (strcmp(word, "write") == 0)
+		*role = AUTH_WRITE;
+	else if (strcmp(word, "target") == 0)
+		*role = AUTH_TARGET;
+	else
+		return -1;
+	return 0;
+}
+
+/** @return 0, or -1 when the line is malformed */
+static int add_line(auth_t *auth, char *line)
+{
+	char **words;
+	auth_role_t role;
+	token_t *token;
+	int result = -1;
+
+	g_strstrip(line);
+	if (line[0] == '\0' || line[0] == '#')
+		return 0;
+	words = g_strsplit_set(line, " \t", 2);
+	if (words[0] == NULL || words[1] == NULL || parse_role(words[0], &role) != 0)
+		goto out;
+	g_strstrip(words[1]);
+	if (words[1][0] == '\0')
+		goto out;
+	token = g_new0(token_t, 1);
+	token->role = role;
+	token->token = g_strdup(words[1]);
+	g_ptr_array_add(auth->tokens, token);
+	auth->has_target_token |= role == AUTH_TARGET;
+	result = 0;
+out:
+	g_strfreev(words);
+	return result;
+}
+
+auth_t *auth_create(const char *file, bool loopback, char *error, size_t error_size)
+{
+	auth_t *auth = g_new0(auth_t, 1);
+	char *text = NULL;
+	char **lines = NULL;
+	GError *failure = NULL;
+
+	auth->loopback = loopback;
+	auth->tokens = g_ptr_array_new_with_free_func(token_free);
+	if (file == NULL)
+		return auth;
+	auth->has_file = true;
+	if (!g_file_get_contents(file, &text, NULL, &failure)) {
+		g_snprintf(error, error_size, "token file: %s", failure->message);
+		g_error_free(failure);
+		goto fail;
+	}
+	lines = g_strsplit(text, "\n", -1);
+	for (unsigned i = 0; lines[i] != NULL; i++) {
+		if (add_line(auth, lines[i]) != 0) {
+			g_snprintf(error, error_size, "%s:%u: expected \"read|write|target TOKEN\"",
+				   file, i + 1);
+			goto fail;
+		}
+	}
+	g_strfreev(lines);
+	g_free(text);
+	return auth;
+fail:
+	g_strfreev(lines);
+	g_free(text);
+	auth_destroy(auth);
+	return NULL;
+}
+
+void auth_destroy(auth_t *auth)
+{
+	g_ptr_array_unref(auth->tokens);
+	g_free(auth);
+}
+
+/** Compares in a time that depends on the given text's length only. */
+static bool equal_constant_time(const char *expected, const char *given)
+{
+	size_t expected_length = strlen(expected);
+	size_t given_length = strlen(given);
+	unsigned char difference = expected_length != given_length;
+
+	for (size_t i = 0; i < given_length; i++)
+		difference |= (unsigned char)(given[i] ^ expected[i % (expected_length + 1)]);
+	return difference == 0;
+}
+
+static auth_role_t role_of(const auth_t *auth, const char *given)
+{
+	auth_role_t role = AUTH_NONE;
+
+	for (unsigned i = 0; i < auth->tokens->len; i++) {
+		const token_t *token = g_ptr_array_index(auth->tokens, i);
+
+		if (equal_constant_time(token->token, given))
+			role = token->role;
+	}
+	return role;
+}
+
+bool auth_allows(const auth_t *auth, const char *header, auth_role_t needed)
+{
+	auth_role_t role;
+
+	if (needed == AUTH_NONE || (needed == AUTH_TARGET && !auth->has_target_token))
+		return true;
+	if (!auth->has_file)
+		return auth->loopback;
+	if (header == NULL || !g_str_has_prefix(header, BEARER))
+		return false;
+	role = role_of(auth, header + strlen(BEARER));
+	switch (needed) {
+	case AUTH_NONE:
+		return true;
+	case AUTH_TARGET:
+		return role == AUTH_TARGET;
+	case AUTH_READ:
+		return role == AUTH_READ || role == AUTH_WRITE;
+	case AUTH_WRITE:
+		return role == AUTH_WRITE;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/explain.c
@@ -0,0 +1,263 @@
+#define G_LOG_DOMAIN "explain"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "admin.h"
+#include "budget.h"
+#include "clock.h"
+#include "json_reply.h"
+
+/*
+ * Explains a VM, pool, wave or job to an operator who knows only the notes of the day staff: its
+ * state, since when, why, what it waits for, what comes next, and the note of the template that
+ * caused it.
+ */
+
+/** Adds the organisation's template revision, author and note. */
+static void add_note(json_t *reply, const fleet_org_t *org)
+{
+	json_object_set_new(reply, "organisation", json_string(org->name));
+	json_object_set_new(reply, "revision", json_integer((json_int_t)org->revision));
+	json_object_set_new(reply, "author", json_string(org->author == NULL ? "" : org->author));
+	json_object_set_new(reply, "note", json_string(org->note == NULL ? "" : org->note));
+}
+
+/** Node ids of the entry processes of a data centre that have not applied an index, as text. */
+static char *processes_behind(const node_t *node, const char *data_centre, uint64_t index)
+{
+	GString *text = g_string_new(NULL);
+	const fleet_member_t *member;
+
+	TAILQ_FOREACH (member, &node->fleet.members, link) {
+		const peer_info_t *info = peer_info(node->peers, member->node_id);
+		uint64_t applied = member->node_id == node->settings->node ? node->fleet.applied
+				   : info == NULL			   ? 0
+									   : info->applied_index;
+
+		if (strcmp(member->data_centre, data_centre) == 0 && applied < index)
+			g_string_append_printf(text, "%s%u", text->len == 0 ? "" : ", ",
+					       member->node_id);
+	}
+	return g_string_free(text, FALSE);
+}
+
+static char *cordoned_waits_for(const node_t *node, const fleet_vm_t *vm)
+{
+	const health_entry_t *entry = health_find(&node->health, vm->id);
+	char *behind = processes_behind(node, vm->data_centre, vm->since_index);
+	char *text;
+
+	if (behind[0] != '\0')
+		text = g_strdup_printf(
+			"entry processes %s to stop sending, or the target's echo of "
+			"epoch %" G_GUINT64_FORMAT " and its routing lease",
+			behind, vm->epoch);
+	else if (entry != NULL && entry->in_flight > 0)
+		text = g_strdup_printf("%u requests in flight to finish", entry->in_flight);
+	else
+		text = g_strdup("the next planner run");
+	g_free(behind);
+	return text;
+}
+
+static char *vm_waits_for(const node_t *node, const fleet_vm_t *vm)
+{
+	switch (vm->phase) {
+	case LP__VM_PHASE__VM_JOINING:
+		return g_strdup("its first announcement");
+	case LP__VM_PHASE__VM_ACTIVE:
+		return g_strdup("");
+	case LP__VM_PHASE__VM_CORDONED:
+		return cordoned_waits_for(node, vm);
+	case LP__VM_PHASE__VM_DRAINING:
+		return g_strdup("the platform to report the VM drained");
+	case LP__VM_PHASE__VM_OUT:
+		return g_strdup("the platform to report the reboot complete, and an announcement");
+	case LP__VM_PHASE__VM_RETURNING:
+		return g_strdup("the end of the probation");
+	case LP__VM_PHASE__VM_QUARANTINED:
+		return g_strdup("a repair: every task it was given failed");
+	case LP__VM_PHASE__VM_LOST:
+		return g_strdup("an announcement");
+	case _LP__VM_PHASE_IS_INT_SIZE:
+		break;
+	}
+	return g_strdup("");
+}
+
+static const char *vm_next(const fleet_vm_t *vm)
+{
+	bool move = vm->permit == LP__PERMIT_KIND__PERMIT_MOVE;
+
+	switch (vm->phase) {
+	case LP__VM_PHASE__VM_JOINING:
+		return "active";
+	case LP__VM_PHASE__VM_ACTIVE:
+		return "serves until a wave or a move takes it";
+	case LP__VM_PHASE__VM_CORDONED:
+		return move ? "joins the other pool" : "draining by the platform";
+	case LP__VM_PHASE__VM_DRAINING:
+		return "reboot";
+	case LP__VM_PHASE__VM_OUT:
+		return "returning, on probation";
+	case LP__VM_PHASE__VM_RETURNING:
+		return "active; the permit is given back";
+	case LP__VM_PHASE__VM_QUARANTINED:
+		return "stays out until it is replaced";
+	case LP__VM_PHASE__VM_LOST:
+		return "returning when it announces itself; a spare VM replaces it meanwhile";
+	case _LP__VM_PHASE_IS_INT_SIZE:
+		break;
+	}
+	return "";
+}
+
+static json_t *explain_vm(const node_t *node, const char *id)
+{
+	const fleet_vm_t *vm = fleet_vm_find(&node->fleet, id);
+	char *waits;
+	json_t *reply;
+
+	if (vm == NULL)
+		return NULL;
+	waits = vm_waits_for(node, vm);
+	reply = json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:s, s:s, s:s, s:I, s:s}", "kind", "vm",
+			  "id", vm->id, "state", fleet_phase_name(vm->phase), "pool",
+			  vm->pool->name, "permit", fleet_permit_name(vm->permit), "since_ms",
+			  (json_int_t)vm->since_ms, "why", vm->reason, "waits_for", waits, "next",
+			  vm_next(vm), "wave", (json_int_t)vm->wave, "to_pool",
+			  vm->to_pool == NULL ? "" : vm->to_pool->name);
+	g_free(waits);
+	add_note(reply, vm->pool->org);
+	return reply;
+}
+
+/** Text that lists a pool's VMs that are not available, and why. */
+static char *unavailable_vms(const node_t *node, const fleet_pool_t *pool)
+{
+	GString *text = g_string_new(NULL);
+	uint64_t now_us = clock_now_us();
+	const fleet_vm_t *vm;
+
+	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
+		bool active = vm->phase == LP__VM_PHASE__VM_ACTIVE;
+
+		if (active && health_state(&node->health, vm->id, now_us) == HEALTH_SERVING)
+			continue;
+		g_string_append_printf(text, "%s%s (%s: %s)", text->len == 0 ? "" : "; ", vm->id,
+				       active ? "in doubt" : fleet_phase_name(vm->phase),
+				       vm->reason);
+	}
+	return g_string_free(text, FALSE);
+}
+
+static json_t *explain_pool(const node_t *node, const char *id)
+{
+	char **parts = g_strsplit(id, "/", 2);
+	const fleet_org_t *org = parts[0] == NULL ? NULL : fleet_org_find(&node->fleet, parts[0]);
+	const fleet_pool_t *pool =
+		org == NULL || parts[1] == NULL ? NULL : fleet_pool_find(org, parts[1]);
+	json_t *reply = NULL;
+	char *unavailable;
+	char *why;
+	budget_t budget;
+
+	if (pool == NULL)
+		goto out;
+	budget = budget_of(pool, &node->health, clock_now_us());
+	unavailable = unavailable_vms(node, pool);
+	why = g_strdup_printf("%u of %u VMs usable; the template keeps %u and reserves %u; "
+			      "%u may be taken now",
+			      budget.usable, budget.vms, budget.keep, budget.reserve, budget.free);
+	reply = json_pack("{s:s, s:s, s:s, s:s, s:s, s:s}", "kind", "pool", "id", id, "state",
+			  budget.usable < budget.keep			 ? "broken"
+			  : budget.usable < budget.keep + budget.reserve ? "at-risk"
+									 : "kept",
+			  "why", why, "waits_for", unavailable, "next",
+			  budget.free > 0 ? "moves and maintenance may take VMs"
+					  : "no move or maintenance until a VM returns");
+	g_free(unavailable);
+	g_free(why);
+	add_note(reply, org);
+out:
+	g_strfreev(parts);
+	return reply;
+}
+
+static json_t *explain_wave(const node_t *node, const char *id)
+{
+	const fleet_wave_t *wave = fleet_wave_find(&node->fleet, strtoull(id, NULL, 10));
+	const char *next = "";
+	json_t *reply;
+
+	if (wave == NULL)
+		return NULL;
+	switch (wave->state) {
+	case LP__WAVE_STATE__WAVE_RUNNING:
+		next = "the next batch as budgets and windows allow";
+		break;
+	case LP__WAVE_STATE__WAVE_PAUSED:
+		next = "goes on when the cause is gone";
+		break;
+	case LP__WAVE_STATE__WAVE_STOPPED:
+		next = "stays stopped; apply a template with a new image to start another wave";
+		break;
+	case LP__WAVE_STATE__WAVE_DONE:
+	case _LP__WAVE_STATE_IS_INT_SIZE:
+		break;
+	}
+	reply = json_pack("{s:s, s:s, s:s, s:s, s:I, s:s, s:i, s:i, s:i}", "kind", "wave", "id", id,
+			  "state", fleet_wave_state_name(wave->state), "why", wave->reason,
+			  "since_ms", (json_int_t)wave->since_ms, "next", next, "done",
+			  (int)wave->done, "failures", (int)wave->failures, "batch",
+			  (int)wave->batch);
+	add_note(reply, wave->org);
+	return reply;
+}
+
+static json_t *explain_job(const node_t *node, const char *id)
+{
+	const fleet_job_t *job = fleet_job_find(&node->fleet, id);
+	const fleet_org_t *org;
+	json_t *reply;
+
+	if (job == NULL)
+		return NULL;
+	reply = json_pack("{s:s, s:s, s:s, s:s, s:I, s:s, s:i, s:s}", "kind", "job", "id", id,
+			  "state", fleet_job_state_name(job->state), "why", job->reason, "since_ms",
+			  (json_int_t)job->since_ms, "vm", job->vm, "attempt", (int)job->attempt,
+			  "result", job->result);
+	org = fleet_org_find(&node->fleet, job->spec->organisation);
+	if (org != NULL)
+		add_note(reply, org);
+	return reply;
+}
+
+void admin_explain(node_t *node, http_request_t *request)
+{
+	const char *kind = http_request_param(request, "kind");
+	const char *id = http_request_param(request, "id");
+	json_t *reply = NULL;
+
+	if (kind == NULL || id == NULL) {
+		json_reply_error(request, 400, "kind and id are required");
+		return;
+	}
+	if (strcmp(kind, "vm") == 0)
+		reply = explain_vm(node, id);
+	else if (strcmp(kind, "pool") == 0)
+		reply = explain_pool(node, id);
+	else if (strcmp(kind, "wave") == 0)
+		reply = explain_wave(node, id);
+	else if (strcmp(kind, "job") == 0)
+		reply = explain_job(node, id);
+	else {
+		json_reply_error(request, 400, "kind has to be vm, pool, wave or job");
+		return;
+	}
+	if (reply == NULL)
+		json_reply_error(request, 404, "not found");
+	else
+		json_reply(request, 200, reply);
+}
