durable: rename the record functions

Cause: durable.c and frame.c both defined frame_append; linking any test against both failed. Change: record_append and record_read for records on disk.

--- a/src/durable.c
+++ b/src/durable.c
@@ -15,7 +15,7 @@
 	return XXH64(payload, length, XXH64(header, 8, 0));
 }
 
-uint8_t *frame_append(uint8_t *buffer, size_t *length, uint32_t type, const uint8_t *payload,
+uint8_t *record_append(uint8_t *buffer, size_t *length, uint32_t type, const uint8_t *payload,
 		      size_t payload_length)
 {
 	uint32_t length_le = htole32((uint32_t)payload_length);
@@ -35,7 +35,7 @@
 	return buffer;
 }
 
-size_t frame_read(frame_t *frame, const uint8_t *data, size_t length)
+size_t record_read(record_t *frame, const uint8_t *data, size_t length)
 {
 	uint32_t payload_length;
 	uint32_t type;
@@ -50,7 +50,7 @@
 	if (payload_length > length - FRAME_HEADER ||
 	    le64toh(sum) != checksum(data, data + FRAME_HEADER, payload_length))
 		return 0;
-	*frame = (frame_t){
+	*frame = (record_t){
 		.type = le32toh(type),
 		.payload = data + FRAME_HEADER,
 		.length = payload_length,
--- a/src/replica_store.c
+++ b/src/replica_store.c
@@ -162,7 +162,7 @@
 
 	message.node_id = id.node;
 	message.replica_id = id.replica;
-	file = frame_append(NULL, &length, FRAME_IDENTITY, packed,
+	file = record_append(NULL, &length, FRAME_IDENTITY, packed,
 			    lp__replica_id__pack(&message, packed));
 	result = durable_replace(path, file, length);
 	talloc_free(file);
@@ -176,7 +176,7 @@
 	g_autoptr(GError) read_error = NULL;
 	g_autofree char *file = NULL;
 	Lp__ReplicaId *message;
-	frame_t frame;
+	record_t frame;
 	gsize length;
 
 	if (!g_file_get_contents(path, &file, &length, &read_error)) {
@@ -185,7 +185,7 @@
 		snprintf(error, error_size, "%s", read_error->message);
 		return -1;
 	}
-	if (frame_read(&frame, (const uint8_t *)file, length) == 0 ||
+	if (record_read(&frame, (const uint8_t *)file, length) == 0 ||
 	    (message = lp__replica_id__unpack(NULL, frame.length, frame.payload)) == NULL) {
 		snprintf(error, error_size, "%s: offset 0: damaged identity", path);
 		return -1;
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -26,15 +26,15 @@
 	meta_length = lp__snapshot_chunk__get_packed_size(&meta);
 	packed = talloc_array(meta.config, uint8_t, meta_length);
 	lp__snapshot_chunk__pack(&meta, packed);
-	file = frame_append(file, &length, FRAME_META, packed, meta_length);
-	file = frame_append(file, &length, FRAME_DATA, snapshot->data, snapshot->length);
+	file = record_append(file, &length, FRAME_META, packed, meta_length);
+	file = record_append(file, &length, FRAME_DATA, snapshot->data, snapshot->length);
 	result = durable_replace(path, file, length);
 	talloc_free(meta.config);
 	talloc_free(file);
 	return result;
 }
 
-static bool parse_meta(raft_snapshot_t *snapshot, const frame_t *frame)
+static bool parse_meta(raft_snapshot_t *snapshot, const record_t *frame)
 {
 	Lp__SnapshotChunk *meta = lp__snapshot_chunk__unpack(NULL, frame->length, frame->payload);
 	bool ok;
@@ -54,7 +54,7 @@
 	g_autoptr(GError) read_error = NULL;
 	g_autofree char *file = NULL;
 	const uint8_t *data;
-	frame_t frame;
+	record_t frame;
 	gsize length;
 	size_t meta_size;
 
@@ -66,12 +66,12 @@
 		return -1;
 	}
 	data = (const uint8_t *)file;
-	meta_size = frame_read(&frame, data, length);
+	meta_size = record_read(&frame, data, length);
 	if (meta_size == 0 || frame.type != FRAME_META || !parse_meta(snapshot, &frame)) {
 		snprintf(error, error_size, "%s: offset 0: damaged snapshot header", path);
 		return -1;
 	}
-	if (frame_read(&frame, data + meta_size, length - meta_size) == 0 ||
+	if (record_read(&frame, data + meta_size, length - meta_size) == 0 ||
 	    frame.type != FRAME_DATA) {
 		snprintf(error, error_size, "%s: offset %zu: damaged snapshot", path, meta_size);
 		return -1;
--- a/src/wal.c
+++ b/src/wal.c
@@ -48,7 +48,7 @@
 }
 
 /* Hands the records of a frame over. @return 0, or -1 when one is malformed or refused */
-static int read_group(const frame_t *frame, wal_record_fn record, void *arg)
+static int read_group(const record_t *frame, wal_record_fn record, void *arg)
 {
 	size_t at = 0;
 
@@ -73,10 +73,10 @@
 /* True when a frame is found at any later offset: the damage is then not an interrupted write. */
 static bool frame_follows(const uint8_t *data, size_t length)
 {
-	frame_t frame;
+	record_t frame;
 
 	for (size_t at = 1; at + FRAME_HEADER <= length; at++) {
-		if (frame_read(&frame, data + at, length - at) > 0 && frame.type == FRAME_GROUP)
+		if (record_read(&frame, data + at, length - at) > 0 && frame.type == FRAME_GROUP)
 			return true;
 	}
 	return false;
@@ -85,11 +85,11 @@
 static int read_frames(wal_t *wal, const uint8_t *data, size_t length, wal_record_fn record,
 		       void *arg, char *error, size_t error_size)
 {
-	frame_t frame;
+	record_t frame;
 	size_t at = 0;
 
 	while (at < length) {
-		size_t size = frame_read(&frame, data + at, length - at);
+		size_t size = record_read(&frame, data + at, length - at);
 
 		if (size == 0 && at > 0 && !frame_follows(data + at, length - at))
 			break;
@@ -193,7 +193,7 @@
 		errno = EIO;
 		return -1;
 	}
-	frame = frame_append(NULL, &length, FRAME_GROUP, wal->buffer, wal->length);
+	frame = record_append(NULL, &length, FRAME_GROUP, wal->buffer, wal->length);
 	if (write_all(wal, frame, length) != 0) {
 		saved_errno = errno;
 		wal->failed = true;
@@ -210,7 +210,7 @@
 int wal_rewrite(wal_t *wal)
 {
 	size_t length = 0;
-	uint8_t *frame = frame_append(NULL, &length, FRAME_GROUP, wal->buffer, wal->length);
+	uint8_t *frame = record_append(NULL, &length, FRAME_GROUP, wal->buffer, wal->length);
 	int result = durable_replace(wal->path, frame, length);
 	int fd;
 
