--- a/src/replica.c
+++ b/src/replica.c
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <talloc.h>
 #include <tevent.h>
+#include <xxhash.h>
 
 #include "clock.h"
 #include "replica_internal.h"
@@ -230,6 +231,15 @@
 		replica_schedule(replica);
 }
 
+/* Replicas that are started with the same seed must still draw different election timeouts, or they
+ * split the votes for ever. */
+static uint64_t mixed_seed(uint64_t seed, raft_id_t self)
+{
+	const uint64_t parts[] = {seed, self.node, self.replica};
+
+	return XXH64(parts, sizeof(parts), 0);
+}
+
 static void create_core(replica_t *replica)
 {
 	const replica_config_t *config = &replica->config;
@@ -240,7 +250,7 @@
 		.heartbeat_us = config->heartbeat_ms * US_PER_MS,
 		.election_min_us = config->election_min_ms * US_PER_MS,
 		.lease_us = config->lease_ms * US_PER_MS,
-		.seed = config->seed ^ replica->self.replica ^ config->node_id,
+		.seed = mixed_seed(config->seed, replica->self),
 	};
 
 	for (size_t i = 0; i < config->voter_count && i < RAFT_MEMBERS_MAX; i++)
