--- a/src/raft.h
+++ b/src/raft.h
@@ -141,7 +141,8 @@
 /**
  * Appends a configuration with one change.
  * @return 0, or -1 when not the leader, when an earlier change or the first entry of the term is
- * not committed yet, or when there is nothing to change
+ * not committed yet, when no majority of the new configuration answers, or when there is nothing
+ * to change
  */
 int raft_change(raft_t *raft, raft_change_t change, raft_id_t id);
 
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -473,6 +473,31 @@
 	return false;
 }
 
+/* True when a majority of the voters of config answered of late. A change that needs a replica that
+ * is down for good would stay uncommitted for ever and block every later one. */
+static bool majority_answers(const raft_t *raft, const raft_config_t *config)
+{
+	uint64_t now_us = raft->round_sent_us[raft->round % ROUND_RING];
+	size_t voters = 0;
+	size_t answering = 0;
+
+	for (size_t i = 0; i < config->count; i++) {
+		raft_id_t id = config->members[i].id;
+
+		if (!config->members[i].voter)
+			continue;
+		voters++;
+		answering += raft_id_equal(id, raft->options.self);
+		for (size_t p = 0; p < raft->peer_count; p++) {
+			const raft_peer_t *peer = &raft->peers[p];
+
+			answering += raft_id_equal(peer->id, id) && peer->acked_sent_us > 0 &&
+				     now_us < peer->acked_sent_us + raft->options.election_min_us;
+		}
+	}
+	return answering > voters / 2;
+}
+
 int raft_change(raft_t *raft, raft_change_t change, raft_id_t id)
 {
 	raft_config_t config = raft->config;
@@ -482,7 +507,8 @@
 	/* Without a committed entry of this term, a change of an earlier leader may be pending that
 	 * this leader does not know, and two majorities could be disjoint. */
 	if (raft->role != RAFT_LEADER || raft->commit < raft->term_start ||
-	    raft->config_index > raft->commit || !change_config(raft, &config, change, id))
+	    raft->config_index > raft->commit || !change_config(raft, &config, change, id) ||
+	    !majority_answers(raft, &config))
 		return -1;
 	data = raft_config_pack(raft, &config, &length);
 	append_own(raft, LP__ENTRY_TYPE__ENTRY_CONFIG, data, length);
