--- a/Makefile
+++ b/Makefile
@@ -61,6 +61,9 @@
 $(BUILD)/%: $(BUILD)/tools/%.o $(LIB)
 	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS)
 
+# The planner's benchmark uses the simulated fleet of the tests.
+$(BUILD)/bench_planner: $(BUILD)/bench/bench_planner.o $(BUILD)/tests/lib_fleet_sim.o $(LIB)
+	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS)
 $(BUILD)/%: $(BUILD)/bench/%.o $(LIB)
 	$(CC) $(LDFLAGS_all) $^ -o $@ $(PKG_LIBS)
 
--- a/tests/lib_fleet_sim.c
+++ b/tests/lib_fleet_sim.c
@@ -8,6 +8,7 @@
 
 #define ROUTING_LEASE_US (4 * US_PER_S)
 #define LOST_US (10 * US_PER_S)
+#define RUNS_PER_STEP 4
 /* Monday, 5 January 2026, 22:00 UTC: within the windows of the examples. */
 #define START_WALL_MS (1767650400ULL * 1000)
 
@@ -96,7 +97,7 @@
 	vm->up_at_us = MAX(vm->up_at_us, sim->now_us + for_us);
 }
 
-static sim_vm_t *find_vm(const sim_t *sim, const char *id)
+sim_vm_t *sim_find_vm(const sim_t *sim, const char *id)
 {
 	for (size_t i = 0; i < sim->vm_count; i++) {
 		if (strcmp(sim->vms[i].id, id) == 0)
@@ -120,7 +121,7 @@
 
 static bool platform_done(void *arg, const fleet_vm_t *vm, plan_kind_t kind)
 {
-	const sim_vm_t *sim_vm = find_vm(arg, vm->id);
+	const sim_vm_t *sim_vm = sim_find_vm(arg, vm->id);
 
 	if (kind == PLAN_DRAIN)
 		return sim_vm->drain_epoch == vm->epoch;
@@ -190,7 +191,7 @@
 
 static void platform_reboot(sim_t *sim, const fleet_vm_t *vm)
 {
-	sim_vm_t *sim_vm = find_vm(sim, vm->id);
+	sim_vm_t *sim_vm = sim_find_vm(sim, vm->id);
 	const fleet_wave_t *wave = fleet_wave_find(&sim->fleet, vm->wave);
 
 	if (sim_vm->reboot_epoch == vm->epoch)
@@ -287,7 +288,7 @@
 		apply_assign(sim, action);
 		return;
 	case PLAN_DRAIN:
-		find_vm(sim, action->vm->id)->drain_epoch = action->vm->epoch;
+		sim_find_vm(sim, action->vm->id)->drain_epoch = action->vm->epoch;
 		return;
 	case PLAN_REBOOT:
 		platform_reboot(sim, action->vm);
@@ -298,11 +299,21 @@
 	}
 }
 
-void sim_step(sim_t *sim)
+/* One run of the planner. @return true when it changed the fleet */
+static bool run_planner(sim_t *sim)
 {
-	plan_input_t input;
-	GPtrArray *actions;
+	plan_input_t input = sim_input(sim);
+	GPtrArray *actions = sim->plan(&input);
+	uint64_t index = sim->index;
+
+	for (guint i = 0; i < actions->len; i++)
+		apply_action(sim, g_ptr_array_index(actions, i));
+	g_ptr_array_unref(actions);
+	return sim->index != index;
+}
 
+void sim_step(sim_t *sim)
+{
 	sim->now_us += US_PER_S;
 	sim->wall_ms += 1000;
 	advance_world(sim);
@@ -310,11 +321,9 @@
 		if (!sim->cut[dc])
 			sim->applied[dc] = sim->index;
 	}
-	input = sim_input(sim);
-	actions = sim->plan(&input);
-	for (guint i = 0; i < actions->len; i++)
-		apply_action(sim, g_ptr_array_index(actions, i));
-	g_ptr_array_unref(actions);
+	/* The leader runs the planner again when its commands have been committed. */
+	for (int run = 0; run < RUNS_PER_STEP && run_planner(sim); run++)
+		;
 }
 
 bool sim_wave_finished(const sim_t *sim, const char *org_name)
--- a/tests/lib_fleet_sim.h
+++ b/tests/lib_fleet_sim.h
@@ -70,6 +70,7 @@
 sim_vm_t *sim_add_vm(sim_t *sim, const char *org, const char *pool, int dc, int rack,
 		     const char *image);
 void sim_fail_vm(sim_t *sim, sim_vm_t *vm, uint64_t for_us);
+sim_vm_t *sim_find_vm(const sim_t *sim, const char *id);
 plan_input_t sim_input(sim_t *sim);
 /** Advances by one second: announcements, one run of the planner, its actions. */
 void sim_step(sim_t *sim);
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -52,14 +52,12 @@
 static void check_action(sim_t *sim, const plan_action_t *action)
 {
 	const fleet_vm_t *vm = action->vm;
-	const sim_vm_t *sim_vm = NULL;
+	const sim_vm_t *sim_vm;
 
-	for (size_t i = 0; vm != NULL && i < sim->vm_count; i++) {
-		if (strcmp(sim->vms[i].id, vm->id) == 0)
-			sim_vm = &sim->vms[i];
-	}
-	if (sim_vm != NULL)
-		assert_false(sim->cut[sim_vm->dc]);
+	if (vm == NULL)
+		return;
+	sim_vm = sim_find_vm(sim, vm->id);
+	assert_false(sim->cut[sim_vm->dc]);
 	if (action->kind == PLAN_CORDON) {
 		budget_t budget = budget_of(vm->pool, &sim->health, sim->now_us);
 
