claims: add at-most-once claims, read-back and member changes

Cause: requests that may not be repeated need a claim by a majority of three entry processes. Change: replica, coordinator and read-back by rendezvous sets; first version for the other parts to build on. Only compiled so far; tests follow.

--- /dev/null
+++ b/src/claims_coordinator.c
@@ -0,0 +1,451 @@
+#include "claims_internal.h"
+
+#include "clock.h"
+
+/* A release or a record that is not acknowledged (lost with a connection) is sent again. */
+#define RESEND_US (500 * US_PER_MS)
+/* After this a release is given up: the claim stays held until the retention has passed. */
+#define RESEND_LIMIT_US (60 * US_PER_S)
+/* The member sets of the acquisition and of the end of the attempt. */
+#define TARGETS_MAX (2 * CLAIMS_SET)
+
+typedef enum {
+	ATTEMPT_ACQUIRING,
+	ATTEMPT_GRANTED,
+	ATTEMPT_ENDING, /* a release or record is being sent until it is acknowledged */
+} attempt_state_t;
+
+typedef enum {
+	REPLY_NONE,
+	REPLY_GRANTED,
+	REPLY_HELD,
+	REPLY_ABSTAIN,
+} reply_state_t;
+
+/* What one replica answered, and which memory of the others it knew then. */
+typedef struct {
+	reply_state_t state;
+	uint64_t incarnation;
+	uint64_t knows[CLAIMS_SET]; /* 0: nothing known */
+} replica_reply_t;
+
+typedef struct {
+	uint64_t seq;
+	attempt_state_t state;
+	char *key;
+	char *home;
+	uint64_t epoch;
+	uint32_t ids[CLAIMS_SET];
+	size_t count;
+	replica_reply_t replies[CLAIMS_SET];
+	uint64_t deadline_us;
+	claims_done_fn done;
+	void *arg;
+	/* From here on: the end of the attempt. */
+	Lp__ClaimOp op;
+	uint32_t targets[TARGETS_MAX];
+	bool acknowledged[TARGETS_MAX];
+	size_t target_count;
+	Lp__Outcome *outcome;
+	uint64_t resend_us;
+	uint64_t give_up_us;
+	void (*recorded)(void *arg);
+	void *recorded_arg;
+} attempt_t;
+
+void claims_attempt_free(gpointer data)
+{
+	attempt_t *attempt = data;
+
+	g_free(attempt->key);
+	g_free(attempt->home);
+	claims_outcome_free(attempt->outcome);
+	g_free(attempt);
+}
+
+static attempt_t *find(const claims_t *claims, uint64_t seq)
+{
+	return g_hash_table_lookup(claims->attempts, &seq);
+}
+
+static void send_op(claims_t *claims, const attempt_t *attempt, Lp__ClaimOp op, uint32_t to)
+{
+	Lp__ClaimRequest request = LP__CLAIM_REQUEST__INIT;
+	Lp__ClaimOwner message;
+	claims_owner_t owner = {
+		.node_id = claims->config.node_id,
+		.incarnation = claims->config.incarnation,
+		.seq = attempt->seq,
+	};
+
+	claims_owner_to(&owner, &message);
+	request.op = op;
+	request.key = attempt->key;
+	request.home = attempt->home;
+	request.owner = &message;
+	request.outcome = attempt->outcome;
+	if (to == claims->config.node_id)
+		claims_replica_request(claims, to, attempt->epoch, &request);
+	else
+		claims_queue_request(claims, to, &request);
+}
+
+static void add_target(attempt_t *attempt, uint32_t node_id)
+{
+	if (!claims_ids_have(attempt->targets, attempt->target_count, node_id))
+		attempt->targets[attempt->target_count++] = node_id;
+}
+
+/* Sends to whoever has not acknowledged. The attempt may be freed by the answers. */
+static void send_end(claims_t *claims, uint64_t seq)
+{
+	attempt_t *attempt = find(claims, seq);
+
+	attempt->resend_us = claims->now_us + RESEND_US;
+	for (size_t i = 0; attempt != NULL && i < attempt->target_count; i++) {
+		if (!attempt->acknowledged[i])
+			send_op(claims, attempt, attempt->op, attempt->targets[i]);
+		attempt = find(claims, seq);
+	}
+}
+
+static void end_attempt(claims_t *claims, attempt_t *attempt, Lp__ClaimOp op)
+{
+	const claims_member_set_t *set = claims_current(claims);
+	uint32_t ids[CLAIMS_SET];
+	size_t count = set != NULL ? claims_set_pick(set, attempt->key, attempt->home, ids) : 0;
+
+	attempt->state = ATTEMPT_ENDING;
+	attempt->op = op;
+	attempt->give_up_us = claims->now_us + RESEND_LIMIT_US;
+	for (size_t i = 0; i < attempt->count; i++)
+		add_target(attempt, attempt->ids[i]);
+	for (size_t i = 0; i < count; i++)
+		add_target(attempt, ids[i]);
+	send_end(claims, attempt->seq);
+}
+
+/* Reports the result and, unless the claim is granted, releases what was granted. */
+static void finish_acquire(claims_t *claims, attempt_t *attempt, claims_result_t result,
+			   const Lp__Outcome *outcome)
+{
+	claims_done_fn done = attempt->done;
+	void *arg = attempt->arg;
+	uint64_t seq = attempt->seq;
+
+	attempt->done = NULL;
+	if (result == CLAIMS_GRANTED)
+		attempt->state = ATTEMPT_GRANTED;
+	else
+		end_attempt(claims, attempt, LP__CLAIM_OP__CLAIM_RELEASE);
+	done(arg, result, seq, outcome);
+}
+
+/*
+ * Two grants count together only if neither replica has since been seen with another memory by the
+ * other. Otherwise a replica could have granted, lost its memory, read back from the other one
+ * before that one granted too, and granted the key to another attempt.
+ */
+static bool consistent(const attempt_t *attempt, size_t a, size_t b)
+{
+	const replica_reply_t *x = &attempt->replies[a];
+	const replica_reply_t *y = &attempt->replies[b];
+
+	return (x->knows[b] == 0 || x->knows[b] == y->incarnation) &&
+	       (y->knows[a] == 0 || y->knows[a] == x->incarnation);
+}
+
+static bool has_majority(const attempt_t *attempt)
+{
+	for (size_t i = 0; i < attempt->count; i++) {
+		size_t together = 0;
+
+		if (attempt->replies[i].state != REPLY_GRANTED)
+			continue;
+		for (size_t k = 0; k < attempt->count; k++) {
+			if (attempt->replies[k].state == REPLY_GRANTED && consistent(attempt, i, k))
+				together++;
+		}
+		/* With at most three replicas, two consistent grants are a majority. */
+		if (together >= CLAIMS_MAJORITY(attempt->count))
+			return true;
+	}
+	return false;
+}
+
+static void decide(claims_t *claims, attempt_t *attempt)
+{
+	size_t open = 0;
+	size_t granted = 0;
+	size_t held = 0;
+
+	if (has_majority(attempt)) {
+		finish_acquire(claims, attempt, CLAIMS_GRANTED, NULL);
+		return;
+	}
+	for (size_t i = 0; i < attempt->count; i++) {
+		open += attempt->replies[i].state == REPLY_NONE;
+		granted += attempt->replies[i].state == REPLY_GRANTED;
+		held += attempt->replies[i].state == REPLY_HELD;
+	}
+	/* Where the key is held, the missing replies may bring the outcome. */
+	if (open == 0 || (held == 0 && open + granted < CLAIMS_MAJORITY(attempt->count)))
+		finish_acquire(claims, attempt, CLAIMS_UNKNOWN, NULL);
+}
+
+static attempt_t *new_attempt(claims_t *claims, const char *key, const char *home,
+			      claims_done_fn done, void *arg)
+{
+	const claims_member_set_t *set = claims_current(claims);
+	attempt_t *attempt = g_new0(attempt_t, 1);
+
+	attempt->seq = claims->next_seq++;
+	attempt->key = g_strdup(key);
+	attempt->home = g_strdup(home != NULL ? home : "");
+	attempt->done = done;
+	attempt->arg = arg;
+	attempt->deadline_us = claims->now_us + claims->config.acquire_timeout_ms * US_PER_MS;
+	if (set != NULL) {
+		attempt->epoch = set->epoch;
+		attempt->count = claims_set_pick(set, key, attempt->home, attempt->ids);
+	}
+	g_hash_table_insert(claims->attempts, &attempt->seq, attempt);
+	return attempt;
+}
+
+void claims_acquire(claims_t *claims, const char *key, const char *home, uint64_t now_us,
+		    claims_done_fn done, void *arg)
+{
+	attempt_t *attempt;
+	uint64_t seq;
+
+	claims->now_us = now_us;
+	attempt = new_attempt(claims, key, home, done, arg);
+	seq = attempt->seq;
+	if (attempt->count == 0) {
+		finish_acquire(claims, attempt, CLAIMS_UNKNOWN, NULL);
+		return;
+	}
+	for (size_t i = 0; attempt != NULL && i < attempt->count; i++) {
+		send_op(claims, attempt, LP__CLAIM_OP__CLAIM_ACQUIRE, attempt->ids[i]);
+		attempt = find(claims, seq);
+	}
+}
+
+static size_t index_of(const uint32_t *ids, size_t count, uint32_t node_id)
+{
+	size_t i = 0;
+
+	while (i < count && ids[i] != node_id)
+		i++;
+	return i;
+}
+
+static uint64_t known_memory(const claims_memory_t *known, size_t count, uint32_t node_id)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (known[i].node_id == node_id)
+			return known[i].incarnation;
+	}
+	return 0;
+}
+
+static reply_state_t reply_state(const attempt_t *attempt, uint64_t epoch,
+				 const Lp__ClaimReply *reply)
+{
+	if (epoch != attempt->epoch)
+		return REPLY_ABSTAIN;
+	switch (reply->status) {
+	case LP__CLAIM_STATUS__CLAIM_GRANTED:
+		return REPLY_GRANTED;
+	case LP__CLAIM_STATUS__CLAIM_HELD:
+		return REPLY_HELD;
+	case LP__CLAIM_STATUS__CLAIM_ABSTAIN:
+	case _LP__CLAIM_STATUS_IS_INT_SIZE:
+		break;
+	}
+	return REPLY_ABSTAIN;
+}
+
+static void acquire_reply(claims_t *claims, attempt_t *attempt, size_t index, uint64_t epoch,
+			  uint64_t incarnation, const claims_memory_t *known, size_t known_count,
+			  const Lp__ClaimReply *reply)
+{
+	replica_reply_t *slot = &attempt->replies[index];
+
+	/* A late reply, delayed by a frozen process for example, proves nothing about the present.
+	 */
+	if (claims->now_us >= attempt->deadline_us) {
+		finish_acquire(claims, attempt, CLAIMS_UNKNOWN, NULL);
+		return;
+	}
+	if (reply->status == LP__CLAIM_STATUS__CLAIM_HELD && reply->outcome != NULL) {
+		finish_acquire(claims, attempt, CLAIMS_STORED, reply->outcome);
+		return;
+	}
+	slot->state = reply_state(attempt, epoch, reply);
+	slot->incarnation = incarnation;
+	for (size_t i = 0; i < attempt->count; i++)
+		slot->knows[i] = known_memory(known, known_count, attempt->ids[i]);
+	decide(claims, attempt);
+}
+
+static bool majority_acknowledged(const claims_t *claims, const attempt_t *attempt)
+{
+	const claims_member_set_t *set = claims_current(claims);
+	uint32_t ids[CLAIMS_SET];
+	size_t count = claims_set_pick(set, attempt->key, attempt->home, ids);
+	size_t acknowledged = 0;
+
+	for (size_t i = 0; i < attempt->target_count; i++)
+		acknowledged += attempt->acknowledged[i] &&
+				claims_ids_have(ids, count, attempt->targets[i]);
+	return acknowledged >= CLAIMS_MAJORITY(count);
+}
+
+static void call_recorded(attempt_t *attempt)
+{
+	void (*recorded)(void *arg) = attempt->recorded;
+
+	attempt->recorded = NULL;
+	if (recorded != NULL)
+		recorded(attempt->recorded_arg);
+}
+
+static void end_reply(claims_t *claims, attempt_t *attempt, uint32_t from)
+{
+	uint64_t seq = attempt->seq;
+	size_t index = index_of(attempt->targets, attempt->target_count, from);
+
+	if (index == attempt->target_count)
+		return;
+	attempt->acknowledged[index] = true;
+	if (attempt->recorded != NULL && majority_acknowledged(claims, attempt))
+		call_recorded(attempt);
+	attempt = find(claims, seq);
+	for (size_t i = 0; attempt != NULL && i < attempt->target_count; i++) {
+		if (!attempt->acknowledged[i])
+			return;
+	}
+	g_hash_table_remove(claims->attempts, &seq);
+}
+
+void claims_coordinator_reply(claims_t *claims, uint32_t from, uint64_t epoch, uint64_t incarnation,
+			      const claims_memory_t *known, size_t known_count,
+			      const Lp__ClaimReply *reply)
+{
+	attempt_t *attempt;
+	size_t index;
+
+	if (reply->owner == NULL || reply->owner->node_id != claims->config.node_id ||
+	    reply->owner->incarnation != claims->config.incarnation)
+		return;
+	attempt = find(claims, reply->owner->seq);
+	if (attempt == NULL)
+		return;
+	if (attempt->state == ATTEMPT_ENDING && reply->op == attempt->op) {
+		end_reply(claims, attempt, from);
+		return;
+	}
+	index = index_of(attempt->ids, attempt->count, from);
+	if (attempt->state == ATTEMPT_ACQUIRING && reply->op == LP__CLAIM_OP__CLAIM_ACQUIRE &&
+	    index < attempt->count)
+		acquire_reply(claims, attempt, index, epoch, incarnation, known, known_count,
+			      reply);
+}
+
+void claims_coordinator_unsent(claims_t *claims, uint32_t to, const Lp__ClaimRequest *request)
+{
+	attempt_t *attempt = find(claims, request->owner->seq);
+	size_t index;
+
+	if (attempt == NULL || attempt->state != ATTEMPT_ACQUIRING ||
+	    request->op != LP__CLAIM_OP__CLAIM_ACQUIRE)
+		return;
+	index = index_of(attempt->ids, attempt->count, to);
+	if (index == attempt->count)
+		return;
+	attempt->replies[index].state = REPLY_ABSTAIN;
+	decide(claims, attempt);
+}
+
+void claims_release(claims_t *claims, uint64_t claim, uint64_t now_us)
+{
+	attempt_t *attempt = find(claims, claim);
+
+	claims->now_us = now_us;
+	if (attempt != NULL && attempt->state == ATTEMPT_GRANTED)
+		end_attempt(claims, attempt, LP__CLAIM_OP__CLAIM_RELEASE);
+}
+
+void claims_finish_run(claims_t *claims, uint64_t claim, const Lp__Outcome *outcome,
+		       uint64_t now_us, void (*done)(void *arg), void *arg)
+{
+	attempt_t *attempt = find(claims, claim);
+
+	claims->now_us = now_us;
+	if (attempt == NULL || attempt->state != ATTEMPT_GRANTED) {
+		if (done != NULL)
+			done(arg);
+		return;
+	}
+	attempt->outcome = claims_outcome_copy(outcome, claims->config.outcome_limit);
+	attempt->recorded = done;
+	attempt->recorded_arg = arg;
+	attempt->deadline_us = now_us + claims->config.record_timeout_ms * US_PER_MS;
+	end_attempt(claims, attempt, LP__CLAIM_OP__CLAIM_RECORD);
+}
+
+void claims_abandon(claims_t *claims, uint64_t claim)
+{
+	const attempt_t *attempt = find(claims, claim);
+
+	if (attempt != NULL && attempt->state == ATTEMPT_GRANTED)
+		g_hash_table_remove(claims->attempts, &claim);
+}
+
+static void tick_attempt(claims_t *claims, attempt_t *attempt)
+{
+	switch (attempt->state) {
+	case ATTEMPT_ACQUIRING:
+		if (claims->now_us >= attempt->deadline_us)
+			finish_acquire(claims, attempt, CLAIMS_UNKNOWN, NULL);
+		break;
+	case ATTEMPT_GRANTED:
+		break;
+	case ATTEMPT_ENDING:
+		if (claims->now_us >= attempt->give_up_us)
+			g_hash_table_remove(claims->attempts, &attempt->seq);
+		else if (claims->now_us >= attempt->resend_us)
+			send_end(claims, attempt->seq);
+		break;
+	}
+}
+
+void claims_coordinator_tick(claims_t *claims)
+{
+	GHashTableIter iter;
+	gpointer value;
+	GArray *due = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	/* Callbacks may add and remove attempts. */
+	g_hash_table_iter_init(&iter, claims->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const attempt_t *attempt = value;
+
+		if (attempt->state != ATTEMPT_GRANTED)
+			g_array_append_val(due, attempt->seq);
+	}
+	for (guint i = 0; i < due->len; i++) {
+		attempt_t *attempt = find(claims, g_array_index(due, uint64_t, i));
+
+		if (attempt != NULL && attempt->recorded != NULL &&
+		    claims->now_us >= attempt->deadline_us) {
+			call_recorded(attempt);
+			attempt = find(claims, g_array_index(due, uint64_t, i));
+		}
+		if (attempt != NULL)
+			tick_attempt(claims, attempt);
+	}
+	g_array_unref(due);
+}
--- /dev/null
+++ b/src/claims_replica.c
@@ -0,0 +1,142 @@
+#include "claims_internal.h"
+
+claims_owner_t claims_owner_from(const Lp__ClaimOwner *owner)
+{
+	return (claims_owner_t){
+		.node_id = owner->node_id,
+		.incarnation = owner->incarnation,
+		.seq = owner->seq,
+	};
+}
+
+void claims_owner_to(const claims_owner_t *owner, Lp__ClaimOwner *message)
+{
+	lp__claim_owner__init(message);
+	message->node_id = owner->node_id;
+	message->incarnation = owner->incarnation;
+	message->seq = owner->seq;
+}
+
+/*
+ * A coordinator's sequence numbers arrive in rising order, as a connection keeps the order and an
+ * older connection is never heard after a newer one. An ACQUIRE that is not newer than the latest
+ * ACQUIRE or RELEASE is therefore out of place: its RELEASE may have been handled already, and the
+ * claim would stay behind.
+ */
+static bool advance_order(claims_t *claims, const claims_owner_t *owner)
+{
+	claims_order_t *order =
+		g_hash_table_lookup(claims->orders, GUINT_TO_POINTER(owner->node_id));
+
+	if (order == NULL) {
+		order = g_new0(claims_order_t, 1);
+		g_hash_table_insert(claims->orders, GUINT_TO_POINTER(owner->node_id), order);
+	}
+	if (order->incarnation != owner->incarnation) {
+		order->incarnation = owner->incarnation;
+		order->last_seq = 0;
+	}
+	if (owner->seq <= order->last_seq)
+		return false;
+	order->last_seq = owner->seq;
+	return true;
+}
+
+static Lp__ClaimStatus acquire(claims_t *claims, uint64_t epoch, const Lp__ClaimRequest *request,
+			       const claims_owner_t *owner, claims_record_t **record)
+{
+	const claims_member_set_t *set = claims_current(claims);
+	uint32_t ids[CLAIMS_SET];
+	size_t count;
+
+	if (!advance_order(claims, owner) || set == NULL || set->epoch != epoch)
+		return LP__CLAIM_STATUS__CLAIM_ABSTAIN;
+	count = claims_set_pick(set, request->key, request->home, ids);
+	if (!claims_ids_have(ids, count, claims->config.node_id))
+		return LP__CLAIM_STATUS__CLAIM_ABSTAIN;
+	*record = claims_store_find(&claims->store, request->key);
+	if (*record != NULL && (*record)->outcome == NULL && claims_record_held_by(*record, owner))
+		return LP__CLAIM_STATUS__CLAIM_GRANTED;
+	if (*record != NULL)
+		return LP__CLAIM_STATUS__CLAIM_HELD;
+	if (!claims_vouches(claims, request->key, request->home))
+		return LP__CLAIM_STATUS__CLAIM_ABSTAIN;
+	*record = claims_store_add(&claims->store, request->key, request->home, claims->now_us);
+	claims_record_hold(*record, owner);
+	return LP__CLAIM_STATUS__CLAIM_GRANTED;
+}
+
+static void release(claims_t *claims, const Lp__ClaimRequest *request, const claims_owner_t *owner)
+{
+	claims_record_t *record = claims_store_find(&claims->store, request->key);
+
+	advance_order(claims, owner);
+	if (record == NULL || record->outcome != NULL)
+		return;
+	claims_record_drop(record, owner);
+	if (record->owners->len == 0)
+		claims_store_remove(&claims->store, record);
+}
+
+/* The owner ran the request, so it had a majority: other holders of the key have run nothing. */
+static void record_outcome(claims_t *claims, const Lp__ClaimRequest *request,
+			   const claims_owner_t *owner)
+{
+	claims_record_t *record = claims_store_find(&claims->store, request->key);
+
+	if (request->outcome == NULL)
+		return;
+	if (record == NULL)
+		record = claims_store_add(&claims->store, request->key, request->home,
+					  claims->now_us);
+	g_array_set_size(record->owners, 0);
+	claims_record_hold(record, owner);
+	claims_record_outcome(record, request->outcome, claims->config.outcome_limit);
+	claims_store_touch(&claims->store, record);
+}
+
+static Lp__ClaimStatus handle(claims_t *claims, uint64_t epoch, const Lp__ClaimRequest *request,
+			      claims_record_t **record)
+{
+	claims_owner_t owner = claims_owner_from(request->owner);
+
+	switch (request->op) {
+	case LP__CLAIM_OP__CLAIM_ACQUIRE:
+		return acquire(claims, epoch, request, &owner, record);
+	case LP__CLAIM_OP__CLAIM_RELEASE:
+		release(claims, request, &owner);
+		return LP__CLAIM_STATUS__CLAIM_GRANTED;
+	case LP__CLAIM_OP__CLAIM_RECORD:
+		record_outcome(claims, request, &owner);
+		return LP__CLAIM_STATUS__CLAIM_GRANTED;
+	case _LP__CLAIM_OP_IS_INT_SIZE:
+		break;
+	}
+	return LP__CLAIM_STATUS__CLAIM_ABSTAIN;
+}
+
+void claims_replica_request(claims_t *claims, uint32_t from, uint64_t epoch,
+			    const Lp__ClaimRequest *request)
+{
+	Lp__ClaimReply reply = LP__CLAIM_REPLY__INIT;
+	Lp__ClaimOwner holder = LP__CLAIM_OWNER__INIT;
+	claims_record_t *record = NULL;
+
+	if (request->owner == NULL)
+		return;
+	reply.key = request->key;
+	reply.op = request->op;
+	reply.owner = request->owner;
+	reply.status = handle(claims, epoch, request, &record);
+	if (reply.status == LP__CLAIM_STATUS__CLAIM_HELD) {
+		claims_owner_to(&g_array_index(record->owners, claims_owner_t, 0), &holder);
+		reply.holder = &holder;
+		reply.has_outcome = record->outcome != NULL;
+		reply.outcome = record->outcome;
+	}
+	if (from == claims->config.node_id)
+		claims_coordinator_reply(claims, from, epoch, claims->config.incarnation,
+					 claims->known, claims->known_count, &reply);
+	else
+		claims_queue_reply(claims, from, &reply);
+}
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1042,6 +1042,51 @@
   assert(message->base.descriptor == &lp__claim_record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__claim_member__init
+                     (Lp__ClaimMember         *message)
+{
+  static const Lp__ClaimMember init_value = LP__CLAIM_MEMBER__INIT;
+  *message = init_value;
+}
+size_t lp__claim_member__get_packed_size
+                     (const Lp__ClaimMember *message)
+{
+  assert(message->base.descriptor == &lp__claim_member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__claim_member__pack
+                     (const Lp__ClaimMember *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__claim_member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__claim_member__pack_to_buffer
+                     (const Lp__ClaimMember *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__claim_member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__ClaimMember *
+       lp__claim_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__ClaimMember *)
+     protobuf_c_message_unpack (&lp__claim_member__descriptor,
+                                allocator, len, data);
+}
+void   lp__claim_member__free_unpacked
+                     (Lp__ClaimMember *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__claim_member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lp__claim_sync_request__init
                      (Lp__ClaimSyncRequest         *message)
 {
@@ -2789,7 +2834,7 @@
   (ProtobufCMessageInit) lp__outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__claim_request__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lp__claim_request__field_descriptors[5] =
 {
   {
     "op",
@@ -2839,8 +2884,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "home",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimRequest, home),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__claim_request__field_indices_by_name[] = {
+  4,   /* field[4] = home */
   1,   /* field[1] = key */
   0,   /* field[0] = op */
   3,   /* field[3] = outcome */
@@ -2849,7 +2907,7 @@
 static const ProtobufCIntRange lp__claim_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lp__claim_request__descriptor =
 {
@@ -2859,7 +2917,7 @@
   "Lp__ClaimRequest",
   "lp",
   sizeof(Lp__ClaimRequest),
-  4,
+  5,
   lp__claim_request__field_descriptors,
   lp__claim_request__field_indices_by_name,
   1,  lp__claim_request__number_ranges,
@@ -3161,7 +3219,7 @@
   (ProtobufCMessageInit) lp__claim_reply_batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__claim_record__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lp__claim_record__field_descriptors[6] =
 {
   {
     "key",
@@ -3223,10 +3281,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "home",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimRecord, home),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__claim_record__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
   2,   /* field[2] = has_outcome */
+  5,   /* field[5] = home */
   0,   /* field[0] = key */
   3,   /* field[3] = outcome */
   1,   /* field[1] = owner */
@@ -3234,7 +3305,7 @@
 static const ProtobufCIntRange lp__claim_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lp__claim_record__descriptor =
 {
@@ -3244,13 +3315,64 @@
   "Lp__ClaimRecord",
   "lp",
   sizeof(Lp__ClaimRecord),
-  5,
+  6,
   lp__claim_record__field_descriptors,
   lp__claim_record__field_indices_by_name,
   1,  lp__claim_record__number_ranges,
   (ProtobufCMessageInit) lp__claim_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lp__claim_member__field_descriptors[2] =
+{
+  {
+    "node_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimMember, node_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimMember, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__claim_member__field_indices_by_name[] = {
+  1,   /* field[1] = data_centre */
+  0,   /* field[0] = node_id */
+};
+static const ProtobufCIntRange lp__claim_member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lp__claim_member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.ClaimMember",
+  "ClaimMember",
+  "Lp__ClaimMember",
+  "lp",
+  sizeof(Lp__ClaimMember),
+  2,
+  lp__claim_member__field_descriptors,
+  lp__claim_member__field_indices_by_name,
+  1,  lp__claim_member__number_ranges,
+  (ProtobufCMessageInit) lp__claim_member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lp__claim_sync_request__field_descriptors[5] =
 {
   {
@@ -3341,7 +3463,7 @@
   (ProtobufCMessageInit) lp__claim_sync_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__claim_sync_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lp__claim_sync_reply__field_descriptors[12] =
 {
   {
     "member_epoch",
@@ -3463,13 +3585,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch_before",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__ClaimSyncReply, epoch_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_before",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__ClaimSyncReply, n_members_before),
+    offsetof(Lp__ClaimSyncReply, members_before),
+    &lp__claim_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__claim_sync_reply__field_indices_by_name[] = {
   3,   /* field[3] = done */
+  10,   /* field[10] = epoch_before */
   6,   /* field[6] = incarnation */
   4,   /* field[4] = intact */
   7,   /* field[7] = intact_before */
   0,   /* field[0] = member_epoch */
+  11,   /* field[11] = members_before */
   8,   /* field[8] = missing */
   9,   /* field[9] = missing_known */
   2,   /* field[2] = next_cursor */
@@ -3479,7 +3627,7 @@
 static const ProtobufCIntRange lp__claim_sync_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor lp__claim_sync_reply__descriptor =
 {
@@ -3489,7 +3637,7 @@
   "Lp__ClaimSyncReply",
   "lp",
   sizeof(Lp__ClaimSyncReply),
-  10,
+  12,
   lp__claim_sync_reply__field_descriptors,
   lp__claim_sync_reply__field_indices_by_name,
   1,  lp__claim_sync_reply__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Lp__ClaimMemory Lp__ClaimMemory;
 typedef struct Lp__ClaimReplyBatch Lp__ClaimReplyBatch;
 typedef struct Lp__ClaimRecord Lp__ClaimRecord;
+typedef struct Lp__ClaimMember Lp__ClaimMember;
 typedef struct Lp__ClaimSyncRequest Lp__ClaimSyncRequest;
 typedef struct Lp__ClaimSyncReply Lp__ClaimSyncReply;
 typedef struct Lp__TaskUsage Lp__TaskUsage;
@@ -351,10 +352,14 @@
   char *key;
   Lp__ClaimOwner *owner;
   Lp__Outcome *outcome;
+  /*
+   * data centre that the key is homed in, or empty
+   */
+  char *home;
 };
 #define LP__CLAIM_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__claim_request__descriptor) \
-    , LP__CLAIM_OP__CLAIM_ACQUIRE, (char *)protobuf_c_empty_string, NULL, NULL }
+    , LP__CLAIM_OP__CLAIM_ACQUIRE, (char *)protobuf_c_empty_string, NULL, NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Lp__ClaimReply
@@ -423,6 +428,9 @@
     , 0, 0,NULL, 0, 0,NULL }
 
 
+/*
+ * A claim; a key that several attempts hold is sent as one record for each.
+ */
 struct  Lp__ClaimRecord
 {
   ProtobufCMessage base;
@@ -431,10 +439,22 @@
   protobuf_c_boolean has_outcome;
   Lp__Outcome *outcome;
   uint64_t age_ms;
+  char *home;
 };
 #define LP__CLAIM_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__claim_record__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, NULL, 0, NULL, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Lp__ClaimMember
+{
+  ProtobufCMessage base;
+  uint32_t node_id;
+  char *data_centre;
+};
+#define LP__CLAIM_MEMBER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__claim_member__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -487,10 +507,16 @@
    * missing is complete
    */
   protobuf_c_boolean missing_known;
+  /*
+   * 0: not known to the sender
+   */
+  uint64_t epoch_before;
+  size_t n_members_before;
+  Lp__ClaimMember **members_before;
 };
 #define LP__CLAIM_SYNC_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__claim_sync_reply__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Lp__TaskUsage
@@ -1090,6 +1116,25 @@
 void   lp__claim_record__free_unpacked
                      (Lp__ClaimRecord *message,
                       ProtobufCAllocator *allocator);
+/* Lp__ClaimMember methods */
+void   lp__claim_member__init
+                     (Lp__ClaimMember         *message);
+size_t lp__claim_member__get_packed_size
+                     (const Lp__ClaimMember   *message);
+size_t lp__claim_member__pack
+                     (const Lp__ClaimMember   *message,
+                      uint8_t             *out);
+size_t lp__claim_member__pack_to_buffer
+                     (const Lp__ClaimMember   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__ClaimMember *
+       lp__claim_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__claim_member__free_unpacked
+                     (Lp__ClaimMember *message,
+                      ProtobufCAllocator *allocator);
 /* Lp__ClaimSyncRequest methods */
 void   lp__claim_sync_request__init
                      (Lp__ClaimSyncRequest         *message);
@@ -1351,6 +1396,9 @@
 typedef void (*Lp__ClaimRecord_Closure)
                  (const Lp__ClaimRecord *message,
                   void *closure_data);
+typedef void (*Lp__ClaimMember_Closure)
+                 (const Lp__ClaimMember *message,
+                  void *closure_data);
 typedef void (*Lp__ClaimSyncRequest_Closure)
                  (const Lp__ClaimSyncRequest *message,
                   void *closure_data);
@@ -1413,6 +1461,7 @@
 extern const ProtobufCMessageDescriptor lp__claim_memory__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_reply_batch__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_record__descriptor;
+extern const ProtobufCMessageDescriptor lp__claim_member__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_sync_request__descriptor;
 extern const ProtobufCMessageDescriptor lp__claim_sync_reply__descriptor;
 extern const ProtobufCMessageDescriptor lp__task_usage__descriptor;
