--- /dev/null
+++ b/src/cli.c
@@ -0,0 +1,256 @@
+#define G_LOG_DOMAIN "cli"
+
+#include "cli.h"
+
+#include <getopt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#define DEFAULT_SERVER "http://127.0.0.1:8080"
+#define DEFAULT_TIMEOUT_S 15
+
+/* Options that every operator command takes. */
+#define COMMON "skjt"
+
+typedef struct {
+	const char *name; /* one or two words */
+	const char *operands;
+	int least;
+	int most;
+	const char *options; /* letters of the options it takes */
+	cli_exit_t (*run)(const cli_options_t *options);
+	const char *help;
+} command_t;
+
+#define ANY 1000000
+
+static const command_t commands[] = {
+	{"serve", "--settings FILE", 0, 0, "S", cli_serve, "run the entry process"},
+	{"init", "--settings FILE --first", 0, 0, "SF", cli_init,
+	 "create the data folder of a founding voter"},
+	{"config check", "FILE", 1, 1, "", cli_config_check, "check a settings file"},
+	{"template check", "FILE", 1, 1, COMMON "p", cli_template_check,
+	 "check a template against the rules"},
+	{"template plan", "FILE", 1, 1, COMMON "p", cli_template_plan,
+	 "show what a template would cause"},
+	{"template apply", "FILE --note TEXT", 1, 1, COMMON "panOe", cli_template_apply,
+	 "put a template in force"},
+	{"template history", "[ORGANISATION]", 0, 1, COMMON, cli_template_history,
+	 "list applied revisions"},
+	{"status", "", 0, 0, COMMON, cli_status, "promises, waves, notes of the day staff"},
+	{"explain", "vm|pool|wave|job|request ID", 2, 2, COMMON, cli_explain,
+	 "why something is as it is (a pool's ID is ORGANISATION/POOL)"},
+	{"vms", "", 0, 0, COMMON "oP", cli_vms, "list VMs"},
+	{"pools", "", 0, 0, COMMON "o", cli_pools, "list pools"},
+	{"waves", "", 0, 0, COMMON "o", cli_waves, "list maintenance waves"},
+	{"jobs list", "", 0, 0, COMMON "oPT", cli_jobs_list, "list jobs"},
+	{"jobs submit", "FILE | NAME=VALUE...", 1, ANY, COMMON, cli_jobs_submit,
+	 "submit a job, or the jobs of a JSON file"},
+	{"jobs cancel", "JOB... --reason TEXT", 1, ANY, COMMON "R", cli_jobs_cancel, "cancel jobs"},
+};
+
+static const struct option long_options[] = {
+	{"server", required_argument, NULL, 's'},
+	{"token-file", required_argument, NULL, 'k'},
+	{"json", no_argument, NULL, 'j'},
+	{"timeout", required_argument, NULL, 't'},
+	{"settings", required_argument, NULL, 'S'},
+	{"first", no_argument, NULL, 'F'},
+	{"param", required_argument, NULL, 'p'},
+	{"author", required_argument, NULL, 'a'},
+	{"note", required_argument, NULL, 'n'},
+	{"op-id", required_argument, NULL, 'O'},
+	{"expected-revision", required_argument, NULL, 'e'},
+	{"organisation", required_argument, NULL, 'o'},
+	{"pool", required_argument, NULL, 'P'},
+	{"state", required_argument, NULL, 'T'},
+	{"reason", required_argument, NULL, 'R'},
+	{"help", no_argument, NULL, 'h'},
+	{0},
+};
+
+static void print_help(FILE *out)
+{
+	(void)fputs("usage: lavenderpass COMMAND [OPTIONS]\n\n", out);
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		(void)fprintf(out, "  %s %s\n        %s\n", commands[i].name, commands[i].operands,
+			      commands[i].help);
+	(void)fputs("\noptions of operator commands:\n"
+		    "  --server URL[,URL]        entry processes, tried in turn; default is\n"
+		    "                            $LAVENDERPASS_SERVER, else " DEFAULT_SERVER "\n"
+		    "  --token-file FILE         token, or lines of \"role token\"\n"
+		    "  --json                    print the server's answer\n"
+		    "  --timeout SECONDS         (15)\n"
+		    "  --param NAME=VALUE        value of a template's parameter; repeat for each\n"
+		    "  --author NAME             default: login name\n"
+		    "  --note TEXT               why; shown to the operators on duty\n"
+		    "  --expected-revision N     default: the revision in force, which is printed\n"
+		    "  --op-id ID                resend of an apply whose outcome was unknown\n"
+		    "  --organisation, --pool, --state NAME   limit a list\n\n"
+		    "exit status: 0 done, 1 failed, 2 usage, 3 conflict, 4 unavailable or outcome\n"
+		    "unknown\n",
+		    out);
+}
+
+static int usage_error(const command_t *command, const char *fault)
+{
+	cli_error("%s", fault);
+	if (command != NULL)
+		(void)fprintf(stderr, "usage: lavenderpass %s %s\n", command->name,
+			      command->operands);
+	else
+		(void)fputs("'lavenderpass --help' lists the commands\n", stderr);
+	return CLI_USAGE;
+}
+
+/* Finds the command by its first one or two words, and tells how many these are. */
+static const command_t *find_command(int argc, char **argv, int *words)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		char **parts = g_strsplit(commands[i].name, " ", 2);
+		int count = (int)g_strv_length(parts);
+		bool match = argc > count;
+
+		for (int j = 0; match && j < count; j++)
+			match = strcmp(parts[j], argv[j + 1]) == 0;
+		g_strfreev(parts);
+		if (match) {
+			*words = count;
+			return &commands[i];
+		}
+	}
+	return NULL;
+}
+
+static bool add_parameter(cli_options_t *options, const char *text)
+{
+	const char *equals = strchr(text, '=');
+	char *name;
+
+	if (equals == NULL || equals == text)
+		return false;
+	name = g_strndup(text, (gsize)(equals - text));
+	json_object_set_new(options->parameters, name, json_string(equals + 1));
+	g_free(name);
+	return true;
+}
+
+static bool take_number(cli_options_t *options, int opt, const char *value)
+{
+	guint64 number;
+
+	if (!g_ascii_string_to_unsigned(value, 10, opt == 't', opt == 't' ? 3600 : INT64_MAX,
+					&number, NULL))
+		return false;
+	if (opt == 't') {
+		options->timeout_s = (unsigned)number;
+	} else {
+		options->has_expected_revision = true;
+		options->expected_revision = number;
+	}
+	return true;
+}
+
+static bool take_text(cli_options_t *options, int opt, const char *value)
+{
+	const struct {
+		int opt;
+		const char **field;
+	} texts[] = {
+		{'k', &options->token_file}, {'S', &options->settings},
+		{'a', &options->author},     {'n', &options->note},
+		{'O', &options->op_id},	     {'o', &options->organisation},
+		{'P', &options->pool},	     {'T', &options->state},
+		{'R', &options->reason},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		if (texts[i].opt == opt)
+			*texts[i].field = value;
+	}
+	return value[0] != '\0';
+}
+
+static bool take_option(cli_options_t *options, int opt, const char *value)
+{
+	switch (opt) {
+	case 's':
+		g_strfreev(options->servers);
+		options->servers = g_strsplit(value, ",", 0);
+		return options->servers[0] != NULL;
+	case 'j':
+		options->json = true;
+		return true;
+	case 'F':
+		options->first = true;
+		return true;
+	case 'p':
+		return add_parameter(options, value);
+	case 't':
+	case 'e':
+		return take_number(options, opt, value);
+	default:
+		return take_text(options, opt, value);
+	}
+}
+
+static int parse(const command_t *command, cli_options_t *options, int argc, char **argv)
+{
+	int index = -1;
+	int opt;
+
+	while ((opt = getopt_long(argc, argv, "h", long_options, &index)) != -1) {
+		if (opt == 'h') {
+			print_help(stdout);
+			return -1;
+		}
+		if (opt == '?')
+			return usage_error(command, "bad option");
+		if (strchr(command->options, opt) == NULL)
+			return usage_error(command, "this command does not take that option");
+		if (!take_option(options, opt, optarg)) {
+			cli_error("--%s: bad value '%s'", long_options[index].name, optarg);
+			return CLI_USAGE;
+		}
+	}
+	options->args = argv + optind;
+	options->arg_count = argc - optind;
+	if (options->arg_count < command->least || options->arg_count > command->most)
+		return usage_error(command, "wrong number of operands");
+	return CLI_OK;
+}
+
+int cli_main(int argc, char **argv)
+{
+	const char *server = getenv("LAVENDERPASS_SERVER");
+	cli_options_t options = {.timeout_s = DEFAULT_TIMEOUT_S};
+	const command_t *command;
+	int words = 0;
+	int rc;
+
+	if (argc < 2 || strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-h") == 0) {
+		print_help(argc < 2 ? stderr : stdout);
+		return argc < 2 ? CLI_USAGE : CLI_OK;
+	}
+	command = find_command(argc, argv, &words);
+	if (command == NULL)
+		return usage_error(NULL, "unknown command");
+	options.servers =
+		g_strsplit(server == NULL || server[0] == '\0' ? DEFAULT_SERVER : server, ",", 0);
+	options.parameters = json_object();
+	/* getopt_long() names the program in its messages. */
+	argv[words] = argv[0];
+	rc = parse(command, &options, argc - words, argv + words);
+	if (rc == CLI_OK) {
+		curl_global_init(CURL_GLOBAL_DEFAULT);
+		rc = (int)command->run(&options);
+		curl_global_cleanup();
+	}
+	json_decref(options.parameters);
+	g_strfreev(options.servers);
+	return rc < 0 ? CLI_OK : rc;
+}
--- /dev/null
+++ b/src/cli_job.c
@@ -0,0 +1,144 @@
+#define G_LOG_DOMAIN "cli"
+
+#include "cli.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+typedef enum {
+	FIELD_TEXT,
+	FIELD_NUMBER,
+	FIELD_BOOLEAN,
+} field_type_t;
+
+static const struct {
+	const char *name;
+	field_type_t type;
+} fields[] = {
+	{"job", FIELD_TEXT},	   {"organisation", FIELD_TEXT},   {"pool", FIELD_TEXT},
+	{"team", FIELD_TEXT},	   {"kind", FIELD_TEXT},	   {"cores", FIELD_NUMBER},
+	{"mem_mib", FIELD_NUMBER}, {"accelerators", FIELD_NUMBER}, {"run_time_ms", FIELD_NUMBER},
+	{"urgent", FIELD_BOOLEAN}, {"repeatable", FIELD_BOOLEAN},
+};
+
+static json_t *parse_value(field_type_t type, const char *text)
+{
+	guint64 number;
+
+	switch (type) {
+	case FIELD_TEXT:
+		return json_string(text);
+	case FIELD_NUMBER:
+		if (g_ascii_string_to_unsigned(text, 10, 0, INT64_MAX, &number, NULL))
+			return json_integer((json_int_t)number);
+		return NULL;
+	case FIELD_BOOLEAN:
+		if (strcmp(text, "true") == 0 || strcmp(text, "false") == 0)
+			return json_boolean(text[0] == 't');
+		return NULL;
+	}
+	return NULL;
+}
+
+/* One NAME=VALUE operand. */
+static bool add_field(json_t *job, const char *operand)
+{
+	const char *equals = strchr(operand, '=');
+	size_t length = equals == NULL ? 0 : (size_t)(equals - operand);
+	json_t *value = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(fields) && equals != NULL; i++) {
+		if (strlen(fields[i].name) == length &&
+		    strncmp(fields[i].name, operand, length) == 0) {
+			value = parse_value(fields[i].type, equals + 1);
+			json_object_set(job, fields[i].name, value);
+		}
+	}
+	if (value == NULL)
+		cli_error("'%s': expected NAME=VALUE with a job's field and a value of its type",
+			  operand);
+	json_decref(value);
+	return value != NULL;
+}
+
+/* @return an array of jobs, or NULL with a message */
+static json_t *read_jobs(const cli_options_t *options)
+{
+	json_error_t error;
+	json_t *jobs;
+
+	if (options->arg_count == 1 && strchr(options->args[0], '=') == NULL) {
+		jobs = json_load_file(options->args[0], 0, &error);
+		if (jobs == NULL)
+			cli_error("%s:%d: %s", options->args[0], error.line, error.text);
+		return json_is_object(jobs) ? json_pack("[o]", jobs) : jobs;
+	}
+	jobs = json_pack("[{}]");
+	for (int i = 0; i < options->arg_count; i++) {
+		if (!add_field(json_array_get(jobs, 0), options->args[i])) {
+			json_decref(jobs);
+			return NULL;
+		}
+	}
+	return jobs;
+}
+
+/* The job id is the idempotency key of its submission. */
+static cli_exit_t submit(const cli_options_t *options, json_t *job)
+{
+	char *id = g_uuid_string_random();
+	cli_answer_t answer;
+	cli_exit_t rc;
+
+	if (cli_string(job, "job")[0] == '\0')
+		json_object_set_new(job, "job", json_string(id));
+	g_free(id);
+	rc = cli_change(options, "/v1/jobs", job, &answer);
+	if (rc == CLI_OK && options->json)
+		cli_print_json(answer.body);
+	else if (rc == CLI_OK)
+		(void)printf("job %s submitted\n", cli_string(job, "job"));
+	else
+		(void)fprintf(stderr, "job %s\n", cli_string(job, "job"));
+	cli_answer_finish(&answer);
+	return rc;
+}
+
+cli_exit_t cli_jobs_submit(const cli_options_t *options)
+{
+	json_t *jobs = read_jobs(options);
+	cli_exit_t rc = jobs == NULL ? CLI_FAILED : CLI_OK;
+	size_t i;
+	json_t *job;
+
+	json_array_foreach (jobs, i, job) {
+		rc = submit(options, job);
+		if (rc != CLI_OK)
+			break;
+	}
+	json_decref(jobs);
+	return rc;
+}
+
+cli_exit_t cli_jobs_cancel(const cli_options_t *options)
+{
+	json_t *jobs = json_array();
+	json_t *body;
+	cli_answer_t answer;
+	cli_exit_t rc;
+
+	for (int i = 0; i < options->arg_count; i++)
+		json_array_append_new(jobs, json_string(options->args[i]));
+	body = json_pack("{s:o, s:s}", "jobs", jobs, "reason",
+			 options->reason == NULL ? "" : options->reason);
+	rc = cli_change(options, "/v1/jobs/cancel", body, &answer);
+	if (rc == CLI_OK && options->json)
+		cli_print_json(answer.body);
+	else if (rc == CLI_OK)
+		(void)printf("%d jobs cancelled, or ended before\n", options->arg_count);
+	cli_answer_finish(&answer);
+	json_decref(body);
+	return rc;
+}
--- /dev/null
+++ b/src/cli_print.c
@@ -0,0 +1,147 @@
+#define G_LOG_DOMAIN "cli"
+
+#include "cli.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <glib.h>
+
+#define WIDTH 80
+#define COLUMNS_MAX 16
+/* Least width of the last column. */
+#define LAST_MIN 10
+
+void cli_error(const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	(void)fputs("lavenderpass: ", stderr);
+	(void)vfprintf(stderr, format, args);
+	(void)fputc('\n', stderr);
+	va_end(args);
+}
+
+const char *cli_string(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text == NULL ? "" : text;
+}
+
+json_int_t cli_number(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+void cli_format_time(json_int_t wall_ms, char *out, size_t size)
+{
+	time_t seconds = (time_t)(wall_ms / 1000);
+	struct tm tm;
+
+	out[0] = '\0';
+	if (wall_ms != 0 && gmtime_r(&seconds, &tm) != NULL)
+		(void)strftime(out, size, "%Y-%m-%d %H:%M:%SZ", &tm);
+}
+
+void cli_print_json(const json_t *value)
+{
+	(void)json_dumpf(value, stdout, JSON_INDENT(2));
+	(void)putchar('\n');
+}
+
+/* Text of a cell; times are recognised by their unit. */
+static char *cell(const json_t *row, const char *key)
+{
+	const json_t *value = json_object_get(row, key);
+	char when[40];
+
+	if (json_is_string(value))
+		return g_strdup(json_string_value(value));
+	if (json_is_boolean(value))
+		return g_strdup(json_is_true(value) ? "yes" : "no");
+	if (!json_is_integer(value))
+		return g_strdup("");
+	if (!g_str_has_suffix(key, "_ms"))
+		return g_strdup_printf("%" JSON_INTEGER_FORMAT, json_integer_value(value));
+	cli_format_time(json_integer_value(value), when, sizeof(when));
+	return g_strdup(when);
+}
+
+static void print_row(char *const *cells, const size_t *widths, size_t count)
+{
+	GString *line = g_string_new(NULL);
+
+	for (size_t i = 0; i < count; i++) {
+		long length = g_utf8_strlen(cells[i], -1);
+
+		if (i + 1 < count) {
+			g_string_append_printf(line, "%s%*s", cells[i],
+					       (int)((long)widths[i] - length + 2), "");
+		} else if ((size_t)length <= widths[i]) {
+			g_string_append(line, cells[i]);
+		} else {
+			char *cut = g_utf8_substring(cells[i], 0, (glong)widths[i] - 3);
+
+			g_string_append_printf(line, "%s...", cut);
+			g_free(cut);
+		}
+	}
+	while (line->len > 0 && line->str[line->len - 1] == ' ')
+		g_string_truncate(line, line->len - 1);
+	(void)puts(line->str);
+	g_string_free(line, TRUE);
+}
+
+void cli_print_table(const json_t *rows, const cli_column_t *columns, size_t count)
+{
+	size_t row_count = json_array_size(rows) + 1;
+	char **cells = g_new0(char *, row_count *count + 1);
+	size_t widths[COLUMNS_MAX] = {0};
+	size_t used = 0;
+
+	for (size_t r = 0; r < row_count; r++) {
+		for (size_t c = 0; c < count; c++) {
+			char *text = r == 0 ? g_strdup(columns[c].title)
+					    : cell(json_array_get(rows, r - 1), columns[c].key);
+
+			cells[r * count + c] = text;
+			widths[c] = MAX(widths[c], (size_t)g_utf8_strlen(text, -1));
+		}
+	}
+	for (size_t c = 0; c + 1 < count; c++)
+		used += widths[c] + 2;
+	widths[count - 1] = used + LAST_MIN > WIDTH ? LAST_MIN : WIDTH - used;
+	for (size_t r = 0; r < row_count; r++)
+		print_row(cells + r * count, widths, count);
+	g_strfreev(cells);
+}
+
+void cli_print_wrapped(const char *first, unsigned indent, const char *text)
+{
+	char **words = g_strsplit_set(text, " \n\t", 0);
+	size_t column = (size_t)g_utf8_strlen(first, -1);
+	bool fresh = true;
+
+	(void)fputs(first, stdout);
+	for (size_t i = 0; words[i] != NULL; i++) {
+		size_t length = (size_t)g_utf8_strlen(words[i], -1);
+
+		if (length == 0)
+			continue;
+		if (!fresh && column + 1 + length > WIDTH) {
+			(void)printf("\n%*s", (int)indent, "");
+			column = indent;
+			fresh = true;
+		}
+		(void)printf("%s%s", fresh ? "" : " ", words[i]);
+		column += length + (fresh ? 0 : 1);
+		fresh = false;
+	}
+	(void)putchar('\n');
+	g_strfreev(words);
+}
--- /dev/null
+++ b/src/cli_show.c
@@ -0,0 +1,286 @@
+#define G_LOG_DOMAIN "cli"
+
+#include "cli.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+static void print_problems(const json_t *status)
+{
+	if (!json_is_true(json_object_get(status, "in_contact")))
+		(void)puts("PROBLEM: this process is not in contact with a leader; what it shows "
+			   "may be old");
+	if (json_is_true(json_object_get(status, "disk_failed")))
+		(void)puts("PROBLEM: the data folder of this process cannot be written");
+	if (cli_string(status, "platform_error")[0] != '\0')
+		cli_print_wrapped("PROBLEM: platform: ", 9, cli_string(status, "platform_error"));
+}
+
+static void print_promises(const json_t *pools, bool kept)
+{
+	size_t i;
+	json_t *pool;
+
+	json_array_foreach (pools, i, pool) {
+		const char *promise = cli_string(pool, "promise");
+		char name[128];
+
+		if ((strcmp(promise, "kept") == 0) != kept)
+			continue;
+		g_snprintf(name, sizeof(name), "%s/%s", cli_string(pool, "organisation"),
+			   cli_string(pool, "pool"));
+		(void)printf("  %-8s %-24s %3lld of %3lld usable, keep %3lld, reserve %2lld, %lld "
+			     "free\n",
+			     promise, name, (long long)cli_number(pool, "usable"),
+			     (long long)cli_number(pool, "vms"),
+			     (long long)cli_number(pool, "keep"),
+			     (long long)cli_number(pool, "reserve"),
+			     (long long)cli_number(pool, "free"));
+	}
+}
+
+static void print_waves(const json_t *waves)
+{
+	size_t i;
+	json_t *wave;
+
+	(void)puts("\nWAVES");
+	json_array_foreach (waves, i, wave) {
+		char first[160];
+
+		g_snprintf(first, sizeof(first), "  %lld %s %s: %s, %lld done, %lld failed, ",
+			   (long long)cli_number(wave, "wave"), cli_string(wave, "organisation"),
+			   cli_string(wave, "image"), cli_string(wave, "state"),
+			   (long long)cli_number(wave, "done"),
+			   (long long)cli_number(wave, "failures"));
+		cli_print_wrapped(first, 4, cli_string(wave, "reason"));
+	}
+	if (json_array_size(waves) == 0)
+		(void)puts("  none");
+}
+
+static char *join_numbers(const json_t *numbers)
+{
+	GString *text = g_string_new(NULL);
+	size_t i;
+	json_t *number;
+
+	json_array_foreach (numbers, i, number)
+		g_string_append_printf(text, "%s%lld", i == 0 ? "" : " ",
+				       (long long)json_integer_value(number));
+	return g_string_free(text, FALSE);
+}
+
+static void print_notes(const json_t *organisations)
+{
+	size_t i;
+	json_t *org;
+
+	(void)puts("\nNOTES OF THE DAY STAFF");
+	json_array_foreach (organisations, i, org) {
+		const json_t *behind = json_object_get(org, "behind");
+		char *nodes = join_numbers(behind);
+		char when[40];
+
+		cli_format_time(cli_number(org, "time_ms"), when, sizeof(when));
+		(void)printf("  %s, revision %lld, %s, %s\n", cli_string(org, "organisation"),
+			     (long long)cli_number(org, "revision"), cli_string(org, "author"),
+			     when);
+		cli_print_wrapped("    ", 4, cli_string(org, "note"));
+		if (json_array_size(behind) > 0)
+			(void)printf("    not yet in force on process %s\n", nodes);
+		g_free(nodes);
+	}
+	if (json_array_size(organisations) == 0)
+		(void)puts("  none");
+}
+
+static void print_members(const json_t *members)
+{
+	size_t i;
+	json_t *member;
+
+	(void)puts("\nENTRY PROCESSES");
+	json_array_foreach (members, i, member) {
+		(void)printf("  %lld %-20s %-5s %-6s applied %lld\n",
+			     (long long)cli_number(member, "node"),
+			     cli_string(member, "data_centre"),
+			     json_is_true(json_object_get(member, "up")) ? "up" : "down",
+			     json_is_true(json_object_get(member, "leader")) ? "leader" : "",
+			     (long long)cli_number(member, "applied"));
+	}
+}
+
+cli_exit_t cli_status(const cli_options_t *options)
+{
+	cli_answer_t answer;
+	cli_exit_t rc = cli_get(options, "/v1/status", &answer);
+	const json_t *status = answer.body;
+
+	if (rc == CLI_OK && options->json) {
+		cli_print_json(status);
+	} else if (rc == CLI_OK) {
+		print_problems(status);
+		(void)puts("PROMISES");
+		print_promises(json_object_get(status, "pools"), false);
+		print_promises(json_object_get(status, "pools"), true);
+		print_waves(json_object_get(status, "waves"));
+		print_notes(json_object_get(status, "organisations"));
+		print_members(json_object_get(status, "members"));
+		(void)printf("\ncluster %s, shown by process %lld in %s\n",
+			     cli_string(status, "cluster"), (long long)cli_number(status, "node"),
+			     cli_string(status, "data_centre"));
+	}
+	cli_answer_finish(&answer);
+	return rc;
+}
+
+static void print_explanation(const json_t *body)
+{
+	static const char *const texts[][2] = {
+		{"why", "  why:       "},
+		{"waits_for", "  waits for: "},
+		{"next", "  next:      "},
+	};
+	static const char *const shown[] = {"kind",	"id",	     "state", "since_ms",
+					    "why",	"waits_for", "next",  "organisation",
+					    "revision", "author",    "note"};
+	char when[40];
+	const char *key;
+	json_t *value;
+
+	cli_format_time(cli_number(body, "since_ms"), when, sizeof(when));
+	(void)printf("%s %s: %s%s%s\n", cli_string(body, "kind"), cli_string(body, "id"),
+		     cli_string(body, "state"), when[0] == '\0' ? "" : " since ", when);
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		if (cli_string(body, texts[i][0])[0] != '\0')
+			cli_print_wrapped(texts[i][1], 13, cli_string(body, texts[i][0]));
+	}
+	json_object_foreach ((json_t *)body, key, value) {
+		bool done = false;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(shown); i++)
+			done |= strcmp(shown[i], key) == 0;
+		if (!done && json_is_string(value) && json_string_value(value)[0] != '\0')
+			(void)printf("  %s: %s\n", key, json_string_value(value));
+		else if (!done && json_is_integer(value))
+			(void)printf("  %s: %lld\n", key, (long long)json_integer_value(value));
+	}
+	if (cli_string(body, "author")[0] != '\0') {
+		(void)printf("  note of %s with revision %lld of %s:\n", cli_string(body, "author"),
+			     (long long)cli_number(body, "revision"),
+			     cli_string(body, "organisation"));
+		cli_print_wrapped("    ", 4, cli_string(body, "note"));
+	}
+}
+
+cli_exit_t cli_explain(const cli_options_t *options)
+{
+	char *kind = cli_escape(options->args[0]);
+	char *id = cli_escape(options->args[1]);
+	char *path = g_strdup_printf("/v1/explain?kind=%s&id=%s", kind, id);
+	cli_answer_t answer;
+	cli_exit_t rc = cli_get(options, path, &answer);
+
+	if (rc == CLI_OK && options->json)
+		cli_print_json(answer.body);
+	else if (rc == CLI_OK)
+		print_explanation(answer.body);
+	cli_answer_finish(&answer);
+	g_free(path);
+	g_free(id);
+	g_free(kind);
+	return rc;
+}
+
+/* Removes the rows of other organisations and pools. */
+static void limit_rows(const cli_options_t *options, json_t *rows)
+{
+	for (size_t i = 0; i < json_array_size(rows);) {
+		const json_t *row = json_array_get(rows, i);
+		bool other =
+			(options->organisation != NULL &&
+			 strcmp(cli_string(row, "organisation"), options->organisation) != 0) ||
+			(options->pool != NULL &&
+			 strcmp(cli_string(row, "pool"), options->pool) != 0);
+
+		if (other)
+			json_array_remove(rows, i);
+		else
+			i++;
+	}
+}
+
+static cli_exit_t print_list(const cli_options_t *options, const char *path, const char *key,
+			     const cli_column_t *columns, size_t count)
+{
+	cli_answer_t answer;
+	cli_exit_t rc = cli_get(options, path, &answer);
+	json_t *rows = json_object_get(answer.body, key);
+
+	if (rc == CLI_OK) {
+		limit_rows(options, rows);
+		if (options->json)
+			cli_print_json(answer.body);
+		else
+			cli_print_table(rows, columns, count);
+	}
+	cli_answer_finish(&answer);
+	return rc;
+}
+
+cli_exit_t cli_vms(const cli_options_t *options)
+{
+	static const cli_column_t columns[] = {
+		{"VM", "vm"},	      {"POOL", "pool"},	  {"RACK", "rack"},	{"PHASE", "phase"},
+		{"HEALTH", "health"}, {"IMAGE", "image"}, {"REASON", "reason"},
+	};
+
+	return print_list(options, "/v1/vms", "vms", columns, G_N_ELEMENTS(columns));
+}
+
+cli_exit_t cli_pools(const cli_options_t *options)
+{
+	static const cli_column_t columns[] = {
+		{"ORGANISATION", "organisation"},
+		{"POOL", "pool"},
+		{"PROMISE", "promise"},
+		{"VMS", "vms"},
+		{"USABLE", "usable"},
+		{"OUT", "out"},
+		{"DOUBT", "doubt"},
+		{"KEEP", "keep"},
+		{"RESERVE", "reserve"},
+		{"FREE", "free"},
+	};
+
+	return print_list(options, "/v1/pools", "pools", columns, G_N_ELEMENTS(columns));
+}
+
+cli_exit_t cli_waves(const cli_options_t *options)
+{
+	static const cli_column_t columns[] = {
+		{"WAVE", "wave"},	{"ORGANISATION", "organisation"},
+		{"IMAGE", "image"},	{"STATE", "state"},
+		{"BATCH", "batch"},	{"DONE", "done"},
+		{"FAILED", "failures"}, {"REASON", "reason"},
+	};
+
+	return print_list(options, "/v1/waves", "waves", columns, G_N_ELEMENTS(columns));
+}
+
+cli_exit_t cli_jobs_list(const cli_options_t *options)
+{
+	static const cli_column_t columns[] = {
+		{"JOB", "job"}, {"POOL", "pool"},	{"KIND", "kind"},     {"STATE", "state"},
+		{"VM", "vm"},	{"ATTEMPT", "attempt"}, {"REASON", "reason"},
+	};
+	char *path = options->state == NULL ? g_strdup("/v1/jobs")
+					    : g_strdup_printf("/v1/jobs?state=%s", options->state);
+	cli_exit_t rc = print_list(options, path, "jobs", columns, G_N_ELEMENTS(columns));
+
+	g_free(path);
+	return rc;
+}
--- /dev/null
+++ b/src/cli_template.c
@@ -0,0 +1,191 @@
+#define G_LOG_DOMAIN "cli"
+
+#include "cli.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* Body of check, plan and apply. @return NULL with a message when the file cannot be read */
+static json_t *read_body(const cli_options_t *options)
+{
+	const char *file = options->args[0];
+	GError *error = NULL;
+	char *text = NULL;
+	json_t *body;
+
+	if (!g_file_get_contents(file, &text, NULL, &error)) {
+		cli_error("%s", error->message);
+		g_error_free(error);
+		return NULL;
+	}
+	body = json_pack("{s:s, s:s, s:O}", "text", text, "name", file, "parameters",
+			 options->parameters);
+	if (body == NULL)
+		cli_error("%s: not UTF-8", file);
+	g_free(text);
+	return body;
+}
+
+cli_exit_t cli_template_check(const cli_options_t *options)
+{
+	json_t *body = read_body(options);
+	cli_answer_t answer;
+	cli_exit_t rc;
+
+	if (body == NULL)
+		return CLI_FAILED;
+	rc = cli_query(options, "/v1/templates/check", body, &answer);
+	if (rc == CLI_OK && options->json)
+		cli_print_json(answer.body);
+	else if (rc == CLI_OK)
+		(void)printf("%s: valid, organisation %s, %lld pools\n", options->args[0],
+			     cli_string(answer.body, "organisation"),
+			     (long long)cli_number(answer.body, "pools"));
+	cli_answer_finish(&answer);
+	json_decref(body);
+	return rc;
+}
+
+static void print_plan(const json_t *plan)
+{
+	(void)printf("organisation %s, revision %lld is in force\n",
+		     cli_string(plan, "organisation"), (long long)cli_number(plan, "revision"));
+	(void)printf("  moves:                      %lld\n", (long long)cli_number(plan, "moves"));
+	(void)printf("  VMs due for maintenance:    %lld\n",
+		     (long long)cli_number(plan, "maintenance"));
+	(void)printf("  roll-out, estimated:        %.1f min\n",
+		     (double)cli_number(plan, "rollout_ms") / 60000.0);
+	(void)printf("  roll-out, least possible:   %.1f min\n",
+		     (double)cli_number(plan, "rollout_bound_ms") / 60000.0);
+	(void)printf("  VMs held idle as buffer:    %lld\n",
+		     (long long)cli_number(plan, "buffer_vms"));
+	(void)printf("  pools at risk meanwhile:    %lld\n",
+		     (long long)cli_number(plan, "at_risk"));
+	if (cli_string(plan, "text")[0] != '\0')
+		(void)printf("%s\n", cli_string(plan, "text"));
+}
+
+cli_exit_t cli_template_plan(const cli_options_t *options)
+{
+	json_t *body = read_body(options);
+	cli_answer_t answer;
+	cli_exit_t rc;
+
+	if (body == NULL)
+		return CLI_FAILED;
+	rc = cli_query(options, "/v1/templates/plan", body, &answer);
+	if (rc == CLI_OK && options->json)
+		cli_print_json(answer.body);
+	else if (rc == CLI_OK)
+		print_plan(answer.body);
+	cli_answer_finish(&answer);
+	json_decref(body);
+	return rc;
+}
+
+/* Revision in force, from the server; shown, so that the operator sees what is replaced. */
+static cli_exit_t read_revision(const cli_options_t *options, json_t *body, uint64_t *revision)
+{
+	cli_answer_t answer;
+	cli_exit_t rc = cli_query(options, "/v1/templates/plan", body, &answer);
+
+	if (rc == CLI_OK) {
+		*revision = (uint64_t)cli_number(answer.body, "revision");
+		(void)fprintf(stderr, "organisation %s: revision %llu is in force\n",
+			      cli_string(answer.body, "organisation"),
+			      (unsigned long long)*revision);
+	}
+	cli_answer_finish(&answer);
+	return rc;
+}
+
+static cli_exit_t send_apply(const cli_options_t *options, json_t *body, const char *op_id)
+{
+	cli_answer_t answer;
+	cli_exit_t rc = cli_change(options, "/v1/templates/apply", body, &answer);
+
+	if (rc == CLI_OK && options->json)
+		cli_print_json(answer.body);
+	else if (rc == CLI_OK)
+		(void)printf("revision %lld is in force\n",
+			     (long long)cli_number(answer.body, "revision"));
+	if (rc == CLI_UNAVAILABLE && answer.may_have_run)
+		(void)fprintf(stderr,
+			      "to learn the outcome, apply again with --op-id %s "
+			      "--expected-revision %lld\n",
+			      op_id, (long long)cli_number(body, "expected_revision"));
+	cli_answer_finish(&answer);
+	return rc;
+}
+
+cli_exit_t cli_template_apply(const cli_options_t *options)
+{
+	const char *author = options->author == NULL ? g_get_user_name() : options->author;
+	uint64_t revision = options->expected_revision;
+	cli_exit_t rc = CLI_OK;
+	char *op_id;
+	json_t *body;
+
+	if (options->note == NULL) {
+		cli_error("--note is required: say why, for the operators on duty");
+		return CLI_USAGE;
+	}
+	if (options->op_id != NULL && !options->has_expected_revision) {
+		cli_error("--op-id needs the --expected-revision of the first sending");
+		return CLI_USAGE;
+	}
+	body = read_body(options);
+	if (body == NULL)
+		return CLI_FAILED;
+	if (!options->has_expected_revision)
+		rc = read_revision(options, body, &revision);
+	if (rc == CLI_OK) {
+		op_id = options->op_id == NULL ? g_uuid_string_random() : g_strdup(options->op_id);
+		json_object_set_new(body, "expected_revision", json_integer((json_int_t)revision));
+		json_object_set_new(body, "op_id", json_string(op_id));
+		json_object_set_new(body, "author", json_string(author));
+		json_object_set_new(body, "note", json_string(options->note));
+		rc = send_apply(options, body, op_id);
+		g_free(op_id);
+	}
+	json_decref(body);
+	return rc;
+}
+
+static void print_history(const json_t *history)
+{
+	size_t i;
+	json_t *record;
+
+	json_array_foreach (history, i, record) {
+		char when[40];
+
+		cli_format_time(cli_number(record, "time_ms"), when, sizeof(when));
+		(void)printf("%s revision %lld, %s, %s\n", cli_string(record, "organisation"),
+			     (long long)cli_number(record, "revision"),
+			     cli_string(record, "author"), when);
+		cli_print_wrapped("    ", 4, cli_string(record, "note"));
+		if (cli_string(record, "summary")[0] != '\0')
+			cli_print_wrapped("    ", 4, cli_string(record, "summary"));
+	}
+}
+
+cli_exit_t cli_template_history(const cli_options_t *options)
+{
+	char *org = options->arg_count == 0 ? NULL : cli_escape(options->args[0]);
+	char *path = org == NULL ? g_strdup("/v1/templates/history")
+				 : g_strdup_printf("/v1/templates/history?organisation=%s", org);
+	cli_answer_t answer;
+	cli_exit_t rc = cli_get(options, path, &answer);
+
+	if (rc == CLI_OK && options->json)
+		cli_print_json(answer.body);
+	else if (rc == CLI_OK)
+		print_history(json_object_get(answer.body, "history"));
+	cli_answer_finish(&answer);
+	g_free(path);
+	g_free(org);
+	return rc;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,7 +1,6 @@
-#include <stdio.h>
+#include "cli.h"
 
 int main(int argc, char **argv)
 {
-	fputs("usage: lavenderpass COMMAND\n", stderr);
-	return 2;
+	return cli_main(argc, argv);
 }
