--- a/src/cli.c
+++ b/src/cli.c
@@ -229,6 +229,7 @@
 	const char *server = getenv("LAVENDERPASS_SERVER");
 	cli_options_t options = {.timeout_s = DEFAULT_TIMEOUT_S};
 	const command_t *command;
+	char **rest;
 	int words = 0;
 	int rc;
 
@@ -242,14 +243,16 @@
 	options.servers =
 		g_strsplit(server == NULL || server[0] == '\0' ? DEFAULT_SERVER : server, ",", 0);
 	options.parameters = json_object();
-	/* getopt_long() names the program in its messages. */
-	argv[words] = argv[0];
-	rc = parse(command, &options, argc - words, argv + words);
+	/* getopt_long() takes the first word for the program's name and reorders the others. */
+	rest = g_memdup2(argv + words, sizeof(*argv) * (size_t)(argc - words + 1));
+	rest[0] = argv[0];
+	rc = parse(command, &options, argc - words, rest);
 	if (rc == CLI_OK) {
 		curl_global_init(CURL_GLOBAL_DEFAULT);
 		rc = (int)command->run(&options);
 		curl_global_cleanup();
 	}
+	g_free(rest);
 	json_decref(options.parameters);
 	g_strfreev(options.servers);
 	return rc < 0 ? CLI_OK : rc;
--- a/src/cli_show.c
+++ b/src/cli_show.c
@@ -31,13 +31,12 @@
 			continue;
 		g_snprintf(name, sizeof(name), "%s/%s", cli_string(pool, "organisation"),
 			   cli_string(pool, "pool"));
-		(void)printf("  %-8s %-24s %3lld of %3lld usable, keep %3lld, reserve %2lld, %lld "
-			     "free\n",
-			     promise, name, (long long)cli_number(pool, "usable"),
-			     (long long)cli_number(pool, "vms"),
-			     (long long)cli_number(pool, "keep"),
-			     (long long)cli_number(pool, "reserve"),
-			     (long long)cli_number(pool, "free"));
+		(void)printf(
+			"  %-8s %-22s %3lld/%-3lld usable  keep %3lld  reserve %2lld  free %3lld\n",
+			promise, name, (long long)cli_number(pool, "usable"),
+			(long long)cli_number(pool, "vms"), (long long)cli_number(pool, "keep"),
+			(long long)cli_number(pool, "reserve"),
+			(long long)cli_number(pool, "free"));
 	}
 }
 
--- a/tests/lib_cluster.c
+++ b/tests/lib_cluster.c
@@ -143,7 +143,7 @@
 		node->settings = node_path(cluster, i, ".yaml");
 		node->log = node_path(cluster, i, ".log");
 		node->data_dir = i <= config->voters ? node_path(cluster, i, ".data") : NULL;
-		node->data_centre = cluster->centres[(i - 1) % config->data_centres];
+		node->data_centre = cluster->centres[(i - 1) % MAX(config->data_centres, 1)];
 	}
 	for (unsigned i = 1; i <= config->nodes; i++)
 		write_settings(cluster, i);
--- /dev/null
+++ b/tests/test_cli.c
@@ -0,0 +1,257 @@
+#include <getopt.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <pthread.h>
+
+#include "cli.h"
+#include "replica.h"
+#include "serve.h"
+
+/* Not called here; the program's own definitions take their place where they are linked. */
+__attribute__((weak)) int serve_run(const settings_t *settings)
+{
+	return 0;
+}
+
+__attribute__((weak)) int replica_found(const char *data_dir, uint32_t node_id, char *error,
+					size_t error_size)
+{
+	return 0;
+}
+
+#define CALLS_MAX 8
+
+/* A server that gives prepared answers in order; status 0 closes the connection. */
+static struct {
+	pthread_mutex_t lock;
+	unsigned status[CALLS_MAX];
+	const char *answer[CALLS_MAX];
+	char *path[CALLS_MAX];
+	json_t *body[CALLS_MAX];
+	unsigned calls;
+	struct MHD_Daemon *daemon;
+	char url[64];
+	char template[64];
+} server = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static enum MHD_Result reply(struct MHD_Connection *connection, const char *url, GString *text)
+{
+	unsigned call = server.calls++;
+	struct MHD_Response *response;
+	enum MHD_Result rc;
+
+	if (call >= CALLS_MAX)
+		return MHD_NO;
+	server.path[call] = g_strdup(url);
+	server.body[call] = json_loadb(text->str, text->len, 0, NULL);
+	if (server.status[call] == 0)
+		return MHD_NO;
+	response = MHD_create_response_from_buffer(
+		strlen(server.answer[call]), (void *)server.answer[call], MHD_RESPMEM_MUST_COPY);
+	rc = MHD_queue_response(connection, server.status[call], response);
+	MHD_destroy_response(response);
+	return rc;
+}
+
+static enum MHD_Result on_request(void *arg, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *data,
+				  size_t *size, void **context)
+{
+	enum MHD_Result rc;
+
+	if (*context == NULL) {
+		*context = g_string_new(NULL);
+		return MHD_YES;
+	}
+	if (*size > 0) {
+		g_string_append_len(*context, data, (gssize)*size);
+		*size = 0;
+		return MHD_YES;
+	}
+	pthread_mutex_lock(&server.lock);
+	rc = reply(connection, url, *context);
+	pthread_mutex_unlock(&server.lock);
+	return rc;
+}
+
+static void on_completed(void *arg, struct MHD_Connection *connection, void **context,
+			 enum MHD_RequestTerminationCode code)
+{
+	if (*context != NULL)
+		g_string_free(*context, TRUE);
+	*context = NULL;
+}
+
+static int set_up(void **state)
+{
+	int fd;
+
+	memset(server.status, 0, sizeof(server.status));
+	server.calls = 0;
+	server.daemon =
+		MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, on_request, NULL,
+				 MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+	assert_non_null(server.daemon);
+	g_snprintf(server.url, sizeof(server.url), "http://127.0.0.1:%u",
+		   MHD_get_daemon_info(server.daemon, MHD_DAEMON_INFO_BIND_PORT)->port);
+	g_strlcpy(server.template, "/tmp/template-XXXXXX", sizeof(server.template));
+	fd = g_mkstemp(server.template);
+	assert_true(write(fd, "x: 1\n", 5) == 5);
+	close(fd);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	MHD_stop_daemon(server.daemon);
+	unlink(server.template);
+	for (unsigned i = 0; i < CALLS_MAX; i++) {
+		g_clear_pointer(&server.path[i], g_free);
+		json_decref(server.body[i]);
+		server.body[i] = NULL;
+	}
+	return 0;
+}
+
+static void answer_with(unsigned call, unsigned status, const char *answer)
+{
+	server.status[call] = status;
+	server.answer[call] = answer;
+}
+
+/* Runs a command line, given with single spaces; its standard output is returned. */
+static int run_cli(const char *line, char **output)
+{
+	char **args = g_strsplit(line, " ", 0);
+	char file[] = "/tmp/cli-XXXXXX";
+	int fd = g_mkstemp(file);
+	int saved = dup(1);
+	int rc;
+
+	(void)fflush(stdout);
+	dup2(fd, 1);
+	/* 0 starts getopt anew. */
+	optind = 0;
+	rc = cli_main((int)g_strv_length(args), args);
+	(void)fflush(stdout);
+	dup2(saved, 1);
+	close(saved);
+	close(fd);
+	if (output != NULL)
+		assert_true(g_file_get_contents(file, output, NULL, NULL));
+	unlink(file);
+	g_strfreev(args);
+	return rc;
+}
+
+static int run_apply(const char *more)
+{
+	char *line = g_strdup_printf("lavenderpass template apply %s --server %s --author amina "
+				     "--note why --timeout 5%s",
+				     server.template, server.url, more);
+	int rc = run_cli(line, NULL);
+
+	g_free(line);
+	return rc;
+}
+
+/* Guards against exit statuses that change: scripts rely on them. */
+static void test_usage_errors(void **state)
+{
+	static const char *const lines[] = {
+		"lavenderpass",
+		"lavenderpass nonsense",
+		"lavenderpass explain vm",
+		"lavenderpass status --note x",
+		"lavenderpass status --timeout never",
+		"lavenderpass template apply x.yaml",
+		"lavenderpass init --settings x.yaml",
+		"lavenderpass serve",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		assert_int_equal(run_cli(lines[i], NULL), CLI_USAGE);
+	assert_int_equal(run_cli("lavenderpass --help", NULL), CLI_OK);
+	assert_int_equal(run_cli("lavenderpass config check /nonexistent", NULL), CLI_FAILED);
+	assert_int_equal(run_cli("lavenderpass status --server http://127.0.0.1:1", NULL),
+			 CLI_UNAVAILABLE);
+}
+
+/* Guards against a second revision after a lost answer: the operation id has to stay the same. */
+static void test_apply_is_resent_with_the_same_operation_id(void **state)
+{
+	answer_with(0, 200, "{\"organisation\": \"barid\", \"revision\": 6}");
+	answer_with(2, 503, "{\"error\": \"no leader\", \"outcome\": \"unknown\"}");
+	answer_with(3, 200, "{\"revision\": 7}");
+	assert_int_equal(run_apply(""), CLI_OK);
+	assert_int_equal(server.calls, 4);
+	assert_string_equal(server.path[0], "/v1/templates/plan");
+	for (unsigned i = 1; i <= 3; i++) {
+		assert_string_equal(server.path[i], "/v1/templates/apply");
+		assert_string_equal(cli_string(server.body[i], "op_id"),
+				    cli_string(server.body[1], "op_id"));
+		assert_int_equal(cli_number(server.body[i], "expected_revision"), 6);
+	}
+	assert_true(strlen(cli_string(server.body[1], "op_id")) > 10);
+}
+
+/* Guards against a lost race that looks like a success or is sent again. */
+static void test_conflict_and_refusal(void **state)
+{
+	answer_with(
+		0, 409,
+		"{\"error\": \"conflict\", \"revision\": 7, \"author\": \"b\", \"note\": \"n\"}");
+	answer_with(1, 400, "{\"error\": \"template:3: keep_vms: too large\"}");
+	assert_int_equal(run_apply(" --expected-revision 6"), CLI_CONFLICT);
+	assert_int_equal(run_apply(" --expected-revision 6"), CLI_FAILED);
+	assert_int_equal(server.calls, 2);
+}
+
+/* Guards against a status that hides a broken promise below others, or is too wide to read. */
+static void test_status_is_readable(void **state)
+{
+	char *line = g_strdup_printf("lavenderpass status --server %s", server.url);
+	char *output = NULL;
+	char **lines;
+
+	answer_with(
+		0, 200,
+		"{\"in_contact\": true, \"pools\": ["
+		"{\"organisation\": \"barid\", \"pool\": \"orders\", \"promise\": \"kept\"},"
+		"{\"organisation\": \"barid\", \"pool\": \"pricing\", \"promise\": \"broken\"}],"
+		"\"organisations\": [{\"organisation\": \"barid\", \"revision\": 7, \"author\": "
+		"\"amina\", \"behind\": [3], \"note\": \"Image 7 goes out after the price batch; "
+		"do not let anyone stop the wave before the batch in Muscat is through.\"}]}");
+	assert_int_equal(run_cli(line, &output), CLI_OK);
+	assert_true(strstr(output, "barid/pricing") < strstr(output, "barid/orders"));
+	assert_non_null(strstr(output, "not yet in force on process 3"));
+	lines = g_strsplit(output, "\n", 0);
+	for (size_t i = 0; lines[i] != NULL; i++)
+		assert_in_range(strlen(lines[i]), 0, 80);
+	g_strfreev(lines);
+	g_free(output);
+	g_free(line);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_usage_errors),
+		cmocka_unit_test_setup_teardown(test_apply_is_resent_with_the_same_operation_id,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_conflict_and_refusal, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_status_is_readable, set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tools/relay.c
+++ b/tools/relay.c
@@ -82,7 +82,7 @@
 	struct sockaddr_in to;
 	int fd;
 	fault_t fault;
-	LIST_HEAD(, conn) conns;
+	LIST_HEAD(conn_list, conn) conns;
 } link_t;
 
 static link_t *links;
