--- a/src/log.c
+++ b/src/log.c
@@ -93,6 +93,8 @@
 			g_string_append_printf(line, " %s=%s", fields[i].key,
 					       (const char *)fields[i].value);
 	}
+	/* Values may come from clients; one event stays one line. */
+	g_strdelimit(line->str, "\r\n", ' ');
 	return g_string_free(line, FALSE);
 }
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -55,6 +55,7 @@
 
 typedef struct {
 	const char *key;
+	const char *path; /* from the root of the file */
 	size_t raw;
 	size_t out;
 	uint32_t min;
@@ -62,22 +63,23 @@
 	uint32_t initial;
 } number_t;
 
-#define NUMBER(name, least, most, value)                                                       \
-	{                                                                                      \
-		.key = #name, .raw = offsetof(raw_t, name), .out = offsetof(settings_t, name), \
-		.min = (least), .max = (most), .initial = (value)                              \
+#define NUMBER(name, least, most, value)                                          \
+	{                                                                         \
+		.key = #name, .path = #name, .raw = offsetof(raw_t, name),        \
+		.out = offsetof(settings_t, name), .min = (least), .max = (most), \
+		.initial = (value)                                                \
 	}
-#define TIMING(name, least, most, value)                                                 \
-	{                                                                                \
-		.key = #name, .raw = offsetof(raw_t, timing.name),                       \
-		.out = offsetof(settings_t, timing.name), .min = (least), .max = (most), \
-		.initial = (value)                                                       \
+#define TIMING(name, least, most, value)                                                    \
+	{                                                                                   \
+		.key = #name, .path = "timing." #name, .raw = offsetof(raw_t, timing.name), \
+		.out = offsetof(settings_t, timing.name), .min = (least), .max = (most),    \
+		.initial = (value)                                                          \
 	}
-#define LIMIT(name, least, most, value)                                                  \
-	{                                                                                \
-		.key = #name, .raw = offsetof(raw_t, limits.name),                       \
-		.out = offsetof(settings_t, limits.name), .min = (least), .max = (most), \
-		.initial = (value)                                                       \
+#define LIMIT(name, least, most, value)                                                     \
+	{                                                                                   \
+		.key = #name, .path = "limits." #name, .raw = offsetof(raw_t, limits.name), \
+		.out = offsetof(settings_t, limits.name), .min = (least), .max = (most),    \
+		.initial = (value)                                                          \
 	}
 
 #define MINUTE_MS 60000
@@ -195,12 +197,14 @@
 	size_t error_size;
 	char message[256]; /* libcyaml's first message */
 	char where[256];   /* the first line of its backtrace */
+	char field[64];	   /* the first field that the backtrace names */
 } load_t;
 
 static void on_cyaml_log(cyaml_log_t level, void *ctx, const char *format, va_list args)
 {
 	load_t *load = ctx;
 	char line[256];
+	const char *field;
 
 	if (level < CYAML_LOG_ERROR)
 		return;
@@ -210,6 +214,11 @@
 		g_strlcpy(load->message, line, sizeof(load->message));
 	else if (load->where[0] == '\0' && strstr(line, "(line:") != NULL)
 		g_strlcpy(load->where, line, sizeof(load->where));
+	field = strstr(line, "mapping field '");
+	if (load->field[0] == '\0' && load->where[0] != '\0' && field != NULL) {
+		field += strlen("mapping field '");
+		g_strlcpy(load->field, field, MIN(sizeof(load->field), strcspn(field, "'") + 1));
+	}
 }
 
 static void expected_of(const char *key, char *out, size_t size)
@@ -238,11 +247,25 @@
 	return -1;
 }
 
-static int fail_key(load_t *load, const char *key, const char *fault)
+static int fail_path(load_t *load, const char *path, const char *fault)
 {
-	unsigned line = yaml_locate_key(load->text, load->length, key, 1);
+	unsigned line = yaml_locate_path(load->text, load->length, path);
+	const char *dot = strrchr(path, '.');
+
+	return fail(load, line == 0 ? 1 : line, dot == NULL ? path : dot + 1, fault);
+}
 
-	return fail(load, line == 0 ? 1 : line, key, fault);
+/* Fault between two timings; the key that the file has is named, as a default may be the other. */
+static int fail_pair(load_t *load, const char *key, const char *relation, const char *other)
+{
+	char path[64];
+	char fault[128];
+
+	g_snprintf(path, sizeof(path), "timing.%s", key);
+	if (yaml_locate_path(load->text, load->length, path) == 0)
+		g_snprintf(path, sizeof(path), "timing.%s", other);
+	g_snprintf(fault, sizeof(fault), "%s has to be %s %s", key, relation, other);
+	return fail_path(load, path, fault);
 }
 
 static const char *after(const char *text, const char *prefix)
@@ -259,7 +282,6 @@
 	unsigned line = at == NULL ? 1 : (unsigned)strtoul(at, NULL, 10);
 	const char *message = load->message;
 	const char *key;
-	char name[64] = "";
 
 	if ((key = after(message, "Unexpected key: ")) != NULL)
 		return fail(load, yaml_locate_key(load->text, load->length, key, line), key,
@@ -269,13 +291,8 @@
 	if ((key = after(message, "already seen: ")) != NULL)
 		return fail(load, yaml_locate_key(load->text, load->length, key, line + 1), key,
 			    "repeated key");
-	if ((key = after(load->where, "field '")) != NULL ||
-	    (key = after(load->where, "entry '")) != NULL)
-		g_strlcpy(name, key, MIN(sizeof(name), strcspn(key, "'") + 1));
-	if (strstr(load->where, "sequence entry") != NULL)
-		g_strlcpy(name, "voters", sizeof(name));
-	if (name[0] != '\0')
-		return fail(load, line, name, message);
+	if (load->field[0] != '\0')
+		return fail(load, line, load->field, message);
 	g_snprintf(load->error, load->error_size, "%s:%u: %s; expected a YAML mapping", load->file,
 		   line, message[0] == '\0' ? "no settings" : message);
 	return -1;
@@ -289,7 +306,7 @@
 		uint32_t value = given == NULL ? number->initial : *given;
 
 		if (given != NULL && (value < number->min || value > number->max))
-			return fail_key(load, number->key, "out of range");
+			return fail_path(load, number->path, "out of range");
 		G_STRUCT_MEMBER(uint32_t, settings, number->out) = value;
 	}
 	return 0;
@@ -320,14 +337,14 @@
 	return 0;
 }
 
-static int check_address(load_t *load, const char *key, const char *address)
+static int check_address(load_t *load, const char *path, const char *address)
 {
 	char ip[INET6_ADDRSTRLEN];
 	uint16_t port;
 
 	if (settings_split_address(address, ip, sizeof(ip), &port) == 0)
 		return 0;
-	return fail_key(load, key, "not an address");
+	return fail_path(load, path, "not an address");
 }
 
 static const settings_peer_t *find_peer(const settings_t *settings, uint32_t node)
@@ -343,17 +360,21 @@
 {
 	for (unsigned i = 0; i < settings->peers_count; i++) {
 		const settings_peer_t *peer = &settings->peers[i];
+		char address[32];
+		char node[32];
 
-		if (check_address(load, "address", peer->address) != 0)
+		g_snprintf(address, sizeof(address), "peers.%u.address", i);
+		g_snprintf(node, sizeof(node), "peers.%u.node", i);
+		if (check_address(load, address, peer->address) != 0)
 			return -1;
 		if (peer->node == 0)
-			return fail_key(load, "peers", "node 0");
+			return fail_path(load, node, "node 0");
 		if (find_peer(settings, peer->node) != peer)
-			return fail_key(load, "peers", "the same node twice");
+			return fail_path(load, node, "the same node twice");
 		if (peer->node == settings->node &&
 		    strcmp(peer->data_centre, settings->data_centre) != 0)
-			return fail_key(load, "data_centre",
-					"this node's entry in peers has another one");
+			return fail_path(load, "data_centre",
+					 "this node's entry in peers has another one");
 	}
 	return 0;
 }
@@ -363,33 +384,33 @@
 	bool self = false;
 
 	if (settings->voters_count % 2 == 0)
-		return fail_key(load, "voters", "an even number of voters");
+		return fail_path(load, "voters", "an even number of voters");
 	for (unsigned i = 0; i < settings->voters_count; i++) {
 		uint32_t node = settings->voters[i];
 
 		for (unsigned j = 0; j < i; j++) {
 			if (settings->voters[j] == node)
-				return fail_key(load, "voters", "the same node twice");
+				return fail_path(load, "voters", "the same node twice");
 		}
 		if (node != settings->node && find_peer(settings, node) == NULL)
-			return fail_key(load, "voters", "a node that is not a peer");
+			return fail_path(load, "voters", "a node that is not a peer");
 		self |= node == settings->node;
 	}
 	if (self && settings->data_dir == NULL)
-		return fail_key(load, "voters", "this node is a voter but has no data_dir");
+		return fail_path(load, "voters", "this node is a voter but has no data_dir");
 	return 0;
 }
 
 static int check_timing(load_t *load, const settings_timing_t *timing)
 {
 	if (timing->lease_ms >= timing->election_ms)
-		return fail_key(load, "lease_ms", "not below election_ms");
+		return fail_pair(load, "lease_ms", "below", "election_ms");
 	if (timing->heartbeat_ms >= timing->lease_ms)
-		return fail_key(load, "heartbeat_ms", "not below lease_ms");
+		return fail_pair(load, "heartbeat_ms", "below", "lease_ms");
 	if (timing->lost_ms <= timing->routing_lease_ms)
-		return fail_key(load, "lost_ms", "not above routing_lease_ms");
+		return fail_pair(load, "lost_ms", "above", "routing_lease_ms");
 	if (timing->peer_timeout_ms <= timing->ping_ms)
-		return fail_key(load, "peer_timeout_ms", "not above ping_ms");
+		return fail_pair(load, "peer_timeout_ms", "above", "ping_ms");
 	return 0;
 }
 
@@ -401,7 +422,7 @@
 		return -1;
 	if (settings->platform != NULL && !g_str_has_prefix(settings->platform, "http://") &&
 	    !g_str_has_prefix(settings->platform, "https://"))
-		return fail_key(load, "platform", "not a URL");
+		return fail_path(load, "platform", "not a URL");
 	if (check_peers(load, settings) != 0 || check_voters(load, settings) != 0)
 		return -1;
 	return check_timing(load, &settings->timing);
--- a/src/yaml_locate.h
+++ b/src/yaml_locate.h
@@ -15,3 +15,10 @@
  * @return the line, from 1, or 0 when there is no such key
  */
 unsigned yaml_locate_key(const char *text, size_t length, const char *key, unsigned from_line);
+
+/**
+ * Line of the key at a path from the root, such as "timing.lease_ms" or "peers.2.address"; entries
+ * of sequences are counted from 0.
+ * @return the line, from 1, or 0 when there is nothing at the path
+ */
+unsigned yaml_locate_path(const char *text, size_t length, const char *path);
--- a/tools/emulator.c
+++ b/tools/emulator.c
@@ -26,6 +26,7 @@
 	"  --reboot-ms N          (2000)\n"
 	"  --announce-ms N        (1000)\n"
 	"  --image NAME           (base)\n"
+	"  --token TEXT           bearer token of announcements (none)\n"
 	"  --journal FILE         one JSON line when a request starts to run, ends or is lost\n"
 	"  --cores N --mem-mib N --accelerators N --slots N --connections N  (64 262144 0 8 64)\n"
 	"  --threads N            HTTP threads (2)\n";
@@ -41,8 +42,8 @@
 	"accelerators", "slots",      "connections", "threads",
 };
 static const char *const words[] = {
-	"address-base", "organisation", "vm-prefix", "data-centres",
-	"pools",	"entries",	"image",     "journal",
+	"address-base", "organisation", "vm-prefix", "data-centres", "pools",
+	"entries",	"image",	"journal",   "token",
 };
 #define NUMBERS G_N_ELEMENTS(numbers)
 #define WORDS G_N_ELEMENTS(words)
@@ -81,9 +82,12 @@
 	case 6:
 		options->image = value;
 		return true;
-	default:
+	case 7:
 		options->journal = value;
 		return true;
+	default:
+		options->token = value;
+		return true;
 	}
 }
 
--- a/tools/lib_announce.c
+++ b/tools/lib_announce.c
@@ -69,6 +69,12 @@
 		.headers = curl_slist_append(NULL, "Content-Type: application/json"),
 		.retried = retried,
 	};
+	if (emu->options.token != NULL) {
+		char *line = g_strdup_printf("Authorization: Bearer %s", emu->options.token);
+
+		call->headers = curl_slist_append(call->headers, line);
+		g_free(line);
+	}
 	easy = curl_easy_init();
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->body);
--- a/tools/lib_emulator.h
+++ b/tools/lib_emulator.h
@@ -129,6 +129,7 @@
 	unsigned threads;
 	const char *image;
 	const char *journal;
+	const char *token; /**< bearer token of announcements, or NULL */
 } emulator_options_t;
 
 typedef struct {
