load: make arrivals depend on the seed alone

Classes shared one random generator, so that the order of their draws depended on timing: the same seed gave 4,855 and 4,856 requests.

--- a/src/durable.c
+++ b/src/durable.c
@@ -16,7 +16,7 @@
 }
 
 uint8_t *record_append(uint8_t *buffer, size_t *length, uint32_t type, const uint8_t *payload,
-		      size_t payload_length)
+		       size_t payload_length)
 {
 	uint32_t length_le = htole32((uint32_t)payload_length);
 	uint32_t type_le = htole32(type);
--- a/src/durable.h
+++ b/src/durable.h
@@ -19,7 +19,7 @@
 
 /** Appends a frame to a talloc'ed buffer. @return the new buffer */
 uint8_t *record_append(uint8_t *buffer, size_t *length, uint32_t type, const uint8_t *payload,
-		      size_t payload_length);
+		       size_t payload_length);
 /** Reads the frame at data. @return its size with header, or 0 when torn or damaged */
 size_t record_read(record_t *frame, const uint8_t *data, size_t length);
 
--- a/src/replica_store.c
+++ b/src/replica_store.c
@@ -163,7 +163,7 @@
 	message.node_id = id.node;
 	message.replica_id = id.replica;
 	file = record_append(NULL, &length, FRAME_IDENTITY, packed,
-			    lp__replica_id__pack(&message, packed));
+			     lp__replica_id__pack(&message, packed));
 	result = durable_replace(path, file, length);
 	talloc_free(file);
 	return result;
--- a/tools/lib_load.c
+++ b/tools/lib_load.c
@@ -52,16 +52,16 @@
 
 /* Thinning: draws at the greatest rate and keeps an arrival with probability rate / greatest, which
  * is exact for a rate that changes in steps. */
-void load_next_arrival(const load_options_t *options, load_class_t *class, uint64_t start_us,
-		       GRand *rand)
+void load_next_arrival(const load_options_t *options, load_class_t *class, uint64_t start_us)
 {
 	bool surges = options->surge_start_s >= 0;
 	double greatest = class->rate_per_s * (surges ? SURGE_FACTOR : 1);
 	double at_us = (double)(class->next_us - start_us);
 
 	do {
-		at_us += -log(1.0 - g_rand_double(rand)) / greatest * US_PER_S;
-	} while (g_rand_double(rand) * greatest >= load_rate(options, class, (uint64_t)at_us));
+		at_us += -log(1.0 - g_rand_double(class->rand)) / greatest * US_PER_S;
+	} while (g_rand_double(class->rand) * greatest >=
+		 load_rate(options, class, (uint64_t)at_us));
 	class->next_us = start_us + (uint64_t)at_us;
 }
 
--- a/tools/lib_load.h
+++ b/tools/lib_load.h
@@ -30,6 +30,7 @@
 	size_t body_bytes;
 	char *key_home; /**< data centre prefix of idempotency keys, or NULL */
 
+	GRand *rand;	  /**< of this class, so that arrivals depend on the seed alone */
 	uint64_t next_us; /**< next arrival */
 	uint64_t surge_shift_us;
 
@@ -82,8 +83,7 @@
 /** Rate at a time after the start; the surge profile applies. */
 double load_rate(const load_options_t *options, const load_class_t *class, uint64_t offset_us);
 /** Draws the time of the next arrival after class->next_us. */
-void load_next_arrival(const load_options_t *options, load_class_t *class, uint64_t start_us,
-		       GRand *rand);
+void load_next_arrival(const load_options_t *options, load_class_t *class, uint64_t start_us);
 void load_journal(FILE *journal, const load_event_t *event);
 /** Prints one JSON object. */
 void load_summary(const load_options_t *options, double elapsed_s);
--- a/tools/load.c
+++ b/tools/load.c
@@ -53,7 +53,6 @@
 	load_options_t options;
 	CURLM *multi;
 	FILE *journal;
-	GRand *rand;
 	GQueue waiting; /* requests to be resent, in the order of their time */
 	uint64_t start_us;
 	uint64_t invoked;
@@ -170,8 +169,8 @@
 	*request = (request_t){
 		.class = class,
 		.id = g_strdup_printf("%s-%u-%" G_GUINT64_FORMAT, class->name, run.options.seed,
-				      ++run.invoked),
-		.entry_index = (unsigned)g_rand_int(run.rand),
+				      ++class->invoked),
+		.entry_index = (unsigned)g_rand_int(class->rand),
 		.due_us = due_us,
 		.answer = g_byte_array_new(),
 	};
@@ -186,7 +185,7 @@
 		request->headers = curl_slist_append(request->headers, header);
 		g_free(header);
 	}
-	class->invoked++;
+	run.invoked++;
 	start_attempt(request);
 }
 
@@ -292,7 +291,7 @@
 			if (run.options.requests != 0 && run.invoked >= run.options.requests)
 				return false;
 			invoke(class, class->next_us);
-			load_next_arrival(&run.options, class, run.start_us, run.rand);
+			load_next_arrival(&run.options, class, run.start_us);
 		}
 		more |= class->next_us < end_us;
 	}
@@ -318,9 +317,10 @@
 	for (size_t i = 0; i < run.options.class_count; i++) {
 		load_class_t *class = &run.options.classes[i];
 
+		class->rand = g_rand_new_with_seed(run.options.seed + (guint32)i);
 		class->next_us = run.start_us;
 		class->surge_shift_us = (uint64_t)(i * run.options.surge_s * US_PER_S);
-		load_next_arrival(&run.options, class, run.start_us, run.rand);
+		load_next_arrival(&run.options, class, run.start_us);
 	}
 	while (more || run.open > 0 || run.waiting.length > 0) {
 		more = more && invoke_due(clock_now_us());
@@ -456,7 +456,6 @@
 	run.multi = curl_multi_init();
 	curl_multi_setopt(run.multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, (long)run.options.connections);
 	curl_multi_setopt(run.multi, CURLMOPT_MAXCONNECTS, (long)run.options.connections);
-	run.rand = g_rand_new_with_seed(run.options.seed);
 	loop();
 	load_summary(&run.options, (double)(clock_now_us() - run.start_us) / US_PER_S);
 	for (size_t i = 0; i < run.options.class_count; i++)
