proxy: add the route table, the proxy and the I/O threads

A first version that serves requests end to end: classify, claim through the control thread, admit, choose, check the lease, send, check the answer.

--- /dev/null
+++ b/src/admission.c
@@ -0,0 +1,230 @@
+#include "admission.h"
+
+#include <stddef.h>
+
+#include <glib.h>
+
+#include "clock.h"
+
+#define SERVICE_WEIGHT 0.1
+/* Least cost of a request in the round robin, for classes whose service time is unknown. */
+#define COST_MIN_US 1.0
+
+void admission_init(admission_t *admission)
+{
+	*admission = (admission_t){0};
+	TAILQ_INIT(&admission->classes);
+}
+
+void admission_set_class(admission_class_t *class, uint32_t priority, uint32_t limit)
+{
+	class->weight = 8U >> MIN(priority, 3);
+	class->limit = limit;
+}
+
+void admission_add_class(admission_t *admission, admission_class_t *class, uint32_t priority,
+			 uint32_t limit)
+{
+	*class = (admission_class_t){0};
+	TAILQ_INIT(&class->queue);
+	admission_set_class(class, priority, limit);
+	TAILQ_INSERT_TAIL(&admission->classes, class, link);
+}
+
+/*
+ * Time that one request is expected to take; the deviation keeps most answers within it. A request
+ * that finds a free slot is always tried: otherwise a class whose service time once exceeded its
+ * deadlines would be refused for ever, since only answers correct the estimate.
+ */
+static double expected_us(const admission_class_t *class, const admission_entry_t *entry)
+{
+	return MIN(class->service_us + class->deviation_us, 0.9 * (double)entry->allowance_us);
+}
+
+static bool can_finish(const admission_class_t *class, const admission_entry_t *entry,
+		       double wait_us, uint64_t now_us)
+{
+	return (double)now_us + wait_us + expected_us(class, entry) <= (double)entry->deadline_us;
+}
+
+/* Share of the slots that the round robin gives the class while the others keep their queues. */
+static double share_of(const admission_t *admission, const admission_class_t *class)
+{
+	uint32_t weights = class->weight;
+	const admission_class_t *other;
+
+	TAILQ_FOREACH (other, &admission->classes, link) {
+		if (other != class && other->length > 0)
+			weights += other->weight;
+	}
+	return (double)class->weight / weights;
+}
+
+static double expected_wait_us(const admission_t *admission, const admission_class_t *class,
+			       uint32_t slots, uint32_t free_slots)
+{
+	if (free_slots > admission->length)
+		return 0;
+	return (class->length + 1) * class->service_us /
+	       (MAX(slots, 1) * share_of(admission, class));
+}
+
+admission_result_t admission_offer(admission_t *admission, admission_class_t *class,
+				   admission_entry_t *entry, uint32_t slots, uint32_t free_slots,
+				   uint64_t now_us)
+{
+	double wait_us = expected_wait_us(admission, class, slots, free_slots);
+
+	entry->queued = false;
+	if (class->length >= class->limit && free_slots <= admission->length)
+		return ADMISSION_FULL;
+	if (!can_finish(class, entry, wait_us, now_us))
+		return ADMISSION_LATE;
+	TAILQ_INSERT_TAIL(&class->queue, entry, link);
+	entry->queued = true;
+	class->length++;
+	admission->length++;
+	return ADMISSION_QUEUED;
+}
+
+static double cost_us(const admission_class_t *class)
+{
+	return MAX(class->service_us, COST_MIN_US);
+}
+
+void admission_requeue(admission_t *admission, admission_class_t *class, admission_entry_t *entry)
+{
+	TAILQ_INSERT_HEAD(&class->queue, entry, link);
+	entry->queued = true;
+	class->length++;
+	admission->length++;
+}
+
+void admission_put_back(admission_t *admission, admission_class_t *class, admission_entry_t *entry)
+{
+	admission_requeue(admission, class, entry);
+	class->deficit_us += cost_us(class);
+}
+
+void admission_remove(admission_t *admission, admission_class_t *class, admission_entry_t *entry)
+{
+	g_assert(entry->queued);
+	TAILQ_REMOVE(&class->queue, entry, link);
+	entry->queued = false;
+	class->length--;
+	admission->length--;
+}
+
+/* The quantum of a weight of 1; the dearest request fits into it, so each turn serves one. */
+static double quantum_us(const admission_t *admission)
+{
+	const admission_class_t *class;
+	double quantum = COST_MIN_US;
+
+	TAILQ_FOREACH (class, &admission->classes, link)
+		quantum = MAX(quantum, cost_us(class));
+	return quantum;
+}
+
+static void next_turn(admission_t *admission)
+{
+	if (admission->turn != NULL)
+		admission->turn = TAILQ_NEXT(admission->turn, link);
+	if (admission->turn == NULL)
+		admission->turn = TAILQ_FIRST(&admission->classes);
+	if (admission->turn->length > 0)
+		admission->turn->deficit_us += admission->turn->weight * quantum_us(admission);
+	else
+		admission->turn->deficit_us = 0;
+}
+
+admission_entry_t *admission_next(admission_t *admission, uint64_t now_us, bool *late)
+{
+	admission_class_t *class;
+	admission_entry_t *entry;
+
+	if (admission->length == 0)
+		return NULL;
+	while (admission->turn == NULL || admission->turn->length == 0 ||
+	       admission->turn->deficit_us < cost_us(admission->turn))
+		next_turn(admission);
+	class = admission->turn;
+	entry = TAILQ_FIRST(&class->queue);
+	admission_remove(admission, class, entry);
+	*late = !can_finish(class, entry, 0, now_us);
+	if (!*late)
+		class->deficit_us -= cost_us(class);
+	return entry;
+}
+
+admission_entry_t *admission_take_late(admission_t *admission, uint64_t now_us)
+{
+	admission_class_t *class;
+	admission_entry_t *entry;
+
+	TAILQ_FOREACH (class, &admission->classes, link) {
+		TAILQ_FOREACH (entry, &class->queue, link) {
+			if (!can_finish(class, entry, 0, now_us)) {
+				admission_remove(admission, class, entry);
+				return entry;
+			}
+		}
+	}
+	return NULL;
+}
+
+admission_entry_t *admission_take(admission_t *admission, admission_class_t *class)
+{
+	admission_entry_t *entry = TAILQ_FIRST(&class->queue);
+
+	if (entry != NULL)
+		admission_remove(admission, class, entry);
+	return entry;
+}
+
+void admission_served(admission_class_t *class, uint64_t service_us)
+{
+	double error = (double)service_us - class->service_us;
+
+	if (class->service_us <= 0) {
+		class->service_us = (double)service_us;
+		return;
+	}
+	class->service_us += SERVICE_WEIGHT * error;
+	class->deviation_us += SERVICE_WEIGHT * (ABS(error) - class->deviation_us);
+}
+
+bool admission_share_allows(uint32_t open_organisation, uint32_t open_total, uint32_t limit,
+			    uint32_t organisations)
+{
+	if (open_total >= limit)
+		return false;
+	return open_organisation < limit / MAX(organisations, 1) || open_total < limit / 4 * 3;
+}
+
+void quota_set(quota_t *quota, double rate_per_s, uint64_t now_us)
+{
+	if (quota->filled_us == 0) {
+		quota->tokens = MAX(rate_per_s, 1.0);
+		quota->filled_us = now_us;
+	}
+	quota->rate_per_s = rate_per_s;
+}
+
+bool quota_take(quota_t *quota, uint64_t now_us)
+{
+	double burst = MAX(quota->rate_per_s, 1.0);
+
+	if (quota->rate_per_s <= 0)
+		return true;
+	if (now_us > quota->filled_us) {
+		quota->tokens +=
+			quota->rate_per_s * (double)(now_us - quota->filled_us) / (double)US_PER_S;
+		quota->tokens = MIN(quota->tokens, burst);
+		quota->filled_us = now_us;
+	}
+	if (quota->tokens < 1.0)
+		return false;
+	quota->tokens -= 1.0;
+	return true;
+}
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -42,6 +42,10 @@
 	bool connected;
 	bool sent;
 	bool refused;
+	bool timed_out;
+	bool mismatched;
+	char *echo_name;
+	char *echo_value;
 	const char *error;
 	char error_text[CURL_ERROR_SIZE];
 };
@@ -146,6 +150,8 @@
 	curl_slist_free_all(call->headers);
 	g_array_unref(call->response_headers);
 	g_byte_array_unref(call->body);
+	g_free(call->echo_name);
+	g_free(call->echo_value);
 	g_free(call);
 }
 
@@ -179,6 +185,12 @@
 	header.name = g_strndup(data, (gsize)(colon - data));
 	header.value = g_strstrip(g_strndup(colon + 1, length - (gsize)(colon + 1 - data)));
 	g_array_append_val(call->response_headers, header);
+	if (call->echo_name != NULL && g_ascii_strcasecmp(header.name, call->echo_name) == 0 &&
+	    strcmp(header.value, call->echo_value) != 0) {
+		call->mismatched = true;
+		call->error = "the response belongs to another request";
+		return 0;
+	}
 	return length;
 }
 
@@ -255,6 +267,8 @@
 		.connected = call->connected,
 		.sent = call->sent,
 		.refused_before_send = call->refused,
+		.timed_out = call->timed_out,
+		.mismatched = call->mismatched,
 		.headers = (const http_header_t *)call->response_headers->data,
 		.header_count = call->response_headers->len,
 		.body = call->body->data,
@@ -316,6 +330,7 @@
 		arm_progress_timer(call, call->progress_timeout_us - idle_us);
 		return;
 	}
+	call->timed_out = true;
 	call->error = "no progress";
 	finish_call(call, CURLE_OPERATION_TIMEDOUT);
 }
@@ -336,6 +351,8 @@
 	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)IDLE_AGE_S);
 	curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN, (long)call->client->connection_age_max_s);
 	curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
+	/* Not kept afterwards: the idle connections of a target would grow with each request. */
+	curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request->fresh_connection ? 1L : 0L);
 	if (request->connect_timeout_ms > 0)
 		curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 				 (long)request->connect_timeout_ms);
@@ -408,7 +425,7 @@
 int http_client_init(http_client_t *client, struct tevent_context *ev,
 		     uint32_t connection_age_max_s)
 {
-	CURLM *multi = curl_multi_init();
+	CURLM *multi = curl_global_init(CURL_GLOBAL_DEFAULT) == CURLE_OK ? curl_multi_init() : NULL;
 
 	*client = (http_client_t){
 		.ev = ev, .multi = multi, .connection_age_max_s = connection_age_max_s};
@@ -459,6 +476,10 @@
 		.response_limit = request->response_limit,
 	};
 	call->progressed_us = call->started_us;
+	if (request->expected_echo != NULL) {
+		call->echo_name = g_strdup(request->expected_echo->name);
+		call->echo_value = g_strdup(request->expected_echo->value);
+	}
 	g_array_set_clear_func(call->response_headers, response_header_clear);
 	set_transport(call, request);
 	set_message(call, request);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -37,6 +37,11 @@
 	 * leave the outcome unknown. For requests that may not be repeated.
 	 */
 	bool fresh_connection;
+	/**
+	 * A response header of this name with another value ends the call and its connection: the
+	 * response belongs to another request. NULL: no check.
+	 */
+	const http_header_t *expected_echo;
 } http_call_request_t;
 
 /** Result of a call; valid during the done function only. */
@@ -45,6 +50,8 @@
 	bool sent;		  /**< at least one byte of the request may have reached the peer */
 	bool complete;		  /**< status, headers and the whole body were received */
 	bool refused_before_send; /**< before_send returned false */
+	bool timed_out;		  /**< the progress timeout ended the call */
+	bool mismatched;	  /**< the response was that of another request */
 	unsigned status;
 	const http_header_t *headers;
 	size_t header_count;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -279,6 +279,16 @@
 	return request_create(cls, uri);
 }
 
+/* The function may reply, which may free the request. */
+static void tell_abort(http_request_t *request)
+{
+	void (*fn)(void *arg) = request->abort_fn;
+
+	request->abort_fn = NULL;
+	if (fn != NULL)
+		fn(request->abort_arg);
+}
+
 static void on_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
 			 enum MHD_RequestTerminationCode code)
 {
@@ -296,8 +306,7 @@
 		request_free(request);
 		return;
 	}
-	if (request->abort_fn != NULL)
-		request->abort_fn(request->abort_arg);
+	tell_abort(request);
 }
 
 /*
@@ -317,8 +326,8 @@
 		return;
 	TALLOC_FREE(request->hangup);
 	/* Readable data is the next request of the client. */
-	if (got <= 0 && request->abort_fn != NULL)
-		request->abort_fn(request->abort_arg);
+	if (got <= 0)
+		tell_abort(request);
 }
 
 static void watch_hangup(http_server_t *server, http_request_t *request)
--- /dev/null
+++ b/src/io_thread.c
@@ -0,0 +1,209 @@
+#define G_LOG_DOMAIN "io_thread"
+
+#include "io_thread.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include <glib.h>
+#include <tevent.h>
+
+#include "clock.h"
+#include "http_client.h"
+#include "proxy.h"
+#include "timer.h"
+
+#define CONNECTION_AGE_MAX_S 60
+#define TICK_US (20 * US_PER_MS)
+
+struct io_thread {
+	io_thread_config_t config;
+	pthread_t thread;
+	struct tevent_context *ev;
+	mailbox_t mailbox;
+	timer_service_t timers;
+	timer_sub_t tick;
+	http_server_t server;
+	http_client_t client;
+	proxy_t *proxy;
+	metrics_counter_t *malformed;
+	uint64_t malformed_counted;
+	atomic_bool busy;
+	atomic_bool drain_asked;
+	bool stop;
+};
+
+/* Does not refer to the thread, which may have ended when the control thread gets to it. */
+typedef struct {
+	http_handler_fn handler;
+	void *arg;
+	http_request_t *request;
+} control_call_t;
+
+static void run_control_handler(void *arg)
+{
+	control_call_t *call = arg;
+
+	call->handler(call->arg, call->request);
+	g_free(call);
+}
+
+static void on_request(void *arg, http_request_t *request)
+{
+	io_thread_t *thread = arg;
+	control_call_t *call;
+
+	if (g_str_has_prefix(http_request_path(request), "/r/")) {
+		proxy_handle(thread->proxy, request);
+		return;
+	}
+	call = g_new(control_call_t, 1);
+	*call = (control_call_t){
+		.handler = thread->config.control_handler,
+		.arg = thread->config.control_arg,
+		.request = request,
+	};
+	mailbox_post(thread->config.control, run_control_handler, call);
+}
+
+static void on_tick(void *arg, uint64_t now_us)
+{
+	io_thread_t *thread = arg;
+
+	route_tick(thread->config.routes, now_us);
+	metrics_add(thread->malformed, thread->server.malformed - thread->malformed_counted);
+	thread->malformed_counted = thread->server.malformed;
+}
+
+static void update_busy(io_thread_t *thread)
+{
+	/* Until the drain has begun, requests may wait in the listen queue. */
+	bool draining = atomic_load(&thread->drain_asked) && !thread->server.draining;
+
+	atomic_store(&thread->busy, draining || http_server_open_requests(&thread->server) > 0 ||
+					    proxy_requests(thread->proxy) > 0);
+}
+
+static void *run(void *arg)
+{
+	io_thread_t *thread = arg;
+
+	while (!thread->stop) {
+		tevent_loop_once(thread->ev);
+		update_busy(thread);
+	}
+	return NULL;
+}
+
+static int start_adapters(io_thread_t *thread)
+{
+	if (http_client_init(&thread->client, thread->ev, CONNECTION_AGE_MAX_S) != 0)
+		return -1;
+	if (http_server_init(&thread->server, thread->ev, &thread->config.server, on_request,
+			     thread) != 0) {
+		http_client_finish(&thread->client);
+		return -1;
+	}
+	return 0;
+}
+
+static void start_proxy(io_thread_t *thread)
+{
+	const proxy_config_t config = {
+		.routes = thread->config.routes,
+		.metrics = thread->config.metrics,
+		.client = &thread->client,
+		.mailbox = &thread->mailbox,
+		.control = thread->config.control,
+		.claims = thread->config.claims,
+		.seed = thread->config.seed,
+	};
+
+	thread->proxy = proxy_create(&config);
+	thread->malformed =
+		metrics_counter(thread->config.metrics, "lavenderpass_malformed_total", "");
+	timer_service_init(&thread->timers, thread->ev);
+	timer_subscribe(&thread->timers, &thread->tick, TICK_US, on_tick, thread);
+}
+
+static void finish_proxy(io_thread_t *thread)
+{
+	timer_unsubscribe(&thread->timers, &thread->tick);
+	timer_service_finish(&thread->timers);
+	proxy_stop(thread->proxy);
+	mailbox_finish(&thread->mailbox);
+	proxy_destroy(thread->proxy);
+	http_client_finish(&thread->client);
+	http_server_finish(&thread->server);
+}
+
+io_thread_t *io_thread_start(const io_thread_config_t *config)
+{
+	io_thread_t *thread = g_new0(io_thread_t, 1);
+	int saved_errno;
+
+	thread->config = *config;
+	thread->ev = tevent_context_init(NULL);
+	if (mailbox_init(&thread->mailbox, thread->ev) != 0)
+		goto fail_context;
+	if (start_adapters(thread) != 0)
+		goto fail_mailbox;
+	start_proxy(thread);
+	errno = pthread_create(&thread->thread, NULL, run, thread);
+	if (errno != 0)
+		goto fail_proxy;
+	return thread;
+
+fail_proxy:
+	saved_errno = errno;
+	finish_proxy(thread);
+	errno = saved_errno;
+	goto fail_context;
+fail_mailbox:
+	saved_errno = errno;
+	mailbox_finish(&thread->mailbox);
+	errno = saved_errno;
+fail_context:
+	saved_errno = errno;
+	talloc_free(thread->ev);
+	g_free(thread);
+	errno = saved_errno;
+	return NULL;
+}
+
+static void drain(void *arg)
+{
+	io_thread_t *thread = arg;
+
+	http_server_drain(&thread->server);
+}
+
+void io_thread_drain(io_thread_t *thread)
+{
+	atomic_store(&thread->drain_asked, true);
+	atomic_store(&thread->busy, true);
+	mailbox_post(&thread->mailbox, drain, thread);
+}
+
+bool io_thread_idle(const io_thread_t *thread)
+{
+	return !atomic_load(&thread->busy);
+}
+
+static void stop(void *arg)
+{
+	io_thread_t *thread = arg;
+
+	thread->stop = true;
+}
+
+void io_thread_stop(io_thread_t *thread)
+{
+	mailbox_post(&thread->mailbox, stop, thread);
+	pthread_join(thread->thread, NULL);
+	finish_proxy(thread);
+	talloc_free(thread->ev);
+	g_free(thread);
+}
--- /dev/null
+++ b/src/route_pool.c
@@ -0,0 +1,380 @@
+#include "route_pool.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "route_internal.h"
+
+/*
+ * A failed trial of a request that may not be repeated leaves its outcome unknown, so repeatable
+ * requests go first. Pools without them would otherwise never take a target back.
+ */
+#define TRIAL_DELAY_US (1 * US_PER_S)
+#define PATIENCE_MAX 1000.0
+
+bool route_target_usable(const route_table_t *table, const route_target_entry_t *target,
+			 uint64_t now_us)
+{
+	if (target->gone || !target->routable || target->leaving || target->echoed_cordoned)
+		return false;
+	if (target->echoed_epoch != 0 && target->echoed_epoch != target->epoch)
+		return false;
+	return target->announced_us != 0 &&
+	       now_us <= target->announced_us + table->config.routing_lease_us;
+}
+
+/* --- classes --- */
+
+static route_class_t *classify(const route_pool_t *pool, const char *path)
+{
+	route_class_t *best = NULL;
+
+	for (guint i = 0; i < pool->classes->len; i++) {
+		route_class_t *class = pool->classes->pdata[i];
+
+		if (!class->retired && g_str_has_prefix(path, class->prefix) &&
+		    (best == NULL || strlen(class->prefix) > strlen(best->prefix)))
+			best = class;
+	}
+	return best;
+}
+
+route_open_t route_open(route_table_t *table, route_ticket_t *ticket, const char *organisation,
+			const char *service, const char *path)
+{
+	route_pool_t *pool = route_pool_find(table, organisation, service);
+	route_open_t result = ROUTE_UNKNOWN_POOL;
+	route_class_t *class;
+
+	if (pool == NULL)
+		return ROUTE_UNKNOWN_POOL;
+	pthread_mutex_lock(&pool->shard->lock);
+	if (pool->present) {
+		class = classify(pool, path);
+		result = class != NULL ? ROUTE_OPENED : ROUTE_UNKNOWN_CLASS;
+		ticket->pool = pool;
+		ticket->class = class;
+	}
+	if (result == ROUTE_OPENED) {
+		g_strlcpy(ticket->class_name, class->name, sizeof(ticket->class_name));
+		ticket->deadline_ms = class->deadline_ms;
+		ticket->repeatable = class->repeatable;
+	}
+	pthread_mutex_unlock(&pool->shard->lock);
+	return result;
+}
+
+/* --- choice --- */
+
+/* Fills the pool's scratch space. @return the number of candidates */
+static size_t collect_candidates(const route_table_t *table, route_pool_t *pool,
+				 const route_ticket_t *ticket, uint64_t now_us)
+{
+	size_t count = 0;
+
+	if (pool->candidate_room < pool->targets->len) {
+		pool->candidate_room = pool->targets->len + 8;
+		pool->candidates =
+			g_renew(router_candidate_t, pool->candidates, pool->candidate_room);
+	}
+	for (guint i = 0; i < pool->targets->len; i++) {
+		route_target_entry_t *target = pool->targets->pdata[i];
+		router_candidate_t *candidate = &pool->candidates[count];
+
+		if (!route_target_usable(table, target, now_us))
+			continue;
+		*candidate = (router_candidate_t){
+			.target = &target->router,
+			.free = slots_free(&target->slots) > 0,
+		};
+		for (unsigned t = 0; ticket != NULL && t < ROUTE_TRIED_MAX; t++)
+			candidate->avoid |= ticket->tried[t] == target;
+		count++;
+	}
+	return count;
+}
+
+/* Service time that few answers exceed; 0 when there was no answer yet. */
+static double usual_us(const route_class_t *class)
+{
+	return class->admission.service_us + 4 * class->admission.deviation_us;
+}
+
+/*
+ * Only answers correct the service time. When it grows beyond the patience there are none, so the
+ * patience grows with each attempt that was given up.
+ */
+static void adjust_patience(route_class_t *class, bool timed_out)
+{
+	if (timed_out)
+		class->patience = MIN(class->patience * 2, PATIENCE_MAX);
+	else
+		class->patience = MAX(class->patience * 0.95, ROUTE_PATIENCE_MIN);
+}
+
+static void grant(route_ticket_t *ticket, route_target_entry_t *target, uint64_t now_us)
+{
+	ticket->trial = router_start(&target->router, now_us);
+	slots_take(&target->slots);
+	ticket->target = target;
+	ticket->epoch = target->epoch;
+	g_strlcpy(ticket->address, target->address, sizeof(ticket->address));
+	ticket->patience_us = (uint64_t)(ticket->class->patience * usual_us(ticket->class));
+	ticket->timed_out = false;
+	ticket->tried[ticket->attempts++ % ROUTE_TRIED_MAX] = target;
+	ticket->state = ROUTE_GRANTED;
+}
+
+static void settle(route_pool_t *pool, route_ticket_t *ticket, route_state_t state,
+		   const route_ticket_t *own)
+{
+	if (state != ROUTE_GRANTED)
+		pool->refused++;
+	ticket->state = state;
+	if (ticket != own)
+		ticket->notify(ticket);
+}
+
+static uint32_t free_slots(const route_pool_t *pool, size_t candidates, uint32_t *total)
+{
+	uint32_t free = 0;
+
+	*total = 0;
+	for (size_t i = 0; i < candidates; i++) {
+		const route_target_entry_t *target =
+			(const route_target_entry_t *)pool->candidates[i].target;
+
+		if (target->router.ejected)
+			continue;
+		free += slots_free(&target->slots);
+		*total += target->slots.share;
+	}
+	return free;
+}
+
+/* @return false when no target has a free slot for the ticket */
+static bool try_grant(route_table_t *table, route_pool_t *pool, route_ticket_t *ticket,
+		      uint64_t now_us)
+{
+	size_t count = collect_candidates(table, pool, ticket, now_us);
+	uint64_t remaining_us =
+		ticket->entry.deadline_us > now_us ? ticket->entry.deadline_us - now_us : 0;
+	int chosen = router_choose(pool->candidates, count, remaining_us,
+				   ticket->repeatable ? 0 : TRIAL_DELAY_US, now_us, pool->random);
+
+	if (chosen < 0)
+		return false;
+	grant(ticket, (route_target_entry_t *)pool->candidates[chosen].target, now_us);
+	return true;
+}
+
+void route_dispatch(route_table_t *table, route_pool_t *pool, const route_ticket_t *own,
+		    uint64_t now_us)
+{
+	admission_entry_t *entry;
+	bool late;
+
+	while ((entry = admission_next(&pool->admission, now_us, &late)) != NULL) {
+		route_ticket_t *ticket = (route_ticket_t *)entry;
+
+		if (late) {
+			settle(pool, ticket, ROUTE_LATE, own);
+			continue;
+		}
+		if (!try_grant(table, pool, ticket, now_us)) {
+			admission_put_back(&pool->admission, &ticket->class->admission, entry);
+			break;
+		}
+		settle(pool, ticket, ROUTE_GRANTED, own);
+	}
+}
+
+void route_refuse_class(route_pool_t *pool, route_class_t *class)
+{
+	admission_entry_t *entry;
+
+	while ((entry = admission_take(&pool->admission, &class->admission)) != NULL)
+		settle(pool, (route_ticket_t *)entry, ROUTE_GONE, NULL);
+}
+
+/* --- admission --- */
+
+static route_state_t enter_organisation(route_table_t *table, route_org_t *org, const char *team,
+					uint64_t now_us)
+{
+	route_state_t state = ROUTE_QUEUED;
+	route_quota_t *quota;
+
+	pthread_mutex_lock(&table->lock);
+	quota = team != NULL ? g_hash_table_lookup(org->quotas, team) : NULL;
+	if (!admission_share_allows(org->open, table->open, table->config.open_limit,
+				    table->org_count))
+		state = ROUTE_SHARE;
+	else if (quota != NULL && !quota_take(&quota->bucket, now_us))
+		state = ROUTE_QUOTA;
+	/* Refused requests are closed as well. */
+	org->open++;
+	table->open++;
+	pthread_mutex_unlock(&table->lock);
+	return state;
+}
+
+/* Under the shard's lock. */
+static route_state_t admit(route_table_t *table, route_ticket_t *ticket, uint64_t now_us)
+{
+	route_pool_t *pool = ticket->pool;
+	size_t count = collect_candidates(table, pool, NULL, now_us);
+	uint32_t total;
+	uint32_t free = free_slots(pool, count, &total);
+
+	if (!pool->present || ticket->class->retired)
+		return ROUTE_GONE;
+	if (count == 0)
+		return ROUTE_NO_TARGET;
+	switch (admission_offer(&pool->admission, &ticket->class->admission, &ticket->entry, total,
+				free, now_us)) {
+	case ADMISSION_FULL:
+		return ROUTE_FULL;
+	case ADMISSION_LATE:
+		return ROUTE_LATE;
+	case ADMISSION_QUEUED:
+		break;
+	}
+	return ROUTE_QUEUED;
+}
+
+route_state_t route_admit(route_table_t *table, route_ticket_t *ticket, const char *team,
+			  uint64_t now_us)
+{
+	route_pool_t *pool = ticket->pool;
+	route_state_t state = enter_organisation(table, pool->org, team, now_us);
+
+	pthread_mutex_lock(&pool->shard->lock);
+	pool->offered++;
+	ticket->state = state;
+	if (state == ROUTE_QUEUED) {
+		retry_budget_request(&pool->retries);
+		ticket->state = admit(table, ticket, now_us);
+	}
+	if (ticket->state == ROUTE_QUEUED)
+		route_dispatch(table, pool, ticket, now_us);
+	else
+		pool->refused++;
+	state = ticket->state;
+	pthread_mutex_unlock(&pool->shard->lock);
+	return state;
+}
+
+route_state_t route_retry(route_table_t *table, route_ticket_t *ticket, bool budget,
+			  uint64_t now_us)
+{
+	route_pool_t *pool = ticket->pool;
+	route_state_t state = ROUTE_QUEUED;
+
+	pthread_mutex_lock(&pool->shard->lock);
+	if (!pool->present || ticket->class->retired)
+		state = ROUTE_GONE;
+	else if (collect_candidates(table, pool, NULL, now_us) == 0)
+		state = ROUTE_NO_TARGET;
+	else if (budget && !retry_budget_take(&pool->retries))
+		state = ROUTE_NO_BUDGET;
+	ticket->state = state;
+	if (state == ROUTE_QUEUED) {
+		admission_requeue(&pool->admission, &ticket->class->admission, &ticket->entry);
+		route_dispatch(table, pool, ticket, now_us);
+	}
+	state = ticket->state;
+	pthread_mutex_unlock(&pool->shard->lock);
+	return state;
+}
+
+bool route_cancel(route_table_t *table, route_ticket_t *ticket)
+{
+	route_pool_t *pool = ticket->pool;
+	bool queued;
+
+	pthread_mutex_lock(&pool->shard->lock);
+	queued = ticket->entry.queued;
+	if (queued)
+		admission_remove(&pool->admission, &ticket->class->admission, &ticket->entry);
+	pthread_mutex_unlock(&pool->shard->lock);
+	return queued;
+}
+
+bool route_usable(route_table_t *table, const route_ticket_t *ticket, uint64_t now_us)
+{
+	route_pool_t *pool = ticket->pool;
+	bool usable;
+
+	pthread_mutex_lock(&pool->shard->lock);
+	usable = collect_candidates(table, pool, NULL, now_us) > 0;
+	pthread_mutex_unlock(&pool->shard->lock);
+	return usable;
+}
+
+bool route_check(route_table_t *table, const route_ticket_t *ticket, uint64_t now_us)
+{
+	bool usable;
+
+	pthread_mutex_lock(&ticket->pool->shard->lock);
+	usable = route_target_usable(table, ticket->target, now_us) &&
+		 ticket->target->epoch == ticket->epoch;
+	pthread_mutex_unlock(&ticket->pool->shard->lock);
+	return usable;
+}
+
+void route_finish(route_table_t *table, route_ticket_t *ticket, router_result_t result,
+		  uint64_t elapsed_us, uint64_t now_us)
+{
+	route_target_entry_t *target = ticket->target;
+	route_pool_t *pool = ticket->pool;
+	size_t count;
+
+	pthread_mutex_lock(&pool->shard->lock);
+	count = collect_candidates(table, pool, NULL, now_us);
+	router_finish(&target->router, pool->candidates, count, ticket->trial, result, elapsed_us,
+		      now_us);
+	slots_give(&target->slots);
+	if (result == ROUTER_OK || ticket->timed_out)
+		adjust_patience(ticket->class, ticket->timed_out);
+	if (result == ROUTER_OK) {
+		admission_served(&ticket->class->admission, elapsed_us);
+		pool->service_us += 0.1 * ((double)elapsed_us - pool->service_us);
+	}
+	ticket->target = NULL;
+	route_target_release(target);
+	route_dispatch(table, pool, NULL, now_us);
+	pthread_mutex_unlock(&pool->shard->lock);
+}
+
+void route_close(route_table_t *table, route_ticket_t *ticket)
+{
+	pthread_mutex_lock(&table->lock);
+	ticket->pool->org->open--;
+	table->open--;
+	pthread_mutex_unlock(&table->lock);
+}
+
+static void tick_pool(route_table_t *table, route_pool_t *pool, uint64_t now_us)
+{
+	admission_entry_t *entry;
+
+	while ((entry = admission_take_late(&pool->admission, now_us)) != NULL)
+		settle(pool, (route_ticket_t *)entry, ROUTE_LATE, NULL);
+	route_dispatch(table, pool, NULL, now_us);
+}
+
+void route_tick(route_table_t *table, uint64_t now_us)
+{
+	for (unsigned i = 0; i < table->config.shard_count; i++) {
+		route_shard_t *shard = &table->shards[i];
+		GHashTableIter iter;
+		void *pool;
+
+		pthread_mutex_lock(&shard->lock);
+		g_hash_table_iter_init(&iter, shard->pools);
+		while (g_hash_table_iter_next(&iter, NULL, &pool))
+			tick_pool(table, pool, now_us);
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
--- /dev/null
+++ b/src/route_table.c
@@ -0,0 +1,547 @@
+#include "route_table.h"
+
+#include <string.h>
+
+#include "clock.h"
+#include "route_internal.h"
+
+#define OPEN_LIMIT 2000
+
+/* --- table --- */
+
+static void target_free(route_target_entry_t *target)
+{
+	g_free(target->vm);
+	g_free(target->address);
+	g_free(target);
+}
+
+static void class_free(void *data)
+{
+	route_class_t *class = data;
+
+	g_free(class->name);
+	g_free(class->prefix);
+	g_free(class);
+}
+
+static void pool_free(void *data)
+{
+	route_pool_t *pool = data;
+
+	for (guint i = 0; i < pool->targets->len; i++)
+		target_free(pool->targets->pdata[i]);
+	g_ptr_array_unref(pool->targets);
+	g_ptr_array_unref(pool->classes);
+	g_rand_free(pool->random);
+	g_free(pool->candidates);
+	g_free(pool->name);
+	g_free(pool);
+}
+
+static void org_free(void *data)
+{
+	route_org_t *org = data;
+
+	g_hash_table_destroy(org->quotas);
+	g_free(org->name);
+	g_free(org);
+}
+
+route_table_t *route_table_create(const route_table_config_t *config)
+{
+	route_table_t *table = g_new0(route_table_t, 1);
+
+	table->config = *config;
+	if (table->config.open_limit == 0)
+		table->config.open_limit = OPEN_LIMIT;
+	table->config.shard_count = MAX(config->shard_count, 1);
+	table->data_centre = g_strdup(config->data_centre);
+	table->config.data_centre = table->data_centre;
+	table->count = 1;
+	pthread_mutex_init(&table->lock, NULL);
+	table->orgs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, org_free);
+	table->by_vm = g_hash_table_new(g_str_hash, g_str_equal);
+	table->peers = g_ptr_array_new_with_free_func(g_free);
+	table->shards = g_new0(route_shard_t, table->config.shard_count);
+	for (unsigned i = 0; i < table->config.shard_count; i++) {
+		pthread_mutex_init(&table->shards[i].lock, NULL);
+		table->shards[i].pools =
+			g_hash_table_new_full(g_str_hash, g_str_equal, g_free, pool_free);
+	}
+	return table;
+}
+
+void route_table_destroy(route_table_t *table)
+{
+	if (table == NULL)
+		return;
+	for (unsigned i = 0; i < table->config.shard_count; i++) {
+		g_hash_table_destroy(table->shards[i].pools);
+		pthread_mutex_destroy(&table->shards[i].lock);
+	}
+	g_hash_table_destroy(table->by_vm);
+	g_hash_table_destroy(table->orgs);
+	g_ptr_array_unref(table->peers);
+	pthread_mutex_destroy(&table->lock);
+	g_free(table->shards);
+	g_free(table->data_centre);
+	g_free(table);
+}
+
+static char *pool_key(const char *organisation, const char *name)
+{
+	return g_strconcat(organisation, "/", name, NULL);
+}
+
+static route_shard_t *shard_of(route_table_t *table, const char *key)
+{
+	return &table->shards[g_str_hash(key) % table->config.shard_count];
+}
+
+route_pool_t *route_pool_find(route_table_t *table, const char *organisation, const char *name)
+{
+	char *key = pool_key(organisation, name);
+	route_shard_t *shard = shard_of(table, key);
+	route_pool_t *pool;
+
+	pthread_mutex_lock(&shard->lock);
+	pool = g_hash_table_lookup(shard->pools, key);
+	pthread_mutex_unlock(&shard->lock);
+	g_free(key);
+	return pool;
+}
+
+/* Under the table's lock. */
+static route_org_t *org_find_or_add(route_table_t *table, const char *name)
+{
+	route_org_t *org = g_hash_table_lookup(table->orgs, name);
+
+	if (org != NULL)
+		return org;
+	org = g_new0(route_org_t, 1);
+	org->name = g_strdup(name);
+	org->quotas = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g_hash_table_insert(table->orgs, org->name, org);
+	return org;
+}
+
+/* Under the table's lock. */
+static route_pool_t *pool_find_or_add(route_table_t *table, const char *organisation,
+				      const char *name)
+{
+	route_pool_t *pool = route_pool_find(table, organisation, name);
+	char *key;
+
+	if (pool != NULL)
+		return pool;
+	key = pool_key(organisation, name);
+	pool = g_new0(route_pool_t, 1);
+	pool->shard = shard_of(table, key);
+	pool->org = org_find_or_add(table, organisation);
+	pool->name = g_strdup(name);
+	pool->targets = g_ptr_array_new();
+	pool->classes = g_ptr_array_new_with_free_func(class_free);
+	pool->random = g_rand_new_with_seed((guint32)(table->config.seed ^ g_str_hash(key)));
+	admission_init(&pool->admission);
+	retry_budget_init(&pool->retries);
+	pthread_mutex_lock(&pool->shard->lock);
+	g_hash_table_insert(pool->shard->pools, key, pool);
+	pthread_mutex_unlock(&pool->shard->lock);
+	return pool;
+}
+
+/* --- templates --- */
+
+static route_class_t *class_find_or_add(route_pool_t *pool, const char *name)
+{
+	route_class_t *class;
+
+	for (guint i = 0; i < pool->classes->len; i++) {
+		class = pool->classes->pdata[i];
+		if (strcmp(class->name, name) == 0)
+			return class;
+	}
+	class = g_new0(route_class_t, 1);
+	class->name = g_strdup(name);
+	class->patience = ROUTE_PATIENCE_MIN;
+	g_ptr_array_add(pool->classes, class);
+	admission_add_class(&pool->admission, &class->admission, 0, 0);
+	return class;
+}
+
+static void set_class(route_pool_t *pool, const Lp__RequestClass *spec)
+{
+	route_class_t *class = class_find_or_add(pool, spec->name);
+
+	g_free(class->prefix);
+	class->prefix = g_strdup(spec->path_prefix);
+	class->deadline_ms = spec->deadline_ms;
+	class->repeatable = spec->repeatable;
+	class->retired = false;
+	admission_set_class(&class->admission, spec->priority, spec->queue_limit);
+}
+
+/* Under the shard's lock. */
+static void retire_classes(route_pool_t *pool)
+{
+	for (guint i = 0; i < pool->classes->len; i++)
+		((route_class_t *)pool->classes->pdata[i])->retired = true;
+}
+
+static void refuse_retired(route_pool_t *pool)
+{
+	for (guint i = 0; i < pool->classes->len; i++) {
+		route_class_t *class = pool->classes->pdata[i];
+
+		if (class->retired)
+			route_refuse_class(pool, class);
+	}
+}
+
+static void set_pool(route_table_t *table, const char *organisation, const Lp__PoolSpec *spec)
+{
+	route_pool_t *pool = pool_find_or_add(table, organisation, spec->name);
+
+	pthread_mutex_lock(&pool->shard->lock);
+	pool->present = true;
+	retire_classes(pool);
+	for (size_t i = 0; i < spec->n_classes; i++)
+		set_class(pool, spec->classes[i]);
+	refuse_retired(pool);
+	pthread_mutex_unlock(&pool->shard->lock);
+}
+
+static bool names_pool(const Lp__Template *template, const char *name)
+{
+	for (size_t i = 0; i < template->n_pools; i++) {
+		if (strcmp(template->pools[i]->name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Refuses the requests of pools that the template no longer names. */
+static void drop_pools(route_table_t *table, const Lp__Template *template)
+{
+	for (unsigned i = 0; i < table->config.shard_count; i++) {
+		route_shard_t *shard = &table->shards[i];
+		GHashTableIter iter;
+		void *value;
+
+		pthread_mutex_lock(&shard->lock);
+		g_hash_table_iter_init(&iter, shard->pools);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			route_pool_t *pool = value;
+
+			if (strcmp(pool->org->name, template->organisation) != 0 ||
+			    names_pool(template, pool->name))
+				continue;
+			pool->present = false;
+			retire_classes(pool);
+			refuse_retired(pool);
+		}
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+/*
+ * Quotas hold for all entry processes together, and the load balancer spreads the requests evenly:
+ * each process gives out its part.
+ */
+static double quota_part(const route_table_t *table, uint32_t rate_per_s)
+{
+	return (double)rate_per_s / (table->count + table->peers->len);
+}
+
+static void set_quotas(route_table_t *table, route_org_t *org, const Lp__Template *template)
+{
+	GHashTable *old = org->quotas;
+	uint64_t now_us = clock_now_us();
+
+	org->quotas = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	for (size_t i = 0; i < template->n_quotas; i++) {
+		const Lp__Quota *spec = template->quotas[i];
+		const route_quota_t *previous = g_hash_table_lookup(old, spec->team);
+		route_quota_t *quota = g_new0(route_quota_t, 1);
+
+		if (previous != NULL)
+			*quota = *previous;
+		quota->max_requests_per_s = spec->max_requests_per_s;
+		quota_set(&quota->bucket, quota_part(table, spec->max_requests_per_s), now_us);
+		g_hash_table_replace(org->quotas, g_strdup(spec->team), quota);
+	}
+	g_hash_table_destroy(old);
+}
+
+void route_table_set_template(route_table_t *table, const Lp__Template *template)
+{
+	route_org_t *org;
+
+	pthread_mutex_lock(&table->lock);
+	org = org_find_or_add(table, template->organisation);
+	if (!org->present)
+		table->org_count++;
+	org->present = true;
+	set_quotas(table, org, template);
+	for (size_t i = 0; i < template->n_pools; i++)
+		set_pool(table, template->organisation, template->pools[i]);
+	drop_pools(table, template);
+	pthread_mutex_unlock(&table->lock);
+}
+
+/* --- targets --- */
+
+/* Under the table's and the shard's lock. */
+static void set_share(const route_table_t *table, route_target_entry_t *target)
+{
+	slots_set(&target->slots, target->slot_limit, target->connection_limit, table->position,
+		  table->count, g_str_hash(target->vm));
+}
+
+void route_target_release(route_target_entry_t *target)
+{
+	if (!target->gone || target->router.in_flight > 0)
+		return;
+	g_ptr_array_remove_fast(target->pool->targets, target);
+	target_free(target);
+}
+
+/* Under the table's lock. */
+static void detach(route_table_t *table, route_target_entry_t *target)
+{
+	pthread_mutex_t *lock = &target->pool->shard->lock;
+
+	g_hash_table_remove(table->by_vm, target->vm);
+	pthread_mutex_lock(lock);
+	target->gone = true;
+	route_target_release(target);
+	pthread_mutex_unlock(lock);
+}
+
+/* Under the table's lock. */
+static route_target_entry_t *attach(route_table_t *table, route_pool_t *pool, const char *vm)
+{
+	route_target_entry_t *target = g_new0(route_target_entry_t, 1);
+
+	target->pool = pool;
+	target->vm = g_strdup(vm);
+	g_hash_table_insert(table->by_vm, target->vm, target);
+	pthread_mutex_lock(&pool->shard->lock);
+	g_ptr_array_add(pool->targets, target);
+	pthread_mutex_unlock(&pool->shard->lock);
+	return target;
+}
+
+static void move_announcement(route_target_entry_t *to, const route_announcement_t *from)
+{
+	to->announced_us = from->at_us;
+	to->echoed_epoch = from->echoed_epoch;
+	to->echoed_cordoned = from->echoed_cordoned;
+	to->leaving = from->leaving;
+}
+
+void route_table_set_target(route_table_t *table, const route_target_t *spec)
+{
+	route_announcement_t kept = {0};
+	route_target_entry_t *target;
+	route_pool_t *pool;
+
+	if (strcmp(spec->data_centre, table->data_centre) != 0) {
+		route_table_remove_target(table, spec->vm);
+		return;
+	}
+	pthread_mutex_lock(&table->lock);
+	pool = pool_find_or_add(table, spec->organisation, spec->pool);
+	target = g_hash_table_lookup(table->by_vm, spec->vm);
+	if (target != NULL && target->pool != pool) {
+		kept = (route_announcement_t){
+			.at_us = target->announced_us,
+			.echoed_epoch = target->echoed_epoch,
+			.echoed_cordoned = target->echoed_cordoned,
+			.leaving = target->leaving,
+		};
+		detach(table, target);
+		target = NULL;
+	}
+	if (target == NULL) {
+		target = attach(table, pool, spec->vm);
+		move_announcement(target, &kept);
+	}
+	pthread_mutex_lock(&pool->shard->lock);
+	if (target->address == NULL || strcmp(target->address, spec->address) != 0) {
+		g_free(target->address);
+		target->address = g_strdup(spec->address);
+	}
+	target->epoch = spec->epoch;
+	target->routable = spec->routable;
+	target->slot_limit = spec->slots;
+	target->connection_limit = spec->connections;
+	set_share(table, target);
+	pthread_mutex_unlock(&pool->shard->lock);
+	pthread_mutex_unlock(&table->lock);
+}
+
+void route_table_remove_target(route_table_t *table, const char *vm)
+{
+	route_target_entry_t *target;
+
+	pthread_mutex_lock(&table->lock);
+	target = g_hash_table_lookup(table->by_vm, vm);
+	if (target != NULL)
+		detach(table, target);
+	pthread_mutex_unlock(&table->lock);
+}
+
+void route_table_announce(route_table_t *table, const route_announcement_t *announcement)
+{
+	route_target_entry_t *target;
+
+	pthread_mutex_lock(&table->lock);
+	target = g_hash_table_lookup(table->by_vm, announcement->vm);
+	if (target != NULL) {
+		pthread_mutex_lock(&target->pool->shard->lock);
+		/* Reports of peers may arrive after a later announcement. */
+		if (announcement->at_us >= target->announced_us)
+			move_announcement(target, announcement);
+		pthread_mutex_unlock(&target->pool->shard->lock);
+	}
+	pthread_mutex_unlock(&table->lock);
+}
+
+/* --- membership --- */
+
+static void update_quotas(route_table_t *table)
+{
+	GHashTableIter orgs;
+	void *org;
+
+	g_hash_table_iter_init(&orgs, table->orgs);
+	while (g_hash_table_iter_next(&orgs, NULL, &org)) {
+		GHashTableIter quotas;
+		void *value;
+
+		g_hash_table_iter_init(&quotas, ((route_org_t *)org)->quotas);
+		while (g_hash_table_iter_next(&quotas, NULL, &value)) {
+			route_quota_t *quota = value;
+
+			quota_set(&quota->bucket, quota_part(table, quota->max_requests_per_s),
+				  clock_now_us());
+		}
+	}
+}
+
+void route_table_set_share(route_table_t *table, unsigned position, unsigned count)
+{
+	GHashTableIter iter;
+	void *value;
+
+	pthread_mutex_lock(&table->lock);
+	table->position = position;
+	table->count = MAX(count, 1);
+	g_hash_table_iter_init(&iter, table->by_vm);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		route_target_entry_t *target = value;
+
+		pthread_mutex_lock(&target->pool->shard->lock);
+		set_share(table, target);
+		pthread_mutex_unlock(&target->pool->shard->lock);
+	}
+	update_quotas(table);
+	pthread_mutex_unlock(&table->lock);
+}
+
+void route_table_set_peers(route_table_t *table, const route_peer_t *peers, size_t count)
+{
+	pthread_mutex_lock(&table->lock);
+	g_ptr_array_set_size(table->peers, 0);
+	for (size_t i = 0; i < count; i++) {
+		if (peers[i].up && strcmp(peers[i].data_centre, table->data_centre) != 0)
+			g_ptr_array_add(table->peers, g_strdup(peers[i].http_address));
+	}
+	update_quotas(table);
+	pthread_mutex_unlock(&table->lock);
+}
+
+bool route_forward_address(route_table_t *table, char *address, size_t size)
+{
+	bool found;
+
+	pthread_mutex_lock(&table->lock);
+	found = table->peers->len > 0;
+	if (found)
+		g_strlcpy(address, table->peers->pdata[table->next_peer++ % table->peers->len],
+			  size);
+	pthread_mutex_unlock(&table->lock);
+	return found;
+}
+
+/* --- reports --- */
+
+static void for_each_pool(route_table_t *table, void (*fn)(void *arg, const route_pool_t *pool),
+			  void *arg)
+{
+	for (unsigned i = 0; i < table->config.shard_count; i++) {
+		route_shard_t *shard = &table->shards[i];
+		GHashTableIter iter;
+		void *pool;
+
+		pthread_mutex_lock(&shard->lock);
+		g_hash_table_iter_init(&iter, shard->pools);
+		while (g_hash_table_iter_next(&iter, NULL, &pool))
+			fn(arg, pool);
+		pthread_mutex_unlock(&shard->lock);
+	}
+}
+
+typedef struct {
+	void (*load)(void *arg, const route_load_t *load);
+	void (*failures)(void *arg, const char *vm, uint32_t consecutive_failures);
+	void *arg;
+} reporter_t;
+
+static void report_load(void *arg, const route_pool_t *pool)
+{
+	const reporter_t *reporter = arg;
+	route_load_t load = {
+		.organisation = pool->org->name,
+		.pool = pool->name,
+		.queued = pool->admission.length,
+		.offered = pool->offered,
+		.refused = pool->refused,
+		.service_us = (uint32_t)pool->service_us,
+	};
+
+	for (guint i = 0; i < pool->targets->len; i++)
+		load.in_flight += ((route_target_entry_t *)pool->targets->pdata[i])->slots.in_use;
+	reporter->load(reporter->arg, &load);
+}
+
+void route_table_loads(route_table_t *table, void (*fn)(void *arg, const route_load_t *load),
+		       void *arg)
+{
+	reporter_t reporter = {.load = fn, .arg = arg};
+
+	for_each_pool(table, report_load, &reporter);
+}
+
+static void report_failures(void *arg, const route_pool_t *pool)
+{
+	const reporter_t *reporter = arg;
+
+	for (guint i = 0; i < pool->targets->len; i++) {
+		const route_target_entry_t *target = pool->targets->pdata[i];
+
+		if (!target->gone)
+			reporter->failures(reporter->arg, target->vm, target->router.failures);
+	}
+}
+
+void route_table_failures(route_table_t *table,
+			  void (*fn)(void *arg, const char *vm, uint32_t consecutive_failures),
+			  void *arg)
+{
+	reporter_t reporter = {.failures = fn, .arg = arg};
+
+	for_each_pool(table, report_failures, &reporter);
+}
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -51,6 +51,7 @@
 	uint32_t node_id;
 	uint64_t routing_lease_us;
 	uint64_t seed;
+	uint32_t open_limit; /**< requests in progress of all organisations; 0: 2,000 */
 } route_table_config_t;
 
 route_table_t *route_table_create(const route_table_config_t *config);
