http_server: take over replies of other threads in the server's thread only

Cause: a reply from the control thread set request->response while the handler was still returning in the I/O thread; the reply was queued twice and the request freed before finish_reply() ran. libmicrohttpd ended the process with 'Failed to lock mutex' (2 of 4 processes within 1 s in scripts/demo). Ruled out: a double reply by the handlers (each path replies once). Change: the other thread's reply is kept apart until finish_reply() runs.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -46,7 +46,8 @@
 	GArray *headers; /* header_copy_t */
 	GHashTable *params;
 	GByteArray *body;
-	struct MHD_Response *response; /* set by the reply */
+	struct MHD_Response *response; /* set by the reply, in the server's thread only */
+	struct MHD_Response *posted;   /* reply of another thread, until finish_reply() runs */
 	unsigned status;
 	bool body_too_large;
 	bool in_handler;
@@ -102,6 +103,8 @@
 {
 	if (request->response != NULL)
 		MHD_destroy_response(request->response);
+	if (request->posted != NULL)
+		MHD_destroy_response(request->posted);
 	if (request->params != NULL)
 		g_hash_table_destroy(request->params);
 	g_array_unref(request->headers);
@@ -414,6 +417,10 @@
 {
 	http_request_t *request = arg;
 
+	if (request->posted != NULL) {
+		request->response = request->posted;
+		request->posted = NULL;
+	}
 	request->abort_fn = NULL;
 	if (request->connection == NULL) {
 		request_free(request);
@@ -450,7 +457,8 @@
 		return;
 	}
 	pthread_mutex_lock(&link->lock);
-	request->response = response;
+	/* The handler may still run in the server's thread, which reads response when it returns. */
+	request->posted = response;
 	if (link->server != NULL) {
 		mailbox_post(&link->server->mailbox, finish_reply, request);
 		request = NULL;
