announce: pass the image on to the leader when it differs from the log

Ruled out: the platform's operation ids (each permit's reboot ran once in the emulator). Change: the registration is passed on while its image differs from the applied one. Measured: scripts/demo, 8 VMs, reboot 2 s, probation 2 s: before no end, after the wave took 36 s with 0 of 200 requests failed.

--- a/src/announce.c
+++ b/src/announce.c
@@ -174,6 +174,7 @@
 	bool changed = passed->epoch != report->echoed_epoch ||
 		       passed->leaving != report->leaving ||
 		       passed->cordoned != report->echoed_cordoned || report->n_tasks > 0;
+	const fleet_vm_t *vm = fleet_vm_find(&announce->node->fleet, report->vm);
 	Lp__TargetReport copy = *report;
 	uint8_t *packed;
 	size_t length;
@@ -186,7 +187,9 @@
 	passed->epoch = report->echoed_epoch;
 	passed->leaving = report->leaving;
 	passed->cordoned = report->echoed_cordoned;
-	copy.reg = NULL;
+	/* The leader needs the image to see a reboot complete; otherwise the log has it all. */
+	if (vm != NULL && strcmp(vm->image, report->reg->image) == 0)
+		copy.reg = NULL;
 	length = lp__target_report__get_packed_size(&copy);
 	packed = g_malloc(length + 1);
 	lp__target_report__pack(&copy, packed);
