--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -39,6 +39,7 @@
 	uint64_t led_term;
 	int drift_percent;
 	uint64_t down_until_us;
+	raft_config_t crash_config; /* latest in the log when it went down */
 } node_t;
 
 typedef struct {
@@ -62,6 +63,10 @@
 	bool cut[NODES_MAX + 1][NODES_MAX + 1];
 	bool faults;
 	int loss_percent;
+	int sync_per_mille;  /* chance of a sync in each step */
+	int crash_per_mille; /* of a node, and of a leader, in each step */
+	int leader_crash_per_mille;
+	int remove_per_mille;
 	uint64_t delay_us;
 	uint64_t now_us;
 	GPtrArray *packets;
@@ -344,10 +349,12 @@
 		return;
 	/* The last write may or may not have reached the disk. */
 	sync_node(node, chance(500), true);
+	node->crash_config = *raft_config(node->raft);
 	TALLOC_FREE(node->raft);
 	node->led_term = 0;
 	node->down_until_us =
-		sim.now_us + (uint64_t)g_rand_int_range(sim.random, 0, 4000) * US_PER_MS;
+		sim.now_us +
+		(uint64_t)g_rand_int_range(sim.random, 0, chance(700) ? 50 : 4000) * US_PER_MS;
 }
 
 static bool alive_identity(raft_id_t id)
@@ -362,6 +369,8 @@
 	size_t voters = 0;
 	size_t dead = 0;
 
+	if (config->count == 0) /* a disk that was lost before */
+		return true;
 	for (size_t i = 0; i < config->count; i++) {
 		raft_id_t id = config->members[i].id;
 
@@ -380,8 +389,10 @@
 	if (!survives_loss(&sim.config, id))
 		return;
 	for (uint32_t other = 1; other <= sim.nodes; other++) {
-		if (sim.node[other].raft != NULL &&
-		    !survives_loss(raft_config(sim.node[other].raft), id))
+		const node_t *peer = &sim.node[other];
+
+		if (!survives_loss(
+			    peer->raft != NULL ? raft_config(peer->raft) : &peer->crash_config, id))
 			return;
 	}
 	crash_node(n);
@@ -412,8 +423,8 @@
 		else if (!member->voter && raft_peer_info(node->raft, id, &info) == 0 &&
 			 info.match > 0 && info.match + 16 >= raft_last_index(node->raft))
 			raft_change(node->raft, RAFT_PROMOTE, id);
-		else if (sim.faults && chance(1) &&
-			 survives_loss(raft_config(node->raft), (raft_id_t){0}) &&
+		else if (sim.faults && chance(sim.remove_per_mille) &&
+			 survives_loss(raft_config(node->raft), id) &&
 			 raft_config(node->raft)->count > 3)
 			raft_change(node->raft, RAFT_REMOVE, id);
 	}
@@ -458,7 +469,7 @@
 		raft_replicate(node->raft, now_us);
 		run_actions(node);
 	}
-	if (!sim.faults || chance(700))
+	if (!sim.faults || chance(sim.sync_per_mille))
 		sync_node(node, true, false);
 	compact(node);
 }
@@ -490,8 +501,11 @@
 	uint32_t a = any_node();
 	uint32_t b = any_node();
 
-	if (chance(4))
+	if (chance(sim.crash_per_mille))
 		crash_node(a);
+	if (chance(sim.leader_crash_per_mille) && sim.node[b].raft != NULL &&
+	    raft_role(sim.node[b].raft) == RAFT_LEADER)
+		crash_node(b);
 	if (chance(2))
 		wipe_node(a);
 	if (chance(6))
@@ -532,7 +546,11 @@
 	sim.leaders = g_hash_table_new(NULL, NULL);
 	sim.positions = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	sim.loss_percent = g_rand_int_range(sim.random, 0, 10);
-	sim.delay_us = (uint64_t)g_rand_int_range(sim.random, 1, 100) * US_PER_MS;
+	sim.delay_us = (5ULL << g_rand_int_range(sim.random, 0, 9)) * US_PER_MS;
+	sim.sync_per_mille = g_rand_int_range(sim.random, 50, 1000);
+	sim.crash_per_mille = g_rand_int_range(sim.random, 1, 30);
+	sim.leader_crash_per_mille = 1 << g_rand_int_range(sim.random, 0, 7);
+	sim.remove_per_mille = 1 << g_rand_int_range(sim.random, 0, 6);
 	for (uint32_t n = 1; n <= nodes; n++)
 		sim.config.members[sim.config.count++] = (raft_member_t){{n, 1}, true};
 	for (uint32_t n = 1; n <= nodes; n++) {
@@ -570,11 +588,11 @@
 	return 0;
 }
 
-static uint32_t seed_from_environment(uint32_t fallback)
+static uint32_t number_from_environment(const char *name, uint32_t fallback)
 {
-	const char *seed = getenv("LP_TEST_SEED");
+	const char *text = getenv(name);
 
-	return seed != NULL ? (uint32_t)strtoul(seed, NULL, 10) : fallback;
+	return text != NULL ? (uint32_t)strtoul(text, NULL, 10) : fallback;
 }
 
 /* Guards against any loss of a committed entry, two leaders in one term, two leases, and a group
@@ -582,9 +600,8 @@
 static void test_random_faults(void **state)
 {
 	static const size_t sizes[] = {3, 5, 7};
-	uint32_t first = seed_from_environment(1);
-	size_t seeds =
-		getenv("LP_TEST_SEEDS") != NULL ? strtoul(getenv("LP_TEST_SEEDS"), NULL, 10) : 60;
+	uint32_t first = number_from_environment("LP_TEST_SEED", 1);
+	uint32_t seeds = number_from_environment("LP_TEST_SEEDS", 60);
 	size_t elections = 0;
 	size_t changes = 0;
 	size_t wipes = 0;
@@ -615,7 +632,7 @@
 		installs += sim.installs;
 		stop_sim();
 	}
-	print_message("\r%zu seeds: %zu elections, %zu configurations, %zu lost disks, "
+	print_message("\r%u seeds: %zu elections, %zu configurations, %zu lost disks, "
 		      "%zu snapshots received\n",
 		      seeds, elections, changes, wipes, installs);
 }
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -65,11 +65,11 @@
 
 static uint8_t *save(void *arg, size_t *length)
 {
-	uint8_t *data = malloc(sizeof(state_t));
+	state_t *copy = malloc(sizeof(state_t));
 
-	memcpy(data, arg, sizeof(state_t));
+	*copy = *(const state_t *)arg;
 	*length = sizeof(state_t);
-	return data;
+	return (uint8_t *)copy;
 }
 
 static int load(void *arg, const uint8_t *data, size_t length)
