--- a/src/raft.c
+++ b/src/raft.c
@@ -6,6 +6,9 @@
 
 #include "raft_internal.h"
 
+/* Minimum election timeouts without a leader after which a learner stands for election. */
+#define LEARNER_WAIT 5
+
 /* xorshift64*; the seed makes election timeouts repeatable in tests. */
 static uint64_t next_random(raft_t *raft)
 {
@@ -131,11 +134,17 @@
 	return raft->options.disk && raft->disk_ok;
 }
 
-static bool is_voter(const raft_t *raft)
+/* A learner stands for election only when no voter has led for long. It may hold the latest log and
+ * already be needed as a voter by a promotion that it has not received, so that no voter can win
+ * without it. It needs the votes of a majority of the voters like any other candidate. */
+static bool may_stand(const raft_t *raft, uint64_t now_us)
 {
 	const raft_member_t *self = raft_config_find(&raft->config, raft->options.self);
 
-	return self != NULL && self->voter;
+	if (self == NULL || !may_vote(raft))
+		return false;
+	return self->voter ||
+	       now_us > raft->contact_us + LEARNER_WAIT * raft->options.election_min_us;
 }
 
 /* True when a lease of a leader may rest on this replica's promise not to vote. */
@@ -217,7 +226,7 @@
 	}
 	if (now_us < raft->election_us)
 		return;
-	if (may_vote(raft) && is_voter(raft)) {
+	if (may_stand(raft, now_us)) {
 		start_pre_vote(raft, now_us);
 	} else {
 		raft->leader = (raft_id_t){0};
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -71,6 +71,8 @@
 
 void replica_members_tick(replica_t *replica, uint64_t now_us)
 {
+	const raft_member_t *self;
+
 	adopt_newer_config(replica);
 	if (raft_role(replica->raft) != RAFT_LEADER)
 		return;
@@ -88,4 +90,8 @@
 			continue;
 		replica_schedule(replica);
 	}
+	/* Only a learner with a disk can have been elected. */
+	self = raft_config_find(raft_config(replica->raft), replica->self);
+	if (self != NULL && !self->voter && raft_change(replica->raft, RAFT_PROMOTE, self->id) == 0)
+		replica_schedule(replica);
 }
