--- a/bench/bench_planner.c
+++ b/bench/bench_planner.c
@@ -1,11 +1,13 @@
 /*
  * Compares the planner with simple policies on simulated fleets of 50 VMs.
  *
- *   bench_planner [SEEDS] [CSV-FILE]
+ *   bench_planner [SEEDS [CSV-FILE [rollout|spare]]]
  *
  * Roll-out: one wave over the whole fleet, reboots of 30 to 120 s, rare failures; against one VM at
- * a time per pool, and against fixed batches of 2 per pool. Spare capacity: lasting rises of
- * demand; against a static reserve in each pool, and against moves that follow the present demand.
+ * a time per pool, against fixed batches of 2 per pool, and against the planner with reboot times
+ * known beforehand (longest first), which no real planner can reach. Spare capacity: lasting rises
+ * of demand; against a static reserve in each pool, and against moves that follow the present
+ * demand.
  */
 #include <math.h>
 #include <stdio.h>
@@ -14,10 +16,10 @@
 
 #include <glib.h>
 
-#include "../tests/lib_fleet_sim.h"
 #include "budget.h"
 #include "capacity.h"
 #include "clock.h"
+#include "lib_fleet_sim.h"
 #include "template.h"
 
 #define VMS 50
@@ -137,7 +139,46 @@
 	return plan_fixed(input, 2);
 }
 
-static GPtrArray *plan_without_moves(const plan_input_t *input)
+static const fleet_vm_t *longest_due(const plan_input_t *input, const fleet_pool_t *pool,
+				     const char *image, GHashTable *granted)
+{
+	const fleet_vm_t *longest = NULL;
+	uint64_t longest_us = 0;
+	const fleet_vm_t *vm;
+
+	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
+		uint64_t reboot_us = sim_find_vm(input->arg, vm->id)->reboot_us;
+
+		if (strcmp(vm->image, image) == 0 || vm->permit != LP__PERMIT_KIND__PERMIT_NONE ||
+		    !budget_vm_usable(vm, input->health, input->now_us) ||
+		    g_hash_table_contains(granted, vm) || reboot_us <= longest_us)
+			continue;
+		longest = vm;
+		longest_us = reboot_us;
+	}
+	return longest;
+}
+
+/* The planner's grants, with the VMs of each pool in the order of their reboot times. */
+static GPtrArray *plan_known_times(const plan_input_t *input)
+{
+	GPtrArray *actions = planner_run(input);
+	GHashTable *granted = g_hash_table_new(g_direct_hash, g_direct_equal);
+	const fleet_wave_t *wave = TAILQ_FIRST(&input->fleet->waves);
+
+	for (guint i = 0; i < actions->len; i++) {
+		plan_action_t *action = g_ptr_array_index(actions, i);
+
+		if (!is_maintenance_grant(action))
+			continue;
+		action->vm = longest_due(input, action->vm->pool, wave->image, granted);
+		g_hash_table_add(granted, (void *)action->vm);
+	}
+	g_hash_table_unref(granted);
+	return actions;
+}
+
+static GPtrArray *plan_without_grants(const plan_input_t *input)
 {
 	GPtrArray *actions = planner_run(input);
 
@@ -193,9 +234,6 @@
 
 		vm->reboot_us = (uint64_t)g_rand_int_range(sim->rand, 30, 121) * US_PER_S;
 	}
-	/* The wave starts when all VMs have announced themselves. */
-	for (int dc = 0; dc < dcs; dc++)
-		sim->cut[dc] = false;
 }
 
 static rollout_t run_rollout(const Lp__Template *template, policy_fn policy, uint32_t seed, int dcs)
@@ -206,8 +244,9 @@
 	sim_t sim;
 
 	set_up_rollout(&sim, template, seed, dcs);
-	sim.plan = policy;
+	sim.plan = plan_without_grants;
 	sim_step(&sim);
+	sim.plan = policy;
 	input = sim_input(&sim);
 	planner_estimate(&input, template, (uint64_t)mean_reboot_ms(&sim), &estimate);
 	result.bound = (double)estimate.rollout_bound_ms / 1000;
@@ -381,7 +420,7 @@
 	sim_init(&run.sim, seed);
 	capacity_init(&run.capacity);
 	if (kind == SPARE_STATIC)
-		run.sim.plan = plan_without_moves;
+		run.sim.plan = plan_without_grants;
 	add_vms(&run, template, kind, dcs);
 	for (int i = 0; i < POOLS; i++)
 		run.loads[i] = (load_t){.base = BASE_SLOTS, .level = 1};
@@ -420,22 +459,29 @@
 
 	qsort(values, (size_t)count, sizeof(*values), compare_doubles);
 	median = count % 2 ? values[count / 2] : (values[count / 2 - 1] + values[count / 2]) / 2;
-	printf("%-28s %-14s %10.3f %10.3f %10.3f\n", row, metric, median, values[0],
+	printf("%-30s %-14s %10.3f %10.3f %10.3f\n", row, metric, median, values[0],
 	       values[count - 1]);
 	if (csv != NULL)
 		fprintf(csv, "%s,%s,%.4f,%.4f,%.4f,%d\n", row, metric, median, values[0],
 			values[count - 1], count);
 }
 
-static void bench_rollout(FILE *csv, const char *file, int dcs, int seeds)
+/* A tight fleet has keep_vms raised so that each pool can spare one VM. */
+static void bench_rollout(FILE *csv, const char *file, int dcs, int seeds, bool tight)
 {
 	static const struct {
 		const char *name;
 		policy_fn plan;
 	} policies[] = {
-		{"planner", planner_run}, {"one-per-pool", plan_one}, {"two-per-pool", plan_two}};
+		{"planner", planner_run},
+		{"times-known", plan_known_times},
+		{"one-per-pool", plan_one},
+		{"two-per-pool", plan_two},
+	};
 	Lp__Template *template = load_template(file);
 
+	for (size_t i = 0; tight && i < template->n_pools; i++)
+		template->pools[i]->keep_vms = VMS / POOLS - 2;
 	for (size_t p = 0; p < G_N_ELEMENTS(policies); p++) {
 		double values[6][MAX_SEEDS];
 		char row[64];
@@ -450,7 +496,8 @@
 			values[4][s] = r.below_keep;
 			values[5][s] = r.moves;
 		}
-		snprintf(row, sizeof(row), "%s/%s", template->organisation, policies[p].name);
+		snprintf(row, sizeof(row), "%s%s/%s", template->organisation, tight ? "-tight" : "",
+			 policies[p].name);
 		print_metric(csv, row, "rollout_s", values[0], seeds);
 		print_metric(csv, row, "bound_s", values[1], seeds);
 		print_metric(csv, row, "rollout/bound", values[2], seeds);
@@ -485,20 +532,29 @@
 
 int main(int argc, char **argv)
 {
+	const char *part = argc > 3 ? argv[3] : "";
 	int seeds = argc > 1 ? (int)strtol(argv[1], NULL, 10) : DEFAULT_SEEDS;
 	FILE *csv = argc > 2 ? fopen(argv[2], "w") : NULL;
 
 	if (seeds < 1 || seeds > MAX_SEEDS || (argc > 2 && csv == NULL)) {
-		fprintf(stderr, "usage: bench_planner [SEEDS (1 to %d)] [CSV-FILE]\n", MAX_SEEDS);
+		fprintf(stderr,
+			"usage: bench_planner [SEEDS (1 to %d) [CSV-FILE [rollout|spare]]]\n",
+			MAX_SEEDS);
 		return 2;
 	}
-	printf("%-28s %-14s %10s %10s %10s\n", "policy", "metric", "median", "least", "greatest");
+	printf("%-30s %-14s %10s %10s %10s\n", "policy", "metric", "median", "least", "greatest");
 	if (csv != NULL)
 		fprintf(csv, "policy,metric,median,least,greatest,seeds\n");
-	bench_rollout(csv, "examples/barid.yaml", 4, seeds);
-	bench_rollout(csv, "examples/tesfaye.yaml", 3, seeds);
-	bench_spare(csv, "examples/barid.yaml", "barid", 4, seeds);
-	bench_spare(csv, "examples/tesfaye.yaml", "tesfaye", 3, seeds);
+	if (strcmp(part, "spare") != 0) {
+		bench_rollout(csv, "examples/barid.yaml", 4, seeds, false);
+		bench_rollout(csv, "examples/tesfaye.yaml", 3, seeds, false);
+		bench_rollout(csv, "examples/barid.yaml", 4, seeds, true);
+		bench_rollout(csv, "examples/tesfaye.yaml", 3, seeds, true);
+	}
+	if (strcmp(part, "rollout") != 0) {
+		bench_spare(csv, "examples/barid.yaml", "barid", 4, seeds);
+		bench_spare(csv, "examples/tesfaye.yaml", "tesfaye", 3, seeds);
+	}
 	if (csv != NULL)
 		fclose(csv);
 	return 0;
