planner: choose the next VM of a wave in linear time

Change: shares of racks are counted once per choice, and only the pool that was granted is looked at again.

--- a/bench/bench_planner.c
+++ b/bench/bench_planner.c
@@ -5,7 +5,7 @@
  *
  * Roll-out: one wave over the whole fleet, reboots of 30 to 120 s, rare failures; against one VM at
  * a time per pool, against fixed batches of 2 per pool, and against the planner with reboot times
- * known beforehand (longest first), which no real planner can reach. Spare capacity: lasting rises
+ * known beforehand, which no real planner can reach. Spare capacity: lasting rises
  * of demand; against a static reserve in each pool, and against moves that follow the present
  * demand.
  */
@@ -31,6 +31,7 @@
 /* One VM failure in this time over the whole fleet; rarer ones would not occur in most runs. */
 #define FAILURE_EVERY_S 900
 #define SPARE_RUN_S (4 * 3600)
+#define KNOWN_RAMP 8
 
 typedef GPtrArray *(*policy_fn)(const plan_input_t *input);
 
@@ -139,27 +140,32 @@
 	return plan_fixed(input, 2);
 }
 
-static const fleet_vm_t *longest_due(const plan_input_t *input, const fleet_pool_t *pool,
-				     const char *image, GHashTable *granted)
+static const fleet_vm_t *known_due(const plan_input_t *input, const fleet_pool_t *pool,
+				   const fleet_wave_t *wave, GHashTable *granted)
 {
-	const fleet_vm_t *longest = NULL;
-	uint64_t longest_us = 0;
+	bool shortest = wave->batch < KNOWN_RAMP;
+	const fleet_vm_t *best = NULL;
+	uint64_t best_us = 0;
 	const fleet_vm_t *vm;
 
 	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
 		uint64_t reboot_us = sim_find_vm(input->arg, vm->id)->reboot_us;
 
-		if (strcmp(vm->image, image) == 0 || vm->permit != LP__PERMIT_KIND__PERMIT_NONE ||
+		if (strcmp(vm->image, wave->image) == 0 ||
+		    vm->permit != LP__PERMIT_KIND__PERMIT_NONE ||
 		    !budget_vm_usable(vm, input->health, input->now_us) ||
-		    g_hash_table_contains(granted, vm) || reboot_us <= longest_us)
+		    g_hash_table_contains(granted, vm))
 			continue;
-		longest = vm;
-		longest_us = reboot_us;
+		if (best == NULL || (shortest ? reboot_us < best_us : reboot_us > best_us)) {
+			best = vm;
+			best_us = reboot_us;
+		}
 	}
-	return longest;
+	return best;
 }
 
-/* The planner's grants, with the VMs of each pool in the order of their reboot times. */
+/* The planner's grants, with the VMs of each pool in the order of their reboot times: the shortest
+ * ones while the batch grows, then the longest ones first. */
 static GPtrArray *plan_known_times(const plan_input_t *input)
 {
 	GPtrArray *actions = planner_run(input);
@@ -171,7 +177,7 @@
 
 		if (!is_maintenance_grant(action))
 			continue;
-		action->vm = longest_due(input, action->vm->pool, wave->image, granted);
+		action->vm = known_due(input, action->vm->pool, wave, granted);
 		g_hash_table_add(granted, (void *)action->vm);
 	}
 	g_hash_table_unref(granted);
--- a/src/planner.c
+++ b/src/planner.c
@@ -69,21 +69,6 @@
 	       budget_vm_usable(vm, run->in->health, run->in->now_us) && plan_in_contact(run, vm);
 }
 
-uint32_t plan_share(const plan_run_t *run, const fleet_vm_t *vm, bool rack)
-{
-	const fleet_vm_t *other;
-	uint32_t share = 0;
-
-	TAILQ_FOREACH (other, &vm->pool->vms, pool_link) {
-		if (strcmp(other->data_centre, vm->data_centre) == 0 &&
-		    (!rack || strcmp(other->rack, vm->rack) == 0) &&
-		    !g_hash_table_contains(run->taken, other) &&
-		    budget_vm_usable(other, run->in->health, run->in->now_us))
-			share++;
-	}
-	return share;
-}
-
 static const Lp__MaintenanceSpec *maintenance_of(const fleet_vm_t *vm)
 {
 	const Lp__Template *template = vm->pool->org->template;
--- a/src/planner_internal.h
+++ b/src/planner_internal.h
@@ -25,9 +25,6 @@
 budget_t plan_budget(const plan_run_t *run, const fleet_pool_t *pool);
 /** True when the VM may be given a permit as far as its own state and place allow. */
 bool plan_vm_available(const plan_run_t *run, const fleet_vm_t *vm);
-/** Usable VMs of the pool in the VM's rack or data centre, without those taken in this run. */
-uint32_t plan_share(const plan_run_t *run, const fleet_vm_t *vm, bool rack);
-
 /** Steps of VMs on their way: quiesced moves, drains, reboots, probation, losses. */
 void plan_phases(plan_run_t *run, const fleet_vm_t *vm);
 void plan_moves(plan_run_t *run, const fleet_org_t *org);
--- a/src/planner_maintenance.c
+++ b/src/planner_maintenance.c
@@ -36,52 +36,77 @@
 	       vm->phase != LP__VM_PHASE__VM_QUARANTINED;
 }
 
-/* Due VMs of the pool that no permit has been granted to. */
-static uint32_t count_due(const plan_run_t *run, const fleet_pool_t *pool, const fleet_vm_t *like,
-			  const char *image)
+/* True when no permit has been granted to a due VM. */
+static bool is_waiting(const plan_run_t *run, const fleet_vm_t *vm, const char *image)
 {
+	return plan_is_due(vm, image) && vm->permit == LP__PERMIT_KIND__PERMIT_NONE &&
+	       !g_hash_table_contains(run->taken, vm);
+}
+
+/* What the VMs of one rack or data centre add up to. */
+typedef struct {
+	uint32_t usable;
+	uint32_t waiting;
+} place_t;
+
+static place_t *place_of(GHashTable *places, const fleet_vm_t *vm, bool by_rack)
+{
+	char *key = g_strdup_printf("%s/%s", vm->data_centre, by_rack ? vm->rack : "");
+	place_t *place = g_hash_table_lookup(places, key);
+
+	if (place != NULL) {
+		g_free(key);
+		return place;
+	}
+	place = g_new0(place_t, 1);
+	g_hash_table_insert(places, key, place);
+	return place;
+}
+
+static GHashTable *count_places(const plan_run_t *run, const fleet_pool_t *pool, bool by_rack,
+				const char *image)
+{
+	GHashTable *places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	const fleet_vm_t *vm;
-	uint32_t due = 0;
 
 	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
-		if (plan_is_due(vm, image) && vm->permit == LP__PERMIT_KIND__PERMIT_NONE &&
-		    !g_hash_table_contains(run->taken, vm) &&
-		    (like == NULL || (strcmp(vm->rack, like->rack) == 0 &&
-				      strcmp(vm->data_centre, like->data_centre) == 0)))
-			due++;
+		place_t *place = place_of(places, vm, by_rack);
+
+		place->usable += !g_hash_table_contains(run->taken, vm) &&
+				 budget_vm_usable(vm, run->in->health, run->in->now_us);
+		place->waiting += is_waiting(run, vm, image);
 	}
-	return due;
+	return places;
 }
 
 /* Order within a pool: the largest usable share of a rack or data centre first, because it sets
- * the failure reserve; then the rack with most work left. */
-static int compare_due(const plan_run_t *run, const fleet_vm_t *a, const fleet_vm_t *b,
-		       const char *image)
+ * the failure reserve; then the one with most work left. */
+static bool goes_before(const place_t *a, const place_t *b)
 {
-	const Lp__PoolSpec *spec = a->pool->spec;
-	bool by_dc = spec != NULL && spec->reserve_scope == LP__RESERVE_SCOPE__RESERVE_DATA_CENTRE;
-	uint32_t share_a = plan_share(run, a, !by_dc);
-	uint32_t share_b = plan_share(run, b, !by_dc);
-
-	if (share_a != share_b)
-		return share_a > share_b ? -1 : 1;
-	share_a = count_due(run, a->pool, a, image);
-	share_b = count_due(run, b->pool, b, image);
-	if (share_a != share_b)
-		return share_a > share_b ? -1 : 1;
-	return strcmp(a->id, b->id);
+	return a->usable != b->usable ? a->usable > b->usable : a->waiting > b->waiting;
 }
 
 const fleet_vm_t *plan_next_due(const plan_run_t *run, const fleet_pool_t *pool, const char *image)
 {
+	bool by_rack = pool->spec == NULL ||
+		       pool->spec->reserve_scope != LP__RESERVE_SCOPE__RESERVE_DATA_CENTRE;
+	GHashTable *places = count_places(run, pool, by_rack, image);
+	const place_t *best_place = NULL;
 	const fleet_vm_t *best = NULL;
 	const fleet_vm_t *vm;
 
 	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
-		if (plan_is_due(vm, image) && plan_vm_available(run, vm) &&
-		    (best == NULL || compare_due(run, vm, best, image) < 0))
+		const place_t *place;
+
+		if (!is_waiting(run, vm, image) || !plan_vm_available(run, vm))
+			continue;
+		place = place_of(places, vm, by_rack);
+		if (best == NULL || goes_before(place, best_place)) {
 			best = vm;
+			best_place = place;
+		}
 	}
+	g_hash_table_unref(places);
 	return best;
 }
 
@@ -181,60 +206,75 @@
 	return wave->state == LP__WAVE_STATE__WAVE_RUNNING;
 }
 
-static uint32_t count_busy(const plan_run_t *run, const fleet_pool_t *pool)
+/* A pool with VMs to be taken, and what is left to do there. */
+typedef struct {
+	const fleet_pool_t *pool;
+	const fleet_vm_t *next; /* NULL: none can be taken now */
+	double rounds;
+} candidate_t;
+
+static candidate_t candidate_of(const plan_run_t *run, const state_t *state,
+				const fleet_pool_t *pool)
 {
-	const fleet_vm_t *vm;
+	candidate_t candidate = {.pool = pool};
+	uint32_t free = plan_budget(run, pool).free;
+	uint32_t waiting = 0;
 	uint32_t busy = 0;
+	const fleet_vm_t *vm;
 
+	if (free == 0)
+		return candidate;
 	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
-		if (vm->permit == LP__PERMIT_KIND__PERMIT_MAINTENANCE ||
-		    g_hash_table_contains(run->taken, vm))
-			busy++;
+		waiting += is_waiting(run, vm, state->spec->image);
+		busy += vm->permit == LP__PERMIT_KIND__PERMIT_MAINTENANCE ||
+			g_hash_table_contains(run->taken, vm);
 	}
-	return busy;
+	if (waiting == 0)
+		return candidate;
+	candidate.next = plan_next_due(run, pool, state->spec->image);
+	candidate.rounds = (double)waiting / (free + busy);
+	return candidate;
 }
 
 /* The pool with most rounds of work left goes first, because it decides when the wave ends. */
-static const fleet_pool_t *most_constrained(const plan_run_t *run, const state_t *state)
+static candidate_t *most_constrained(GArray *candidates)
 {
-	const fleet_pool_t *best = NULL;
-	const fleet_pool_t *pool;
-	double most = -1;
+	candidate_t *best = NULL;
 
-	TAILQ_FOREACH (pool, &state->org->pools, link) {
-		uint32_t free;
-		double rounds;
+	for (guint i = 0; i < candidates->len; i++) {
+		candidate_t *candidate = &g_array_index(candidates, candidate_t, i);
 
-		if (pool->spec != NULL && !plan_window_open(pool->spec, run->in->wall_ms))
-			continue;
-		free = plan_budget(run, pool).free;
-		if (free == 0 || plan_next_due(run, pool, state->spec->image) == NULL)
-			continue;
-		rounds = (double)count_due(run, pool, NULL, state->spec->image) /
-			 (free + count_busy(run, pool));
-		if (rounds > most) {
-			most = rounds;
-			best = pool;
-		}
+		if (candidate->next != NULL && (best == NULL || candidate->rounds > best->rounds))
+			best = candidate;
 	}
 	return best;
 }
 
 static void grant(plan_run_t *run, const state_t *state)
 {
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	uint32_t limit = state->wave->batch;
 	const fleet_pool_t *pool;
+	candidate_t *best;
 
 	if (state->spec->max_batch != 0)
 		limit = MIN(limit, state->spec->max_batch);
+	TAILQ_FOREACH (pool, &state->org->pools, link) {
+		if (pool->spec == NULL || plan_window_open(pool->spec, run->in->wall_ms)) {
+			candidate_t candidate = candidate_of(run, state, pool);
+
+			g_array_append_val(candidates, candidate);
+		}
+	}
 	for (uint32_t busy = state->busy; busy < limit; busy++) {
-		pool = most_constrained(run, state);
-		if (pool == NULL)
-			return;
-		plan_grant(run, plan_next_due(run, pool, state->spec->image),
-			   LP__PERMIT_KIND__PERMIT_MAINTENANCE, NULL, state->wave->id,
-			   "maintenance wave");
+		best = most_constrained(candidates);
+		if (best == NULL)
+			break;
+		plan_grant(run, best->next, LP__PERMIT_KIND__PERMIT_MAINTENANCE, NULL,
+			   state->wave->id, "maintenance wave");
+		*best = candidate_of(run, state, best->pool);
 	}
+	g_array_unref(candidates);
 }
 
 void plan_maintenance(plan_run_t *run, const fleet_org_t *org)
