--- a/bench/bench_planner.c
+++ b/bench/bench_planner.c
@@ -1,11 +1,13 @@
 /*
  * Compares the planner with simple policies on simulated fleets of 50 VMs.
  *
- *   bench_planner [SEEDS] [CSV-FILE]
+ *   bench_planner [SEEDS [CSV-FILE [rollout|spare]]]
  *
  * Roll-out: one wave over the whole fleet, reboots of 30 to 120 s, rare failures; against one VM at
- * a time per pool, and against fixed batches of 2 per pool. Spare capacity: lasting rises of
- * demand; against a static reserve in each pool, and against moves that follow the present demand.
+ * a time per pool, against fixed batches of 2 per pool, and against the planner with reboot times
+ * known beforehand, which no real planner can reach. Spare capacity: lasting rises
+ * of demand; against a static reserve in each pool, and against moves that follow the present
+ * demand.
  */
 #include <math.h>
 #include <stdio.h>
@@ -14,10 +16,10 @@
 
 #include <glib.h>
 
-#include "../tests/lib_fleet_sim.h"
 #include "budget.h"
 #include "capacity.h"
 #include "clock.h"
+#include "lib_fleet_sim.h"
 #include "template.h"
 
 #define VMS 50
@@ -29,6 +31,9 @@
 /* One VM failure in this time over the whole fleet; rarer ones would not occur in most runs. */
 #define FAILURE_EVERY_S 900
 #define SPARE_RUN_S (4 * 3600)
+#define KNOWN_RAMP 8
+/* Longer than a VM failure and its probation. */
+#define SETTLE_S 300
 
 typedef GPtrArray *(*policy_fn)(const plan_input_t *input);
 
@@ -137,7 +142,51 @@
 	return plan_fixed(input, 2);
 }
 
-static GPtrArray *plan_without_moves(const plan_input_t *input)
+static const fleet_vm_t *known_due(const plan_input_t *input, const fleet_pool_t *pool,
+				   const fleet_wave_t *wave, GHashTable *granted)
+{
+	bool shortest = wave->batch < KNOWN_RAMP;
+	const fleet_vm_t *best = NULL;
+	uint64_t best_us = 0;
+	const fleet_vm_t *vm;
+
+	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
+		uint64_t reboot_us = sim_find_vm(input->arg, vm->id)->reboot_us;
+
+		if (strcmp(vm->image, wave->image) == 0 ||
+		    vm->permit != LP__PERMIT_KIND__PERMIT_NONE ||
+		    !budget_vm_usable(vm, input->health, input->now_us) ||
+		    g_hash_table_contains(granted, vm))
+			continue;
+		if (best == NULL || (shortest ? reboot_us < best_us : reboot_us > best_us)) {
+			best = vm;
+			best_us = reboot_us;
+		}
+	}
+	return best;
+}
+
+/* The planner's grants, with the VMs of each pool in the order of their reboot times: the shortest
+ * ones while the batch grows, then the longest ones first. */
+static GPtrArray *plan_known_times(const plan_input_t *input)
+{
+	GPtrArray *actions = planner_run(input);
+	GHashTable *granted = g_hash_table_new(g_direct_hash, g_direct_equal);
+	const fleet_wave_t *wave = TAILQ_FIRST(&input->fleet->waves);
+
+	for (guint i = 0; i < actions->len; i++) {
+		plan_action_t *action = g_ptr_array_index(actions, i);
+
+		if (!is_maintenance_grant(action))
+			continue;
+		action->vm = known_due(input, action->vm->pool, wave, granted);
+		g_hash_table_add(granted, (void *)action->vm);
+	}
+	g_hash_table_unref(granted);
+	return actions;
+}
+
+static GPtrArray *plan_without_grants(const plan_input_t *input)
 {
 	GPtrArray *actions = planner_run(input);
 
@@ -193,36 +242,80 @@
 
 		vm->reboot_us = (uint64_t)g_rand_int_range(sim->rand, 30, 121) * US_PER_S;
 	}
-	/* The wave starts when all VMs have announced themselves. */
-	for (int dc = 0; dc < dcs; dc++)
-		sim->cut[dc] = false;
 }
 
-static rollout_t run_rollout(const Lp__Template *template, policy_fn policy, uint32_t seed, int dcs)
+static double lower_bound_s(sim_t *sim, const Lp__Template *template)
 {
-	rollout_t result = {0};
+	plan_input_t input = sim_input(sim);
 	plan_estimate_t estimate;
-	plan_input_t input;
-	sim_t sim;
+	double bound;
 
-	set_up_rollout(&sim, template, seed, dcs);
-	sim.plan = policy;
-	sim_step(&sim);
-	input = sim_input(&sim);
-	planner_estimate(&input, template, (uint64_t)mean_reboot_ms(&sim), &estimate);
-	result.bound = (double)estimate.rollout_bound_ms / 1000;
+	planner_estimate(&input, template, (uint64_t)mean_reboot_ms(sim), &estimate);
+	bound = (double)estimate.rollout_bound_ms / 1000;
 	plan_estimate_finish(&estimate);
+	return bound;
+}
+
+/* Each VM's next reboot takes its own time again, within a tenth. */
+static void vary_reboots(sim_t *sim)
+{
+	for (size_t i = 0; i < sim->vm_count; i++) {
+		double factor = g_rand_double_range(sim->rand, 0.9, 1.1);
+
+		sim->vms[i].reboot_us = (uint64_t)((double)sim->vms[i].reboot_us * factor);
+	}
+}
+
+static rollout_t run_wave(sim_t *sim, const Lp__Template *template)
+{
+	uint64_t violations = sim->violations;
+	uint64_t moves = sim->moves;
+	rollout_t result = {.bound = lower_bound_s(sim, template)};
+
 	while (result.seconds < ROLLOUT_LIMIT_S &&
-	       !sim_wave_finished(&sim, template->organisation)) {
-		fail_rarely(&sim);
-		sim_step(&sim);
+	       !sim_wave_finished(sim, template->organisation)) {
+		fail_rarely(sim);
+		sim_step(sim);
 		result.seconds++;
-		result.below_keep += pools_below_keep(&sim, template->organisation);
+		result.below_keep += pools_below_keep(sim, template->organisation);
 	}
 	result.ratio = result.seconds / result.bound;
-	result.violations = (double)sim.violations;
-	result.moves = (double)sim.moves;
+	result.violations = (double)(sim->violations - violations);
+	result.moves = (double)(sim->moves - moves);
+	return result;
+}
+
+static void wait_until_whole(sim_t *sim)
+{
+	sim->plan = plan_without_grants;
+	for (int second = 0; second < SETTLE_S; second++)
+		sim_step(sim);
+}
+
+/* @param waves the result is that of the last of so many waves */
+static rollout_t run_rollout(const char *file, bool tight, policy_fn policy, int waves,
+			     uint32_t seed, int dcs)
+{
+	Lp__Template *template = load_template(file);
+	rollout_t result = {0};
+	sim_t sim;
+
+	for (size_t i = 0; tight && i < template->n_pools; i++)
+		template->pools[i]->keep_vms = VMS / POOLS - 2;
+	set_up_rollout(&sim, template, seed, dcs);
+	for (int wave = 0; wave < waves; wave++) {
+		if (wave > 0) {
+			free(template->maintenance->image);
+			template->maintenance->image = strdup("next");
+			vary_reboots(&sim);
+			sim_apply_template(&sim, template);
+		}
+		wait_until_whole(&sim);
+		sim.plan = policy;
+		result = run_wave(&sim, template);
+	}
 	sim_finish(&sim);
+	lp__template__free_unpacked(template, NULL);
 	return result;
 }
 
@@ -237,6 +330,7 @@
 } load_t;
 
 #define BASE_SLOTS 28.0
+#define SHARED_VMS 9
 #define RISE 2.2
 #define RAMP_PER_S 0.01
 /* Use of the slots that a pool is sized for; the same for all policies. */
@@ -341,7 +435,7 @@
 static void add_vms(spare_run_t *run, Lp__Template *template, spare_kind_t kind, int dcs)
 {
 	/* A pool's own reserve covers its rise and one failure; the shared spare pool covers the
-	 * rises of two pools at a time. */
+	 * rises of two pools at a time and one failure. */
 	int own = (int)ceil(BASE_SLOTS * RISE / (USE * SLOTS)) + 1;
 	int counts[POOLS];
 	int number = 0;
@@ -352,7 +446,7 @@
 		if (kind == SPARE_STATIC)
 			counts[i] = spare ? 5 : own;
 		else
-			counts[i] = spare ? 5 + 8 : 8;
+			counts[i] = spare ? 5 + SHARED_VMS : 8;
 		template->pools[i]->keep_vms = spare ? 4 : 5;
 		template->pools[i]->min_vms = spare ? 5 : MIN(8U, (uint32_t)counts[i]);
 		template->pools[i]->max_vms = 0;
@@ -381,7 +475,7 @@
 	sim_init(&run.sim, seed);
 	capacity_init(&run.capacity);
 	if (kind == SPARE_STATIC)
-		run.sim.plan = plan_without_moves;
+		run.sim.plan = plan_without_grants;
 	add_vms(&run, template, kind, dcs);
 	for (int i = 0; i < POOLS; i++)
 		run.loads[i] = (load_t){.base = BASE_SLOTS, .level = 1};
@@ -420,28 +514,34 @@
 
 	qsort(values, (size_t)count, sizeof(*values), compare_doubles);
 	median = count % 2 ? values[count / 2] : (values[count / 2 - 1] + values[count / 2]) / 2;
-	printf("%-28s %-14s %10.3f %10.3f %10.3f\n", row, metric, median, values[0],
+	printf("%-36s %-14s %10.3f %10.3f %10.3f\n", row, metric, median, values[0],
 	       values[count - 1]);
 	if (csv != NULL)
-		fprintf(csv, "%s,%s,%.4f,%.4f,%.4f,%d\n", row, metric, median, values[0],
+		fprintf(csv, "\"%s\",%s,%.4f,%.4f,%.4f,%d\n", row, metric, median, values[0],
 			values[count - 1], count);
 }
 
-static void bench_rollout(FILE *csv, const char *file, int dcs, int seeds)
+/* A tight fleet has keep_vms raised so that each pool can spare one VM. */
+static void bench_rollout(FILE *csv, const char *file, const char *org, int dcs, int seeds,
+			  bool tight)
 {
 	static const struct {
 		const char *name;
 		policy_fn plan;
+		int waves;
 	} policies[] = {
-		{"planner", planner_run}, {"one-per-pool", plan_one}, {"two-per-pool", plan_two}};
-	Lp__Template *template = load_template(file);
+		{"planner, first wave", planner_run, 1}, {"planner, second wave", planner_run, 2},
+		{"times known", plan_known_times, 1},	 {"one per pool", plan_one, 1},
+		{"two per pool", plan_two, 1},
+	};
 
 	for (size_t p = 0; p < G_N_ELEMENTS(policies); p++) {
 		double values[6][MAX_SEEDS];
 		char row[64];
 
 		for (int s = 0; s < seeds; s++) {
-			rollout_t r = run_rollout(template, policies[p].plan, (uint32_t)s + 1, dcs);
+			rollout_t r = run_rollout(file, tight, policies[p].plan, policies[p].waves,
+						  (uint32_t)s + 1, dcs);
 
 			values[0][s] = r.seconds;
 			values[1][s] = r.bound;
@@ -450,7 +550,8 @@
 			values[4][s] = r.below_keep;
 			values[5][s] = r.moves;
 		}
-		snprintf(row, sizeof(row), "%s/%s", template->organisation, policies[p].name);
+		snprintf(row, sizeof(row), "%s%s: %s", org, tight ? " tight" : "",
+			 policies[p].name);
 		print_metric(csv, row, "rollout_s", values[0], seeds);
 		print_metric(csv, row, "bound_s", values[1], seeds);
 		print_metric(csv, row, "rollout/bound", values[2], seeds);
@@ -458,12 +559,11 @@
 		print_metric(csv, row, "below_keep_s", values[4], seeds);
 		print_metric(csv, row, "moves", values[5], seeds);
 	}
-	lp__template__free_unpacked(template, NULL);
 }
 
 static void bench_spare(FILE *csv, const char *file, const char *org, int dcs, int seeds)
 {
-	static const char *const names[] = {"shared-spare", "static-reserve", "present-demand"};
+	static const char *const names[] = {"shared spare", "static reserve", "present demand"};
 
 	for (int kind = SPARE_SHARED; kind <= SPARE_PRESENT; kind++) {
 		double values[3][MAX_SEEDS];
@@ -476,7 +576,7 @@
 			values[1][s] = r.kept * 100;
 			values[2][s] = r.moves;
 		}
-		snprintf(row, sizeof(row), "%s/%s", org, names[kind]);
+		snprintf(row, sizeof(row), "%s: %s", org, names[kind]);
 		print_metric(csv, row, "idle_vms", values[0], seeds);
 		print_metric(csv, row, "kept_percent", values[1], seeds);
 		print_metric(csv, row, "moves", values[2], seeds);
@@ -485,20 +585,29 @@
 
 int main(int argc, char **argv)
 {
+	const char *part = argc > 3 ? argv[3] : "";
 	int seeds = argc > 1 ? (int)strtol(argv[1], NULL, 10) : DEFAULT_SEEDS;
 	FILE *csv = argc > 2 ? fopen(argv[2], "w") : NULL;
 
 	if (seeds < 1 || seeds > MAX_SEEDS || (argc > 2 && csv == NULL)) {
-		fprintf(stderr, "usage: bench_planner [SEEDS (1 to %d)] [CSV-FILE]\n", MAX_SEEDS);
+		fprintf(stderr,
+			"usage: bench_planner [SEEDS (1 to %d) [CSV-FILE [rollout|spare]]]\n",
+			MAX_SEEDS);
 		return 2;
 	}
-	printf("%-28s %-14s %10s %10s %10s\n", "policy", "metric", "median", "least", "greatest");
+	printf("%-36s %-14s %10s %10s %10s\n", "policy", "metric", "median", "least", "greatest");
 	if (csv != NULL)
 		fprintf(csv, "policy,metric,median,least,greatest,seeds\n");
-	bench_rollout(csv, "examples/barid.yaml", 4, seeds);
-	bench_rollout(csv, "examples/tesfaye.yaml", 3, seeds);
-	bench_spare(csv, "examples/barid.yaml", "barid", 4, seeds);
-	bench_spare(csv, "examples/tesfaye.yaml", "tesfaye", 3, seeds);
+	if (strcmp(part, "spare") != 0) {
+		bench_rollout(csv, "examples/barid.yaml", "barid", 4, seeds, false);
+		bench_rollout(csv, "examples/tesfaye.yaml", "tesfaye", 3, seeds, false);
+		bench_rollout(csv, "examples/barid.yaml", "barid", 4, seeds, true);
+		bench_rollout(csv, "examples/tesfaye.yaml", "tesfaye", 3, seeds, true);
+	}
+	if (strcmp(part, "rollout") != 0) {
+		bench_spare(csv, "examples/barid.yaml", "barid", 4, seeds);
+		bench_spare(csv, "examples/tesfaye.yaml", "tesfaye", 3, seeds);
+	}
 	if (csv != NULL)
 		fclose(csv);
 	return 0;
--- a/src/planner_internal.h
+++ b/src/planner_internal.h
@@ -25,9 +25,6 @@
 budget_t plan_budget(const plan_run_t *run, const fleet_pool_t *pool);
 /** True when the VM may be given a permit as far as its own state and place allow. */
 bool plan_vm_available(const plan_run_t *run, const fleet_vm_t *vm);
-/** Usable VMs of the pool in the VM's rack or data centre, without those taken in this run. */
-uint32_t plan_share(const plan_run_t *run, const fleet_vm_t *vm, bool rack);
-
 /** Steps of VMs on their way: quiesced moves, drains, reboots, probation, losses. */
 void plan_phases(plan_run_t *run, const fleet_vm_t *vm);
 void plan_moves(plan_run_t *run, const fleet_org_t *org);
@@ -35,8 +32,12 @@
 
 /** VMs of the pool whose image differs and that a wave can reach. */
 bool plan_is_due(const fleet_vm_t *vm, const char *image);
-/** The VM of the pool to be maintained next, or NULL. */
-const fleet_vm_t *plan_next_due(const plan_run_t *run, const fleet_pool_t *pool, const char *image);
+/**
+ * The VM of the pool to be maintained next, or NULL.
+ * @param ramp the batch, not the budgets, limits the VMs that are out
+ */
+const fleet_vm_t *plan_next_due(const plan_run_t *run, const fleet_pool_t *pool, const char *image,
+				bool ramp);
 /** True when one of the pool's windows is open, or it has none. */
 bool plan_window_open(const Lp__PoolSpec *spec, uint64_t wall_ms);
 /** VMs of the pool that are neither lost nor quarantined, after the moves under way. */
--- a/src/planner_maintenance.c
+++ b/src/planner_maintenance.c
@@ -36,52 +36,94 @@
 	       vm->phase != LP__VM_PHASE__VM_QUARANTINED;
 }
 
-/* Due VMs of the pool that no permit has been granted to. */
-static uint32_t count_due(const plan_run_t *run, const fleet_pool_t *pool, const fleet_vm_t *like,
-			  const char *image)
+/* True when no permit has been granted to a due VM. */
+static bool is_waiting(const plan_run_t *run, const fleet_vm_t *vm, const char *image)
 {
+	return plan_is_due(vm, image) && vm->permit == LP__PERMIT_KIND__PERMIT_NONE &&
+	       !g_hash_table_contains(run->taken, vm);
+}
+
+/* What the VMs of one rack or data centre add up to. */
+typedef struct {
+	uint32_t usable;
+	uint32_t waiting;
+} place_t;
+
+static place_t *place_of(GHashTable *places, const fleet_vm_t *vm, bool by_rack)
+{
+	char *key = g_strdup_printf("%s/%s", vm->data_centre, by_rack ? vm->rack : "");
+	place_t *place = g_hash_table_lookup(places, key);
+
+	if (place != NULL) {
+		g_free(key);
+		return place;
+	}
+	place = g_new0(place_t, 1);
+	g_hash_table_insert(places, key, place);
+	return place;
+}
+
+static GHashTable *count_places(const plan_run_t *run, const fleet_pool_t *pool, bool by_rack,
+				const char *image)
+{
+	GHashTable *places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	const fleet_vm_t *vm;
-	uint32_t due = 0;
 
 	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
-		if (plan_is_due(vm, image) && vm->permit == LP__PERMIT_KIND__PERMIT_NONE &&
-		    !g_hash_table_contains(run->taken, vm) &&
-		    (like == NULL || (strcmp(vm->rack, like->rack) == 0 &&
-				      strcmp(vm->data_centre, like->data_centre) == 0)))
-			due++;
+		place_t *place = place_of(places, vm, by_rack);
+
+		place->usable += !g_hash_table_contains(run->taken, vm) &&
+				 budget_vm_usable(vm, run->in->health, run->in->now_us);
+		place->waiting += is_waiting(run, vm, image);
 	}
-	return due;
+	return places;
 }
 
-/* Order within a pool: the largest usable share of a rack or data centre first, because it sets
- * the failure reserve; then the rack with most work left. */
-static int compare_due(const plan_run_t *run, const fleet_vm_t *a, const fleet_vm_t *b,
-		       const char *image)
+/* What the order of two due VMs depends on. */
+typedef struct {
+	GHashTable *places;
+	bool by_rack;
+	bool reserve_by_place;
+	bool ramp; /* the batch, not the budgets, limits the VMs that are out */
+} order_t;
+
+/* The largest usable share of a rack or data centre goes first where it sets the failure reserve.
+ * After that the expected time decides: short reboots first while the batch grows, because each
+ * success raises it, and long ones first afterwards, so that none is left for the end. */
+static bool goes_before(const order_t *order, const fleet_vm_t *a, const fleet_vm_t *b)
 {
-	const Lp__PoolSpec *spec = a->pool->spec;
-	bool by_dc = spec != NULL && spec->reserve_scope == LP__RESERVE_SCOPE__RESERVE_DATA_CENTRE;
-	uint32_t share_a = plan_share(run, a, !by_dc);
-	uint32_t share_b = plan_share(run, b, !by_dc);
-
-	if (share_a != share_b)
-		return share_a > share_b ? -1 : 1;
-	share_a = count_due(run, a->pool, a, image);
-	share_b = count_due(run, b->pool, b, image);
-	if (share_a != share_b)
-		return share_a > share_b ? -1 : 1;
-	return strcmp(a->id, b->id);
+	const place_t *place_a = place_of(order->places, a, order->by_rack);
+	const place_t *place_b = place_of(order->places, b, order->by_rack);
+
+	if (order->reserve_by_place && place_a->usable != place_b->usable)
+		return place_a->usable > place_b->usable;
+	if (a->out_ms != 0 && b->out_ms != 0 && a->out_ms != b->out_ms)
+		return order->ramp ? a->out_ms < b->out_ms : a->out_ms > b->out_ms;
+	if (place_a->usable != place_b->usable)
+		return place_a->usable > place_b->usable;
+	return place_a->waiting > place_b->waiting;
 }
 
-const fleet_vm_t *plan_next_due(const plan_run_t *run, const fleet_pool_t *pool, const char *image)
+const fleet_vm_t *plan_next_due(const plan_run_t *run, const fleet_pool_t *pool, const char *image,
+				bool ramp)
 {
+	Lp__ReserveScope scope =
+		pool->spec != NULL ? pool->spec->reserve_scope : LP__RESERVE_SCOPE__RESERVE_VMS;
+	order_t order = {
+		.by_rack = scope != LP__RESERVE_SCOPE__RESERVE_DATA_CENTRE,
+		.reserve_by_place = scope != LP__RESERVE_SCOPE__RESERVE_VMS,
+		.ramp = ramp,
+	};
 	const fleet_vm_t *best = NULL;
 	const fleet_vm_t *vm;
 
+	order.places = count_places(run, pool, order.by_rack, image);
 	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
-		if (plan_is_due(vm, image) && plan_vm_available(run, vm) &&
-		    (best == NULL || compare_due(run, vm, best, image) < 0))
+		if (is_waiting(run, vm, image) && plan_vm_available(run, vm) &&
+		    (best == NULL || goes_before(&order, vm, best)))
 			best = vm;
 	}
+	g_hash_table_unref(order.places);
 	return best;
 }
 
@@ -181,60 +223,95 @@
 	return wave->state == LP__WAVE_STATE__WAVE_RUNNING;
 }
 
-static uint32_t count_busy(const plan_run_t *run, const fleet_pool_t *pool)
+/* Expected time of a reboot that has not been measured; all that counts is that it is the same for
+ * all such VMs and within the range of the measured ones. */
+#define UNKNOWN_OUT_MS 75000
+
+/* A pool with VMs to be taken, and what is left to do there. */
+typedef struct {
+	const fleet_pool_t *pool;
+	uint32_t waiting;
+	uint32_t parallel; /* VMs that the budget lets be out at a time */
+	uint32_t free;
+	double time_ms; /* that the waiting VMs need */
+} candidate_t;
+
+static candidate_t candidate_of(const plan_run_t *run, const state_t *state,
+				const fleet_pool_t *pool)
 {
-	const fleet_vm_t *vm;
+	candidate_t candidate = {.pool = pool, .free = plan_budget(run, pool).free};
 	uint32_t busy = 0;
+	uint64_t work_ms = 0;
+	const fleet_vm_t *vm;
 
 	TAILQ_FOREACH (vm, &pool->vms, pool_link) {
-		if (vm->permit == LP__PERMIT_KIND__PERMIT_MAINTENANCE ||
-		    g_hash_table_contains(run->taken, vm))
-			busy++;
+		busy += vm->permit == LP__PERMIT_KIND__PERMIT_MAINTENANCE ||
+			g_hash_table_contains(run->taken, vm);
+		if (!is_waiting(run, vm, state->spec->image) || !plan_vm_available(run, vm))
+			continue;
+		candidate.waiting++;
+		work_ms += vm->out_ms != 0 ? vm->out_ms : UNKNOWN_OUT_MS;
 	}
-	return busy;
+	candidate.parallel = candidate.free + busy;
+	if (candidate.parallel > 0)
+		candidate.time_ms = (double)work_ms / candidate.parallel;
+	return candidate;
 }
 
-/* The pool with most rounds of work left goes first, because it decides when the wave ends. */
-static const fleet_pool_t *most_constrained(const plan_run_t *run, const state_t *state)
+/* The pool with most work left goes first, because it decides when the wave ends. */
+static candidate_t *most_constrained(GArray *candidates)
 {
-	const fleet_pool_t *best = NULL;
+	candidate_t *best = NULL;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		candidate_t *candidate = &g_array_index(candidates, candidate_t, i);
+
+		if (candidate->waiting > 0 && candidate->free > 0 &&
+		    (best == NULL || candidate->time_ms > best->time_ms))
+			best = candidate;
+	}
+	return best;
+}
+
+static GArray *find_candidates(const plan_run_t *run, const state_t *state)
+{
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 	const fleet_pool_t *pool;
-	double most = -1;
 
 	TAILQ_FOREACH (pool, &state->org->pools, link) {
-		uint32_t free;
-		double rounds;
+		if (pool->spec == NULL || plan_window_open(pool->spec, run->in->wall_ms)) {
+			candidate_t candidate = candidate_of(run, state, pool);
 
-		if (pool->spec != NULL && !plan_window_open(pool->spec, run->in->wall_ms))
-			continue;
-		free = plan_budget(run, pool).free;
-		if (free == 0 || plan_next_due(run, pool, state->spec->image) == NULL)
-			continue;
-		rounds = (double)count_due(run, pool, NULL, state->spec->image) /
-			 (free + count_busy(run, pool));
-		if (rounds > most) {
-			most = rounds;
-			best = pool;
+			g_array_append_val(candidates, candidate);
 		}
 	}
-	return best;
+	return candidates;
 }
 
 static void grant(plan_run_t *run, const state_t *state)
 {
+	GArray *candidates = find_candidates(run, state);
 	uint32_t limit = state->wave->batch;
-	const fleet_pool_t *pool;
+	uint32_t parallel = 0;
+	candidate_t *best;
 
 	if (state->spec->max_batch != 0)
 		limit = MIN(limit, state->spec->max_batch);
+	for (guint i = 0; i < candidates->len; i++)
+		parallel += g_array_index(candidates, candidate_t, i).parallel;
 	for (uint32_t busy = state->busy; busy < limit; busy++) {
-		pool = most_constrained(run, state);
-		if (pool == NULL)
-			return;
-		plan_grant(run, plan_next_due(run, pool, state->spec->image),
-			   LP__PERMIT_KIND__PERMIT_MAINTENANCE, NULL, state->wave->id,
+		const fleet_vm_t *vm;
+
+		best = most_constrained(candidates);
+		if (best == NULL)
+			break;
+		vm = plan_next_due(run, best->pool, state->spec->image,
+				   state->wave->batch < parallel);
+		plan_grant(run, vm, LP__PERMIT_KIND__PERMIT_MAINTENANCE, NULL, state->wave->id,
 			   "maintenance wave");
+		*best = candidate_of(run, state, best->pool);
 	}
+	g_array_unref(candidates);
 }
 
 void plan_maintenance(plan_run_t *run, const fleet_org_t *org)
