--- a/src/claims_config.c
+++ b/src/claims_config.c
@@ -239,10 +239,11 @@
 
 	if (node_id == claims->config.node_id)
 		return true;
-	if (claims->lost && read->complete && read->intact)
-		return true;
+	/* A member that is still reading may wait for this one: only a whole answer settles it. */
+	if (claims->lost)
+		return read->complete && read->intact;
 	if (before == NULL || !claims_set_has(before, node_id))
-		return !claims->lost;
+		return true;
 	return read->complete && read->intact_before;
 }
 
@@ -355,7 +356,6 @@
 		claims_current(claims)->full = true;
 	} else if (claims->lost && retention_passed(claims, claims->started_us)) {
 		claims->lost = false;
-		claims->sets[0]->full = true;
 	}
 	for (size_t i = 0; i < claims->set_count && !claims->lost; i++)
 		claims->sets[i]->full = is_full(claims, i);
