--- a/src/proxy.c
+++ b/src/proxy.c
@@ -38,8 +38,7 @@
 
 static void request_free(proxy_request_t *request)
 {
-	LIST_REMOVE(request, link);
-	request->proxy->count--;
+	g_queue_unlink(&request->proxy->requests, &request->link);
 	proxy_path_clear(&request->path);
 	g_free(request->answer.content_type);
 	g_free(request->answer.body.data);
@@ -480,8 +479,8 @@
 	request->ticket.notify = notify;
 	request->forwarded = http_request_header(http, HEADER_FORWARDED) != NULL;
 	g_strlcpy(request->ticket.class_name, "none", sizeof(request->ticket.class_name));
-	LIST_INSERT_HEAD(&proxy->requests, request, link);
-	proxy->count++;
+	request->link.data = request;
+	g_queue_push_head_link(&proxy->requests, &request->link);
 	set_id(request);
 	if (proxy_path_parse(http_request_path(http), &request->path, &reason) != 0) {
 		request->path.organisation = g_strdup("none");
@@ -514,7 +513,7 @@
 
 	proxy->config = *config;
 	proxy->link = proxy_link_create(config->mailbox);
-	LIST_INIT(&proxy->requests);
+	g_queue_init(&proxy->requests);
 	/* Not from the seed: ids must differ between processes and restarts. */
 	proxy->id_base = (uint64_t)g_rand_int(random) << 32 | g_rand_int(random);
 	g_rand_free(random);
@@ -527,18 +526,19 @@
 
 unsigned proxy_requests(const proxy_t *proxy)
 {
-	return proxy->count;
+	return proxy->requests.length;
 }
 
 void proxy_stop(proxy_t *proxy)
 {
-	proxy_request_t *request;
-	proxy_request_t *next;
+	GList *next;
 
 	proxy->stopping = true;
 	proxy_link_close(proxy->link);
-	for (request = LIST_FIRST(&proxy->requests); request != NULL; request = next) {
-		next = LIST_NEXT(request, link);
+	for (GList *link = proxy->requests.head; link != NULL; link = next) {
+		proxy_request_t *request = link->data;
+
+		next = link->next;
 		if (request->step == PROXY_QUEUED &&
 		    route_cancel(proxy->config.routes, &request->ticket))
 			give_up(request, 503, "the process is stopping");
@@ -552,7 +552,7 @@
 	proxy_request_t *request;
 
 	/* A claim that arrives now finds the link closed and is released. */
-	while ((request = LIST_FIRST(&proxy->requests)) != NULL) {
+	while ((request = g_queue_peek_head(&proxy->requests)) != NULL) {
 		if (request->step == PROXY_RECORDING)
 			proxy_on_recorded(request);
 		else
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <pthread.h>
-#include <sys/queue.h>
 
 #include <glib.h>
 
@@ -47,7 +46,7 @@
 
 typedef struct proxy_request {
 	route_ticket_t ticket; /* first, so that a ticket is its request */
-	LIST_ENTRY(proxy_request) link;
+	GList link;	       /* in the proxy's queue */
 	proxy_t *proxy;
 	http_request_t *http;
 	proxy_path_t path;
@@ -71,8 +70,7 @@
 struct proxy {
 	proxy_config_t config;
 	proxy_link_t *link;
-	LIST_HEAD(proxy_request_list, proxy_request) requests;
-	unsigned count;
+	GQueue requests; /* proxy_request_t */
 	uint64_t sequence;
 	uint64_t id_base;
 	metrics_counter_t *mismatched;
--- a/src/route_table.c
+++ b/src/route_table.c
@@ -341,43 +341,43 @@
 	to->leaving = from->leaving;
 }
 
-void route_table_set_target(route_table_t *table, const route_target_t *spec)
+void route_table_set_target(route_table_t *table, const route_target_t *target)
 {
 	route_announcement_t kept = {0};
-	route_target_entry_t *target;
+	route_target_entry_t *entry;
 	route_pool_t *pool;
 
-	if (strcmp(spec->data_centre, table->data_centre) != 0) {
-		route_table_remove_target(table, spec->vm);
+	if (strcmp(target->data_centre, table->data_centre) != 0) {
+		route_table_remove_target(table, target->vm);
 		return;
 	}
 	pthread_mutex_lock(&table->lock);
-	pool = pool_find_or_add(table, spec->organisation, spec->pool);
-	target = g_hash_table_lookup(table->by_vm, spec->vm);
-	if (target != NULL && target->pool != pool) {
+	pool = pool_find_or_add(table, target->organisation, target->pool);
+	entry = g_hash_table_lookup(table->by_vm, target->vm);
+	if (entry != NULL && entry->pool != pool) {
 		kept = (route_announcement_t){
-			.at_us = target->announced_us,
-			.echoed_epoch = target->echoed_epoch,
-			.echoed_cordoned = target->echoed_cordoned,
-			.leaving = target->leaving,
+			.at_us = entry->announced_us,
+			.echoed_epoch = entry->echoed_epoch,
+			.echoed_cordoned = entry->echoed_cordoned,
+			.leaving = entry->leaving,
 		};
-		detach(table, target);
-		target = NULL;
+		detach(table, entry);
+		entry = NULL;
 	}
-	if (target == NULL) {
-		target = attach(table, pool, spec->vm);
-		move_announcement(target, &kept);
+	if (entry == NULL) {
+		entry = attach(table, pool, target->vm);
+		move_announcement(entry, &kept);
 	}
 	pthread_mutex_lock(&pool->shard->lock);
-	if (target->address == NULL || strcmp(target->address, spec->address) != 0) {
-		g_free(target->address);
-		target->address = g_strdup(spec->address);
+	if (entry->address == NULL || strcmp(entry->address, target->address) != 0) {
+		g_free(entry->address);
+		entry->address = g_strdup(target->address);
 	}
-	target->epoch = spec->epoch;
-	target->routable = spec->routable;
-	target->slot_limit = spec->slots;
-	target->connection_limit = spec->connections;
-	set_share(table, target);
+	entry->epoch = target->epoch;
+	entry->routable = target->routable;
+	entry->slot_limit = target->slots;
+	entry->connection_limit = target->connections;
+	set_share(table, entry);
 	pthread_mutex_unlock(&pool->shard->lock);
 	pthread_mutex_unlock(&table->lock);
 }
--- a/src/router.c
+++ b/src/router.c
@@ -20,25 +20,30 @@
 	return ejected;
 }
 
-/* Targets that leave the pool can leave more than half of the others ejected. */
-static void limit_ejections(const router_candidate_t *candidates, size_t count)
+static router_target_t *first_to_return(const router_candidate_t *candidates, size_t count)
 {
-	size_t ejected = count_ejected(candidates, count);
+	router_target_t *first = NULL;
 
-	while (ejected > count / 2) {
-		router_target_t *first = NULL;
+	for (size_t i = 0; i < count; i++) {
+		router_target_t *target = candidates[i].target;
+
+		if (target->ejected &&
+		    (first == NULL || target->ejected_until_us < first->ejected_until_us))
+			first = target;
+	}
+	return first;
+}
 
-		for (size_t i = 0; i < count; i++) {
-			router_target_t *target = candidates[i].target;
+/* Targets that leave the pool can leave more than half of the others ejected. */
+static void limit_ejections(const router_candidate_t *candidates, size_t count)
+{
+	while (count_ejected(candidates, count) > count / 2) {
+		router_target_t *first = first_to_return(candidates, count);
 
-			if (target->ejected &&
-			    (first == NULL || target->ejected_until_us < first->ejected_until_us))
-				first = target;
-		}
-		g_assert(first != NULL);
+		if (first == NULL)
+			return;
 		first->ejected = false;
 		first->trial = false;
-		ejected--;
 	}
 }
 
