--- /dev/null
+++ b/tests/test_admission.c
@@ -0,0 +1,161 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "admission.h"
+#include "clock.h"
+
+#define CLASSES 3
+#define ENTRIES 200
+
+typedef struct {
+	admission_t admission;
+	admission_class_t classes[CLASSES];
+	admission_entry_t entries[ENTRIES];
+	admission_class_t *class_of[ENTRIES];
+} fixture_t;
+
+static void init(fixture_t *f, uint32_t limit)
+{
+	*f = (fixture_t){0};
+	admission_init(&f->admission);
+	for (unsigned i = 0; i < CLASSES; i++)
+		admission_add_class(&f->admission, &f->classes[i], i, limit);
+}
+
+static admission_result_t offer(fixture_t *f, unsigned i, unsigned class, uint64_t allowance_us,
+				uint32_t free_slots, uint64_t now_us)
+{
+	f->class_of[i] = &f->classes[class];
+	f->entries[i].allowance_us = allowance_us;
+	f->entries[i].deadline_us = now_us + allowance_us;
+	return admission_offer(&f->admission, &f->classes[class], &f->entries[i], 8, free_slots,
+			       now_us);
+}
+
+/* Guards against queues beyond their limit, lost entries, and starts that can only be late. */
+static void test_random_sequences(void **state)
+{
+	for (guint32 seed = 1; seed <= 20; seed++) {
+		GRand *random = g_rand_new_with_seed(seed);
+		uint64_t now_us = 1;
+		unsigned queued = 0;
+		fixture_t f;
+
+		init(&f, 30);
+		for (unsigned step = 0; step < 20000; step++) {
+			unsigned i = (unsigned)g_rand_int_range(random, 0, ENTRIES);
+			unsigned class = (unsigned)g_rand_int_range(random, 0, CLASSES);
+			admission_entry_t *entry = &f.entries[i];
+			bool late;
+
+			now_us += (uint64_t)g_rand_int_range(random, 0, 3000);
+			switch (g_rand_int_range(random, 0, 6)) {
+			case 0:
+				entry = admission_next(&f.admission, now_us, &late);
+				queued -= entry != NULL;
+				assert_true(entry == NULL || late || now_us <= entry->deadline_us);
+				break;
+			case 1:
+				admission_served(&f.classes[class],
+						 (uint64_t)g_rand_int_range(random, 1, 50000));
+				break;
+			case 2:
+				if (entry->queued) {
+					admission_remove(&f.admission, f.class_of[i], entry);
+					queued--;
+				}
+				break;
+			case 3:
+				while (admission_take_late(&f.admission, now_us) != NULL)
+					queued--;
+				break;
+			default:
+				if (!entry->queued &&
+				    offer(&f, i, class, 100000, 0, now_us) == ADMISSION_QUEUED)
+					queued++;
+				break;
+			}
+			assert_int_equal(f.admission.length, queued);
+			assert_true(f.classes[class].length <= 30);
+		}
+		g_rand_free(random);
+	}
+}
+
+/* Guards against a class that takes more slot time than its priority gives it, or starves. */
+static void test_slot_time_follows_priority(void **state)
+{
+	static const uint64_t service_us[CLASSES] = {9000, 1000, 4000};
+	double used_us[CLASSES] = {0};
+	fixture_t f;
+	bool late;
+
+	init(&f, ENTRIES);
+	for (unsigned i = 0; i < CLASSES; i++)
+		f.classes[i].service_us = (double)service_us[i];
+	for (unsigned i = 0; i < ENTRIES; i++)
+		offer(&f, i, i % CLASSES, 3600 * US_PER_S, ENTRIES, 1);
+	for (unsigned step = 0; step < 100000; step++) {
+		admission_entry_t *entry = admission_next(&f.admission, 1, &late);
+		unsigned i = (unsigned)(entry - f.entries);
+
+		used_us[f.class_of[i] - f.classes] += (double)service_us[f.class_of[i] - f.classes];
+		offer(&f, i, (unsigned)(f.class_of[i] - f.classes), 3600 * US_PER_S, ENTRIES, 1);
+	}
+	assert_true(used_us[0] / used_us[1] > 1.9 && used_us[0] / used_us[1] < 2.1);
+	assert_true(used_us[1] / used_us[2] > 1.9 && used_us[1] / used_us[2] < 2.1);
+}
+
+/* Guards against queueing what is known to be late, and against refusing for ever once the
+ * estimate exceeds the deadline. */
+static void test_refusal_by_deadline(void **state)
+{
+	fixture_t f;
+	bool late;
+
+	init(&f, 100);
+	admission_served(&f.classes[0], 40 * US_PER_MS);
+	for (unsigned i = 0; i < 8; i++)
+		assert_int_equal(offer(&f, i, 0, 100 * US_PER_MS, 0, 1), ADMISSION_QUEUED);
+	/* The ninth of 40 ms on 8 slots waits for 45 ms; with its own 40 ms it misses 60 ms. */
+	assert_int_equal(offer(&f, 8, 0, 60 * US_PER_MS, 0, 1), ADMISSION_LATE);
+	init(&f, 100);
+	admission_served(&f.classes[0], 900 * US_PER_MS);
+	assert_int_equal(offer(&f, 0, 0, 100 * US_PER_MS, 0, 1), ADMISSION_LATE);
+	assert_int_equal(offer(&f, 0, 0, 100 * US_PER_MS, 1, 1), ADMISSION_QUEUED);
+	assert_non_null(admission_next(&f.admission, 1, &late));
+	assert_false(late);
+}
+
+/* Guards against one organisation that takes the whole process, and quotas that leak. */
+static void test_shares_and_quotas(void **state)
+{
+	quota_t quota = {0};
+	unsigned taken = 0;
+
+	assert_true(admission_share_allows(700, 700, 1000, 2));
+	assert_false(admission_share_allows(760, 760, 1000, 2));
+	assert_true(admission_share_allows(400, 990, 1000, 2));
+	assert_false(admission_share_allows(0, 1000, 1000, 2));
+	quota_set(&quota, 50, 1);
+	for (uint64_t now_us = 1; now_us < 10 * US_PER_S; now_us += 1000)
+		taken += quota_take(&quota, now_us);
+	assert_in_range(taken, 540, 550);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_random_sequences),
+		cmocka_unit_test(test_slot_time_follows_priority),
+		cmocka_unit_test(test_refusal_by_deadline),
+		cmocka_unit_test(test_shares_and_quotas),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
