admin: answer views of the fleet by the leader

Cause: a process hears the targets of its own data centre only, so status on another process than the leader showed healthy pools at risk (scripts/demo: 2 of 6 usable instead of 5 of 6). Change: status, vms, pools, waves, explain and plan are passed on to the leader once; without an answer the local view is shown.

--- a/src/admin.c
+++ b/src/admin.c
@@ -10,6 +10,11 @@
 #include "clock.h"
 #include "json_reply.h"
 
+#define FORWARDED_HEADER "Lavenderpass-Forwarded"
+#define FORWARD_CONNECT_TIMEOUT_MS 500
+#define FORWARD_TIMEOUT_MS 3000
+#define FORWARD_RESPONSE_LIMIT (16 * 1024 * 1024)
+
 typedef void (*admin_fn)(node_t *node, http_request_t *request);
 
 typedef struct {
@@ -17,6 +22,8 @@
 	const char *path;
 	auth_role_t role;
 	admin_fn fn;
+	bool leader_view; /**< answered by the leader, which hears all targets, when it is reachable
+			   */
 } route_t;
 
 static void handle_health(node_t *node, http_request_t *request)
@@ -63,24 +70,81 @@
 }
 
 static const route_t routes[] = {
-	{"GET", "/healthz", AUTH_NONE, handle_health},
-	{"GET", "/metrics", AUTH_NONE, handle_metrics},
-	{"POST", "/v1/announce", AUTH_TARGET, handle_announce},
-	{"POST", "/v1/templates/check", AUTH_READ, admin_template_check},
-	{"POST", "/v1/templates/plan", AUTH_READ, admin_template_plan},
-	{"POST", "/v1/templates/apply", AUTH_WRITE, admin_template_apply},
-	{"GET", "/v1/templates/history", AUTH_READ, admin_template_history},
-	{"GET", "/v1/templates/current", AUTH_READ, admin_template_current},
-	{"GET", "/v1/status", AUTH_READ, admin_status},
-	{"GET", "/v1/vms", AUTH_READ, admin_vms},
-	{"GET", "/v1/pools", AUTH_READ, admin_pools},
-	{"GET", "/v1/waves", AUTH_READ, admin_waves},
-	{"GET", "/v1/jobs", AUTH_READ, admin_jobs},
-	{"POST", "/v1/jobs", AUTH_WRITE, admin_job_submit},
-	{"POST", "/v1/jobs/cancel", AUTH_WRITE, admin_job_cancel},
-	{"GET", "/v1/explain", AUTH_READ, admin_explain},
+	{"GET", "/healthz", AUTH_NONE, handle_health, false},
+	{"GET", "/metrics", AUTH_NONE, handle_metrics, false},
+	{"POST", "/v1/announce", AUTH_TARGET, handle_announce, false},
+	{"POST", "/v1/templates/check", AUTH_READ, admin_template_check, false},
+	{"POST", "/v1/templates/plan", AUTH_READ, admin_template_plan, true},
+	{"POST", "/v1/templates/apply", AUTH_WRITE, admin_template_apply, false},
+	{"GET", "/v1/templates/history", AUTH_READ, admin_template_history, false},
+	{"GET", "/v1/templates/current", AUTH_READ, admin_template_current, false},
+	{"GET", "/v1/status", AUTH_READ, admin_status, true},
+	{"GET", "/v1/vms", AUTH_READ, admin_vms, true},
+	{"GET", "/v1/pools", AUTH_READ, admin_pools, true},
+	{"GET", "/v1/waves", AUTH_READ, admin_waves, true},
+	{"GET", "/v1/jobs", AUTH_READ, admin_jobs, false},
+	{"POST", "/v1/jobs", AUTH_WRITE, admin_job_submit, false},
+	{"POST", "/v1/jobs/cancel", AUTH_WRITE, admin_job_cancel, false},
+	{"GET", "/v1/explain", AUTH_READ, admin_explain, true},
 };
 
+/** Replies to a request that was forwarded to the leader, or answers it here after a failure. */
+typedef struct {
+	node_t *node;
+	http_request_t *request;
+	admin_fn fn;
+} forwarded_t;
+
+static void on_leader_answer(void *arg, const http_call_result_t *result)
+{
+	forwarded_t *forwarded = arg;
+	const http_header_t header = {.name = "Content-Type", .value = "application/json"};
+
+	if (result->complete)
+		http_request_reply(forwarded->request, result->status, &header, 1, result->body,
+				   result->body_length);
+	else
+		forwarded->fn(forwarded->node, forwarded->request);
+	g_free(forwarded);
+}
+
+/** @return true when the request was sent to the leader */
+static bool forward_to_leader(node_t *node, http_request_t *request, admin_fn fn)
+{
+	const peer_info_t *leader = peer_info(node->peers, replica_leader(node->replica));
+	const char *authorization = http_request_header(request, "Authorization");
+	const http_header_t headers[] = {
+		{.name = FORWARDED_HEADER, .value = "1"},
+		{.name = "Authorization", .value = authorization},
+	};
+	http_call_request_t call = {
+		.method = http_request_method(request),
+		.headers = headers,
+		.header_count = authorization == NULL ? 1 : 2,
+		.connect_timeout_ms = FORWARD_CONNECT_TIMEOUT_MS,
+		.timeout_ms = FORWARD_TIMEOUT_MS,
+		.response_limit = FORWARD_RESPONSE_LIMIT,
+	};
+	forwarded_t *forwarded;
+	char *url;
+
+	if (replica_is_leader(node->replica) || leader == NULL || !leader->up ||
+	    leader->http_address == NULL || http_request_header(request, FORWARDED_HEADER) != NULL)
+		return false;
+	call.body = http_request_body(request, &call.body_length);
+	url = g_strdup_printf("http://%s%s?%s", leader->http_address, http_request_path(request),
+			      http_request_query(request));
+	call.url = url;
+	forwarded = g_new(forwarded_t, 1);
+	*forwarded = (forwarded_t){.node = node, .request = request, .fn = fn};
+	if (http_client_send(&node->client, &call, on_leader_answer, forwarded) == NULL) {
+		g_free(forwarded);
+		forwarded = NULL;
+	}
+	g_free(url);
+	return forwarded != NULL;
+}
+
 void admin_handle(void *arg, http_request_t *request)
 {
 	node_t *node = arg;
@@ -101,7 +165,8 @@
 					 "a bearer token with the needed role is required");
 			return;
 		}
-		route->fn(node, request);
+		if (!route->leader_view || !forward_to_leader(node, request, route->fn))
+			route->fn(node, request);
 		return;
 	}
 	if (path_known)
