--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -51,11 +51,12 @@
 	}
 }
 
-static bool may_be_voter(const replica_t *replica, const known_peer_t *known)
+/* Nodes that the settings name as voters; of these, only those with a disk are promoted. */
+static bool named_as_voter(const replica_t *replica, uint32_t node)
 {
 	for (size_t i = 0; i < replica->config.voter_count; i++) {
-		if (replica->voters[i] == known->id.node)
-			return known->disk;
+		if (replica->voters[i] == node)
+			return true;
 	}
 	return false;
 }
@@ -83,7 +84,7 @@
 
 		if (member == NULL)
 			raft_change(replica->raft, RAFT_REPLACE, known->id);
-		else if (!member->voter && may_be_voter(replica, known) &&
+		else if (!member->voter && known->disk && named_as_voter(replica, known->id.node) &&
 			 caught_up(replica, known->id, now_us))
 			raft_change(replica->raft, RAFT_PROMOTE, known->id);
 		else
@@ -92,6 +93,7 @@
 	}
 	/* Only a learner with a disk can have been elected. */
 	self = raft_config_find(raft_config(replica->raft), replica->self);
-	if (self != NULL && !self->voter && raft_change(replica->raft, RAFT_PROMOTE, self->id) == 0)
+	if (self != NULL && !self->voter && named_as_voter(replica, replica->self.node) &&
+	    raft_change(replica->raft, RAFT_PROMOTE, self->id) == 0)
 		replica_schedule(replica);
 }
--- a/src/replica_propose.c
+++ b/src/replica_propose.c
@@ -9,6 +9,8 @@
 
 /* Wait before a refused or unsendable proposal is sent again. */
 #define RETRY_US (50 * US_PER_MS)
+/* A larger command would not fit in an envelope of 1 MiB and would block the log behind it. */
+#define COMMAND_BYTES_MAX ((size_t)768 * 1024)
 /* After this the forwarding process has given up on its proposal. */
 #define FORWARDED_LIMIT_US (60 * US_PER_S)
 
@@ -54,6 +56,16 @@
 	return proposal;
 }
 
+static void refuse_too_large(proposal_t *proposal)
+{
+	Lp__Result result = LP__RESULT__INIT;
+
+	result.code = LP__RESULT_CODE__RESULT_INVALID;
+	result.message = (char *)"the command is larger than 768 KiB";
+	proposal->result = copy_result(&result);
+	proposal->state = PROPOSAL_ANSWERED;
+}
+
 void replica_propose(replica_t *replica, const Lp__Command *command, uint32_t timeout_ms,
 		     replica_done_fn done, void *arg)
 {
@@ -62,6 +74,8 @@
 	proposal->deadline_us = clock_now_us() + timeout_ms * US_PER_MS;
 	proposal->done = done;
 	proposal->arg = arg;
+	if (lp__command__get_packed_size(command) > COMMAND_BYTES_MAX)
+		refuse_too_large(proposal);
 	TAILQ_INSERT_TAIL(&replica->queued, proposal, link);
 	replica_schedule(replica);
 }
@@ -149,12 +163,32 @@
 	proposal->state = PROPOSAL_FORWARDED;
 }
 
+static void finish_answered(replica_t *replica)
+{
+	proposal_t *proposal;
+	bool found;
+
+	/* A callback may change the list. */
+	do {
+		found = false;
+		TAILQ_FOREACH (proposal, &replica->queued, link) {
+			if (proposal->state == PROPOSAL_ANSWERED &&
+			    proposal->index <= replica->applied) {
+				found = true;
+				finish(replica, &replica->queued, proposal, proposal->result);
+				break;
+			}
+		}
+	} while (found);
+}
+
 void replica_propose_queued(replica_t *replica, uint64_t now_us)
 {
 	uint32_t leader = raft_leader(replica->raft).node;
 	proposal_t *proposal;
 	proposal_t *next;
 
+	finish_answered(replica);
 	for (proposal = TAILQ_FIRST(&replica->queued); proposal != NULL; proposal = next) {
 		next = TAILQ_NEXT(proposal, link);
 		/* The operation id makes a second send harmless, so the new leader gets it too. */
@@ -188,25 +222,6 @@
 	replica_schedule(replica);
 }
 
-static void finish_answered(replica_t *replica)
-{
-	proposal_t *proposal;
-	bool found;
-
-	/* A callback may change the list. */
-	do {
-		found = false;
-		TAILQ_FOREACH (proposal, &replica->queued, link) {
-			if (proposal->state == PROPOSAL_ANSWERED &&
-			    proposal->index <= replica->applied) {
-				found = true;
-				finish(replica, &replica->queued, proposal, proposal->result);
-				break;
-			}
-		}
-	} while (found);
-}
-
 void replica_settle(replica_t *replica, const Lp__LogEntry *entry, const Lp__Result *result)
 {
 	proposal_t *proposal;
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -347,6 +347,25 @@
 	RUN_UNTIL(leader() != 0);
 	propose_many(lost, 10);
 	assert_int_equal(nodes[lost].state.count, 140);
+	/* With a random replica id, which is longer than a founding voter's. */
+	print_message("largest heartbeat: %zu bytes\n", largest_heartbeat);
+	assert_in_range(largest_heartbeat, 1, 80);
+}
+
+/* Guards against a command that no peer connection can carry, which would block the log. */
+static void test_too_large_command_is_refused(void **state)
+{
+	g_autofree char *note = g_strnfill((gsize)800 * 1024, 'x');
+	Lp__ApplyTemplate apply_template = LP__APPLY_TEMPLATE__INIT;
+	Lp__Command command = LP__COMMAND__INIT;
+	outcomes_t outcomes = {0};
+
+	apply_template.note = note;
+	command.body_case = LP__COMMAND__BODY_APPLY_TEMPLATE;
+	command.apply_template = &apply_template;
+	replica_propose(nodes[1].replica, &command, 1000, on_done, &outcomes);
+	RUN_UNTIL(outcomes.other == 1);
+	assert_int_equal(outcomes.last, LP__RESULT_CODE__RESULT_INVALID);
 }
 
 /* Guards against a change that is reported as made by a leader without a majority, and against a
@@ -413,6 +432,8 @@
 		cmocka_unit_test_setup_teardown(test_leader_failure_and_restart, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_disk_returns_as_learner_and_is_promoted,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_too_large_command_is_refused, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_cut_off_leader_commits_nothing, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_full_disk_steps_down_and_recovers, set_up,
