--- a/src/replica.c
+++ b/src/replica.c
@@ -180,6 +180,10 @@
 		take_snapshot(replica);
 	if (replica->applied == before && leader == replica->last_leader)
 		return;
+	if (leader != replica->last_leader && leader != 0)
+		g_message("node %u leads in term %" PRIu64, leader, raft_term(replica->raft));
+	else if (leader != replica->last_leader)
+		g_message("no leader in term %" PRIu64, raft_term(replica->raft));
 	replica->last_leader = leader;
 	if (replica->machine.changed != NULL)
 		replica->machine.changed(replica->machine.arg);
@@ -285,6 +289,7 @@
 	create_core(replica);
 	if (replica_store_recover(replica, error, error_size) != 0)
 		goto fail;
+	replica->config_seen = raft_config_index(replica->raft);
 	raft_start(replica->raft, clock_now_us());
 	timer_subscribe(timers, &replica->tick, TICK_US, on_tick, replica);
 	return replica;
--- a/src/replica.h
+++ b/src/replica.h
@@ -70,7 +70,11 @@
 
 /** Hands over a received raft, propose or propose_reply envelope. */
 void replica_receive(replica_t *replica, uint32_t from, const Lp__Envelope *envelope);
-/** A peer came up with this identity; the leader replaces the old identity of the node. */
+/**
+ * A peer came up with this identity; the leader replaces the old identity of the node. It may be
+ * called again while the peer is up, which corrects an identity that was taken from an older log
+ * entry since.
+ */
 void replica_peer_up(replica_t *replica, uint32_t node_id, uint64_t peer_replica_id, bool disk);
 
 /**
