planner: test quiescing by echo, pool sizes and stale in-flight counts

Cause: trial mutations of the planner showed that the tests let pass a missing echo margin, a missing check of min_vms and an in-flight count from before the cordon.

--- a/tests/lib_fleet_sim.c
+++ b/tests/lib_fleet_sim.c
@@ -318,7 +318,7 @@
 	sim->wall_ms += 1000;
 	advance_world(sim);
 	for (int dc = 0; dc < sim->dc_count; dc++) {
-		if (!sim->cut[dc])
+		if (!sim->cut[dc] && !sim->stuck[dc])
 			sim->applied[dc] = sim->index;
 	}
 	/* The leader runs the planner again when its commands have been committed. */
--- a/tests/lib_fleet_sim.h
+++ b/tests/lib_fleet_sim.h
@@ -49,6 +49,7 @@
 	size_t vm_count;
 	int dc_count;
 	bool cut[SIM_DC_MAX];	      /**< out of contact with the leader */
+	bool stuck[SIM_DC_MAX];	      /**< one of its entry processes applies nothing */
 	uint64_t applied[SIM_DC_MAX]; /**< by all entry processes of the data centre */
 	GArray *demands;	      /**< pool_demand_t, or NULL */
 	GPtrArray *(*plan)(const plan_input_t *input);
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -48,6 +48,24 @@
 			   i / 4 % dcs, i / 4, "old");
 }
 
+/* A move may leave no pool below min_vms, the VMs on their way to it included. */
+static void check_size_kept(const fleet_pool_t *from)
+{
+	const fleet_pool_t *pool;
+	const fleet_vm_t *vm;
+	uint32_t members = 0;
+
+	TAILQ_FOREACH (pool, &from->org->pools, link) {
+		TAILQ_FOREACH (vm, &pool->vms, pool_link) {
+			bool gone = vm->phase == LP__VM_PHASE__VM_LOST ||
+				    vm->phase == LP__VM_PHASE__VM_QUARANTINED;
+
+			members += !gone && (vm->to_pool != NULL ? vm->to_pool : pool) == from;
+		}
+	}
+	assert_true(members > from->spec->min_vms);
+}
+
 /* The invariants of the planner's own actions, checked without its helpers. */
 static void check_action(sim_t *sim, const plan_action_t *action)
 {
@@ -62,6 +80,8 @@
 		budget_t budget = budget_of(vm->pool, &sim->health, sim->now_us);
 
 		assert_true(budget.usable > budget.keep + budget.reserve);
+		if (action->cordon.permit == LP__PERMIT_KIND__PERMIT_MOVE)
+			check_size_kept(vm->pool);
 	}
 	if (action->kind == PLAN_ASSIGN ||
 	    (action->kind == PLAN_STEP && action->step.to == LP__VM_PHASE__VM_DRAINING)) {
@@ -201,6 +221,10 @@
 	case 14:
 		vm->in_flight = 3;
 		break;
+	case 15:
+	case 16:
+		sim->stuck[vm->dc] = !sim->stuck[vm->dc];
+		break;
 	}
 }
 
@@ -296,6 +320,27 @@
 	lp__template__free_unpacked(template, NULL);
 }
 
+/* Guards against an in-flight count from before the cordon being taken for an idle target. */
+static void test_idle_needs_new_announcement(void **state)
+{
+	Lp__Template *template = load_example("examples/barid.yaml");
+	plan_input_t input;
+	GPtrArray *actions;
+	sim_t sim;
+
+	set_up(&sim, 1, template, 4);
+	while (sim.grants == 0)
+		sim_step(&sim);
+	for (int dc = 0; dc < 4; dc++)
+		sim.applied[dc] = sim.index;
+	input = sim_input(&sim);
+	actions = planner_run(&input);
+	assert_int_equal(actions->len, 0);
+	g_ptr_array_unref(actions);
+	sim_finish(&sim);
+	lp__template__free_unpacked(template, NULL);
+}
+
 /* Guards against a lost VM that is not replaced, and against one that comes back unused. */
 static void test_loss_is_replaced(void **state)
 {
@@ -450,6 +495,7 @@
 		cmocka_unit_test(test_random_events),
 		cmocka_unit_test(test_wave_completes),
 		cmocka_unit_test(test_wave_stops_after_failures),
+		cmocka_unit_test(test_idle_needs_new_announcement),
 		cmocka_unit_test(test_loss_is_replaced),
 		cmocka_unit_test(test_estimate),
 		cmocka_unit_test(test_partition_pauses),
