planner: leave the batch of an open wave to its outcomes

Cause: an update of a wave carried the batch that the planner had seen and could undo a change by an outcome committed in between. Change: 0 leaves the batch unchanged. The benchmark and the tests share the reading of templates.

--- a/bench/bench_planner.c
+++ b/bench/bench_planner.c
@@ -20,7 +20,6 @@
 #include "capacity.h"
 #include "clock.h"
 #include "lib_fleet_sim.h"
-#include "template.h"
 
 #define VMS 50
 #define POOLS 5
@@ -52,21 +51,6 @@
 	double moves;
 } spare_t;
 
-static Lp__Template *load_template(const char *file)
-{
-	Lp__Template *template;
-	char error[512];
-	char *text;
-	gsize length;
-
-	if (!g_file_get_contents(file, &text, &length, NULL))
-		g_error("cannot read %s; run this from the source directory", file);
-	if (template_parse(file, text, length, NULL, 0, &template, error, sizeof(error)) != 0)
-		g_error("%s", error);
-	g_free(text);
-	return template;
-}
-
 /* --- policies --- */
 
 static bool is_maintenance_grant(const plan_action_t *action)
@@ -296,7 +280,7 @@
 static rollout_t run_rollout(const char *file, bool tight, policy_fn policy, int waves,
 			     uint32_t seed, int dcs)
 {
-	Lp__Template *template = load_template(file);
+	Lp__Template *template = sim_load_template(file);
 	rollout_t result = {0};
 	sim_t sim;
 
@@ -467,7 +451,7 @@
 
 static spare_t run_spare(const char *file, spare_kind_t kind, uint32_t seed, int dcs)
 {
-	Lp__Template *template = load_template(file);
+	Lp__Template *template = sim_load_template(file);
 	GRand *rand = g_rand_new_with_seed(seed);
 	spare_t result = {0};
 	spare_run_t run = {0};
--- a/src/planner.h
+++ b/src/planner.h
@@ -47,7 +47,7 @@
 			const fleet_org_t *org;
 			const char *image;
 			Lp__WaveState state;
-			uint32_t batch;
+			uint32_t batch; /**< 0: unchanged */
 		} wave;
 	};
 } plan_action_t;
--- a/src/planner_maintenance.c
+++ b/src/planner_maintenance.c
@@ -182,7 +182,8 @@
 	action->wave.org = state->org;
 	action->wave.image = state->spec->image;
 	action->wave.state = to;
-	action->wave.batch = state->wave != NULL ? state->wave->batch : 1;
+	/* 0 leaves the batch as it is; outcomes may have changed it in the meantime. */
+	action->wave.batch = state->wave != NULL ? 0 : 1;
 }
 
 /* Why the wave may not take VMs now, or NULL. */
--- a/tests/lib_fleet_sim.c
+++ b/tests/lib_fleet_sim.c
@@ -5,6 +5,7 @@
 
 #include "budget.h"
 #include "clock.h"
+#include "template.h"
 
 #define ROUTING_LEASE_US (4 * US_PER_S)
 #define LOST_US (10 * US_PER_S)
@@ -19,6 +20,21 @@
 	return name[2] - '1';
 }
 
+Lp__Template *sim_load_template(const char *file)
+{
+	Lp__Template *template;
+	char error[512];
+	char *text;
+	gsize length;
+
+	if (!g_file_get_contents(file, &text, &length, NULL))
+		g_error("cannot read %s; run this from the source directory", file);
+	if (template_parse(file, text, length, NULL, 0, &template, error, sizeof(error)) != 0)
+		g_error("%s", error);
+	g_free(text);
+	return template;
+}
+
 void sim_init(sim_t *sim, uint32_t seed)
 {
 	memset(sim, 0, sizeof(*sim));
--- a/tests/lib_fleet_sim.h
+++ b/tests/lib_fleet_sim.h
@@ -61,6 +61,8 @@
 	uint64_t violations; /**< permits granted without free budget */
 };
 
+/** Reads an example template with the defaults of its parameters; ends the program on errors. */
+Lp__Template *sim_load_template(const char *file);
 void sim_init(sim_t *sim, uint32_t seed);
 void sim_finish(sim_t *sim);
 /** Applies a command without an operation id. @return its code */
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -14,25 +14,10 @@
 #include "clock.h"
 #include "lib_fleet_sim.h"
 #include "planner_internal.h"
-#include "template.h"
 
 #define POOLS 5
 #define VMS 50
 
-static Lp__Template *load_example(const char *file)
-{
-	Lp__Template *template;
-	char error[512] = "";
-	char *text;
-	gsize length;
-
-	assert_true(g_file_get_contents(file, &text, &length, NULL));
-	if (template_parse(file, text, length, NULL, 0, &template, error, sizeof(error)) != 0)
-		fail_msg("%s", error);
-	g_free(text);
-	return template;
-}
-
 static void set_image(Lp__Template *template, const char *image)
 {
 	free(template->maintenance->image);
@@ -237,7 +222,7 @@
 	uint64_t maintained = 0;
 
 	for (uint32_t seed = 1; seed <= 6; seed++) {
-		Lp__Template *template = load_example(files[seed % 2]);
+		Lp__Template *template = sim_load_template(files[seed % 2]);
 		int dcs = seed % 2 ? 3 : 4;
 		sim_t sim;
 
@@ -277,7 +262,7 @@
 /* Guards against a wave that does not end, or that maintains a VM twice. */
 static void test_wave_completes(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	sim_t sim;
 
 	set_up(&sim, 1, template, 4);
@@ -294,7 +279,7 @@
  * without an operator. */
 static void test_wave_stops_after_failures(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	const fleet_wave_t *wave;
 	uint64_t maintained;
 	sim_t sim;
@@ -323,7 +308,7 @@
 /* Guards against an in-flight count from before the cordon being taken for an idle target. */
 static void test_idle_needs_new_announcement(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	plan_input_t input;
 	GPtrArray *actions;
 	sim_t sim;
@@ -344,7 +329,7 @@
 /* Guards against a lost VM that is not replaced, and against one that comes back unused. */
 static void test_loss_is_replaced(void **state)
 {
-	Lp__Template *template = load_example("examples/tesfaye.yaml");
+	Lp__Template *template = sim_load_template("examples/tesfaye.yaml");
 	const fleet_pool_t *pool;
 	sim_t sim;
 
@@ -370,7 +355,7 @@
  * which 4 (5 in the spare pool) may be out, in rounds of 1, 2, 8, 20 and 19 VMs. */
 static void test_estimate(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	plan_estimate_t estimate;
 	plan_input_t input;
 	sim_t sim;
@@ -399,7 +384,7 @@
  * paused afterwards. */
 static void test_partition_pauses(void **state)
 {
-	Lp__Template *template = load_example("examples/tesfaye.yaml");
+	Lp__Template *template = sim_load_template("examples/tesfaye.yaml");
 	uint64_t grants;
 	sim_t sim;
 
@@ -449,7 +434,7 @@
  * between surges being taken for surplus. */
 static void test_demand(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	Lp__PoolLoad load = LP__POOL_LOAD__INIT;
 	Lp__PoolLoad *loads[] = {&load};
 	Lp__LoadReport report = LP__LOAD_REPORT__INIT;
