--- a/tests/lib_fleet_sim.h
+++ b/tests/lib_fleet_sim.h
@@ -49,6 +49,7 @@
 	size_t vm_count;
 	int dc_count;
 	bool cut[SIM_DC_MAX];	      /**< out of contact with the leader */
+	bool stuck[SIM_DC_MAX];	      /**< one of its entry processes applies nothing */
 	uint64_t applied[SIM_DC_MAX]; /**< by all entry processes of the data centre */
 	GArray *demands;	      /**< pool_demand_t, or NULL */
 	GPtrArray *(*plan)(const plan_input_t *input);
@@ -60,6 +61,8 @@
 	uint64_t violations; /**< permits granted without free budget */
 };
 
+/** Reads an example template with the defaults of its parameters; ends the program on errors. */
+Lp__Template *sim_load_template(const char *file);
 void sim_init(sim_t *sim, uint32_t seed);
 void sim_finish(sim_t *sim);
 /** Applies a command without an operation id. @return its code */
--- a/tests/test_planner.c
+++ b/tests/test_planner.c
@@ -14,25 +14,10 @@
 #include "clock.h"
 #include "lib_fleet_sim.h"
 #include "planner_internal.h"
-#include "template.h"
 
 #define POOLS 5
 #define VMS 50
 
-static Lp__Template *load_example(const char *file)
-{
-	Lp__Template *template;
-	char error[512] = "";
-	char *text;
-	gsize length;
-
-	assert_true(g_file_get_contents(file, &text, &length, NULL));
-	if (template_parse(file, text, length, NULL, 0, &template, error, sizeof(error)) != 0)
-		fail_msg("%s", error);
-	g_free(text);
-	return template;
-}
-
 static void set_image(Lp__Template *template, const char *image)
 {
 	free(template->maintenance->image);
@@ -48,6 +33,24 @@
 			   i / 4 % dcs, i / 4, "old");
 }
 
+/* A move may leave no pool below min_vms, the VMs on their way to it included. */
+static void check_size_kept(const fleet_pool_t *from)
+{
+	const fleet_pool_t *pool;
+	const fleet_vm_t *vm;
+	uint32_t members = 0;
+
+	TAILQ_FOREACH (pool, &from->org->pools, link) {
+		TAILQ_FOREACH (vm, &pool->vms, pool_link) {
+			bool gone = vm->phase == LP__VM_PHASE__VM_LOST ||
+				    vm->phase == LP__VM_PHASE__VM_QUARANTINED;
+
+			members += !gone && (vm->to_pool != NULL ? vm->to_pool : pool) == from;
+		}
+	}
+	assert_true(members > from->spec->min_vms);
+}
+
 /* The invariants of the planner's own actions, checked without its helpers. */
 static void check_action(sim_t *sim, const plan_action_t *action)
 {
@@ -62,6 +65,8 @@
 		budget_t budget = budget_of(vm->pool, &sim->health, sim->now_us);
 
 		assert_true(budget.usable > budget.keep + budget.reserve);
+		if (action->cordon.permit == LP__PERMIT_KIND__PERMIT_MOVE)
+			check_size_kept(vm->pool);
 	}
 	if (action->kind == PLAN_ASSIGN ||
 	    (action->kind == PLAN_STEP && action->step.to == LP__VM_PHASE__VM_DRAINING)) {
@@ -201,6 +206,10 @@
 	case 14:
 		vm->in_flight = 3;
 		break;
+	case 15:
+	case 16:
+		sim->stuck[vm->dc] = !sim->stuck[vm->dc];
+		break;
 	}
 }
 
@@ -213,7 +222,7 @@
 	uint64_t maintained = 0;
 
 	for (uint32_t seed = 1; seed <= 6; seed++) {
-		Lp__Template *template = load_example(files[seed % 2]);
+		Lp__Template *template = sim_load_template(files[seed % 2]);
 		int dcs = seed % 2 ? 3 : 4;
 		sim_t sim;
 
@@ -253,7 +262,7 @@
 /* Guards against a wave that does not end, or that maintains a VM twice. */
 static void test_wave_completes(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	sim_t sim;
 
 	set_up(&sim, 1, template, 4);
@@ -270,7 +279,7 @@
  * without an operator. */
 static void test_wave_stops_after_failures(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	const fleet_wave_t *wave;
 	uint64_t maintained;
 	sim_t sim;
@@ -296,10 +305,31 @@
 	lp__template__free_unpacked(template, NULL);
 }
 
+/* Guards against an in-flight count from before the cordon being taken for an idle target. */
+static void test_idle_needs_new_announcement(void **state)
+{
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
+	plan_input_t input;
+	GPtrArray *actions;
+	sim_t sim;
+
+	set_up(&sim, 1, template, 4);
+	while (sim.grants == 0)
+		sim_step(&sim);
+	for (int dc = 0; dc < 4; dc++)
+		sim.applied[dc] = sim.index;
+	input = sim_input(&sim);
+	actions = planner_run(&input);
+	assert_int_equal(actions->len, 0);
+	g_ptr_array_unref(actions);
+	sim_finish(&sim);
+	lp__template__free_unpacked(template, NULL);
+}
+
 /* Guards against a lost VM that is not replaced, and against one that comes back unused. */
 static void test_loss_is_replaced(void **state)
 {
-	Lp__Template *template = load_example("examples/tesfaye.yaml");
+	Lp__Template *template = sim_load_template("examples/tesfaye.yaml");
 	const fleet_pool_t *pool;
 	sim_t sim;
 
@@ -325,7 +355,7 @@
  * which 4 (5 in the spare pool) may be out, in rounds of 1, 2, 8, 20 and 19 VMs. */
 static void test_estimate(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	plan_estimate_t estimate;
 	plan_input_t input;
 	sim_t sim;
@@ -354,7 +384,7 @@
  * paused afterwards. */
 static void test_partition_pauses(void **state)
 {
-	Lp__Template *template = load_example("examples/tesfaye.yaml");
+	Lp__Template *template = sim_load_template("examples/tesfaye.yaml");
 	uint64_t grants;
 	sim_t sim;
 
@@ -404,7 +434,7 @@
  * between surges being taken for surplus. */
 static void test_demand(void **state)
 {
-	Lp__Template *template = load_example("examples/barid.yaml");
+	Lp__Template *template = sim_load_template("examples/barid.yaml");
 	Lp__PoolLoad load = LP__POOL_LOAD__INIT;
 	Lp__PoolLoad *loads[] = {&load};
 	Lp__LoadReport report = LP__LOAD_REPORT__INIT;
@@ -450,6 +480,7 @@
 		cmocka_unit_test(test_random_events),
 		cmocka_unit_test(test_wave_completes),
 		cmocka_unit_test(test_wave_stops_after_failures),
+		cmocka_unit_test(test_idle_needs_new_announcement),
 		cmocka_unit_test(test_loss_is_replaced),
 		cmocka_unit_test(test_estimate),
 		cmocka_unit_test(test_partition_pauses),
