--- /dev/null
+++ b/bench/bench_placement.c
@@ -0,0 +1,658 @@
+/*
+ * Placement against first fit on declared sizes, on a simulated pool with a virtual clock.
+ *
+ *   bench_placement [seeds]
+ *
+ * Prints a table on standard error and CSV on standard output: one line per seed and policy.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "clock.h"
+#include "jobs.h"
+
+#define WORKERS 12
+#define BAD_WORKERS 2
+#define CORES 64
+#define MEM_MIB 262144
+#define KINDS 8
+#define TICK_US (100 * US_PER_MS)
+#define RUN_US (200 * US_PER_MS)
+#define REPORT_US (1 * US_PER_S)
+#define CHECKPOINT_US (500 * US_PER_MS)
+#define SECONDS 600
+#define WAVE 1000
+#define BASELINE_TRIES 5
+#define BACKLOG 1500
+
+typedef struct {
+	fleet_job_t job;
+	double cores;
+	double mem_mib;
+	double work_s; /* run time with all its cores */
+	bool impossible;
+	uint64_t submitted_us;
+	uint64_t started_us; /* first start */
+	unsigned tries;
+	char id[24];
+	char kind[16];
+	Lp__JobSpec spec;
+} sim_job_t;
+
+typedef struct {
+	sim_job_t *job;
+	uint32_t attempt;
+	double done_s;
+	uint64_t started_us;
+	uint64_t checkpoint_us; /* 0: not asked */
+	bool throttled;
+	uint32_t state;
+} sim_task_t;
+
+typedef struct {
+	fleet_vm_t vm;
+	char id[16];
+	bool bad;
+	GArray *tasks; /* sim_task_t; finished ones stay for two reports */
+	uint64_t report_due_us;
+} sim_worker_t;
+
+typedef struct {
+	GRand *rand;
+	uint64_t now_us;
+	fleet_t fleet;
+	fleet_org_t org;
+	fleet_pool_t pool;
+	sim_worker_t workers[WORKERS];
+	GPtrArray *all; /* sim_job_t */
+	jobs_t jobs;
+	bool baseline;
+	double kind_cores[KINDS];
+	double kind_mem[KINDS];
+	double kind_work[KINDS];
+	double useful;
+	double wasted;
+	unsigned done;
+	unsigned false_rejects;
+	unsigned false_failures;
+	double cancel_ms;
+	size_t cancel_actions;
+} sim_t;
+
+typedef struct {
+	double urgent_median_s;
+	double urgent_p99_s;
+	double urgent_max_s;
+	double urgent_late; /* share above 2.4 s, including those that never started */
+	double utilisation;
+	double wasted;
+	double tries;	  /* until an impossible job is refused */
+	double unrefused; /* share of impossible jobs tried and not refused at the end */
+	double false_refusals;
+	double done;
+	double cancel_us; /* per cancelled job */
+} result_t;
+
+static double uniform(sim_t *sim, double low, double high)
+{
+	return g_rand_double_range(sim->rand, low, high);
+}
+
+static double off_by(sim_t *sim, double factor)
+{
+	return pow(factor, uniform(sim, -1, 1));
+}
+
+static void submit(sim_t *sim, bool urgent)
+{
+	sim_job_t *job = g_new0(sim_job_t, 1);
+	unsigned kind = (unsigned)g_rand_int_range(sim->rand, 0, KINDS);
+
+	job->impossible = !urgent && uniform(sim, 0, 1) < 0.02;
+	job->cores = fmin(sim->kind_cores[kind] * off_by(sim, 1.3), CORES);
+	job->mem_mib = sim->kind_mem[kind] * off_by(sim, 1.3);
+	job->work_s = sim->kind_work[kind] * off_by(sim, 2);
+	if (job->impossible)
+		job->mem_mib = MEM_MIB * uniform(sim, 1.2, 4);
+	if (urgent)
+		job->work_s = uniform(sim, 2, 10);
+	g_snprintf(job->id, sizeof(job->id), "j%u", sim->all->len);
+	g_snprintf(job->kind, sizeof(job->kind), job->impossible ? "odd%u" : "k%u", kind);
+	lp__job_spec__init(&job->spec);
+	job->spec.job = job->id;
+	job->spec.kind = job->kind;
+	job->spec.organisation = sim->org.name;
+	job->spec.pool = sim->pool.name;
+	job->spec.team = "t";
+	job->spec.cores = (uint32_t)fmax(1, job->cores * off_by(sim, 10));
+	job->spec.mem_mib = (uint32_t)fmax(1, job->mem_mib * off_by(sim, 10));
+	job->spec.urgent = urgent;
+	job->spec.repeatable = true;
+	job->job = (fleet_job_t){
+		.spec = &job->spec,
+		.vm = g_strdup(""),
+		.failed_on = g_ptr_array_new_with_free_func(g_free),
+	};
+	job->submitted_us = sim->now_us;
+	g_ptr_array_add(sim->all, job);
+	g_hash_table_insert(sim->fleet.job_by_id, job->id, &job->job);
+	TAILQ_INSERT_TAIL(&sim->fleet.jobs[LP__JOB_STATE__JOB_QUEUED], &job->job, link);
+}
+
+/* The replicated state machine's part, as far as it matters here. */
+static void apply(sim_t *sim, const jobs_action_t *action)
+{
+	fleet_job_t *job = g_hash_table_lookup(sim->fleet.job_by_id, action->job);
+
+	if (job == NULL || job->attempt != action->attempt ||
+	    job->state > LP__JOB_STATE__JOB_CHECKPOINTING)
+		return;
+	TAILQ_REMOVE(&sim->fleet.jobs[job->state], job, link);
+	if (action->state == LP__JOB_STATE__JOB_PLACED)
+		job->attempt++;
+	if ((action->state == LP__JOB_STATE__JOB_QUEUED ||
+	     action->state == LP__JOB_STATE__JOB_FAILED) &&
+	    action->vm[0] != '\0')
+		g_ptr_array_add(job->failed_on, g_strdup(action->vm));
+	g_free(job->vm);
+	job->vm = g_strdup(action->state == LP__JOB_STATE__JOB_QUEUED ? "" : action->vm);
+	job->state = action->state;
+	TAILQ_INSERT_TAIL(&sim->fleet.jobs[job->state], job, link);
+}
+
+static sim_worker_t *worker_of(sim_t *sim, const char *vm)
+{
+	for (unsigned i = 0; i < WORKERS; i++) {
+		if (strcmp(sim->workers[i].id, vm) == 0)
+			return &sim->workers[i];
+	}
+	return NULL;
+}
+
+static sim_task_t *task_of(sim_worker_t *worker, const char *id, uint32_t attempt)
+{
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		sim_task_t *task = &g_array_index(worker->tasks, sim_task_t, i);
+
+		if (strcmp(task->job->id, id) == 0 && task->attempt == attempt)
+			return task;
+	}
+	return NULL;
+}
+
+static void start_task(sim_t *sim, sim_worker_t *worker, const jobs_action_t *action)
+{
+	sim_task_t task = {.attempt = action->attempt, .started_us = sim->now_us};
+	fleet_job_t *job = g_hash_table_lookup(sim->fleet.job_by_id, action->job);
+
+	if (task_of(worker, action->job, action->attempt) != NULL)
+		return;
+	task.job = (sim_job_t *)job;
+	task.job->tries++;
+	if (task.job->started_us == 0)
+		task.job->started_us = sim->now_us;
+	g_array_append_val(worker->tasks, task);
+}
+
+static void perform(sim_t *sim, const jobs_action_t *action)
+{
+	sim_worker_t *worker = worker_of(sim, action->vm);
+	sim_task_t *task = worker != NULL && action->job != NULL
+				   ? task_of(worker, action->job, action->attempt)
+				   : NULL;
+
+	switch (action->kind) {
+	case JOBS_UPDATE:
+		apply(sim, action);
+		break;
+	case JOBS_START:
+		start_task(sim, worker, action);
+		break;
+	case JOBS_CHECKPOINT:
+		if (task != NULL && task->checkpoint_us == 0)
+			task->checkpoint_us = sim->now_us;
+		break;
+	case JOBS_THROTTLE:
+		if (task != NULL)
+			task->throttled = true;
+		break;
+	case JOBS_STOP:
+		if (task != NULL && task->state == 0) {
+			sim->wasted += task->done_s * task->job->cores;
+			task->state = 4;
+		}
+		break;
+	case JOBS_QUARANTINE:
+		worker->vm.phase = LP__VM_PHASE__VM_QUARANTINED;
+		break;
+	}
+}
+
+static void end_task(sim_t *sim, sim_task_t *task, uint32_t state)
+{
+	double core_s = task->done_s * task->job->cores;
+
+	task->state = state;
+	if (state == 1) {
+		sim->useful += core_s;
+		sim->done++;
+	} else if (state == 2) {
+		sim->wasted += core_s;
+	} else if (state == 3) {
+		/* The work up to the checkpoint is kept. */
+		sim->useful += core_s;
+		task->job->work_s -= task->done_s;
+	}
+}
+
+/* Runs the tasks of a worker for one tick; memory that runs out ends the youngest task. */
+static void run_worker(sim_t *sim, sim_worker_t *worker)
+{
+	double cores = 0;
+	double mem = 0;
+	double speed;
+
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		sim_task_t *task = &g_array_index(worker->tasks, sim_task_t, i);
+
+		if (task->state != 0)
+			continue;
+		if (mem + task->job->mem_mib > MEM_MIB) {
+			end_task(sim, task, 2);
+			continue;
+		}
+		cores += task->job->cores * (task->throttled ? 0.5 : 1);
+		mem += task->job->mem_mib;
+	}
+	speed = cores > CORES ? CORES / cores : 1;
+	for (guint i = 0; i < worker->tasks->len; i++) {
+		sim_task_t *task = &g_array_index(worker->tasks, sim_task_t, i);
+
+		if (task->state != 0)
+			continue;
+		task->done_s += 0.1 * speed * (task->throttled ? 0.5 : 1);
+		if (worker->bad && sim->now_us - task->started_us >= 2 * US_PER_S)
+			end_task(sim, task, 2);
+		else if (task->done_s >= task->job->work_s)
+			end_task(sim, task, 1);
+		else if (task->checkpoint_us != 0 &&
+			 sim->now_us - task->checkpoint_us >= CHECKPOINT_US)
+			end_task(sim, task, 3);
+	}
+}
+
+static bool usable(void *arg, const fleet_vm_t *vm)
+{
+	return true;
+}
+
+static void fill_usage(const sim_task_t *task, Lp__TaskUsage *usage)
+{
+	lp__task_usage__init(usage);
+	usage->job = task->job->id;
+	usage->attempt = task->attempt;
+	usage->state = task->state;
+	usage->cores_milli = (uint32_t)(task->job->cores * 1000);
+	usage->mem_mib = (uint32_t)fmin(task->job->mem_mib, MEM_MIB);
+	usage->run_ms = (uint64_t)(task->done_s * 1000);
+}
+
+/* First fit's handling of a report: no learning, no quarantine, a fixed number of tries. */
+static void baseline_report(sim_t *sim, const Lp__TargetReport *report, GPtrArray *actions)
+{
+	for (size_t i = 0; i < report->n_tasks; i++) {
+		const Lp__TaskUsage *usage = report->tasks[i];
+		sim_job_t *job = g_hash_table_lookup(sim->fleet.job_by_id, usage->job);
+		jobs_action_t *action;
+
+		if (job->job.attempt != usage->attempt ||
+		    job->job.state > LP__JOB_STATE__JOB_CHECKPOINTING || usage->state == 0 ||
+		    job->job.state == LP__JOB_STATE__JOB_QUEUED)
+			continue;
+		action = g_new0(jobs_action_t, 1);
+		action->kind = JOBS_UPDATE;
+		action->job = g_strdup(usage->job);
+		action->vm = g_strdup("");
+		action->attempt = usage->attempt;
+		action->state = usage->state == 1	       ? LP__JOB_STATE__JOB_DONE
+				: job->tries >= BASELINE_TRIES ? LP__JOB_STATE__JOB_FAILED
+							       : LP__JOB_STATE__JOB_QUEUED;
+		g_ptr_array_add(actions, action);
+	}
+}
+
+static void report(sim_t *sim, sim_worker_t *worker, const jobs_input_t *input, GPtrArray *actions)
+{
+	Lp__TargetReport message = LP__TARGET_REPORT__INIT;
+	guint count = worker->tasks->len;
+	Lp__TaskUsage *usages = g_new(Lp__TaskUsage, count + 1);
+	Lp__TaskUsage **pointers = g_new(Lp__TaskUsage *, count + 1);
+
+	for (guint i = 0; i < count; i++) {
+		fill_usage(&g_array_index(worker->tasks, sim_task_t, i), &usages[i]);
+		pointers[i] = &usages[i];
+	}
+	message.vm = worker->id;
+	message.has_tasks = true;
+	message.n_tasks = count;
+	message.tasks = pointers;
+	if (sim->baseline)
+		baseline_report(sim, &message, actions);
+	else
+		jobs_report(&sim->jobs, input, &message, actions);
+	for (guint i = count; i-- > 0;) {
+		if (g_array_index(worker->tasks, sim_task_t, i).state != 0)
+			g_array_remove_index(worker->tasks, i);
+	}
+	g_free(usages);
+	g_free(pointers);
+}
+
+static bool declared_fits(const sim_t *sim, const sim_worker_t *worker, const Lp__JobSpec *spec)
+{
+	uint64_t cores = spec->cores;
+	uint64_t mem = spec->mem_mib;
+	const fleet_job_t *job;
+
+	for (unsigned state = LP__JOB_STATE__JOB_PLACED; state <= LP__JOB_STATE__JOB_RUNNING;
+	     state++) {
+		TAILQ_FOREACH (job, &sim->fleet.jobs[state], link) {
+			if (strcmp(job->vm, worker->id) != 0)
+				continue;
+			cores += job->spec->cores;
+			mem += job->spec->mem_mib;
+		}
+	}
+	return cores <= CORES && mem <= MEM_MIB;
+}
+
+/* The baseline: urgent work first, the first worker on which the declared sizes fit. */
+static void first_fit(sim_t *sim)
+{
+	unsigned misses = 0;
+
+	for (int urgent = 1; urgent >= 0; urgent--) {
+		fleet_job_t *job = TAILQ_FIRST(&sim->fleet.jobs[LP__JOB_STATE__JOB_QUEUED]);
+
+		while (job != NULL && misses < 200) {
+			fleet_job_t *next = TAILQ_NEXT(job, link);
+			jobs_action_t action = {.job = job->spec->job, .attempt = job->attempt};
+			bool fits_none = job->spec->cores > CORES || job->spec->mem_mib > MEM_MIB;
+
+			action.vm = "";
+			action.state = LP__JOB_STATE__JOB_REJECTED;
+			if ((job->spec->urgent != 0) != (urgent == 1)) {
+				job = next;
+				continue;
+			}
+			for (unsigned i = 0; i < WORKERS && !fits_none; i++) {
+				if (!declared_fits(sim, &sim->workers[i], job->spec))
+					continue;
+				action.vm = sim->workers[i].id;
+				action.state = LP__JOB_STATE__JOB_PLACED;
+				break;
+			}
+			if (action.vm[0] != '\0' || fits_none)
+				apply(sim, &action);
+			else
+				misses++;
+			if (action.vm[0] != '\0') {
+				action.attempt++;
+				start_task(sim, worker_of(sim, action.vm), &action);
+			}
+			job = next;
+		}
+	}
+}
+
+static void cancel_wave(sim_t *sim, const jobs_input_t *input, GPtrArray *actions)
+{
+	const char **ids = g_new0(const char *, WAVE);
+	size_t count = 0;
+	uint64_t start_us;
+
+	for (guint i = sim->all->len; i-- > 0 && count < WAVE;) {
+		sim_job_t *job = g_ptr_array_index(sim->all, i);
+
+		if (job->spec.urgent || job->job.state > LP__JOB_STATE__JOB_CHECKPOINTING)
+			continue;
+		TAILQ_REMOVE(&sim->fleet.jobs[job->job.state], &job->job, link);
+		job->job.state = LP__JOB_STATE__JOB_CANCELLED;
+		TAILQ_INSERT_TAIL(&sim->fleet.jobs[job->job.state], &job->job, link);
+		ids[count++] = job->id;
+	}
+	start_us = clock_now_us();
+	if (!sim->baseline)
+		jobs_cancelled(&sim->jobs, input, ids, count, actions);
+	sim->cancel_ms = (double)(clock_now_us() - start_us) / 1000;
+	sim->cancel_actions = count;
+	g_free(ids);
+}
+
+static void arrivals(sim_t *sim, unsigned tick)
+{
+	const fleet_job_t *job;
+	unsigned queued = 0;
+
+	TAILQ_FOREACH (job, &sim->fleet.jobs[LP__JOB_STATE__JOB_QUEUED], link)
+		queued++;
+	for (; queued < BACKLOG; queued++)
+		submit(sim, false);
+	if (tick % 50 == 25 && tick > 300)
+		submit(sim, true);
+}
+
+static void step(sim_t *sim, unsigned tick)
+{
+	jobs_input_t input = {.fleet = &sim->fleet, .usable = usable, .now_us = sim->now_us};
+	GPtrArray *actions = jobs_actions_new();
+
+	arrivals(sim, tick);
+	if (tick == SECONDS * 5)
+		cancel_wave(sim, &input, actions);
+	for (unsigned i = 0; i < WORKERS; i++) {
+		run_worker(sim, &sim->workers[i]);
+		if (sim->now_us < sim->workers[i].report_due_us)
+			continue;
+		sim->workers[i].report_due_us += REPORT_US;
+		report(sim, &sim->workers[i], &input, actions);
+	}
+	if (sim->now_us % RUN_US == 0 && !sim->baseline)
+		jobs_run(&sim->jobs, &input, actions);
+	/* Actions take effect one tick later: the time of a commit or of a message. */
+	sim->now_us += TICK_US;
+	for (guint i = 0; i < actions->len; i++)
+		perform(sim, g_ptr_array_index(actions, i));
+	if (sim->baseline && sim->now_us % RUN_US == 0)
+		first_fit(sim);
+	g_ptr_array_unref(actions);
+}
+
+static void sim_init(sim_t *sim, uint32_t seed, bool baseline)
+{
+	*sim = (sim_t){.rand = g_rand_new_with_seed(seed), .baseline = baseline};
+	sim->now_us = 10 * US_PER_S;
+	sim->all = g_ptr_array_new();
+	sim->org.name = "barid";
+	sim->pool.name = "pricing";
+	sim->pool.org = &sim->org;
+	sim->fleet.vm_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	sim->fleet.job_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	for (unsigned i = 0; i < FLEET_JOB_STATES; i++)
+		TAILQ_INIT(&sim->fleet.jobs[i]);
+	TAILQ_INIT(&sim->fleet.orgs);
+	TAILQ_INIT(&sim->org.pools);
+	TAILQ_INIT(&sim->pool.vms);
+	TAILQ_INSERT_TAIL(&sim->fleet.orgs, &sim->org, link);
+	TAILQ_INSERT_TAIL(&sim->org.pools, &sim->pool, link);
+	for (unsigned i = 0; i < WORKERS; i++) {
+		sim_worker_t *worker = &sim->workers[i];
+
+		g_snprintf(worker->id, sizeof(worker->id), "w%u", i);
+		worker->vm = (fleet_vm_t){.id = worker->id,
+					  .pool = &sim->pool,
+					  .phase = LP__VM_PHASE__VM_ACTIVE,
+					  .cores = CORES,
+					  .mem_mib = MEM_MIB};
+		worker->bad = i < BAD_WORKERS;
+		worker->tasks = g_array_new(FALSE, FALSE, sizeof(sim_task_t));
+		worker->report_due_us = sim->now_us + i * REPORT_US / WORKERS;
+		TAILQ_INSERT_TAIL(&sim->pool.vms, &worker->vm, pool_link);
+		sim->pool.vm_count++;
+		g_hash_table_insert(sim->fleet.vm_by_id, worker->id, &worker->vm);
+	}
+	for (unsigned i = 0; i < KINDS; i++) {
+		sim->kind_cores[i] = 2 * off_by(sim, 4);
+		sim->kind_mem[i] = 8192 * off_by(sim, 4);
+		sim->kind_work[i] = 20 * off_by(sim, 3);
+	}
+	jobs_init(&sim->jobs);
+}
+
+static int compare(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static void urgent_times(const sim_t *sim, result_t *result)
+{
+	double *times = g_new(double, sim->all->len);
+	unsigned count = 0;
+	unsigned late = 0;
+
+	for (guint i = 0; i < sim->all->len; i++) {
+		const sim_job_t *job = g_ptr_array_index(sim->all, i);
+		uint64_t end_us = job->started_us != 0 ? job->started_us : sim->now_us;
+
+		if (!job->spec.urgent)
+			continue;
+		times[count] = (double)(end_us - job->submitted_us) / US_PER_S;
+		late += times[count++] > 2.4;
+	}
+	qsort(times, count, sizeof(double), compare);
+	result->urgent_median_s = times[count / 2];
+	result->urgent_p99_s = times[count * 99 / 100];
+	result->urgent_max_s = times[count - 1];
+	result->urgent_late = (double)late / count;
+	g_free(times);
+}
+
+static void refusals(const sim_t *sim, result_t *result)
+{
+	unsigned tries = 0;
+	unsigned refused = 0;
+	unsigned open = 0;
+
+	for (guint i = 0; i < sim->all->len; i++) {
+		const sim_job_t *job = g_ptr_array_index(sim->all, i);
+		bool over = job->job.state == LP__JOB_STATE__JOB_REJECTED ||
+			    job->job.state == LP__JOB_STATE__JOB_FAILED;
+
+		if (!job->impossible && over)
+			result->false_refusals++;
+		if (!job->impossible)
+			continue;
+		refused += over;
+		tries += over ? job->tries : 0;
+		open += !over && job->tries > 0;
+	}
+	result->tries = refused > 0 ? (double)tries / refused : 0;
+	result->unrefused = refused + open > 0 ? (double)open / (refused + open) : 0;
+}
+
+static void sim_free(sim_t *sim)
+{
+	for (guint i = 0; i < sim->all->len; i++) {
+		sim_job_t *job = g_ptr_array_index(sim->all, i);
+
+		g_free(job->job.vm);
+		g_ptr_array_unref(job->job.failed_on);
+		g_free(job);
+	}
+	for (unsigned i = 0; i < WORKERS; i++)
+		g_array_unref(sim->workers[i].tasks);
+	g_ptr_array_unref(sim->all);
+	g_hash_table_unref(sim->fleet.vm_by_id);
+	g_hash_table_unref(sim->fleet.job_by_id);
+	jobs_finish(&sim->jobs);
+	g_rand_free(sim->rand);
+}
+
+static result_t run(uint32_t seed, bool baseline)
+{
+	sim_t *sim = g_new(sim_t, 1);
+	result_t result = {0};
+
+	sim_init(sim, seed, baseline);
+	for (unsigned tick = 0; tick < SECONDS * 10; tick++)
+		step(sim, tick);
+	urgent_times(sim, &result);
+	refusals(sim, &result);
+	result.utilisation = sim->useful / ((double)SECONDS * WORKERS * CORES);
+	result.wasted = sim->wasted / fmax(sim->useful + sim->wasted, 1);
+	result.done = sim->done;
+	result.cancel_us = sim->cancel_ms * 1000 / (double)MAX(sim->cancel_actions, 1);
+	sim_free(sim);
+	g_free(sim);
+	return result;
+}
+
+static void print_row(const char *name, const result_t *results, unsigned count, size_t offset)
+{
+	double *values = g_new(double, count);
+
+	for (unsigned i = 0; i < count; i++)
+		values[i] = *(const double *)((const char *)&results[i] + offset);
+	qsort(values, count, sizeof(double), compare);
+	fprintf(stderr, "  %-28s %10.3f   (%.3f to %.3f)\n", name, values[count / 2], values[0],
+		values[count - 1]);
+	g_free(values);
+}
+
+static void print_table(const char *policy, const result_t *results, unsigned count)
+{
+	fprintf(stderr, "%s: median of %u seeds (least to greatest)\n", policy, count);
+	print_row("urgent start, median, s", results, count, offsetof(result_t, urgent_median_s));
+	print_row("urgent start, p99, s", results, count, offsetof(result_t, urgent_p99_s));
+	print_row("urgent start, longest, s", results, count, offsetof(result_t, urgent_max_s));
+	print_row("urgent above 2.4 s, share", results, count, offsetof(result_t, urgent_late));
+	print_row("utilisation", results, count, offsetof(result_t, utilisation));
+	print_row("wasted work, share", results, count, offsetof(result_t, wasted));
+	print_row("tries of impossible jobs", results, count, offsetof(result_t, tries));
+	print_row("impossible not refused", results, count, offsetof(result_t, unrefused));
+	print_row("possible jobs refused", results, count, offsetof(result_t, false_refusals));
+	print_row("jobs done", results, count, offsetof(result_t, done));
+	print_row("cancellation, us per job", results, count, offsetof(result_t, cancel_us));
+}
+
+int main(int argc, char **argv)
+{
+	unsigned seeds = argc > 1 ? (unsigned)strtoul(argv[1], NULL, 10) : 9;
+	result_t *results = g_new(result_t, MAX(seeds, 1));
+
+	puts("policy,seed,urgent_median_s,urgent_p99_s,urgent_max_s,urgent_late,utilisation,"
+	     "wasted,tries,unrefused,false_refusals,done,cancel_us");
+	for (int baseline = 1; baseline >= 0; baseline--) {
+		const char *policy = baseline ? "first fit on declared sizes" : "placement";
+
+		for (unsigned i = 0; i < seeds; i++) {
+			result_t *r = &results[i];
+
+			*r = run(i + 1, baseline != 0);
+			printf("%s,%u,%.3f,%.3f,%.3f,%.4f,%.4f,%.4f,%.3f,%.3f,%.0f,%.0f,%.3f\n",
+			       policy, i + 1, r->urgent_median_s, r->urgent_p99_s, r->urgent_max_s,
+			       r->urgent_late, r->utilisation, r->wasted, r->tries, r->unrefused,
+			       r->false_refusals, r->done, r->cancel_us);
+		}
+		print_table(policy, results, seeds);
+	}
+	g_free(results);
+	return 0;
+}
