--- a/src/jobs.c
+++ b/src/jobs.c
@@ -159,6 +159,15 @@
 
 	action->state = state;
 	action->reason = g_strdup(reason);
+	if (state == LP__JOB_STATE__JOB_PLACED) {
+		jobs_task_t *task = jobs_task(jobs, job, input->now_us);
+
+		*task = (jobs_task_t){
+			.attempt = job->attempt + 1,
+			.seen_us = input->now_us,
+			.placed_here = true,
+		};
+	}
 	*pending = (pending_t){
 		.attempt = job->attempt,
 		.state = job->state,
@@ -415,6 +424,11 @@
 {
 	if (task->reported || input->now_us < task->start_due_us)
 		return;
+	/* A worker that has finished a task may have forgotten it and would run it again. Hence a
+	 * start that may have been sent before, by this leader or an earlier one, is not repeated.
+	 */
+	if (!job->spec->repeatable && (!task->placed_here || task->start_due_us != 0))
+		return;
 	task->start_due_us = input->now_us + RESEND_US;
 	jobs_add(actions, JOBS_START, job, job->vm)->size = jobs_size(jobs, job, NULL);
 }
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -54,6 +54,8 @@
 	uint64_t now_us;
 } jobs_input_t;
 
+/** Must be called anew each time that the process becomes leader: a job that may not be repeated is
+ * started only by the leader that placed it. */
 void jobs_init(jobs_t *jobs);
 void jobs_finish(jobs_t *jobs);
 
--- a/src/jobs_internal.h
+++ b/src/jobs_internal.h
@@ -12,6 +12,7 @@
 	uint32_t attempt;
 	uint64_t seen_us; /**< latest report, or when the attempt was first met here */
 	bool reported;
+	bool placed_here; /**< proposed by this leader in its present term */
 	placement_size_t peak;
 	uint64_t run_ms;
 	uint64_t start_due_us;
