--- a/src/claims_internal.h
+++ b/src/claims_internal.h
@@ -183,7 +183,7 @@
 /** A request could not be sent. */
 void claims_coordinator_unsent(claims_t *claims, uint32_t to, const Lp__ClaimRequest *request);
 void claims_coordinator_tick(claims_t *claims);
-void claims_attempt_free(gpointer attempt);
+void claims_attempt_free(gpointer data);
 
 /* claims_sync.c */
 void claims_sync_tick(claims_t *claims);
--- a/src/claims_sync.c
+++ b/src/claims_sync.c
@@ -97,7 +97,7 @@
 	}
 	if (claims->lost && claims_alone(set, self))
 		missing[n++] = self;
-	if (!claims->lost && !claims_removal_readable(before, set)) {
+	if (!claims->lost && before != NULL && !claims_removal_readable(before, set)) {
 		for (size_t i = 0; i < before->count; i++) {
 			if (!claims_set_has(set, before->members[i].node_id))
 				missing[n++] = before->members[i].node_id;
--- a/src/jobs.h
+++ b/src/jobs.h
@@ -74,7 +74,7 @@
 		    GPtrArray *actions);
 
 /** A start was certainly not run: the job may be placed again, even if it is not repeatable. */
-void jobs_start_refused(jobs_t *jobs, const jobs_input_t *input, const char *job, uint32_t attempt,
+void jobs_start_refused(jobs_t *jobs, const jobs_input_t *input, const char *id, uint32_t attempt,
 			GPtrArray *actions);
 
 GPtrArray *jobs_actions_new(void);
