placement: predict by ratio only from enough samples

Three samples whose ratios to the declared size happened to be alike predicted sizes beyond the largest worker. Change: a ratio needs 8 samples and a spread 1.5 times smaller than that of the absolute values.

--- a/src/placement.c
+++ b/src/placement.c
@@ -7,6 +7,10 @@
 #define SAMPLES 32
 /* From so many observations on, the declared size is no longer used. */
 #define TRUSTED 3
+/* A ratio extrapolates: from a few samples that happen to be alike it predicts sizes far beyond any
+ * that was seen, and possible jobs were refused (bench_placement, seed 9: 59 jobs). */
+#define RATIO_TRUSTED 8
+#define RATIO_ADVANTAGE 1.5
 /* Memory that runs out ends the task, so more of the spread is reserved than for cores, which are
  * only shared. Four fifths of the samples lie below, and a margin of a tenth is added. */
 #define MEM_QUANTILE 0.8
@@ -81,7 +85,8 @@
 	spread_values = (quantile(values, count, 0.9) + 1) / (quantile(values, count, 0.1) + 1);
 	spread_ratios =
 		(quantile(ratios, count, 0.9) + 1e-6) / (quantile(ratios, count, 0.1) + 1e-6);
-	samples->by_ratio = spread_values > spread_ratios;
+	samples->by_ratio =
+		count >= RATIO_TRUSTED && spread_values > RATIO_ADVANTAGE * spread_ratios;
 	samples->predicted = quantile(samples->by_ratio ? ratios : values, count, q);
 }
 
