tests: add process tests of a group's life cycle

Nothing ran the entry process, the emulator, the relay and the load tool together.

Three cases on 3 entry processes in 2 data centres and 6 targets: a process is killed and another one stopped gracefully under load; a maintenance wave reboots every VM under load, without a refusal; targets close connections without an answer. Each compares all answers with the emulator's executions: no key runs twice, ran and not-run are true.

--- /dev/null
+++ b/tests/test_cluster_lifecycle.c
@@ -0,0 +1,258 @@
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "lib_cluster.h"
+
+#define LIMIT_MS 30000
+#define TARGETS 6
+/* A target is told its new epoch by one announcement and echoes it in the next, 1 s later. */
+#define ECHO_US 2500000
+
+#define TEMPLATE                                                                           \
+	"organisation: barid\n"                                                            \
+	"pools:\n"                                                                         \
+	"  - name: backoffice\n"                                                           \
+	"    spare: true\n"                                                                \
+	"    min_vms: 4\n"                                                                 \
+	"    max_vms: 9\n"                                                                 \
+	"    keep_vms: 4\n"                                                                \
+	"    classes:\n"                                                                   \
+	"      - {name: once, path_prefix: /once, deadline_ms: 3000, repeatable: false}\n" \
+	"      - {name: any, path_prefix: /, deadline_ms: 3000, repeatable: true}\n"
+#define MAINTENANCE             \
+	"maintenance:\n"        \
+	"  image: next\n"       \
+	"  probation_ms: 500\n" \
+	"  drain_timeout_ms: 10000\n"
+
+static int set_up(void **state)
+{
+	const cluster_config_t config = {
+		.nodes = 3,
+		.data_centres = 2,
+		.voters = 3,
+		.relay = true,
+		.targets = TARGETS,
+		.service_ms = 5,
+		/* The planner starts lost_ms after an election. */
+		.timing = "  routing_lease_ms: 2000\n  lost_ms: 3000",
+	};
+	cluster_t *cluster = cluster_create(&config);
+
+	*state = cluster;
+	cluster_start(cluster);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	cluster_destroy(*state);
+	return 0;
+}
+
+/* True when all VMs are active with the image that was waited for. */
+static bool vms_active(void *arg, const char *image)
+{
+	json_t *answer = cluster_get(arg, 3, "/v1/vms", NULL);
+	unsigned active = 0;
+	size_t i;
+	json_t *vm;
+
+	json_array_foreach (json_object_get(answer, "vms"), i, vm)
+		active += strcmp(json_string_value(json_object_get(vm, "phase")), "active") == 0 &&
+			  strcmp(json_string_value(json_object_get(vm, "image")), image) == 0;
+	json_decref(answer);
+	return active == TARGETS;
+}
+
+static bool vms_joined(void *arg)
+{
+	return vms_active(arg, "base");
+}
+
+static bool vms_maintained(void *arg)
+{
+	return vms_active(arg, "next");
+}
+
+static void apply_template(cluster_t *cluster, const char *text)
+{
+	char *file = cluster_path(cluster, "barid.yaml");
+	const char *const args[] = {
+		"template", "apply", file, "--note", "first", "--server", cluster_url(cluster, 2),
+		NULL};
+	char *output = NULL;
+
+	assert_true(g_file_set_contents(file, text, -1, NULL));
+	if (cluster_cli(cluster, args, &output) != 0)
+		fail_msg("apply: %s", output);
+	g_free(output);
+	g_free(file);
+}
+
+static json_int_t count(const json_t *summary, const char *class, const char *key)
+{
+	const json_t *classes = json_object_get(summary, "classes");
+
+	return json_integer_value(json_object_get(json_object_get(classes, class), key));
+}
+
+static const char *text_of(const json_t *line, const char *key)
+{
+	const char *text = json_string_value(json_object_get(line, key));
+
+	return text == NULL ? "" : text;
+}
+
+/* Number of executions by request id, which is the last part of the path. */
+static json_t *read_executions(const cluster_t *cluster)
+{
+	json_t *journal = cluster_journal(cluster->journal);
+	json_t *starts = json_object();
+	size_t i;
+	json_t *line;
+
+	json_array_foreach (journal, i, line) {
+		const char *slash = strrchr(text_of(line, "path"), '/');
+		json_int_t before;
+
+		if (strcmp(text_of(line, "event"), "start") != 0 || slash == NULL)
+			continue;
+		before = json_integer_value(json_object_get(starts, slash + 1));
+		json_object_set_new(starts, slash + 1, json_integer(before + 1));
+	}
+	json_decref(journal);
+	return starts;
+}
+
+/* Checks that nothing ran twice, and that answers that say ran or not-run are true. */
+static void check_answers(const cluster_t *cluster)
+{
+	char *file = cluster_path(cluster, "load.journal");
+	json_t *starts = read_executions(cluster);
+	json_t *journal = cluster_journal(file);
+	size_t i;
+	json_t *line;
+
+	json_array_foreach (journal, i, line) {
+		const char *id = text_of(line, "id");
+		const char *outcome = text_of(line, "outcome");
+		json_int_t runs = json_integer_value(json_object_get(starts, id));
+
+		if (text_of(line, "key")[0] != '\0' && runs > 1)
+			fail_msg("%s ran %lld times", id, (long long)runs);
+		if (strcmp(outcome, "ran") == 0 && runs == 0)
+			fail_msg("%s was answered ran, but did not run", id);
+		if (strcmp(outcome, "not-run") == 0 && runs != 0 &&
+		    json_integer_value(json_object_get(line, "attempt")) == 1)
+			fail_msg("%s was answered not-run, but ran", id);
+	}
+	json_decref(journal);
+	json_decref(starts);
+	g_free(file);
+}
+
+/* Guards against a group that does not form, serve, or survive the loss of a process. */
+static void test_group_serves_while_processes_restart(void **state)
+{
+	static const char *const args[] = {"--class",	"any:/r/barid/backoffice/x:50:repeatable",
+					   "--class",	"once:/r/barid/backoffice/once:50:once",
+					   "--seconds", "8",
+					   "--seed",	"11",
+					   NULL};
+	cluster_t *cluster = *state;
+	json_t *summary;
+	pid_t load;
+
+	apply_template(cluster, TEMPLATE);
+	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
+	g_usleep(ECHO_US);
+	load = cluster_load_start(cluster, "load", args);
+	g_usleep(2000000);
+	cluster_kill_node(cluster, 1);
+	cluster_start_node(cluster, 1);
+	g_usleep(2000000);
+	cluster_signal_node(cluster, 2, SIGTERM);
+	assert_int_equal(cluster_wait_node(cluster, 2, LIMIT_MS), 0);
+	cluster_start_node(cluster, 2);
+	summary = cluster_load_wait(cluster, "load", load, 60000);
+	assert_int_equal(count(summary, "any", "other_body"), 0);
+	assert_int_equal(count(summary, "once", "other_body"), 0);
+	check_answers(cluster);
+	assert_true(count(summary, "any", "ran") > count(summary, "any", "invoked") / 2);
+	assert_true(count(summary, "once", "ran") > count(summary, "once", "invoked") / 2);
+	json_decref(summary);
+}
+
+/* Guards against maintenance that does not end, or interrupts or refuses requests. */
+static void test_wave_under_load(void **state)
+{
+	static const char *const args[] = {"--class",	"any:/r/barid/backoffice/x:50:repeatable",
+					   "--class",	"once:/r/barid/backoffice/once:50:once",
+					   "--seconds", "40",
+					   "--seed",	"12",
+					   NULL};
+	cluster_t *cluster = *state;
+	json_t *summary;
+	pid_t load;
+
+	apply_template(cluster, TEMPLATE);
+	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
+	g_usleep(ECHO_US);
+	load = cluster_load_start(cluster, "load", args);
+	apply_template(cluster, TEMPLATE MAINTENANCE);
+	assert_true(cluster_wait(vms_maintained, cluster, 4 * LIMIT_MS));
+	summary = cluster_load_wait(cluster, "load", load, 60000);
+	assert_int_equal(count(summary, "any", "unknown"), 0);
+	assert_int_equal(count(summary, "once", "unknown"), 0);
+	assert_int_equal(count(summary, "any", "ran"), count(summary, "any", "invoked"));
+	assert_int_equal(count(summary, "once", "ran"), count(summary, "once", "invoked"));
+	check_answers(cluster);
+	json_decref(summary);
+}
+
+/* Guards against a second execution by a layer that sends again what may have run, such as the HTTP
+ * library on a reused connection that ends before the answer. */
+static void test_lost_answers_run_once(void **state)
+{
+	static const char *const args[] = {"--class",	"once:/r/barid/backoffice/once:50:once",
+					   "--seconds", "6",
+					   "--seed",	"13",
+					   NULL};
+	cluster_t *cluster = *state;
+	json_t *summary;
+	pid_t load;
+
+	apply_template(cluster, TEMPLATE);
+	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
+	g_usleep(ECHO_US);
+	load = cluster_load_start(cluster, "load", args);
+	g_usleep(2000000);
+	cluster_behaviour(cluster, "mode=close");
+	g_usleep(1000000);
+	cluster_behaviour(cluster, "mode=normal");
+	summary = cluster_load_wait(cluster, "load", load, 60000);
+	assert_true(count(summary, "once", "unknown") > 0);
+	check_answers(cluster);
+	json_decref(summary);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_group_serves_while_processes_restart, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_wave_under_load, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_lost_answers_run_once, set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
