admission, slots: keep the slots busy in a surge

Cause 1: deficits of the round robin were kept when a class's queue became empty, so light load saved up shares and a class starved in the surge. Now they are dropped, and putting a request back restores the deficit exactly. Cause 2: a worker that still runs work given up by the entry process refuses; five refusals ejected it. Cause 3: one deviation as the margin of the deadline made one in six answers late once the queues were fair. Now four deviations. Cause 4: attempts that the deadline left less than the usual time counted against the target. Now they say nothing of it.

--- a/src/admission.c
+++ b/src/admission.c
@@ -32,13 +32,14 @@
 }
 
 /*
- * Time that one request is expected to take; the deviation keeps most answers within it. A request
- * that finds a free slot is always tried: otherwise a class whose service time once exceeded its
- * deadlines would be refused for ever, since only answers correct the estimate.
+ * Time that one request is expected to take; four deviations keep 99% of the answers within it when
+ * service times are distributed exponentially. A request that finds a free slot is always tried:
+ * otherwise a class whose service time once exceeded its deadlines would be refused for ever, since
+ * only answers correct the estimate.
  */
 static double expected_us(const admission_class_t *class, const admission_entry_t *entry)
 {
-	return MIN(class->service_us + class->deviation_us, 0.9 * (double)entry->allowance_us);
+	return MIN(class->service_us + 4 * class->deviation_us, 0.9 * (double)entry->allowance_us);
 }
 
 static bool can_finish(const admission_class_t *class, const admission_entry_t *entry,
@@ -103,7 +104,7 @@
 void admission_put_back(admission_t *admission, admission_class_t *class, admission_entry_t *entry)
 {
 	admission_requeue(admission, class, entry);
-	class->deficit_us += cost_us(class);
+	class->deficit_us = admission->undo_deficit_us;
 }
 
 void admission_remove(admission_t *admission, admission_class_t *class, admission_entry_t *entry)
@@ -150,10 +151,14 @@
 		next_turn(admission);
 	class = admission->turn;
 	entry = TAILQ_FIRST(&class->queue);
+	admission->undo_deficit_us = class->deficit_us;
 	admission_remove(admission, class, entry);
 	*late = !can_finish(class, entry, 0, now_us);
 	if (!*late)
 		class->deficit_us -= cost_us(class);
+	/* What is left may not be saved up: the class would later run ahead of the others. */
+	if (class->length == 0)
+		class->deficit_us = 0;
 	return entry;
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -32,6 +32,7 @@
 typedef struct {
 	TAILQ_HEAD(admission_class_list, admission_class) classes;
 	admission_class_t *turn; /**< class being served; NULL: none */
+	double undo_deficit_us;	 /**< deficit before the latest admission_next() */
 	uint32_t length;	 /**< of all queues */
 } admission_t;
 
@@ -55,7 +56,7 @@
 admission_result_t admission_offer(admission_t *admission, admission_class_t *class,
 				   admission_entry_t *entry, uint32_t slots, uint32_t free_slots,
 				   uint64_t now_us);
-/** Undoes admission_next() for a request that found no slot. */
+/** Undoes the latest admission_next(), for a request that found no slot. */
 void admission_put_back(admission_t *admission, admission_class_t *class, admission_entry_t *entry);
 /** Puts a request that is to be tried again at the head of its queue. */
 void admission_requeue(admission_t *admission, admission_class_t *class, admission_entry_t *entry);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -42,7 +42,6 @@
 	bool connected;
 	bool sent;
 	bool refused;
-	bool timed_out;
 	bool mismatched;
 	char *echo_name;
 	char *echo_value;
@@ -267,7 +266,7 @@
 		.connected = call->connected,
 		.sent = call->sent,
 		.refused_before_send = call->refused,
-		.timed_out = call->timed_out,
+		.timed_out = code == CURLE_OPERATION_TIMEDOUT,
 		.mismatched = call->mismatched,
 		.headers = (const http_header_t *)call->response_headers->data,
 		.header_count = call->response_headers->len,
@@ -330,7 +329,6 @@
 		arm_progress_timer(call, call->progress_timeout_us - idle_us);
 		return;
 	}
-	call->timed_out = true;
 	call->error = "no progress";
 	finish_call(call, CURLE_OPERATION_TIMEDOUT);
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -50,7 +50,7 @@
 	bool sent;		  /**< at least one byte of the request may have reached the peer */
 	bool complete;		  /**< status, headers and the whole body were received */
 	bool refused_before_send; /**< before_send returned false */
-	bool timed_out;		  /**< the progress timeout ended the call */
+	bool timed_out;		  /**< a timeout ended the call */
 	bool mismatched;	  /**< the response was that of another request */
 	unsigned status;
 	const http_header_t *headers;
--- a/src/route_pool.c
+++ b/src/route_pool.c
@@ -85,7 +85,7 @@
 			continue;
 		*candidate = (router_candidate_t){
 			.target = &target->router,
-			.free = slots_free(&target->slots) > 0,
+			.free = slots_free(&target->slots, now_us) > 0,
 		};
 		for (unsigned t = 0; ticket != NULL && t < ROUTE_TRIED_MAX; t++)
 			candidate->avoid |= ticket->tried[t] == target;
@@ -115,7 +115,7 @@
 static void grant(route_ticket_t *ticket, route_target_entry_t *target, uint64_t now_us)
 {
 	ticket->trial = router_start(&target->router, now_us);
-	slots_take(&target->slots);
+	slots_take(&target->slots, now_us);
 	ticket->target = target;
 	ticket->epoch = target->epoch;
 	g_strlcpy(ticket->address, target->address, sizeof(ticket->address));
@@ -135,18 +135,18 @@
 		ticket->notify(ticket);
 }
 
-static uint32_t free_slots(const route_pool_t *pool, size_t candidates, uint32_t *total)
+static uint32_t free_slots(const route_pool_t *pool, size_t candidates, uint32_t *total,
+			   uint64_t now_us)
 {
 	uint32_t free = 0;
 
 	*total = 0;
 	for (size_t i = 0; i < candidates; i++) {
-		const route_target_entry_t *target =
-			(const route_target_entry_t *)pool->candidates[i].target;
+		route_target_entry_t *target = (route_target_entry_t *)pool->candidates[i].target;
 
 		if (target->router.ejected)
 			continue;
-		free += slots_free(&target->slots);
+		free += slots_free(&target->slots, now_us);
 		*total += target->slots.share;
 	}
 	return free;
@@ -225,7 +225,7 @@
 	route_pool_t *pool = ticket->pool;
 	size_t count = collect_candidates(table, pool, NULL, now_us);
 	uint32_t total;
-	uint32_t free = free_slots(pool, count, &total);
+	uint32_t free = free_slots(pool, count, &total, now_us);
 
 	if (!pool->present || ticket->class->retired)
 		return ROUTE_GONE;
@@ -330,12 +330,21 @@
 	route_pool_t *pool = ticket->pool;
 	size_t count;
 
+	/* An attempt that the deadline left less than the usual time says nothing of the target. */
+	if (ticket->timed_out && elapsed_us < ticket->patience_us) {
+		ticket->timed_out = false;
+		result = ROUTER_CANCELLED;
+	}
 	pthread_mutex_lock(&pool->shard->lock);
 	count = collect_candidates(table, pool, NULL, now_us);
 	router_finish(&target->router, pool->candidates, count, ticket->trial, result, elapsed_us,
 		      now_us);
 	slots_give(&target->slots);
-	if (result == ROUTER_OK || ticket->timed_out)
+	if (result == ROUTER_OK)
+		slots_accepted(&target->slots);
+	else if (result == ROUTER_REFUSED)
+		slots_refused(&target->slots, now_us);
+	if (result == ROUTER_OK || (ticket->timed_out && ticket->repeatable))
 		adjust_patience(ticket->class, ticket->timed_out);
 	if (result == ROUTER_OK) {
 		admission_served(&ticket->class->admission, elapsed_us);
--- a/src/route_pool.h
+++ b/src/route_pool.h
@@ -61,7 +61,7 @@
 	uint64_t epoch;
 	bool trial;
 	uint64_t patience_us; /**< silence after which an answer is unlikely; 0: unknown */
-	bool timed_out;	      /**< set before route_finish(): the patience was used up */
+	bool timed_out;	      /**< set before route_finish(): the attempt ran out of time */
 
 	/** Targets of earlier attempts, for comparison only. */
 	const struct route_target_entry *tried[ROUTE_TRIED_MAX];
--- a/src/router.c
+++ b/src/router.c
@@ -195,8 +195,6 @@
 		note_failure(target, candidates, count, trial, now_us);
 		break;
 	case ROUTER_REFUSED:
-		note_failure(target, candidates, count, trial, now_us);
-		break;
 	case ROUTER_CANCELLED:
 		break;
 	}
--- a/src/router.h
+++ b/src/router.h
@@ -34,7 +34,7 @@
 typedef enum {
 	ROUTER_OK,
 	ROUTER_FAILED,	  /**< no complete answer, or an answer with status 5xx */
-	ROUTER_REFUSED,	  /**< truthful refusal */
+	ROUTER_REFUSED,	  /**< truthful refusal: the target is busy, not at fault */
 	ROUTER_CANCELLED, /**< says nothing about the target */
 } router_result_t;
 
