controller, jobs: run the planner after each change; carry out job decisions

The job decisions were not connected. Change: the planner runs within 100 ms of a change of the applied state; a new leader starts at once, since targets that it has not heard count as unusable; job_runner carries out placement, starts, checkpoints and cancellations; announcements renew the leases of tasks that the log wants. Peers' identities are confirmed to the replica each second; a file size limit no longer ends the process. Not measured: jobs on real processes.

--- a/src/announce.c
+++ b/src/announce.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "clock.h"
+#include "job_runner.h"
 #include "json_reply.h"
 #include "log.h"
 
@@ -33,6 +34,7 @@
 	timer_sub_t batch_timer;
 	GHashTable *passed; /**< VM id to passed_t */
 	GPtrArray *reports; /**< Lp__TargetReport, owned, to be sent */
+	uint32_t leader;    /**< when the latest batch was sent */
 	metrics_counter_t *received;
 	metrics_counter_t *invalid;
 	metrics_counter_t *contradictions;
@@ -152,6 +154,7 @@
 
 	health_report(&node->health, report, now_us);
 	route_table_announce(node->routes, &announcement);
+	job_runner_report(node->jobs, report);
 }
 
 static passed_t *passed_find(announce_t *announce, const char *vm)
@@ -197,6 +200,16 @@
 	g_free(packed);
 }
 
+static void forget_passed(announce_t *announce)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, announce->passed);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((passed_t *)value)->passed_us = 0;
+}
+
 static void send_batch(void *arg, uint64_t now_us)
 {
 	announce_t *announce = arg;
@@ -205,6 +218,11 @@
 	Lp__TargetReports reports = LP__TARGET_REPORTS__INIT;
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 
+	/* A new leader has to hear of every target soon, not only at the next refresh. */
+	if (leader != announce->leader) {
+		announce->leader = leader;
+		forget_passed(announce);
+	}
 	if (announce->reports->len == 0)
 		return;
 	reports.n_reports = announce->reports->len;
@@ -262,9 +280,10 @@
 	node_propose(node, &command, on_registered, announce);
 }
 
-static void reply_assignment(announce_t *announce, http_request_t *request, const char *vm_id)
+static void reply_assignment(announce_t *announce, http_request_t *request,
+			     const Lp__TargetReport *report)
 {
-	const fleet_vm_t *vm = fleet_vm_find(&announce->node->fleet, vm_id);
+	const fleet_vm_t *vm = fleet_vm_find(&announce->node->fleet, report->vm);
 
 	if (vm == NULL) {
 		json_reply(request, 202,
@@ -272,8 +291,9 @@
 		return;
 	}
 	json_reply(request, 200,
-		   json_pack("{s:I, s:s, s:b}", "epoch", (json_int_t)vm->epoch, "pool",
-			     vm->pool->name, "cordoned", !fleet_vm_routable(vm)));
+		   json_pack("{s:I, s:s, s:b, s:o}", "epoch", (json_int_t)vm->epoch, "pool",
+			     vm->pool->name, "cordoned", !fleet_vm_routable(vm), "leases",
+			     job_runner_leases(announce->node, report)));
 }
 
 void announce_handle(announce_t *announce, http_request_t *request)
@@ -294,7 +314,7 @@
 	update_local(announce, &report, now_us);
 	pass_on(announce, &report, now_us);
 	register_vm(announce, report.reg, now_us);
-	reply_assignment(announce, request, report.vm);
+	reply_assignment(announce, request, &report);
 out:
 	json_decref(body);
 	talloc_free(mem);
--- a/src/controller.c
+++ b/src/controller.c
@@ -15,6 +15,9 @@
  * among the others. Longer than a leader change and a peer reconnection together. */
 #define MEMBER_DOWN_US (6 * US_PER_S)
 #define LOAD_REPORT_MS 1000
+/* The planner runs again soon after a change: with one run a second, each VM of a wave waited half
+ * a second on average at each of its four steps. */
+#define CHANGE_MS 100
 
 struct controller {
 	node_t *node;
@@ -23,6 +26,8 @@
 	GArray *demands; /**< of the latest planner run */
 	timer_sub_t plan_timer;
 	timer_sub_t load_timer;
+	timer_sub_t change_timer;
+	bool changed;	       /**< since the latest planner run */
 	unsigned pending;      /**< proposals without an outcome */
 	uint64_t led_since_us; /**< 0: not leader */
 	metrics_counter_t *runs;
@@ -271,7 +276,8 @@
 
 	TAILQ_FOREACH (member, &node->fleet.members, link) {
 		uint64_t heard_us = replica_peer_heard_us(node->replica, member->node_id);
-		bool silent = heard_us == 0 || now_us - heard_us > MEMBER_DOWN_US;
+		/* A new leader gives every member the whole period. */
+		bool silent = now_us - MAX(heard_us, controller->led_since_us) > MEMBER_DOWN_US;
 
 		if (member->node_id == node->settings->node) {
 			if (!member->up && !node->draining)
@@ -284,24 +290,34 @@
 
 /* --- timers --- */
 
-static void run_plan(void *arg, uint64_t now_us)
+static bool check_leading(controller_t *controller, uint64_t now_us)
 {
-	controller_t *controller = arg;
-	node_t *node = controller->node;
-	plan_input_t input;
-	GPtrArray *actions;
+	bool leading = replica_has_lease(controller->node->replica);
 
-	if (!replica_has_lease(node->replica)) {
+	if (!leading) {
 		controller->led_since_us = 0;
-		return;
-	}
-	if (controller->led_since_us == 0)
+	} else if (controller->led_since_us == 0) {
 		controller->led_since_us = now_us;
-	capacity_sample(&controller->capacity, now_us);
-	/* A new leader first hears every target and every member. */
-	if (controller->pending > 0 ||
-	    now_us - controller->led_since_us < node->settings->timing.lost_ms * US_PER_MS)
+		health_start(&controller->node->health, now_us);
+	}
+	return leading;
+}
+
+static void set_failures(void *arg, const char *vm, uint32_t consecutive_failures)
+{
+	node_t *node = arg;
+
+	health_set_failures(&node->health, vm, consecutive_failures);
+}
+
+static void run_plan(controller_t *controller, uint64_t now_us)
+{
+	plan_input_t input;
+	GPtrArray *actions;
+
+	if (!check_leading(controller, now_us) || controller->pending > 0)
 		return;
+	controller->changed = false;
 	metrics_add(controller->runs, 1);
 	watch_members(controller, now_us);
 	controller_plan_input(controller, &input);
@@ -311,6 +327,30 @@
 	g_ptr_array_unref(actions);
 }
 
+static void on_plan_timer(void *arg, uint64_t now_us)
+{
+	controller_t *controller = arg;
+
+	if (check_leading(controller, now_us)) {
+		capacity_sample(&controller->capacity, now_us);
+		route_table_failures(controller->node->routes, set_failures, controller->node);
+	}
+	run_plan(controller, now_us);
+}
+
+static void on_change_timer(void *arg, uint64_t now_us)
+{
+	controller_t *controller = arg;
+
+	if (controller->changed)
+		run_plan(controller, now_us);
+}
+
+void controller_changed(controller_t *controller)
+{
+	controller->changed = true;
+}
+
 typedef struct {
 	GPtrArray *loads;
 } load_list_t;
@@ -384,7 +424,9 @@
 	controller->conflicts =
 		metrics_counter(node->metrics, "lavenderpass_planner_conflicts_total", "");
 	timer_subscribe(&node->timers, &controller->plan_timer,
-			node->settings->timing.planner_ms * US_PER_MS, run_plan, controller);
+			node->settings->timing.planner_ms * US_PER_MS, on_plan_timer, controller);
+	timer_subscribe(&node->timers, &controller->change_timer, CHANGE_MS * US_PER_MS,
+			on_change_timer, controller);
 	timer_subscribe(&node->timers, &controller->load_timer, LOAD_REPORT_MS * US_PER_MS,
 			report_load, controller);
 	return controller;
@@ -394,6 +436,7 @@
 {
 	timer_unsubscribe(&controller->node->timers, &controller->plan_timer);
 	timer_unsubscribe(&controller->node->timers, &controller->load_timer);
+	timer_unsubscribe(&controller->node->timers, &controller->change_timer);
 	if (controller->demands != NULL)
 		g_array_unref(controller->demands);
 	capacity_finish(&controller->capacity);
--- a/src/controller.h
+++ b/src/controller.h
@@ -15,6 +15,8 @@
 controller_t *controller_create(node_t *node);
 void controller_destroy(controller_t *controller);
 
+/** The applied state changed: the planner runs within 100 ms. */
+void controller_changed(controller_t *controller);
 /** Load reports of a peer. */
 void controller_load(controller_t *controller, uint32_t from, const Lp__LoadReport *report);
 /** Fills the planner's input from the node's present state. */
--- a/src/node.h
+++ b/src/node.h
@@ -28,6 +28,7 @@
 
 struct announce;
 struct controller;
+struct job_runner;
 struct auth;
 
 typedef struct node {
@@ -46,6 +47,7 @@
 	http_client_t client;
 	struct announce *announce;
 	struct controller *controller;
+	struct job_runner *jobs;
 	struct auth *auth;
 	io_thread_t **threads;
 	unsigned thread_count;
--- a/src/publish.c
+++ b/src/publish.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "clock.h"
+#include "controller.h"
+#include "job_runner.h"
 #include "log.h"
 
 static void publish_vm(node_t *node, const fleet_vm_t *vm)
@@ -89,6 +91,9 @@
 	route_peer_t peers[PEER_MAX];
 	size_t count = 0;
 
+	/* The replica may apply its log before the peers are connected. */
+	if (node->peers == NULL)
+		return;
 	for (size_t i = 0; i < peer_count(node->peers) && count < PEER_MAX; i++) {
 		const peer_info_t *info = peer_at(node->peers, i);
 
@@ -175,10 +180,14 @@
 	case LP__COMMAND__BODY_MEMBER_UPDATE:
 		publish_members(node);
 		break;
+	case LP__COMMAND__BODY_JOB_CANCEL:
+		/* The replica applies its own log before the other parts are there. */
+		if (node->jobs != NULL)
+			job_runner_cancelled(node->jobs, command->job_cancel);
+		break;
 	case LP__COMMAND__BODY_WAVE_UPDATE:
 	case LP__COMMAND__BODY_JOB_SUBMIT:
 	case LP__COMMAND__BODY_JOB_UPDATE:
-	case LP__COMMAND__BODY_JOB_CANCEL:
 	case LP__COMMAND__BODY__NOT_SET:
 	case _LP__COMMAND__BODY__CASE_IS_INT_SIZE:
 		break;
@@ -219,6 +228,10 @@
 
 static void on_changed(void *arg)
 {
+	node_t *node = arg;
+
+	if (node->controller != NULL)
+		controller_changed(node->controller);
 }
 
 replica_machine_t publish_machine(node_t *node)
--- a/src/serve.c
+++ b/src/serve.c
@@ -17,6 +17,7 @@
 #include "auth.h"
 #include "clock.h"
 #include "controller.h"
+#include "job_runner.h"
 #include "log.h"
 #include "node.h"
 #include "publish.h"
@@ -39,6 +40,7 @@
 	uint64_t drain_start_us;
 	uint64_t member_proposed_us;
 	timer_sub_t tick;
+	timer_sub_t confirm;
 	bool member_goodbye; /**< the proposal that this member is down was sent */
 	int status;
 } serve_t;
@@ -259,6 +261,22 @@
 		serve->status = 0;
 }
 
+/** The replica may adopt an older identity from log entries, so it is told again and again. */
+static void confirm_peers(node_t *node)
+{
+	for (size_t i = 0; i < peer_count(node->peers); i++) {
+		const peer_info_t *info = peer_at(node->peers, i);
+
+		if (info->up)
+			replica_peer_up(node->replica, info->node_id, info->replica_id, info->disk);
+	}
+}
+
+static void on_confirm(void *arg, uint64_t now_us)
+{
+	confirm_peers(arg);
+}
+
 static void on_tick(void *arg, uint64_t now_us)
 {
 	serve_t *serve = arg;
@@ -426,6 +444,8 @@
 
 	log_init(settings->log_format == SETTINGS_LOG_JSON, settings->log_debug, settings->node);
 	signal(SIGPIPE, SIG_IGN);
+	/* A file size limit is a full disk: the replica steps down instead of ending. */
+	signal(SIGXFSZ, SIG_IGN);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	if (getrandom(&node->incarnation, sizeof(node->incarnation), 0) !=
 	    sizeof(node->incarnation))
@@ -447,14 +467,17 @@
 		goto finish_client;
 	node->announce = announce_create(node);
 	node->controller = controller_create(node);
+	node->jobs = job_runner_create(node);
 	if (init_peers(node) != 0)
 		goto finish_parts;
 	publish_all(node);
 	tevent_add_signal(node->ev, node->ev, SIGTERM, 0, on_signal, &serve);
 	tevent_add_signal(node->ev, node->ev, SIGINT, 0, on_signal, &serve);
 	timer_subscribe(&node->timers, &serve.tick, TICK_MS * US_PER_MS, on_tick, &serve);
+	timer_subscribe(&node->timers, &serve.confirm, US_PER_S, on_confirm, node);
 	run_loop(&serve);
 	timer_unsubscribe(&node->timers, &serve.tick);
+	timer_unsubscribe(&node->timers, &serve.confirm);
 	stop_threads(node);
 	log_event(G_LOG_LEVEL_MESSAGE, NULL, "stopped");
 	if (node->claims != NULL)
@@ -462,6 +485,7 @@
 	peer_set_destroy(node->peers);
 	node->peers = NULL;
 finish_parts:
+	job_runner_destroy(node->jobs);
 	controller_destroy(node->controller);
 	announce_destroy(node->announce);
 	replica_destroy(node->replica);
