--- a/src/route_pool.h
+++ b/src/route_pool.h
@@ -48,24 +48,24 @@
 	void (*notify)(struct route_ticket *ticket);
 	route_state_t state;
 
-	/* Set by route_open(). */
+	/* Set by route_open(), repeatable too. */
+	uint32_t deadline_ms;
 	struct route_pool *pool;
 	struct route_class *class;
 	char class_name[ROUTE_NAME_MAX];
-	uint32_t deadline_ms;
-	bool repeatable;
 
 	/* Set while granted. */
 	struct route_target_entry *target;
 	char address[ROUTE_NAME_MAX];
 	uint64_t epoch;
-	bool trial;
 	uint64_t patience_us; /**< silence after which an answer is unlikely; 0: unknown */
-	bool timed_out;	      /**< set before route_finish(): the attempt ran out of time */
 
 	/** Targets of earlier attempts, for comparison only. */
 	const struct route_target_entry *tried[ROUTE_TRIED_MAX];
 	unsigned attempts;
+	bool repeatable;
+	bool trial;	/**< set while granted */
+	bool timed_out; /**< set before route_finish(): the attempt ran out of time */
 } route_ticket_t;
 
 /**
--- a/tests/test_thread_proxy.c
+++ b/tests/test_thread_proxy.c
@@ -317,6 +317,18 @@
 	return call;
 }
 
+static void on_wake(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
+		    void *private_data)
+{
+}
+
+/* Runs the loop for at most 5 ms: what the tests wait for may happen in another thread. */
+static void run_loop(fixture_t *f)
+{
+	tevent_add_timer(f->ev, f->ev, tevent_timeval_current_ofs(0, 5 * US_PER_MS), on_wake, NULL);
+	assert_int_equal(tevent_loop_once(f->ev), 0);
+}
+
 static void wait_answers(fixture_t *f)
 {
 	while (f->pending > 0)
@@ -329,7 +341,7 @@
 		uint64_t end_us = clock_now_us() + 3 * US_PER_S;
 
 		while (!io_thread_idle(f->threads[i]) && clock_now_us() < end_us)
-			tevent_loop_once(f->ev);
+			run_loop(f);
 		assert_true(io_thread_idle(f->threads[i]));
 	}
 }
@@ -455,7 +467,7 @@
 		start(f, &exchanges[i], "/r/barid/orders/x", NULL);
 	end_us = clock_now_us() + 100 * US_PER_MS;
 	while (clock_now_us() < end_us)
-		tevent_loop_once(f->ev);
+		run_loop(f);
 	for (unsigned i = 0; i < THREADS; i++)
 		io_thread_drain(f->threads[i]);
 	wait_answers(f);
@@ -477,12 +489,12 @@
 	set_all(f, LIB_TARGET_LATE, 100);
 	call = start(f, &exchange, "/r/barid/orders/post", "left");
 	while (lib_target_runs(exchange.token) == 0)
-		tevent_loop_once(f->ev);
+		run_loop(f);
 	http_call_cancel(call);
 	f->pending--;
 	while (f->claims.all->len == 0 ||
 	       ((stub_claim_t *)f->claims.all->pdata[0])->state == STUB_HELD)
-		tevent_loop_once(f->ev);
+		run_loop(f);
 	assert_int_equal(((stub_claim_t *)f->claims.all->pdata[0])->state, STUB_RECORDED);
 	wait_idle(f);
 	g_free(exchange.token);
