--- a/tools/lib_task.c
+++ b/tools/lib_task.c
@@ -28,6 +28,23 @@
 	return NULL;
 }
 
+static const char *state_name(task_state_t state)
+{
+	switch (state) {
+	case TASK_RUNNING:
+		return "running";
+	case TASK_DONE:
+		return "done";
+	case TASK_FAILED:
+		return "failed";
+	case TASK_CHECKPOINTED:
+		return "checkpointed";
+	case TASK_STOPPED:
+		return "stopped";
+	}
+	return "";
+}
+
 static answer_t answer(unsigned status, const char *key, const char *value)
 {
 	json_t *body = json_pack("{s:s}", key, value);
@@ -178,13 +195,13 @@
 		uint32_t cores_milli = task->cores * (task->throttled ? 500 : 1000);
 
 		json_array_append_new(
-			list,
-			json_pack("{s:s, s:I, s:i, s:I, s:I, s:I, s:s}", "job", task->job,
-				  "attempt", (json_int_t)task->attempt, "state", task->state,
-				  "cores_milli", (json_int_t)(known ? cores_milli : 0), "mem_mib",
-				  (json_int_t)(known ? task->mem_mib : 0), "run_ms",
-				  (json_int_t)((end_us - task->started_us) / US_PER_MS), "result",
-				  task->result == NULL ? "" : task->result));
+			list, json_pack("{s:s, s:I, s:s, s:I, s:I, s:I, s:s}", "job", task->job,
+					"attempt", (json_int_t)task->attempt, "state",
+					state_name(task->state), "cores_milli",
+					(json_int_t)(known ? cores_milli : 0), "mem_mib",
+					(json_int_t)(known ? task->mem_mib : 0), "run_ms",
+					(json_int_t)((end_us - task->started_us) / US_PER_MS),
+					"result", task->result == NULL ? "" : task->result));
 	}
 	return list;
 }
