explain: explain requests by id

Cause: the command line offers `explain request`, but the server knew no requests. Change: each process keeps its latest 4,096 answered requests in a ring (request_log) and explains them; the answer of another process says where to ask.

--- a/src/admin.c
+++ b/src/admin.c
@@ -145,6 +145,14 @@
 	return forwarded != NULL;
 }
 
+/** A request is known only to the process that answered it. */
+static bool wants_leader(const route_t *route, http_request_t *request)
+{
+	const char *kind = http_request_param(request, "kind");
+
+	return route->leader_view && (kind == NULL || strcmp(kind, "request") != 0);
+}
+
 void admin_handle(void *arg, http_request_t *request)
 {
 	node_t *node = arg;
@@ -165,7 +173,7 @@
 					 "a bearer token with the needed role is required");
 			return;
 		}
-		if (!route->leader_view || !forward_to_leader(node, request, route->fn))
+		if (!wants_leader(route, request) || !forward_to_leader(node, request, route->fn))
 			route->fn(node, request);
 		return;
 	}
--- a/src/explain.c
+++ b/src/explain.c
@@ -7,6 +7,7 @@
 #include "budget.h"
 #include "clock.h"
 #include "json_reply.h"
+#include "verdict.h"
 
 /*
  * Explains a VM, pool, wave or job to an operator who knows only the notes of the day staff: its
@@ -234,6 +235,20 @@
 	return reply;
 }
 
+static json_t *explain_request(node_t *node, const char *id)
+{
+	request_log_entry_t entry;
+
+	if (!request_log_find(&node->requests, id, &entry))
+		return NULL;
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "kind", "request",
+			 "id", id, "state", verdict_name(entry.outcome), "why",
+			 entry.reason[0] != '\0' ? entry.reason : "a target's answer",
+			 "organisation", entry.organisation, "service", entry.service, "class",
+			 entry.class_name, "status", (json_int_t)entry.status, "since_ms",
+			 (json_int_t)entry.wall_ms, "took_us", (json_int_t)entry.took_us);
+}
+
 void admin_explain(node_t *node, http_request_t *request)
 {
 	const char *kind = http_request_param(request, "kind");
@@ -252,12 +267,18 @@
 		reply = explain_wave(node, id);
 	else if (strcmp(kind, "job") == 0)
 		reply = explain_job(node, id);
+	else if (strcmp(kind, "request") == 0)
+		reply = explain_request(node, id);
 	else {
-		json_reply_error(request, 400, "kind has to be vm, pool, wave or job");
+		json_reply_error(request, 400, "kind has to be vm, pool, wave, job or request");
 		return;
 	}
 	if (reply == NULL)
-		json_reply_error(request, 404, "not found");
+		json_reply_error(request, 404,
+				 strcmp(kind, "request") == 0
+					 ? "not among the latest requests of this process; ask the "
+					   "entry process that answered it"
+					 : "not found");
 	else
 		json_reply(request, 200, reply);
 }
--- a/src/io_thread.c
+++ b/src/io_thread.c
@@ -118,6 +118,7 @@
 		.mailbox = &thread->mailbox,
 		.control = thread->config.control,
 		.claims = thread->config.claims,
+		.log = thread->config.log,
 		.seed = thread->config.seed,
 	};
 
--- a/src/io_thread.h
+++ b/src/io_thread.h
@@ -6,6 +6,7 @@
 #include "http_server.h"
 #include "mailbox.h"
 #include "metrics.h"
+#include "request_log.h"
 #include "route_table.h"
 
 /**
@@ -21,6 +22,7 @@
 	/** Claims live in the control thread; the proxy posts to this mailbox. */
 	mailbox_t *control;
 	claims_t *claims;
+	request_log_t *log; /**< of answered requests; NULL: none */
 	/** Called in the control thread for paths outside /r/; must reply. */
 	http_handler_fn control_handler;
 	void *control_arg;
--- a/src/node.h
+++ b/src/node.h
@@ -16,6 +16,7 @@
 #include "metrics.h"
 #include "peer.h"
 #include "replica.h"
+#include "request_log.h"
 #include "route_table.h"
 #include "settings.h"
 #include "timer.h"
@@ -41,6 +42,7 @@
 	fleet_t fleet;
 	health_t health;
 	route_table_t *routes;
+	request_log_t requests;
 	peer_set_t *peers;
 	replica_t *replica;
 	claims_t *claims; /**< NULL until the replica has caught up */
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -36,6 +36,32 @@
 	metrics_add(metrics_counter(metrics, "lavenderpass_requests_total", labels), 1);
 }
 
+static void log_request(const proxy_request_t *request, unsigned status, verdict_t outcome,
+			const char *reason)
+{
+	request_log_t *log = request->proxy->config.log;
+	request_log_entry_t entry = {
+		.outcome = outcome,
+		.status = status,
+		.wall_ms = clock_wall_ms(),
+		.took_us = clock_now_us() - request->started_us,
+	};
+
+	if (log == NULL)
+		return;
+	g_strlcpy(entry.id, request->id, sizeof(entry.id));
+	if (request->path.organisation != NULL)
+		g_strlcpy(entry.organisation, request->path.organisation,
+			  sizeof(entry.organisation));
+	if (request->path.service != NULL)
+		g_strlcpy(entry.service, request->path.service, sizeof(entry.service));
+	if (request->admitted)
+		g_strlcpy(entry.class_name, request->ticket.class_name, sizeof(entry.class_name));
+	if (reason != NULL)
+		g_strlcpy(entry.reason, reason, sizeof(entry.reason));
+	request_log_add(log, &entry);
+}
+
 static void request_free(proxy_request_t *request)
 {
 	g_queue_unlink(&request->proxy->requests, &request->link);
@@ -59,6 +85,7 @@
 	if (headers != NULL)
 		g_array_append_vals(all, headers->data, headers->len);
 	g_array_append_vals(all, own, G_N_ELEMENTS(own));
+	log_request(request, status, outcome, request->reason);
 	if (request->admitted)
 		route_close(request->proxy->config.routes, &request->ticket);
 	count_request(request, outcome);
@@ -78,6 +105,8 @@
 	GArray *headers = g_array_new(FALSE, FALSE, sizeof(http_header_t));
 	char *body = g_strconcat(text, "\n", NULL);
 
+	request->reason = text;
+
 	g_array_append_vals(headers, header, status == 503 || status == 429 ? 2 : 1);
 	reply(request, status, outcome, headers, body, strlen(body));
 	g_array_unref(headers);
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -9,6 +9,7 @@
 #include "http_server.h"
 #include "mailbox.h"
 #include "metrics.h"
+#include "request_log.h"
 #include "route_pool.h"
 
 /**
@@ -24,6 +25,7 @@
 	mailbox_t *mailbox; /**< of the I/O thread */
 	mailbox_t *control; /**< of the control thread */
 	claims_t *claims;   /**< used in the control thread only */
+	request_log_t *log; /**< NULL: none */
 	uint64_t seed;
 } proxy_config_t;
 
--- a/src/proxy_internal.h
+++ b/src/proxy_internal.h
@@ -63,6 +63,7 @@
 	bool may_have_run; /* an earlier attempt ended as unknown */
 	bool client_gone;
 	unsigned budget_attempts;
+	const char *reason; /* of an answer that is not a target's; a literal */
 	Lp__Outcome answer; /* to be recorded and answered; strings owned */
 	GArray *answer_headers;
 } proxy_request_t;
--- /dev/null
+++ b/src/request_log.c
@@ -0,0 +1,42 @@
+#include "request_log.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+void request_log_init(request_log_t *log)
+{
+	*log = (request_log_t){.entries = g_new0(request_log_entry_t, REQUEST_LOG_SIZE)};
+	pthread_mutex_init(&log->lock, NULL);
+}
+
+void request_log_finish(request_log_t *log)
+{
+	pthread_mutex_destroy(&log->lock);
+	g_free(log->entries);
+}
+
+void request_log_add(request_log_t *log, const request_log_entry_t *entry)
+{
+	pthread_mutex_lock(&log->lock);
+	log->entries[log->written++ % REQUEST_LOG_SIZE] = *entry;
+	pthread_mutex_unlock(&log->lock);
+}
+
+bool request_log_find(request_log_t *log, const char *id, request_log_entry_t *entry)
+{
+	bool found = false;
+
+	pthread_mutex_lock(&log->lock);
+	/* Newest first: a caller may have sent one id several times. */
+	for (uint64_t i = 0; i < MIN(log->written, REQUEST_LOG_SIZE) && !found; i++) {
+		const request_log_entry_t *candidate =
+			&log->entries[(log->written - 1 - i) % REQUEST_LOG_SIZE];
+
+		found = strcmp(candidate->id, id) == 0;
+		if (found)
+			*entry = *candidate;
+	}
+	pthread_mutex_unlock(&log->lock);
+	return found;
+}
--- a/src/serve.c
+++ b/src/serve.c
@@ -159,6 +159,7 @@
 		.metrics = node->metrics,
 		.control = &node->mailbox,
 		.claims = node->claims,
+		.log = &node->requests,
 		.control_handler = admin_handle,
 		.control_arg = node,
 	};
@@ -457,6 +458,7 @@
 	health_init(&node->health, settings->timing.routing_lease_ms * US_PER_MS,
 		    settings->timing.lost_ms * US_PER_MS);
 	init_routes(node);
+	request_log_init(&node->requests);
 	if (init_auth(node) != 0)
 		goto finish_state;
 	if (mailbox_init(&node->mailbox, node->ev) != 0)
@@ -496,6 +498,7 @@
 finish_auth:
 	auth_destroy(node->auth);
 finish_state:
+	request_log_finish(&node->requests);
 	route_table_destroy(node->routes);
 	health_finish(&node->health);
 	fleet_finish(&node->fleet);
