tests: reject any work under the epoch of a cordon

Cause: work that a process sends under the epoch of a cordon was accepted for 5.5 s, though its sender knew the cordon. Change: such work is a fault at any time; the bound applies to earlier epochs only.

--- a/tests/lib_history.c
+++ b/tests/lib_history.c
@@ -121,8 +121,21 @@
 			  seen.epoch, known->pool, pool);
 }
 
+static void check_cordoned(run_t *run, const json_t *line, const GArray *periods, uint64_t epoch)
+{
+	for (guint i = 0; i < periods->len; i++) {
+		const period_t *period = &g_array_index(periods, period_t, i);
+
+		if (period->epoch == epoch && period->cordoned)
+			add_fault(run, HISTORY_LATE_WORK,
+				  "%s ran %s under epoch %" G_GUINT64_FORMAT ", which is a cordon",
+				  text_of(line, "vm"), text_of(line, "path"), epoch);
+	}
+}
+
 /* Work is late when it was sent under an epoch that a newer one had replaced for longer than the
- * bound, or under an epoch that is itself a cordon. Without an epoch, the newest one counts. */
+ * bound, or without an epoch after a cordon of that age. Work under the epoch of a cordon is always
+ * wrong: its sender knew the cordon. */
 static void check_epoch(run_t *run, const json_t *line)
 {
 	const char *vm = text_of(line, "vm");
@@ -131,7 +144,10 @@
 	uint64_t time_us = number_of(line, "time_us");
 	const period_t *newest = NULL;
 
-	for (guint i = 0; periods != NULL && i < periods->len; i++) {
+	if (periods == NULL)
+		return;
+	check_cordoned(run, line, periods, epoch);
+	for (guint i = 0; i < periods->len; i++) {
 		const period_t *period = &g_array_index(periods, period_t, i);
 
 		if (period->time_us + HISTORY_CORDON_BOUND_US >= time_us)
@@ -141,8 +157,7 @@
 	}
 	if (newest == NULL)
 		return;
-	if ((epoch != 0 && epoch < newest->epoch) ||
-	    (newest->cordoned && (epoch == 0 || epoch == newest->epoch)))
+	if ((epoch != 0 && epoch < newest->epoch) || (epoch == 0 && newest->cordoned))
 		add_fault(run, HISTORY_LATE_WORK,
 			  "%s ran %s under epoch %" G_GUINT64_FORMAT
 			  ", but epoch %" G_GUINT64_FORMAT "%s was seen %" G_GUINT64_FORMAT
--- a/tests/test_history.c
+++ b/tests/test_history.c
@@ -148,6 +148,15 @@
 	expect(&history, HISTORY_LATE_WORK);
 }
 
+/* A process that knows the cordon must send nothing, so no bound applies. */
+static void test_work_under_cordoned_epoch_is_found(void **state)
+{
+	history_t history = check("[" EXECUTION("start", 200, "v1", "", "a", 2) "]", "[]",
+				  "[" VIEW(100000, "v1", 2, "p", true) "]");
+
+	expect(&history, HISTORY_LATE_WORK);
+}
+
 /* A target takes work without an epoch, so this must not hide late work. */
 static void test_late_work_without_epoch_is_found(void **state)
 {
@@ -227,6 +236,7 @@
 		cmocka_unit_test(test_ran_without_execution_is_found),
 		cmocka_unit_test(test_other_answer_is_found),
 		cmocka_unit_test(test_late_work_is_found),
+		cmocka_unit_test(test_work_under_cordoned_epoch_is_found),
 		cmocka_unit_test(test_late_work_without_epoch_is_found),
 		cmocka_unit_test(test_late_work_is_found_in_any_order),
 		cmocka_unit_test(test_work_under_returned_epoch_is_accepted),
