replica: bound the log by bytes as well as by entries

A template revision with 28 pools and 480 quotas is a log entry of 35 KB. Lowering snapshot_entries was ruled out as the fix: small entries would then be snapshotted too often.

--- a/src/replica.c
+++ b/src/replica.c
@@ -18,6 +18,10 @@
 #define TICK_US (20 * US_PER_MS)
 #define DISK_RETRY_US (1 * US_PER_S)
 
+/* A snapshot is taken after so many bytes of entries, and so many stay in the log after it. Without
+ * the bound, 4,000 template revisions of 35 KB would take 140 MB of memory on every process. */
+#define LOG_BYTES (2U << 20)
+
 static void on_flush(struct tevent_context *ev, struct tevent_immediate *im, void *private_data);
 
 void replica_schedule(replica_t *replica)
@@ -61,6 +65,7 @@
 		g_error("the snapshot at index %" PRIu64 " cannot be loaded", snapshot->index);
 	replica->applied = snapshot->index;
 	replica->snapshot_index = snapshot->index;
+	replica->applied_bytes = 0;
 	raft_applied(replica->raft, snapshot->index);
 	if (!replica->disk_failed &&
 	    (replica_store_snapshot(replica) != 0 || replica_store_rewrite(replica) != 0)) {
@@ -141,19 +146,41 @@
 		result.code = LP__RESULT_CODE__RESULT_INVALID;
 	result.index = entry->index;
 	replica->applied = entry->index;
+	replica->applied_bytes += entry->data.len;
 	raft_applied(replica->raft, entry->index);
 	replica_settle(replica, entry, &result);
 	if (command != NULL)
 		lp__command__free_unpacked(command, NULL);
 }
 
+/* Number of entries up to the applied one that stay in the log for replicas that lag. */
+static uint64_t entries_to_keep(const replica_t *replica)
+{
+	uint64_t index = replica->applied;
+	uint64_t bytes = 0;
+	uint64_t keep = 0;
+
+	while (keep < replica->config.snapshot_every) {
+		const Lp__LogEntry *entry = raft_entry(replica->raft, index--);
+
+		if (entry == NULL)
+			break;
+		bytes += entry->data.len;
+		if (bytes > LOG_BYTES)
+			break;
+		keep++;
+	}
+	return keep;
+}
+
 static void take_snapshot(replica_t *replica)
 {
 	size_t length = 0;
 	uint8_t *data = replica->machine.save(replica->machine.arg, &length);
 
 	replica->snapshot_index = replica->applied;
-	raft_compact(replica->raft, replica->applied, data, length, replica->config.snapshot_every);
+	replica->applied_bytes = 0;
+	raft_compact(replica->raft, replica->applied, data, length, entries_to_keep(replica));
 	free(data);
 	if (replica->disk_failed)
 		return;
@@ -176,7 +203,8 @@
 			g_error("entry %" PRIu64 " is missing", replica->applied + 1);
 		apply_entry(replica, entry);
 	}
-	if (replica->applied >= replica->snapshot_index + replica->config.snapshot_every)
+	if (replica->applied >= replica->snapshot_index + replica->config.snapshot_every ||
+	    replica->applied_bytes >= LOG_BYTES)
 		take_snapshot(replica);
 	if (replica->applied == before && leader == replica->last_leader)
 		return;
--- a/src/replica_internal.h
+++ b/src/replica_internal.h
@@ -64,6 +64,7 @@
 	raft_id_t self;
 	uint64_t applied;
 	uint64_t snapshot_index;
+	uint64_t applied_bytes; /* of the entries applied since the snapshot */
 	uint32_t last_leader;
 	TAILQ_HEAD(unsynced_list, raft_action) unsynced; /* messages that wait for the sync */
 
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -423,6 +423,40 @@
 	RUN_UNTIL(converged());
 }
 
+/* Guards against a log that is bounded in entries only: large commands would then fill the memory
+ * of every process. A replica that was cut off meanwhile needs the snapshot. */
+static void test_log_of_large_commands_is_bounded(void **state)
+{
+	const off_t limit = 5 << 20;
+	const size_t size = 200000;
+	const int count = 45;
+	Lp__Command command = LP__COMMAND__INIT;
+	outcomes_t outcomes = {0};
+	uint32_t late = some_follower();
+
+	nodes[late].cut = true;
+	command.op_id = g_strnfill(size, 'x');
+	for (int i = 0; i < count; i++) {
+		command.op_id[0] = (char)('A' + i % 26);
+		RUN_UNTIL(leader() != 0);
+		replica_propose(nodes[leader()].replica, &command, 5000, on_done, &outcomes);
+		RUN_UNTIL(outcomes.ok + outcomes.other == i + 1);
+	}
+	assert_int_equal(outcomes.ok, count);
+	nodes[late].cut = false;
+	RUN_UNTIL(converged());
+	assert_int_equal(nodes[late].state.count, count);
+	for (uint32_t n = 1; n <= VOTERS; n++) {
+		g_autofree char *path = g_build_filename(nodes[n].dir, "log", NULL);
+		struct stat info;
+
+		assert_int_equal(stat(path, &info), 0);
+		print_message("log of node %u: %lld bytes\n", n, (long long)info.st_size);
+		assert_true(info.st_size < limit);
+	}
+	g_free(command.op_id);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -432,6 +466,8 @@
 		cmocka_unit_test_setup_teardown(test_leader_failure_and_restart, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_disk_returns_as_learner_and_is_promoted,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_log_of_large_commands_is_bounded, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_too_large_command_is_refused, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_cut_off_leader_commits_nothing, set_up,
