template: let the spare pool have no request classes

Cause: the schema demanded classes of every pool, so a spare pool that only lends VMs had to declare requests that it never serves. Ruled out: optional classes for all pools; a forgotten list would turn all requests away with 404. Change: classes are optional in the schema, and the check demands them of every pool but the spare one, with the line of the pool.

--- a/src/template.c
+++ b/src/template.c
@@ -70,8 +70,9 @@
 			     template_yaml_pool_t, may_leave, &string_value, 0, LIST_MAX),
 	CYAML_FIELD_SEQUENCE("windows", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
 			     template_yaml_pool_t, windows, &string_value, 0, LIST_MAX),
-	CYAML_FIELD_SEQUENCE("classes", CYAML_FLAG_POINTER, template_yaml_pool_t, classes,
-			     &class_value, 1, LIST_MAX),
+	/* template_check() demands classes of every pool but the spare one. */
+	CYAML_FIELD_SEQUENCE("classes", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL,
+			     template_yaml_pool_t, classes, &class_value, 0, LIST_MAX),
 	CYAML_FIELD_END,
 };
 static const cyaml_schema_value_t pool_value = {
--- a/src/template_check.c
+++ b/src/template_check.c
@@ -166,6 +166,11 @@
 					      "\"mon-fri 22:00-04:00\" or \"daily 02:00-04:00\"",
 					      pool->windows[place.item]);
 	}
+	if (pool->classes_count == 0 && !pool->spare)
+		return template_error(report, line_at(&place, "name"), "classes",
+				      "missing in pool \"%s\", expected a list of 1 to 1,024 "
+				      "request classes; only the spare pool may have none",
+				      pool->name);
 	place.list = "classes";
 	for (place.item = 0; place.item < pool->classes_count; place.item++) {
 		if (check_class(pool, &place) != 0)
--- a/tests/test_template.c
+++ b/tests/test_template.c
@@ -15,6 +15,8 @@
 	"    classes:\n      - {name: c, path_prefix: /, deadline_ms: 10, repeatable: true}\n"
 #define SPARE "pools:\n  - name: s\n    keep_vms: 1\n    min_vms: 2\n    spare: true\n" CLASSES
 #define POOL(keys) SPARE "  - name: p\n" keys CLASSES
+#define SPARE_WITHOUT_CLASSES \
+	"pools:\n  - name: s\n    keep_vms: 1\n    min_vms: 2\n    spare: true\n"
 #define GOOD "    keep_vms: 1\n    min_vms: 2\n"
 
 static int parse(const char *text, const template_param_t *params, size_t count, Lp__Template **out,
@@ -48,6 +50,9 @@
 		{HEAD POOL(GOOD "    max_vms: 1\n"), "t.yaml:12: max_vms: ", "at least min_vms"},
 		{HEAD POOL(GOOD "    spare: true\n"), "t.yaml:12: spare: ", "exactly one"},
 		{HEAD "pools:\n  - name: p\n" GOOD CLASSES, "t.yaml:2: spare: ", "exactly one"},
+		{HEAD SPARE "  - name: p\n" GOOD, "t.yaml:9: classes: ", "only the spare pool"},
+		{HEAD SPARE "  - name: p\n" GOOD "    classes: []\n",
+		 "t.yaml:9: classes: ", "only the spare pool"},
 		{HEAD POOL(GOOD "    reserve: moon\n"),
 		 "t.yaml:12: reserve: ", "one of vms, rack, data-centre"},
 		{HEAD POOL(GOOD "    reserve: rack\n    reserve_vms: 1\n"),
@@ -92,6 +97,21 @@
 	}
 }
 
+/* Guards against a spare pool that has to declare requests although it only lends VMs. */
+static void test_spare_pool_without_classes(void **state)
+{
+	Lp__Template *template;
+	char error[512];
+
+	if (parse(HEAD SPARE_WITHOUT_CLASSES "  - name: p\n" GOOD CLASSES, NULL, 0, &template,
+		  error, sizeof(error)) != 0)
+		fail_msg("%s", error);
+	assert_int_equal(template->n_pools, 2);
+	assert_int_equal(template->pools[0]->n_classes, 0);
+	assert_int_equal(template->pools[1]->n_classes, 1);
+	lp__template__free_unpacked(template, NULL);
+}
+
 /* Guards against a parameter that is ignored, and against a value that changes the structure of
  * the text around it. */
 static void test_parameters(void **state)
@@ -153,6 +173,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_bad_inputs),
+		cmocka_unit_test(test_spare_pool_without_classes),
 		cmocka_unit_test(test_parameters),
 		cmocka_unit_test(test_examples),
 	};
