cli: keep lists and status within 80 columns

Cause: the columns before the last one were never cut, so vms with rack, phase quarantined and health never-announced was wider than 80 columns; status had room for pool names of 22 characters and printed authors, images and data centres at any length. Ruled out: leaving out columns by width; scripts that read the titles would break. Change: tables narrow their widest columns but never the first, whose id other commands take; status wraps or cuts names, and a long pool name takes a second line. Words longer than a line are broken.

--- a/src/cli.h
+++ b/src/cli.h
@@ -80,7 +80,10 @@
 
 /** Message on standard error, with the program's name in front. */
 void cli_error(const char *format, ...) __attribute__((format(printf, 1, 2)));
-/** Prints the rows of an array of objects in 80 columns; the last column is cut to fit. */
+/** Copy that is cut to a width and then ends in "..."; to be freed with g_free(). */
+char *cli_cut(const char *text, size_t width);
+/** Prints the rows of an array of objects in 80 columns; all columns but the first are cut to fit.
+ */
 void cli_print_table(const json_t *rows, const cli_column_t *columns, size_t count);
 /** Prints text with a hanging indent, wrapped at 80 columns. */
 void cli_print_wrapped(const char *first, unsigned indent, const char *text);
--- a/src/cli_print.c
+++ b/src/cli_print.c
@@ -12,8 +12,8 @@
 
 #define WIDTH 80
 #define COLUMNS_MAX 16
-/* Least width of the last column. */
-#define LAST_MIN 10
+/* Columns are cut to this width at least, and to the width of their title. */
+#define CUT_MIN 6
 
 void cli_error(const char *format, ...)
 {
@@ -72,24 +72,29 @@
 	return g_strdup(when);
 }
 
+char *cli_cut(const char *text, size_t width)
+{
+	char *head;
+	char *cut;
+
+	if ((size_t)g_utf8_strlen(text, -1) <= width)
+		return g_strdup(text);
+	head = g_utf8_substring(text, 0, (glong)width - 3);
+	cut = g_strconcat(head, "...", NULL);
+	g_free(head);
+	return cut;
+}
+
 static void print_row(char *const *cells, const size_t *widths, size_t count)
 {
 	GString *line = g_string_new(NULL);
 
 	for (size_t i = 0; i < count; i++) {
-		long length = g_utf8_strlen(cells[i], -1);
-
-		if (i + 1 < count) {
-			g_string_append_printf(line, "%s%*s", cells[i],
-					       (int)((long)widths[i] - length + 2), "");
-		} else if ((size_t)length <= widths[i]) {
-			g_string_append(line, cells[i]);
-		} else {
-			char *cut = g_utf8_substring(cells[i], 0, (glong)widths[i] - 3);
-
-			g_string_append_printf(line, "%s...", cut);
-			g_free(cut);
-		}
+		char *text = cli_cut(cells[i], widths[i]);
+		size_t length = (size_t)g_utf8_strlen(text, -1);
+
+		g_string_append_printf(line, "%s%*s", text, (int)(widths[i] - length + 2), "");
+		g_free(text);
 	}
 	while (line->len > 0 && line->str[line->len - 1] == ' ')
 		g_string_truncate(line, line->len - 1);
@@ -97,12 +102,34 @@
 	g_string_free(line, TRUE);
 }
 
+/* Narrows the widest columns until the row fits. The first column stays whole, because other
+ * commands take the id that it shows. */
+static void fit_widths(size_t *widths, const cli_column_t *columns, size_t count)
+{
+	size_t used = 2 * (count - 1);
+
+	for (size_t c = 0; c < count; c++)
+		used += widths[c];
+	while (used > WIDTH) {
+		size_t widest = 0;
+
+		for (size_t c = 1; c < count; c++) {
+			if (widths[c] > MAX(strlen(columns[c].title), CUT_MIN) &&
+			    (widest == 0 || widths[c] >= widths[widest]))
+				widest = c;
+		}
+		if (widest == 0)
+			return;
+		widths[widest]--;
+		used--;
+	}
+}
+
 void cli_print_table(const json_t *rows, const cli_column_t *columns, size_t count)
 {
 	size_t row_count = json_array_size(rows) + 1;
 	char **cells = g_new0(char *, row_count *count + 1);
 	size_t widths[COLUMNS_MAX] = {0};
-	size_t used = 0;
 
 	for (size_t r = 0; r < row_count; r++) {
 		for (size_t c = 0; c < count; c++) {
@@ -113,14 +140,26 @@
 			widths[c] = MAX(widths[c], (size_t)g_utf8_strlen(text, -1));
 		}
 	}
-	for (size_t c = 0; c + 1 < count; c++)
-		used += widths[c] + 2;
-	widths[count - 1] = used + LAST_MIN > WIDTH ? LAST_MIN : WIDTH - used;
+	fit_widths(widths, columns, count);
 	for (size_t r = 0; r < row_count; r++)
 		print_row(cells + r * count, widths, count);
 	g_strfreev(cells);
 }
 
+/* Prints a word, broken where it is longer than a line. @return the column after it */
+static size_t print_word(const char *word, size_t column, unsigned indent)
+{
+	for (const char *c = word; *c != '\0'; c = g_utf8_next_char(c)) {
+		if (column == WIDTH) {
+			(void)printf("\n%*s", (int)indent, "");
+			column = indent;
+		}
+		(void)printf("%.*s", (int)(g_utf8_next_char(c) - c), c);
+		column++;
+	}
+	return column;
+}
+
 void cli_print_wrapped(const char *first, unsigned indent, const char *text)
 {
 	char **words = g_strsplit_set(text, " \n\t", 0);
@@ -138,8 +177,11 @@
 			column = indent;
 			fresh = true;
 		}
-		(void)printf("%s%s", fresh ? "" : " ", words[i]);
-		column += length + (fresh ? 0 : 1);
+		if (!fresh) {
+			(void)putchar(' ');
+			column++;
+		}
+		column = print_word(words[i], column, indent);
 		fresh = false;
 	}
 	(void)putchar('\n');
--- a/src/cli_show.c
+++ b/src/cli_show.c
@@ -10,33 +10,49 @@
 static void print_problems(const json_t *status)
 {
 	if (!json_is_true(json_object_get(status, "in_contact")))
-		(void)puts("PROBLEM: this process is not in contact with a leader; what it shows "
-			   "may be old");
+		cli_print_wrapped("PROBLEM: ", 9,
+				  "this process is not in contact with a leader; what it shows "
+				  "may be old");
 	if (json_is_true(json_object_get(status, "disk_failed")))
 		(void)puts("PROBLEM: the data folder of this process cannot be written");
 	if (cli_string(status, "platform_error")[0] != '\0')
 		cli_print_wrapped("PROBLEM: platform: ", 9, cli_string(status, "platform_error"));
 }
 
+/* Columns up to the end of a pool's name. */
+#define NAME_END 33
+#define NAME_WIDTH 22
+#define PROMISE_WIDTH 47
+
+/* One line of 80 columns; a long name or large numbers take a second one. */
+static void print_promise(const json_t *pool)
+{
+	char *full = g_strdup_printf("%s/%s", cli_string(pool, "organisation"),
+				     cli_string(pool, "pool"));
+	char *name = cli_cut(full, 80 - (NAME_END - NAME_WIDTH));
+	char *numbers = g_strdup_printf(
+		" %3lld/%-3lld usable  keep %3lld  reserve %2lld  free %3lld",
+		(long long)cli_number(pool, "usable"), (long long)cli_number(pool, "vms"),
+		(long long)cli_number(pool, "keep"), (long long)cli_number(pool, "reserve"),
+		(long long)cli_number(pool, "free"));
+
+	(void)printf("  %-8s %-*s", cli_string(pool, "promise"), NAME_WIDTH, name);
+	if (g_utf8_strlen(name, -1) > NAME_WIDTH || strlen(numbers) > PROMISE_WIDTH)
+		(void)printf("\n%*s", NAME_END - NAME_WIDTH, "");
+	(void)puts(numbers);
+	g_free(numbers);
+	g_free(name);
+	g_free(full);
+}
+
 static void print_promises(const json_t *pools, bool kept)
 {
 	size_t i;
 	json_t *pool;
 
 	json_array_foreach (pools, i, pool) {
-		const char *promise = cli_string(pool, "promise");
-		char name[128];
-
-		if ((strcmp(promise, "kept") == 0) != kept)
-			continue;
-		g_snprintf(name, sizeof(name), "%s/%s", cli_string(pool, "organisation"),
-			   cli_string(pool, "pool"));
-		(void)printf(
-			"  %-8s %-22s %3lld/%-3lld usable  keep %3lld  reserve %2lld  free %3lld\n",
-			promise, name, (long long)cli_number(pool, "usable"),
-			(long long)cli_number(pool, "vms"), (long long)cli_number(pool, "keep"),
-			(long long)cli_number(pool, "reserve"),
-			(long long)cli_number(pool, "free"));
+		if ((strcmp(cli_string(pool, "promise"), "kept") == 0) == kept)
+			print_promise(pool);
 	}
 }
 
@@ -47,14 +63,15 @@
 
 	(void)puts("\nWAVES");
 	json_array_foreach (waves, i, wave) {
-		char first[160];
-
-		g_snprintf(first, sizeof(first), "  %lld %s %s: %s, %lld done, %lld failed, ",
-			   (long long)cli_number(wave, "wave"), cli_string(wave, "organisation"),
-			   cli_string(wave, "image"), cli_string(wave, "state"),
-			   (long long)cli_number(wave, "done"),
-			   (long long)cli_number(wave, "failures"));
-		cli_print_wrapped(first, 4, cli_string(wave, "reason"));
+		char *text = g_strdup_printf(
+			"%lld %s %s: %s, %lld done, %lld failed, %s",
+			(long long)cli_number(wave, "wave"), cli_string(wave, "organisation"),
+			cli_string(wave, "image"), cli_string(wave, "state"),
+			(long long)cli_number(wave, "done"),
+			(long long)cli_number(wave, "failures"), cli_string(wave, "reason"));
+
+		cli_print_wrapped("  ", 4, text);
+		g_free(text);
 	}
 	if (json_array_size(waves) == 0)
 		(void)puts("  none");
@@ -81,15 +98,18 @@
 	json_array_foreach (organisations, i, org) {
 		const json_t *behind = json_object_get(org, "behind");
 		char *nodes = join_numbers(behind);
+		char *title;
 		char when[40];
 
 		cli_format_time(cli_number(org, "time_ms"), when, sizeof(when));
-		(void)printf("  %s, revision %lld, %s, %s\n", cli_string(org, "organisation"),
-			     (long long)cli_number(org, "revision"), cli_string(org, "author"),
-			     when);
+		title = g_strdup_printf(
+			"%s, revision %lld, %s, %s", cli_string(org, "organisation"),
+			(long long)cli_number(org, "revision"), cli_string(org, "author"), when);
+		cli_print_wrapped("  ", 4, title);
 		cli_print_wrapped("    ", 4, cli_string(org, "note"));
 		if (json_array_size(behind) > 0)
-			(void)printf("    not yet in force on process %s\n", nodes);
+			cli_print_wrapped("    not yet in force on process ", 6, nodes);
+		g_free(title);
 		g_free(nodes);
 	}
 	if (json_array_size(organisations) == 0)
@@ -103,12 +123,14 @@
 
 	(void)puts("\nENTRY PROCESSES");
 	json_array_foreach (members, i, member) {
+		char *centre = cli_cut(cli_string(member, "data_centre"), 32);
+
 		(void)printf("  %lld %-20s %-5s %-6s applied %lld\n",
-			     (long long)cli_number(member, "node"),
-			     cli_string(member, "data_centre"),
+			     (long long)cli_number(member, "node"), centre,
 			     json_is_true(json_object_get(member, "up")) ? "up" : "down",
 			     json_is_true(json_object_get(member, "leader")) ? "leader" : "",
 			     (long long)cli_number(member, "applied"));
+		g_free(centre);
 	}
 }
 
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -243,6 +243,57 @@
 	g_free(line);
 }
 
+static void check_width(const char *command, const char *shown)
+{
+	char *line = g_strdup_printf("lavenderpass %s --server %s", command, server.url);
+	char *output = NULL;
+	char **lines;
+
+	assert_int_equal(run_cli(line, &output), CLI_OK);
+	if (strstr(output, shown) == NULL)
+		fail_msg("%s does not show %s:\n%s", command, shown, output);
+	lines = g_strsplit(output, "\n", 0);
+	for (size_t i = 0; lines[i] != NULL; i++) {
+		if (g_utf8_strlen(lines[i], -1) > 80)
+			fail_msg("%s: wider than 80 columns: %s", command, lines[i]);
+	}
+	g_strfreev(lines);
+	g_free(output);
+	g_free(line);
+}
+
+/* Guards against lists that break their lines on an operator's terminal, and against an id that is
+ * cut, so that no other command can take it. */
+static void test_lists_fit_80_columns(void **state)
+{
+	answer_with(0, 200,
+		    "{\"vms\": [{\"vm\": \"tesfaye-addis-worker-0123\", \"organisation\": "
+		    "\"tesfaye\", \"pool\": \"dispatch-backoffice\", \"rack\": "
+		    "\"addis-ababa-east-rack-12\", \"phase\": \"quarantined\", \"health\": "
+		    "\"never-announced\", \"image\": \"worker-2026-11-with-new-printer\", "
+		    "\"reason\": \"3 different jobs failed here in a row\"}]}");
+	answer_with(1, 200,
+		    "{\"in_contact\": false, \"pools\": [{\"organisation\": "
+		    "\"an-organisation-with-a-long-name-and-one-more-part\", \"pool\": "
+		    "\"and-a-pool-with-a-long-name\", \"promise\": \"at-risk\", \"usable\": 1599, "
+		    "\"vms\": 1600, \"keep\": 1590, \"reserve\": 120, \"free\": 0}], \"waves\": "
+		    "[{\"wave\": 12, \"organisation\": \"barid\", \"state\": \"paused\", "
+		    "\"image\": \"an-image-name-that-is-much-longer-than-any-line-of-a-terminal-"
+		    "which-has-only-eighty-columns\", \"reason\": \"no window\"}], "
+		    "\"organisations\": [{\"organisation\": \"barid\", \"author\": \"a night "
+		    "operator who writes a full name and the phone extension 4711\", \"revision\": "
+		    "7, \"time_ms\": 1, \"note\": \"n\"}], \"members\": [{\"node\": 1, "
+		    "\"data_centre\": \"a-data-centre-whose-name-fills-nearly-the-whole-line-of-"
+		    "text\", \"applied\": 123456789}]}");
+	answer_with(2, 200,
+		    "{\"pools\": [{\"organisation\": \"tesfaye\", \"pool\": "
+		    "\"dispatch-backoffice\", \"promise\": \"at-risk\", \"vms\": 1600, "
+		    "\"usable\": 1500, \"free\": 100}]}");
+	check_width("vms", "tesfaye-addis-worker-0123  ");
+	check_width("status", "and-a-pool-");
+	check_width("pools", "tesfaye ");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -251,6 +302,7 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_conflict_and_refusal, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_status_is_readable, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_lists_fit_80_columns, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
