auth: refuse token lines with white space in the token

Cause: "read two words" and "read token # comment" were accepted as tokens that no caller can present, so a wrong file showed only as refused requests. Change: such a line is an error with file and line. The comparison and the roles had no fault.

--- a/src/auth.c
+++ b/src/auth.c
@@ -57,7 +57,8 @@
 	if (words[0] == NULL || words[1] == NULL || parse_role(words[0], &role) != 0)
 		goto out;
 	g_strstrip(words[1]);
-	if (words[1][0] == '\0')
+	/* A bearer token has no white space, so no caller could ever present such a line's. */
+	if (words[1][0] == '\0' || strpbrk(words[1], " \t") != NULL)
 		goto out;
 	token = g_new0(token_t, 1);
 	token->role = role;
