cli: explain refusals, conflicts and unknown outcomes

Change: messages say whether something was changed and what to do next; exit statuses are as before.

--- a/src/cli_client.c
+++ b/src/cli_client.c
@@ -99,29 +99,59 @@
 		       : ATTEMPT_LOST;
 }
 
-/* Explains an answer that is not a success. */
-static cli_exit_t judge(const cli_answer_t *answer)
+/* What the server said, or what its status means where the answer has no message. */
+static const char *message_of(const cli_answer_t *answer)
 {
 	const char *message = cli_string(answer->body, "error");
+
+	if (message[0] != '\0')
+		return message;
+	return answer->status == 413 ? "the request is larger than limits.body_bytes of the server"
+				     : "no reason given";
+}
+
+static void explain_conflict(const cli_answer_t *answer)
+{
 	const char *author = cli_string(answer->body, "author");
+	const char *note = cli_string(answer->body, "note");
+	const char *message = message_of(answer);
+	char *shown = g_strconcat("note: ", note, NULL);
+
+	cli_error("conflict, nothing was changed: %s", message);
+	if (author[0] != '\0' && !g_str_has_suffix(message, shown))
+		(void)fprintf(stderr, "revision %lld is in force, applied by %s with note: %s\n",
+			      (long long)cli_number(answer->body, "revision"), author, note);
+	if (author[0] != '\0')
+		(void)fputs("read that note, then plan and apply again if your change is still "
+			    "wanted\n",
+			    stderr);
+	g_free(shown);
+}
 
+/* Explains an answer that is not a success. */
+static cli_exit_t judge(const cli_options_t *options, const cli_answer_t *answer)
+{
 	if (answer->status >= 200 && answer->status <= 299) {
 		if (answer->body != NULL)
 			return CLI_OK;
 		cli_error("the server's answer is not JSON; is this an entry process?");
 		return CLI_FAILED;
 	}
-	if (message[0] == '\0')
-		cli_error("the server answered with status %ld", answer->status);
-	else
-		cli_error("%s", message);
 	if (answer->status == 409) {
-		if (author[0] != '\0')
-			(void)fprintf(stderr, "revision %lld is in force, applied by %s: %s\n",
-				      (long long)cli_number(answer->body, "revision"), author,
-				      cli_string(answer->body, "note"));
+		explain_conflict(answer);
 		return CLI_CONFLICT;
 	}
+	if (answer->status == 401 && options->token_file == NULL)
+		cli_error("the server demands a token; give --token-file FILE");
+	else if (answer->status == 401)
+		cli_error("the server refused the token of %s: it is unknown there, or its role "
+			  "does not allow this command",
+			  options->token_file);
+	else if (answer->status >= 500)
+		cli_error("the server could not do this (status %ld): %s", answer->status,
+			  message_of(answer));
+	else
+		cli_error("refused (status %ld): %s", answer->status, message_of(answer));
 	return answer->status >= 500 ? CLI_UNAVAILABLE : CLI_FAILED;
 }
 
@@ -204,7 +234,7 @@
 		goto out;
 	outcome = try_servers(options, path, text, resend, headers, answer, error);
 	if (outcome == ATTEMPT_ANSWERED) {
-		rc = judge(answer);
+		rc = judge(options, answer);
 	} else {
 		cli_error("no answer from the server: %s", error);
 		rc = CLI_UNAVAILABLE;
--- a/src/cli_job.c
+++ b/src/cli_job.c
@@ -100,8 +100,11 @@
 		cli_print_json(answer.body);
 	else if (rc == CLI_OK)
 		(void)printf("job %s submitted\n", cli_string(job, "job"));
+	else if (rc == CLI_UNAVAILABLE && answer.may_have_run)
+		(void)fprintf(stderr, "to learn the outcome, submit the same job with job=%s\n",
+			      cli_string(job, "job"));
 	else
-		(void)fprintf(stderr, "job %s\n", cli_string(job, "job"));
+		(void)fprintf(stderr, "job %s was not submitted\n", cli_string(job, "job"));
 	cli_answer_finish(&answer);
 	return rc;
 }
--- a/src/explain.c
+++ b/src/explain.c
@@ -201,7 +201,8 @@
 		next = "goes on when the cause is gone";
 		break;
 	case LP__WAVE_STATE__WAVE_STOPPED:
-		next = "stays stopped; apply a template with a new image to start another wave";
+		next = "stays stopped; to resume it, apply the template with paused: true and then "
+		       "with paused: false; another image starts another wave";
 		break;
 	case LP__WAVE_STATE__WAVE_DONE:
 	case _LP__WAVE_STATE_IS_INT_SIZE:
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -129,22 +129,22 @@
 	server.answer[call] = answer;
 }
 
-/* Runs a command line, given with single spaces; its standard output is returned. */
-static int run_cli(const char *line, char **output)
+/* Runs a command line, given with single spaces; what it writes to fd 1 or 2 is returned. */
+static int run_captured(const char *line, int stream, char **output)
 {
 	char **args = g_strsplit(line, " ", 0);
 	char file[] = "/tmp/cli-XXXXXX";
 	int fd = g_mkstemp(file);
-	int saved = dup(1);
+	int saved = dup(stream);
 	int rc;
 
 	(void)fflush(stdout);
-	dup2(fd, 1);
+	dup2(fd, stream);
 	/* 0 starts getopt anew. */
 	optind = 0;
 	rc = cli_main((int)g_strv_length(args), args);
 	(void)fflush(stdout);
-	dup2(saved, 1);
+	dup2(saved, stream);
 	close(saved);
 	close(fd);
 	if (output != NULL)
@@ -154,6 +154,11 @@
 	return rc;
 }
 
+static int run_cli(const char *line, char **output)
+{
+	return run_captured(line, 1, output);
+}
+
 static int run_apply(const char *more)
 {
 	char *line = g_strdup_printf("lavenderpass template apply %s --server %s --author amina "
@@ -217,6 +222,76 @@
 	assert_int_equal(server.calls, 2);
 }
 
+/* Guards against a refusal from which an operator cannot tell whether something was changed, or
+ * what to do next. */
+static void test_refusals_are_explained(void **state)
+{
+	static const struct {
+		unsigned status;
+		const char *answer;
+		bool token;
+		cli_exit_t rc;
+		const char *shown[3];
+	} cases[] = {
+		{401, "{\"error\": \"x\"}", false, CLI_FAILED, {"give --token-file FILE"}},
+		{401,
+		 "{\"error\": \"x\"}",
+		 true,
+		 CLI_FAILED,
+		 {"refused the token of ", "role does not allow"}},
+		{409,
+		 "{\"error\": \"expected revision 6\", \"revision\": 7, \"author\": \"amina\", "
+		 "\"note\": \"after the batch\"}",
+		 false,
+		 CLI_CONFLICT,
+		 {"nothing was changed: expected revision 6",
+		  "revision 7 is in force, applied by amina with note: after the batch",
+		  "plan and apply again"}},
+		{503,
+		 "{\"error\": \"the leader changed\", \"outcome\": \"unknown\"}",
+		 false,
+		 CLI_UNAVAILABLE,
+		 {"status 503): the leader changed", "the outcome is unknown",
+		  "apply again with --op-id"}},
+		{503,
+		 "{\"error\": \"no leader\", \"outcome\": \"not-run\"}",
+		 false,
+		 CLI_UNAVAILABLE,
+		 {"status 503): no leader", "the change was not made"}},
+		{413, "too large", false, CLI_FAILED, {"limits.body_bytes"}},
+	};
+	char *file = g_strconcat(server.template, ".token", NULL);
+
+	assert_true(g_file_set_contents(file, "write secret\n", -1, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *line = g_strdup_printf(
+			"lavenderpass template apply %s --server %s --author b --note n "
+			"--timeout 1 --expected-revision 6%s%s",
+			server.template, server.url, cases[i].token ? " --token-file " : "",
+			cases[i].token ? file : "");
+		char *errors = NULL;
+
+		server.calls = 0;
+		for (unsigned c = 0; c < CALLS_MAX; c++)
+			answer_with(c, cases[i].status, cases[i].answer);
+		assert_int_equal(run_captured(line, 2, &errors), cases[i].rc);
+		for (size_t j = 0; j < G_N_ELEMENTS(cases[i].shown); j++) {
+			if (cases[i].shown[j] != NULL && strstr(errors, cases[i].shown[j]) == NULL)
+				fail_msg("case %zu does not show \"%s\":\n%s", i, cases[i].shown[j],
+					 errors);
+		}
+		for (unsigned c = 0; c < CALLS_MAX; c++) {
+			g_clear_pointer(&server.path[c], g_free);
+			json_decref(server.body[c]);
+			server.body[c] = NULL;
+		}
+		g_free(errors);
+		g_free(line);
+	}
+	unlink(file);
+	g_free(file);
+}
+
 /* Guards against a status that hides a broken promise below others, or is too wide to read. */
 static void test_status_is_readable(void **state)
 {
@@ -301,6 +376,7 @@
 		cmocka_unit_test_setup_teardown(test_apply_is_resent_with_the_same_operation_id,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_conflict_and_refusal, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_refusals_are_explained, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_status_is_readable, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lists_fit_80_columns, set_up, tear_down),
 	};
