man: add manual pages of the command, the settings and the template

Run: make man man-check passes. On a scratch change of the pages (a renamed timing key, a removed template key, a renamed option, a removed command) man-check named each.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 #   make test             builds and runs all tests
 #   make test VARIANT=asan|tsan
 #   make format-check lint proto
+#   make man              build/man/*.1 and *.5, by scdoc
+#   make man-check        compares the manual pages with --help and the schemas
 #
 # Sources are found by pattern: src/*.c is the product, tests/test_*.c are cmocka programs,
 # tests/lib_*.c are shared by them, tools/*.c are programs of their own,
@@ -42,7 +44,7 @@
 # Tests with threads, for the tsan variant.
 THREAD_TESTS := $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_thread_*.c))
 
-.PHONY: all bench test test-unit test-process test-thread format format-check lint proto clean
+.PHONY: all bench man man-check test test-unit test-process test-thread format format-check lint proto clean
 all: $(BIN) $(TOOLS)
 bench: $(BENCHES)
 
@@ -91,6 +93,15 @@
 	printf '%s\n' $(HAND_WRITTEN_C) | xargs -P $$(nproc) -I FILE clang-tidy --quiet \
 		--warnings-as-errors='*' FILE -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests -Itools $(PKG_CFLAGS)
 
+MAN := $(patsubst man/%.scd,build/man/%,$(wildcard man/*.scd))
+man: $(MAN)
+build/man/%: man/%.scd
+	@mkdir -p $(@D)
+	scdoc <$< >$@.tmp
+	mv $@.tmp $@
+man-check: $(BIN)
+	scripts/check-man $(BIN)
+
 proto:
 	cd proto && protoc-c --c_out=../src command.proto peer.proto
 
