explain: tell how a quarantine and a probation end

explain said that a quarantined VM stays out until it is replaced, and that a returning VM gives a permit back even when it has none. The planner tries a quarantined VM that announces itself again after 10 minutes.

--- a/src/explain.c
+++ b/src/explain.c
@@ -77,7 +77,7 @@
 	case LP__VM_PHASE__VM_RETURNING:
 		return g_strdup("the end of the probation");
 	case LP__VM_PHASE__VM_QUARANTINED:
-		return g_strdup("a repair: every task it was given failed");
+		return g_strdup("10 minutes to pass while it announces itself, or a repair");
 	case LP__VM_PHASE__VM_LOST:
 		return g_strdup("an announcement");
 	case _LP__VM_PHASE_IS_INT_SIZE:
@@ -102,9 +102,11 @@
 	case LP__VM_PHASE__VM_OUT:
 		return "returning, on probation";
 	case LP__VM_PHASE__VM_RETURNING:
-		return "active; the permit is given back";
+		return vm->permit == LP__PERMIT_KIND__PERMIT_NONE
+			       ? "active"
+			       : "active; the permit is given back";
 	case LP__VM_PHASE__VM_QUARANTINED:
-		return "stays out until it is replaced";
+		return "returning, on probation; a VM that fails again is quarantined again";
 	case LP__VM_PHASE__VM_LOST:
 		return "returning when it announces itself; a spare VM replaces it meanwhile";
 	case _LP__VM_PHASE_IS_INT_SIZE:
