--- a/src/admin_template.c
+++ b/src/admin_template.c
@@ -2,8 +2,11 @@
 
 #include "admin.h"
 
+#include <inttypes.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "clock.h"
 #include "controller.h"
 #include "json_reply.h"
@@ -229,6 +232,21 @@
 	return count;
 }
 
+/* A resend of the same job gets the first outcome. Another job with the same id must not: it would
+ * be told that it was submitted. */
+static char *job_op_id(const Lp__JobSpec *spec)
+{
+	size_t length = lp__job_spec__get_packed_size(spec);
+	uint8_t *packed = g_malloc(length + 1);
+	char *op_id;
+
+	lp__job_spec__pack(spec, packed);
+	op_id = g_strdup_printf("job/%s/%s/%016" PRIx64, spec->organisation, spec->job,
+				(uint64_t)XXH64(packed, length, 0));
+	g_free(packed);
+	return op_id;
+}
+
 void admin_job_submit(node_t *node, http_request_t *request)
 {
 	json_t *body = json_reply_body(request);
@@ -252,8 +270,7 @@
 		goto out;
 	}
 	submit.spec = &spec;
-	/* The job id is the idempotency key: a resend gets the first outcome. */
-	command.op_id = g_strdup_printf("job/%s/%s", spec.organisation, spec.job);
+	command.op_id = job_op_id(&spec);
 	command.body_case = LP__COMMAND__BODY_JOB_SUBMIT;
 	command.job_submit = &submit;
 	node_propose(node, &command, reply_result, request);
