--- a/completions/lavenderpass.bash
+++ b/completions/lavenderpass.bash
@@ -36,7 +36,7 @@
 		;;
 	'template check'* | 'template plan'*) words="$common --param" ;;
 	'template history'* | status*) words=$common ;;
-	explain*) words="$common vm pool wave job" ;;
+	explain*) words="$common vm pool wave job request" ;;
 	vms*) words="$common --organisation --pool" ;;
 	pools* | waves*) words="$common --organisation" ;;
 	'jobs list'*) words="$common --organisation --pool --state" ;;
--- a/src/cli.c
+++ b/src/cli.c
@@ -42,7 +42,7 @@
 	{"template history", "[ORGANISATION]", 0, 1, COMMON, cli_template_history,
 	 "list applied revisions"},
 	{"status", "", 0, 0, COMMON, cli_status, "promises, waves, notes of the day staff"},
-	{"explain", "vm|pool|wave|job ID", 2, 2, COMMON, cli_explain,
+	{"explain", "vm|pool|wave|job|request ID", 2, 2, COMMON, cli_explain,
 	 "why something is as it is (a pool's ID is ORGANISATION/POOL)"},
 	{"vms", "", 0, 0, COMMON "oP", cli_vms, "list VMs"},
 	{"pools", "", 0, 0, COMMON "o", cli_pools, "list pools"},
