--- a/src/explain.c
+++ b/src/explain.c
@@ -78,7 +78,7 @@
 	case LP__VM_PHASE__VM_RETURNING:
 		return g_strdup("the end of the probation");
 	case LP__VM_PHASE__VM_QUARANTINED:
-		return g_strdup("a repair: every task it was given failed");
+		return g_strdup("10 minutes to pass while it announces itself, or a repair");
 	case LP__VM_PHASE__VM_LOST:
 		return g_strdup("an announcement");
 	case _LP__VM_PHASE_IS_INT_SIZE:
@@ -103,9 +103,11 @@
 	case LP__VM_PHASE__VM_OUT:
 		return "returning, on probation";
 	case LP__VM_PHASE__VM_RETURNING:
-		return "active; the permit is given back";
+		return vm->permit == LP__PERMIT_KIND__PERMIT_NONE
+			       ? "active"
+			       : "active; the permit is given back";
 	case LP__VM_PHASE__VM_QUARANTINED:
-		return "stays out until it is replaced";
+		return "returning, on probation; a VM that fails again is quarantined again";
 	case LP__VM_PHASE__VM_LOST:
 		return "returning when it announces itself; a spare VM replaces it meanwhile";
 	case _LP__VM_PHASE_IS_INT_SIZE:
@@ -202,7 +204,8 @@
 		next = "goes on when the cause is gone";
 		break;
 	case LP__WAVE_STATE__WAVE_STOPPED:
-		next = "stays stopped; apply a template with a new image to start another wave";
+		next = "stays stopped; to resume it, apply the template with paused: true and then "
+		       "with paused: false; another image starts another wave";
 		break;
 	case LP__WAVE_STATE__WAVE_DONE:
 	case _LP__WAVE_STATE_IS_INT_SIZE:
