raft: ignore messages with terms or indices near the limit

Saturating each increment was ruled out: a candidate that keeps its term could vote twice in it. The input is kept as test_term_near_the_limit_is_ignored in test_raft_rules.

--- a/src/raft.c
+++ b/src/raft.c
@@ -2,12 +2,16 @@
 
 #include <string.h>
 
+#include <glib.h>
 #include <talloc.h>
 
 #include "raft_internal.h"
 
 /* Minimum election timeouts without a leader after which a learner stands for election. */
 #define LEARNER_WAIT 5
+/* Highest term or index taken from a message. A damaged message beyond it would make the next
+ * election or entry wrap to 0, so that the term goes back. */
+#define NUMBER_MAX (UINT64_MAX / 4)
 
 /* xorshift64*; the seed makes election timeouts repeatable in tests. */
 static uint64_t next_random(raft_t *raft)
@@ -308,13 +312,44 @@
 		raft_become_leader(raft, now_us);
 }
 
+/* True when no term or index that the message could raise is beyond the limit. */
+static bool is_within_limit(const Lp__RaftMessage *message)
+{
+	uint64_t highest = 0;
+
+	switch (message->body_case) {
+	case LP__RAFT_MESSAGE__BODY_VOTE:
+		highest = message->vote->term;
+		break;
+	case LP__RAFT_MESSAGE__BODY_VOTE_REPLY:
+		highest = message->vote_reply->term;
+		break;
+	case LP__RAFT_MESSAGE__BODY_APPEND:
+		highest = MAX(message->append->term, message->append->prev_index);
+		break;
+	case LP__RAFT_MESSAGE__BODY_APPEND_REPLY:
+		highest = message->append_reply->term;
+		break;
+	case LP__RAFT_MESSAGE__BODY_SNAPSHOT:
+		highest = MAX(message->snapshot->term, message->snapshot->last_index);
+		break;
+	case LP__RAFT_MESSAGE__BODY_SNAPSHOT_REPLY:
+		highest = message->snapshot_reply->term;
+		break;
+	case LP__RAFT_MESSAGE__BODY__NOT_SET:
+	case _LP__RAFT_MESSAGE__BODY__CASE_IS_INT_SIZE:
+		break;
+	}
+	return highest <= NUMBER_MAX;
+}
+
 void raft_receive(raft_t *raft, uint64_t now_us, const Lp__RaftMessage *message)
 {
 	raft_id_t from;
 
 	if (message->from == NULL || message->to == NULL ||
 	    message->to->node_id != raft->options.self.node ||
-	    message->to->replica_id != raft->options.self.replica)
+	    message->to->replica_id != raft->options.self.replica || !is_within_limit(message))
 		return;
 	from = (raft_id_t){message->from->node_id, message->from->replica_id};
 	switch (message->body_case) {
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -147,11 +147,48 @@
 	talloc_free(raft);
 }
 
+/* Guards against a term that wraps to 0 at the next election after a damaged message
+ * (test_fuzz_wire, seed 20260101). */
+static void test_term_near_the_limit_is_ignored(void **state)
+{
+	const raft_options_t options = {
+		.self = {.node = 1, .replica = 1},
+		.disk = true,
+		.heartbeat_us = 200,
+		.election_min_us = 800,
+		.lease_us = 600,
+		.seed = 1,
+	};
+	Lp__RaftMessage message = LP__RAFT_MESSAGE__INIT;
+	Lp__AppendRequest append = LP__APPEND_REQUEST__INIT;
+	Lp__SnapshotChunk chunk = LP__SNAPSHOT_CHUNK__INIT;
+	Lp__RaftConfig config = LP__RAFT_CONFIG__INIT;
+	raft_t *raft = raft_create(NULL, &options);
+
+	raft_start(raft, 1000);
+	append.term = UINT64_MAX;
+	message.body_case = LP__RAFT_MESSAGE__BODY_APPEND;
+	message.append = &append;
+	receive_from(raft, 2, message, 1001);
+	assert_int_equal(raft_term(raft), 0);
+	chunk.term = 1;
+	chunk.last_index = UINT64_MAX;
+	chunk.config = &config;
+	chunk.done = true;
+	message.body_case = LP__RAFT_MESSAGE__BODY_SNAPSHOT;
+	message.snapshot = &chunk;
+	receive_from(raft, 2, message, 1002);
+	assert_int_equal(raft_last_index(raft), 0);
+	assert_int_equal(raft_first_index(raft), 1);
+	talloc_free(raft);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_earlier_term_is_committed_only_with_the_present_one),
 		cmocka_unit_test(test_no_vote_while_a_lease_may_hold),
+		cmocka_unit_test(test_term_near_the_limit_is_ignored),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
