--- a/src/fleet_apply.c
+++ b/src/fleet_apply.c
@@ -15,7 +15,7 @@
 	result->message = fleet->message;
 }
 
-static const char *template_problem(const Lp__Template *template)
+const char *fleet_template_problem(const Lp__Template *template)
 {
 	size_t spares = 0;
 
@@ -100,7 +100,7 @@
 
 void fleet_apply_template(const fleet_step_t *step, const Lp__ApplyTemplate *cmd)
 {
-	const char *problem = template_problem(cmd->template_);
+	const char *problem = fleet_template_problem(cmd->template_);
 	fleet_org_t *org;
 	uint64_t revision;
 
--- a/src/fleet_apply_vm.c
+++ b/src/fleet_apply_vm.c
@@ -148,9 +148,10 @@
 			     fleet_permit_name(vm->permit));
 		return;
 	}
-	if (cmd->permit == LP__PERMIT_KIND__PERMIT_NONE) {
+	if (cmd->permit == LP__PERMIT_KIND__PERMIT_NONE ||
+	    (uint32_t)cmd->permit > LP__PERMIT_KIND__PERMIT_REPAIR) {
 		fleet_answer(step->fleet, step->result, LP__RESULT_CODE__RESULT_INVALID,
-			     "a cordon needs a permit");
+			     "a cordon needs a permit of a known kind");
 		return;
 	}
 	if (cmd->permit == LP__PERMIT_KIND__PERMIT_MOVE) {
@@ -338,6 +339,11 @@
 {
 	fleet_wave_t *wave;
 
+	if ((uint32_t)cmd->state > LP__WAVE_STATE__WAVE_DONE) {
+		fleet_answer(step->fleet, step->result, LP__RESULT_CODE__RESULT_INVALID,
+			     "the state of the wave is unknown");
+		return;
+	}
 	if (cmd->wave == 0) {
 		start_wave(step, cmd);
 		return;
--- a/src/fleet_internal.h
+++ b/src/fleet_internal.h
@@ -53,6 +53,8 @@
 	Lp__Result *result;
 } fleet_step_t;
 
+/** @return what the state machine cannot work with, or NULL */
+const char *fleet_template_problem(const Lp__Template *template);
 void fleet_apply_template(const fleet_step_t *step, const Lp__ApplyTemplate *cmd);
 void fleet_apply_vm_register(const fleet_step_t *step, const Lp__VmRegister *cmd);
 void fleet_apply_vm_cordon(const fleet_step_t *step, const Lp__VmCordon *cmd);
--- a/src/fleet_snapshot.c
+++ b/src/fleet_snapshot.c
@@ -215,7 +215,9 @@
 {
 	fleet_org_t *org;
 
-	if (state->template_ == NULL)
+	/* Registrations and moves rely on the spare pool. */
+	if (fleet_template_problem(state->template_) != NULL ||
+	    fleet_org_find(fleet, state->template_->organisation) != NULL)
 		return -1;
 	org = fleet_org_add(fleet, state->template_->organisation);
 	org->template = fleet_copy_message(&state->template_->base);
@@ -236,6 +238,7 @@
 
 	org = state->reg != NULL ? fleet_org_find(fleet, state->reg->organisation) : NULL;
 	if (org == NULL || (uint32_t)state->phase > LP__VM_PHASE__VM_LOST ||
+	    (uint32_t)state->permit > LP__PERMIT_KIND__PERMIT_REPAIR ||
 	    fleet_vm_find(fleet, state->reg->vm) != NULL)
 		return -1;
 	pool = fleet_pool_find(org, state->pool);
@@ -261,7 +264,7 @@
 	fleet_org_t *org = fleet_org_find(fleet, record->organisation);
 	fleet_wave_t *wave;
 
-	if (org == NULL)
+	if (org == NULL || (uint32_t)record->state > LP__WAVE_STATE__WAVE_DONE)
 		return -1;
 	wave = g_new0(fleet_wave_t, 1);
 	wave->org = org;
@@ -282,7 +285,8 @@
 {
 	fleet_job_t *job;
 
-	if (record->spec == NULL || (uint32_t)record->state >= FLEET_JOB_STATES)
+	if (record->spec == NULL || (uint32_t)record->state >= FLEET_JOB_STATES ||
+	    fleet_job_find(fleet, record->spec->job) != NULL)
 		return -1;
 	job = fleet_job_add(fleet, record->spec, record->state);
 	job->attempt = record->attempt;
@@ -298,6 +302,24 @@
 	return 0;
 }
 
+static int load_member(fleet_t *fleet, const Lp__Member *member)
+{
+	if (member->node_id == 0 || fleet_member_find(fleet, member->node_id) != NULL)
+		return -1;
+	fleet_member_set(fleet_member_add(fleet, member->node_id), member);
+	return 0;
+}
+
+/* A resend is answered with the result of the first outcome. */
+static int load_op(fleet_t *fleet, const Lp__OpOutcome *outcome)
+{
+	if (outcome->result == NULL || outcome->op_id[0] == '\0' ||
+	    g_hash_table_contains(fleet->op_by_id, outcome->op_id))
+		return -1;
+	fleet_op_add(fleet, fleet_copy_message(&outcome->base));
+	return 0;
+}
+
 static int load_lists(fleet_t *fleet, const Lp__FleetSnapshot *snapshot)
 {
 	int failed = 0;
@@ -311,10 +333,9 @@
 	for (size_t i = 0; i < snapshot->n_jobs; i++)
 		failed |= load_job(fleet, snapshot->jobs[i]);
 	for (size_t i = 0; i < snapshot->n_members; i++)
-		fleet_member_set(fleet_member_add(fleet, snapshot->members[i]->node_id),
-				 snapshot->members[i]);
+		failed |= load_member(fleet, snapshot->members[i]);
 	for (size_t i = 0; i < snapshot->n_ops; i++)
-		fleet_op_add(fleet, fleet_copy_message(&snapshot->ops[i]->base));
+		failed |= load_op(fleet, snapshot->ops[i]);
 	for (size_t i = 0; i < snapshot->n_audit; i++)
 		fleet_audit_add(fleet, fleet_copy_message(&snapshot->audit[i]->base));
 	fleet->applied = snapshot->index;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -460,6 +460,47 @@
 	assert_non_null(fleet_org_find(&fleet, "o"));
 }
 
+/* Guards against a state without a spare pool, in which the next registration has no pool to put
+ * the VM into (test_fuzz_wire, seed 20260101). */
+static void test_snapshot_without_spare_pool_is_refused(void **state)
+{
+	Lp__Template template = LP__TEMPLATE__INIT;
+	Lp__OrgState org = LP__ORG_STATE__INIT;
+	Lp__OrgState *orgs[] = {&org};
+	Lp__FleetSnapshot snapshot = LP__FLEET_SNAPSHOT__INIT;
+	uint8_t packed[64];
+	size_t length;
+
+	template.organisation = "o";
+	org.template_ = &template;
+	snapshot.n_orgs = 1;
+	snapshot.orgs = orgs;
+	length = lp__fleet_snapshot__get_packed_size(&snapshot);
+	assert_true(length <= sizeof(packed));
+	lp__fleet_snapshot__pack(&snapshot, packed);
+	assert_int_equal(fleet_load(&fleet, packed, length), -1);
+	assert_null(fleet_org_find(&fleet, "o"));
+}
+
+/* Guards against a crash when an operation is resent whose outcome has no result (test_fuzz_wire,
+ * seed 3, 3,000 rounds). */
+static void test_snapshot_without_result_is_refused(void **state)
+{
+	Lp__OpOutcome outcome = LP__OP_OUTCOME__INIT;
+	Lp__OpOutcome *ops[] = {&outcome};
+	Lp__FleetSnapshot snapshot = LP__FLEET_SNAPSHOT__INIT;
+	uint8_t packed[64];
+	size_t length;
+
+	outcome.op_id = "op1";
+	snapshot.n_ops = 1;
+	snapshot.ops = ops;
+	length = lp__fleet_snapshot__get_packed_size(&snapshot);
+	assert_true(length <= sizeof(packed));
+	lp__fleet_snapshot__pack(&snapshot, packed);
+	assert_int_equal(fleet_load(&fleet, packed, length), -1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -473,6 +514,10 @@
 		cmocka_unit_test_setup_teardown(test_bounds, set_up, tear_down),
 		cmocka_unit_test(test_snapshot_is_equivalent),
 		cmocka_unit_test_setup_teardown(test_bad_snapshot, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_snapshot_without_spare_pool_is_refused, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_snapshot_without_result_is_refused, set_up,
+						tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
