--- a/src/admin.c
+++ b/src/admin.c
@@ -20,8 +20,8 @@
 typedef struct {
 	const char *method;
 	const char *path;
-	auth_role_t role;
 	admin_fn fn;
+	auth_role_t role;
 	bool leader_view; /**< answered by the leader, which hears all targets, when it is reachable
 			   */
 } route_t;
@@ -70,22 +70,22 @@
 }
 
 static const route_t routes[] = {
-	{"GET", "/healthz", AUTH_NONE, handle_health, false},
-	{"GET", "/metrics", AUTH_NONE, handle_metrics, false},
-	{"POST", "/v1/announce", AUTH_TARGET, handle_announce, false},
-	{"POST", "/v1/templates/check", AUTH_READ, admin_template_check, false},
-	{"POST", "/v1/templates/plan", AUTH_READ, admin_template_plan, true},
-	{"POST", "/v1/templates/apply", AUTH_WRITE, admin_template_apply, false},
-	{"GET", "/v1/templates/history", AUTH_READ, admin_template_history, false},
-	{"GET", "/v1/templates/current", AUTH_READ, admin_template_current, false},
-	{"GET", "/v1/status", AUTH_READ, admin_status, true},
-	{"GET", "/v1/vms", AUTH_READ, admin_vms, true},
-	{"GET", "/v1/pools", AUTH_READ, admin_pools, true},
-	{"GET", "/v1/waves", AUTH_READ, admin_waves, true},
-	{"GET", "/v1/jobs", AUTH_READ, admin_jobs, false},
-	{"POST", "/v1/jobs", AUTH_WRITE, admin_job_submit, false},
-	{"POST", "/v1/jobs/cancel", AUTH_WRITE, admin_job_cancel, false},
-	{"GET", "/v1/explain", AUTH_READ, admin_explain, true},
+	{"GET", "/healthz", handle_health, AUTH_NONE, false},
+	{"GET", "/metrics", handle_metrics, AUTH_NONE, false},
+	{"POST", "/v1/announce", handle_announce, AUTH_TARGET, false},
+	{"POST", "/v1/templates/check", admin_template_check, AUTH_READ, false},
+	{"POST", "/v1/templates/plan", admin_template_plan, AUTH_READ, true},
+	{"POST", "/v1/templates/apply", admin_template_apply, AUTH_WRITE, false},
+	{"GET", "/v1/templates/history", admin_template_history, AUTH_READ, false},
+	{"GET", "/v1/templates/current", admin_template_current, AUTH_READ, false},
+	{"GET", "/v1/status", admin_status, AUTH_READ, true},
+	{"GET", "/v1/vms", admin_vms, AUTH_READ, true},
+	{"GET", "/v1/pools", admin_pools, AUTH_READ, true},
+	{"GET", "/v1/waves", admin_waves, AUTH_READ, true},
+	{"GET", "/v1/jobs", admin_jobs, AUTH_READ, false},
+	{"POST", "/v1/jobs", admin_job_submit, AUTH_WRITE, false},
+	{"POST", "/v1/jobs/cancel", admin_job_cancel, AUTH_WRITE, false},
+	{"GET", "/v1/explain", admin_explain, AUTH_READ, true},
 };
 
 /** Replies to a request that was forwarded to the leader, or answers it here after a failure. */
--- a/src/route_table.h
+++ b/src/route_table.h
@@ -36,9 +36,9 @@
 
 /** An entry process of another data centre, for forwarding. */
 typedef struct {
-	uint32_t node_id;
 	const char *data_centre;
 	const char *http_address;
+	uint32_t node_id;
 	bool up;
 } route_peer_t;
 
