serve: record a returning member as up

Cause: a member that stopped gracefully or was silent for 6 s is recorded as down, and nothing recorded it as up again unless it led; the others kept its share of the slots for good. Ruled out: the leader's watch of members (it records silence only, by design: the member knows best when it serves again). Change: a member whose record says down proposes itself as up when it has caught up. The status shows the recorded state.

--- a/src/admin_view.c
+++ b/src/admin_view.c
@@ -170,12 +170,13 @@
 
 	TAILQ_FOREACH (member, &node->fleet.members, link) {
 		json_array_append_new(
-			list, json_pack("{s:i, s:s, s:s, s:b, s:b, s:I, s:b}", "node",
+			list, json_pack("{s:i, s:s, s:s, s:b, s:b, s:I, s:b, s:b}", "node",
 					(int)member->node_id, "data_centre", member->data_centre,
 					"http", member->http_address, "disk", member->disk, "up",
 					member_up(node, member->node_id), "applied",
 					(json_int_t)member_applied(node, member->node_id), "leader",
-					replica_leader(node->replica) == member->node_id));
+					replica_leader(node->replica) == member->node_id,
+					"recorded_up", member->up));
 	}
 	return list;
 }
--- a/src/serve.c
+++ b/src/serve.c
@@ -141,7 +141,8 @@
 
 	if (!node->caught_up || node->draining)
 		return;
-	if (member != NULL && member->replica_id == replica_id(node->replica) &&
+	/* The leader marks a silent member down; it takes itself up again when it returns. */
+	if (member != NULL && member->up && member->replica_id == replica_id(node->replica) &&
 	    strcmp(member->data_centre, node->settings->data_centre) == 0)
 		return;
 	if (serve->member_proposed_us != 0 && now_us - serve->member_proposed_us < MEMBER_RETRY_US)
