--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -195,7 +195,8 @@
 static void test_quota_is_divided(void **state)
 {
 	route_table_t *table = *state;
-	const route_peer_t peer = {.node_id = 2, .data_centre = "dc2", .http_address = "10.0.0.2:80", .up = true};
+	const route_peer_t peer = {
+		.node_id = 2, .data_centre = "dc2", .http_address = "10.0.0.2:80", .up = true};
 	unsigned granted = 0;
 
 	route_table_set_peers(table, &peer, 1);
