--- a/src/explain.c
+++ b/src/explain.c
@@ -7,6 +7,7 @@
 #include "budget.h"
 #include "clock.h"
 #include "json_reply.h"
+#include "verdict.h"
 
 /*
  * Explains a VM, pool, wave or job to an operator who knows only the notes of the day staff: its
@@ -77,7 +78,7 @@
 	case LP__VM_PHASE__VM_RETURNING:
 		return g_strdup("the end of the probation");
 	case LP__VM_PHASE__VM_QUARANTINED:
-		return g_strdup("a repair: every task it was given failed");
+		return g_strdup("10 minutes to pass while it announces itself, or a repair");
 	case LP__VM_PHASE__VM_LOST:
 		return g_strdup("an announcement");
 	case _LP__VM_PHASE_IS_INT_SIZE:
@@ -102,9 +103,11 @@
 	case LP__VM_PHASE__VM_OUT:
 		return "returning, on probation";
 	case LP__VM_PHASE__VM_RETURNING:
-		return "active; the permit is given back";
+		return vm->permit == LP__PERMIT_KIND__PERMIT_NONE
+			       ? "active"
+			       : "active; the permit is given back";
 	case LP__VM_PHASE__VM_QUARANTINED:
-		return "stays out until it is replaced";
+		return "returning, on probation; a VM that fails again is quarantined again";
 	case LP__VM_PHASE__VM_LOST:
 		return "returning when it announces itself; a spare VM replaces it meanwhile";
 	case _LP__VM_PHASE_IS_INT_SIZE:
@@ -201,7 +204,8 @@
 		next = "goes on when the cause is gone";
 		break;
 	case LP__WAVE_STATE__WAVE_STOPPED:
-		next = "stays stopped; apply a template with a new image to start another wave";
+		next = "stays stopped; to resume it, apply the template with paused: true and then "
+		       "with paused: false; another image starts another wave";
 		break;
 	case LP__WAVE_STATE__WAVE_DONE:
 	case _LP__WAVE_STATE_IS_INT_SIZE:
@@ -234,6 +238,20 @@
 	return reply;
 }
 
+static json_t *explain_request(node_t *node, const char *id)
+{
+	request_log_entry_t entry;
+
+	if (!request_log_find(&node->requests, id, &entry))
+		return NULL;
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "kind", "request",
+			 "id", id, "state", verdict_name(entry.outcome), "why",
+			 entry.reason[0] != '\0' ? entry.reason : "a target's answer",
+			 "organisation", entry.organisation, "service", entry.service, "class",
+			 entry.class_name, "status", (json_int_t)entry.status, "since_ms",
+			 (json_int_t)entry.wall_ms, "took_us", (json_int_t)entry.took_us);
+}
+
 void admin_explain(node_t *node, http_request_t *request)
 {
 	const char *kind = http_request_param(request, "kind");
@@ -252,12 +270,18 @@
 		reply = explain_wave(node, id);
 	else if (strcmp(kind, "job") == 0)
 		reply = explain_job(node, id);
+	else if (strcmp(kind, "request") == 0)
+		reply = explain_request(node, id);
 	else {
-		json_reply_error(request, 400, "kind has to be vm, pool, wave or job");
+		json_reply_error(request, 400, "kind has to be vm, pool, wave, job or request");
 		return;
 	}
 	if (reply == NULL)
-		json_reply_error(request, 404, "not found");
+		json_reply_error(request, 404,
+				 strcmp(kind, "request") == 0
+					 ? "not among the latest requests of this process; ask the "
+					   "entry process that answered it"
+					 : "not found");
 	else
 		json_reply(request, 200, reply);
 }
--- a/src/node.h
+++ b/src/node.h
@@ -16,6 +16,7 @@
 #include "metrics.h"
 #include "peer.h"
 #include "replica.h"
+#include "request_log.h"
 #include "route_table.h"
 #include "settings.h"
 #include "timer.h"
@@ -28,6 +29,7 @@
 
 struct announce;
 struct controller;
+struct job_runner;
 struct auth;
 
 typedef struct node {
@@ -40,12 +42,14 @@
 	fleet_t fleet;
 	health_t health;
 	route_table_t *routes;
+	request_log_t requests;
 	peer_set_t *peers;
 	replica_t *replica;
 	claims_t *claims; /**< NULL until the replica has caught up */
 	http_client_t client;
 	struct announce *announce;
 	struct controller *controller;
+	struct job_runner *jobs;
 	struct auth *auth;
 	io_thread_t **threads;
 	unsigned thread_count;
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -129,22 +129,22 @@
 	server.answer[call] = answer;
 }
 
-/* Runs a command line, given with single spaces; its standard output is returned. */
-static int run_cli(const char *line, char **output)
+/* Runs a command line, given with single spaces; what it writes to fd 1 or 2 is returned. */
+static int run_captured(const char *line, int stream, char **output)
 {
 	char **args = g_strsplit(line, " ", 0);
 	char file[] = "/tmp/cli-XXXXXX";
 	int fd = g_mkstemp(file);
-	int saved = dup(1);
+	int saved = dup(stream);
 	int rc;
 
 	(void)fflush(stdout);
-	dup2(fd, 1);
+	dup2(fd, stream);
 	/* 0 starts getopt anew. */
 	optind = 0;
 	rc = cli_main((int)g_strv_length(args), args);
 	(void)fflush(stdout);
-	dup2(saved, 1);
+	dup2(saved, stream);
 	close(saved);
 	close(fd);
 	if (output != NULL)
@@ -154,6 +154,11 @@
 	return rc;
 }
 
+static int run_cli(const char *line, char **output)
+{
+	return run_captured(line, 1, output);
+}
+
 static int run_apply(const char *more)
 {
 	char *line = g_strdup_printf("lavenderpass template apply %s --server %s --author amina "
@@ -217,6 +222,76 @@
 	assert_int_equal(server.calls, 2);
 }
 
+/* Guards against a refusal from which an operator cannot tell whether something was changed, or
+ * what to do next. */
+static void test_refusals_are_explained(void **state)
+{
+	static const struct {
+		unsigned status;
+		const char *answer;
+		bool token;
+		cli_exit_t rc;
+		const char *shown[3];
+	} cases[] = {
+		{401, "{\"error\": \"x\"}", false, CLI_FAILED, {"give --token-file FILE"}},
+		{401,
+		 "{\"error\": \"x\"}",
+		 true,
+		 CLI_FAILED,
+		 {"refused the token of ", "role does not allow"}},
+		{409,
+		 "{\"error\": \"expected revision 6\", \"revision\": 7, \"author\": \"amina\", "
+		 "\"note\": \"after the batch\"}",
+		 false,
+		 CLI_CONFLICT,
+		 {"nothing was changed: expected revision 6",
+		  "revision 7 is in force, applied by amina with note: after the batch",
+		  "plan and apply again"}},
+		{503,
+		 "{\"error\": \"the leader changed\", \"outcome\": \"unknown\"}",
+		 false,
+		 CLI_UNAVAILABLE,
+		 {"status 503): the leader changed", "the outcome is unknown",
+		  "apply again with --op-id"}},
+		{503,
+		 "{\"error\": \"no leader\", \"outcome\": \"not-run\"}",
+		 false,
+		 CLI_UNAVAILABLE,
+		 {"status 503): no leader", "the change was not made"}},
+		{413, "too large", false, CLI_FAILED, {"limits.body_bytes"}},
+	};
+	char *file = g_strconcat(server.template, ".token", NULL);
+
+	assert_true(g_file_set_contents(file, "write secret\n", -1, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *line = g_strdup_printf(
+			"lavenderpass template apply %s --server %s --author b --note n "
+			"--timeout 1 --expected-revision 6%s%s",
+			server.template, server.url, cases[i].token ? " --token-file " : "",
+			cases[i].token ? file : "");
+		char *errors = NULL;
+
+		server.calls = 0;
+		for (unsigned c = 0; c < CALLS_MAX; c++)
+			answer_with(c, cases[i].status, cases[i].answer);
+		assert_int_equal(run_captured(line, 2, &errors), cases[i].rc);
+		for (size_t j = 0; j < G_N_ELEMENTS(cases[i].shown); j++) {
+			if (cases[i].shown[j] != NULL && strstr(errors, cases[i].shown[j]) == NULL)
+				fail_msg("case %zu does not show \"%s\":\n%s", i, cases[i].shown[j],
+					 errors);
+		}
+		for (unsigned c = 0; c < CALLS_MAX; c++) {
+			g_clear_pointer(&server.path[c], g_free);
+			json_decref(server.body[c]);
+			server.body[c] = NULL;
+		}
+		g_free(errors);
+		g_free(line);
+	}
+	unlink(file);
+	g_free(file);
+}
+
 /* Guards against a status that hides a broken promise below others, or is too wide to read. */
 static void test_status_is_readable(void **state)
 {
@@ -243,6 +318,57 @@
 	g_free(line);
 }
 
+static void check_width(const char *command, const char *shown)
+{
+	char *line = g_strdup_printf("lavenderpass %s --server %s", command, server.url);
+	char *output = NULL;
+	char **lines;
+
+	assert_int_equal(run_cli(line, &output), CLI_OK);
+	if (strstr(output, shown) == NULL)
+		fail_msg("%s does not show %s:\n%s", command, shown, output);
+	lines = g_strsplit(output, "\n", 0);
+	for (size_t i = 0; lines[i] != NULL; i++) {
+		if (g_utf8_strlen(lines[i], -1) > 80)
+			fail_msg("%s: wider than 80 columns: %s", command, lines[i]);
+	}
+	g_strfreev(lines);
+	g_free(output);
+	g_free(line);
+}
+
+/* Guards against lists that break their lines on an operator's terminal, and against an id that is
+ * cut, so that no other command can take it. */
+static void test_lists_fit_80_columns(void **state)
+{
+	answer_with(0, 200,
+		    "{\"vms\": [{\"vm\": \"tesfaye-addis-worker-0123\", \"organisation\": "
+		    "\"tesfaye\", \"pool\": \"dispatch-backoffice\", \"rack\": "
+		    "\"addis-ababa-east-rack-12\", \"phase\": \"quarantined\", \"health\": "
+		    "\"never-announced\", \"image\": \"worker-2026-11-with-new-printer\", "
+		    "\"reason\": \"3 different jobs failed here in a row\"}]}");
+	answer_with(1, 200,
+		    "{\"in_contact\": false, \"pools\": [{\"organisation\": "
+		    "\"an-organisation-with-a-long-name-and-one-more-part\", \"pool\": "
+		    "\"and-a-pool-with-a-long-name\", \"promise\": \"at-risk\", \"usable\": 1599, "
+		    "\"vms\": 1600, \"keep\": 1590, \"reserve\": 120, \"free\": 0}], \"waves\": "
+		    "[{\"wave\": 12, \"organisation\": \"barid\", \"state\": \"paused\", "
+		    "\"image\": \"an-image-name-that-is-much-longer-than-any-line-of-a-terminal-"
+		    "which-has-only-eighty-columns\", \"reason\": \"no window\"}], "
+		    "\"organisations\": [{\"organisation\": \"barid\", \"author\": \"a night "
+		    "operator who writes a full name and the phone extension 4711\", \"revision\": "
+		    "7, \"time_ms\": 1, \"note\": \"n\"}], \"members\": [{\"node\": 1, "
+		    "\"data_centre\": \"a-data-centre-whose-name-fills-nearly-the-whole-line-of-"
+		    "text\", \"applied\": 123456789}]}");
+	answer_with(2, 200,
+		    "{\"pools\": [{\"organisation\": \"tesfaye\", \"pool\": "
+		    "\"dispatch-backoffice\", \"promise\": \"at-risk\", \"vms\": 1600, "
+		    "\"usable\": 1500, \"free\": 100}]}");
+	check_width("vms", "tesfaye-addis-worker-0123  ");
+	check_width("status", "and-a-pool-");
+	check_width("pools", "tesfaye ");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -250,7 +376,9 @@
 		cmocka_unit_test_setup_teardown(test_apply_is_resent_with_the_same_operation_id,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_conflict_and_refusal, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_refusals_are_explained, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_status_is_readable, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_lists_fit_80_columns, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
