--- a/tests/test_thread_proxy.c
+++ b/tests/test_thread_proxy.c
@@ -508,7 +508,10 @@
 {
 	fixture_t *f = *state;
 	lib_target_t *peer = lib_target_start();
-	const route_peer_t peers[] = {{2, "dc2", lib_target_address(peer), true}};
+	const route_peer_t peers[] = {{.node_id = 2,
+				       .data_centre = "dc2",
+				       .http_address = lib_target_address(peer),
+				       .up = true}};
 	exchange_t refused = {0};
 	exchange_t forwarded = {0};
 	char *head;
