job_runner: cancel open requests to workers at its end

serve destroys the job runner before the HTTP client. The client then ended the open requests, and their callbacks read the freed runner (job_runner.c, heap-use-after-free, asan; found by test_fuzz_http, as a trial with a leading runner).

Finishing the client first was ruled out: callbacks would then take the end of the client for an answer, and propose. The runner now keeps a list of its requests and cancels them, as platform and probe do. test_runner_ends_while_a_task_request_is_open fails without the change and passes with it.

test_fuzz_http follows the new parts of the announcement path; its runner leads only in that case, as a leading runner sends requests to announced addresses, which mutations change.

--- a/src/job_runner.c
+++ b/src/job_runner.c
@@ -22,6 +22,7 @@
 	timer_sub_t timer;
 	jobs_t jobs;
 	bool leading;
+	LIST_HEAD(task_call_list, task_call) calls;
 	metrics_counter_t *starts;
 	metrics_counter_t *updates;
 	metrics_counter_t *failed_requests;
@@ -48,13 +49,22 @@
 /* --- requests to workers --- */
 
 /** A request in progress. */
-typedef struct {
+typedef struct task_call {
+	LIST_ENTRY(task_call) link;
 	job_runner_t *runner;
+	http_call_t *http;
 	bool start;
 	char *job;
 	uint32_t attempt;
 } task_call_t;
 
+static void task_call_free(task_call_t *call)
+{
+	LIST_REMOVE(call, link);
+	g_free(call->job);
+	g_free(call);
+}
+
 static void carry_out(job_runner_t *runner, GPtrArray *actions);
 
 static bool certainly_not_run(const http_call_result_t *result)
@@ -82,8 +92,7 @@
 		jobs_start_refused(&runner->jobs, &input, call->job, call->attempt, actions);
 		carry_out(runner, actions);
 	}
-	g_free(call->job);
-	g_free(call);
+	task_call_free(call);
 }
 
 static char *task_body(const node_t *node, const jobs_action_t *action)
@@ -135,10 +144,10 @@
 		.job = g_strdup(action->job),
 		.attempt = action->attempt,
 	};
-	if (http_client_send(&runner->node->client, &request, on_task_answer, call) == NULL) {
-		g_free(call->job);
-		g_free(call);
-	}
+	LIST_INSERT_HEAD(&runner->calls, call, link);
+	call->http = http_client_send(&runner->node->client, &request, on_task_answer, call);
+	if (call->http == NULL)
+		task_call_free(call);
 	g_free(url);
 	free(body);
 }
@@ -301,6 +310,7 @@
 	job_runner_t *runner = talloc_zero(NULL, job_runner_t);
 
 	runner->node = node;
+	LIST_INIT(&runner->calls);
 	runner->starts = metrics_counter(node->metrics, "lavenderpass_job_starts_total", "");
 	runner->updates = metrics_counter(node->metrics, "lavenderpass_job_updates_total", "");
 	runner->failed_requests =
@@ -311,7 +321,13 @@
 
 void job_runner_destroy(job_runner_t *runner)
 {
+	task_call_t *call;
+
 	timer_unsubscribe(&runner->node->timers, &runner->timer);
+	while ((call = LIST_FIRST(&runner->calls)) != NULL) {
+		http_call_cancel(call->http);
+		task_call_free(call);
+	}
 	if (runner->leading)
 		jobs_finish(&runner->jobs);
 	talloc_free(runner);
--- a/tests/test_fuzz_http.c
+++ b/tests/test_fuzz_http.c
@@ -18,6 +18,7 @@
 
 #include "announce.h"
 #include "clock.h"
+#include "job_runner.h"
 #include "lib_fuzz.h"
 
 /* A round takes some milliseconds, as the event loop waits in whole ones. */
@@ -37,6 +38,7 @@
 	http_request_t *held;
 	unsigned aborted;
 	unsigned proposals;
+	bool leads;
 	char *request;		   /* latest request, for messages */
 	char answer[ANSWER_BYTES]; /* start of the latest answer */
 } fixture_t;
@@ -83,6 +85,12 @@
 	return 0;
 }
 
+/* A runner that leads sends requests to the announced addresses, which mutations change. */
+bool replica_has_lease(const replica_t *replica)
+{
+	return fixture->leads;
+}
+
 static void on_abort(void *arg)
 {
 	((fixture_t *)arg)->aborted++;
@@ -118,7 +126,7 @@
 {
 	const union MHD_DaemonInfo *info =
 		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-	struct sockaddr_in in;
+	struct sockaddr_in in = {0};
 	socklen_t length = sizeof(in);
 
 	assert_int_equal(getsockname(info->listen_fd, (struct sockaddr *)&in, &length), 0);
@@ -172,6 +180,8 @@
 	apply_template(&node->fleet);
 	health_init(&node->health, 4 * US_PER_S, 10 * US_PER_S);
 	node->routes = route_table_create(&routes);
+	assert_int_equal(http_client_init(&node->client, node->ev, 60), 0);
+	node->jobs = job_runner_create(node);
 	node->announce = announce_create(node);
 	assert_int_equal(http_server_init(&fixture->server, node->ev, &config, on_request, fixture),
 			 0);
@@ -186,6 +196,8 @@
 
 	http_server_finish(&f->server);
 	announce_destroy(f->node.announce);
+	job_runner_destroy(f->node.jobs);
+	http_client_finish(&f->node.client);
 	route_table_destroy(f->node.routes);
 	health_finish(&f->node.health);
 	fleet_finish(&f->node.fleet);
@@ -429,6 +441,44 @@
 	fuzz_finish(&fuzz);
 }
 
+/* A socket that takes connections and never answers. */
+static int open_silent_listener(uint16_t *port)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET};
+	socklen_t length = sizeof(in);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	assert_int_equal(listen(fd, 8), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&in, &length), 0);
+	*port = ntohs(in.sin_port);
+	return fd;
+}
+
+/* Guards against a request to a worker that ends after the runner that sent it (this test, asan,
+ * seed 20260101, when the process stopped while an unknown task was being stopped). */
+static void test_runner_ends_while_a_task_request_is_open(void **state)
+{
+	fixture_t *f = *state;
+	uint64_t end_us = clock_now_us() + US_PER_S;
+	uint16_t port;
+	int listener = open_silent_listener(&port);
+	g_autofree char *json = g_strdup_printf(
+		"{\"vm\":\"vm1\",\"organisation\":\"o\",\"data_centre\":\"dc1\",\"rack\":\"r1\","
+		"\"address\":\"127.0.0.1:%u\",\"tasks\":[{\"job\":\"j\",\"attempt\":1}]}",
+		port);
+
+	f->leads = true;
+	/* The first announcement registers the VM, the runner takes the lead by its timer. */
+	announce(f, (const uint8_t *)json, strlen(json));
+	while (clock_now_us() < end_us)
+		pump(f);
+	announce(f, (const uint8_t *)json, strlen(json));
+	assert_false(g_queue_is_empty(&f->node.client.in_progress));
+	close(listener);
+}
+
 static void append_value(GString *json, const char *valid)
 {
 	static const char *const others[] = {
@@ -500,6 +550,8 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(test_announcements_with_damaged_json, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_runner_ends_while_a_task_request_is_open,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_announcements_with_arbitrary_members, set_up,
 						tear_down),
 	};
--- a/tests/test_fuzz_wire.c
+++ b/tests/test_fuzz_wire.c
@@ -145,6 +145,7 @@
 			break;
 		case RAFT_SAVE_SNAPSHOT:
 			packed = g_memdup2(action->snapshot->data, action->snapshot->length);
+			assert_true(packed != NULL || action->snapshot->length == 0);
 			break;
 		case RAFT_SAVE_VOTE:
 		case RAFT_COMMIT:
