--- a/src/controller.c
+++ b/src/controller.c
@@ -8,6 +8,7 @@
 
 #include "capacity.h"
 #include "clock.h"
+#include "command.h"
 #include "log.h"
 #include "platform.h"
 #include "probe.h"
@@ -149,78 +150,29 @@
 	node_propose(controller->node, command, on_proposed, controller);
 }
 
-static void propose_cordon(controller_t *controller, const plan_action_t *action)
-{
-	Lp__VmCordon cordon = LP__VM_CORDON__INIT;
-	Lp__Command command = LP__COMMAND__INIT;
-
-	cordon.vm = action->vm->id;
-	cordon.epoch = action->vm->epoch;
-	cordon.permit = action->cordon.permit;
-	if (action->cordon.to_pool != NULL)
-		cordon.to_pool = action->cordon.to_pool->name;
-	cordon.wave = action->cordon.wave;
-	cordon.reason = action->reason;
-	command.body_case = LP__COMMAND__BODY_VM_CORDON;
-	command.vm_cordon = &cordon;
-	propose(controller, &command);
-}
-
 /** A silent VM is declared lost only after a probe on a new connection failed. */
 static bool loss_is_confirmed(controller_t *controller, const fleet_vm_t *vm)
 {
 	return probe_confirms_loss(controller->probe, vm->id, vm->address, clock_now_us());
 }
 
-static void propose_step(controller_t *controller, const plan_action_t *action)
+static void propose_action(controller_t *controller, const plan_action_t *action)
 {
-	Lp__VmStep step = LP__VM_STEP__INIT;
-	Lp__Command command = LP__COMMAND__INIT;
+	command_t command;
 
-	step.vm = action->vm->id;
-	step.epoch = action->vm->epoch;
-	step.from = action->step.from;
-	step.to = action->step.to;
-	step.reason = action->reason;
-	if (action->step.image != NULL)
-		step.image = (char *)action->step.image;
-	command.body_case = LP__COMMAND__BODY_VM_STEP;
-	command.vm_step = &step;
+	if (command_init_action(&command, action))
+		propose(controller, &command.command);
+}
+
+static void take_step(controller_t *controller, const plan_action_t *action)
+{
+	if (action->step.to == LP__VM_PHASE__VM_LOST && !loss_is_confirmed(controller, action->vm))
+		return;
 	if (action->step.to == LP__VM_PHASE__VM_ACTIVE) {
 		platform_forget(controller->platform, action->vm->id);
 		probe_forget(controller->probe, action->vm->id);
 	}
-	propose(controller, &command);
-}
-
-static void propose_assign(controller_t *controller, const plan_action_t *action)
-{
-	Lp__VmAssign assign = LP__VM_ASSIGN__INIT;
-	Lp__Command command = LP__COMMAND__INIT;
-
-	assign.vm = action->vm->id;
-	assign.epoch = action->vm->epoch;
-	assign.pool = action->assign.pool->name;
-	assign.reason = action->reason;
-	command.body_case = LP__COMMAND__BODY_VM_ASSIGN;
-	command.vm_assign = &assign;
-	propose(controller, &command);
-}
-
-static void propose_wave(controller_t *controller, const plan_action_t *action)
-{
-	Lp__WaveUpdate wave = LP__WAVE_UPDATE__INIT;
-	Lp__Command command = LP__COMMAND__INIT;
-
-	wave.wave = action->wave.id;
-	wave.organisation = action->wave.org->name;
-	wave.image = (char *)action->wave.image;
-	wave.state = action->wave.state;
-	wave.batch = action->wave.batch;
-	wave.reason = action->reason;
-	command.body_case = LP__COMMAND__BODY_WAVE_UPDATE;
-	command.wave_update = &wave;
-	propose(controller, &command);
+	propose_action(controller, action);
 }
 
 /** Image that the VM's wave installs. */
@@ -235,17 +187,13 @@
 {
 	metrics_add(controller->actions, 1);
 	switch (action->kind) {
-	case PLAN_CORDON:
-		propose_cordon(controller, action);
-		break;
 	case PLAN_STEP:
-		if (action->step.to == LP__VM_PHASE__VM_LOST &&
-		    !loss_is_confirmed(controller, action->vm))
-			break;
-		propose_step(controller, action);
+		take_step(controller, action);
 		break;
+	case PLAN_CORDON:
 	case PLAN_ASSIGN:
-		propose_assign(controller, action);
+	case PLAN_WAVE:
+		propose_action(controller, action);
 		break;
 	case PLAN_DRAIN:
 		platform_request(controller->platform, PLATFORM_DRAIN, action->vm->id,
@@ -255,9 +203,6 @@
 		platform_request(controller->platform, PLATFORM_REBOOT, action->vm->id,
 				 action->vm->epoch, wave_image(controller, action->vm));
 		break;
-	case PLAN_WAVE:
-		propose_wave(controller, action);
-		break;
 	}
 }
 
--- a/tests/lib_fleet_sim.c
+++ b/tests/lib_fleet_sim.c
@@ -5,6 +5,7 @@
 
 #include "budget.h"
 #include "clock.h"
+#include "command.h"
 #include "template.h"
 
 #define ROUTING_LEASE_US (4 * US_PER_S)
@@ -219,74 +220,16 @@
 	sim->maintained++;
 }
 
-static void apply_cordon(sim_t *sim, const plan_action_t *action)
+static void apply_command(sim_t *sim, const plan_action_t *action)
 {
-	Lp__Command command = LP__COMMAND__INIT;
-	Lp__VmCordon cordon = LP__VM_CORDON__INIT;
-
-	sim->grants++;
-	if (budget_of(action->vm->pool, &sim->health, sim->now_us).free == 0)
-		sim->violations++;
-	cordon.vm = action->vm->id;
-	cordon.epoch = action->vm->epoch;
-	cordon.permit = action->cordon.permit;
-	if (action->cordon.to_pool != NULL)
-		cordon.to_pool = action->cordon.to_pool->name;
-	cordon.wave = action->cordon.wave;
-	cordon.reason = action->reason;
-	command.body_case = LP__COMMAND__BODY_VM_CORDON;
-	command.vm_cordon = &cordon;
-	if (sim_apply(sim, &command) != LP__RESULT_CODE__RESULT_OK)
-		g_error("cordon: %s", sim->fleet.message);
-}
-
-static void apply_step(sim_t *sim, const plan_action_t *action)
-{
-	Lp__Command command = LP__COMMAND__INIT;
-	Lp__VmStep step = LP__VM_STEP__INIT;
-
-	step.vm = action->vm->id;
-	step.epoch = action->vm->epoch;
-	step.from = action->step.from;
-	step.to = action->step.to;
-	step.reason = action->reason;
-	if (action->step.image != NULL)
-		step.image = (char *)action->step.image;
-	command.body_case = LP__COMMAND__BODY_VM_STEP;
-	command.vm_step = &step;
-	if (sim_apply(sim, &command) != LP__RESULT_CODE__RESULT_OK)
-		g_error("step: %s", sim->fleet.message);
-}
-
-static void apply_assign(sim_t *sim, const plan_action_t *action)
-{
-	Lp__Command command = LP__COMMAND__INIT;
-	Lp__VmAssign assign = LP__VM_ASSIGN__INIT;
-
-	sim->moves++;
-	assign.vm = action->vm->id;
-	assign.epoch = action->vm->epoch;
-	assign.pool = action->assign.pool->name;
-	command.body_case = LP__COMMAND__BODY_VM_ASSIGN;
-	command.vm_assign = &assign;
-	if (sim_apply(sim, &command) != LP__RESULT_CODE__RESULT_OK)
-		g_error("assign: %s", sim->fleet.message);
-}
-
-static void apply_wave(sim_t *sim, const plan_action_t *action)
-{
-	Lp__Command command = LP__COMMAND__INIT;
-	Lp__WaveUpdate update = LP__WAVE_UPDATE__INIT;
-
-	update.wave = action->wave.id;
-	update.organisation = action->wave.org->name;
-	update.image = (char *)action->wave.image;
-	update.state = action->wave.state;
-	update.batch = action->wave.batch;
-	update.reason = action->reason;
-	command.body_case = LP__COMMAND__BODY_WAVE_UPDATE;
-	command.wave_update = &update;
-	sim_apply(sim, &command);
+	command_t command;
+
+	command_init_action(&command, action);
+	/* A wave that the fleet refuses to change is planned again; the other actions are always
+	 * valid. */
+	if (sim_apply(sim, &command.command) != LP__RESULT_CODE__RESULT_OK &&
+	    action->kind != PLAN_WAVE)
+		g_error("action %d: %s", action->kind, sim->fleet.message);
 }
 
 static void apply_action(sim_t *sim, const plan_action_t *action)
@@ -295,13 +238,18 @@
 		sim->check(sim, action);
 	switch (action->kind) {
 	case PLAN_CORDON:
-		apply_cordon(sim, action);
-		return;
-	case PLAN_STEP:
-		apply_step(sim, action);
+		sim->grants++;
+		if (budget_of(action->vm->pool, &sim->health, sim->now_us).free == 0)
+			sim->violations++;
+		apply_command(sim, action);
 		return;
 	case PLAN_ASSIGN:
-		apply_assign(sim, action);
+		sim->moves++;
+		apply_command(sim, action);
+		return;
+	case PLAN_STEP:
+	case PLAN_WAVE:
+		apply_command(sim, action);
 		return;
 	case PLAN_DRAIN:
 		sim_find_vm(sim, action->vm->id)->drain_epoch = action->vm->epoch;
@@ -309,9 +257,6 @@
 	case PLAN_REBOOT:
 		platform_reboot(sim, action->vm);
 		return;
-	case PLAN_WAVE:
-		apply_wave(sim, action);
-		return;
 	}
 }
 
