job_runner: own the open requests in an array

The clang analyzer reported a use of freed memory in the loop over the list of open requests: it does not follow LIST_REMOVE through the function that frees.

--- a/src/job_runner.c
+++ b/src/job_runner.c
@@ -22,7 +22,7 @@
 	timer_sub_t timer;
 	jobs_t jobs;
 	bool leading;
-	LIST_HEAD(task_call_list, task_call) calls;
+	GPtrArray *calls; /**< task_call_t, in progress, owned */
 	metrics_counter_t *starts;
 	metrics_counter_t *updates;
 	metrics_counter_t *failed_requests;
@@ -49,8 +49,7 @@
 /* --- requests to workers --- */
 
 /** A request in progress. */
-typedef struct task_call {
-	LIST_ENTRY(task_call) link;
+typedef struct {
 	job_runner_t *runner;
 	http_call_t *http;
 	bool start;
@@ -58,9 +57,10 @@
 	uint32_t attempt;
 } task_call_t;
 
-static void task_call_free(task_call_t *call)
+static void task_call_free(gpointer data)
 {
-	LIST_REMOVE(call, link);
+	task_call_t *call = data;
+
 	g_free(call->job);
 	g_free(call);
 }
@@ -92,7 +92,7 @@
 		jobs_start_refused(&runner->jobs, &input, call->job, call->attempt, actions);
 		carry_out(runner, actions);
 	}
-	task_call_free(call);
+	g_ptr_array_remove_fast(runner->calls, call);
 }
 
 static char *task_body(const node_t *node, const jobs_action_t *action)
@@ -144,10 +144,10 @@
 		.job = g_strdup(action->job),
 		.attempt = action->attempt,
 	};
-	LIST_INSERT_HEAD(&runner->calls, call, link);
+	g_ptr_array_add(runner->calls, call);
 	call->http = http_client_send(&runner->node->client, &request, on_task_answer, call);
 	if (call->http == NULL)
-		task_call_free(call);
+		g_ptr_array_remove_fast(runner->calls, call);
 	g_free(url);
 	free(body);
 }
@@ -310,7 +310,7 @@
 	job_runner_t *runner = talloc_zero(NULL, job_runner_t);
 
 	runner->node = node;
-	LIST_INIT(&runner->calls);
+	runner->calls = g_ptr_array_new_with_free_func(task_call_free);
 	runner->starts = metrics_counter(node->metrics, "lavenderpass_job_starts_total", "");
 	runner->updates = metrics_counter(node->metrics, "lavenderpass_job_updates_total", "");
 	runner->failed_requests =
@@ -321,13 +321,13 @@
 
 void job_runner_destroy(job_runner_t *runner)
 {
-	task_call_t *call;
-
 	timer_unsubscribe(&runner->node->timers, &runner->timer);
-	while ((call = LIST_FIRST(&runner->calls)) != NULL) {
+	for (guint i = 0; i < runner->calls->len; i++) {
+		const task_call_t *call = g_ptr_array_index(runner->calls, i);
+
 		http_call_cancel(call->http);
-		task_call_free(call);
 	}
+	g_ptr_array_unref(runner->calls);
 	if (runner->leading)
 		jobs_finish(&runner->jobs);
 	talloc_free(runner);
