make: let the sanitizers see GLib's slices

test_thread_proxy exited with 7 reported races in the tsan variant, all between the allocation of a GArray or GByteArray in one thread and its use in another: GLib's slice allocator is not instrumented, so a reused slice looks shared. Suppressions were ruled out, as they would hide real races in the same functions. G_SLICE=always-malloc is now exported for the sanitizer variants.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,12 @@
 CFLAGS_all := $(CFLAGS_common) $(CFLAGS_$(VARIANT)) $(PKG_CFLAGS) $(CFLAGS)
 LDFLAGS_all := $(LDFLAGS_$(VARIANT)) $(LDFLAGS)
 
+# The sanitizers do not see inside GLib's slice allocator: they report races between threads that get
+# the same slice one after the other, and miss uses of a freed slice.
+ifneq ($(VARIANT),release)
+export G_SLICE := always-malloc
+endif
+
 SRC := $(wildcard src/*.c)
 LIB_SRC := $(filter-out src/main.c,$(SRC))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
