admin: answer 503 when the leader's answer is cancelled by a shutdown

Cause: http_client_finish() ends open calls after peers and replica are gone, and the fallback then read both. Found by reading; not reproduced.

--- a/src/admin.c
+++ b/src/admin.c
@@ -103,6 +103,8 @@
 	if (result->complete)
 		http_request_reply(forwarded->request, result->status, &header, 1, result->body,
 				   result->body_length);
+	else if (forwarded->node->peers == NULL) /* the process is stopping */
+		json_reply_error(forwarded->request, 503, "shutting down");
 	else
 		forwarded->fn(forwarded->node, forwarded->request);
 	g_free(forwarded);
