announce: bound the number of targets that announce themselves

Cause: found by reading: the table of announced VMs grew with every new VM id for as long as the process ran; announcements need no token unless one is configured. Change: 8,192 different targets per process; those silent for a minute make room; more get 503. The new case of test_fuzz_http first failed because a leader change made every entry look silent; the time of the latest announcement is now kept apart from that of the latest report.

--- a/src/announce.c
+++ b/src/announce.c
@@ -20,8 +20,14 @@
 /* A VM's registration is proposed at most this often. */
 #define REGISTER_RETRY_US (2 * US_PER_S)
 
+/* Different targets that may announce themselves to one process; the largest fleet planned for has
+ * 1,600. Targets that were silent for a minute make room for others. */
+#define TARGETS_MAX 8192
+#define STALE_US (60 * US_PER_S)
+
 /** What was last passed on about a target. */
 typedef struct {
+	uint64_t heard_us; /**< latest announcement */
 	uint64_t passed_us;
 	uint64_t registered_us; /**< last proposal of a registration */
 	uint64_t epoch;
@@ -168,6 +174,22 @@
 	return passed;
 }
 
+static gboolean is_stale(gpointer key, gpointer value, gpointer now_us)
+{
+	const passed_t *passed = value;
+
+	return *(const uint64_t *)now_us - passed->heard_us > STALE_US;
+}
+
+/** Bounds the memory that announcements of ever new VM ids can take. */
+static bool has_room(announce_t *announce, const char *vm, uint64_t now_us)
+{
+	if (g_hash_table_size(announce->passed) < TARGETS_MAX ||
+	    g_hash_table_contains(announce->passed, vm))
+		return true;
+	return g_hash_table_foreach_remove(announce->passed, is_stale, &now_us) > 0;
+}
+
 /** Queues a report for the peers when it changed or the last one is old. */
 static void pass_on(announce_t *announce, const Lp__TargetReport *report, uint64_t now_us)
 {
@@ -182,8 +204,8 @@
 	uint8_t *packed;
 	size_t length;
 
-	/* The announcement period is a third of the refresh at most, so rounding down by one
-	 * announcement keeps the refresh within its bound. */
+	passed->heard_us = now_us;
+	/* With one announcement a second, every second unchanged one is passed on. */
 	if (!changed && now_us - passed->passed_us < refresh_us)
 		return;
 	passed->passed_us = now_us;
@@ -310,6 +332,11 @@
 		json_reply_error(request, 400, problem);
 		goto out;
 	}
+	if (!has_room(announce, text_of(body, "vm"), now_us)) {
+		metrics_add(announce->invalid, 1);
+		json_reply_error(request, 503, "too many different VMs announce themselves here");
+		goto out;
+	}
 	fill_report(mem, &report, body);
 	update_local(announce, &report, now_us);
 	pass_on(announce, &report, now_us);
--- a/src/serve.c
+++ b/src/serve.c
@@ -41,7 +41,7 @@
 	uint64_t member_proposed_us;
 	timer_sub_t tick;
 	timer_sub_t confirm;
-	bool member_goodbye; /**< the proposal that this member is down was sent */
+	bool down_proposed; /**< the proposal that this member is down was sent */
 	int status;
 } serve_t;
 
@@ -254,8 +254,8 @@
 	node_t *node = &serve->node;
 	uint64_t waited_us = now_us - serve->drain_start_us;
 
-	if (!serve->member_goodbye) {
-		serve->member_goodbye = true;
+	if (!serve->down_proposed) {
+		serve->down_proposed = true;
 		propose_member(node, false);
 		drain_threads(node);
 	}
--- a/tests/test_fuzz_http.c
+++ b/tests/test_fuzz_http.c
@@ -24,6 +24,8 @@
 /* A round takes some milliseconds, as the event loop waits in whole ones. */
 #define HTTP_ROUNDS 250
 #define ANNOUNCE_ROUNDS 400
+/* Different targets that one process accepts (announce.c). */
+#define TARGETS_MAX 8192
 #define BODY_LIMIT 2000
 #define IDLE_TIMEOUT_S 1
 /* The library checks idle connections once in a second. */
@@ -441,6 +443,27 @@
 	fuzz_finish(&fuzz);
 }
 
+/* Guards against announcements of ever new VM ids that take memory without bound. */
+static void test_announcing_targets_are_bounded(void **state)
+{
+	fixture_t *f = *state;
+
+	for (unsigned i = 0; i <= TARGETS_MAX; i++) {
+		g_autofree char *json = g_strdup_printf(
+			"{\"vm\":\"vm%u\",\"organisation\":\"o\",\"data_centre\":\"dc1\","
+			"\"rack\":\"r1\",\"address\":\"127.0.0.1:80\",\"image\":\"a\"}",
+			i);
+
+		announce(f, (const uint8_t *)json, strlen(json));
+		if (i < TARGETS_MAX)
+			assert_answered(f, (const uint8_t *)json, strlen(json));
+	}
+	if (!g_str_has_prefix(f->answer, "HTTP/1.1 503"))
+		fail_msg("one target too many was answered with: %s", f->answer);
+	announce(f, (const uint8_t *)announcement, strlen(announcement));
+	assert_true(g_str_has_prefix(f->answer, "HTTP/1.1 20"));
+}
+
 /* A socket that takes connections and never answers. */
 static int open_silent_listener(uint16_t *port)
 {
@@ -550,6 +573,8 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(test_announcements_with_damaged_json, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_announcing_targets_are_bounded, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_runner_ends_while_a_task_request_is_open,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_announcements_with_arbitrary_members, set_up,
