announce: do not renew routing leases from messages that waited during a freeze

Cause: an announcement that lay in the sockets of a frozen process got the time of its reading, so a process that was frozen while a VM was cordoned could send it new work for up to 4 s after it resumed, if it was cut off from the leader as well. Found by reading; the process tests hide it, because the emulated targets refuse stale epochs. Ruled out: the check right before sending (it compares with the same wrong time); the margin of the planner (500 ms, a freeze may be longer). Not covered: an announcement that the network delays while the process runs.

--- a/src/announce.c
+++ b/src/announce.c
@@ -11,6 +11,7 @@
 #include "job_runner.h"
 #include "json_reply.h"
 #include "log.h"
+#include "pause_watch.h"
 
 /* Reports are sent in batches; the delay adds to the bound of a leaving target. */
 #define BATCH_MS 250
@@ -41,9 +42,11 @@
 	GHashTable *passed; /**< VM id to passed_t */
 	GPtrArray *reports; /**< Lp__TargetReport, owned, to be sent */
 	uint32_t leader;    /**< when the latest batch was sent */
+	pause_watch_t pause_watch;
 	metrics_counter_t *received;
 	metrics_counter_t *invalid;
 	metrics_counter_t *contradictions;
+	metrics_counter_t *distrusted;
 };
 
 static const char *text_of(const json_t *object, const char *key)
@@ -146,7 +149,11 @@
 	fill_tasks(mem, report, json_object_get(body, "tasks"));
 }
 
-static void update_local(announce_t *announce, const Lp__TargetReport *report, uint64_t now_us)
+/**
+ * Takes a report that arrived now.
+ * @return false when it may have waited in the sockets of this process while it was frozen
+ */
+static bool update_local(announce_t *announce, const Lp__TargetReport *report, uint64_t now_us)
 {
 	node_t *node = announce->node;
 	uint64_t age_us = report->age_ms * US_PER_MS;
@@ -158,9 +165,14 @@
 		.leaving = report->leaving,
 	};
 
+	if (!pause_watch_trusts(&announce->pause_watch, now_us)) {
+		metrics_add(announce->distrusted, 1);
+		return false;
+	}
 	health_report(&node->health, report, now_us);
 	route_table_announce(node->routes, &announcement);
 	job_runner_report(node->jobs, report);
+	return true;
 }
 
 static passed_t *passed_find(announce_t *announce, const char *vm)
@@ -240,6 +252,7 @@
 	Lp__TargetReports reports = LP__TARGET_REPORTS__INIT;
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 
+	pause_watch_trusts(&announce->pause_watch, now_us);
 	/* A new leader has to hear of every target soon, not only at the next refresh. */
 	if (leader != announce->leader) {
 		announce->leader = leader;
@@ -338,8 +351,8 @@
 		goto out;
 	}
 	fill_report(mem, &report, body);
-	update_local(announce, &report, now_us);
-	pass_on(announce, &report, now_us);
+	if (update_local(announce, &report, now_us))
+		pass_on(announce, &report, now_us);
 	register_vm(announce, report.reg, now_us);
 	reply_assignment(announce, request, &report);
 out:
@@ -362,6 +375,8 @@
 	announce->received = metrics_counter(node->metrics, "lavenderpass_announcements_total", "");
 	announce->invalid =
 		metrics_counter(node->metrics, "lavenderpass_announcements_invalid_total", "");
+	announce->distrusted =
+		metrics_counter(node->metrics, "lavenderpass_announcements_distrusted_total", "");
 	announce->contradictions = metrics_counter(
 		node->metrics, "lavenderpass_announcements_contradicting_total", "");
 	timer_subscribe(&node->timers, &announce->batch_timer, BATCH_MS * US_PER_MS, send_batch,
--- /dev/null
+++ b/src/pause_watch.c
@@ -0,0 +1,11 @@
+#include "pause_watch.h"
+
+bool pause_watch_trusts(pause_watch_t *watch, uint64_t now_us)
+{
+	if (watch->last_us != 0 && now_us - watch->last_us > PAUSE_WATCH_LIMIT_US) {
+		watch->distrust_until_us = now_us + PAUSE_WATCH_DRAIN_US;
+		watch->pauses++;
+	}
+	watch->last_us = now_us;
+	return now_us >= watch->distrust_until_us;
+}
--- /dev/null
+++ b/tests/test_pause_watch.c
@@ -0,0 +1,47 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "pause_watch.h"
+
+#define START_US 5000000ULL
+#define TICK_US 250000ULL
+
+/* Guards against a routing lease that is renewed by an announcement which waited in the socket of
+ * a frozen process while its VM was cordoned. */
+static void test_messages_after_a_freeze_are_not_trusted(void **state)
+{
+	pause_watch_t watch = {0};
+	uint64_t now_us = START_US;
+
+	for (unsigned i = 0; i < 10; i++, now_us += TICK_US)
+		assert_true(pause_watch_trusts(&watch, now_us));
+	now_us += 6000000;
+	assert_false(pause_watch_trusts(&watch, now_us));
+	assert_false(pause_watch_trusts(&watch, now_us + PAUSE_WATCH_DRAIN_US / 2));
+	assert_false(pause_watch_trusts(&watch, now_us + PAUSE_WATCH_DRAIN_US - 1));
+	assert_true(pause_watch_trusts(&watch, now_us + PAUSE_WATCH_DRAIN_US));
+	assert_int_equal(watch.pauses, 1);
+}
+
+/* Guards against a slow but running process that stops trusting its targets. */
+static void test_late_ticks_are_no_freeze(void **state)
+{
+	pause_watch_t watch = {0};
+
+	for (uint64_t now_us = START_US; now_us < 20 * START_US; now_us += PAUSE_WATCH_LIMIT_US)
+		assert_true(pause_watch_trusts(&watch, now_us));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_messages_after_a_freeze_are_not_trusted),
+		cmocka_unit_test(test_late_ticks_are_no_freeze),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
