tests: stop a process while slow requests are in flight

Cause: a trial that ended the process without waiting for open requests passed test_cluster_lifecycle, whose requests of 5 ms end before the stop. Change: a case with requests of 1.5 s.

--- a/tests/test_cluster_lifecycle.c
+++ b/tests/test_cluster_lifecycle.c
@@ -13,6 +13,7 @@
 
 #define LIMIT_MS 30000
 #define TARGETS 6
+#define SLOW_REQUESTS 4
 /* A target is told its new epoch by one announcement and echoes it in the next, 1 s later. */
 #define ECHO_US 2500000
 
@@ -245,6 +246,48 @@
 	json_decref(summary);
 }
 
+/** A request that is sent by a thread of its own. */
+typedef struct {
+	char *url;
+	long status;
+} slow_request_t;
+
+static gpointer send_slow_request(gpointer arg)
+{
+	slow_request_t *request = arg;
+	json_t *body = json_pack("{s:i}", "order", 1);
+
+	json_decref(cluster_http("POST", request->url, "/r/barid/backoffice/slow", body,
+				 &request->status));
+	json_decref(body);
+	return NULL;
+}
+
+/* Guards against a planned stop that cuts a request in flight (I7). */
+static void test_stop_finishes_slow_requests(void **state)
+{
+	cluster_t *cluster = *state;
+	slow_request_t requests[SLOW_REQUESTS];
+	GThread *threads[SLOW_REQUESTS];
+
+	apply_template(cluster, TEMPLATE);
+	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
+	g_usleep(ECHO_US);
+	cluster_behaviour(cluster, "mode=slow&ms=1500");
+	for (unsigned i = 0; i < SLOW_REQUESTS; i++) {
+		requests[i] = (slow_request_t){.url = g_strdup(cluster_url(cluster, 1))};
+		threads[i] = g_thread_new("request", send_slow_request, &requests[i]);
+	}
+	g_usleep(500000);
+	cluster_signal_node(cluster, 1, SIGTERM);
+	for (unsigned i = 0; i < SLOW_REQUESTS; i++) {
+		g_thread_join(threads[i]);
+		assert_int_equal(requests[i].status, 200);
+		g_free(requests[i].url);
+	}
+	assert_int_equal(cluster_wait_node(cluster, 1, LIMIT_MS), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -252,6 +295,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_wave_under_load, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_answers_run_once, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_stop_finishes_slow_requests, set_up,
+						tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
