announce, fleet: refuse announcements that contradict the record

Cause: a VM that announced itself under a known id from another address renewed the routing lease of the VM in the log, and two VMs could register one address. Change: such an announcement gets 409, is counted, and renews nothing; a replacement registers as before and is served from its next announcement. The log refuses an address that another VM which is not lost has.

--- a/src/announce.c
+++ b/src/announce.c
@@ -298,6 +298,15 @@
 		metrics_add(announce->contradictions, 1);
 }
 
+/** An announcement that contradicts the log must not renew the lease of the VM in the log. A
+ * replacement announces itself again once its registration was accepted. */
+static bool contradicts_record(const announce_t *announce, const Lp__VmRegister *reg)
+{
+	const fleet_vm_t *vm = fleet_vm_find(&announce->node->fleet, reg->vm);
+
+	return vm != NULL && registration_differs(vm, reg);
+}
+
 static void register_vm(announce_t *announce, Lp__VmRegister *reg, uint64_t now_us)
 {
 	node_t *node = announce->node;
@@ -351,9 +360,15 @@
 		goto out;
 	}
 	fill_report(mem, &report, body);
+	register_vm(announce, report.reg, now_us);
+	if (contradicts_record(announce, report.reg)) {
+		metrics_add(announce->contradictions, 1);
+		json_reply_error(request, 409,
+				 "the VM is registered with another address, rack or data centre");
+		goto out;
+	}
 	if (update_local(announce, &report, now_us))
 		pass_on(announce, &report, now_us);
-	register_vm(announce, report.reg, now_us);
 	reply_assignment(announce, request, &report);
 out:
 	json_decref(body);
--- a/src/fleet_apply_vm.c
+++ b/src/fleet_apply_vm.c
@@ -101,15 +101,42 @@
 	answer_ok(step);
 }
 
+/** A VM of another id that is in use at an address, or NULL. */
+static const fleet_vm_t *address_holder(const fleet_t *fleet, const char *id, const char *address)
+{
+	GHashTableIter iter;
+	gpointer value;
+	const fleet_vm_t *holder = NULL;
+
+	g_hash_table_iter_init(&iter, fleet->vm_by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const fleet_vm_t *vm = value;
+
+		/* The lowest id is named, so that the answer is the same everywhere. */
+		if (vm->phase != LP__VM_PHASE__VM_LOST && strcmp(vm->id, id) != 0 &&
+		    strcmp(vm->address, address) == 0 &&
+		    (holder == NULL || strcmp(vm->id, holder->id) < 0))
+			holder = vm;
+	}
+	return holder;
+}
+
 void fleet_apply_vm_register(const fleet_step_t *step, const Lp__VmRegister *cmd)
 {
 	fleet_vm_t *vm = fleet_vm_find(step->fleet, cmd->vm);
+	const fleet_vm_t *holder;
 
 	if (cmd->vm[0] == '\0' || cmd->address[0] == '\0' || cmd->data_centre[0] == '\0') {
 		fleet_answer(step->fleet, step->result, LP__RESULT_CODE__RESULT_INVALID,
 			     "a registration needs vm, address and data_centre");
 		return;
 	}
+	holder = address_holder(step->fleet, cmd->vm, cmd->address);
+	if (holder != NULL) {
+		fleet_answer(step->fleet, step->result, LP__RESULT_CODE__RESULT_CONFLICT,
+			     "address %s belongs to VM %s", cmd->address, holder->id);
+		return;
+	}
 	if (vm != NULL)
 		register_again(step, vm, cmd);
 	else
--- a/tests/test_fuzz_http.c
+++ b/tests/test_fuzz_http.c
@@ -409,6 +409,7 @@
 	if (!g_str_has_prefix(f->answer, "HTTP/1.1 200") &&
 	    !g_str_has_prefix(f->answer, "HTTP/1.1 202") &&
 	    !g_str_has_prefix(f->answer, "HTTP/1.1 400") &&
+	    !g_str_has_prefix(f->answer, "HTTP/1.1 409") &&
 	    !g_str_has_prefix(f->answer, "HTTP/1.1 413"))
 		fail_msg("%.*s was answered with: %s", (int)length, json, f->answer);
 }
@@ -464,6 +465,27 @@
 	assert_true(g_str_has_prefix(f->answer, "HTTP/1.1 20"));
 }
 
+/* Guards against an announcement from another address that renews the lease of the VM in the log.
+ */
+static void test_contradicting_announcement_is_refused(void **state)
+{
+	fixture_t *f = *state;
+	const health_entry_t *entry;
+	uint64_t announced_us;
+	g_autoptr(GString) other = g_string_new(announcement);
+
+	announce(f, (const uint8_t *)announcement, strlen(announcement));
+	announce(f, (const uint8_t *)announcement, strlen(announcement));
+	assert_true(g_str_has_prefix(f->answer, "HTTP/1.1 200"));
+	entry = health_find(&f->node.health, "vm1");
+	assert_non_null(entry);
+	announced_us = entry->announced_us;
+	g_string_replace(other, "10.0.0.1", "10.0.0.2", 1);
+	announce(f, (const uint8_t *)other->str, other->len);
+	assert_true(g_str_has_prefix(f->answer, "HTTP/1.1 409"));
+	assert_int_equal(entry->announced_us, announced_us);
+}
+
 /* A socket that takes connections and never answers. */
 static int open_silent_listener(uint16_t *port)
 {
@@ -573,6 +595,8 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(test_announcements_with_damaged_json, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_contradicting_announcement_is_refused, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_announcing_targets_are_bounded, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_runner_ends_while_a_task_request_is_open,
