raft, controller: remove logic that stood twice

Cause: both replies to a leader began with the same checks; the leader took itself up in the member record as well as every member does in serve.c; a structure of one field carried the load list. Change: replying_peer(); watch_members() records silent members only. No change of behaviour meant.

--- a/src/controller.c
+++ b/src/controller.c
@@ -208,7 +208,7 @@
 
 /* --- members --- */
 
-static void propose_member_up(controller_t *controller, const fleet_member_t *member, bool up)
+static void propose_member_down(controller_t *controller, const fleet_member_t *member)
 {
 	Lp__Member copy = LP__MEMBER__INIT;
 	Lp__MemberUpdate update = LP__MEMBER_UPDATE__INIT;
@@ -220,13 +220,14 @@
 	copy.peer_address = member->peer_address;
 	copy.http_address = member->http_address;
 	copy.disk = member->disk;
-	copy.up = up;
+	copy.up = false;
 	update.member = &copy;
 	command.body_case = LP__COMMAND__BODY_MEMBER_UPDATE;
 	command.member_update = &update;
 	propose(controller, &command);
 }
 
+/** Records silent members as down; each takes itself up again when it returns (serve.c). */
 static void watch_members(controller_t *controller, uint64_t now_us)
 {
 	node_t *node = controller->node;
@@ -237,12 +238,8 @@
 		/* A new leader gives every member the whole period. */
 		bool silent = now_us - MAX(heard_us, controller->led_since_us) > MEMBER_DOWN_US;
 
-		if (member->node_id == node->settings->node) {
-			if (!member->up && !node->draining)
-				propose_member_up(controller, member, true);
-		} else if (member->up && silent) {
-			propose_member_up(controller, member, false);
-		}
+		if (member->node_id != node->settings->node && member->up && silent)
+			propose_member_down(controller, member);
 	}
 }
 
@@ -309,13 +306,9 @@
 	controller->changed = true;
 }
 
-typedef struct {
-	GPtrArray *loads;
-} load_list_t;
-
 static void add_load(void *arg, const route_load_t *load)
 {
-	load_list_t *list = arg;
+	GPtrArray *loads = arg;
 	Lp__PoolLoad *entry = g_new(Lp__PoolLoad, 1);
 
 	lp__pool_load__init(entry);
@@ -326,7 +319,7 @@
 	entry->offered = load->offered;
 	entry->refused = load->refused;
 	entry->service_us = load->service_us;
-	g_ptr_array_add(list->loads, entry);
+	g_ptr_array_add(loads, entry);
 }
 
 static void free_load(gpointer data)
@@ -343,20 +336,20 @@
 	controller_t *controller = arg;
 	node_t *node = controller->node;
 	uint32_t leader = replica_leader(node->replica);
-	load_list_t list = {.loads = g_ptr_array_new_with_free_func(free_load)};
+	GPtrArray *loads = g_ptr_array_new_with_free_func(free_load);
 	Lp__LoadReport report = LP__LOAD_REPORT__INIT;
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 
-	route_table_loads(node->routes, add_load, &list);
-	report.n_pools = list.loads->len;
-	report.pools = (Lp__PoolLoad **)list.loads->pdata;
+	route_table_loads(node->routes, add_load, loads);
+	report.n_pools = loads->len;
+	report.pools = (Lp__PoolLoad **)loads->pdata;
 	envelope.body_case = LP__ENVELOPE__BODY_LOAD;
 	envelope.load = &report;
 	if (leader == node->settings->node)
 		capacity_report(&controller->capacity, leader, &report, now_us);
 	else if (leader != 0)
 		peer_send(node->peers, leader, &envelope);
-	g_ptr_array_unref(list.loads);
+	g_ptr_array_unref(loads);
 }
 
 void controller_load(controller_t *controller, uint32_t from, const Lp__LoadReport *report)
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -376,19 +376,30 @@
 		send_append(raft, peer, peer->next - 1, prev_term, true);
 }
 
-void raft_on_append_reply(raft_t *raft, uint64_t now_us, raft_id_t from,
-			  const Lp__AppendReply *reply)
+/** The peer that replied to this leader, or NULL when the reply is of another term or not to be
+ * used; a later term ends the leadership. */
+static raft_peer_t *replying_peer(raft_t *raft, uint64_t now_us, raft_id_t from, uint64_t term)
 {
 	raft_peer_t *peer;
 
-	if (reply->term > raft->term) {
-		raft_become_follower(raft, now_us, reply->term, (raft_id_t){0});
-		return;
+	if (term > raft->term) {
+		raft_become_follower(raft, now_us, term, (raft_id_t){0});
+		return NULL;
 	}
 	peer = find_peer(raft, from);
-	if (raft->role != RAFT_LEADER || reply->term != raft->term || peer == NULL)
-		return;
+	if (raft->role != RAFT_LEADER || term != raft->term || peer == NULL)
+		return NULL;
 	peer->heard_us = now_us;
+	return peer;
+}
+
+void raft_on_append_reply(raft_t *raft, uint64_t now_us, raft_id_t from,
+			  const Lp__AppendReply *reply)
+{
+	raft_peer_t *peer = replying_peer(raft, now_us, from, reply->term);
+
+	if (peer == NULL)
+		return;
 	if (reply->applied > peer->applied)
 		peer->applied = reply->applied;
 	acknowledge_round(raft, peer, reply->round);
@@ -401,16 +412,10 @@
 void raft_on_snapshot_reply(raft_t *raft, uint64_t now_us, raft_id_t from,
 			    const Lp__SnapshotReply *reply)
 {
-	raft_peer_t *peer;
+	raft_peer_t *peer = replying_peer(raft, now_us, from, reply->term);
 
-	if (reply->term > raft->term) {
-		raft_become_follower(raft, now_us, reply->term, (raft_id_t){0});
+	if (peer == NULL)
 		return;
-	}
-	peer = find_peer(raft, from);
-	if (raft->role != RAFT_LEADER || reply->term != raft->term || peer == NULL)
-		return;
-	peer->heard_us = now_us;
 	if (peer->state != PEER_SNAPSHOT)
 		return;
 	if (reply->done) {
