--- a/tests/test_cluster_lifecycle.c
+++ b/tests/test_cluster_lifecycle.c
@@ -99,6 +99,14 @@
 	g_free(file);
 }
 
+/* Applies the template and waits until requests can be sent to all VMs. */
+static void start_serving(cluster_t *cluster)
+{
+	apply_template(cluster, TEMPLATE);
+	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
+	g_usleep(ECHO_US);
+}
+
 static json_int_t count(const json_t *summary, const char *class, const char *key)
 {
 	const json_t *classes = json_object_get(summary, "classes");
@@ -173,9 +181,7 @@
 	json_t *summary;
 	pid_t load;
 
-	apply_template(cluster, TEMPLATE);
-	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
-	g_usleep(ECHO_US);
+	start_serving(cluster);
 	load = cluster_load_start(cluster, "load", args);
 	g_usleep(2000000);
 	cluster_kill_node(cluster, 1);
@@ -205,9 +211,7 @@
 	json_t *summary;
 	pid_t load;
 
-	apply_template(cluster, TEMPLATE);
-	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
-	g_usleep(ECHO_US);
+	start_serving(cluster);
 	load = cluster_load_start(cluster, "load", args);
 	apply_template(cluster, TEMPLATE MAINTENANCE);
 	assert_true(cluster_wait(vms_maintained, cluster, 4 * LIMIT_MS));
@@ -232,9 +236,7 @@
 	json_t *summary;
 	pid_t load;
 
-	apply_template(cluster, TEMPLATE);
-	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
-	g_usleep(ECHO_US);
+	start_serving(cluster);
 	load = cluster_load_start(cluster, "load", args);
 	g_usleep(2000000);
 	cluster_behaviour(cluster, "mode=close");
@@ -270,9 +272,7 @@
 	slow_request_t requests[SLOW_REQUESTS];
 	GThread *threads[SLOW_REQUESTS];
 
-	apply_template(cluster, TEMPLATE);
-	assert_true(cluster_wait(vms_joined, cluster, LIMIT_MS));
-	g_usleep(ECHO_US);
+	start_serving(cluster);
 	cluster_behaviour(cluster, "mode=slow&ms=1500");
 	for (unsigned i = 0; i < SLOW_REQUESTS; i++) {
 		requests[i] = (slow_request_t){.url = g_strdup(cluster_url(cluster, 1))};
