--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 PKG_LIBS := $(shell pkg-config --libs $(PKGS)) -lcyaml -lyaml -lm -pthread
 
 CFLAGS_common := -std=gnu11 -g -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
-	-Wno-unused-parameter -Werror -D_GNU_SOURCE -Isrc -Itests -Itools -MMD -MP -pthread
+	-Wno-unused-parameter -Werror -D_GNU_SOURCE -Isrc -Iplatform -Itests -Itools -MMD -MP -pthread
 CFLAGS_release := -O2
 CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=undefined
 CFLAGS_tsan := -O1 -fsanitize=thread -fno-omit-frame-pointer
@@ -34,7 +34,7 @@
 export G_SLICE := always-malloc
 endif
 
-SRC := $(wildcard src/*.c)
+SRC := $(wildcard src/*.c) $(wildcard platform/*.c)
 LIB_SRC := $(filter-out src/main.c,$(SRC))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/liblavenderpass.a
@@ -85,7 +85,7 @@
 test-thread: $(THREAD_TESTS)
 	scripts/run-tests $(THREAD_TESTS)
 
-HAND_WRITTEN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] tests/*.[ch] tools/*.[ch] bench/*.[ch]))
+HAND_WRITTEN := $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.[ch] platform/*.[ch] tests/*.[ch] tools/*.[ch] bench/*.[ch]))
 HAND_WRITTEN_C := $(filter %.c,$(HAND_WRITTEN))
 format:
 	clang-format -i $(HAND_WRITTEN)
@@ -95,9 +95,9 @@
 # clang analyzer checks that instead (uninitvar is suppressed).
 lint:
 	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,performance,portability \
-		--inline-suppr --suppressions-list=.cppcheck-suppressions -Isrc $(HAND_WRITTEN_C)
+		--inline-suppr --suppressions-list=.cppcheck-suppressions -Isrc -Iplatform $(HAND_WRITTEN_C)
 	printf '%s\n' $(HAND_WRITTEN_C) | xargs -P $$(nproc) -I FILE clang-tidy --quiet \
-		--warnings-as-errors='*' FILE -- -std=gnu11 -D_GNU_SOURCE -Isrc -Itests -Itools $(PKG_CFLAGS)
+		--warnings-as-errors='*' FILE -- -std=gnu11 -D_GNU_SOURCE -Isrc -Iplatform -Itests -Itools $(PKG_CFLAGS)
 
 MAN := $(patsubst man/%.scd,build/man/%,$(wildcard man/*.scd))
 man: $(MAN)
@@ -109,7 +109,7 @@
 	scripts/check-man $(BIN)
 
 proto:
-	cd proto && protoc-c --c_out=../src command.proto peer.proto
+	cd proto && protoc-c --c_out=../src batch.proto command.proto peer.proto
 
 clean:
 	rm -rf build
--- /dev/null
+++ b/src/batch_apply.c
@@ -0,0 +1,431 @@
+#define G_LOG_DOMAIN "batch"
+
+#include <string.h>
+
+#include "batch_internal.h"
+
+void *batch_message_copy(const ProtobufCMessage *message)
+{
+	size_t length = protobuf_c_message_get_packed_size(message);
+	g_autofree uint8_t *packed = g_malloc(length + 1);
+
+	protobuf_c_message_pack(message, packed);
+	return protobuf_c_message_unpack(message->descriptor, NULL, length, packed);
+}
+
+static void set_result(Lp__Result *result, Lp__ResultCode code, const char *message)
+{
+	result->code = code;
+	result->message = (char *)message;
+}
+
+/* --- VM lives --- */
+
+batch_vm_t *batch_vm_new(batch_state_t *state, const char *id, uint64_t born_ms,
+			 const char *address)
+{
+	batch_vm_t *vm = g_new0(batch_vm_t, 1);
+
+	vm->id = g_strdup(id);
+	vm->born_ms = born_ms;
+	vm->address = g_strdup(address);
+	LIST_INIT(&vm->tasks);
+	LIST_INSERT_HEAD(&state->vms, vm, link);
+	g_hash_table_insert(state->vms_by_life, batch_vm_key(id, born_ms), vm);
+	state->vms_revision++;
+	return vm;
+}
+
+void batch_vm_free(batch_state_t *state, batch_vm_t *vm)
+{
+	g_autofree char *key = batch_vm_key(vm->id, vm->born_ms);
+
+	g_hash_table_remove(state->vms_by_life, key);
+	state->vms_revision++;
+	LIST_REMOVE(vm, link);
+	g_free(vm->id);
+	g_free(vm->address);
+	g_free(vm);
+}
+
+/* A later life of the VM makes an earlier one without tasks pointless to remember. */
+static void drop_earlier_lives(batch_state_t *state, const batch_vm_t *latest)
+{
+	batch_vm_t *vm = LIST_FIRST(&state->vms);
+
+	while (vm != NULL) {
+		batch_vm_t *next = LIST_NEXT(vm, link);
+
+		if (vm->task_count == 0 && vm->born_ms < latest->born_ms &&
+		    (strcmp(vm->id, latest->id) == 0 || strcmp(vm->address, latest->address) == 0))
+			batch_vm_free(state, vm);
+		vm = next;
+	}
+}
+
+static batch_vm_t *find_or_add_vm(batch_state_t *state, const char *id, uint64_t born_ms,
+				  const char *address)
+{
+	batch_vm_t *vm = batch_state_vm(state, id, born_ms);
+
+	if (vm != NULL)
+		return vm;
+	vm = batch_vm_new(state, id, born_ms, address);
+	drop_earlier_lives(state, vm);
+	return vm;
+}
+
+void batch_task_hold(batch_task_t *task, batch_vm_t *vm)
+{
+	task->vm = vm;
+	LIST_INSERT_HEAD(&vm->tasks, task, vm_link);
+	vm->task_count++;
+	task->step->job->held++;
+}
+
+static void release(batch_task_t *task)
+{
+	if (task->vm == NULL)
+		return;
+	LIST_REMOVE(task, vm_link);
+	task->vm->task_count--;
+	task->step->job->held--;
+	task->vm = NULL;
+	task->soft = (run_soft_t){0};
+}
+
+/* --- jobs --- */
+
+static void settle_list(batch_state_t *state, batch_job_t *job)
+{
+	if (job->archived || !batch_job_ended(job) || job->held > 0)
+		return;
+	job->archived = true;
+	TAILQ_REMOVE(&state->active, job, link);
+	TAILQ_INSERT_TAIL(&state->ended, job, link);
+}
+
+static void end_job(batch_job_t *job, batch_job_state_t how, uint64_t wall_ms)
+{
+	if (batch_job_ended(job))
+		return;
+	job->state = how;
+	job->ended_ms = wall_ms;
+}
+
+static void forget_old(batch_state_t *state, uint64_t wall_ms)
+{
+	batch_job_t *job;
+
+	while ((job = TAILQ_FIRST(&state->ended)) != NULL &&
+	       job->ended_ms + BATCH_KEEP_MS < wall_ms)
+		batch_state_remove(state, &state->ended, job);
+}
+
+/* Remembers the service, as the queue may be removed before the job has ended. */
+static void update_service(const batch_state_t *state, batch_job_t *job)
+{
+	const Lp__BatchQueue *queue = batch_state_queue(state, job);
+
+	if (queue == NULL || g_strcmp0(queue->service, job->service) == 0)
+		return;
+	g_free(job->service);
+	job->service = g_strdup(queue->service);
+}
+
+static void apply_submit(batch_state_t *state, uint64_t wall_ms, const Lp__BatchJob *spec,
+			 Lp__Result *result)
+{
+	batch_job_t *job;
+
+	forget_old(state, wall_ms);
+	if (batch_state_job(state, spec->id) != NULL)
+		return;
+	if (batch_job_check(spec) != NULL) {
+		set_result(result, LP__RESULT_CODE__RESULT_INVALID, batch_job_check(spec));
+		return;
+	}
+	job = batch_job_new(batch_message_copy(&spec->base), state->next_seq++, wall_ms);
+	job->service = g_strdup("");
+	update_service(state, job);
+	batch_state_add(state, job);
+}
+
+static void apply_cancel(batch_state_t *state, uint64_t wall_ms, const Lp__BatchCancel *cancel,
+			 Lp__Result *result)
+{
+	batch_job_t *job = batch_state_job(state, cancel->id);
+
+	if (job == NULL || strcmp(job->spec->host, cancel->host) != 0 ||
+	    strcmp(job->spec->prefix, cancel->prefix) != 0) {
+		set_result(result, LP__RESULT_CODE__RESULT_NOT_FOUND, "no such job");
+		return;
+	}
+	if (batch_job_ended(job))
+		return;
+	end_job(job, BATCH_JOB_CANCELLED, wall_ms);
+	settle_list(state, job);
+}
+
+/* --- tasks --- */
+
+static void set_status(batch_task_t *task, batch_task_status_t status)
+{
+	batch_step_t *step = task->step;
+	uint32_t *const counts[] = {
+		[BATCH_TASK_WAITING] = &step->waiting,
+		[BATCH_TASK_ASSIGNED] = &step->assigned,
+		[BATCH_TASK_DONE] = &step->done,
+	};
+
+	(*counts[task->status])--;
+	(*counts[status])++;
+	task->status = status;
+}
+
+static void mark_done(batch_task_t *task, uint64_t wall_ms)
+{
+	batch_step_t *step = task->step;
+	batch_job_t *job = step->job;
+
+	if (task->status == BATCH_TASK_DONE)
+		return;
+	set_status(task, BATCH_TASK_DONE);
+	if (step->done == step->spec->count && ++job->steps_done == job->step_count)
+		end_job(job, BATCH_JOB_COMPLETE, wall_ms);
+}
+
+static void on_done(batch_task_t *task, uint64_t wall_ms)
+{
+	batch_step_t *step = task->step;
+
+	/* The members of a gang end together; one such end stands for all of them. */
+	if (step->spec->gang) {
+		for (uint32_t i = 0; i < step->spec->count; i++)
+			mark_done(&step->tasks[i], wall_ms);
+		return;
+	}
+	mark_done(task, wall_ms);
+}
+
+static void on_failed(batch_state_t *state, batch_task_t *task, uint64_t wall_ms)
+{
+	batch_step_t *step = task->step;
+	const Lp__BatchQueue *queue = batch_state_queue(state, step->job);
+	uint32_t attempts = queue != NULL ? queue->attempts : 0;
+	uint32_t failures = step->spec->gang ? ++step->gang_failures : ++task->failures;
+
+	if (!step->spec->long_running && attempts > 0 && failures >= attempts)
+		end_job(step->job, BATCH_JOB_FAILED, wall_ms);
+}
+
+static void keep_checkpoint(batch_step_t *step, batch_task_t *task, const char *checkpoint)
+{
+	if (checkpoint[0] == '\0')
+		return;
+	/* All members of a gang have to continue from the same one. */
+	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++) {
+		g_free(step->tasks[i].checkpoint);
+		step->tasks[i].checkpoint = g_strdup(checkpoint);
+	}
+	if (step->spec->gang)
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+}
+
+/* A run does not hold its VM any more. */
+static void end_run(batch_state_t *state, batch_task_t *task, uint32_t run, uint64_t wall_ms)
+{
+	if (task->run != run)
+		return;
+	release(task);
+	task->ended_ms = wall_ms;
+	if (task->status == BATCH_TASK_ASSIGNED)
+		set_status(task, BATCH_TASK_WAITING);
+}
+
+static void apply_end(batch_state_t *state, const Lp__BatchEnd *end, uint64_t wall_ms)
+{
+	batch_task_t *task = batch_state_task(state, end->task);
+	batch_job_t *job;
+
+	if (task == NULL)
+		return;
+	job = task->step->job;
+	keep_checkpoint(task->step, task, end->checkpoint);
+	switch (end->kind) {
+	case LP__BATCH_END_KIND__BATCH_END_DONE:
+		if (!task->step->spec->long_running)
+			on_done(task, wall_ms);
+		break;
+	case LP__BATCH_END_KIND__BATCH_END_FAILED:
+		if (task->status != BATCH_TASK_DONE)
+			on_failed(state, task, wall_ms);
+		break;
+	case LP__BATCH_END_KIND__BATCH_END_STOPPED:
+	case LP__BATCH_END_KIND__BATCH_END_LAPSED:
+	case LP__BATCH_END_KIND__BATCH_END_BROKEN:
+	case LP__BATCH_END_KIND__BATCH_END_ALONE:
+	case _LP__BATCH_END_KIND_IS_INT_SIZE:
+		break;
+	}
+	end_run(state, task, end->task->run, wall_ms);
+	settle_list(state, job);
+}
+
+static void apply_ends(batch_state_t *state, uint64_t wall_ms, const Lp__BatchEnds *ends)
+{
+	batch_vm_t *vm = batch_state_vm(state, ends->vm, ends->born_ms);
+
+	/* Recorded by an earlier command already. */
+	if (vm != NULL && ends->noted <= vm->noted && ends->noted != 0)
+		return;
+	for (size_t i = 0; i < ends->n_ends; i++)
+		apply_end(state, ends->ends[i], wall_ms);
+	if (vm != NULL)
+		vm->noted = MAX(vm->noted, ends->noted);
+}
+
+static void apply_lost(batch_state_t *state, uint64_t wall_ms, const Lp__BatchLost *lost)
+{
+	for (size_t i = 0; i < lost->n_runs; i++) {
+		Lp__BatchEnd end = *lost->runs[i];
+
+		end.kind = LP__BATCH_END_KIND__BATCH_END_LAPSED;
+		apply_end(state, &end, wall_ms);
+	}
+}
+
+static void start_task(batch_task_t *task, batch_vm_t *vm, uint32_t run)
+{
+	/* The intent is void when the task was assigned or ended since it was planned. */
+	if (task->status != BATCH_TASK_WAITING || task->vm != NULL || run <= task->run ||
+	    batch_job_ended(task->step->job))
+		return;
+	set_status(task, BATCH_TASK_ASSIGNED);
+	task->run = run;
+	/* The leader still accounts for the intent. */
+	task->soft = (run_soft_t){
+		.paced = 100,
+		.planned = task->soft.planned,
+		.planned_vm = task->soft.planned_vm,
+	};
+	batch_task_hold(task, vm);
+	if (task->step->job->state == BATCH_JOB_QUEUED)
+		task->step->job->state = BATCH_JOB_RUNNING;
+}
+
+static void apply_starts(batch_state_t *state, const Lp__BatchStarts *starts)
+{
+	for (size_t i = 0; i < starts->n_starts; i++) {
+		const Lp__BatchStart *start = starts->starts[i];
+		batch_vm_t *vm =
+			find_or_add_vm(state, start->vm, start->born_ms, start->address);
+
+		for (size_t j = 0; j < start->n_tasks; j++) {
+			batch_task_t *task = batch_state_task(state, start->tasks[j]);
+
+			if (task != NULL)
+				start_task(task, vm, start->tasks[j]->run);
+		}
+	}
+}
+
+/* --- configuration and waves --- */
+
+static void apply_config(batch_state_t *state, const Lp__BatchConfig *config)
+{
+	batch_job_t *job;
+
+	if (state->config != NULL && config->version <= state->config->version)
+		return;
+	if (state->config != NULL)
+		lp__batch_config__free_unpacked(state->config, NULL);
+	state->config = batch_message_copy(&config->base);
+	TAILQ_FOREACH (job, &state->active, link)
+		update_service(state, job);
+}
+
+batch_wave_t *batch_wave_new(batch_state_t *state, const Lp__BatchWave *message, uint64_t since_ms)
+{
+	batch_wave_t *wave = g_new0(batch_wave_t, 1);
+
+	*wave = (batch_wave_t){
+		.wave = message->wave,
+		.duration_ms = message->duration_ms,
+		.max_down = message->max_down,
+		.since_ms = since_ms,
+		.machines = g_new0(batch_wave_machine_t, message->n_machines + 1),
+		.machine_count = message->n_machines,
+	};
+	for (size_t i = 0; i < message->n_machines; i++)
+		wave->machines[i].machine = g_strdup(message->machines[i]);
+	LIST_INSERT_HEAD(&state->waves, wave, link);
+	return wave;
+}
+
+void batch_wave_free(batch_wave_t *wave)
+{
+	LIST_REMOVE(wave, link);
+	for (size_t i = 0; i < wave->machine_count; i++)
+		g_free(wave->machines[i].machine);
+	g_free(wave->machines);
+	g_free(wave);
+}
+
+static void apply_wave(batch_state_t *state, uint64_t wall_ms, const Lp__BatchWave *message)
+{
+	if (batch_state_wave(state, message->wave) == NULL)
+		batch_wave_new(state, message, wall_ms);
+}
+
+static void apply_order(batch_state_t *state, uint64_t wall_ms, const Lp__BatchOrder *order)
+{
+	batch_wave_t *wave = batch_state_wave(state, order->wave);
+
+	for (size_t i = 0; wave != NULL && i < wave->machine_count; i++) {
+		batch_wave_machine_t *machine = &wave->machines[i];
+
+		if (strcmp(machine->machine, order->machine) != 0 || order->state <= machine->state)
+			continue;
+		machine->state = order->state;
+		machine->since_ms = wall_ms;
+	}
+}
+
+void batch_state_apply(batch_state_t *state, uint64_t wall_ms, const Lp__BatchCommand *command,
+		       Lp__Result *result)
+{
+	state->revision++;
+	switch (command->body_case) {
+	case LP__BATCH_COMMAND__BODY_CONFIG:
+		apply_config(state, command->config);
+		break;
+	case LP__BATCH_COMMAND__BODY_SUBMIT:
+		apply_submit(state, wall_ms, command->submit, result);
+		break;
+	case LP__BATCH_COMMAND__BODY_CANCEL:
+		apply_cancel(state, wall_ms, command->cancel, result);
+		break;
+	case LP__BATCH_COMMAND__BODY_STARTS:
+		apply_starts(state, command->starts);
+		break;
+	case LP__BATCH_COMMAND__BODY_ENDS:
+		apply_ends(state, wall_ms, command->ends);
+		break;
+	case LP__BATCH_COMMAND__BODY_LOST:
+		apply_lost(state, wall_ms, command->lost);
+		break;
+	case LP__BATCH_COMMAND__BODY_WAVE:
+		apply_wave(state, wall_ms, command->wave);
+		break;
+	case LP__BATCH_COMMAND__BODY_ORDER:
+		apply_order(state, wall_ms, command->order);
+		break;
+	case LP__BATCH_COMMAND__BODY__NOT_SET:
+	case _LP__BATCH_COMMAND__BODY__CASE_IS_INT_SIZE:
+		set_result(result, LP__RESULT_CODE__RESULT_INVALID, "empty command");
+		break;
+	}
+}
--- /dev/null
+++ b/src/batch_dispatch.c
@@ -0,0 +1,402 @@
+#define G_LOG_DOMAIN "batch"
+
+#include <string.h>
+
+#include "batch_leader_internal.h"
+#include "batch_order.h"
+#include "batch_place.h"
+#include "log.h"
+
+/* Placements are this far apart: tasks that end together free room together. */
+#define PLACE_GAP_US (10 * US_PER_MS)
+/* VMs that the queue's policy is asked about for one step; the objective of a job allows for the
+ * time that it takes to decide about 30. */
+#define ADVICE_VMS 30
+
+/* The VMs of one service during one placement. */
+typedef struct {
+	GArray *places; /* place_vm_t */
+	GPtrArray *vms; /* leader_vm_t, in the same order */
+	int64_t full_cpu; /* a task of this size found no room */
+	int64_t full_mem;
+} pool_t;
+
+typedef struct {
+	batch_leader_t *leader;
+	uint64_t now_us;
+	uint64_t wall_ms;
+	GHashTable *pools; /* service -> pool_t */
+	GArray *planned;   /* planned_t */
+} pass_t;
+
+typedef struct {
+	batch_task_t *task;
+	leader_vm_t *vm;
+	uint32_t run;
+} planned_t;
+
+static void pool_free(void *data)
+{
+	pool_t *pool = data;
+
+	g_array_unref(pool->places);
+	g_ptr_array_unref(pool->vms);
+	g_free(pool);
+}
+
+static void count_task(place_vm_t *place, const batch_task_t *task)
+{
+	const Lp__BatchStep *spec = task->step->spec;
+
+	if (!spec->best_effort)
+		place->cpu_milli -= spec->cpu_milli;
+	place->mem_mib -= spec->mem_mib;
+	place->gpu -= spec->gpu;
+	place->serving += spec->tail_goal_ms > 0;
+	place->filling += spec->best_effort;
+	place->long_running += spec->long_running;
+}
+
+static bool vm_usable(const leader_vm_t *vm, uint64_t now_us)
+{
+	return leader_vm_answers(vm, now_us) && !vm->draining && !vm->cordoned &&
+	       vm->left_us == 0 && vm->orphans == 0 && vm->clock_us != 0 &&
+	       now_us >= vm->refused_until_us && now_us >= vm->quarantine_until_us;
+}
+
+static place_vm_t place_of(leader_vm_t *vm, uint64_t now_us)
+{
+	const batch_vm_t *life = leader_vm_life(vm);
+	const batch_task_t *task;
+	place_vm_t place = {
+		.rack = vm->rack,
+		.labels = (const char *const *)vm->labels,
+		.label_count = vm->label_count,
+		.cpu_milli = (int64_t)vm->cpu_milli - vm->planned_cpu,
+		.mem_mib = (int64_t)vm->mem_mib - vm->planned_mem,
+		.gpu = (int64_t)vm->gpu - vm->planned_gpu,
+		.cpu_total = vm->cpu_milli,
+		.slowness = MAX(1.0, vm->slowness / MAX(0.5, vm->leader->mean_slowness)),
+		.usable = vm_usable(vm, now_us),
+		.allowed = true,
+	};
+
+	if (life != NULL) {
+		LIST_FOREACH (task, &life->tasks, vm_link)
+			count_task(&place, task);
+	}
+	return place;
+}
+
+static pool_t *pool_of(pass_t *pass, const char *service)
+{
+	pool_t *pool = g_hash_table_lookup(pass->pools, service);
+	leader_vm_t *vm;
+
+	if (pool != NULL)
+		return pool;
+	pool = g_new0(pool_t, 1);
+	pool->places = g_array_new(FALSE, FALSE, sizeof(place_vm_t));
+	pool->vms = g_ptr_array_new();
+	pool->full_cpu = INT64_MAX;
+	pool->full_mem = INT64_MAX;
+	LIST_FOREACH (vm, &pass->leader->vms, link) {
+		place_vm_t place;
+
+		if (vm->dead || strcmp(vm->service, service) != 0)
+			continue;
+		place = place_of(vm, pass->now_us);
+		if (!place.usable)
+			continue;
+		g_array_append_val(pool->places, place);
+		g_ptr_array_add(pool->vms, vm);
+	}
+	g_hash_table_insert(pass->pools, (char *)service, pool);
+	return pool;
+}
+
+static bool task_eligible(const batch_task_t *task)
+{
+	return task->status == BATCH_TASK_WAITING && task->vm == NULL && !task->soft.planned;
+}
+
+/* Counts the step's tasks on each VM, and takes the tickets of its queue. */
+static void prepare_pool(pass_t *pass, pool_t *pool, const batch_step_t *step,
+			 const Lp__BatchQueue *queue)
+{
+	bool advised = queue != NULL && queue->advice != NULL;
+
+	for (guint i = 0; i < pool->vms->len; i++) {
+		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
+		place_vm_t *place = &g_array_index(pool->places, place_vm_t, i);
+
+		place->same_step = 0;
+		place->allowed = !advised || ticket_find(step, vm->id, pass->now_us) != NULL;
+		for (uint32_t j = 0; j < step->spec->count; j++) {
+			const batch_task_t *task = &step->tasks[j];
+
+			if ((task->vm != NULL && task->vm->leader == vm) ||
+			    (task->soft.planned && task->soft.planned_vm == vm))
+				place->same_step++;
+		}
+	}
+}
+
+static bool tickets_ready(pass_t *pass, pool_t *pool, batch_step_t *step,
+			  const Lp__BatchQueue *queue)
+{
+	const char *ids[ADVICE_VMS];
+	size_t count = 0;
+
+	if (queue == NULL || queue->advice == NULL)
+		return true;
+	for (guint i = 0; i < pool->vms->len && count < ADVICE_VMS; i++) {
+		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
+
+		if (place_fits(&g_array_index(pool->places, place_vm_t, i), step->spec))
+			ids[count++] = vm->id;
+	}
+	return ticket_ready(pass->leader, step, queue, ids, count, pass->now_us);
+}
+
+static uint32_t next_run(const batch_step_t *step, const batch_task_t *task)
+{
+	uint32_t run = task->run;
+
+	/* The members of a gang share the number of their run. */
+	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++)
+		run = MAX(run, step->tasks[i].run);
+	return run + 1;
+}
+
+static void plan_task(pass_t *pass, batch_task_t *task, leader_vm_t *vm)
+{
+	const Lp__BatchStep *spec = task->step->spec;
+	planned_t planned = {.task = task, .vm = vm, .run = next_run(task->step, task)};
+
+	task->soft.planned = true;
+	task->soft.planned_vm = vm;
+	task->step->planned++;
+	vm->planned++;
+	vm->planned_cpu += spec->best_effort ? 0 : spec->cpu_milli;
+	vm->planned_mem += spec->mem_mib;
+	vm->planned_gpu += spec->gpu;
+	g_array_append_val(pass->planned, planned);
+}
+
+static bool pool_is_full(const pool_t *pool, const Lp__BatchStep *spec)
+{
+	return !spec->best_effort && spec->max_per_vm == 0 && spec->constraint[0] == '\0' &&
+	       spec->cpu_milli >= pool->full_cpu && spec->mem_mib >= pool->full_mem;
+}
+
+static void place_candidate(pass_t *pass, const batch_candidate_t *candidate)
+{
+	batch_step_t *step = candidate->step;
+	const Lp__BatchStep *spec = step->spec;
+	pool_t *pool = pool_of(pass, step->job->service);
+	g_autofree batch_task_t **tasks = g_new(batch_task_t *, spec->count);
+	g_autofree size_t *chosen = g_new(size_t, spec->count);
+	size_t want = 0;
+	size_t placed;
+
+	for (uint32_t i = 0; i < spec->count; i++) {
+		if (task_eligible(&step->tasks[i]))
+			tasks[want++] = &step->tasks[i];
+	}
+	if (want == 0 || (spec->gang && want < spec->count) || pool->vms->len == 0)
+		return;
+	if (pool_is_full(pool, spec) || !tickets_ready(pass, pool, step, candidate->queue))
+		return;
+	prepare_pool(pass, pool, step, candidate->queue);
+	placed = place_step((place_vm_t *)pool->places->data, pool->places->len, spec, want,
+			    chosen);
+	if (placed < want && !spec->gang && !spec->best_effort && spec->max_per_vm == 0 &&
+	    spec->constraint[0] == '\0' &&
+	    (candidate->queue == NULL || candidate->queue->advice == NULL)) {
+		pool->full_cpu = MIN(pool->full_cpu, spec->cpu_milli);
+		pool->full_mem = MIN(pool->full_mem, spec->mem_mib);
+	}
+	for (size_t i = 0; i < placed; i++)
+		plan_task(pass, tasks[i], g_ptr_array_index(pool->vms, chosen[i]));
+}
+
+/* --- recording the intents --- */
+
+typedef struct {
+	Lp__BatchTask ref;
+	vm_handle_t vm;
+} intent_t;
+
+typedef struct {
+	batch_leader_t *leader;
+	uint64_t generation;
+	size_t count;
+	intent_t intents[];
+} intents_t;
+
+static void unplan(batch_task_t *task)
+{
+	const Lp__BatchStep *spec = task->step->spec;
+	leader_vm_t *vm = task->soft.planned_vm;
+
+	if (!task->soft.planned)
+		return;
+	task->soft.planned = false;
+	task->soft.planned_vm = NULL;
+	task->step->planned--;
+	vm->planned--;
+	vm->planned_cpu -= spec->best_effort ? 0 : spec->cpu_milli;
+	vm->planned_mem -= spec->mem_mib;
+	vm->planned_gpu -= spec->gpu;
+}
+
+static void settle_intent(batch_leader_t *leader, const intent_t *intent, bool recorded)
+{
+	batch_task_t *task = batch_state_task(leader->state, &intent->ref);
+	leader_vm_t *vm = vm_handle_get(&intent->vm);
+
+	if (task == NULL)
+		return;
+	unplan(task);
+	if (recorded && task->status == BATCH_TASK_ASSIGNED && task->run == intent->ref.run &&
+	    task->soft.phase == RUN_INHERITED) {
+		if (vm == NULL) {
+			leader_lose_run(leader, task, "the VM has ended before the start");
+			return;
+		}
+		if (batch_job_ended(task->step->job)) {
+			task->soft.phase = RUN_REFUSED;
+			leader_lose_run(leader, task, "the job has ended before the start");
+			return;
+		}
+		leader_order_start(vm, task);
+	}
+}
+
+static void on_intents_recorded(void *arg, Lp__ResultCode code)
+{
+	g_autofree intents_t *intents = arg;
+	batch_leader_t *leader = intents->leader;
+
+	if (!leader->active || leader->generation != intents->generation)
+		return;
+	leader->place_due = true;
+	for (size_t i = 0; i < intents->count; i++)
+		settle_intent(leader, &intents->intents[i], code == LP__RESULT_CODE__RESULT_OK);
+}
+
+static void propose_intents(pass_t *pass)
+{
+	batch_leader_t *leader = pass->leader;
+	size_t count = pass->planned->len;
+	intents_t *intents = g_malloc0(sizeof(*intents) + count * sizeof(intents->intents[0]));
+	g_autofree Lp__BatchStart *starts = g_new(Lp__BatchStart, count);
+	g_autofree Lp__BatchStart **list = g_new(Lp__BatchStart *, count);
+	g_autofree Lp__BatchTask **refs = g_new(Lp__BatchTask *, count);
+	Lp__BatchStarts message = LP__BATCH_STARTS__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	*intents = (intents_t){
+		.leader = leader, .generation = leader->generation, .count = count};
+	for (size_t i = 0; i < count; i++) {
+		const planned_t *planned = &g_array_index(pass->planned, planned_t, i);
+		Lp__BatchStart *start = i > 0 ? list[message.n_starts - 1] : NULL;
+
+		batch_task_ref(planned->task, &intents->intents[i].ref);
+		intents->intents[i].ref.run = planned->run;
+		vm_handle_set(&intents->intents[i].vm, planned->vm);
+		refs[i] = &intents->intents[i].ref;
+		if (start == NULL || strcmp(start->vm, planned->vm->id) != 0) {
+			start = &starts[message.n_starts];
+			lp__batch_start__init(start);
+			start->vm = planned->vm->id;
+			start->born_ms = planned->vm->born_ms;
+			start->address = planned->vm->address;
+			start->tasks = &refs[i];
+			list[message.n_starts++] = start;
+		}
+		start->n_tasks++;
+	}
+	message.starts = list;
+	command.body_case = LP__BATCH_COMMAND__BODY_STARTS;
+	command.starts = &message;
+	leader->propose(leader->arg, &command, on_intents_recorded, intents);
+}
+
+static gint compare_planned(gconstpointer a, gconstpointer b)
+{
+	const planned_t *x = a;
+	const planned_t *y = b;
+
+	return strcmp(x->vm->id, y->vm->id);
+}
+
+void leader_unplan_all(batch_leader_t *leader)
+{
+	batch_job_t *job;
+
+	TAILQ_FOREACH (job, &leader->state->active, link) {
+		for (uint32_t i = 0; i < job->step_count; i++) {
+			for (uint32_t j = 0; j < job->steps[i].spec->count; j++)
+				unplan(&job->steps[i].tasks[j]);
+		}
+	}
+}
+
+static void update_mean_slowness(batch_leader_t *leader)
+{
+	const leader_vm_t *vm;
+	double sum = 0;
+	unsigned count = 0;
+
+	LIST_FOREACH (vm, &leader->vms, link) {
+		if (vm->dead)
+			continue;
+		sum += vm->slowness;
+		count++;
+	}
+	if (count > 0)
+		leader->mean_slowness = sum / count;
+}
+
+static void log_pass(const pass_t *pass, guint candidates)
+{
+	char placed[16];
+	char waiting[16];
+
+	g_snprintf(placed, sizeof(placed), "%u", pass->planned->len);
+	g_snprintf(waiting, sizeof(waiting), "%u", candidates);
+	log_event(G_LOG_LEVEL_DEBUG, LOG_FIELDS("tasks", placed, "steps", waiting),
+		  "tasks placed");
+}
+
+void leader_place(batch_leader_t *leader, uint64_t now_us)
+{
+	pass_t pass = {
+		.leader = leader,
+		.now_us = now_us,
+		.wall_ms = leader->clock_wall_ms(leader->arg),
+	};
+	g_autoptr(GArray) candidates = NULL;
+
+	if (!leader->place_due || now_us < leader->place_us + PLACE_GAP_US)
+		return;
+	leader->place_due = false;
+	leader->place_us = now_us;
+	candidates = batch_candidates(leader->state, now_us, pass.wall_ms);
+	if (candidates->len == 0)
+		return;
+	update_mean_slowness(leader);
+	pass.pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	pass.planned = g_array_new(FALSE, FALSE, sizeof(planned_t));
+	for (guint i = 0; i < candidates->len; i++)
+		place_candidate(&pass, &g_array_index(candidates, batch_candidate_t, i));
+	if (pass.planned->len > 0) {
+		g_array_sort(pass.planned, compare_planned);
+		log_pass(&pass, candidates->len);
+		propose_intents(&pass);
+	}
+	g_array_unref(pass.planned);
+	g_hash_table_destroy(pass.pools);
+}
--- /dev/null
+++ b/src/batch_node.c
@@ -0,0 +1,690 @@
+#define G_LOG_DOMAIN "node"
+
+#include "batch_node.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include <glib.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "clock.h"
+#include "log.h"
+
+#define CLUSTER "lavenderpass"
+/* Log timing: an election takes 0.8 to 1.6 s, well within the lease of the VMs. */
+#define HEARTBEAT_MS 200
+#define ELECTION_MIN_MS 800
+#define LEADER_LEASE_MS 600
+#define SNAPSHOT_ENTRIES 3000
+/* A voter that is silent for so long gives way to a spare member. Longer than a restart or a cut of
+ * some seconds; two losses in a row are then survived where a spare exists. */
+#define REPLACE_VOTER_MS 12000
+#define PING_MS 500
+#define PEER_TIMEOUT_MS 1500
+/* How often the members tell who leads; an edge process is ready while it hears that. */
+#define HINT_MS 250
+#define TICK_MS 25
+/* A command without an outcome after this is reported as unknown. Longer than an election; shorter
+ * than the 4 s after which an operator counts an order as not acknowledged. */
+#define PROPOSE_TIMEOUT_MS 3000
+/* The lease of what runs on a VM. It outlives a change of the leader (up to 1.6 s for the election
+ * and a second vote) after a last hold that is 1 s old; the shorter it is, the sooner the tasks of
+ * a VM that is lost run elsewhere. */
+#define VM_LEASE_MS 5000
+/* An order without an answer may be carried out up to 12 s later. */
+#define LATE_ORDER_MS 12000
+/* VM clocks may be 2% slow; 1% more for the rounding of estimates. */
+#define CLOCK_SKEW_PERCENT 3
+#define HOLD_WAIT_MS 1000
+/* Besides the period of the reports, for their way. */
+#define SILENT_SLACK_MS 700
+
+struct batch_node {
+	const process_settings_t *settings;
+	struct tevent_context *ev;
+	timer_service_t *timers;
+	metrics_t *metrics;
+	peer_set_t *peers;
+	replica_t *replica;
+	batch_state_t state;
+	batch_leader_t *leader;
+	uint64_t led_term; /* for which the leader's work runs; 0: none */
+	timer_sub_t tick;
+	timer_sub_t hint;
+	struct tevent_immediate *work;
+	bool work_scheduled;
+	GHashTable *submitting; /* ids of jobs whose submission is being recorded */
+	bool resigned;
+	metrics_counter_t *submitted;
+	metrics_counter_t *refused;
+	metrics_histogram_t *commit_latency;
+};
+
+/* --- work of the leader --- */
+
+static void update_leadership(batch_node_t *node)
+{
+	uint64_t term = replica_term(node->replica);
+
+	if (node->led_term != 0 &&
+	    (!replica_is_leader(node->replica) || term != node->led_term)) {
+		batch_leader_deactivate(node->leader);
+		node->led_term = 0;
+	}
+	if (node->led_term == 0 && replica_is_leader(node->replica) &&
+	    replica_has_lease(node->replica)) {
+		batch_leader_activate(node->leader, term);
+		node->led_term = term;
+	}
+}
+
+static void run_leader(batch_node_t *node)
+{
+	update_leadership(node);
+	if (node->led_term != 0 && replica_has_lease(node->replica))
+		batch_leader_tick(node->leader);
+}
+
+static void on_tick(void *arg, uint64_t now_us)
+{
+	run_leader(arg);
+}
+
+static void on_work(struct tevent_context *ev, struct tevent_immediate *im, void *private_data)
+{
+	batch_node_t *node = private_data;
+
+	node->work_scheduled = false;
+	run_leader(node);
+}
+
+static void schedule_work(batch_node_t *node)
+{
+	if (node->work_scheduled)
+		return;
+	node->work_scheduled = true;
+	tevent_schedule_immediate(node->work, node->ev, on_work, node);
+}
+
+/* --- log --- */
+
+typedef struct {
+	batch_node_t *node;
+	batch_proposed_fn done;
+	void *arg;
+	uint64_t since_us;
+} proposal_arg_t;
+
+static void on_proposed(void *arg, const Lp__Result *result)
+{
+	g_autofree proposal_arg_t *proposal = arg;
+
+	metrics_record_us(proposal->node->commit_latency, clock_now_us() - proposal->since_us);
+	proposal->done(proposal->arg, result->code);
+	schedule_work(proposal->node);
+}
+
+void batch_node_propose(batch_node_t *node, Lp__BatchCommand *command, batch_proposed_fn done,
+			void *arg)
+{
+	Lp__Command envelope = LP__COMMAND__INIT;
+	proposal_arg_t *proposal = g_new0(proposal_arg_t, 1);
+
+	*proposal = (proposal_arg_t){
+		.node = node, .done = done, .arg = arg, .since_us = clock_now_us()};
+	envelope.time_ms = clock_wall_ms();
+	envelope.body_case = LP__COMMAND__BODY_BATCH;
+	envelope.batch = command;
+	replica_propose(node->replica, &envelope, PROPOSE_TIMEOUT_MS, on_proposed, proposal);
+}
+
+static void leader_propose(void *arg, Lp__BatchCommand *command, batch_proposed_fn done,
+			   void *done_arg)
+{
+	batch_node_propose(arg, command, done, done_arg);
+}
+
+static void apply(void *arg, uint64_t index, const Lp__Command *command, Lp__Result *result)
+{
+	batch_node_t *node = arg;
+
+	if (command->body_case == LP__COMMAND__BODY_BATCH)
+		batch_state_apply(&node->state, command->time_ms, command->batch, result);
+	else
+		result->code = LP__RESULT_CODE__RESULT_INVALID;
+}
+
+static uint8_t *save(void *arg, size_t *length)
+{
+	const batch_node_t *node = arg;
+
+	return batch_state_save(&node->state, length);
+}
+
+static int load(void *arg, const uint8_t *data, size_t length)
+{
+	batch_node_t *node = arg;
+
+	if (node->leader != NULL)
+		batch_leader_deactivate(node->leader);
+	node->led_term = 0;
+	return batch_state_load(&node->state, data, length);
+}
+
+static void changed(void *arg)
+{
+	batch_node_t *node = arg;
+
+	if (node->leader != NULL)
+		schedule_work(node);
+}
+
+static int send_to_peer(void *arg, uint32_t node_id, const Lp__Envelope *envelope)
+{
+	const batch_node_t *node = arg;
+
+	return node->peers == NULL ? -1 : peer_send(node->peers, node_id, envelope);
+}
+
+/* --- peers --- */
+
+static void add_peer(batch_node_t *node, uint32_t id)
+{
+	char address[32];
+	peer_address_t peer = {.node_id = id, .address = address};
+
+	process_address(id, node->settings->peer_port, address, sizeof(address));
+	peer_set_address(node->peers, &peer);
+}
+
+static void send_reply(void *arg, const Lp__BatchReply *reply);
+
+typedef struct {
+	batch_node_t *node;
+	uint32_t from;
+} remote_call_t;
+
+static void on_remote_call(batch_node_t *node, uint32_t from, const Lp__BatchCall *call)
+{
+	remote_call_t *remote = g_new0(remote_call_t, 1);
+
+	*remote = (remote_call_t){.node = node, .from = from};
+	batch_node_call(node, call, send_reply, remote);
+}
+
+static void send_reply(void *arg, const Lp__BatchReply *reply)
+{
+	g_autofree remote_call_t *remote = arg;
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+
+	envelope.body_case = LP__ENVELOPE__BODY_BATCH_REPLY;
+	envelope.batch_reply = (Lp__BatchReply *)reply;
+	if (peer_send(remote->node->peers, remote->from, &envelope) != 0)
+		g_message("an answer could not be sent; the edge process asks again");
+}
+
+static void on_hint(batch_node_t *node, const Lp__LeaderHint *hint)
+{
+	for (size_t i = 0; i < hint->n_members; i++)
+		add_peer(node, hint->members[i]);
+}
+
+static void on_message(void *arg, uint32_t from, const Lp__Envelope *envelope)
+{
+	batch_node_t *node = arg;
+
+	switch ((int)envelope->body_case) {
+	case LP__ENVELOPE__BODY_RAFT:
+	case LP__ENVELOPE__BODY_PROPOSE:
+	case LP__ENVELOPE__BODY_PROPOSE_REPLY:
+		replica_receive(node->replica, from, envelope);
+		break;
+	case LP__ENVELOPE__BODY_BATCH_CALL:
+		on_remote_call(node, from, envelope->batch_call);
+		break;
+	case LP__ENVELOPE__BODY_LEADER_HINT:
+		on_hint(node, envelope->leader_hint);
+		break;
+	default:
+		break;
+	}
+}
+
+static void on_peer_change(void *arg, const peer_info_t *info)
+{
+	batch_node_t *node = arg;
+	char id[16];
+
+	g_snprintf(id, sizeof(id), "%u", info->node_id);
+	log_event(G_LOG_LEVEL_MESSAGE,
+		  LOG_FIELDS("peer", id, "data_centre", info->data_centre, "disk",
+			     info->disk ? "yes" : "no"),
+		  info->up ? "peer answers" : "peer does not answer");
+	if (info->up && info->disk)
+		replica_peer_up(node->replica, info->node_id, info->replica_id, info->disk);
+}
+
+static uint64_t applied_index(void *arg)
+{
+	const batch_node_t *node = arg;
+
+	return replica_applied(node->replica);
+}
+
+static void on_hint_timer(void *arg, uint64_t now_us)
+{
+	batch_node_t *node = arg;
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__LeaderHint hint = LP__LEADER_HINT__INIT;
+	uint32_t members[REPLICA_MEMBERS_MAX];
+
+	hint.leader = replica_in_contact(node->replica, now_us) ? replica_leader(node->replica) : 0;
+	hint.term = replica_term(node->replica);
+	hint.serving = batch_node_serves(node);
+	hint.members = members;
+	hint.n_members = replica_members(node->replica, members, G_N_ELEMENTS(members));
+	envelope.body_case = LP__ENVELOPE__BODY_LEADER_HINT;
+	envelope.leader_hint = &hint;
+	for (size_t i = 0; i < peer_count(node->peers); i++) {
+		const peer_info_t *info = peer_at(node->peers, i);
+
+		if (!info->up)
+			continue;
+		/* Other members hear from the leader by the log; new ones need the list. */
+		if (!info->disk || hint.serving)
+			peer_send(node->peers, info->node_id, &envelope);
+		if (info->disk)
+			replica_peer_up(node->replica, info->node_id, info->replica_id, true);
+	}
+}
+
+/* --- clients' calls --- */
+
+typedef struct {
+	batch_node_t *node;
+	uint64_t seq;
+	char *id; /* of a submission */
+	batch_reply_fn done;
+	void *arg;
+} pending_call_t;
+
+static void answer(uint64_t seq, Lp__BatchAnswer how, uint32_t retry_after_s, batch_reply_fn done,
+		   void *arg)
+{
+	Lp__BatchReply reply = LP__BATCH_REPLY__INIT;
+
+	reply.seq = seq;
+	reply.answer = how;
+	reply.retry_after_s = retry_after_s;
+	done(arg, &reply);
+}
+
+static Lp__BatchAnswer answer_of(Lp__ResultCode code)
+{
+	switch (code) {
+	case LP__RESULT_CODE__RESULT_OK:
+		return LP__BATCH_ANSWER__BATCH_ANSWER_OK;
+	case LP__RESULT_CODE__RESULT_NOT_FOUND:
+		return LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB;
+	case LP__RESULT_CODE__RESULT_UNAVAILABLE:
+		return LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE;
+	case LP__RESULT_CODE__RESULT_INVALID:
+	case LP__RESULT_CODE__RESULT_CONFLICT:
+		return LP__BATCH_ANSWER__BATCH_ANSWER_INVALID;
+	case LP__RESULT_CODE__RESULT_UNKNOWN:
+	case _LP__RESULT_CODE_IS_INT_SIZE:
+		break;
+	}
+	return LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN;
+}
+
+static void on_recorded(void *arg, Lp__ResultCode code)
+{
+	g_autofree pending_call_t *call = arg;
+
+	if (call->id != NULL) {
+		g_hash_table_remove(call->node->submitting, call->id);
+		log_event(G_LOG_LEVEL_INFO,
+			  LOG_FIELDS("request", call->id, "outcome",
+				     code == LP__RESULT_CODE__RESULT_OK ? "accepted" : "failed"),
+			  "job was recorded");
+		g_free(call->id);
+		batch_leader_wake(call->node->leader);
+	}
+	answer(call->seq, answer_of(code), 1, call->done, call->arg);
+}
+
+static pending_call_t *pending_new(batch_node_t *node, const Lp__BatchCall *call, const char *id,
+				   batch_reply_fn done, void *arg)
+{
+	pending_call_t *pending = g_new0(pending_call_t, 1);
+
+	*pending = (pending_call_t){
+		.node = node, .seq = call->seq, .id = g_strdup(id), .done = done, .arg = arg};
+	return pending;
+}
+
+static bool same_queue(const batch_job_t *job, const Lp__BatchQueue *queue)
+{
+	return strcmp(job->spec->host, queue->host) == 0 &&
+	       strcmp(job->spec->prefix, queue->prefix) == 0;
+}
+
+static void submit(batch_node_t *node, const Lp__BatchCall *call, const Lp__BatchQueue *queue,
+		   const char *id, batch_reply_fn done, void *arg)
+{
+	const batch_job_t *known = batch_state_job(&node->state, id);
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	Lp__BatchJob job;
+	batch_admission_t admission = {.accept = true};
+
+	if (known != NULL) {
+		answer(call->seq,
+		       same_queue(known, queue) ? LP__BATCH_ANSWER__BATCH_ANSWER_OK
+						: LP__BATCH_ANSWER__BATCH_ANSWER_INVALID,
+		       0, done, arg);
+		return;
+	}
+	if (call->job == NULL || strlen(id) >= VM_NAME_MAX || batch_job_check(call->job) != NULL) {
+		answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_INVALID, 0, done, arg);
+		return;
+	}
+	/* A submission that may be recorded already must not be refused when it is repeated. */
+	if (!g_hash_table_contains(node->submitting, id))
+		admission = batch_leader_admit(node->leader, queue, call->job);
+	if (!admission.accept) {
+		metrics_add(node->refused, 1);
+		log_event(G_LOG_LEVEL_INFO,
+			  LOG_FIELDS("request", id, "queue", queue->name, "reason",
+				     admission.reason),
+			  "job is refused");
+		answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED, admission.retry_after_s,
+		       done, arg);
+		return;
+	}
+	metrics_add(node->submitted, 1);
+	g_hash_table_add(node->submitting, g_strdup(id));
+	job = *call->job;
+	job.id = (char *)id;
+	job.host = queue->host;
+	job.prefix = queue->prefix;
+	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
+	command.submit = &job;
+	batch_node_propose(node, &command, on_recorded, pending_new(node, call, id, done, arg));
+}
+
+static void cancel(batch_node_t *node, const Lp__BatchCall *call, const Lp__BatchQueue *queue,
+		   const char *id, batch_reply_fn done, void *arg)
+{
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	Lp__BatchCancel message = LP__BATCH_CANCEL__INIT;
+
+	message.id = (char *)id;
+	message.host = queue->host;
+	message.prefix = queue->prefix;
+	command.body_case = LP__BATCH_COMMAND__BODY_CANCEL;
+	command.cancel = &message;
+	log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("request", id), "job is cancelled by its client");
+	batch_node_propose(node, &command, on_recorded, pending_new(node, call, NULL, done, arg));
+}
+
+static void tell_state(batch_node_t *node, const Lp__BatchCall *call, const Lp__BatchQueue *queue,
+		       const char *id, batch_reply_fn done, void *arg)
+{
+	Lp__BatchReply reply = LP__BATCH_REPLY__INIT;
+	const batch_job_t *job = batch_state_job(&node->state, id);
+
+	reply.seq = call->seq;
+	if (id[0] == '\0') {
+		reply.is_pending = true;
+		reply.pending = batch_state_pending(&node->state, queue, clock_wall_ms());
+	} else if (job == NULL || !same_queue(job, queue)) {
+		reply.answer = LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB;
+	} else {
+		reply.state = (char *)batch_job_state_name(job->state);
+	}
+	done(arg, &reply);
+}
+
+void batch_node_call(batch_node_t *node, const Lp__BatchCall *call, batch_reply_fn done, void *arg)
+{
+	const Lp__BatchQueue *queue;
+	const char *id;
+
+	if (!batch_node_serves(node)) {
+		answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER, 0, done, arg);
+		return;
+	}
+	if (node->state.config == NULL) {
+		answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE, 1, done, arg);
+		return;
+	}
+	queue = batch_state_route(&node->state, call->host, call->path);
+	if (queue == NULL) {
+		answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE, 0, done, arg);
+		return;
+	}
+	id = call->path + strlen(queue->prefix);
+	switch (call->kind) {
+	case LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT:
+		submit(node, call, queue, id, done, arg);
+		break;
+	case LP__BATCH_CALL_KIND__BATCH_CALL_CANCEL:
+		cancel(node, call, queue, id, done, arg);
+		break;
+	case LP__BATCH_CALL_KIND__BATCH_CALL_STATE:
+	case _LP__BATCH_CALL_KIND_IS_INT_SIZE:
+		tell_state(node, call, queue, id, done, arg);
+		break;
+	}
+}
+
+/* --- interface --- */
+
+bool batch_node_serves(const batch_node_t *node)
+{
+	return node->led_term != 0 && !node->resigned && replica_has_lease(node->replica);
+}
+
+uint32_t batch_node_leader(const batch_node_t *node)
+{
+	return replica_in_contact(node->replica, clock_now_us()) ? replica_leader(node->replica)
+								 : 0;
+}
+
+const batch_state_t *batch_node_state(const batch_node_t *node)
+{
+	return &node->state;
+}
+
+batch_leader_t *batch_node_leader_of_jobs(batch_node_t *node)
+{
+	return node->leader;
+}
+
+static uint64_t now_port(void *arg)
+{
+	return clock_now_us();
+}
+
+static uint64_t wall_port(void *arg)
+{
+	return clock_wall_ms();
+}
+
+static void create_leader(batch_node_t *node, const vm_port_t *port)
+{
+	const process_settings_t *settings = node->settings;
+	const batch_leader_options_t options = {
+		.config =
+			{
+				.lease_ms = MIN(VM_LEASE_MS, settings->lease_max_ms),
+				.lease_max_ms = settings->lease_max_ms,
+				.late_order_ms = LATE_ORDER_MS,
+				.clock_skew_percent = CLOCK_SKEW_PERCENT,
+				.hold_wait_ms = HOLD_WAIT_MS,
+				.silent_ms = settings->report_ms + SILENT_SLACK_MS,
+				.checkpoint_ms = settings->checkpoint_ms,
+				.holder_lease_ms = settings->holder_lease_ms,
+				.maintenance_ms = settings->maintenance_ms,
+				.notice_ms = settings->notice_ms,
+				.name = settings->name,
+			},
+		.state = &node->state,
+		.port = *port,
+		.propose = leader_propose,
+		.now_us = now_port,
+		.wall_ms = wall_port,
+		.arg = node,
+		.metrics = node->metrics,
+	};
+
+	node->leader = batch_leader_create(&options);
+}
+
+static bool is_founder(const process_settings_t *settings)
+{
+	for (size_t i = 0; i < settings->seed_count; i++) {
+		if (settings->seeds[i] == settings->node_id)
+			return true;
+	}
+	return false;
+}
+
+static int create_replica(batch_node_t *node, uint64_t seed, char *error, size_t error_size)
+{
+	const process_settings_t *settings = node->settings;
+	const replica_machine_t machine = {
+		.apply = apply, .save = save, .load = load, .changed = changed, .arg = node};
+	replica_config_t config = {
+		.node_id = settings->node_id,
+		.data_dir = settings->data_dir,
+		.heartbeat_ms = HEARTBEAT_MS,
+		.election_min_ms = ELECTION_MIN_MS,
+		.lease_ms = LEADER_LEASE_MS,
+		.snapshot_every = SNAPSHOT_ENTRIES,
+		.seed = seed,
+		.voter_target = 2 * MAX(settings->losses, 1) + 1,
+		.replace_ms = REPLACE_VOTER_MS,
+	};
+
+	/* The processes that the first settings name found the group. A later start with an empty
+	 * disk joins it, as what it had acknowledged is gone. */
+	if (settings->first_start) {
+		config.voters = settings->seeds;
+		config.voter_count = settings->seed_count;
+		if (settings->data_dir != NULL && is_founder(settings) &&
+		    replica_found(settings->data_dir, settings->node_id, error, error_size) != 0)
+			g_message("%s", error); /* a restart during the first start */
+	}
+	node->replica = replica_create(node->ev, node->timers, &config, &machine, send_to_peer,
+				       node, error, error_size);
+	return node->replica != NULL ? 0 : -1;
+}
+
+static int create_peers(batch_node_t *node, uint64_t incarnation, char *error, size_t error_size)
+{
+	const process_settings_t *settings = node->settings;
+	char address[32];
+	const peer_config_t config = {
+		.cluster = CLUSTER,
+		.node_id = settings->node_id,
+		.replica_id = replica_id(node->replica),
+		.incarnation = incarnation,
+		.data_centre = settings->data_centre,
+		.http_address = "",
+		.disk = settings->data_dir != NULL,
+		.listen_address = address,
+		.ping_ms = PING_MS,
+		.timeout_ms = PEER_TIMEOUT_MS,
+		.dial_back_port = settings->peer_port,
+	};
+	const peer_callbacks_t callbacks = {
+		.message = on_message,
+		.change = on_peer_change,
+		.applied_index = applied_index,
+		.arg = node,
+	};
+	uint32_t members[REPLICA_MEMBERS_MAX];
+	size_t count;
+
+	process_address(settings->node_id, settings->peer_port, address, sizeof(address));
+	node->peers =
+		peer_set_create(node->ev, node->ev, node->timers, &config, &callbacks);
+	if (node->peers == NULL) {
+		g_snprintf(error, error_size, "%s: %s", address, strerror(errno));
+		return -1;
+	}
+	count = replica_members(node->replica, members, G_N_ELEMENTS(members));
+	for (size_t i = 0; i < count; i++)
+		add_peer(node, members[i]);
+	batch_node_set_seeds(node, settings);
+	return 0;
+}
+
+void batch_node_set_seeds(batch_node_t *node, const process_settings_t *settings)
+{
+	for (size_t i = 0; i < settings->seed_count; i++)
+		add_peer(node, settings->seeds[i]);
+}
+
+batch_node_t *batch_node_create(const batch_node_options_t *options, char *error,
+				size_t error_size)
+{
+	batch_node_t *node = g_new0(batch_node_t, 1);
+	uint64_t seed = 0;
+
+	node->settings = options->settings;
+	node->ev = options->ev;
+	node->timers = options->timers;
+	node->metrics = options->metrics;
+	node->work = tevent_create_immediate(node->ev);
+	node->submitting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	node->submitted = metrics_counter(node->metrics, "batch_jobs_submitted_total", "");
+	node->refused = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
+	node->commit_latency = metrics_histogram(node->metrics, "batch_commit_latency_us", "");
+	batch_state_init(&node->state);
+	if (getrandom(&seed, sizeof(seed), 0) != (ssize_t)sizeof(seed))
+		seed = clock_wall_ms();
+	if (create_replica(node, seed, error, error_size) != 0)
+		goto fail_state;
+	create_leader(node, &options->port);
+	if (create_peers(node, seed, error, error_size) != 0)
+		goto fail_replica;
+	timer_subscribe(node->timers, &node->tick, TICK_MS * US_PER_MS, on_tick, node);
+	timer_subscribe(node->timers, &node->hint, HINT_MS * US_PER_MS, on_hint_timer, node);
+	return node;
+
+fail_replica:
+	batch_leader_destroy(node->leader);
+	replica_destroy(node->replica);
+fail_state:
+	batch_state_finish(&node->state);
+	g_hash_table_destroy(node->submitting);
+	talloc_free(node->work);
+	g_free(node);
+	return NULL;
+}
+
+void batch_node_resign(batch_node_t *node)
+{
+	node->resigned = true;
+}
+
+void batch_node_destroy(batch_node_t *node)
+{
+	timer_unsubscribe(node->timers, &node->tick);
+	timer_unsubscribe(node->timers, &node->hint);
+	batch_leader_deactivate(node->leader);
+	replica_destroy(node->replica);
+	peer_set_destroy(node->peers);
+	batch_leader_destroy(node->leader);
+	batch_state_finish(&node->state);
+	g_hash_table_destroy(node->submitting);
+	talloc_free(node->work);
+	g_free(node);
+}
--- /dev/null
+++ b/src/batch_snapshot.c
@@ -0,0 +1,268 @@
+#define G_LOG_DOMAIN "batch"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <talloc.h>
+
+#include "batch_internal.h"
+
+/* The messages of a snapshot live under a talloc context and point into the state. */
+
+static Lp__BatchStepState *save_step(void *mem, const batch_step_t *step)
+{
+	Lp__BatchStepState *message = talloc(mem, Lp__BatchStepState);
+
+	lp__batch_step_state__init(message);
+	message->gang_failures = step->gang_failures;
+	message->n_tasks = step->spec->count;
+	message->tasks = talloc_array(mem, Lp__BatchTaskState *, step->spec->count);
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const batch_task_t *task = &step->tasks[i];
+		Lp__BatchTaskState *out = talloc(mem, Lp__BatchTaskState);
+
+		lp__batch_task_state__init(out);
+		out->status = task->status;
+		out->run = task->run;
+		out->failures = task->failures;
+		out->vm = task->vm != NULL ? task->vm->position : 0;
+		if (task->checkpoint != NULL)
+			out->checkpoint = task->checkpoint;
+		message->tasks[i] = out;
+	}
+	return message;
+}
+
+static Lp__BatchJobState *save_job(void *mem, const batch_job_t *job)
+{
+	Lp__BatchJobState *message = talloc(mem, Lp__BatchJobState);
+
+	lp__batch_job_state__init(message);
+	message->seq = job->seq;
+	message->job = job->spec;
+	message->state = job->state;
+	message->accepted_ms = job->accepted_ms;
+	message->ended_ms = job->ended_ms;
+	message->service = job->service;
+	/* An ended job without VMs is only asked for its state. */
+	if (job->archived)
+		return message;
+	message->n_steps = job->step_count;
+	message->steps = talloc_array(mem, Lp__BatchStepState *, job->step_count);
+	for (uint32_t i = 0; i < job->step_count; i++)
+		message->steps[i] = save_step(mem, &job->steps[i]);
+	return message;
+}
+
+static void save_jobs(void *mem, const batch_state_t *state, Lp__BatchSnapshot *snapshot)
+{
+	const struct batch_job_list *lists[] = {&state->ended, &state->active};
+	const batch_job_t *job;
+
+	snapshot->jobs = talloc_array(mem, Lp__BatchJobState *, g_hash_table_size(state->by_id));
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+		TAILQ_FOREACH (job, lists[i], link)
+			snapshot->jobs[snapshot->n_jobs++] = save_job(mem, job);
+	}
+}
+
+static void save_vms(void *mem, const batch_state_t *state, Lp__BatchSnapshot *snapshot)
+{
+	batch_vm_t *vm;
+	unsigned count = 0;
+
+	LIST_FOREACH (vm, &state->vms, link)
+		vm->position = ++count;
+	snapshot->vms = talloc_array(mem, Lp__BatchVmState *, count);
+	LIST_FOREACH (vm, &state->vms, link) {
+		Lp__BatchVmState *out = talloc(mem, Lp__BatchVmState);
+
+		lp__batch_vm_state__init(out);
+		out->id = vm->id;
+		out->born_ms = vm->born_ms;
+		out->address = vm->address;
+		out->noted = vm->noted;
+		snapshot->vms[snapshot->n_vms++] = out;
+	}
+}
+
+static Lp__BatchWaveState *save_wave(void *mem, const batch_wave_t *wave)
+{
+	Lp__BatchWaveState *message = talloc(mem, Lp__BatchWaveState);
+
+	lp__batch_wave_state__init(message);
+	message->since_ms = wave->since_ms;
+	message->wave = talloc(mem, Lp__BatchWave);
+	lp__batch_wave__init(message->wave);
+	message->wave->wave = wave->wave;
+	message->wave->duration_ms = wave->duration_ms;
+	message->wave->max_down = wave->max_down;
+	message->wave->machines = talloc_array(mem, char *, wave->machine_count);
+	message->orders = talloc_array(mem, Lp__BatchOrder *, wave->machine_count);
+	for (size_t i = 0; i < wave->machine_count; i++) {
+		Lp__BatchOrder *order = talloc(mem, Lp__BatchOrder);
+
+		lp__batch_order__init(order);
+		order->state = wave->machines[i].state;
+		message->wave->machines[message->wave->n_machines++] = wave->machines[i].machine;
+		message->orders[message->n_orders++] = order;
+	}
+	return message;
+}
+
+static void save_waves(void *mem, const batch_state_t *state, Lp__BatchSnapshot *snapshot)
+{
+	const batch_wave_t *wave;
+	size_t count = 0;
+
+	LIST_FOREACH (wave, &state->waves, link)
+		count++;
+	snapshot->waves = talloc_array(mem, Lp__BatchWaveState *, count);
+	LIST_FOREACH (wave, &state->waves, link)
+		snapshot->waves[snapshot->n_waves++] = save_wave(mem, wave);
+}
+
+uint8_t *batch_state_save(const batch_state_t *state, size_t *length)
+{
+	void *mem = talloc_new(NULL);
+	Lp__BatchSnapshot snapshot = LP__BATCH_SNAPSHOT__INIT;
+	uint8_t *packed;
+
+	snapshot.config = state->config;
+	snapshot.next_seq = state->next_seq;
+	save_vms(mem, state, &snapshot);
+	save_jobs(mem, state, &snapshot);
+	save_waves(mem, state, &snapshot);
+	packed = malloc(lp__batch_snapshot__get_packed_size(&snapshot) + 1);
+	if (packed == NULL)
+		g_error("out of memory while saving a snapshot");
+	*length = lp__batch_snapshot__pack(&snapshot, packed);
+	talloc_free(mem);
+	return packed;
+}
+
+/* --- loading --- */
+
+static int load_task(batch_step_t *step, batch_task_t *task, const Lp__BatchTaskState *message,
+		     GPtrArray *vms)
+{
+	if (message->status > BATCH_TASK_DONE || message->vm > vms->len)
+		return -1;
+	task->status = (batch_task_status_t)message->status;
+	task->run = message->run;
+	task->failures = message->failures;
+	task->soft.paced = 100;
+	if (message->checkpoint[0] != '\0')
+		task->checkpoint = g_strdup(message->checkpoint);
+	if (message->vm > 0)
+		batch_task_hold(task, g_ptr_array_index(vms, message->vm - 1));
+	switch (task->status) {
+	case BATCH_TASK_WAITING:
+		step->waiting++;
+		break;
+	case BATCH_TASK_ASSIGNED:
+		step->assigned++;
+		break;
+	case BATCH_TASK_DONE:
+		step->done++;
+		break;
+	}
+	return 0;
+}
+
+static int load_step(batch_step_t *step, const Lp__BatchStepState *message, GPtrArray *vms)
+{
+	if (message->n_tasks != step->spec->count)
+		return -1;
+	step->gang_failures = message->gang_failures;
+	step->waiting = 0;
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		if (load_task(step, &step->tasks[i], message->tasks[i], vms) != 0)
+			return -1;
+	}
+	if (step->done == step->spec->count)
+		step->job->steps_done++;
+	return 0;
+}
+
+static int load_job(batch_state_t *state, const Lp__BatchJobState *message, GPtrArray *vms)
+{
+	batch_job_t *job;
+
+	if (message->job == NULL || message->state > BATCH_JOB_CANCELLED ||
+	    batch_job_check(message->job) != NULL)
+		return -1;
+	job = batch_job_new(batch_message_copy(&message->job->base), message->seq,
+			    message->accepted_ms);
+	job->state = (batch_job_state_t)message->state;
+	job->ended_ms = message->ended_ms;
+	job->service = g_strdup(message->service);
+	if (message->n_steps != 0 && message->n_steps != job->step_count)
+		goto malformed;
+	for (size_t i = 0; i < message->n_steps; i++) {
+		if (load_step(&job->steps[i], message->steps[i], vms) != 0)
+			goto malformed;
+	}
+	batch_state_add(state, job);
+	return 0;
+
+malformed:
+	batch_job_free(job);
+	return -1;
+}
+
+static int load_wave(batch_state_t *state, const Lp__BatchWaveState *message)
+{
+	batch_wave_t *wave;
+
+	if (message->wave == NULL || message->n_orders != message->wave->n_machines)
+		return -1;
+	wave = batch_wave_new(state, message->wave, message->since_ms);
+	for (size_t i = 0; i < wave->machine_count; i++)
+		wave->machines[i].state = message->orders[i]->state;
+	return 0;
+}
+
+static int load_message(batch_state_t *state, const Lp__BatchSnapshot *snapshot)
+{
+	g_autoptr(GPtrArray) vms = g_ptr_array_new();
+
+	state->next_seq = snapshot->next_seq;
+	if (snapshot->config != NULL)
+		state->config = batch_message_copy(&snapshot->config->base);
+	for (size_t i = 0; i < snapshot->n_vms; i++) {
+		const Lp__BatchVmState *message = snapshot->vms[i];
+		batch_vm_t *vm =
+			batch_vm_new(state, message->id, message->born_ms, message->address);
+
+		vm->noted = message->noted;
+		g_ptr_array_add(vms, vm);
+	}
+	for (size_t i = 0; i < snapshot->n_jobs; i++) {
+		if (load_job(state, snapshot->jobs[i], vms) != 0)
+			return -1;
+	}
+	for (size_t i = 0; i < snapshot->n_waves; i++) {
+		if (load_wave(state, snapshot->waves[i]) != 0)
+			return -1;
+	}
+	return 0;
+}
+
+int batch_state_load(batch_state_t *state, const uint8_t *data, size_t length)
+{
+	Lp__BatchSnapshot *snapshot = lp__batch_snapshot__unpack(NULL, length, data);
+	uint64_t revision = state->revision;
+	uint64_t vms_revision = state->vms_revision;
+	int result;
+
+	if (snapshot == NULL)
+		return -1;
+	batch_state_finish(state);
+	batch_state_init(state);
+	state->revision = revision + 1;
+	state->vms_revision = vms_revision + 1;
+	result = load_message(state, snapshot);
+	lp__batch_snapshot__free_unpacked(snapshot, NULL);
+	return result;
+}
--- /dev/null
+++ b/src/batch_state.c
@@ -0,0 +1,353 @@
+#define G_LOG_DOMAIN "batch"
+
+#include "batch_internal.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+void batch_state_init(batch_state_t *state)
+{
+	*state = (batch_state_t){.next_seq = 1};
+	state->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	state->by_seq = g_hash_table_new(g_int64_hash, g_int64_equal);
+	state->vms_by_life = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	TAILQ_INIT(&state->active);
+	TAILQ_INIT(&state->ended);
+	LIST_INIT(&state->vms);
+	LIST_INIT(&state->waves);
+}
+
+static void free_jobs(struct batch_job_list *list)
+{
+	batch_job_t *job;
+
+	while ((job = TAILQ_FIRST(list)) != NULL) {
+		TAILQ_REMOVE(list, job, link);
+		batch_job_free(job);
+	}
+}
+
+void batch_state_finish(batch_state_t *state)
+{
+	batch_vm_t *vm;
+	batch_wave_t *wave;
+
+	free_jobs(&state->active);
+	free_jobs(&state->ended);
+	while ((vm = LIST_FIRST(&state->vms)) != NULL)
+		batch_vm_free(state, vm);
+	while ((wave = LIST_FIRST(&state->waves)) != NULL)
+		batch_wave_free(wave);
+	if (state->config != NULL)
+		lp__batch_config__free_unpacked(state->config, NULL);
+	g_hash_table_destroy(state->vms_by_life);
+	g_hash_table_destroy(state->by_id);
+	g_hash_table_destroy(state->by_seq);
+}
+
+/* --- jobs --- */
+
+static uint32_t occurrences_of(const Lp__BatchJob *spec)
+{
+	return spec->times > 0 ? spec->times : 1;
+}
+
+static const char *check_step(const Lp__BatchJob *job, size_t i)
+{
+	const Lp__BatchStep *step = job->steps[i];
+
+	if (step->count == 0)
+		return "a step has no tasks";
+	for (size_t j = 0; j < step->n_after; j++) {
+		if (step->after[j] >= i)
+			return "a step waits for itself or a later one";
+	}
+	return NULL;
+}
+
+const char *batch_job_check(const Lp__BatchJob *job)
+{
+	uint64_t tasks = 0;
+
+	if (job->n_steps == 0)
+		return "the job has no steps";
+	for (size_t i = 0; i < job->n_steps; i++) {
+		const char *error = check_step(job, i);
+
+		if (error != NULL)
+			return error;
+		tasks += (uint64_t)job->steps[i]->count * occurrences_of(job);
+	}
+	return tasks > BATCH_TASKS_MAX ? "the job has too many tasks" : NULL;
+}
+
+static void init_step(batch_step_t *step, batch_job_t *job, uint32_t occurrence, uint32_t number)
+{
+	const Lp__BatchStep *spec = job->spec->steps[number];
+
+	*step = (batch_step_t){
+		.job = job,
+		.occurrence = occurrence,
+		.number = number,
+		.spec = spec,
+		.tasks = g_new0(batch_task_t, spec->count),
+		.waiting = spec->count,
+	};
+	for (uint32_t i = 0; i < spec->count; i++)
+		step->tasks[i] = (batch_task_t){.step = step, .index = i};
+}
+
+batch_job_t *batch_job_new(Lp__BatchJob *spec, uint64_t seq, uint64_t accepted_ms)
+{
+	batch_job_t *job = g_new0(batch_job_t, 1);
+	uint32_t steps = (uint32_t)spec->n_steps;
+
+	job->seq = seq;
+	job->spec = spec;
+	job->accepted_ms = accepted_ms;
+	job->occurrences = occurrences_of(spec);
+	job->step_count = steps * job->occurrences;
+	job->steps = g_new0(batch_step_t, job->step_count);
+	for (uint32_t i = 0; i < job->step_count; i++)
+		init_step(&job->steps[i], job, i / steps, i % steps);
+	return job;
+}
+
+void batch_job_free(batch_job_t *job)
+{
+	for (uint32_t i = 0; i < job->step_count; i++) {
+		batch_step_t *step = &job->steps[i];
+
+		for (uint32_t j = 0; j < step->spec->count; j++) {
+			if (step->tasks[j].vm != NULL)
+				LIST_REMOVE(&step->tasks[j], vm_link);
+			g_free(step->tasks[j].checkpoint);
+		}
+		g_free(step->tasks);
+		ticket_book_free(step->tickets);
+	}
+	g_free(job->steps);
+	g_free(job->service);
+	lp__batch_job__free_unpacked(job->spec, NULL);
+	g_free(job);
+}
+
+void batch_state_add(batch_state_t *state, batch_job_t *job)
+{
+	g_hash_table_insert(state->by_id, job->spec->id, job);
+	g_hash_table_insert(state->by_seq, &job->seq, job);
+	job->archived = batch_job_ended(job) && job->held == 0;
+	if (job->archived)
+		TAILQ_INSERT_TAIL(&state->ended, job, link);
+	else
+		TAILQ_INSERT_TAIL(&state->active, job, link);
+}
+
+void batch_state_remove(batch_state_t *state, struct batch_job_list *list, batch_job_t *job)
+{
+	g_hash_table_remove(state->by_id, job->spec->id);
+	g_hash_table_remove(state->by_seq, &job->seq);
+	TAILQ_REMOVE(list, job, link);
+	batch_job_free(job);
+}
+
+bool batch_job_ended(const batch_job_t *job)
+{
+	switch (job->state) {
+	case BATCH_JOB_QUEUED:
+	case BATCH_JOB_RUNNING:
+		return false;
+	case BATCH_JOB_COMPLETE:
+	case BATCH_JOB_FAILED:
+	case BATCH_JOB_CANCELLED:
+		return true;
+	}
+	return false;
+}
+
+const char *batch_job_state_name(batch_job_state_t state)
+{
+	switch (state) {
+	case BATCH_JOB_QUEUED:
+		return "queued";
+	case BATCH_JOB_RUNNING:
+		return "running";
+	case BATCH_JOB_COMPLETE:
+		return "complete";
+	case BATCH_JOB_FAILED:
+		return "failed";
+	case BATCH_JOB_CANCELLED:
+		return "canceled";
+	}
+	return "";
+}
+
+bool batch_step_unblocked(const batch_step_t *step)
+{
+	const batch_step_t *first = step - step->number;
+
+	for (size_t i = 0; i < step->spec->n_after; i++) {
+		const batch_step_t *before = &first[step->spec->after[i]];
+
+		if (before->done < before->spec->count)
+			return false;
+	}
+	return true;
+}
+
+uint64_t batch_step_due_ms(const batch_step_t *step)
+{
+	const Lp__BatchJob *spec = step->job->spec;
+
+	if (spec->times == 0)
+		return 0;
+	return spec->first_due_ms + step->occurrence * spec->interval_ms;
+}
+
+/* --- lookups --- */
+
+batch_job_t *batch_state_job(const batch_state_t *state, const char *id)
+{
+	return g_hash_table_lookup(state->by_id, id);
+}
+
+batch_task_t *batch_job_task(batch_job_t *job, uint32_t occurrence, uint32_t step, uint32_t index)
+{
+	batch_step_t *found;
+
+	if (occurrence >= job->occurrences || step >= job->spec->n_steps)
+		return NULL;
+	found = &job->steps[occurrence * job->spec->n_steps + step];
+	return index < found->spec->count ? &found->tasks[index] : NULL;
+}
+
+batch_task_t *batch_state_task(const batch_state_t *state, const Lp__BatchTask *ref)
+{
+	batch_job_t *job = g_hash_table_lookup(state->by_seq, &ref->job);
+
+	return job == NULL ? NULL : batch_job_task(job, ref->occurrence, ref->step, ref->index);
+}
+
+char *batch_vm_key(const char *id, uint64_t born_ms)
+{
+	return g_strdup_printf("%s/%" PRIu64, id, born_ms);
+}
+
+batch_vm_t *batch_state_vm(const batch_state_t *state, const char *id, uint64_t born_ms)
+{
+	g_autofree char *key = batch_vm_key(id, born_ms);
+
+	return g_hash_table_lookup(state->vms_by_life, key);
+}
+
+batch_wave_t *batch_state_wave(const batch_state_t *state, uint64_t number)
+{
+	batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &state->waves, link) {
+		if (wave->wave == number)
+			return wave;
+	}
+	return NULL;
+}
+
+void batch_task_ref(const batch_task_t *task, Lp__BatchTask *ref)
+{
+	lp__batch_task__init(ref);
+	ref->job = task->step->job->seq;
+	ref->occurrence = task->step->occurrence;
+	ref->step = task->step->number;
+	ref->index = task->index;
+	ref->run = task->run;
+}
+
+static bool same_place(const char *host, const char *prefix, const Lp__BatchQueue *queue)
+{
+	return strcmp(queue->host, host) == 0 && strcmp(queue->prefix, prefix) == 0;
+}
+
+const Lp__BatchQueue *batch_state_queue(const batch_state_t *state, const batch_job_t *job)
+{
+	const Lp__BatchConfig *config = state->config;
+
+	for (size_t i = 0; config != NULL && i < config->n_queues; i++) {
+		if (same_place(job->spec->host, job->spec->prefix, config->queues[i]))
+			return config->queues[i];
+	}
+	return NULL;
+}
+
+const Lp__BatchQueue *batch_state_route(const batch_state_t *state, const char *host,
+					const char *path)
+{
+	const Lp__BatchConfig *config = state->config;
+	const Lp__BatchQueue *best = NULL;
+	size_t best_length = 0;
+
+	for (size_t i = 0; config != NULL && i < config->n_queues; i++) {
+		const Lp__BatchQueue *queue = config->queues[i];
+		size_t length = strlen(queue->prefix);
+
+		if (length < best_length || strncmp(path, queue->prefix, length) != 0 ||
+		    g_ascii_strcasecmp(host, queue->host) != 0)
+			continue;
+		best = queue;
+		best_length = length;
+	}
+	return best;
+}
+
+const Lp__BatchService *batch_state_service(const batch_state_t *state, const char *name)
+{
+	const Lp__BatchConfig *config = state->config;
+
+	for (size_t i = 0; config != NULL && i < config->n_services; i++) {
+		if (strcmp(config->services[i]->name, name) == 0)
+			return config->services[i];
+	}
+	return NULL;
+}
+
+uint32_t batch_state_pending(const batch_state_t *state, const Lp__BatchQueue *queue,
+			     uint64_t wall_ms)
+{
+	const batch_job_t *job;
+	uint32_t pending = 0;
+
+	TAILQ_FOREACH (job, &state->active, link) {
+		if (job->state != BATCH_JOB_QUEUED ||
+		    !same_place(job->spec->host, job->spec->prefix, queue))
+			continue;
+		if (job->spec->times == 0 || job->spec->first_due_ms <= wall_ms)
+			pending++;
+	}
+	return pending;
+}
+
+static bool has_service(const Lp__BatchConfig *config, const char *name)
+{
+	for (size_t i = 0; i < config->n_services; i++) {
+		if (strcmp(config->services[i]->name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+const char *batch_config_check(const Lp__BatchConfig *config)
+{
+	g_autoptr(GHashTable) places = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (size_t i = 0; i < config->n_queues; i++) {
+		const Lp__BatchQueue *queue = config->queues[i];
+
+		if (!has_service(config, queue->service))
+			return "a queue names a service that does not exist";
+		if (queue->timeout_ms == 0)
+			return "the timeout of a queue is 0";
+		if (!g_hash_table_add(places,
+				      g_strdup_printf("%s\n%s", queue->host, queue->prefix)))
+			return "two queues have the same host and prefix";
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/batch_upkeep.c
@@ -0,0 +1,404 @@
+#define G_LOG_DOMAIN "batch"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "batch_leader_internal.h"
+#include "log.h"
+
+/* A machine that is to be maintained waits so long for its short tasks; after that they are stopped
+ * and continue elsewhere. Longer than the usual task. */
+#define CORDON_WAIT_US (2500 * US_PER_MS)
+/* An order without an answer, or refused because the machine is busy, is sent again after this. */
+#define ORDER_RETRY_US (500 * US_PER_MS)
+/* A machine that has not reported again by this time after its maintenance does not count as down
+ * for it any more. */
+#define RETURN_SLACK_MS 3000
+/* VM clocks and the leader's differ by less than this, except on a step of the clock. */
+#define CLOCK_SLACK_MS 500
+
+/* --- tasks that serve beside tasks that fill --- */
+
+/* A tail over the goal slows the best-effort tasks beside it to this share of their pace; three
+ * looks of half a second bring them below 10%, well within the time that a miss may last. */
+#define PACE_DOWN_PERCENT 40
+/* Below this share of the goal there is room to let them work faster again. */
+#define PACE_UP_BELOW_PERCENT 60
+#define PACE_UP_STEP 15
+#define PACE_GAP_US (450 * US_PER_MS)
+/* Paces lower than this are ordered as a halt. */
+#define PACE_LEAST 10
+
+typedef struct {
+	bool over; /* a task misses its goal */
+	bool near; /* a task is near its goal */
+	bool filling;
+} mix_t;
+
+static mix_t look(const batch_vm_t *life)
+{
+	mix_t mix = {0};
+	const batch_task_t *task;
+
+	LIST_FOREACH (task, &life->tasks, vm_link) {
+		const Lp__BatchStep *spec = task->step->spec;
+
+		mix.filling |= spec->best_effort;
+		if (spec->tail_goal_ms == 0 || task->soft.phase != RUN_CONFIRMED)
+			continue;
+		mix.over |= task->soft.load > spec->tail_goal_ms;
+		mix.near |= task->soft.load * 100 > spec->tail_goal_ms * PACE_UP_BELOW_PERCENT;
+	}
+	return mix;
+}
+
+static uint32_t next_pace(const batch_task_t *task, const mix_t *mix)
+{
+	uint32_t pace = task->soft.paced;
+
+	if (mix->over) {
+		pace = pace * PACE_DOWN_PERCENT / 100;
+		return pace < PACE_LEAST ? 0 : pace;
+	}
+	return mix->near ? pace : MIN(100, pace + PACE_UP_STEP);
+}
+
+void leader_pace_tick(leader_vm_t *vm, uint64_t now_us)
+{
+	const batch_vm_t *life = leader_vm_life(vm);
+	batch_task_t *task;
+	mix_t mix;
+
+	if (life == NULL || now_us < vm->pace_due_us)
+		return;
+	vm->pace_due_us = now_us + PACE_GAP_US;
+	mix = look(life);
+	if (!mix.filling)
+		return;
+	LIST_FOREACH (task, &life->tasks, vm_link) {
+		if (task->step->spec->best_effort && task->soft.phase == RUN_CONFIRMED)
+			leader_order_pace(vm, task, next_pace(task, &mix));
+	}
+}
+
+/* --- evacuation --- */
+
+/* Tasks of the step that are away: not at work for any cause, or until notice_ms ago. */
+static uint32_t unavailable(const batch_leader_t *leader, const batch_step_t *step,
+			    uint64_t now_us)
+{
+	uint64_t notice_us = leader->config.notice_ms * US_PER_MS;
+	uint32_t away = 0;
+
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const run_soft_t *soft = &step->tasks[i].soft;
+
+		if (step->tasks[i].vm == NULL || soft->evacuate || soft->phase != RUN_CONFIRMED ||
+		    soft->percent < 100 || now_us < soft->full_us + notice_us)
+			away++;
+	}
+	return away;
+}
+
+static bool may_evacuate(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
+{
+	const Lp__BatchStep *spec = task->step->spec;
+
+	/* A VM that drains takes the task down in any case. */
+	if (vm->draining || spec->max_unavailable == 0)
+		return true;
+	return unavailable(vm->leader, task->step, now_us) < spec->max_unavailable;
+}
+
+static bool must_move(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
+{
+	const Lp__BatchStep *spec = task->step->spec;
+
+	if (task->soft.evacuate || task->soft.phase != RUN_CONFIRMED)
+		return false;
+	if (spec->long_running)
+		return true;
+	if (vm->draining)
+		return false;
+	return now_us > vm->cordoned_us + CORDON_WAIT_US;
+}
+
+void leader_evacuate_tick(leader_vm_t *vm, uint64_t now_us)
+{
+	const batch_vm_t *life = leader_vm_life(vm);
+	batch_task_t *task;
+
+	if (life == NULL || (!vm->draining && !vm->cordoned))
+		return;
+	LIST_FOREACH (task, &life->tasks, vm_link) {
+		if (!must_move(vm, task, now_us) || !may_evacuate(vm, task, now_us))
+			continue;
+		log_event(G_LOG_LEVEL_INFO,
+			  LOG_FIELDS("request", task->step->job->spec->id, "vm", vm->id, "reason",
+				     vm->draining ? "the VM drains" : "maintenance"),
+			  "moves a task to another VM");
+		task->soft.evacuate = true;
+	}
+}
+
+/* --- waves --- */
+
+static void propose_order(batch_leader_t *leader, uint64_t wave, const char *machine,
+			  Lp__BatchOrderState state, batch_proposed_fn done, void *arg)
+{
+	Lp__BatchOrder order = LP__BATCH_ORDER__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	order.machine = (char *)machine;
+	order.wave = wave;
+	order.state = state;
+	command.body_case = LP__BATCH_COMMAND__BODY_ORDER;
+	command.order = &order;
+	leader->propose(leader->arg, &command, done, arg);
+}
+
+typedef struct {
+	batch_leader_t *leader;
+	uint64_t generation;
+	uint64_t wave;
+	char machine[VM_NAME_MAX];
+} upkeep_t;
+
+static upkeep_t *upkeep_new(batch_leader_t *leader, uint64_t wave, const char *machine)
+{
+	upkeep_t *upkeep = g_new0(upkeep_t, 1);
+
+	upkeep->leader = leader;
+	upkeep->generation = leader->generation;
+	upkeep->wave = wave;
+	g_strlcpy(upkeep->machine, machine, sizeof(upkeep->machine));
+	return upkeep;
+}
+
+static bool upkeep_current(const upkeep_t *upkeep)
+{
+	return upkeep->leader->active && upkeep->generation == upkeep->leader->generation;
+}
+
+static void on_order_recorded(void *arg, Lp__ResultCode code)
+{
+	g_autofree upkeep_t *upkeep = arg;
+
+	if (upkeep_current(upkeep))
+		upkeep->leader->order_busy = false;
+}
+
+static void on_order_reply(void *arg, const vm_reply_t *reply)
+{
+	g_autofree upkeep_t *upkeep = arg;
+	batch_leader_t *leader = upkeep->leader;
+	Lp__BatchOrderState state = LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE;
+	leader_vm_t *vm;
+
+	if (!upkeep_current(upkeep))
+		return;
+	log_event(G_LOG_LEVEL_MESSAGE,
+		  LOG_FIELDS("machine", upkeep->machine, "reply", vm_reply_name(reply->code)),
+		  "maintenance was ordered");
+	switch (reply->code) {
+	case VM_REPLY_OK:
+		state = LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN;
+		vm = leader_vm_of_machine(leader, upkeep->machine);
+		if (vm != NULL)
+			leader_vm_mark_dead(vm, "its machine is down for maintenance");
+		break;
+	case VM_REPLY_INVALID:
+		state = LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE;
+		break;
+	case VM_REPLY_FENCED:
+	case VM_REPLY_OLD_RUN:
+	case VM_REPLY_TOO_LATE:
+	case VM_REPLY_NO_ROOM:
+	case VM_REPLY_BAD_TICKET:
+	case VM_REPLY_UNHEALTHY:
+	case VM_REPLY_OTHER_LIFE:
+	case VM_REPLY_BUSY:
+	case VM_REPLY_NOT_SENT:
+	case VM_REPLY_NONE:
+		break;
+	}
+	leader->order_due_us = leader_now_us(leader);
+	if (state == LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE) {
+		leader->order_due_us += reply->code == VM_REPLY_FENCED
+						? leader->config.holder_lease_ms * US_PER_MS
+						: ORDER_RETRY_US;
+		leader->order_busy = false;
+		return;
+	}
+	propose_order(leader, upkeep->wave, upkeep->machine, state, on_order_recorded,
+		      upkeep_new(leader, upkeep->wave, upkeep->machine));
+}
+
+static void send_order(batch_leader_t *leader, uint64_t wave, const char *machine)
+{
+	machine_order_t order = {
+		.machine = machine,
+		.wave = wave,
+		.holder = leader->config.name,
+		.fence = leader->term,
+	};
+
+	leader->order_busy = true;
+	leader->port.order(leader->port.arg, &order, on_order_reply,
+			   upkeep_new(leader, wave, machine));
+}
+
+static void on_intent_recorded(void *arg, Lp__ResultCode code)
+{
+	g_autofree upkeep_t *upkeep = arg;
+
+	if (!upkeep_current(upkeep))
+		return;
+	if (code == LP__RESULT_CODE__RESULT_OK)
+		send_order(upkeep->leader, upkeep->wave, upkeep->machine);
+	else
+		upkeep->leader->order_busy = false;
+}
+
+static bool order_is_open(Lp__BatchOrderState state)
+{
+	return state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT ||
+	       state == LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN;
+}
+
+static bool order_is_final(Lp__BatchOrderState state)
+{
+	return state == LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE ||
+	       state == LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE;
+}
+
+bool batch_wave_complete(const batch_wave_t *wave)
+{
+	for (size_t i = 0; i < wave->machine_count; i++) {
+		if (!order_is_final(wave->machines[i].state))
+			return false;
+	}
+	return true;
+}
+
+static void ignore_result(void *arg, Lp__ResultCode code)
+{
+}
+
+void leader_upkeep_returned(batch_leader_t *leader, const leader_vm_t *vm)
+{
+	batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &leader->state->waves, link) {
+		for (size_t i = 0; i < wave->machine_count; i++) {
+			const batch_wave_machine_t *machine = &wave->machines[i];
+
+			if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN &&
+			    strcmp(machine->machine, vm->machine) == 0 &&
+			    vm->born_ms + CLOCK_SLACK_MS > machine->since_ms)
+				propose_order(leader, wave->wave, machine->machine,
+					      LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE,
+					      ignore_result, NULL);
+		}
+	}
+}
+
+static bool vm_is_empty(leader_vm_t *vm)
+{
+	const batch_vm_t *life = leader_vm_life(vm);
+
+	return vm->planned == 0 && vm->orphans == 0 && (life == NULL || life->task_count == 0);
+}
+
+/* Takes new tasks off the machine; true once nothing runs there. */
+static bool prepare_machine(batch_leader_t *leader, const char *machine, uint64_t now_us)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
+
+	if (vm == NULL)
+		return now_us > leader->active_us + leader->config.holder_lease_ms * US_PER_MS;
+	if (!vm->cordoned) {
+		vm->cordoned = true;
+		vm->cordoned_us = now_us;
+		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "machine", machine),
+			  "VM is cordoned for maintenance");
+	}
+	return vm_is_empty(vm);
+}
+
+static void expire_open(batch_leader_t *leader, const batch_wave_t *wave,
+			const batch_wave_machine_t *machine)
+{
+	uint64_t wall_ms = leader->clock_wall_ms(leader->arg);
+
+	if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN ||
+	    wall_ms < machine->since_ms + leader->config.maintenance_ms + RETURN_SLACK_MS)
+		return;
+	propose_order(leader, wave->wave, machine->machine,
+		      LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE, ignore_result, NULL);
+}
+
+/* Empty machines are maintained first: nothing has to move for them. */
+static bool is_idle_machine(batch_leader_t *leader, const char *machine)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
+
+	return vm == NULL || vm_is_empty(vm);
+}
+
+static void start_next(batch_leader_t *leader, batch_wave_t *wave, uint32_t room, uint64_t now_us)
+{
+	for (int idle = 1; idle >= 0; idle--) {
+		for (size_t i = 0; i < wave->machine_count && room > 0; i++) {
+			batch_wave_machine_t *machine = &wave->machines[i];
+
+			if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE ||
+			    is_idle_machine(leader, machine->machine) != (idle == 1))
+				continue;
+			room--;
+			if (!prepare_machine(leader, machine->machine, now_us) ||
+			    leader->order_busy)
+				continue;
+			leader->order_busy = true;
+			propose_order(leader, wave->wave, machine->machine,
+				      LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT,
+				      on_intent_recorded,
+				      upkeep_new(leader, wave->wave, machine->machine));
+		}
+	}
+}
+
+static void tick_wave(batch_leader_t *leader, batch_wave_t *wave, uint64_t now_us)
+{
+	uint32_t open = 0;
+
+	for (size_t i = 0; i < wave->machine_count; i++) {
+		const batch_wave_machine_t *machine = &wave->machines[i];
+
+		if (!order_is_open(machine->state))
+			continue;
+		open++;
+		expire_open(leader, wave, machine);
+		/* Sent by an earlier leader, or without an answer: the same order again. */
+		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
+		    !leader->order_busy)
+			send_order(leader, wave->wave, machine->machine);
+	}
+	if (open < wave->max_down)
+		start_next(leader, wave, wave->max_down - open, now_us);
+}
+
+void leader_upkeep_tick(batch_leader_t *leader, uint64_t now_us)
+{
+	batch_wave_t *wave;
+
+	/* An earlier leader may have given orders until its lease of the machines ended. */
+	if (now_us < leader->active_us + leader->config.holder_lease_ms * US_PER_MS ||
+	    now_us < leader->order_due_us)
+		return;
+	leader->order_due_us = now_us + 50 * US_PER_MS;
+	LIST_FOREACH (wave, &leader->state->waves, link) {
+		if (!batch_wave_complete(wave))
+			tick_wave(leader, wave, now_us);
+	}
+}
--- a/src/cli.c
+++ b/src/cli.c
@@ -30,6 +30,9 @@
 
 static const command_t commands[] = {
 	{"serve", "--settings FILE", 0, 0, "S", cli_serve, "run the entry process"},
+	{"edge", "", 0, 0, "", cli_edge, "run an edge process on the users' platform"},
+	{"core", "", 0, 0, "", cli_core,
+	 "run a process that keeps the log, on the users' platform"},
 	{"init", "--settings FILE --first", 0, 0, "SF", cli_init,
 	 "create the data folder of a founding voter"},
 	{"config check", "FILE", 1, 1, "", cli_config_check, "check a settings file"},
--- a/src/cli.h
+++ b/src/cli.h
@@ -96,6 +96,8 @@
 
 /* --- commands --- */
 cli_exit_t cli_serve(const cli_options_t *options);
+cli_exit_t cli_edge(const cli_options_t *options);
+cli_exit_t cli_core(const cli_options_t *options);
 cli_exit_t cli_init(const cli_options_t *options);
 cli_exit_t cli_config_check(const cli_options_t *options);
 cli_exit_t cli_template_check(const cli_options_t *options);
--- a/src/cli_process.c
+++ b/src/cli_process.c
@@ -4,6 +4,7 @@
 
 #include <stdio.h>
 
+#include "adapter.h"
 #include "log.h"
 #include "replica.h"
 #include "serve.h"
@@ -26,6 +27,16 @@
 	return CLI_OK;
 }
 
+cli_exit_t cli_edge(const cli_options_t *options)
+{
+	return (cli_exit_t)adapter_run_edge();
+}
+
+cli_exit_t cli_core(const cli_options_t *options)
+{
+	return (cli_exit_t)adapter_run_core();
+}
+
 cli_exit_t cli_serve(const cli_options_t *options)
 {
 	settings_t settings;
--- a/src/command.pb-c.c
+++ b/src/command.pb-c.c
@@ -3094,7 +3094,7 @@
   (ProtobufCMessageInit) lp__member_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__command__field_descriptors[12] =
+static const ProtobufCFieldDescriptor lp__command__field_descriptors[13] =
 {
   {
     "time_ms",
@@ -3240,9 +3240,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "batch",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Command, body_case),
+    offsetof(Lp__Command, batch),
+    &lp__batch_command__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__command__field_indices_by_name[] = {
   2,   /* field[2] = apply_template */
+  12,   /* field[12] = batch */
   10,   /* field[10] = job_cancel */
   8,   /* field[8] = job_submit */
   9,   /* field[9] = job_update */
@@ -3259,7 +3272,7 @@
 {
   { 1, 0 },
   { 10, 2 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor lp__command__descriptor =
 {
@@ -3269,7 +3282,7 @@
   "Lp__Command",
   "lp",
   sizeof(Lp__Command),
-  12,
+  13,
   lp__command__field_descriptors,
   lp__command__field_indices_by_name,
   2,  lp__command__number_ranges,
--- /dev/null
+++ b/src/edge_link.c
@@ -0,0 +1,318 @@
+#define G_LOG_DOMAIN "edge"
+
+#include "edge_link.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <sys/random.h>
+
+#include <glib.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "clock.h"
+#include "log.h"
+
+#define CLUSTER "lavenderpass"
+#define PING_MS 500
+#define PEER_TIMEOUT_MS 1500
+#define TICK_MS 50
+/* Hints come every 250 ms; three may be missed. A leader that falls silent has a successor 0.8 to
+ * 1.6 s later, so a shorter time would not find one sooner. */
+#define HINT_VALID_MS 1000
+/* A call without an answer is repeated after this: longer than the recording of a job takes (two
+ * syncs of 9 ms and the way), shorter than a client waits. */
+#define RESEND_MS 700
+
+typedef struct edge_call {
+	TAILQ_ENTRY(edge_call) link;
+	Lp__BatchCall *message;
+	uint64_t started_us;
+	uint64_t deadline_us;
+	uint64_t sent_us;
+	uint32_t sent_to; /* 0: not sent since it was refused or the leader went */
+	unsigned sends;
+	edge_reply_fn done;
+	void *arg;
+} edge_call_t;
+
+struct edge_link {
+	const process_settings_t *settings;
+	timer_service_t *timers;
+	timer_sub_t tick;
+	peer_set_t *peers;
+	TAILQ_HEAD(edge_calls, edge_call) calls;
+	unsigned open;
+	uint64_t next_seq;
+	uint32_t leader; /* that serves; 0: none known */
+	uint64_t term;
+	uint64_t hint_us;
+	bool ready; /* as it was logged last */
+	metrics_counter_t *resent;
+	metrics_counter_t *unknown;
+	metrics_counter_t *unavailable;
+	metrics_histogram_t *latency;
+};
+
+bool edge_link_ready(const edge_link_t *link)
+{
+	return link->leader != 0 && clock_now_us() < link->hint_us + HINT_VALID_MS * US_PER_MS;
+}
+
+unsigned edge_link_open_calls(const edge_link_t *link)
+{
+	return link->open;
+}
+
+static void finish_call(edge_link_t *link, edge_call_t *call, const Lp__BatchReply *reply)
+{
+	TAILQ_REMOVE(&link->calls, call, link);
+	link->open--;
+	metrics_record_us(link->latency, clock_now_us() - call->started_us);
+	call->done(call->arg, reply);
+	lp__batch_call__free_unpacked(call->message, NULL);
+	g_free(call);
+}
+
+static void finish_as(edge_link_t *link, edge_call_t *call, Lp__BatchAnswer answer)
+{
+	Lp__BatchReply reply = LP__BATCH_REPLY__INIT;
+
+	reply.answer = answer;
+	reply.retry_after_s = 1;
+	finish_call(link, call, &reply);
+}
+
+/* @return false when there is no leader to send to */
+static bool send_call(edge_link_t *link, edge_call_t *call)
+{
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+
+	if (!edge_link_ready(link))
+		return false;
+	envelope.body_case = LP__ENVELOPE__BODY_BATCH_CALL;
+	envelope.batch_call = call->message;
+	if (peer_send(link->peers, link->leader, &envelope) != 0)
+		return false;
+	if (call->sends > 0)
+		metrics_add(link->resent, 1);
+	call->sent_us = clock_now_us();
+	call->sent_to = link->leader;
+	call->sends++;
+	return true;
+}
+
+static Lp__BatchCall *copy_call(const Lp__BatchCall *call, uint64_t seq)
+{
+	size_t length = lp__batch_call__get_packed_size(call);
+	g_autofree uint8_t *packed = g_malloc(length + 1);
+	Lp__BatchCall *copy;
+
+	lp__batch_call__pack(call, packed);
+	copy = lp__batch_call__unpack(NULL, length, packed);
+	copy->seq = seq;
+	return copy;
+}
+
+void edge_link_call(edge_link_t *link, const Lp__BatchCall *message, uint32_t timeout_ms,
+		    edge_reply_fn done, void *arg)
+{
+	edge_call_t *call = g_new0(edge_call_t, 1);
+	uint64_t now_us = clock_now_us();
+
+	*call = (edge_call_t){
+		.message = copy_call(message, ++link->next_seq),
+		.started_us = now_us,
+		.deadline_us = now_us + timeout_ms * US_PER_MS,
+		.done = done,
+		.arg = arg,
+	};
+	TAILQ_INSERT_TAIL(&link->calls, call, link);
+	link->open++;
+	if (send_call(link, call))
+		return;
+	metrics_add(link->unavailable, 1);
+	finish_as(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE);
+}
+
+/* --- messages --- */
+
+static void add_peer(edge_link_t *link, uint32_t id)
+{
+	char address[32];
+	peer_address_t peer = {.node_id = id, .address = address};
+
+	process_address(id, link->settings->peer_port, address, sizeof(address));
+	peer_set_address(link->peers, &peer);
+}
+
+static void resend_lost(edge_link_t *link)
+{
+	edge_call_t *call;
+
+	TAILQ_FOREACH (call, &link->calls, link) {
+		if (call->sent_to != link->leader)
+			send_call(link, call);
+	}
+}
+
+static void on_hint(edge_link_t *link, uint32_t from, const Lp__LeaderHint *hint)
+{
+	for (size_t i = 0; i < hint->n_members; i++)
+		add_peer(link, hint->members[i]);
+	if (!hint->serving || hint->term < link->term)
+		return;
+	if (hint->term > link->term || link->leader != from) {
+		char id[16];
+		char term[24];
+
+		g_snprintf(id, sizeof(id), "%u", from);
+		g_snprintf(term, sizeof(term), "%" PRIu64, hint->term);
+		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("leader", id, "term", term),
+			  "follows a leader");
+	}
+	link->leader = from;
+	link->term = hint->term;
+	link->hint_us = clock_now_us();
+	resend_lost(link);
+}
+
+static void on_reply(edge_link_t *link, uint32_t from, const Lp__BatchReply *reply)
+{
+	edge_call_t *call;
+
+	TAILQ_FOREACH (call, &link->calls, link) {
+		if (call->message->seq == reply->seq)
+			break;
+	}
+	if (call == NULL)
+		return;
+	if (reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER) {
+		if (call->sent_to == from)
+			call->sent_to = 0;
+		if (link->leader == from)
+			link->leader = 0;
+		return;
+	}
+	/* An earlier send may still be recorded, so that "not accepted" is not certain. */
+	if (call->sends > 1 && (reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE ||
+				reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED)) {
+		metrics_add(link->unknown, 1);
+		finish_as(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
+		return;
+	}
+	finish_call(link, call, reply);
+}
+
+static void on_message(void *arg, uint32_t from, const Lp__Envelope *envelope)
+{
+	edge_link_t *link = arg;
+
+	if (envelope->body_case == LP__ENVELOPE__BODY_LEADER_HINT)
+		on_hint(link, from, envelope->leader_hint);
+	else if (envelope->body_case == LP__ENVELOPE__BODY_BATCH_REPLY)
+		on_reply(link, from, envelope->batch_reply);
+}
+
+static void on_peer_change(void *arg, const peer_info_t *info)
+{
+	edge_link_t *link = arg;
+	edge_call_t *call;
+	char id[16];
+
+	g_snprintf(id, sizeof(id), "%u", info->node_id);
+	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("peer", id, "data_centre", info->data_centre),
+		  info->up ? "peer answers" : "peer does not answer");
+	if (info->up)
+		return;
+	TAILQ_FOREACH (call, &link->calls, link) {
+		if (call->sent_to == info->node_id)
+			call->sent_to = 0;
+	}
+}
+
+static void on_tick(void *arg, uint64_t now_us)
+{
+	edge_link_t *link = arg;
+	bool ready = edge_link_ready(link);
+	edge_call_t *call;
+	edge_call_t *next;
+
+	if (ready != link->ready)
+		log_event(G_LOG_LEVEL_MESSAGE, NULL,
+			  ready ? "a leader serves; ready" : "no leader serves; not ready");
+	link->ready = ready;
+	for (call = TAILQ_FIRST(&link->calls); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, link);
+		if (now_us >= call->deadline_us) {
+			metrics_add(link->unknown, 1);
+			finish_as(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
+		} else if (call->sent_to == 0 ||
+			   now_us >= call->sent_us + RESEND_MS * US_PER_MS) {
+			send_call(link, call);
+		}
+	}
+}
+
+/* --- life cycle --- */
+
+void edge_link_set_seeds(edge_link_t *link, const process_settings_t *settings)
+{
+	for (size_t i = 0; i < settings->seed_count; i++)
+		add_peer(link, settings->seeds[i]);
+}
+
+edge_link_t *edge_link_create(const edge_link_options_t *options, char *error, size_t error_size)
+{
+	const process_settings_t *settings = options->settings;
+	edge_link_t *link = g_new0(edge_link_t, 1);
+	uint64_t incarnation = 0;
+	char address[32];
+	peer_config_t config = {
+		.cluster = CLUSTER,
+		.node_id = settings->node_id,
+		.data_centre = settings->data_centre,
+		.http_address = "",
+		.listen_address = address,
+		.ping_ms = PING_MS,
+		.timeout_ms = PEER_TIMEOUT_MS,
+		.dial_back_port = settings->peer_port,
+	};
+	const peer_callbacks_t callbacks = {
+		.message = on_message, .change = on_peer_change, .arg = link};
+
+	if (getrandom(&incarnation, sizeof(incarnation), 0) != (ssize_t)sizeof(incarnation))
+		incarnation = clock_wall_ms();
+	config.incarnation = incarnation;
+	link->settings = settings;
+	link->timers = options->timers;
+	TAILQ_INIT(&link->calls);
+	link->resent = metrics_counter(options->metrics, "edge_calls_resent_total", "");
+	link->unknown = metrics_counter(options->metrics, "edge_calls_unknown_total", "");
+	link->unavailable = metrics_counter(options->metrics, "edge_calls_unavailable_total", "");
+	link->latency = metrics_histogram(options->metrics, "edge_call_latency_us", "");
+	process_address(settings->node_id, settings->peer_port, address, sizeof(address));
+	link->peers = peer_set_create(options->ev, options->ev, options->timers, &config,
+				      &callbacks);
+	if (link->peers == NULL) {
+		g_snprintf(error, error_size, "%s: %s", address, strerror(errno));
+		g_free(link);
+		return NULL;
+	}
+	edge_link_set_seeds(link, settings);
+	timer_subscribe(link->timers, &link->tick, TICK_MS * US_PER_MS, on_tick, link);
+	return link;
+}
+
+void edge_link_destroy(edge_link_t *link)
+{
+	edge_call_t *call;
+
+	timer_unsubscribe(link->timers, &link->tick);
+	while ((call = TAILQ_FIRST(&link->calls)) != NULL)
+		finish_as(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
+	peer_set_destroy(link->peers);
+	g_free(link);
+}
--- a/src/fleet_apply.c
+++ b/src/fleet_apply.c
@@ -163,6 +163,7 @@
 	case LP__COMMAND__BODY_MEMBER_UPDATE:
 		fleet_apply_member(step, command->member_update);
 		return;
+	case LP__COMMAND__BODY_BATCH: /* of another state machine */
 	case LP__COMMAND__BODY__NOT_SET:
 	case _LP__COMMAND__BODY__CASE_IS_INT_SIZE:
 		break;
--- a/src/log.c
+++ b/src/log.c
@@ -1,9 +1,11 @@
 #include "log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <jansson.h>
 
@@ -11,10 +13,17 @@
 
 #define FIELDS_MAX 16
 
+/* Lines that may be written at once after a quiet time. */
+#define BURST_LINES (2.0 * LOG_LINES_PER_S)
+
 static struct {
 	bool json;
 	bool debug;
 	unsigned node_id;
+	char name[64]; /* not empty: lines go to standard output */
+	double tokens;
+	uint64_t refilled_us;
+	uint64_t dropped;
 } options;
 
 static const char *level_name(GLogLevelFlags level)
@@ -98,6 +107,81 @@
 	return g_string_free(line, FALSE);
 }
 
+static bool take_token(GLogLevelFlags level)
+{
+	uint64_t now_us = clock_now_us();
+
+	options.tokens += (double)(now_us - options.refilled_us) * LOG_LINES_PER_S / US_PER_S;
+	options.tokens = MIN(options.tokens, BURST_LINES);
+	options.refilled_us = now_us;
+	if (options.tokens < 1 && (level & (G_LOG_LEVEL_INFO | G_LOG_LEVEL_DEBUG)))
+		return false;
+	options.tokens -= 1;
+	return true;
+}
+
+static json_t *value_of(const char *text)
+{
+	json_t *value = json_string(text);
+
+	return value != NULL ? value : json_string("(not UTF-8)");
+}
+
+static char *line_stdout(const char *when, GLogLevelFlags level, const GLogField *fields,
+			 gsize count)
+{
+	json_t *line = json_object();
+	char *text;
+
+	json_object_set_new(line, "time", json_string(when));
+	json_object_set_new(line, "level", json_string(level_name(level)));
+	json_object_set_new(line, "node", json_string(options.name));
+	json_object_set_new(line, "domain", json_string(find(fields, count, "GLIB_DOMAIN")));
+	json_object_set_new(line, "event", value_of(find(fields, count, "MESSAGE")));
+	for (gsize i = 0; i < count; i++) {
+		if (is_own(&fields[i]))
+			json_object_set_new(line, fields[i].key, value_of(fields[i].value));
+	}
+	if (options.dropped > 0)
+		json_object_set_new(line, "dropped", json_integer((json_int_t)options.dropped));
+	text = json_dumps(line, JSON_COMPACT | JSON_ENSURE_ASCII);
+	json_decref(line);
+	return text;
+}
+
+/* Standard output does not block: a reader that is slow costs lines, not time. */
+static void write_stdout(GLogLevelFlags level, const GLogField *fields, gsize count)
+{
+	char when[40];
+	g_autofree char *text = NULL;
+	size_t length;
+
+	if (!take_token(level)) {
+		options.dropped++;
+		return;
+	}
+	format_time(when, sizeof(when));
+	text = line_stdout(when, level, fields, count);
+	length = strlen(text);
+	text[length] = '\n';
+	if (write(STDOUT_FILENO, text, length + 1) == (ssize_t)(length + 1))
+		options.dropped = 0;
+	else
+		options.dropped++;
+}
+
+void log_init_stdout(const char *name)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	log_init(true, false, 0);
+	g_strlcpy(options.name, name, sizeof(options.name));
+	options.tokens = BURST_LINES;
+	options.refilled_us = clock_now_us();
+	if (flags >= 0)
+		(void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 static GLogWriterOutput write_line(GLogLevelFlags level, const GLogField *fields, gsize count,
 				   gpointer user_data)
 {
@@ -106,6 +190,10 @@
 
 	if ((level & G_LOG_LEVEL_DEBUG) && !options.debug)
 		return G_LOG_WRITER_HANDLED;
+	if (options.name[0] != '\0') {
+		write_stdout(level, fields, count);
+		return G_LOG_WRITER_HANDLED;
+	}
 	format_time(when, sizeof(when));
 	line = options.json ? line_json(when, level, fields, count) : NULL;
 	if (line == NULL)
--- a/src/log.h
+++ b/src/log.h
@@ -17,6 +17,17 @@
  */
 void log_init(bool json, bool debug, unsigned node_id);
 
+/**
+ * From now on lines are written to standard output as JSON, with the name of this machine. A line
+ * that the reader does not take at once, or that exceeds LOG_LINES_PER_S, is counted and dropped; a
+ * later line tells the number. Warnings and errors are not limited.
+ */
+void log_init_stdout(const char *name);
+
+/** Lines a second that a process may write on average. A request has up to 6 lines, and a machine
+ * takes some 50 requests a second at the peak. */
+#define LOG_LINES_PER_S 400
+
 /**
  * Logs a change of state with fields, such as
  * log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", id, "pool", pool), "VM drained").
--- a/src/peer.c
+++ b/src/peer.c
@@ -336,6 +336,16 @@
 	return peer;
 }
 
+static void dial_back(peer_set_t *set, peer_t *peer)
+{
+	uint32_t ip = peer->info.node_id;
+
+	if (peer->address != NULL || set->config.dial_back_port == 0)
+		return;
+	peer->address = talloc_asprintf(peer, "%u.%u.%u.%u:%u", ip >> 24, ip >> 16 & 255,
+					ip >> 8 & 255, ip & 255, set->config.dial_back_port);
+}
+
 static void accepted_hello(accepted_t *accepted, const Lp__Hello *hello)
 {
 	peer_set_t *set = accepted->set;
@@ -354,6 +364,7 @@
 	peer->accepted = accepted;
 	accepted->peer = peer;
 	set->pending--;
+	dial_back(set, peer);
 	send_hello(set, accepted->conn, 0);
 	if (learn(peer, hello))
 		report_change(peer);
--- a/src/peer.h
+++ b/src/peer.h
@@ -16,7 +16,7 @@
 
 struct tevent_context;
 
-#define PEER_MAX 64
+#define PEER_MAX 128
 
 typedef struct {
 	uint32_t node_id;
@@ -48,6 +48,9 @@
 	const peer_address_t *peers;
 	size_t peer_count;
 	uint32_t ping_ms;    /**< 500 */
+	/** Node ids are IPv4 addresses in host order; a peer that dials this process is dialled
+	 * back at this port. 0: only the configured peers are dialled. */
+	uint16_t dial_back_port;
 	uint32_t timeout_ms; /**< 2,000: silent for so long, the connection is replaced */
 } peer_config_t;
 
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -4235,7 +4235,7 @@
   (ProtobufCMessageInit) lp__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__envelope__field_descriptors[14] =
+static const ProtobufCFieldDescriptor lp__envelope__field_descriptors[17] =
 {
   {
     "hello",
@@ -4405,13 +4405,52 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "batch_call",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Envelope, body_case),
+    offsetof(Lp__Envelope, batch_call),
+    &lp__batch_call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch_reply",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Envelope, body_case),
+    offsetof(Lp__Envelope, batch_reply),
+    &lp__batch_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_hint",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Envelope, body_case),
+    offsetof(Lp__Envelope, leader_hint),
+    &lp__leader_hint__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__envelope__field_indices_by_name[] = {
+  14,   /* field[14] = batch_call */
+  15,   /* field[15] = batch_reply */
   7,   /* field[7] = claim_replies */
   8,   /* field[8] = claim_sync */
   9,   /* field[9] = claim_sync_reply */
   6,   /* field[6] = claims */
   0,   /* field[0] = hello */
+  16,   /* field[16] = leader_hint */
   13,   /* field[13] = load */
   1,   /* field[1] = ping */
   2,   /* field[2] = pong */
@@ -4425,7 +4464,7 @@
 static const ProtobufCIntRange lp__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor lp__envelope__descriptor =
 {
@@ -4435,7 +4474,7 @@
   "Lp__Envelope",
   "lp",
   sizeof(Lp__Envelope),
-  14,
+  17,
   lp__envelope__field_descriptors,
   lp__envelope__field_indices_by_name,
   1,  lp__envelope__number_ranges,
--- /dev/null
+++ b/src/process.c
@@ -0,0 +1,45 @@
+#include "process.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+void process_settings_finish(process_settings_t *settings)
+{
+	g_free(settings->name);
+	g_free(settings->ip);
+	g_free(settings->data_centre);
+	g_free(settings->data_dir);
+	g_free(settings->advice_address);
+	g_free(settings->platform_address);
+	*settings = (process_settings_t){0};
+}
+
+void process_address(uint32_t node_id, uint16_t port, char *out, size_t size)
+{
+	g_snprintf(out, size, "%u.%u.%u.%u:%u", node_id >> 24, node_id >> 16 & 255,
+		   node_id >> 8 & 255, node_id & 255, port);
+}
+
+int process_parse_address(const char *text, uint32_t *node_id, uint16_t *port)
+{
+	const char *colon = strrchr(text, ':');
+	g_autofree char *ip = NULL;
+	struct in_addr address;
+	char *end;
+	unsigned long number;
+
+	if (colon == NULL)
+		return -1;
+	ip = g_strndup(text, (gsize)(colon - text));
+	if (inet_pton(AF_INET, ip, &address) != 1)
+		return -1;
+	number = strtoul(colon + 1, &end, 10);
+	if (*end != '\0' || end == colon + 1 || number == 0 || number > UINT16_MAX)
+		return -1;
+	*node_id = ntohl(address.s_addr);
+	*port = (uint16_t)number;
+	return 0;
+}
--- /dev/null
+++ b/src/process.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * @file
+ * What a process of the batch service is told when it starts. Filled in by the platform's adapter.
+ * A node's id is its IPv4 address in host order.
+ */
+
+#define PROCESS_SEEDS_MAX 16
+
+typedef struct {
+	char *name; /**< of the machine */
+	char *ip;
+	uint32_t node_id;
+	char *data_centre;
+	char *data_dir;	      /**< NULL: no disk */
+	uint16_t peer_port;   /**< the same on all machines */
+	uint16_t control_port; /**< of the processes that keep the log; the same on all machines */
+	uint16_t front_port;  /**< of an edge process */
+	uint16_t ready_port;
+	uint16_t metrics_port;
+	uint32_t seeds[PROCESS_SEEDS_MAX]; /**< node ids of processes that kept the log lately */
+	size_t seed_count;
+	bool first_start; /**< the whole system starts for the first time */
+	uint32_t losses;  /**< machines with a disk that may be lost at once */
+	char *advice_address;	/**< of the service that knows the queues' policies; NULL: none */
+	char *platform_address; /**< of the platform that owns the machines; NULL: none */
+	uint32_t report_ms;	/**< time between two reports of a VM */
+	uint32_t lease_max_ms;
+	uint32_t drain_ms; /**< a VM that drains gets no new tasks after this */
+	uint32_t grace_ms; /**< from SIGTERM to SIGKILL */
+	uint32_t config_apply_ms;
+	uint32_t checkpoint_ms;
+	uint32_t holder_lease_ms;
+	uint32_t maintenance_ms;
+	uint32_t move_ms;
+	uint32_t notice_ms;
+	uint32_t contact_ms;
+} process_settings_t;
+
+void process_settings_finish(process_settings_t *settings);
+
+/** Formats IP:port of a node. */
+void process_address(uint32_t node_id, uint16_t port, char *out, size_t size);
+/** @return 0, or -1 when text is not IP:port */
+int process_parse_address(const char *text, uint32_t *node_id, uint16_t *port);
--- a/src/publish.c
+++ b/src/publish.c
@@ -188,6 +188,7 @@
 	case LP__COMMAND__BODY_WAVE_UPDATE:
 	case LP__COMMAND__BODY_JOB_SUBMIT:
 	case LP__COMMAND__BODY_JOB_UPDATE:
+	case LP__COMMAND__BODY_BATCH:
 	case LP__COMMAND__BODY__NOT_SET:
 	case _LP__COMMAND__BODY__CASE_IS_INT_SIZE:
 		break;
--- a/src/replica.c
+++ b/src/replica.c
@@ -368,6 +368,16 @@
 	return raft_has_lease(replica->raft, clock_now_us());
 }
 
+size_t replica_members(const replica_t *replica, uint32_t *nodes, size_t max)
+{
+	const raft_config_t *config = raft_config(replica->raft);
+	size_t count = MIN(config->count, max);
+
+	for (size_t i = 0; i < count; i++)
+		nodes[i] = config->members[i].id.node;
+	return count;
+}
+
 uint32_t replica_leader(const replica_t *replica)
 {
 	return raft_leader(replica->raft).node;
--- a/src/replica.h
+++ b/src/replica.h
@@ -8,6 +8,8 @@
 #include "peer.pb-c.h"
 #include "timer.h"
 
+#define REPLICA_MEMBERS_MAX 64
+
 /**
  * @file
  * The replicated log as other modules see it: propose a command, have committed commands applied.
@@ -44,6 +46,13 @@
 	uint32_t election_min_ms; /**< 800; the maximum is twice as long */
 	uint32_t lease_ms;	  /**< 600 */
 	uint32_t snapshot_every;  /**< applied entries between snapshots; 2,000 */
+	/**
+	 * 0: the nodes in voters, and only they, vote. Otherwise any node with a disk may be made a
+	 * voter, until there are so many, and a voter that is silent for replace_ms gives way to a
+	 * learner.
+	 */
+	uint32_t voter_target;
+	uint32_t replace_ms;
 	uint64_t seed;
 } replica_config_t;
 
@@ -65,6 +74,9 @@
 			  char *error, size_t error_size);
 void replica_destroy(replica_t *replica);
 
+/** Nodes of the present configuration. @return their number, at most max */
+size_t replica_members(const replica_t *replica, uint32_t *nodes, size_t max);
+
 /** Random id of this replica; founding voters have 1. */
 uint64_t replica_id(const replica_t *replica);
 
--- a/src/replica_internal.h
+++ b/src/replica_internal.h
@@ -81,6 +81,7 @@
 
 	known_peer_t known[RAFT_MEMBERS_MAX];
 	size_t known_count;
+	uint64_t lead_since_us; /* 0: does not lead */
 	uint64_t config_seen; /* index of the latest configuration compared with known */
 };
 
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -2,6 +2,8 @@
 
 #include "replica_internal.h"
 
+#include <glib.h>
+
 #include "clock.h"
 
 /* A learner this close behind the leader's last entry is caught up. */
@@ -51,9 +53,22 @@
 	}
 }
 
-/* Nodes that the settings name as voters; of these, only those with a disk are promoted. */
-static bool named_as_voter(const replica_t *replica, uint32_t node)
+static size_t count_voters(const replica_t *replica)
 {
+	const raft_config_t *config = raft_config(replica->raft);
+	size_t voters = 0;
+
+	for (size_t i = 0; i < config->count; i++)
+		voters += config->members[i].voter;
+	return voters;
+}
+
+/* Nodes that may vote: those that the settings name, or any while there are too few. Of these, only
+ * those with a disk are promoted. */
+static bool may_vote(const replica_t *replica, uint32_t node)
+{
+	if (replica->config.voter_target > 0)
+		return count_voters(replica) < replica->config.voter_target;
 	for (size_t i = 0; i < replica->config.voter_count; i++) {
 		if (replica->voters[i] == node)
 			return true;
@@ -70,13 +85,71 @@
 	       now_us < info.heard_us + replica->config.election_min_ms * US_PER_MS;
 }
 
+static bool is_silent(const replica_t *replica, raft_id_t id, uint64_t now_us)
+{
+	raft_peer_info_t info;
+
+	return !raft_id_equal(id, replica->self) &&
+	       raft_peer_info(replica->raft, id, &info) == 0 &&
+	       now_us > MAX(info.heard_us, replica->lead_since_us) +
+				replica->config.replace_ms * US_PER_MS;
+}
+
+static bool has_spare(const replica_t *replica, uint64_t now_us)
+{
+	const raft_config_t *config = raft_config(replica->raft);
+
+	for (size_t i = 0; i < config->count; i++) {
+		const raft_member_t *member = &config->members[i];
+		const known_peer_t *known = NULL;
+
+		for (size_t j = 0; j < replica->known_count; j++) {
+			if (raft_id_equal(replica->known[j].id, member->id))
+				known = &replica->known[j];
+		}
+		if (!member->voter && known != NULL && known->disk &&
+		    caught_up(replica, member->id, now_us))
+			return true;
+	}
+	return false;
+}
+
+/* Voters that stay silent give way to a learner that has caught up; learners that stay silent are
+ * dropped, so that machines that were exchanged do not fill the configuration. */
+static void remove_silent(replica_t *replica, uint64_t now_us)
+{
+	const raft_config_t *config = raft_config(replica->raft);
+
+	for (size_t i = 0; i < config->count; i++) {
+		raft_member_t member = config->members[i];
+
+		if (!is_silent(replica, member.id, now_us) ||
+		    (member.voter && !has_spare(replica, now_us)))
+			continue;
+		if (raft_change(replica->raft, RAFT_REMOVE, member.id) != 0)
+			continue;
+		for (size_t j = 0; j < replica->known_count; j++) {
+			if (raft_id_equal(replica->known[j].id, member.id))
+				replica->known[j--] = replica->known[--replica->known_count];
+		}
+		replica_schedule(replica);
+		return;
+	}
+}
+
 void replica_members_tick(replica_t *replica, uint64_t now_us)
 {
 	const raft_member_t *self;
 
 	adopt_newer_config(replica);
-	if (raft_role(replica->raft) != RAFT_LEADER)
+	if (raft_role(replica->raft) != RAFT_LEADER) {
+		replica->lead_since_us = 0;
 		return;
+	}
+	if (replica->lead_since_us == 0)
+		replica->lead_since_us = now_us;
+	if (replica->config.voter_target > 0)
+		remove_silent(replica, now_us);
 	for (size_t i = 0; i < replica->known_count; i++) {
 		const known_peer_t *known = &replica->known[i];
 		const raft_member_t *member =
@@ -84,7 +157,7 @@
 
 		if (member == NULL)
 			raft_change(replica->raft, RAFT_REPLACE, known->id);
-		else if (!member->voter && known->disk && named_as_voter(replica, known->id.node) &&
+		else if (!member->voter && known->disk && may_vote(replica, known->id.node) &&
 			 caught_up(replica, known->id, now_us))
 			raft_change(replica->raft, RAFT_PROMOTE, known->id);
 		else
@@ -93,7 +166,7 @@
 	}
 	/* Only a learner with a disk can have been elected. */
 	self = raft_config_find(raft_config(replica->raft), replica->self);
-	if (self != NULL && !self->voter && named_as_voter(replica, replica->self.node) &&
+	if (self != NULL && !self->voter && may_vote(replica, replica->self.node) &&
 	    raft_change(replica->raft, RAFT_PROMOTE, self->id) == 0)
 		replica_schedule(replica);
 }
--- a/src/serve.c
+++ b/src/serve.c
@@ -73,6 +73,9 @@
 	case LP__ENVELOPE__BODY_PONG:
 	case LP__ENVELOPE__BODY_SLOT_REQUEST:
 	case LP__ENVELOPE__BODY_SLOT_LOAN:
+	case LP__ENVELOPE__BODY_BATCH_CALL:
+	case LP__ENVELOPE__BODY_BATCH_REPLY:
+	case LP__ENVELOPE__BODY_LEADER_HINT:
 	case LP__ENVELOPE__BODY__NOT_SET:
 	case _LP__ENVELOPE__BODY__CASE_IS_INT_SIZE:
 		break;
