--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -2034,7 +2034,7 @@
   (ProtobufCMessageInit) lp__batch_task__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_start__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lp__batch_start__field_descriptors[5] =
 {
   {
     "vm",
@@ -2084,17 +2084,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "machine",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchStart, machine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_start__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = born_ms */
+  4,   /* field[4] = machine */
   3,   /* field[3] = tasks */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange lp__batch_start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lp__batch_start__descriptor =
 {
@@ -2104,7 +2117,7 @@
   "Lp__BatchStart",
   "lp",
   sizeof(Lp__BatchStart),
-  4,
+  5,
   lp__batch_start__field_descriptors,
   lp__batch_start__field_indices_by_name,
   1,  lp__batch_start__number_ranges,
@@ -2868,7 +2881,7 @@
   (ProtobufCMessageInit) lp__batch_job_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_vm_state__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lp__batch_vm_state__field_descriptors[5] =
 {
   {
     "id",
@@ -2918,17 +2931,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "machine",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchVmState, machine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_vm_state__field_indices_by_name[] = {
   2,   /* field[2] = address */
   1,   /* field[1] = born_ms */
   0,   /* field[0] = id */
+  4,   /* field[4] = machine */
   3,   /* field[3] = noted */
 };
 static const ProtobufCIntRange lp__batch_vm_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lp__batch_vm_state__descriptor =
 {
@@ -2938,7 +2964,7 @@
   "Lp__BatchVmState",
   "lp",
   sizeof(Lp__BatchVmState),
-  4,
+  5,
   lp__batch_vm_state__field_descriptors,
   lp__batch_vm_state__field_indices_by_name,
   1,  lp__batch_vm_state__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -297,10 +297,11 @@
   char *address;
   size_t n_tasks;
   Lp__BatchTask **tasks;
+  char *machine;
 };
 #define LP__BATCH_START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_start__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Lp__BatchStarts
@@ -479,10 +480,11 @@
   uint64_t born_ms;
   char *address;
   uint64_t noted;
+  char *machine;
 };
 #define LP__BATCH_VM_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_vm_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Lp__BatchWaveState
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -22,13 +22,14 @@
 /* --- VM lives --- */
 
 batch_vm_t *batch_vm_new(batch_state_t *state, const char *id, uint64_t born_ms,
-			 const char *address)
+			 const char *address, const char *machine)
 {
 	batch_vm_t *vm = g_new0(batch_vm_t, 1);
 
 	vm->id = g_strdup(id);
 	vm->born_ms = born_ms;
 	vm->address = g_strdup(address);
+	vm->machine = g_strdup(machine);
 	LIST_INIT(&vm->tasks);
 	LIST_INSERT_HEAD(&state->vms, vm, link);
 	g_hash_table_insert(state->vms_by_life, batch_vm_key(id, born_ms), vm);
@@ -45,6 +46,7 @@
 	LIST_REMOVE(vm, link);
 	g_free(vm->id);
 	g_free(vm->address);
+	g_free(vm->machine);
 	g_free(vm);
 }
 
@@ -63,14 +65,13 @@
 	}
 }
 
-static batch_vm_t *find_or_add_vm(batch_state_t *state, const char *id, uint64_t born_ms,
-				  const char *address)
+static batch_vm_t *find_or_add_vm(batch_state_t *state, const Lp__BatchStart *start)
 {
-	batch_vm_t *vm = batch_state_vm(state, id, born_ms);
+	batch_vm_t *vm = batch_state_vm(state, start->vm, start->born_ms);
 
 	if (vm != NULL)
 		return vm;
-	vm = batch_vm_new(state, id, born_ms, address);
+	vm = batch_vm_new(state, start->vm, start->born_ms, start->address, start->machine);
 	drop_earlier_lives(state, vm);
 	return vm;
 }
@@ -320,8 +321,7 @@
 {
 	for (size_t i = 0; i < starts->n_starts; i++) {
 		const Lp__BatchStart *start = starts->starts[i];
-		batch_vm_t *vm =
-			find_or_add_vm(state, start->vm, start->born_ms, start->address);
+		batch_vm_t *vm = find_or_add_vm(state, start);
 
 		for (size_t j = 0; j < start->n_tasks; j++) {
 			batch_task_t *task = batch_state_task(state, start->tasks[j]);
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -313,6 +313,7 @@
 			start->vm = planned->vm->id;
 			start->born_ms = planned->vm->born_ms;
 			start->address = planned->vm->address;
+			start->machine = planned->vm->machine;
 			start->tasks = &refs[i];
 			list[message.n_starts++] = start;
 		}
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -15,7 +15,7 @@
 void batch_state_remove(batch_state_t *state, struct batch_job_list *list, batch_job_t *job);
 
 batch_vm_t *batch_vm_new(batch_state_t *state, const char *id, uint64_t born_ms,
-			 const char *address);
+			 const char *address, const char *machine);
 void batch_vm_free(batch_state_t *state, batch_vm_t *vm);
 /** @return key of a VM's life in the state, to be freed with g_free() */
 char *batch_vm_key(const char *id, uint64_t born_ms);
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -169,6 +169,14 @@
 	leader_lose_all(vm, reason);
 }
 
+static void replace_text(char **field, const char *value)
+{
+	if (value == NULL || strcmp(*field, value) == 0)
+		return;
+	g_free(*field);
+	*field = g_strdup(value);
+}
+
 leader_vm_t *leader_vm_from_life(batch_leader_t *leader, batch_vm_t *life)
 {
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, life->id);
@@ -182,20 +190,13 @@
 		return added;
 	}
 	added = new_vm(leader, life->id, life->born_ms, life->address);
+	replace_text(&added->machine, life->machine);
 	/* An earlier leader may have sent grants that are still on their way. */
 	added->lease_end_us = leader->active_us + leader->config.late_order_ms * US_PER_MS +
 			      lease_true_us(leader);
 	return added;
 }
 
-static void replace_text(char **field, const char *value)
-{
-	if (value == NULL || strcmp(*field, value) == 0)
-		return;
-	g_free(*field);
-	*field = g_strdup(value);
-}
-
 static void take_report(leader_vm_t *vm, const vm_report_t *report, uint64_t now_us)
 {
 	replace_text(&vm->machine, report->machine);
@@ -286,6 +287,7 @@
 	if (is_new) {
 		end_predecessors(leader, vm);
 		leader_upkeep_returned(leader, vm);
+		leader_upkeep_cordon(leader, vm);
 	}
 	vm->left_us = 0;
 	leader->place_due = true;
@@ -359,7 +361,7 @@
 			g_strlcpy(task->soft.saved, saved, sizeof(task->soft.saved));
 		}
 		/* Pacing of an earlier leader is not known; it is ordered anew where needed. */
-		leader_vm_from_life(leader, life);
+		leader_upkeep_cordon(leader, leader_vm_from_life(leader, life));
 	}
 }
 
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -173,6 +173,8 @@
 void leader_upkeep_tick(batch_leader_t *leader, uint64_t now_us);
 /** A VM of the machine has reported: its maintenance is over. */
 void leader_upkeep_returned(batch_leader_t *leader, const leader_vm_t *vm);
+/** Keeps tasks off a VM whose machine an earlier leader was about to maintain. */
+void leader_upkeep_cordon(batch_leader_t *leader, leader_vm_t *vm);
 /** Slows best-effort tasks down where tasks beside them miss their goal. */
 void leader_pace_tick(leader_vm_t *vm, uint64_t now_us);
 /** Moves long-running tasks off VMs that leave. */
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -81,6 +81,7 @@
 		out->id = vm->id;
 		out->born_ms = vm->born_ms;
 		out->address = vm->address;
+		out->machine = vm->machine;
 		out->noted = vm->noted;
 		snapshot->vms[snapshot->n_vms++] = out;
 	}
@@ -232,8 +233,8 @@
 		state->config = batch_message_copy(&snapshot->config->base);
 	for (size_t i = 0; i < snapshot->n_vms; i++) {
 		const Lp__BatchVmState *message = snapshot->vms[i];
-		batch_vm_t *vm =
-			batch_vm_new(state, message->id, message->born_ms, message->address);
+		batch_vm_t *vm = batch_vm_new(state, message->id, message->born_ms,
+					      message->address, message->machine);
 
 		vm->noted = message->noted;
 		g_ptr_array_add(vms, vm);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -43,6 +43,7 @@
 	char *id;
 	uint64_t born_ms;
 	char *address;
+	char *machine;	/**< "": not told */
 	uint64_t noted; /**< ends up to this number are recorded */
 	LIST_HEAD(batch_vm_tasks, batch_task) tasks;
 	unsigned task_count;
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -303,6 +303,21 @@
 	}
 }
 
+void leader_upkeep_cordon(batch_leader_t *leader, leader_vm_t *vm)
+{
+	const batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &leader->state->waves, link) {
+		for (size_t i = 0; i < wave->machine_count; i++) {
+			if (wave->machines[i].state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
+			    !vm->cordoned && strcmp(wave->machines[i].machine, vm->machine) == 0) {
+				vm->cordoned = true;
+				vm->cordoned_us = leader_now_us(leader);
+			}
+		}
+	}
+}
+
 static bool vm_is_empty(leader_vm_t *vm)
 {
 	const batch_vm_t *life = leader_vm_life(vm);
@@ -316,7 +331,7 @@
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
 
 	if (vm == NULL)
-		return now_us > leader->active_us + leader->config.holder_lease_ms * US_PER_MS;
+		return true;
 	if (!vm->cordoned) {
 		vm->cordoned = true;
 		vm->cordoned_us = now_us;
@@ -379,9 +394,10 @@
 			continue;
 		open++;
 		expire_open(leader, wave, machine);
-		/* Sent by an earlier leader, or without an answer: the same order again. */
+		/* Recorded by an earlier leader, or sent without an answer: the same order again,
+		 * once what was started there meanwhile has ended. */
 		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
-		    !leader->order_busy)
+		    !leader->order_busy && prepare_machine(leader, machine->machine, now_us))
 			send_order(leader, wave->wave, machine->machine);
 	}
 	if (open < wave->max_down)
