--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -190,6 +190,27 @@
 	       spec->cpu_milli >= pool->full_cpu && spec->mem_mib >= pool->full_mem;
 }
 
+/* One line for each step: which task goes to which VM, and what was left waiting. */
+static void log_placed(const pass_t *pass, const batch_step_t *step, size_t placed, size_t want)
+{
+	g_autoptr(GString) tasks = g_string_new(NULL);
+	char name[32];
+	char left[16];
+
+	for (size_t i = pass->planned->len - placed; i < pass->planned->len; i++) {
+		const planned_t *planned = &g_array_index(pass->planned, planned_t, i);
+
+		g_string_append_printf(tasks, "%s%u/%u@%s", tasks->len > 0 ? " " : "",
+				       planned->task->index, planned->run, planned->vm->id);
+	}
+	g_snprintf(name, sizeof(name), "%u.%u", step->occurrence, step->number);
+	g_snprintf(left, sizeof(left), "%zu", want - placed);
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", step->job->spec->id, "step", name, "tasks", tasks->str,
+			     "left", left),
+		  "tasks are placed");
+}
+
 static void place_candidate(pass_t *pass, const batch_candidate_t *candidate)
 {
 	batch_step_t *step = candidate->step;
@@ -219,6 +240,8 @@
 	}
 	for (size_t i = 0; i < placed; i++)
 		plan_task(pass, tasks[i], g_ptr_array_index(pool->vms, chosen[i]));
+	if (placed > 0)
+		log_placed(pass, step, placed, want);
 }
 
 /* --- recording the intents --- */
@@ -361,17 +384,6 @@
 		leader->mean_slowness = sum / count;
 }
 
-static void log_pass(const pass_t *pass, guint candidates)
-{
-	char placed[16];
-	char waiting[16];
-
-	g_snprintf(placed, sizeof(placed), "%u", pass->planned->len);
-	g_snprintf(waiting, sizeof(waiting), "%u", candidates);
-	log_event(G_LOG_LEVEL_DEBUG, LOG_FIELDS("tasks", placed, "steps", waiting),
-		  "tasks placed");
-}
-
 void leader_place(batch_leader_t *leader, uint64_t now_us)
 {
 	pass_t pass = {
@@ -395,7 +407,6 @@
 		place_candidate(&pass, &g_array_index(candidates, batch_candidate_t, i));
 	if (pass.planned->len > 0) {
 		g_array_sort(pass.planned, compare_planned);
-		log_pass(&pass, candidates->len);
 		propose_intents(&pass);
 	}
 	g_array_unref(pass.planned);
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -364,6 +364,7 @@
 	vm->confirmed = true;
 	vm->suspect = false;
 	vm->suspect_us = 0;
+	vm->answered_us = now_us;
 	vm->noted_told = MAX(vm->noted_told, hold->noted);
 	vm->hold_due_us = now_us + HOLD_GAP_US;
 	vm->orphans = match_running(vm, life, reply, listed, now_us);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -47,6 +47,7 @@
 	bool suspect;	  /**< the latest hold had no answer */
 	uint64_t hold_due_us;
 	uint64_t suspect_us;	/**< since when */
+	uint64_t answered_us;	/**< latest answer to a hold; 0: none */
 	uint64_t lease_end_us;	/**< nothing runs there later without another grant */
 	uint64_t noted_told;	/**< highest number of a recorded end that it was told */
 	uint64_t noted_unlogged; /**< ends of a life that the log does not know */
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -83,7 +83,21 @@
 
 /* --- evacuation --- */
 
-/* Tasks of the step that are away: not at work for any cause, or until notice_ms ago. */
+/* Holds wait a second for an end; what is known of a task is older only when its VM is silent. */
+#define KNOWN_US (1500 * US_PER_MS)
+
+static bool is_at_work(const batch_task_t *task, uint64_t now_us, uint64_t notice_us)
+{
+	const run_soft_t *soft = &task->soft;
+	const leader_vm_t *vm = task->vm != NULL ? task->vm->leader : NULL;
+
+	if (vm == NULL || vm->suspect || now_us > vm->answered_us + KNOWN_US)
+		return false;
+	return !soft->evacuate && soft->phase == RUN_CONFIRMED && soft->percent >= 100 &&
+	       now_us >= soft->full_us + notice_us;
+}
+
+/* Tasks of the step that are away: not known to be at work, or only since less than notice_ms. */
 static uint32_t unavailable(const batch_leader_t *leader, const batch_step_t *step,
 			    uint64_t now_us)
 {
@@ -91,10 +105,7 @@
 	uint32_t away = 0;
 
 	for (uint32_t i = 0; i < step->spec->count; i++) {
-		const run_soft_t *soft = &step->tasks[i].soft;
-
-		if (step->tasks[i].vm == NULL || soft->evacuate || soft->phase != RUN_CONFIRMED ||
-		    soft->percent < 100 || now_us < soft->full_us + notice_us)
+		if (!is_at_work(&step->tasks[i], now_us, notice_us))
 			away++;
 	}
 	return away;
@@ -123,6 +134,21 @@
 	return now_us > vm->cordoned_us + CORDON_WAIT_US;
 }
 
+static void log_move(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
+{
+	char name[64];
+	char away[16];
+
+	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
+		   task->step->number, task->index, task->run);
+	g_snprintf(away, sizeof(away), "%u", unavailable(vm->leader, task->step, now_us));
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", vm->id,
+			     "away", away, "reason",
+			     vm->draining ? "the VM drains" : "maintenance"),
+		  "moves a task to another VM");
+}
+
 void leader_evacuate_tick(leader_vm_t *vm, uint64_t now_us)
 {
 	const batch_vm_t *life = leader_vm_life(vm);
@@ -133,10 +159,7 @@
 	LIST_FOREACH (task, &life->tasks, vm_link) {
 		if (!must_move(vm, task, now_us) || !may_evacuate(vm, task, now_us))
 			continue;
-		log_event(G_LOG_LEVEL_INFO,
-			  LOG_FIELDS("request", task->step->job->spec->id, "vm", vm->id, "reason",
-				     vm->draining ? "the VM drains" : "maintenance"),
-			  "moves a task to another VM");
+		log_move(vm, task, now_us);
 		task->soft.evacuate = true;
 	}
 }
