batch_capacity: move idle machines to where the demand is

Ruled out: order of placement alone cannot help, the pool is full. Change: machines that run nothing follow the demand, and are switched off when no queue needs them; tasks are packed so that whole machines stay empty.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -3035,7 +3035,7 @@
   (ProtobufCMessageInit) lp__batch_wave_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[6] =
 {
   {
     "config",
@@ -3097,10 +3097,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "moves",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__BatchSnapshot, n_moves),
+    offsetof(Lp__BatchSnapshot, moves),
+    &lp__batch_order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = config */
   2,   /* field[2] = jobs */
+  5,   /* field[5] = moves */
   1,   /* field[1] = next_seq */
   3,   /* field[3] = vms */
   4,   /* field[4] = waves */
@@ -3108,7 +3121,7 @@
 static const ProtobufCIntRange lp__batch_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lp__batch_snapshot__descriptor =
 {
@@ -3118,7 +3131,7 @@
   "Lp__BatchSnapshot",
   "lp",
   sizeof(Lp__BatchSnapshot),
-  5,
+  6,
   lp__batch_snapshot__field_descriptors,
   lp__batch_snapshot__field_indices_by_name,
   1,  lp__batch_snapshot__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -511,10 +511,12 @@
   Lp__BatchVmState **vms;
   size_t n_waves;
   Lp__BatchWaveState **waves;
+  size_t n_moves;
+  Lp__BatchOrder **moves;
 };
 #define LP__BATCH_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_snapshot__descriptor) \
-    , NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Lp__BatchCall
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -380,10 +380,39 @@
 		batch_wave_new(state, message, wall_ms);
 }
 
+void batch_move_set(batch_state_t *state, const char *machine, const char *pool)
+{
+	batch_move_t *move;
+
+	LIST_FOREACH (move, &state->moves, link) {
+		if (strcmp(move->machine, machine) == 0)
+			break;
+	}
+	if (move != NULL) {
+		LIST_REMOVE(move, link);
+		g_free(move->machine);
+		g_free(move->pool);
+		g_free(move);
+	}
+	if (pool == NULL)
+		return;
+	move = g_new0(batch_move_t, 1);
+	move->machine = g_strdup(machine);
+	move->pool = g_strdup(pool);
+	LIST_INSERT_HEAD(&state->moves, move, link);
+}
+
 static void apply_order(batch_state_t *state, uint64_t wall_ms, const Lp__BatchOrder *order)
 {
 	batch_wave_t *wave = batch_state_wave(state, order->wave);
 
+	if (order->pool[0] != '\0') {
+		bool open = order->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT;
+
+		batch_move_set(state, order->machine, open ? order->pool : NULL);
+		return;
+	}
+
 	for (size_t i = 0; wave != NULL && i < wave->machine_count; i++) {
 		batch_wave_machine_t *machine = &wave->machines[i];
 
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -284,6 +284,7 @@
 	if (vm == NULL)
 		vm = add_reported(leader, report);
 	take_report(vm, report, now_us);
+	leader_machine_reported(leader, vm);
 	if (is_new) {
 		end_predecessors(leader, vm);
 		leader_upkeep_returned(leader, vm);
@@ -335,6 +336,9 @@
 	leader->mean_slowness = 1.0;
 	leader->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	LIST_INIT(&leader->vms);
+	leader->machines =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, leader_machine_free);
+	leader->need_before = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	count_init(leader);
 	return leader;
 }
@@ -343,6 +347,8 @@
 {
 	batch_leader_deactivate(leader);
 	g_hash_table_destroy(leader->by_id);
+	g_hash_table_destroy(leader->machines);
+	g_hash_table_destroy(leader->need_before);
 	g_free(leader);
 }
 
@@ -376,6 +382,9 @@
 	leader->active_us = leader_now_us(leader);
 	leader->place_due = true;
 	leader->list_busy = false;
+	leader->list_known = false;
+	leader->list_read_us = 0;
+	leader->order_seq = 0;
 	leader->order_busy = false;
 	inherit_runs(leader);
 	g_snprintf(text, sizeof(text), "%" PRIu64, term);
@@ -392,6 +401,8 @@
 	leader_unplan_all(leader);
 	while ((vm = LIST_FIRST(&leader->vms)) != NULL)
 		free_vm(vm);
+	g_hash_table_remove_all(leader->machines);
+	g_hash_table_remove_all(leader->need_before);
 }
 
 bool batch_leader_active(const batch_leader_t *leader)
@@ -457,6 +468,7 @@
 		tick_vm(vm, now_us);
 		vm = next;
 	}
+	leader_machines_tick(leader, now_us);
 	leader_upkeep_tick(leader, now_us);
 	leader_place(leader, now_us);
 }
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -31,6 +31,7 @@
 	uint32_t checkpoint_ms;	   /**< work between two checkpoints of a task */
 	uint32_t holder_lease_ms;  /**< orders of two leaders to one machine are so far apart */
 	uint32_t maintenance_ms;   /**< a machine is down so long for maintenance */
+	uint32_t move_ms;		/**< a machine is down so long for a move */
 	uint32_t notice_ms; /**< a task that was away counts as unavailable for so long */
 	const char *name;	   /**< of this process, as holder of machines */
 } batch_leader_config_t;
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -68,6 +68,19 @@
 	uint64_t quarantine_until_us;
 } leader_vm_t;
 
+/** A machine of the platform. */
+typedef struct {
+	char *name;
+	char *pool; /**< service that it belongs to */
+	double cores;
+	bool up;
+	bool busy; /**< an order is being recorded or carried out */
+	uint64_t retry_us;
+	unsigned refusals;
+	uint64_t coming_until_us; /**< it was moved and is to report by then; 0: it was not */
+	uint64_t idle_us;	  /**< since when it runs nothing; 0: it runs something */
+} leader_machine_t;
+
 struct batch_leader {
 	batch_leader_config_t config;
 	batch_state_t *state;
@@ -90,7 +103,12 @@
 	double mean_slowness;
 
 	bool list_busy; /**< the platform's list is being read */
-	uint64_t list_due_us;
+	bool list_known;      /**< it was read whole since this process leads */
+	uint64_t list_read_us;
+	uint64_t capacity_due_us;
+	uint64_t order_seq;	  /**< orders to the platform in this term */
+	GHashTable *machines;	  /**< name -> leader_machine_t */
+	GHashTable *need_before;  /**< pool -> double: smoothed need, in cores */
 	bool order_busy; /**< an order to the platform is on its way or being recorded */
 	uint64_t order_due_us;
 	struct {
@@ -180,3 +198,15 @@
 void leader_pace_tick(leader_vm_t *vm, uint64_t now_us);
 /** Moves long-running tasks off VMs that leave. */
 void leader_evacuate_tick(leader_vm_t *vm, uint64_t now_us);
+
+/* batch_machines.c */
+leader_machine_t *leader_machine(const batch_leader_t *leader, const char *name);
+void leader_machine_free(void *data);
+/** A VM of the machine has reported. */
+void leader_machine_reported(batch_leader_t *leader, const leader_vm_t *vm);
+/** Reads the platform's list, and moves machines to where the demand is. */
+void leader_machines_tick(batch_leader_t *leader, uint64_t now_us);
+/** Fencing token of the next order to the platform. */
+uint64_t leader_next_fence(batch_leader_t *leader);
+/** True while the machine's maintenance was ordered and is not over. */
+bool leader_in_maintenance(const batch_leader_t *leader, const char *machine);
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -531,6 +531,7 @@
 				.checkpoint_ms = settings->checkpoint_ms,
 				.holder_lease_ms = settings->holder_lease_ms,
 				.maintenance_ms = settings->maintenance_ms,
+				.move_ms = settings->move_ms,
 				.notice_ms = settings->notice_ms,
 				.name = settings->name,
 			},
--- a/src/batch_place.c
+++ b/src/batch_place.c
@@ -11,8 +11,9 @@
 #define COST_MIXED 3.0
 /* A VM that takes twice the declared time is used when the others are full. */
 #define COST_SLOWNESS 2.0
-/* Long-running tasks are spread, so that the loss of a VM takes down few of them. */
-#define COST_LONG_RUNNING 0.25
+/* Tasks are packed: a machine that runs nothing can follow the demand to another pool, or be
+ * switched off. */
+#define COST_EMPTY 0.5
 
 bool place_fits(const place_vm_t *vm, const Lp__BatchStep *step)
 {
@@ -43,7 +44,7 @@
 {
 	double total = vm->cpu_total > 0 ? (double)vm->cpu_total : 1.0;
 	double used = 1.0 - (double)vm->cpu_milli / total;
-	double sum = used + COST_SLOWNESS * (vm->slowness - 1.0);
+	double sum = COST_SLOWNESS * (vm->slowness - 1.0) - used;
 
 	if (step->data_rack[0] != '\0' && strcmp(vm->rack, step->data_rack) != 0)
 		sum += COST_WRONG_RACK;
@@ -53,8 +54,8 @@
 		sum += vm->serving > 0 ? COST_MIXED : 0.1 * vm->filling;
 	else if (step->tail_goal_ms > 0)
 		sum += vm->filling > 0 ? COST_MIXED : 0.0;
-	if (step->long_running)
-		sum += COST_LONG_RUNNING * (vm->long_running + vm->same_step);
+	if (step->long_running && vm->long_running == 0)
+		sum += COST_EMPTY;
 	return sum;
 }
 
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -123,6 +123,24 @@
 		snapshot->waves[snapshot->n_waves++] = save_wave(mem, wave);
 }
 
+static void save_moves(void *mem, const batch_state_t *state, Lp__BatchSnapshot *snapshot)
+{
+	const batch_move_t *move;
+	size_t count = 0;
+
+	LIST_FOREACH (move, &state->moves, link)
+		count++;
+	snapshot->moves = talloc_array(mem, Lp__BatchOrder *, count);
+	LIST_FOREACH (move, &state->moves, link) {
+		Lp__BatchOrder *out = talloc(mem, Lp__BatchOrder);
+
+		lp__batch_order__init(out);
+		out->machine = move->machine;
+		out->pool = move->pool;
+		snapshot->moves[snapshot->n_moves++] = out;
+	}
+}
+
 uint8_t *batch_state_save(const batch_state_t *state, size_t *length)
 {
 	void *mem = talloc_new(NULL);
@@ -134,6 +152,7 @@
 	save_vms(mem, state, &snapshot);
 	save_jobs(mem, state, &snapshot);
 	save_waves(mem, state, &snapshot);
+	save_moves(mem, state, &snapshot);
 	packed = malloc(lp__batch_snapshot__get_packed_size(&snapshot) + 1);
 	if (packed == NULL)
 		g_error("out of memory while saving a snapshot");
@@ -247,6 +266,8 @@
 		if (load_wave(state, snapshot->waves[i]) != 0)
 			return -1;
 	}
+	for (size_t i = 0; i < snapshot->n_moves; i++)
+		batch_move_set(state, snapshot->moves[i]->machine, snapshot->moves[i]->pool);
 	return 0;
 }
 
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -16,6 +16,7 @@
 	TAILQ_INIT(&state->ended);
 	LIST_INIT(&state->vms);
 	LIST_INIT(&state->waves);
+	LIST_INIT(&state->moves);
 }
 
 static void free_jobs(struct batch_job_list *list)
@@ -39,6 +40,8 @@
 		batch_vm_free(state, vm);
 	while ((wave = LIST_FIRST(&state->waves)) != NULL)
 		batch_wave_free(wave);
+	while (!LIST_EMPTY(&state->moves))
+		batch_move_set(state, LIST_FIRST(&state->moves)->machine, NULL);
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
 	g_hash_table_destroy(state->vms_by_life);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -144,6 +144,13 @@
 	size_t machine_count;
 } batch_wave_t;
 
+/** A move of a machine to another pool that was recorded and has no outcome yet. */
+typedef struct batch_move {
+	LIST_ENTRY(batch_move) link;
+	char *machine;
+	char *pool;
+} batch_move_t;
+
 TAILQ_HEAD(batch_job_list, batch_job);
 
 typedef struct {
@@ -157,6 +164,7 @@
 	GHashTable *vms_by_life; /**< id and birth -> batch_vm_t */
 	uint64_t vms_revision;	 /**< counts VM lives that came or went */
 	LIST_HEAD(batch_waves, batch_wave) waves;
+	LIST_HEAD(batch_moves, batch_move) moves;
 	uint64_t revision; /**< counts changes */
 } batch_state_t;
 
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -263,7 +263,7 @@
 		.machine = machine,
 		.wave = wave,
 		.holder = leader->config.name,
-		.fence = leader->term,
+		.fence = leader_next_fence(leader),
 	};
 
 	leader->order_busy = true;
@@ -295,6 +295,20 @@
 	       state == LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE;
 }
 
+bool leader_in_maintenance(const batch_leader_t *leader, const char *machine)
+{
+	const batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &leader->state->waves, link) {
+		for (size_t i = 0; i < wave->machine_count; i++) {
+			if (order_is_open(wave->machines[i].state) &&
+			    strcmp(wave->machines[i].machine, machine) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
 bool batch_wave_complete(const batch_wave_t *wave)
 {
 	for (size_t i = 0; i < wave->machine_count; i++) {
@@ -352,7 +366,10 @@
 static bool prepare_machine(batch_leader_t *leader, const char *machine, uint64_t now_us)
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
+	const leader_machine_t *known = leader_machine(leader, machine);
 
+	if (known != NULL && (known->busy || now_us < known->coming_until_us))
+		return false;
 	if (vm == NULL)
 		return true;
 	if (!vm->cordoned) {
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -125,6 +125,7 @@
 	char machine[VM_NAME_MAX];
 	char pool[VM_NAME_MAX];
 	char vm[VM_NAME_MAX]; /**< "": none */
+	uint32_t cpu_milli;
 	bool up;
 	bool down;
 } machine_info_t;
