--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -952,6 +952,51 @@
   assert(message->base.descriptor == &lp__batch_wave_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__batch_ordered__init
+                     (Lp__BatchOrdered         *message)
+{
+  static const Lp__BatchOrdered init_value = LP__BATCH_ORDERED__INIT;
+  *message = init_value;
+}
+size_t lp__batch_ordered__get_packed_size
+                     (const Lp__BatchOrdered *message)
+{
+  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__batch_ordered__pack
+                     (const Lp__BatchOrdered *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__batch_ordered__pack_to_buffer
+                     (const Lp__BatchOrdered *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__BatchOrdered *
+       lp__batch_ordered__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__BatchOrdered *)
+     protobuf_c_message_unpack (&lp__batch_ordered__descriptor,
+                                allocator, len, data);
+}
+void   lp__batch_ordered__free_unpacked
+                     (Lp__BatchOrdered *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lp__batch_snapshot__init
                      (Lp__BatchSnapshot         *message)
 {
@@ -1132,6 +1177,96 @@
   assert(message->base.descriptor == &lp__leader_hint__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__vm_report_copy__init
+                     (Lp__VmReportCopy         *message)
+{
+  static const Lp__VmReportCopy init_value = LP__VM_REPORT_COPY__INIT;
+  *message = init_value;
+}
+size_t lp__vm_report_copy__get_packed_size
+                     (const Lp__VmReportCopy *message)
+{
+  assert(message->base.descriptor == &lp__vm_report_copy__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__vm_report_copy__pack
+                     (const Lp__VmReportCopy *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__vm_report_copy__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__vm_report_copy__pack_to_buffer
+                     (const Lp__VmReportCopy *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__vm_report_copy__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__VmReportCopy *
+       lp__vm_report_copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__VmReportCopy *)
+     protobuf_c_message_unpack (&lp__vm_report_copy__descriptor,
+                                allocator, len, data);
+}
+void   lp__vm_report_copy__free_unpacked
+                     (Lp__VmReportCopy *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__vm_report_copy__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lp__vm_report_copies__init
+                     (Lp__VmReportCopies         *message)
+{
+  static const Lp__VmReportCopies init_value = LP__VM_REPORT_COPIES__INIT;
+  *message = init_value;
+}
+size_t lp__vm_report_copies__get_packed_size
+                     (const Lp__VmReportCopies *message)
+{
+  assert(message->base.descriptor == &lp__vm_report_copies__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__vm_report_copies__pack
+                     (const Lp__VmReportCopies *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__vm_report_copies__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__vm_report_copies__pack_to_buffer
+                     (const Lp__VmReportCopies *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__vm_report_copies__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__VmReportCopies *
+       lp__vm_report_copies__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__VmReportCopies *)
+     protobuf_c_message_unpack (&lp__vm_report_copies__descriptor,
+                                allocator, len, data);
+}
+void   lp__vm_report_copies__free_unpacked
+                     (Lp__VmReportCopies *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__vm_report_copies__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor lp__batch_step__field_descriptors[18] =
 {
   {
@@ -3035,7 +3170,58 @@
   (ProtobufCMessageInit) lp__batch_wave_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lp__batch_ordered__field_descriptors[2] =
+{
+  {
+    "machine",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchOrdered, machine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchOrdered, wall_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__batch_ordered__field_indices_by_name[] = {
+  0,   /* field[0] = machine */
+  1,   /* field[1] = wall_ms */
+};
+static const ProtobufCIntRange lp__batch_ordered__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lp__batch_ordered__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.BatchOrdered",
+  "BatchOrdered",
+  "Lp__BatchOrdered",
+  "lp",
+  sizeof(Lp__BatchOrdered),
+  2,
+  lp__batch_ordered__field_descriptors,
+  lp__batch_ordered__field_indices_by_name,
+  1,  lp__batch_ordered__number_ranges,
+  (ProtobufCMessageInit) lp__batch_ordered__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[7] =
 {
   {
     "config",
@@ -3109,19 +3295,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ordered",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__BatchSnapshot, n_ordered),
+    offsetof(Lp__BatchSnapshot, ordered),
+    &lp__batch_ordered__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = config */
   2,   /* field[2] = jobs */
   5,   /* field[5] = moves */
   1,   /* field[1] = next_seq */
+  6,   /* field[6] = ordered */
   3,   /* field[3] = vms */
   4,   /* field[4] = waves */
 };
 static const ProtobufCIntRange lp__batch_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lp__batch_snapshot__descriptor =
 {
@@ -3131,7 +3330,7 @@
   "Lp__BatchSnapshot",
   "lp",
   sizeof(Lp__BatchSnapshot),
-  6,
+  7,
   lp__batch_snapshot__field_descriptors,
   lp__batch_snapshot__field_indices_by_name,
   1,  lp__batch_snapshot__number_ranges,
@@ -3408,6 +3607,290 @@
   (ProtobufCMessageInit) lp__leader_hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lp__vm_report_copy__field_descriptors[16] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "machine",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, machine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rack",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, rack),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lp__VmReportCopy, n_labels),
+    offsetof(Lp__VmReportCopy, labels),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_milli",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mem_mib",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, mem_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gpu",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, gpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "warmup_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, warmup_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopy, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__vm_report_copy__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  13,   /* field[13] = born_ms */
+  14,   /* field[14] = clock_ms */
+  7,   /* field[7] = cpu_milli */
+  4,   /* field[4] = data_centre */
+  10,   /* field[10] = draining */
+  9,   /* field[9] = gpu */
+  0,   /* field[0] = id */
+  6,   /* field[6] = labels */
+  1,   /* field[1] = machine */
+  8,   /* field[8] = mem_mib */
+  5,   /* field[5] = rack */
+  11,   /* field[11] = remaining_ms */
+  15,   /* field[15] = seq */
+  2,   /* field[2] = service */
+  12,   /* field[12] = warmup_ms */
+};
+static const ProtobufCIntRange lp__vm_report_copy__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor lp__vm_report_copy__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.VmReportCopy",
+  "VmReportCopy",
+  "Lp__VmReportCopy",
+  "lp",
+  sizeof(Lp__VmReportCopy),
+  16,
+  lp__vm_report_copy__field_descriptors,
+  lp__vm_report_copy__field_indices_by_name,
+  1,  lp__vm_report_copy__number_ranges,
+  (ProtobufCMessageInit) lp__vm_report_copy__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__vm_report_copies__field_descriptors[2] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmReportCopies, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reports",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__VmReportCopies, n_reports),
+    offsetof(Lp__VmReportCopies, reports),
+    &lp__vm_report_copy__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__vm_report_copies__field_indices_by_name[] = {
+  1,   /* field[1] = reports */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange lp__vm_report_copies__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lp__vm_report_copies__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.VmReportCopies",
+  "VmReportCopies",
+  "Lp__VmReportCopies",
+  "lp",
+  sizeof(Lp__VmReportCopies),
+  2,
+  lp__vm_report_copies__field_descriptors,
+  lp__vm_report_copies__field_indices_by_name,
+  1,  lp__vm_report_copies__number_ranges,
+  (ProtobufCMessageInit) lp__vm_report_copies__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue lp__batch_end_kind__enum_values_by_number[6] =
 {
   { "BATCH_END_DONE", "LP__BATCH_END_KIND__BATCH_END_DONE", 0 },
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -36,10 +36,13 @@
 typedef struct Lp__BatchJobState Lp__BatchJobState;
 typedef struct Lp__BatchVmState Lp__BatchVmState;
 typedef struct Lp__BatchWaveState Lp__BatchWaveState;
+typedef struct Lp__BatchOrdered Lp__BatchOrdered;
 typedef struct Lp__BatchSnapshot Lp__BatchSnapshot;
 typedef struct Lp__BatchCall Lp__BatchCall;
 typedef struct Lp__BatchReply Lp__BatchReply;
 typedef struct Lp__LeaderHint Lp__LeaderHint;
+typedef struct Lp__VmReportCopy Lp__VmReportCopy;
+typedef struct Lp__VmReportCopies Lp__VmReportCopies;
 
 
 /* --- enums --- */
@@ -500,6 +503,17 @@
     , NULL, 0, 0,NULL }
 
 
+struct  Lp__BatchOrdered
+{
+  ProtobufCMessage base;
+  char *machine;
+  uint64_t wall_ms;
+};
+#define LP__BATCH_ORDERED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__batch_ordered__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Lp__BatchSnapshot
 {
   ProtobufCMessage base;
@@ -513,10 +527,12 @@
   Lp__BatchWaveState **waves;
   size_t n_moves;
   Lp__BatchOrder **moves;
+  size_t n_ordered;
+  Lp__BatchOrdered **ordered;
 };
 #define LP__BATCH_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_snapshot__descriptor) \
-    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Lp__BatchCall
@@ -574,6 +590,48 @@
     , 0, 0, 0, 0,NULL }
 
 
+/*
+ * A VM's report, as the leader passes it on to the other members of the log, so that a new leader
+ * knows the fleet at once.
+ */
+struct  Lp__VmReportCopy
+{
+  ProtobufCMessage base;
+  char *id;
+  char *machine;
+  char *service;
+  char *address;
+  char *data_centre;
+  char *rack;
+  size_t n_labels;
+  char **labels;
+  uint32_t cpu_milli;
+  uint32_t mem_mib;
+  uint32_t gpu;
+  protobuf_c_boolean draining;
+  uint64_t remaining_ms;
+  uint64_t warmup_ms;
+  uint64_t born_ms;
+  uint64_t clock_ms;
+  uint64_t seq;
+};
+#define LP__VM_REPORT_COPY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__vm_report_copy__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Lp__VmReportCopies
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  size_t n_reports;
+  Lp__VmReportCopy **reports;
+};
+#define LP__VM_REPORT_COPIES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__vm_report_copies__descriptor) \
+    , 0, 0,NULL }
+
+
 /* Lp__BatchStep methods */
 void   lp__batch_step__init
                      (Lp__BatchStep         *message);
@@ -973,6 +1031,25 @@
 void   lp__batch_wave_state__free_unpacked
                      (Lp__BatchWaveState *message,
                       ProtobufCAllocator *allocator);
+/* Lp__BatchOrdered methods */
+void   lp__batch_ordered__init
+                     (Lp__BatchOrdered         *message);
+size_t lp__batch_ordered__get_packed_size
+                     (const Lp__BatchOrdered   *message);
+size_t lp__batch_ordered__pack
+                     (const Lp__BatchOrdered   *message,
+                      uint8_t             *out);
+size_t lp__batch_ordered__pack_to_buffer
+                     (const Lp__BatchOrdered   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__BatchOrdered *
+       lp__batch_ordered__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__batch_ordered__free_unpacked
+                     (Lp__BatchOrdered *message,
+                      ProtobufCAllocator *allocator);
 /* Lp__BatchSnapshot methods */
 void   lp__batch_snapshot__init
                      (Lp__BatchSnapshot         *message);
@@ -1049,6 +1126,44 @@
 void   lp__leader_hint__free_unpacked
                      (Lp__LeaderHint *message,
                       ProtobufCAllocator *allocator);
+/* Lp__VmReportCopy methods */
+void   lp__vm_report_copy__init
+                     (Lp__VmReportCopy         *message);
+size_t lp__vm_report_copy__get_packed_size
+                     (const Lp__VmReportCopy   *message);
+size_t lp__vm_report_copy__pack
+                     (const Lp__VmReportCopy   *message,
+                      uint8_t             *out);
+size_t lp__vm_report_copy__pack_to_buffer
+                     (const Lp__VmReportCopy   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__VmReportCopy *
+       lp__vm_report_copy__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__vm_report_copy__free_unpacked
+                     (Lp__VmReportCopy *message,
+                      ProtobufCAllocator *allocator);
+/* Lp__VmReportCopies methods */
+void   lp__vm_report_copies__init
+                     (Lp__VmReportCopies         *message);
+size_t lp__vm_report_copies__get_packed_size
+                     (const Lp__VmReportCopies   *message);
+size_t lp__vm_report_copies__pack
+                     (const Lp__VmReportCopies   *message,
+                      uint8_t             *out);
+size_t lp__vm_report_copies__pack_to_buffer
+                     (const Lp__VmReportCopies   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__VmReportCopies *
+       lp__vm_report_copies__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__vm_report_copies__free_unpacked
+                     (Lp__VmReportCopies *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Lp__BatchStep_Closure)
@@ -1114,6 +1229,9 @@
 typedef void (*Lp__BatchWaveState_Closure)
                  (const Lp__BatchWaveState *message,
                   void *closure_data);
+typedef void (*Lp__BatchOrdered_Closure)
+                 (const Lp__BatchOrdered *message,
+                  void *closure_data);
 typedef void (*Lp__BatchSnapshot_Closure)
                  (const Lp__BatchSnapshot *message,
                   void *closure_data);
@@ -1126,6 +1244,12 @@
 typedef void (*Lp__LeaderHint_Closure)
                  (const Lp__LeaderHint *message,
                   void *closure_data);
+typedef void (*Lp__VmReportCopy_Closure)
+                 (const Lp__VmReportCopy *message,
+                  void *closure_data);
+typedef void (*Lp__VmReportCopies_Closure)
+                 (const Lp__VmReportCopies *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1157,10 +1281,13 @@
 extern const ProtobufCMessageDescriptor lp__batch_job_state__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_vm_state__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_wave_state__descriptor;
+extern const ProtobufCMessageDescriptor lp__batch_ordered__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_call__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_reply__descriptor;
 extern const ProtobufCMessageDescriptor lp__leader_hint__descriptor;
+extern const ProtobufCMessageDescriptor lp__vm_report_copy__descriptor;
+extern const ProtobufCMessageDescriptor lp__vm_report_copies__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -77,6 +77,7 @@
 		.gpu = (int64_t)vm->gpu - vm->planned_gpu,
 		.cpu_total = vm->cpu_milli,
 		.slowness = MAX(1.0, vm->slowness / MAX(0.5, vm->leader->mean_slowness)),
+		.leaving = leader_maintenance_due(vm->leader, vm->machine),
 		.usable = vm_usable(vm, now_us),
 		.allowed = true,
 	};
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -272,8 +272,6 @@
 	}
 	if (soft->percent != running->percent || soft->stalled_us == 0)
 		soft->stalled_us = now_us;
-	if (running->percent >= 100 && soft->percent < 100)
-		soft->full_us = now_us;
 	soft->percent = running->percent;
 	soft->load = running->load;
 	if (strlen(running->checkpoint) < sizeof(soft->saved))
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -266,9 +266,8 @@
 	return vm;
 }
 
-bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report)
+bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t heard_us)
 {
-	uint64_t now_us = leader_now_us(leader);
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, report->id);
 	bool is_new;
 
@@ -283,7 +282,7 @@
 	is_new = vm == NULL || vm->heard_us == 0;
 	if (vm == NULL)
 		vm = add_reported(leader, report);
-	take_report(vm, report, now_us);
+	take_report(vm, report, heard_us);
 	leader_machine_reported(leader, vm);
 	if (is_new) {
 		end_predecessors(leader, vm);
@@ -385,6 +384,7 @@
 	leader->list_known = false;
 	leader->list_read_us = 0;
 	leader->order_seq = 0;
+	leader->active_wall_ms = leader->clock_wall_ms(leader->arg);
 	leader->order_busy = false;
 	inherit_runs(leader);
 	g_snprintf(text, sizeof(text), "%" PRIu64, term);
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -32,7 +32,6 @@
 	uint32_t holder_lease_ms;  /**< orders of two leaders to one machine are so far apart */
 	uint32_t maintenance_ms;   /**< a machine is down so long for maintenance */
 	uint32_t move_ms;		/**< a machine is down so long for a move */
-	uint32_t notice_ms; /**< a task that was away counts as unavailable for so long */
 	const char *name;	   /**< of this process, as holder of machines */
 } batch_leader_config_t;
 
@@ -59,8 +58,8 @@
 void batch_leader_deactivate(batch_leader_t *leader);
 bool batch_leader_active(const batch_leader_t *leader);
 
-/** A VM has reported. @return false when the report is older than what is known */
-bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report);
+/** A VM reported at heard_us. @return false when the report is older than what is known */
+bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t heard_us);
 /** A VM has left after a graceful end. */
 void batch_leader_left(batch_leader_t *leader, const char *vm);
 /** Call at least every 50 ms, and after commands were applied. */
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -108,6 +108,7 @@
 	uint64_t capacity_due_us;
 	uint64_t order_seq;	  /**< orders to the platform in this term */
 	GHashTable *machines;	  /**< name -> leader_machine_t */
+	uint64_t active_wall_ms;  /**< wall clock at the activation */
 	GHashTable *need_before;  /**< pool -> double: smoothed need, in cores */
 	bool order_busy; /**< an order to the platform is on its way or being recorded */
 	uint64_t order_due_us;
@@ -210,3 +211,10 @@
 uint64_t leader_next_fence(batch_leader_t *leader);
 /** True while the machine's maintenance was ordered and is not over. */
 bool leader_in_maintenance(const batch_leader_t *leader, const char *machine);
+/** True while a wave has yet to maintain the machine. */
+bool leader_maintenance_due(const batch_leader_t *leader, const char *machine);
+/** True while an earlier leader may still hold the machine: it ordered something lately, or its order
+ * has no outcome yet. */
+bool leader_held_by_other(const batch_leader_t *leader, const char *machine, uint64_t now_us);
+/** True while a move of the machine was recorded and has no outcome. */
+bool leader_move_open(const batch_leader_t *leader, const char *machine);
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -29,6 +29,8 @@
 #define FORECAST_MAX 2.0
 /* Jobs that cannot be in time count with this share of their need: they take what is left over. */
 #define LATE_SHARE 0.3
+/* The clocks of two leaders differ by less, except on a step of the clock. */
+#define CLOCK_SLACK_MS 500
 /* The least time that the remaining chain of a job counts, in ms. */
 #define CHAIN_LEAST_MS 300
 
@@ -446,6 +448,28 @@
 			 &g_array_index(pools->pools, capacity_pool_t, i));
 }
 
+bool leader_held_by_other(const batch_leader_t *leader, const char *machine, uint64_t now_us)
+{
+	const uint64_t *ordered_ms = g_hash_table_lookup(leader->state->ordered, machine);
+	uint64_t lease_ms = leader->config.holder_lease_ms;
+
+	/* The lease runs from the activation at the latest: clocks of leaders differ. */
+	if (ordered_ms == NULL || now_us >= leader->active_us + lease_ms * US_PER_MS)
+		return false;
+	return *ordered_ms + lease_ms + CLOCK_SLACK_MS > leader->active_wall_ms;
+}
+
+bool leader_move_open(const batch_leader_t *leader, const char *machine)
+{
+	const batch_move_t *move;
+
+	LIST_FOREACH (move, &leader->state->moves, link) {
+		if (strcmp(move->machine, machine) == 0)
+			return true;
+	}
+	return false;
+}
+
 static bool is_fixed(batch_leader_t *leader, const leader_machine_t *machine, const leader_vm_t *vm,
 		     uint64_t now_us)
 {
@@ -454,7 +478,9 @@
 		return true;
 	if (vm != NULL && (vm->cordoned || vm->draining || vm->suspect || vm->left_us != 0))
 		return true;
-	return leader_in_maintenance(leader, machine->name);
+	return leader_in_maintenance(leader, machine->name) ||
+	       leader_move_open(leader, machine->name) ||
+	       leader_held_by_other(leader, machine->name, now_us);
 }
 
 static bool counts(const leader_machine_t *machine, const leader_vm_t *vm, bool standby,
@@ -527,11 +553,12 @@
 	if (leader->state->config == NULL)
 		return;
 	list_tick(leader, now_us);
-	/* An earlier leader may have given orders until its lease of the machines ended. */
-	if (!leader->list_known || now_us < leader->capacity_due_us ||
-	    now_us < leader->active_us + leader->config.holder_lease_ms * US_PER_MS)
+	if (!leader->list_known || now_us < leader->capacity_due_us)
 		return;
 	leader->capacity_due_us = now_us + CAPACITY_PERIOD_US;
-	resend_moves(leader, now_us);
+	/* An earlier leader may have repeated orders that have no outcome until its lease of the
+	 * machines ended. */
+	if (now_us >= leader->active_us + leader->config.holder_lease_ms * US_PER_MS)
+		resend_moves(leader, now_us);
 	plan_capacity(leader, now_us);
 }
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -13,12 +13,14 @@
 
 #include "clock.h"
 #include "log.h"
+#include "vm_cache.h"
 
 #define CLUSTER "lavenderpass"
-/* Log timing: an election takes 0.8 to 1.6 s, well within the lease of the VMs. */
-#define HEARTBEAT_MS 200
-#define ELECTION_MIN_MS 800
-#define LEADER_LEASE_MS 600
+/* Log timing: an election takes 0.5 to 1 s, well within the lease of the VMs. Writes to the disk do
+ * not hold up the heartbeats. */
+#define HEARTBEAT_MS 120
+#define ELECTION_MIN_MS 500
+#define LEADER_LEASE_MS 400
 #define SNAPSHOT_ENTRIES 3000
 /* A voter that is silent for so long gives way to a spare member. Longer than a restart or a cut of
  * some seconds; two losses in a row are then survived where a spare exists. */
@@ -31,7 +33,7 @@
 /* A command without an outcome after this is reported as unknown. Longer than an election; shorter
  * than the 4 s after which an operator counts an order as not acknowledged. */
 #define PROPOSE_TIMEOUT_MS 3000
-/* The lease of what runs on a VM. It outlives a change of the leader (up to 1.6 s for the election
+/* The lease of what runs on a VM. It outlives a change of the leader (up to 1 s for the election
  * and a second vote) after a last hold that is 1 s old; the shorter it is, the sooner the tasks of
  * a VM that is lost run elsewhere. */
 #define VM_LEASE_MS 5000
@@ -40,6 +42,8 @@
 /* VM clocks may be 2% slow; 1% more for the rounding of estimates. */
 #define CLOCK_SKEW_PERCENT 3
 #define HOLD_WAIT_MS 1000
+/* A new leader takes over reports that its predecessor received so long ago at most. */
+#define CACHED_REPORT_US (8 * US_PER_S)
 /* Besides the period of the reports, for their way. */
 #define SILENT_SLACK_MS 700
 
@@ -58,6 +62,7 @@
 	struct tevent_immediate *work;
 	bool work_scheduled;
 	GHashTable *submitting; /* ids of jobs whose submission is being recorded */
+	vm_cache_t vms;
 	bool resigned;
 	metrics_counter_t *submitted;
 	metrics_counter_t *refused;
@@ -66,6 +71,18 @@
 
 /* --- work of the leader --- */
 
+static void report_cached(void *arg, const vm_report_t *report, uint64_t heard_us)
+{
+	batch_leader_report(arg, report, heard_us);
+}
+
+static void activate(batch_node_t *node, uint64_t term)
+{
+	batch_leader_activate(node->leader, term);
+	vm_cache_each(&node->vms, clock_now_us(), CACHED_REPORT_US, report_cached, node->leader);
+	node->led_term = term;
+}
+
 static void update_leadership(batch_node_t *node)
 {
 	uint64_t term = replica_term(node->replica);
@@ -76,10 +93,8 @@
 		node->led_term = 0;
 	}
 	if (node->led_term == 0 && replica_is_leader(node->replica) &&
-	    replica_has_lease(node->replica)) {
-		batch_leader_activate(node->leader, term);
-		node->led_term = term;
-	}
+	    replica_has_lease(node->replica))
+		activate(node, term);
 }
 
 static void run_leader(batch_node_t *node)
@@ -249,6 +264,9 @@
 	case LP__ENVELOPE__BODY_LEADER_HINT:
 		on_hint(node, envelope->leader_hint);
 		break;
+	case LP__ENVELOPE__BODY_VM_REPORTS:
+		vm_cache_take(&node->vms, envelope->vm_reports, clock_now_us());
+		break;
 	default:
 		break;
 	}
@@ -275,6 +293,24 @@
 	return replica_applied(node->replica);
 }
 
+static void pass_reports_on(batch_node_t *node)
+{
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__VmReportCopies copies;
+
+	vm_cache_fresh(&node->vms, &copies);
+	copies.term = replica_term(node->replica);
+	envelope.body_case = LP__ENVELOPE__BODY_VM_REPORTS;
+	envelope.vm_reports = &copies;
+	for (size_t i = 0; copies.n_reports > 0 && i < peer_count(node->peers); i++) {
+		const peer_info_t *info = peer_at(node->peers, i);
+
+		if (info->up && info->disk)
+			peer_send(node->peers, info->node_id, &envelope);
+	}
+	vm_cache_passed_on(&node->vms);
+}
+
 static void on_hint_timer(void *arg, uint64_t now_us)
 {
 	batch_node_t *node = arg;
@@ -289,6 +325,7 @@
 	hint.n_members = replica_members(node->replica, members, G_N_ELEMENTS(members));
 	envelope.body_case = LP__ENVELOPE__BODY_LEADER_HINT;
 	envelope.leader_hint = &hint;
+	pass_reports_on(node);
 	for (size_t i = 0; i < peer_count(node->peers); i++) {
 		const peer_info_t *info = peer_at(node->peers, i);
 
@@ -501,9 +538,20 @@
 	return &node->state;
 }
 
-batch_leader_t *batch_node_leader_of_jobs(batch_node_t *node)
+void batch_node_report(batch_node_t *node, const vm_report_t *report)
+{
+	uint64_t now_us = clock_now_us();
+
+	if (!batch_leader_report(node->leader, report, now_us))
+		return;
+	vm_cache_add(&node->vms, report, now_us);
+	schedule_work(node);
+}
+
+void batch_node_left(batch_node_t *node, const char *vm)
 {
-	return node->leader;
+	vm_cache_remove(&node->vms, vm);
+	batch_leader_left(node->leader, vm);
 }
 
 static uint64_t now_port(void *arg)
@@ -532,7 +580,6 @@
 				.holder_lease_ms = settings->holder_lease_ms,
 				.maintenance_ms = settings->maintenance_ms,
 				.move_ms = settings->move_ms,
-				.notice_ms = settings->notice_ms,
 				.name = settings->name,
 			},
 		.state = &node->state,
@@ -649,6 +696,7 @@
 	node->refused = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
 	node->commit_latency = metrics_histogram(node->metrics, "batch_commit_latency_us", "");
 	batch_state_init(&node->state);
+	vm_cache_init(&node->vms);
 	if (getrandom(&seed, sizeof(seed), 0) != (ssize_t)sizeof(seed))
 		seed = clock_wall_ms();
 	if (create_replica(node, seed, error, error_size) != 0)
@@ -665,6 +713,7 @@
 	replica_destroy(node->replica);
 fail_state:
 	batch_state_finish(&node->state);
+	vm_cache_finish(&node->vms);
 	g_hash_table_destroy(node->submitting);
 	talloc_free(node->work);
 	g_free(node);
@@ -685,6 +734,7 @@
 	peer_set_destroy(node->peers);
 	batch_leader_destroy(node->leader);
 	batch_state_finish(&node->state);
+	vm_cache_finish(&node->vms);
 	g_hash_table_destroy(node->submitting);
 	talloc_free(node->work);
 	g_free(node);
--- a/src/batch_node.h
+++ b/src/batch_node.h
@@ -43,7 +43,10 @@
 uint32_t batch_node_leader(const batch_node_t *node);
 /** The replicated state; read it only while batch_node_serves(). */
 const batch_state_t *batch_node_state(const batch_node_t *node);
-batch_leader_t *batch_node_leader_of_jobs(batch_node_t *node);
+/** A VM has reported to this process, which leads. */
+void batch_node_report(batch_node_t *node, const vm_report_t *report);
+/** A VM has told this process, which leads, that it ends. */
+void batch_node_left(batch_node_t *node, const char *vm);
 
 /** Calls back once; code is RESULT_UNAVAILABLE when the command was certainly not applied. */
 void batch_node_propose(batch_node_t *node, Lp__BatchCommand *command, batch_proposed_fn done,
--- a/src/batch_place.c
+++ b/src/batch_place.c
@@ -14,6 +14,8 @@
 /* Tasks are packed: a machine that runs nothing can follow the demand to another pool, or be
  * switched off. */
 #define COST_EMPTY 0.5
+/* A long-running task on a machine that is due for maintenance has to move once more. */
+#define COST_LEAVING 2.0
 
 bool place_fits(const place_vm_t *vm, const Lp__BatchStep *step)
 {
@@ -56,6 +58,8 @@
 		sum += vm->filling > 0 ? COST_MIXED : 0.0;
 	if (step->long_running && vm->long_running == 0)
 		sum += COST_EMPTY;
+	if (step->long_running && vm->leaving)
+		sum += COST_LEAVING;
 	return sum;
 }
 
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -27,6 +27,7 @@
 	uint32_t long_running;
 	uint32_t same_step;   /**< tasks of the step that is placed */
 	double slowness;      /**< 1 is the speed that was declared; higher is slower */
+	bool leaving; /**< its machine is due for maintenance */
 	bool usable;
 	bool allowed; /**< by the queue's policy; always true without one */
 } place_vm_t;
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -141,6 +141,25 @@
 	}
 }
 
+static void save_ordered(void *mem, const batch_state_t *state, Lp__BatchSnapshot *snapshot)
+{
+	GHashTableIter iter;
+	void *machine;
+	void *wall_ms;
+
+	snapshot->ordered =
+		talloc_array(mem, Lp__BatchOrdered *, g_hash_table_size(state->ordered) + 1);
+	g_hash_table_iter_init(&iter, state->ordered);
+	while (g_hash_table_iter_next(&iter, &machine, &wall_ms)) {
+		Lp__BatchOrdered *out = talloc(mem, Lp__BatchOrdered);
+
+		lp__batch_ordered__init(out);
+		out->machine = machine;
+		out->wall_ms = *(uint64_t *)wall_ms;
+		snapshot->ordered[snapshot->n_ordered++] = out;
+	}
+}
+
 uint8_t *batch_state_save(const batch_state_t *state, size_t *length)
 {
 	void *mem = talloc_new(NULL);
@@ -153,6 +172,7 @@
 	save_jobs(mem, state, &snapshot);
 	save_waves(mem, state, &snapshot);
 	save_moves(mem, state, &snapshot);
+	save_ordered(mem, state, &snapshot);
 	packed = malloc(lp__batch_snapshot__get_packed_size(&snapshot) + 1);
 	if (packed == NULL)
 		g_error("out of memory while saving a snapshot");
@@ -266,6 +286,9 @@
 		if (load_wave(state, snapshot->waves[i]) != 0)
 			return -1;
 	}
+	for (size_t i = 0; i < snapshot->n_ordered; i++)
+		batch_ordered_set(state, snapshot->ordered[i]->machine,
+				  snapshot->ordered[i]->wall_ms);
 	for (size_t i = 0; i < snapshot->n_moves; i++)
 		batch_move_set(state, snapshot->moves[i]->machine, snapshot->moves[i]->pool);
 	return 0;
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -12,6 +12,7 @@
 	state->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	state->by_seq = g_hash_table_new(g_int64_hash, g_int64_equal);
 	state->vms_by_life = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	state->ordered = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&state->active);
 	TAILQ_INIT(&state->ended);
 	LIST_INIT(&state->vms);
@@ -45,6 +46,7 @@
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
 	g_hash_table_destroy(state->vms_by_life);
+	g_hash_table_destroy(state->ordered);
 	g_hash_table_destroy(state->by_id);
 	g_hash_table_destroy(state->by_seq);
 }
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -73,7 +73,6 @@
 	uint64_t stop_acked_us;
 	uint64_t stalled_us; /**< first time without progress; 0: none */
 	uint32_t percent;    /**< progress; a long-running task is at work at 100 */
-	uint64_t full_us;    /**< when percent reached 100; 0: not yet */
 	uint32_t paced;	     /**< percent that was ordered; 100 at a start */
 	uint32_t load;	     /**< tail in ms of a task with a goal, otherwise thousandths of a core */
 	uint64_t over_goal_us; /**< since when the tail is over its goal; 0: it is not */
@@ -165,6 +164,7 @@
 	uint64_t vms_revision;	 /**< counts VM lives that came or went */
 	LIST_HEAD(batch_waves, batch_wave) waves;
 	LIST_HEAD(batch_moves, batch_move) moves;
+	GHashTable *ordered; /**< machine -> uint64_t: wall clock of the latest recorded order */
 	uint64_t revision; /**< counts changes */
 } batch_state_t;
 
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -86,26 +86,23 @@
 /* Holds wait a second for an end; what is known of a task is older only when its VM is silent. */
 #define KNOWN_US (1500 * US_PER_MS)
 
-static bool is_at_work(const batch_task_t *task, uint64_t now_us, uint64_t notice_us)
+static bool is_at_work(const batch_task_t *task, uint64_t now_us)
 {
 	const run_soft_t *soft = &task->soft;
 	const leader_vm_t *vm = task->vm != NULL ? task->vm->leader : NULL;
 
 	if (vm == NULL || vm->suspect || now_us > vm->answered_us + KNOWN_US)
 		return false;
-	return !soft->evacuate && soft->phase == RUN_CONFIRMED && soft->percent >= 100 &&
-	       now_us >= soft->full_us + notice_us;
+	return !soft->evacuate && soft->phase == RUN_CONFIRMED && soft->percent >= 100;
 }
 
-/* Tasks of the step that are away: not known to be at work, or only since less than notice_ms. */
-static uint32_t unavailable(const batch_leader_t *leader, const batch_step_t *step,
-			    uint64_t now_us)
+/* Tasks of the step that are not known to be at work. */
+static uint32_t unavailable(const batch_step_t *step, uint64_t now_us)
 {
-	uint64_t notice_us = leader->config.notice_ms * US_PER_MS;
 	uint32_t away = 0;
 
 	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (!is_at_work(&step->tasks[i], now_us, notice_us))
+		if (!is_at_work(&step->tasks[i], now_us))
 			away++;
 	}
 	return away;
@@ -118,7 +115,7 @@
 	/* A VM that drains takes the task down in any case. */
 	if (vm->draining || spec->max_unavailable == 0)
 		return true;
-	return unavailable(vm->leader, task->step, now_us) < spec->max_unavailable;
+	return unavailable(task->step, now_us) < spec->max_unavailable;
 }
 
 static bool must_move(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
@@ -141,7 +138,7 @@
 
 	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
 		   task->step->number, task->index, task->run);
-	g_snprintf(away, sizeof(away), "%u", unavailable(vm->leader, task->step, now_us));
+	g_snprintf(away, sizeof(away), "%u", unavailable(task->step, now_us));
 	log_event(G_LOG_LEVEL_INFO,
 		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", vm->id,
 			     "away", away, "reason",
@@ -295,6 +292,20 @@
 	       state == LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE;
 }
 
+bool leader_maintenance_due(const batch_leader_t *leader, const char *machine)
+{
+	const batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &leader->state->waves, link) {
+		for (size_t i = 0; i < wave->machine_count; i++) {
+			if (!order_is_final(wave->machines[i].state) &&
+			    strcmp(wave->machines[i].machine, machine) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
 bool leader_in_maintenance(const batch_leader_t *leader, const char *machine)
 {
 	const batch_wave_t *wave;
@@ -370,6 +381,8 @@
 
 	if (known != NULL && (known->busy || now_us < known->coming_until_us))
 		return false;
+	if (leader_move_open(leader, machine) || leader_held_by_other(leader, machine, now_us))
+		return false;
 	if (vm == NULL)
 		return true;
 	if (!vm->cordoned) {
@@ -448,9 +461,7 @@
 {
 	batch_wave_t *wave;
 
-	/* An earlier leader may have given orders until its lease of the machines ended. */
-	if (now_us < leader->active_us + leader->config.holder_lease_ms * US_PER_MS ||
-	    now_us < leader->order_due_us)
+	if (now_us < leader->order_due_us)
 		return;
 	leader->order_due_us = now_us + 50 * US_PER_MS;
 	LIST_FOREACH (wave, &leader->state->waves, link) {
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -657,7 +657,8 @@
   LP__ENVELOPE__BODY_LOAD = 14,
   LP__ENVELOPE__BODY_BATCH_CALL = 15,
   LP__ENVELOPE__BODY_BATCH_REPLY = 16,
-  LP__ENVELOPE__BODY_LEADER_HINT = 17
+  LP__ENVELOPE__BODY_LEADER_HINT = 17,
+  LP__ENVELOPE__BODY_VM_REPORTS = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__ENVELOPE__BODY__CASE)
 } Lp__Envelope__BodyCase;
 
@@ -683,6 +684,7 @@
     Lp__BatchCall *batch_call;
     Lp__BatchReply *batch_reply;
     Lp__LeaderHint *leader_hint;
+    Lp__VmReportCopies *vm_reports;
   };
 };
 #define LP__ENVELOPE__INIT \
--- a/src/process.h
+++ b/src/process.h
@@ -38,7 +38,6 @@
 	uint32_t holder_lease_ms;
 	uint32_t maintenance_ms;
 	uint32_t move_ms;
-	uint32_t notice_ms;
 	uint32_t contact_ms;
 } process_settings_t;
 
--- /dev/null
+++ b/src/vm_cache.c
@@ -0,0 +1,157 @@
+#include "vm_cache.h"
+
+#include <string.h>
+
+typedef struct {
+	Lp__VmReportCopy *copy;
+	uint64_t heard_us;
+} cached_t;
+
+static void free_copy(void *data)
+{
+	lp__vm_report_copy__free_unpacked(data, NULL);
+}
+
+static void free_cached(void *data)
+{
+	cached_t *cached = data;
+
+	free_copy(cached->copy);
+	g_free(cached);
+}
+
+void vm_cache_init(vm_cache_t *cache)
+{
+	cache->reports = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_cached);
+	cache->fresh = g_ptr_array_new_with_free_func(free_copy);
+}
+
+void vm_cache_finish(vm_cache_t *cache)
+{
+	g_hash_table_destroy(cache->reports);
+	g_ptr_array_unref(cache->fresh);
+}
+
+static Lp__VmReportCopy *copy_of(const Lp__VmReportCopy *message)
+{
+	size_t length = lp__vm_report_copy__get_packed_size(message);
+	g_autofree uint8_t *packed = g_malloc(length + 1);
+
+	lp__vm_report_copy__pack(message, packed);
+	return lp__vm_report_copy__unpack(NULL, length, packed);
+}
+
+static bool is_older(const vm_cache_t *cache, const Lp__VmReportCopy *message)
+{
+	const cached_t *cached = g_hash_table_lookup(cache->reports, message->id);
+
+	if (cached == NULL)
+		return false;
+	if (message->born_ms != cached->copy->born_ms)
+		return message->born_ms < cached->copy->born_ms;
+	return message->seq <= cached->copy->seq;
+}
+
+static void keep(vm_cache_t *cache, Lp__VmReportCopy *copy, uint64_t now_us)
+{
+	cached_t *cached = g_new0(cached_t, 1);
+
+	cached->copy = copy;
+	cached->heard_us = now_us;
+	g_hash_table_replace(cache->reports, copy->id, cached);
+}
+
+void vm_cache_add(vm_cache_t *cache, const vm_report_t *report, uint64_t now_us)
+{
+	Lp__VmReportCopy message = LP__VM_REPORT_COPY__INIT;
+
+	message.id = (char *)report->id;
+	message.machine = (char *)report->machine;
+	message.service = (char *)report->service;
+	message.address = (char *)report->address;
+	message.data_centre = (char *)report->data_centre;
+	message.rack = (char *)report->rack;
+	message.labels = (char **)report->labels;
+	message.n_labels = report->label_count;
+	message.cpu_milli = report->cpu_milli;
+	message.mem_mib = report->mem_mib;
+	message.gpu = report->gpu;
+	message.draining = report->draining;
+	message.remaining_ms = report->remaining_ms;
+	message.warmup_ms = report->warmup_ms;
+	message.born_ms = report->born_ms;
+	message.clock_ms = report->clock_ms;
+	message.seq = report->seq;
+	if (is_older(cache, &message))
+		return;
+	g_ptr_array_add(cache->fresh, copy_of(&message));
+	keep(cache, copy_of(&message), now_us);
+}
+
+void vm_cache_take(vm_cache_t *cache, const Lp__VmReportCopies *copies, uint64_t now_us)
+{
+	for (size_t i = 0; i < copies->n_reports; i++) {
+		if (!is_older(cache, copies->reports[i]))
+			keep(cache, copy_of(copies->reports[i]), now_us);
+	}
+}
+
+void vm_cache_remove(vm_cache_t *cache, const char *vm)
+{
+	g_hash_table_remove(cache->reports, vm);
+}
+
+void vm_cache_fresh(vm_cache_t *cache, Lp__VmReportCopies *message)
+{
+	lp__vm_report_copies__init(message);
+	message->reports = (Lp__VmReportCopy **)cache->fresh->pdata;
+	message->n_reports = cache->fresh->len;
+}
+
+void vm_cache_passed_on(vm_cache_t *cache)
+{
+	g_ptr_array_set_size(cache->fresh, 0);
+}
+
+static void call_with(const cached_t *cached,
+		      void (*fn)(void *arg, const vm_report_t *report, uint64_t heard_us),
+		      void *arg)
+{
+	const Lp__VmReportCopy *copy = cached->copy;
+	const vm_report_t report = {
+		.id = copy->id,
+		.machine = copy->machine,
+		.service = copy->service,
+		.address = copy->address,
+		.data_centre = copy->data_centre,
+		.rack = copy->rack,
+		.labels = (const char *const *)copy->labels,
+		.label_count = copy->n_labels,
+		.cpu_milli = copy->cpu_milli,
+		.mem_mib = copy->mem_mib,
+		.gpu = copy->gpu,
+		.draining = copy->draining,
+		.remaining_ms = copy->remaining_ms,
+		.warmup_ms = copy->warmup_ms,
+		.born_ms = copy->born_ms,
+		.clock_ms = copy->clock_ms,
+		.seq = copy->seq,
+	};
+
+	fn(arg, &report, cached->heard_us);
+}
+
+void vm_cache_each(const vm_cache_t *cache, uint64_t now_us, uint64_t age_max_us,
+		   void (*fn)(void *arg, const vm_report_t *report, uint64_t heard_us), void *arg)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, cache->reports);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cached_t *cached = value;
+
+		if (now_us <= cached->heard_us + age_max_us)
+			call_with(cached, fn, arg);
+	}
+}
