batch_upkeep: tell a machine's return by its VM's birth

A VM that was born shortly before its machine's maintenance was ordered counted as the machine's return when a new leader heard of it. Change: the order records the birth of the VM that it ends.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -2553,7 +2553,7 @@
   (ProtobufCMessageInit) lp__batch_wave__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_order__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lp__batch_order__field_descriptors[5] =
 {
   {
     "machine",
@@ -2603,8 +2603,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchOrder, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_order__field_indices_by_name[] = {
+  4,   /* field[4] = born_ms */
   0,   /* field[0] = machine */
   2,   /* field[2] = pool */
   3,   /* field[3] = state */
@@ -2613,7 +2626,7 @@
 static const ProtobufCIntRange lp__batch_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lp__batch_order__descriptor =
 {
@@ -2623,7 +2636,7 @@
   "Lp__BatchOrder",
   "lp",
   sizeof(Lp__BatchOrder),
-  4,
+  5,
   lp__batch_order__field_descriptors,
   lp__batch_order__field_indices_by_name,
   1,  lp__batch_order__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -388,10 +388,14 @@
    */
   char *pool;
   Lp__BatchOrderState state;
+  /*
+   * of the VM that the order ends; 0: none was known
+   */
+  uint64_t born_ms;
 };
 #define LP__BATCH_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_order__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE, 0 }
 
 
 typedef enum {
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -428,6 +428,8 @@
 		if (strcmp(machine->machine, order->machine) != 0 || order->state <= machine->state)
 			continue;
 		machine->state = order->state;
+		if (order->born_ms != 0)
+			machine->born_ms = order->born_ms;
 		machine->since_ms = wall_ms;
 	}
 }
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -15,8 +15,8 @@
 
 /* The VMs of one service during one placement. */
 typedef struct {
-	GArray *places; /* place_vm_t */
-	GPtrArray *vms; /* leader_vm_t, in the same order */
+	GArray *places;	  /* place_vm_t */
+	GPtrArray *vms;	  /* leader_vm_t, in the same order */
 	int64_t full_cpu; /* a task of this size found no room */
 	int64_t full_mem;
 } pool_t;
@@ -231,8 +231,8 @@
 	if (pool_is_full(pool, spec) || !tickets_ready(pass, pool, step, candidate->queue))
 		return;
 	prepare_pool(pass, pool, step, candidate->queue);
-	placed = place_step((place_vm_t *)pool->places->data, pool->places->len, spec, want,
-			    chosen);
+	placed =
+		place_step((place_vm_t *)pool->places->data, pool->places->len, spec, want, chosen);
 	if (placed < want && !spec->gang && !spec->best_effort && spec->max_per_vm == 0 &&
 	    spec->constraint[0] == '\0' &&
 	    (candidate->queue == NULL || candidate->queue->advice == NULL)) {
@@ -321,8 +321,7 @@
 	Lp__BatchStarts message = LP__BATCH_STARTS__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 
-	*intents = (intents_t){
-		.leader = leader, .generation = leader->generation, .count = count};
+	*intents = (intents_t){.leader = leader, .generation = leader->generation, .count = count};
 	for (size_t i = 0; i < count; i++) {
 		const planned_t *planned = &g_array_index(pass->planned, planned_t, i);
 		Lp__BatchStart *start = i > 0 ? list[message.n_starts - 1] : NULL;
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -12,7 +12,8 @@
 #define HOLD_GAP_US (15 * US_PER_MS)
 /* A VM whose holds are answered but whose ends fail is tried again after this. */
 #define QUARANTINE_US (4 * US_PER_S)
-/* So many failed ends at least, and twice the good ones, make a VM suspect of failing everything. */
+/* So many failed ends at least, and twice the good ones, make a VM suspect of failing everything.
+ */
 #define QUARANTINE_FAILURES 3.0
 /* Weight of one end in the estimate of a VM's speed. */
 #define SLOWNESS_WEIGHT 0.25
@@ -28,8 +29,8 @@
 
 uint64_t lease_true_us(const batch_leader_t *leader)
 {
-	return leader->config.lease_ms * (100ULL + leader->config.clock_skew_percent) *
-	       US_PER_MS / 100;
+	return leader->config.lease_ms * (100ULL + leader->config.clock_skew_percent) * US_PER_MS /
+	       100;
 }
 
 void leader_grant_settled(leader_vm_t *vm, const vm_reply_t *reply, uint64_t sent_us,
@@ -46,8 +47,8 @@
 		return;
 	}
 	/* Carried out late, it extends the lease only while something still runs there. */
-	latest_us = MIN(sent_us + leader->config.late_order_ms * US_PER_MS,
-			MAX(lease_end_us, now_us));
+	latest_us =
+		MIN(sent_us + leader->config.late_order_ms * US_PER_MS, MAX(lease_end_us, now_us));
 	vm->lease_end_us = MAX(vm->lease_end_us, latest_us + lease_true_us(leader));
 }
 
@@ -113,8 +114,8 @@
 	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
 		   task->step->number, task->index, task->run);
 	log_event(G_LOG_LEVEL_INFO,
-		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm",
-			     task->vm->id, "reason", reason),
+		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", task->vm->id,
+			     "reason", reason),
 		  "run is lost");
 	propose_loss(leader, &task, 1);
 }
@@ -135,16 +136,14 @@
 	if (tasks->len == 0)
 		return;
 	g_snprintf(count, sizeof(count), "%u", tasks->len);
-	log_event(G_LOG_LEVEL_MESSAGE,
-		  LOG_FIELDS("vm", vm->id, "runs", count, "reason", reason),
+	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "runs", count, "reason", reason),
 		  "all runs of the VM are lost");
 	propose_loss(vm->leader, (batch_task_t **)tasks->pdata, tasks->len);
 }
 
 /* --- ends --- */
 
-void leader_learn(leader_vm_t *vm, const batch_task_t *task, Lp__BatchEndKind kind,
-		  uint64_t now_us)
+void leader_learn(leader_vm_t *vm, const batch_task_t *task, Lp__BatchEndKind kind, uint64_t now_us)
 {
 	const Lp__BatchStep *spec = task->step->spec;
 	double declared_us = (double)spec->estimate_ms * (double)US_PER_MS;
@@ -153,8 +152,7 @@
 	if (kind == LP__BATCH_END_KIND__BATCH_END_FAILED) {
 		vm->recent_failed += 1;
 		if (vm->recent_failed >= QUARANTINE_FAILURES &&
-		    vm->recent_failed > 2 * vm->recent_ok &&
-		    now_us >= vm->quarantine_until_us) {
+		    vm->recent_failed > 2 * vm->recent_ok && now_us >= vm->quarantine_until_us) {
 			vm->quarantine_until_us = now_us + QUARANTINE_US;
 			log_event(G_LOG_LEVEL_MESSAGE,
 				  LOG_FIELDS("vm", vm->id, "service", vm->service),
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -91,8 +91,7 @@
 {
 	batch_job_t *job = batch_state_job(leader->state, name->job);
 
-	return job == NULL ? NULL
-			   : batch_job_task(job, name->occurrence, name->step, name->index);
+	return job == NULL ? NULL : batch_job_task(job, name->occurrence, name->step, name->index);
 }
 
 /* --- VMs --- */
@@ -316,8 +315,7 @@
 	leader->count.holds = metrics_counter(metrics, "batch_holds_total", "");
 	leader->count.stops = metrics_counter(metrics, "batch_stops_total", "");
 	leader->count.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
-	leader->count.end_to_start =
-		metrics_histogram(metrics, "batch_start_latency_us", "");
+	leader->count.end_to_start = metrics_histogram(metrics, "batch_start_latency_us", "");
 }
 
 batch_leader_t *batch_leader_create(const batch_leader_options_t *options)
@@ -420,8 +418,7 @@
 	const batch_vm_t *life = leader_vm_life(vm);
 
 	if (vm->dead && vm->planned == 0 && (life == NULL || life->task_count == 0) &&
-	    leader_now_us(vm->leader) >
-		    vm->heard_us + vm->leader->config.late_order_ms * US_PER_MS)
+	    leader_now_us(vm->leader) > vm->heard_us + vm->leader->config.late_order_ms * US_PER_MS)
 		free_vm(vm);
 }
 
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -22,17 +22,17 @@
 				 void *done_arg);
 
 typedef struct {
-	uint32_t lease_ms;	   /**< granted to what runs on a VM */
-	uint32_t lease_max_ms;	   /**< a VM shortens a longer one to this */
-	uint32_t late_order_ms;	   /**< an order without an answer may be carried out so much later */
+	uint32_t lease_ms;	/**< granted to what runs on a VM */
+	uint32_t lease_max_ms;	/**< a VM shortens a longer one to this */
+	uint32_t late_order_ms; /**< an order without an answer may be carried out so much later */
 	uint32_t clock_skew_percent; /**< a VM's clock may be slower by so much */
-	uint32_t hold_wait_ms;	   /**< longest wait of a hold for an end */
-	uint32_t silent_ms;	   /**< without a report for so long, a VM gets no new tasks */
-	uint32_t checkpoint_ms;	   /**< work between two checkpoints of a task */
-	uint32_t holder_lease_ms;  /**< orders of two leaders to one machine are so far apart */
-	uint32_t maintenance_ms;   /**< a machine is down so long for maintenance */
-	uint32_t move_ms;		/**< a machine is down so long for a move */
-	const char *name;	   /**< of this process, as holder of machines */
+	uint32_t hold_wait_ms;	     /**< longest wait of a hold for an end */
+	uint32_t silent_ms;	     /**< without a report for so long, a VM gets no new tasks */
+	uint32_t checkpoint_ms;	     /**< work between two checkpoints of a task */
+	uint32_t holder_lease_ms;    /**< orders of two leaders to one machine are so far apart */
+	uint32_t maintenance_ms;     /**< a machine is down so long for maintenance */
+	uint32_t move_ms;	     /**< a machine is down so long for a move */
+	const char *name;	     /**< of this process, as holder of machines */
 } batch_leader_config_t;
 
 typedef struct {
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -42,16 +42,16 @@
 	uint64_t life_revision;
 
 	bool hold_busy;
-	bool ends_busy;	  /**< ends are being recorded */
-	bool confirmed;	  /**< it has acknowledged this leader's fencing token */
-	bool suspect;	  /**< the latest hold had no answer */
+	bool ends_busy; /**< ends are being recorded */
+	bool confirmed; /**< it has acknowledged this leader's fencing token */
+	bool suspect;	/**< the latest hold had no answer */
 	uint64_t hold_due_us;
-	uint64_t suspect_us;	/**< since when */
-	uint64_t answered_us;	/**< latest answer to a hold; 0: none */
-	uint64_t lease_end_us;	/**< nothing runs there later without another grant */
-	uint64_t noted_told;	/**< highest number of a recorded end that it was told */
+	uint64_t suspect_us;	 /**< since when */
+	uint64_t answered_us;	 /**< latest answer to a hold; 0: none */
+	uint64_t lease_end_us;	 /**< nothing runs there later without another grant */
+	uint64_t noted_told;	 /**< highest number of a recorded end that it was told */
 	uint64_t noted_unlogged; /**< ends of a life that the log does not know */
-	unsigned orphans;	/**< it runs so many tasks that the log does not know */
+	unsigned orphans;	 /**< it runs so many tasks that the log does not know */
 	unsigned starts_busy;
 
 	int64_t planned_cpu; /**< reserved for intents that are being recorded */
@@ -62,9 +62,9 @@
 	uint64_t refused_until_us; /**< it had no room, or was unhealthy */
 	uint64_t cordoned_us;	   /**< since when */
 	uint64_t pace_due_us;
-	double recent_ok;	   /**< ends, halved every HEALTH_HALVE_US */
+	double recent_ok; /**< ends, halved every HEALTH_HALVE_US */
 	double recent_failed;
-	double slowness;	   /**< measured run time against the declared one; 1: as declared */
+	double slowness; /**< measured run time against the declared one; 1: as declared */
 	uint64_t quarantine_until_us;
 } leader_vm_t;
 
@@ -102,15 +102,15 @@
 	uint64_t halve_due_us;
 	double mean_slowness;
 
-	bool list_busy; /**< the platform's list is being read */
-	bool list_known;      /**< it was read whole since this process leads */
+	bool list_busy;	 /**< the platform's list is being read */
+	bool list_known; /**< it was read whole since this process leads */
 	uint64_t list_read_us;
 	uint64_t capacity_due_us;
-	uint64_t order_seq;	  /**< orders to the platform in this term */
-	GHashTable *machines;	  /**< name -> leader_machine_t */
-	uint64_t active_wall_ms;  /**< wall clock at the activation */
-	GHashTable *need_before;  /**< pool -> double: smoothed need, in cores */
-	bool order_busy; /**< an order to the platform is on its way or being recorded */
+	uint64_t order_seq;	 /**< orders to the platform in this term */
+	GHashTable *machines;	 /**< name -> leader_machine_t */
+	uint64_t active_wall_ms; /**< wall clock at the activation */
+	GHashTable *need_before; /**< pool -> double: smoothed need, in cores */
+	bool order_busy;	 /**< an order to the platform is on its way or being recorded */
 	uint64_t order_due_us;
 	struct {
 		metrics_counter_t *starts;
@@ -213,8 +213,8 @@
 bool leader_in_maintenance(const batch_leader_t *leader, const char *machine);
 /** True while a wave has yet to maintain the machine. */
 bool leader_maintenance_due(const batch_leader_t *leader, const char *machine);
-/** True while an earlier leader may still hold the machine: it ordered something lately, or its order
- * has no outcome yet. */
+/** True while an earlier leader may still hold the machine: it ordered something lately, or its
+ * order has no outcome yet. */
 bool leader_held_by_other(const batch_leader_t *leader, const char *machine, uint64_t now_us);
 /** True while a move of the machine was recorded and has no outcome. */
 bool leader_move_open(const batch_leader_t *leader, const char *machine);
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -161,9 +161,8 @@
 
 static void list_tick(batch_leader_t *leader, uint64_t now_us)
 {
-	uint64_t period_us = has_silent_vm(leader, now_us) || !leader->list_known
-				     ? LIST_URGENT_US
-				     : LIST_PERIOD_US;
+	uint64_t period_us = has_silent_vm(leader, now_us) || !leader->list_known ? LIST_URGENT_US
+										  : LIST_PERIOD_US;
 
 	if (leader->list_busy || now_us < leader->list_read_us + period_us)
 		return;
@@ -244,8 +243,8 @@
 	if (vm != NULL)
 		leader_vm_mark_dead(vm, "its machine was moved to another pool");
 	set_pool(machine, pool);
-	machine->coming_until_us = leader_now_us(leader) +
-				   leader->config.move_ms * US_PER_MS + ARRIVAL_SLACK_US;
+	machine->coming_until_us =
+		leader_now_us(leader) + leader->config.move_ms * US_PER_MS + ARRIVAL_SLACK_US;
 	close_move(leader, machine, pool, LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
 }
 
@@ -267,8 +266,7 @@
 	} else if (reply->code == VM_REPLY_INVALID || reply->code == VM_REPLY_FENCED ||
 		   (reply->code == VM_REPLY_BUSY && ++machine->refusals >= BUSY_MAX)) {
 		uncordon(leader, machine);
-		close_move(leader, machine, move->pool,
-			   LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE);
+		close_move(leader, machine, move->pool, LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE);
 	} else {
 		/* Sent again by the next tick: the order may yet be carried out, and only an
 		 * answer to a later one, with a higher token, settles that. */
@@ -317,8 +315,8 @@
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
 	const batch_vm_t *life = vm != NULL ? leader_vm_life(vm) : NULL;
 
-	return vm == NULL || (vm->planned == 0 && vm->orphans == 0 &&
-			      (life == NULL || life->task_count == 0));
+	return vm == NULL ||
+	       (vm->planned == 0 && vm->orphans == 0 && (life == NULL || life->task_count == 0));
 }
 
 /* Moves that were recorded and have no outcome yet, also those of an earlier leader. */
@@ -435,8 +433,7 @@
 	const batch_job_t *job;
 
 	for (size_t i = 0; i < config->n_services; i++) {
-		capacity_pool_t pool = {.standby = config->services[i]->standby,
-					.required_vms = 2};
+		capacity_pool_t pool = {.standby = config->services[i]->standby, .required_vms = 2};
 
 		g_ptr_array_add(pools->names, config->services[i]->name);
 		g_array_append_val(pools->pools, pool);
@@ -516,8 +513,8 @@
 			.pool = (size_t)(pool - (capacity_pool_t *)pools->pools->data),
 			.cores = machine->cores,
 			.idle = machine->idle_us != 0,
-			.idle_ms = machine->idle_us != 0 ? (now_us - machine->idle_us) / US_PER_MS
-							 : 0,
+			.idle_ms =
+				machine->idle_us != 0 ? (now_us - machine->idle_us) / US_PER_MS : 0,
 			.fixed = is_fixed(leader, machine, vm, now_us),
 		};
 		g_array_append_val(machines, entry);
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -87,8 +87,7 @@
 {
 	uint64_t term = replica_term(node->replica);
 
-	if (node->led_term != 0 &&
-	    (!replica_is_leader(node->replica) || term != node->led_term)) {
+	if (node->led_term != 0 && (!replica_is_leader(node->replica) || term != node->led_term)) {
 		batch_leader_deactivate(node->leader);
 		node->led_term = 0;
 	}
@@ -435,10 +434,10 @@
 		admission = batch_leader_admit(node->leader, queue, call->job);
 	if (!admission.accept) {
 		metrics_add(node->refused, 1);
-		log_event(G_LOG_LEVEL_INFO,
-			  LOG_FIELDS("request", id, "queue", queue->name, "reason",
-				     admission.reason),
-			  "job is refused");
+		log_event(
+			G_LOG_LEVEL_INFO,
+			LOG_FIELDS("request", id, "queue", queue->name, "reason", admission.reason),
+			"job is refused");
 		answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED, admission.retry_after_s,
 		       done, arg);
 		return;
@@ -661,8 +660,7 @@
 	size_t count;
 
 	process_address(settings->node_id, settings->peer_port, address, sizeof(address));
-	node->peers =
-		peer_set_create(node->ev, node->ev, node->timers, &config, &callbacks);
+	node->peers = peer_set_create(node->ev, node->ev, node->timers, &config, &callbacks);
 	if (node->peers == NULL) {
 		g_snprintf(error, error_size, "%s: %s", address, strerror(errno));
 		return -1;
@@ -680,8 +678,7 @@
 		add_peer(node, settings->seeds[i]);
 }
 
-batch_node_t *batch_node_create(const batch_node_options_t *options, char *error,
-				size_t error_size)
+batch_node_t *batch_node_create(const batch_node_options_t *options, char *error, size_t error_size)
 {
 	batch_node_t *node = g_new0(batch_node_t, 1);
 	uint64_t seed = 0;
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -22,12 +22,12 @@
 	int64_t mem_mib;
 	int64_t gpu;
 	int64_t cpu_total;
-	uint32_t serving;     /**< tasks with a tail goal */
-	uint32_t filling;     /**< best-effort tasks */
+	uint32_t serving; /**< tasks with a tail goal */
+	uint32_t filling; /**< best-effort tasks */
 	uint32_t long_running;
-	uint32_t same_step;   /**< tasks of the step that is placed */
-	double slowness;      /**< 1 is the speed that was declared; higher is slower */
-	bool leaving; /**< its machine is due for maintenance */
+	uint32_t same_step; /**< tasks of the step that is placed */
+	double slowness;    /**< 1 is the speed that was declared; higher is slower */
+	bool leaving;	    /**< its machine is due for maintenance */
 	bool usable;
 	bool allowed; /**< by the queue's policy; always true without one */
 } place_vm_t;
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -105,6 +105,7 @@
 
 		lp__batch_order__init(order);
 		order->state = wave->machines[i].state;
+		order->born_ms = wave->machines[i].born_ms;
 		message->wave->machines[message->wave->n_machines++] = wave->machines[i].machine;
 		message->orders[message->n_orders++] = order;
 	}
@@ -258,8 +259,10 @@
 	if (message->wave == NULL || message->n_orders != message->wave->n_machines)
 		return -1;
 	wave = batch_wave_new(state, message->wave, message->since_ms);
-	for (size_t i = 0; i < wave->machine_count; i++)
+	for (size_t i = 0; i < wave->machine_count; i++) {
 		wave->machines[i].state = message->orders[i]->state;
+		wave->machines[i].born_ms = message->orders[i]->born_ms;
+	}
 	return 0;
 }
 
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -62,9 +62,9 @@
 
 typedef struct {
 	run_phase_t phase;
-	bool planned;	   /**< an intent is being recorded */
-	bool stop_busy;	   /**< a stop order is on its way */
-	bool stop_acked;   /**< a stop order was answered */
+	bool planned;	 /**< an intent is being recorded */
+	bool stop_busy;	 /**< a stop order is on its way */
+	bool stop_acked; /**< a stop order was answered */
 	bool pace_busy;
 	bool losing;	   /**< the loss is being recorded */
 	bool evacuate;	   /**< stopped to be run elsewhere */
@@ -74,9 +74,9 @@
 	uint64_t stalled_us; /**< first time without progress; 0: none */
 	uint32_t percent;    /**< progress; a long-running task is at work at 100 */
 	uint32_t paced;	     /**< percent that was ordered; 100 at a start */
-	uint32_t load;	     /**< tail in ms of a task with a goal, otherwise thousandths of a core */
-	uint64_t over_goal_us; /**< since when the tail is over its goal; 0: it is not */
-	struct leader_vm *planned_vm; /**< while planned */
+	uint32_t load; /**< tail in ms of a task with a goal, otherwise thousandths of a core */
+	uint64_t over_goal_us;		  /**< since when the tail is over its goal; 0: it is not */
+	struct leader_vm *planned_vm;	  /**< while planned */
 	char saved[BATCH_CHECKPOINT_MAX]; /**< latest checkpoint that the VM has told; "": none */
 } run_soft_t;
 
@@ -105,8 +105,8 @@
 	uint32_t done;
 	uint32_t gang_failures;
 	struct batch_ticket_book *tickets; /**< the leader's; not replicated */
-	uint64_t retry_us;		   /**< the leader does not place it before; not replicated */
-	uint32_t planned; /**< tasks whose intent is being recorded; not replicated */
+	uint64_t retry_us; /**< the leader does not place it before; not replicated */
+	uint32_t planned;  /**< tasks whose intent is being recorded; not replicated */
 } batch_step_t;
 
 typedef struct batch_job {
@@ -130,6 +130,7 @@
 	char *machine;
 	Lp__BatchOrderState state;
 	uint64_t since_ms;
+	uint64_t born_ms; /**< of the VM that the order ends; 0: none was known */
 } batch_wave_machine_t;
 
 /** A maintenance wave. */
@@ -155,8 +156,8 @@
 typedef struct {
 	Lp__BatchConfig *config; /**< NULL: none yet */
 	uint64_t next_seq;
-	GHashTable *by_id;  /**< job id -> batch_job_t */
-	GHashTable *by_seq; /**< &seq -> batch_job_t */
+	GHashTable *by_id;	      /**< job id -> batch_job_t */
+	GHashTable *by_seq;	      /**< &seq -> batch_job_t */
 	struct batch_job_list active; /**< not ended, or with tasks that still have a VM */
 	struct batch_job_list ended;  /**< in order of their end */
 	LIST_HEAD(batch_vms, batch_vm) vms;
@@ -165,7 +166,7 @@
 	LIST_HEAD(batch_waves, batch_wave) waves;
 	LIST_HEAD(batch_moves, batch_move) moves;
 	GHashTable *ordered; /**< machine -> uint64_t: wall clock of the latest recorded order */
-	uint64_t revision; /**< counts changes */
+	uint64_t revision;   /**< counts changes */
 } batch_state_t;
 
 void batch_state_init(batch_state_t *state);
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -168,10 +168,13 @@
 {
 	Lp__BatchOrder order = LP__BATCH_ORDER__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	const leader_vm_t *vm = leader_vm_of_machine(leader, machine);
 
 	order.machine = (char *)machine;
 	order.wave = wave;
 	order.state = state;
+	if (vm != NULL && state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT)
+		order.born_ms = vm->born_ms;
 	command.body_case = LP__BATCH_COMMAND__BODY_ORDER;
 	command.order = &order;
 	leader->propose(leader->arg, &command, done, arg);
@@ -333,6 +336,15 @@
 {
 }
 
+/* A VM that was born before the order is the one that the order ends. Without one, only the clocks
+ * tell. */
+static bool born_after(const leader_vm_t *vm, const batch_wave_machine_t *machine)
+{
+	if (machine->born_ms != 0)
+		return vm->born_ms > machine->born_ms;
+	return vm->born_ms > machine->since_ms + CLOCK_SLACK_MS;
+}
+
 void leader_upkeep_returned(batch_leader_t *leader, const leader_vm_t *vm)
 {
 	batch_wave_t *wave;
@@ -342,8 +354,7 @@
 			const batch_wave_machine_t *machine = &wave->machines[i];
 
 			if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN &&
-			    strcmp(machine->machine, vm->machine) == 0 &&
-			    vm->born_ms + CLOCK_SLACK_MS > machine->since_ms)
+			    strcmp(machine->machine, vm->machine) == 0 && born_after(vm, machine))
 				propose_order(leader, wave->wave, machine->machine,
 					      LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE,
 					      ignore_result, NULL);
@@ -402,8 +413,8 @@
 	if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN ||
 	    wall_ms < machine->since_ms + leader->config.maintenance_ms + RETURN_SLACK_MS)
 		return;
-	propose_order(leader, wave->wave, machine->machine,
-		      LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE, ignore_result, NULL);
+	propose_order(leader, wave->wave, machine->machine, LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE,
+		      ignore_result, NULL);
 }
 
 /* Empty machines are maintained first: nothing has to move for them. */
@@ -429,8 +440,7 @@
 				continue;
 			leader->order_busy = true;
 			propose_order(leader, wave->wave, machine->machine,
-				      LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT,
-				      on_intent_recorded,
+				      LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_recorded,
 				      upkeep_new(leader, wave->wave, machine->machine));
 		}
 	}
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -249,8 +249,7 @@
 		if (now_us >= call->deadline_us) {
 			metrics_add(link->unknown, 1);
 			finish_as(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
-		} else if (call->sent_to == 0 ||
-			   now_us >= call->sent_us + RESEND_MS * US_PER_MS) {
+		} else if (call->sent_to == 0 || now_us >= call->sent_us + RESEND_MS * US_PER_MS) {
 			send_call(link, call);
 		}
 	}
@@ -294,8 +293,8 @@
 	link->unavailable = metrics_counter(options->metrics, "edge_calls_unavailable_total", "");
 	link->latency = metrics_histogram(options->metrics, "edge_call_latency_us", "");
 	process_address(settings->node_id, settings->peer_port, address, sizeof(address));
-	link->peers = peer_set_create(options->ev, options->ev, options->timers, &config,
-				      &callbacks);
+	link->peers =
+		peer_set_create(options->ev, options->ev, options->timers, &config, &callbacks);
 	if (link->peers == NULL) {
 		g_snprintf(error, error_size, "%s: %s", address, strerror(errno));
 		g_free(link);
--- a/src/peer.h
+++ b/src/peer.h
@@ -47,7 +47,7 @@
 	const char *listen_address; /**< IP:port */
 	const peer_address_t *peers;
 	size_t peer_count;
-	uint32_t ping_ms;    /**< 500 */
+	uint32_t ping_ms; /**< 500 */
 	/** Node ids are IPv4 addresses in host order; a peer that dials this process is dialled
 	 * back at this port. 0: only the configured peers are dialled. */
 	uint16_t dial_back_port;
--- a/src/process.h
+++ b/src/process.h
@@ -17,16 +17,16 @@
 	char *ip;
 	uint32_t node_id;
 	char *data_centre;
-	char *data_dir;	      /**< NULL: no disk */
-	uint16_t peer_port;   /**< the same on all machines */
+	char *data_dir;	       /**< NULL: no disk */
+	uint16_t peer_port;    /**< the same on all machines */
 	uint16_t control_port; /**< of the processes that keep the log; the same on all machines */
-	uint16_t front_port;  /**< of an edge process */
+	uint16_t front_port;   /**< of an edge process */
 	uint16_t ready_port;
 	uint16_t metrics_port;
 	uint32_t seeds[PROCESS_SEEDS_MAX]; /**< node ids of processes that kept the log lately */
 	size_t seed_count;
-	bool first_start; /**< the whole system starts for the first time */
-	uint32_t losses;  /**< machines with a disk that may be lost at once */
+	bool first_start;	/**< the whole system starts for the first time */
+	uint32_t losses;	/**< machines with a disk that may be lost at once */
 	char *advice_address;	/**< of the service that knows the queues' policies; NULL: none */
 	char *platform_address; /**< of the platform that owns the machines; NULL: none */
 	uint32_t report_ms;	/**< time between two reports of a VM */
--- a/src/replica_internal.h
+++ b/src/replica_internal.h
@@ -68,7 +68,7 @@
 	uint64_t applied_bytes; /* of the entries applied since the snapshot */
 	uint32_t last_leader;
 	TAILQ_HEAD(unsynced_list, raft_action) unsynced; /* messages that wait for the next sync */
-	struct unsynced_list syncing;			 /* messages that wait for the running one */
+	struct unsynced_list syncing; /* messages that wait for the running one */
 	disk_thread_t disk;
 	bool has_disk_thread;
 	uint64_t sync_index; /* entries up to it are durable once the running sync ends */
@@ -88,7 +88,7 @@
 	known_peer_t known[RAFT_MEMBERS_MAX];
 	size_t known_count;
 	uint64_t lead_since_us; /* 0: does not lead */
-	uint64_t config_seen; /* index of the latest configuration compared with known */
+	uint64_t config_seen;	/* index of the latest configuration compared with known */
 };
 
 /* replica.c */
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -89,8 +89,7 @@
 {
 	raft_peer_info_t info;
 
-	return !raft_id_equal(id, replica->self) &&
-	       raft_peer_info(replica->raft, id, &info) == 0 &&
+	return !raft_id_equal(id, replica->self) && raft_peer_info(replica->raft, id, &info) == 0 &&
 	       now_us > MAX(info.heard_us, replica->lead_since_us) +
 				replica->config.replace_ms * US_PER_MS;
 }
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -18,9 +18,9 @@
 
 typedef enum {
 	VM_REPLY_OK,
-	VM_REPLY_FENCED,     /**< the VM has seen a higher fencing token */
-	VM_REPLY_OLD_RUN,    /**< this run, or a later one, was stopped or ended there */
-	VM_REPLY_TOO_LATE,   /**< the lease had expired before the order arrived */
+	VM_REPLY_FENCED,   /**< the VM has seen a higher fencing token */
+	VM_REPLY_OLD_RUN,  /**< this run, or a later one, was stopped or ended there */
+	VM_REPLY_TOO_LATE, /**< the lease had expired before the order arrived */
 	VM_REPLY_NO_ROOM,
 	VM_REPLY_BAD_TICKET, /**< the queue's policy has not allowed it, or not any more */
 	VM_REPLY_INVALID,
