--- a/src/batch_capacity.c
+++ b/src/batch_capacity.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <glib.h>
+#include <talloc.h>
 
 /* Room beyond the declared need: declared times and sizes are off by a fifth and more. */
 #define MARGIN 1.15
@@ -163,8 +164,9 @@
 		     const capacity_machine_t *machines, size_t machine_count, size_t limit,
 		     capacity_move_t *moves)
 {
-	g_autofree holding_t *held = g_new0(holding_t, pool_count + 1);
-	g_autofree bool *taken = g_new0(bool, machine_count + 1);
+	void *mem = talloc_new(NULL);
+	holding_t *held = talloc_zero_array(mem, holding_t, pool_count + 1);
+	bool *taken = talloc_zero_array(mem, bool, machine_count + 1);
 	plan_t plan = {
 		.pools = pools,
 		.pool_count = pool_count,
@@ -180,5 +182,7 @@
 		held[machines[i].pool].vms++;
 	}
 	count = meet_needs(&plan, limit, moves);
-	return count + release(&plan, limit - count, moves + count);
+	count += release(&plan, limit - count, moves + count);
+	talloc_free(mem);
+	return count;
 }
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <talloc.h>
+
 #include "batch_leader_internal.h"
 #include "batch_order.h"
 #include "batch_place.h"
@@ -217,8 +219,9 @@
 	batch_step_t *step = candidate->step;
 	const Lp__BatchStep *spec = step->spec;
 	pool_t *pool = pool_of(pass, step->job->service);
-	g_autofree batch_task_t **tasks = g_new(batch_task_t *, spec->count);
-	g_autofree size_t *chosen = g_new(size_t, spec->count);
+	void *mem = talloc_new(NULL);
+	batch_task_t **tasks = talloc_zero_array(mem, batch_task_t *, spec->count);
+	size_t *chosen = talloc_zero_array(mem, size_t, spec->count);
 	size_t want = 0;
 	size_t placed;
 
@@ -227,9 +230,9 @@
 			tasks[want++] = &step->tasks[i];
 	}
 	if (want == 0 || (spec->gang && want < spec->count) || pool->vms->len == 0)
-		return;
+		goto finish;
 	if (pool_is_full(pool, spec) || !tickets_ready(pass, pool, step, candidate->queue))
-		return;
+		goto finish;
 	prepare_pool(pass, pool, step, candidate->queue);
 	placed =
 		place_step((place_vm_t *)pool->places->data, pool->places->len, spec, want, chosen);
@@ -243,6 +246,8 @@
 		plan_task(pass, tasks[i], g_ptr_array_index(pool->vms, chosen[i]));
 	if (placed > 0)
 		log_placed(pass, step, placed, want);
+finish:
+	talloc_free(mem);
 }
 
 /* --- recording the intents --- */
@@ -315,9 +320,10 @@
 	batch_leader_t *leader = pass->leader;
 	size_t count = pass->planned->len;
 	intents_t *intents = g_malloc0(sizeof(*intents) + count * sizeof(intents->intents[0]));
-	g_autofree Lp__BatchStart *starts = g_new(Lp__BatchStart, count);
-	g_autofree Lp__BatchStart **list = g_new(Lp__BatchStart *, count);
-	g_autofree Lp__BatchTask **refs = g_new(Lp__BatchTask *, count);
+	void *mem = talloc_new(NULL);
+	Lp__BatchStart *starts = talloc_zero_array(mem, Lp__BatchStart, count);
+	Lp__BatchStart **list = talloc_zero_array(mem, Lp__BatchStart *, count);
+	Lp__BatchTask **refs = talloc_zero_array(mem, Lp__BatchTask *, count);
 	Lp__BatchStarts message = LP__BATCH_STARTS__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 
@@ -346,6 +352,7 @@
 	command.body_case = LP__BATCH_COMMAND__BODY_STARTS;
 	command.starts = &message;
 	leader->propose(leader->arg, &command, on_intents_recorded, intents);
+	talloc_free(mem);
 }
 
 static gint compare_planned(gconstpointer a, gconstpointer b)
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include <talloc.h>
+
 #include "batch_leader_internal.h"
 #include "log.h"
 
@@ -82,8 +84,8 @@
 static void propose_loss(batch_leader_t *leader, batch_task_t **tasks, size_t count)
 {
 	loss_t *loss = g_malloc0(sizeof(*loss) + count * sizeof(loss->refs[0]));
-	g_autofree Lp__BatchEnd *ends = g_new(Lp__BatchEnd, count);
-	g_autofree Lp__BatchEnd **list = g_new(Lp__BatchEnd *, count);
+	Lp__BatchEnd *ends = talloc_zero_array(NULL, Lp__BatchEnd, count);
+	Lp__BatchEnd **list = talloc_zero_array(ends, Lp__BatchEnd *, count);
 	Lp__BatchLost lost = LP__BATCH_LOST__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 
@@ -103,6 +105,7 @@
 	command.lost = &lost;
 	metrics_add(leader->count.lost, count);
 	leader->propose(leader->arg, &command, on_loss_recorded, loss);
+	talloc_free(ends);
 }
 
 void leader_lose_run(batch_leader_t *leader, batch_task_t *task, const char *reason)
@@ -227,9 +230,10 @@
 static void record_ends(leader_vm_t *vm, batch_vm_t *life, const vm_reply_t *reply)
 {
 	batch_leader_t *leader = vm->leader;
-	g_autofree Lp__BatchTask *refs = g_new(Lp__BatchTask, reply->ended_count);
-	g_autofree Lp__BatchEnd *items = g_new(Lp__BatchEnd, reply->ended_count);
-	g_autofree Lp__BatchEnd **list = g_new(Lp__BatchEnd *, reply->ended_count);
+	void *mem = talloc_new(NULL);
+	Lp__BatchTask *refs = talloc_zero_array(mem, Lp__BatchTask, reply->ended_count);
+	Lp__BatchEnd *items = talloc_zero_array(mem, Lp__BatchEnd, reply->ended_count);
+	Lp__BatchEnd **list = talloc_zero_array(mem, Lp__BatchEnd *, reply->ended_count);
 	Lp__BatchEnds ends = LP__BATCH_ENDS__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	ends_t *context;
@@ -244,7 +248,7 @@
 		ends.noted = MAX(ends.noted, reply->ended[i].number);
 	}
 	if (ends.n_ends == 0)
-		return;
+		goto finish;
 	ends.vm = vm->id;
 	ends.born_ms = vm->born_ms;
 	ends.ends = list;
@@ -255,6 +259,8 @@
 	vm->ends_busy = true;
 	metrics_add(leader->count.ends, ends.n_ends);
 	leader->propose(leader->arg, &command, on_ends_recorded, context);
+finish:
+	talloc_free(mem);
 }
 
 /* --- holds --- */
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -293,9 +293,9 @@
 	return true;
 }
 
-void batch_leader_left(batch_leader_t *leader, const char *id)
+void batch_leader_left(batch_leader_t *leader, const char *vm_id)
 {
-	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, id);
+	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, vm_id);
 
 	if (vm != NULL && vm->left_us == 0)
 		vm->left_us = leader_now_us(leader);
@@ -392,13 +392,16 @@
 void batch_leader_deactivate(batch_leader_t *leader)
 {
 	leader_vm_t *vm;
+	leader_vm_t *next;
 
 	if (leader->active)
 		log_event(G_LOG_LEVEL_MESSAGE, NULL, "does not run the batch jobs any more");
 	leader->active = false;
 	leader_unplan_all(leader);
-	while ((vm = LIST_FIRST(&leader->vms)) != NULL)
+	for (vm = LIST_FIRST(&leader->vms); vm != NULL; vm = next) {
+		next = LIST_NEXT(vm, link);
 		free_vm(vm);
+	}
 	g_hash_table_remove_all(leader->machines);
 	g_hash_table_remove_all(leader->need_before);
 }
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -61,7 +61,7 @@
 /** A VM reported at heard_us. @return false when the report is older than what is known */
 bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t heard_us);
 /** A VM has left after a graceful end. */
-void batch_leader_left(batch_leader_t *leader, const char *vm);
+void batch_leader_left(batch_leader_t *leader, const char *vm_id);
 /** Call at least every 50 ms, and after commands were applied. */
 void batch_leader_tick(batch_leader_t *leader);
 /** Work may be placed: a job was accepted or a VM has room. Runs at the next tick. */
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -224,7 +224,7 @@
 
 static void on_remote_call(batch_node_t *node, uint32_t from, const Lp__BatchCall *call)
 {
-	remote_call_t *remote = g_new0(remote_call_t, 1);
+	remote_call_t *remote = talloc_zero(NULL, remote_call_t);
 
 	*remote = (remote_call_t){.node = node, .from = from};
 	batch_node_call(node, call, send_reply, remote);
@@ -232,13 +232,14 @@
 
 static void send_reply(void *arg, const Lp__BatchReply *reply)
 {
-	g_autofree remote_call_t *remote = arg;
+	remote_call_t *remote = arg;
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 
 	envelope.body_case = LP__ENVELOPE__BODY_BATCH_REPLY;
 	envelope.batch_reply = (Lp__BatchReply *)reply;
 	if (peer_send(remote->node->peers, remote->from, &envelope) != 0)
 		g_message("an answer could not be sent; the edge process asks again");
+	talloc_free(remote);
 }
 
 static void on_hint(batch_node_t *node, const Lp__LeaderHint *hint)
--- a/src/batch_order.c
+++ b/src/batch_order.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <talloc.h>
+
 #include "clock.h"
 
 /* A job is still of some worth up to this many times its objective. */
@@ -27,7 +29,7 @@
 
 static uint64_t chain_from(const batch_step_t *steps, size_t count, bool left)
 {
-	g_autofree uint64_t *end = g_new0(uint64_t, count);
+	uint64_t *end = talloc_zero_array(NULL, uint64_t, count);
 	uint64_t longest = 0;
 
 	for (size_t i = 0; i < count; i++) {
@@ -39,6 +41,7 @@
 		end[i] += done ? 0 : spec->estimate_ms;
 		longest = MAX(longest, end[i]);
 	}
+	talloc_free(end);
 	return longest;
 }
 
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -197,7 +197,7 @@
 batch_task_t *batch_state_task(const batch_state_t *state, const Lp__BatchTask *ref);
 batch_task_t *batch_job_task(batch_job_t *job, uint32_t occurrence, uint32_t step, uint32_t index);
 batch_vm_t *batch_state_vm(const batch_state_t *state, const char *id, uint64_t born_ms);
-batch_wave_t *batch_state_wave(const batch_state_t *state, uint64_t wave);
+batch_wave_t *batch_state_wave(const batch_state_t *state, uint64_t number);
 /** Accepted jobs of a queue, without a schedule, of which no task has started. */
 uint32_t batch_state_pending(const batch_state_t *state, const Lp__BatchQueue *queue,
 			     uint64_t wall_ms);
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -308,10 +308,13 @@
 void edge_link_destroy(edge_link_t *link)
 {
 	edge_call_t *call;
+	edge_call_t *next;
 
 	timer_unsubscribe(link->timers, &link->tick);
-	while ((call = TAILQ_FIRST(&link->calls)) != NULL)
+	for (call = TAILQ_FIRST(&link->calls); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, link);
 		finish_as(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
+	}
 	peer_set_destroy(link->peers);
 	g_free(link);
 }
--- a/src/edge_link.h
+++ b/src/edge_link.h
@@ -42,5 +42,5 @@
  * Passes a call on. Without a leader it is answered at once.
  * @param timeout_ms after which a call without an answer is answered as UNKNOWN
  */
-void edge_link_call(edge_link_t *link, const Lp__BatchCall *call, uint32_t timeout_ms,
+void edge_link_call(edge_link_t *link, const Lp__BatchCall *message, uint32_t timeout_ms,
 		    edge_reply_fn done, void *arg);
--- a/src/replica_internal.h
+++ b/src/replica_internal.h
@@ -59,7 +59,6 @@
 	timer_service_t *timers;
 	timer_sub_t tick;
 	struct tevent_immediate *flush;
-	bool flush_scheduled;
 
 	raft_t *raft;
 	raft_id_t self;
@@ -70,15 +69,12 @@
 	TAILQ_HEAD(unsynced_list, raft_action) unsynced; /* messages that wait for the next sync */
 	struct unsynced_list syncing; /* messages that wait for the running one */
 	disk_thread_t disk;
-	bool has_disk_thread;
 	uint64_t sync_index; /* entries up to it are durable once the running sync ends */
-	bool vote_saved;     /* since the running sync began */
 
 	char *log_path; /* NULL: no disk */
 	char *snapshot_path;
 	char *identity_path;
 	wal_t *wal;
-	bool disk_failed;
 	uint64_t disk_retry_us;
 
 	struct proposal_list queued;  /* PROPOSAL_QUEUED, PROPOSAL_FORWARDED, PROPOSAL_ANSWERED */
@@ -88,7 +84,11 @@
 	known_peer_t known[RAFT_MEMBERS_MAX];
 	size_t known_count;
 	uint64_t lead_since_us; /* 0: does not lead */
-	uint64_t config_seen;	/* index of the latest configuration compared with known */
+	bool has_disk_thread;
+	bool vote_saved; /* since the running sync began */
+	bool disk_failed;
+	bool flush_scheduled;
+	uint64_t config_seen; /* index of the latest configuration compared with known */
 };
 
 /* replica.c */
