replica_members: a new member does not count as silent

Change: silence counts from when the member was last known to be up. Test: test_new_member_of_an_open_group_stays fails without the change.

--- a/src/replica_internal.h
+++ b/src/replica_internal.h
@@ -48,6 +48,7 @@
 typedef struct {
 	raft_id_t id;
 	bool disk;
+	uint64_t up_us; /* when it was known to be up */
 } known_peer_t;
 
 struct replica {
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "clock.h"
+#include "log.h"
 
 /* A learner this close behind the leader's last entry is caught up. */
 #define CAUGHT_UP_ENTRIES 16
@@ -29,7 +30,8 @@
 			return;
 		known = &replica->known[replica->known_count++];
 	}
-	*known = (known_peer_t){.id = {node_id, peer_replica_id}, .disk = disk};
+	*known = (known_peer_t){
+		.id = {node_id, peer_replica_id}, .disk = disk, .up_us = clock_now_us()};
 }
 
 /* A configuration that arrives after a node came up may name a newer identity of the node, which
@@ -88,10 +90,17 @@
 static bool is_silent(const replica_t *replica, raft_id_t id, uint64_t now_us)
 {
 	raft_peer_info_t info;
+	uint64_t latest_us = replica->lead_since_us;
 
-	return !raft_id_equal(id, replica->self) && raft_peer_info(replica->raft, id, &info) == 0 &&
-	       now_us > MAX(info.heard_us, replica->lead_since_us) +
-				replica->config.replace_ms * US_PER_MS;
+	if (raft_id_equal(id, replica->self) || raft_peer_info(replica->raft, id, &info) != 0)
+		return false;
+	latest_us = MAX(latest_us, info.heard_us);
+	/* A member that was just added has not answered yet. */
+	for (size_t i = 0; i < replica->known_count; i++) {
+		if (raft_id_equal(replica->known[i].id, id))
+			latest_us = MAX(latest_us, replica->known[i].up_us);
+	}
+	return now_us > latest_us + replica->config.replace_ms * US_PER_MS;
 }
 
 static bool has_spare(const replica_t *replica, uint64_t now_us)
@@ -113,6 +122,16 @@
 	return false;
 }
 
+static void log_change(const char *what, raft_id_t id)
+{
+	char node[16];
+	char replica[24];
+
+	g_snprintf(node, sizeof(node), "%u", id.node);
+	g_snprintf(replica, sizeof(replica), "%" G_GUINT64_FORMAT, id.replica);
+	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("member", node, "replica", replica), "%s", what);
+}
+
 /* Voters that stay silent give way to a learner that has caught up; learners that stay silent are
  * dropped, so that machines that were exchanged do not fill the configuration. */
 static void remove_silent(replica_t *replica, uint64_t now_us)
@@ -127,6 +146,7 @@
 			continue;
 		if (raft_change(replica->raft, RAFT_REMOVE, member.id) != 0)
 			continue;
+		log_change("silent member is removed", member.id);
 		for (size_t j = 0; j < replica->known_count; j++) {
 			if (raft_id_equal(replica->known[j].id, member.id))
 				replica->known[j--] = replica->known[--replica->known_count];
@@ -154,11 +174,13 @@
 		const raft_member_t *member =
 			raft_config_find(raft_config(replica->raft), known->id);
 
-		if (member == NULL)
-			raft_change(replica->raft, RAFT_REPLACE, known->id);
-		else if (!member->voter && known->disk && may_vote(replica, known->id.node) &&
-			 caught_up(replica, known->id, now_us))
-			raft_change(replica->raft, RAFT_PROMOTE, known->id);
+		if (member == NULL && raft_change(replica->raft, RAFT_REPLACE, known->id) == 0)
+			log_change("member is added without a vote", known->id);
+		else if (member != NULL && !member->voter && known->disk &&
+			 may_vote(replica, known->id.node) &&
+			 caught_up(replica, known->id, now_us) &&
+			 raft_change(replica->raft, RAFT_PROMOTE, known->id) == 0)
+			log_change("member gets a vote", known->id);
 		else
 			continue;
 		replica_schedule(replica);
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -53,6 +53,9 @@
 static char root[64];
 static char error_text[512];
 static size_t largest_heartbeat;
+/* Any node with a disk may become a voter, and silent ones are replaced. */
+static bool open_group;
+#define REPLACE_MS 500
 
 static void apply(void *arg, uint64_t index, const Lp__Command *command, Lp__Result *result)
 {
@@ -136,6 +139,8 @@
 		.lease_ms = 120,
 		.snapshot_every = 50,
 		.seed = n,
+		.voter_target = open_group ? VOTERS : 0,
+		.replace_ms = REPLACE_MS,
 	};
 
 	node->state = (state_t){0};
@@ -267,8 +272,15 @@
 	return 0;
 }
 
+static int set_up_open(void **state)
+{
+	open_group = true;
+	return set_up(state);
+}
+
 static int tear_down(void **state)
 {
+	open_group = false;
 	for (uint32_t n = 1; n <= NODES; n++) {
 		stop(n);
 		wipe(nodes[n].dir);
@@ -352,6 +364,47 @@
 	assert_in_range(largest_heartbeat, 1, 80);
 }
 
+/* Guards against a new member that counts as silent since before it was added: it was removed at
+ * once, again and again, and a second loss some seconds later stopped the group. */
+static void test_new_member_of_an_open_group_stays(void **state)
+{
+	uint32_t lost = some_follower();
+	uint32_t other;
+
+	run_for(REPLACE_MS + 200);
+	propose_many(leader(), 20);
+	stop(lost);
+	wipe(nodes[lost].dir);
+	assert_true(start(lost));
+	RUN_UNTIL(converged());
+	run_for(300);
+	other = 6 - lost - leader();
+	stop(other);
+	run_for(400);
+	RUN_UNTIL(leader() != 0);
+	propose_many(lost, 10);
+}
+
+/* Guards against a group that waits for a voter that never returns although a spare member has
+ * caught up. */
+static void test_silent_voter_gives_way_to_a_spare(void **state)
+{
+	uint32_t lost = some_follower();
+	uint32_t second;
+
+	stop(4);
+	nodes[4].disk = true;
+	assert_true(start(4));
+	RUN_UNTIL(converged());
+	stop(lost);
+	run_for(REPLACE_MS + 600);
+	second = 6 - lost - leader();
+	stop(second);
+	run_for(400);
+	RUN_UNTIL(leader() != 0);
+	propose_many(leader(), 10);
+}
+
 /* Guards against a command that no peer connection can carry, which would block the log. */
 static void test_too_large_command_is_refused(void **state)
 {
@@ -466,6 +519,10 @@
 		cmocka_unit_test_setup_teardown(test_leader_failure_and_restart, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_disk_returns_as_learner_and_is_promoted,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_new_member_of_an_open_group_stays, set_up_open,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_silent_voter_gives_way_to_a_spare, set_up_open,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_log_of_large_commands_is_bounded, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_too_large_command_is_refused, set_up,
