--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -2259,7 +2259,7 @@
   (ProtobufCMessageInit) lp__batch_start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_starts__field_descriptors[1] =
+static const ProtobufCFieldDescriptor lp__batch_starts__field_descriptors[2] =
 {
   {
     "starts",
@@ -2273,14 +2273,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchStarts, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_starts__field_indices_by_name[] = {
   0,   /* field[0] = starts */
+  1,   /* field[1] = term */
 };
 static const ProtobufCIntRange lp__batch_starts__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor lp__batch_starts__descriptor =
 {
@@ -2290,7 +2303,7 @@
   "Lp__BatchStarts",
   "lp",
   sizeof(Lp__BatchStarts),
-  1,
+  2,
   lp__batch_starts__field_descriptors,
   lp__batch_starts__field_indices_by_name,
   1,  lp__batch_starts__number_ranges,
@@ -3234,7 +3247,7 @@
   (ProtobufCMessageInit) lp__batch_ordered__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[8] =
 {
   {
     "config",
@@ -3320,6 +3333,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_term",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchSnapshot, start_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = config */
@@ -3327,13 +3352,14 @@
   5,   /* field[5] = moves */
   1,   /* field[1] = next_seq */
   6,   /* field[6] = ordered */
+  7,   /* field[7] = start_term */
   3,   /* field[3] = vms */
   4,   /* field[4] = waves */
 };
 static const ProtobufCIntRange lp__batch_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lp__batch_snapshot__descriptor =
 {
@@ -3343,7 +3369,7 @@
   "Lp__BatchSnapshot",
   "lp",
   sizeof(Lp__BatchSnapshot),
-  7,
+  8,
   lp__batch_snapshot__field_descriptors,
   lp__batch_snapshot__field_indices_by_name,
   1,  lp__batch_snapshot__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -312,10 +312,14 @@
   ProtobufCMessage base;
   size_t n_starts;
   Lp__BatchStart **starts;
+  /*
+   * of the leader; intents of earlier leaders are void
+   */
+  uint64_t term;
 };
 #define LP__BATCH_STARTS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_starts__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 struct  Lp__BatchEnd
@@ -533,10 +537,11 @@
   Lp__BatchOrder **moves;
   size_t n_ordered;
   Lp__BatchOrdered **ordered;
+  uint64_t start_term;
 };
 #define LP__BATCH_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_snapshot__descriptor) \
-    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  Lp__BatchCall
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -123,17 +123,6 @@
 		batch_state_remove(state, &state->ended, job);
 }
 
-/* Remembers the service, as the queue may be removed before the job has ended. */
-static void update_service(const batch_state_t *state, batch_job_t *job)
-{
-	const Lp__BatchQueue *queue = batch_state_queue(state, job);
-
-	if (queue == NULL || g_strcmp0(queue->service, job->service) == 0)
-		return;
-	g_free(job->service);
-	job->service = g_strdup(queue->service);
-}
-
 static void apply_submit(batch_state_t *state, uint64_t wall_ms, const Lp__BatchJob *spec,
 			 Lp__Result *result)
 {
@@ -148,7 +137,7 @@
 	}
 	job = batch_job_new(batch_message_copy(&spec->base), state->next_seq++, wall_ms);
 	job->service = g_strdup("");
-	update_service(state, job);
+	batch_job_find_queue(state, job);
 	batch_state_add(state, job);
 }
 
@@ -209,10 +198,10 @@
 	mark_done(task, wall_ms);
 }
 
-static void on_failed(batch_state_t *state, batch_task_t *task, uint64_t wall_ms)
+static void on_failed(batch_task_t *task, uint64_t wall_ms)
 {
 	batch_step_t *step = task->step;
-	const Lp__BatchQueue *queue = batch_state_queue(state, step->job);
+	const Lp__BatchQueue *queue = step->job->queue;
 	uint32_t attempts = queue != NULL ? queue->attempts : 0;
 	uint32_t failures = step->spec->gang ? ++step->gang_failures : ++task->failures;
 
@@ -262,7 +251,7 @@
 		break;
 	case LP__BATCH_END_KIND__BATCH_END_FAILED:
 		if (task->status != BATCH_TASK_DONE)
-			on_failed(state, task, wall_ms);
+			on_failed(task, wall_ms);
 		break;
 	case LP__BATCH_END_KIND__BATCH_END_STOPPED:
 	case LP__BATCH_END_KIND__BATCH_END_LAPSED:
@@ -319,6 +308,10 @@
 
 static void apply_starts(batch_state_t *state, const Lp__BatchStarts *starts)
 {
+	/* A deposed leader's proposal may be recorded after its successor's. */
+	if (starts->term < state->start_term)
+		return;
+	state->start_term = starts->term;
 	for (size_t i = 0; i < starts->n_starts; i++) {
 		const Lp__BatchStart *start = starts->starts[i];
 		batch_vm_t *vm = find_or_add_vm(state, start);
@@ -343,8 +336,10 @@
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
 	state->config = batch_message_copy(&config->base);
+	TAILQ_FOREACH (job, &state->ended, link)
+		job->queue = NULL;
 	TAILQ_FOREACH (job, &state->active, link)
-		update_service(state, job);
+		batch_job_find_queue(state, job);
 }
 
 batch_wave_t *batch_wave_new(batch_state_t *state, const Lp__BatchWave *message, uint64_t since_ms)
@@ -361,6 +356,9 @@
 	};
 	for (size_t i = 0; i < message->n_machines; i++)
 		wave->machines[i].machine = g_strdup(message->machines[i]);
+	for (size_t i = 0; i < message->n_machines; i++)
+		g_hash_table_replace(state->wave_machines, wave->machines[i].machine,
+				     &wave->machines[i]);
 	LIST_INSERT_HEAD(&state->waves, wave, link);
 	return wave;
 }
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -10,7 +10,7 @@
 #include "log.h"
 
 /* Placements are this far apart: tasks that end together free room together. */
-#define PLACE_GAP_US (10 * US_PER_MS)
+#define PLACE_GAP_US (15 * US_PER_MS)
 /* VMs that the queue's policy is asked about for one step; the objective of a job allows for the
  * time that it takes to decide about 30. */
 #define ADVICE_VMS 30
@@ -27,6 +27,7 @@
 	batch_leader_t *leader;
 	uint64_t now_us;
 	uint64_t wall_ms;
+	uint64_t number;
 	GHashTable *pools; /* service -> pool_t */
 	GArray *planned;   /* planned_t */
 } pass_t;
@@ -111,6 +112,8 @@
 		place = place_of(vm, pass->now_us);
 		if (!place.usable)
 			continue;
+		vm->place_pass = pass->number;
+		vm->place_index = pool->vms->len;
 		g_array_append_val(pool->places, place);
 		g_ptr_array_add(pool->vms, vm);
 	}
@@ -127,21 +130,23 @@
 static void prepare_pool(pass_t *pass, pool_t *pool, const batch_step_t *step,
 			 const Lp__BatchQueue *queue)
 {
+	place_vm_t *places = (place_vm_t *)pool->places->data;
 	bool advised = queue != NULL && queue->advice != NULL;
 
 	for (guint i = 0; i < pool->vms->len; i++) {
 		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
-		place_vm_t *place = &g_array_index(pool->places, place_vm_t, i);
 
-		place->same_step = 0;
-		place->allowed = !advised || ticket_find(step, vm->id, pass->now_us) != NULL;
-		for (uint32_t j = 0; j < step->spec->count; j++) {
-			const batch_task_t *task = &step->tasks[j];
-
-			if ((task->vm != NULL && task->vm->leader == vm) ||
-			    (task->soft.planned && task->soft.planned_vm == vm))
-				place->same_step++;
-		}
+		places[i].same_step = 0;
+		places[i].allowed = !advised || ticket_find(step, vm->id, pass->now_us) != NULL;
+	}
+	for (uint32_t j = 0; j < step->spec->count; j++) {
+		const batch_task_t *task = &step->tasks[j];
+		const leader_vm_t *vm = task->soft.planned ? task->soft.planned_vm
+					: task->vm != NULL ? task->vm->leader
+							   : NULL;
+
+		if (vm != NULL && vm->place_pass == pass->number)
+			places[vm->place_index].same_step++;
 	}
 }
 
@@ -288,17 +293,19 @@
 	if (task == NULL)
 		return;
 	unplan(task);
-	if (recorded && task->status == BATCH_TASK_ASSIGNED && task->run == intent->ref.run &&
-	    task->soft.phase == RUN_INHERITED) {
-		if (vm == NULL) {
-			leader_lose_run(leader, task, "the VM has ended before the start");
-			return;
-		}
-		if (batch_job_ended(task->step->job)) {
-			task->soft.phase = RUN_REFUSED;
-			leader_lose_run(leader, task, "the job has ended before the start");
-			return;
-		}
+	if (!recorded || task->status != BATCH_TASK_ASSIGNED || task->run != intent->ref.run ||
+	    task->soft.phase != RUN_INHERITED)
+		return;
+	/* An intent of an earlier leader with the same number may have been recorded first. */
+	if (task->vm == NULL || strcmp(task->vm->id, intent->vm.vm) != 0 ||
+	    task->vm->born_ms != intent->vm.born_ms)
+		return;
+	if (vm == NULL) {
+		leader_lose_run(leader, task, "the VM has ended before the start");
+	} else if (batch_job_ended(task->step->job)) {
+		task->soft.phase = RUN_REFUSED;
+		leader_lose_run(leader, task, "the job has ended before the start");
+	} else {
 		leader_order_start(vm, task);
 	}
 }
@@ -349,6 +356,7 @@
 		start->n_tasks++;
 	}
 	message.starts = list;
+	message.term = leader->term;
 	command.body_case = LP__BATCH_COMMAND__BODY_STARTS;
 	command.starts = &message;
 	leader->propose(leader->arg, &command, on_intents_recorded, intents);
@@ -397,6 +405,7 @@
 		.leader = leader,
 		.now_us = now_us,
 		.wall_ms = leader->clock_wall_ms(leader->arg),
+		.number = ++leader->passes,
 	};
 	g_autoptr(GArray) candidates = NULL;
 
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -190,6 +190,7 @@
 	vm->ends_busy = false;
 	vm->leader->place_due = true;
 	/* Applied or not: the next hold lists what is not recorded. */
+	leader_hold_tick(vm, leader_now_us(vm->leader));
 }
 
 static void end_from_reply(batch_leader_t *leader, leader_vm_t *vm, const vm_ended_t *ended,
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -64,13 +64,7 @@
 
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine)
 {
-	leader_vm_t *vm;
-
-	LIST_FOREACH (vm, &leader->vms, link) {
-		if (!vm->dead && strcmp(vm->machine, machine) == 0)
-			return vm;
-	}
-	return NULL;
+	return g_hash_table_lookup(leader->by_machine, machine);
 }
 
 bool leader_vm_answers(const leader_vm_t *vm, uint64_t now_us)
@@ -132,6 +126,42 @@
 	vm->label_count = 0;
 }
 
+static void add_index(GHashTable *table, char *key, leader_vm_t *vm)
+{
+	const leader_vm_t *known = g_hash_table_lookup(table, key);
+
+	if (key[0] != '\0' && (known == NULL || known->born_ms <= vm->born_ms))
+		g_hash_table_replace(table, key, vm);
+}
+
+/* Finds the VM under its machine and address from now on, unless a later life has them. */
+static void index_vm(leader_vm_t *vm)
+{
+	add_index(vm->leader->by_address, vm->address, vm);
+	add_index(vm->leader->by_machine, vm->machine, vm);
+}
+
+static void drop_index(GHashTable *table, const char *key, const leader_vm_t *vm)
+{
+	if (g_hash_table_lookup(table, key) == vm)
+		g_hash_table_remove(table, key);
+}
+
+static void unindex_vm(const leader_vm_t *vm)
+{
+	drop_index(vm->leader->by_address, vm->address, vm);
+	drop_index(vm->leader->by_machine, vm->machine, vm);
+}
+
+/* Remembers the latest life of the VM that has ended: its late reports are not believed. */
+static void note_end(const leader_vm_t *vm)
+{
+	uint64_t *ended_ms = g_new(uint64_t, 1);
+
+	*ended_ms = vm->born_ms;
+	g_hash_table_replace(vm->leader->ended, g_strdup(vm->id), ended_ms);
+}
+
 static void free_vm(leader_vm_t *vm)
 {
 	batch_vm_t *life = leader_vm_life(vm);
@@ -139,8 +169,8 @@
 	if (life != NULL && life->leader == vm)
 		life->leader = NULL;
 	LIST_REMOVE(vm, link);
-	if (g_hash_table_lookup(vm->leader->by_id, vm->id) == vm)
-		g_hash_table_remove(vm->leader->by_id, vm->id);
+	drop_index(vm->leader->by_id, vm->id, vm);
+	unindex_vm(vm);
 	free_labels(vm);
 	g_free(vm->id);
 	g_free(vm->machine);
@@ -158,8 +188,9 @@
 	if (vm->dead)
 		return;
 	vm->dead = true;
-	if (g_hash_table_lookup(vm->leader->by_id, vm->id) == vm)
-		g_hash_table_remove(vm->leader->by_id, vm->id);
+	drop_index(vm->leader->by_id, vm->id, vm);
+	unindex_vm(vm);
+	note_end(vm);
 	metrics_add(vm->leader->count.dead, 1);
 	g_snprintf(born, sizeof(born), "%" PRIu64, vm->born_ms);
 	log_event(G_LOG_LEVEL_MESSAGE,
@@ -190,6 +221,7 @@
 	}
 	added = new_vm(leader, life->id, life->born_ms, life->address);
 	replace_text(&added->machine, life->machine);
+	index_vm(added);
 	/* An earlier leader may have sent grants that are still on their way. */
 	added->lease_end_us = leader->active_us + leader->config.late_order_ms * US_PER_MS +
 			      lease_true_us(leader);
@@ -198,6 +230,7 @@
 
 static void take_report(leader_vm_t *vm, const vm_report_t *report, uint64_t now_us)
 {
+	unindex_vm(vm);
 	replace_text(&vm->machine, report->machine);
 	replace_text(&vm->service, report->service);
 	replace_text(&vm->address, report->address);
@@ -211,6 +244,11 @@
 	vm->mem_mib = report->mem_mib;
 	vm->gpu = report->gpu;
 	vm->seq = report->seq;
+	/* A report that was on its way when the machine went down arrives within a second. */
+	if (vm->ordered_us != 0 && now_us > vm->ordered_us + US_PER_S) {
+		vm->ordered_us = 0;
+		vm->cordoned = false;
+	}
 	vm->heard_us = now_us;
 	if (report->clock_ms > 0) {
 		vm->clock_ms = report->clock_ms;
@@ -223,35 +261,33 @@
 	vm->drain_until_us = now_us + report->remaining_ms * US_PER_MS;
 }
 
+static void end_predecessor(const leader_vm_t *latest, leader_vm_t *vm)
+{
+	if (vm != NULL && vm != latest && !vm->dead && vm->born_ms < latest->born_ms)
+		leader_vm_mark_dead(vm, "its machine or address has a later VM");
+}
+
 /* A VM with the same machine or address that was born earlier has ended. */
 static void end_predecessors(batch_leader_t *leader, const leader_vm_t *latest)
 {
-	leader_vm_t *vm = LIST_FIRST(&leader->vms);
-
-	while (vm != NULL) {
-		leader_vm_t *next = LIST_NEXT(vm, link);
-		bool same = strcmp(vm->address, latest->address) == 0 ||
-			    (vm->machine[0] != '\0' && strcmp(vm->machine, latest->machine) == 0);
+	end_predecessor(latest, g_hash_table_lookup(leader->by_address, latest->address));
+	end_predecessor(latest, leader_vm_of_machine(leader, latest->machine));
+}
 
-		if (vm != latest && !vm->dead && same && vm->born_ms < latest->born_ms)
-			leader_vm_mark_dead(vm, "its machine or address has a later VM");
-		vm = next;
-	}
+static bool is_later(const leader_vm_t *vm, const vm_report_t *report)
+{
+	return vm != NULL && vm->heard_us != 0 && vm->born_ms > report->born_ms;
 }
 
+/* A life of the VM, or of another VM at its address or machine, that was born later is known; or
+ * this life is known to have ended. */
 static bool is_superseded(const batch_leader_t *leader, const vm_report_t *report)
 {
-	const leader_vm_t *vm;
+	const uint64_t *ended_ms = g_hash_table_lookup(leader->ended, report->id);
 
-	LIST_FOREACH (vm, &leader->vms, link) {
-		if (vm->born_ms > report->born_ms && vm->heard_us != 0 &&
-		    (strcmp(vm->address, report->address) == 0 ||
-		     (report->machine[0] != '\0' && strcmp(vm->machine, report->machine) == 0)))
-			return true;
-		if (vm->dead && vm->born_ms == report->born_ms && strcmp(vm->id, report->id) == 0)
-			return true;
-	}
-	return false;
+	return (ended_ms != NULL && *ended_ms >= report->born_ms) ||
+	       is_later(g_hash_table_lookup(leader->by_address, report->address), report) ||
+	       is_later(leader_vm_of_machine(leader, report->machine), report);
 }
 
 static leader_vm_t *add_reported(batch_leader_t *leader, const vm_report_t *report)
@@ -282,9 +318,10 @@
 	if (vm == NULL)
 		vm = add_reported(leader, report);
 	take_report(vm, report, heard_us);
+	end_predecessors(leader, vm);
 	leader_machine_reported(leader, vm);
+	index_vm(vm);
 	if (is_new) {
-		end_predecessors(leader, vm);
 		leader_upkeep_returned(leader, vm);
 		leader_upkeep_cordon(leader, vm);
 	}
@@ -332,6 +369,9 @@
 	leader->metrics = options->metrics;
 	leader->mean_slowness = 1.0;
 	leader->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	leader->by_machine = g_hash_table_new(g_str_hash, g_str_equal);
+	leader->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	leader->ended = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	LIST_INIT(&leader->vms);
 	leader->machines =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, leader_machine_free);
@@ -344,6 +384,9 @@
 {
 	batch_leader_deactivate(leader);
 	g_hash_table_destroy(leader->by_id);
+	g_hash_table_destroy(leader->by_machine);
+	g_hash_table_destroy(leader->by_address);
+	g_hash_table_destroy(leader->ended);
 	g_hash_table_destroy(leader->machines);
 	g_hash_table_destroy(leader->need_before);
 	g_free(leader);
@@ -364,7 +407,8 @@
 			g_strlcpy(task->soft.saved, saved, sizeof(task->soft.saved));
 		}
 		/* Pacing of an earlier leader is not known; it is ordered anew where needed. */
-		leader_upkeep_cordon(leader, leader_vm_from_life(leader, life));
+		if (life->task_count > 0)
+			leader_upkeep_cordon(leader, leader_vm_from_life(leader, life));
 	}
 }
 
@@ -383,7 +427,6 @@
 	leader->list_read_us = 0;
 	leader->order_seq = 0;
 	leader->active_wall_ms = leader->clock_wall_ms(leader->arg);
-	leader->order_busy = false;
 	inherit_runs(leader);
 	g_snprintf(text, sizeof(text), "%" PRIu64, term);
 	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("term", text), "runs the batch jobs");
@@ -402,6 +445,7 @@
 		next = LIST_NEXT(vm, link);
 		free_vm(vm);
 	}
+	g_hash_table_remove_all(leader->ended);
 	g_hash_table_remove_all(leader->machines);
 	g_hash_table_remove_all(leader->need_before);
 }
@@ -473,6 +517,12 @@
 	leader_place(leader, now_us);
 }
 
+void batch_leader_work(batch_leader_t *leader)
+{
+	if (leader->active)
+		leader_place(leader, leader_now_us(leader));
+}
+
 const char *vm_reply_name(vm_reply_code_t code)
 {
 	static const char *const names[] = {
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -31,6 +31,7 @@
 	uint32_t checkpoint_ms;	     /**< work between two checkpoints of a task */
 	uint32_t holder_lease_ms;    /**< orders of two leaders to one machine are so far apart */
 	uint32_t maintenance_ms;     /**< a machine is down so long for maintenance */
+	uint32_t orders_per_s;	     /**< that the platform takes */
 	uint32_t move_ms;	     /**< a machine is down so long for a move */
 	const char *name;	     /**< of this process, as holder of machines */
 } batch_leader_config_t;
@@ -62,8 +63,10 @@
 bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t heard_us);
 /** A VM has left after a graceful end. */
 void batch_leader_left(batch_leader_t *leader, const char *vm_id);
-/** Call at least every 50 ms, and after commands were applied. */
+/** Looks after all VMs and machines, then places. Call it every 25 to 50 ms. */
 void batch_leader_tick(batch_leader_t *leader);
+/** Places what may be placed; call it after events. */
+void batch_leader_work(batch_leader_t *leader);
 /** Work may be placed: a job was accepted or a VM has room. Runs at the next tick. */
 void batch_leader_wake(batch_leader_t *leader);
 
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -54,12 +54,15 @@
 	unsigned orphans;	 /**< it runs so many tasks that the log does not know */
 	unsigned starts_busy;
 
+	uint64_t place_pass; /**< the placement that place_index belongs to */
+	guint place_index;
 	int64_t planned_cpu; /**< reserved for intents that are being recorded */
 	int64_t planned_mem;
 	int64_t planned_gpu;
 	unsigned planned;
 
 	uint64_t refused_until_us; /**< it had no room, or was unhealthy */
+	uint64_t ordered_us;	   /**< maintenance was ordered again; 0: it was not */
 	uint64_t cordoned_us;	   /**< since when */
 	uint64_t pace_due_us;
 	double recent_ok; /**< ends, halved every HEALTH_HALVE_US */
@@ -74,7 +77,8 @@
 	char *pool; /**< service that it belongs to */
 	double cores;
 	bool up;
-	bool busy; /**< an order is being recorded or carried out */
+	bool busy;	   /**< an order is being recorded or carried out */
+	bool ordered_here; /**< the latest order is this leader's */
 	uint64_t retry_us;
 	unsigned refusals;
 	uint64_t coming_until_us; /**< it was moved and is to report by then; 0: it was not */
@@ -96,7 +100,11 @@
 	uint64_t generation; /**< counts activations; late answers of earlier ones are ignored */
 	uint64_t active_us;
 	LIST_HEAD(leader_vms, leader_vm) vms;
-	GHashTable *by_id; /**< lives that are not dead */
+	GHashTable *by_id;	/**< lives that are not dead */
+	GHashTable *by_machine; /**< machine -> leader_vm_t, not dead */
+	GHashTable *by_address; /**< address -> leader_vm_t that was born last */
+	GHashTable *ended;	/**< VM -> uint64_t: birth of its latest life that has ended */
+	uint64_t passes;	/**< placements */
 	bool place_due;
 	uint64_t place_us; /**< latest placement */
 	uint64_t halve_due_us;
@@ -110,8 +118,8 @@
 	GHashTable *machines;	 /**< name -> leader_machine_t */
 	uint64_t active_wall_ms; /**< wall clock at the activation */
 	GHashTable *need_before; /**< pool -> double: smoothed need, in cores */
-	bool order_busy;	 /**< an order to the platform is on its way or being recorded */
 	uint64_t order_due_us;
+	unsigned orders_left; /**< maintenance orders in this period */
 	struct {
 		metrics_counter_t *starts;
 		metrics_counter_t *start_refused;
@@ -201,6 +209,7 @@
 void leader_evacuate_tick(leader_vm_t *vm, uint64_t now_us);
 
 /* batch_machines.c */
+leader_machine_t *leader_machine_add(batch_leader_t *leader, const char *name);
 leader_machine_t *leader_machine(const batch_leader_t *leader, const char *name);
 void leader_machine_free(void *data);
 /** A VM of the machine has reported. */
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -15,14 +15,15 @@
 /* How often the pools' sizes are reconsidered: a surge grows over some seconds, and a move takes
  * 1.5 s. */
 #define CAPACITY_PERIOD_US (200 * US_PER_MS)
-/* Moves that may be begun in one period; the platform takes 64 orders a second from all nodes. */
-#define MOVES_MAX 10
+/* Most moves that are begun in one period. */
+#define MOVES_MAX 24
 /* An order without an answer, or that met a busy platform, is sent again after this. */
 #define MOVE_RETRY_US (400 * US_PER_MS)
 /* A machine that is busy (not up, or leaving) so many times is given up. */
 #define BUSY_MAX 4
 /* A machine that was moved is expected to report within its move's time and this. */
 #define ARRIVAL_SLACK_US (4 * US_PER_S)
+#define STANDBY_SLACK_US (200 * US_PER_MS)
 /* The demand is extrapolated over the time that a move takes. */
 #define FORECAST_S 1.5
 /* Bound of the extrapolation, as a multiple of the present need. */
@@ -39,7 +40,7 @@
 	return g_hash_table_lookup(leader->machines, name);
 }
 
-static leader_machine_t *add_machine(batch_leader_t *leader, const char *name)
+leader_machine_t *leader_machine_add(batch_leader_t *leader, const char *name)
 {
 	leader_machine_t *machine = leader_machine(leader, name);
 
@@ -75,7 +76,7 @@
 
 	if (vm->machine[0] == '\0')
 		return;
-	machine = add_machine(leader, vm->machine);
+	machine = leader_machine_add(leader, vm->machine);
 	set_pool(machine, vm->service);
 	machine->cores = vm->cpu_milli / 1000.0;
 	machine->up = true;
@@ -104,7 +105,7 @@
 
 static void take_info(batch_leader_t *leader, const machine_info_t *info)
 {
-	leader_machine_t *machine = add_machine(leader, info->machine);
+	leader_machine_t *machine = leader_machine_add(leader, info->machine);
 	uint64_t now_us = leader_now_us(leader);
 
 	check_silent(leader, info);
@@ -177,16 +178,19 @@
 	uint64_t generation;
 	char machine[VM_NAME_MAX];
 	char pool[VM_NAME_MAX];
+	uint64_t born_ms; /* of the machine's VM when the order was sent; 0: none */
 } move_t;
 
 static move_t *move_new(batch_leader_t *leader, const leader_machine_t *machine, const char *pool)
 {
 	move_t *move = g_new0(move_t, 1);
+	const leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
 
 	move->leader = leader;
 	move->generation = leader->generation;
 	g_strlcpy(move->machine, machine->name, sizeof(move->machine));
 	g_strlcpy(move->pool, pool, sizeof(move->pool));
+	move->born_ms = vm != NULL ? vm->born_ms : 0;
 	return move;
 }
 
@@ -236,15 +240,32 @@
 	leader->place_due = true;
 }
 
-static void moved(batch_leader_t *leader, leader_machine_t *machine, const char *pool)
+static bool is_standby(const batch_leader_t *leader, const char *pool)
+{
+	const Lp__BatchService *service = batch_state_service(leader->state, pool);
+
+	return service != NULL && service->standby;
+}
+
+/* @param born_ms of the VM that the order has ended. The one that followed it may have reported
+ * before the answer came. */
+static void moved(batch_leader_t *leader, leader_machine_t *machine, const char *pool,
+		  uint64_t born_ms)
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
 
+	if (vm != NULL && vm->born_ms > born_ms) {
+		close_move(leader, machine, pool, LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
+		return;
+	}
 	if (vm != NULL)
 		leader_vm_mark_dead(vm, "its machine was moved to another pool");
 	set_pool(machine, pool);
-	machine->coming_until_us =
-		leader_now_us(leader) + leader->config.move_ms * US_PER_MS + ARRIVAL_SLACK_US;
+	/* A machine that is switched off does not report; it may be used again once the move is
+	 * over. */
+	machine->up = is_standby(leader, pool);
+	machine->coming_until_us = leader_now_us(leader) + leader->config.move_ms * US_PER_MS +
+				   (machine->up ? STANDBY_SLACK_US : ARRIVAL_SLACK_US);
 	close_move(leader, machine, pool, LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
 }
 
@@ -262,7 +283,7 @@
 		  "move was ordered");
 	machine->retry_us = leader_now_us(leader) + MOVE_RETRY_US;
 	if (reply->code == VM_REPLY_OK) {
-		moved(leader, machine, move->pool);
+		moved(leader, machine, move->pool, move->born_ms);
 	} else if (reply->code == VM_REPLY_INVALID || reply->code == VM_REPLY_FENCED ||
 		   (reply->code == VM_REPLY_BUSY && ++machine->refusals >= BUSY_MAX)) {
 		uncordon(leader, machine);
@@ -325,17 +346,24 @@
 	batch_move_t *move;
 
 	LIST_FOREACH (move, &leader->state->moves, link) {
-		leader_machine_t *machine = add_machine(leader, move->machine);
+		leader_machine_t *machine = leader_machine_add(leader, move->machine);
 		leader_vm_t *vm = leader_vm_of_machine(leader, move->machine);
 
 		if (machine->busy || now_us < machine->retry_us)
 			continue;
-		if (vm != NULL && !vm->cordoned) {
+		if (vm != NULL && !vm->cordoned && strcmp(vm->service, move->pool) != 0) {
 			vm->cordoned = true;
 			vm->cordoned_us = now_us;
 		}
-		if (machine_is_empty(leader, machine))
+		if (vm != NULL && strcmp(vm->service, move->pool) == 0) {
+			/* It was carried out, and the machine serves in its new pool. */
+			vm->cordoned = false;
+			machine->busy = true;
+			close_move(leader, machine, move->pool,
+				   LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
+		} else if (machine_is_empty(leader, machine)) {
 			send_move(leader, machine, move->pool);
+		}
 	}
 }
 
@@ -344,6 +372,7 @@
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
 
 	machine->busy = true;
+	machine->ordered_here = true;
 	machine->refusals = 0;
 	if (vm != NULL) {
 		vm->cordoned = true;
@@ -386,7 +415,7 @@
 {
 	double chain_ms = (double)MAX(batch_chain_ms(job, 0, true), CHAIN_LEAST_MS);
 	uint64_t age_ms = wall_ms > job->accepted_ms ? wall_ms - job->accepted_ms : 0;
-	double need = batch_work(job, true) / 1000.0 / chain_ms;
+	double need = batch_work_left(job) / 1000.0 / chain_ms;
 
 	if (queue != NULL && (double)age_ms + chain_ms > (double)batch_objective_ms(job, queue))
 		need *= LATE_SHARE;
@@ -405,7 +434,7 @@
 	for (uint32_t i = 0; lasting && i < job->step_count; i++)
 		add_lasting(pool, &job->steps[i]);
 	if (!lasting)
-		pool->need_cores += job_need(job, batch_state_queue(leader->state, job), wall_ms);
+		pool->need_cores += job_need(job, job->queue, wall_ms);
 }
 
 static void forecast(batch_leader_t *leader, const char *name, capacity_pool_t *pool)
@@ -448,8 +477,11 @@
 bool leader_held_by_other(const batch_leader_t *leader, const char *machine, uint64_t now_us)
 {
 	const uint64_t *ordered_ms = g_hash_table_lookup(leader->state->ordered, machine);
+	const leader_machine_t *known = leader_machine(leader, machine);
 	uint64_t lease_ms = leader->config.holder_lease_ms;
 
+	if (known != NULL && known->ordered_here)
+		return false;
 	/* The lease runs from the activation at the latest: clocks of leaders differ. */
 	if (ordered_ms == NULL || now_us >= leader->active_us + lease_ms * US_PER_MS)
 		return false;
@@ -522,6 +554,15 @@
 	}
 }
 
+/* Three quarters of the orders that the platform takes in a period; the rest is for maintenance and
+ * for repetitions. */
+static size_t moves_allowed(const batch_leader_t *leader)
+{
+	uint64_t orders = leader->config.orders_per_s * CAPACITY_PERIOD_US / US_PER_S;
+
+	return CLAMP(orders * 3 / 4, 1, MOVES_MAX);
+}
+
 static void plan_capacity(batch_leader_t *leader, uint64_t now_us)
 {
 	pools_t pools = {
@@ -536,8 +577,8 @@
 	collect_pools(leader, &pools);
 	collect_machines(leader, &pools, machines, sources, now_us);
 	count = capacity_plan((const capacity_pool_t *)pools.pools->data, pools.pools->len,
-			      (const capacity_machine_t *)machines->data, machines->len, MOVES_MAX,
-			      moves);
+			      (const capacity_machine_t *)machines->data, machines->len,
+			      moves_allowed(leader), moves);
 	for (size_t i = 0; i < count; i++)
 		begin_move(leader, g_ptr_array_index(sources, moves[i].machine),
 			   g_ptr_array_index(pools.names, moves[i].to));
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -96,24 +96,23 @@
 		activate(node, term);
 }
 
-static void run_leader(batch_node_t *node)
+static void on_tick(void *arg, uint64_t now_us)
 {
+	batch_node_t *node = arg;
+
 	update_leadership(node);
 	if (node->led_term != 0 && replica_has_lease(node->replica))
 		batch_leader_tick(node->leader);
 }
 
-static void on_tick(void *arg, uint64_t now_us)
-{
-	run_leader(arg);
-}
-
 static void on_work(struct tevent_context *ev, struct tevent_immediate *im, void *private_data)
 {
 	batch_node_t *node = private_data;
 
 	node->work_scheduled = false;
-	run_leader(node);
+	update_leadership(node);
+	if (node->led_term != 0 && replica_has_lease(node->replica))
+		batch_leader_work(node->leader);
 }
 
 static void schedule_work(batch_node_t *node)
@@ -579,6 +578,7 @@
 				.checkpoint_ms = settings->checkpoint_ms,
 				.holder_lease_ms = settings->holder_lease_ms,
 				.maintenance_ms = settings->maintenance_ms,
+				.orders_per_s = settings->orders_per_s,
 				.move_ms = settings->move_ms,
 				.name = settings->name,
 			},
--- a/src/batch_order.c
+++ b/src/batch_order.c
@@ -52,17 +52,16 @@
 	return chain_from(&job->steps[occurrence * steps], steps, left);
 }
 
-double batch_work(const batch_job_t *job, bool left)
+double batch_work_left(const batch_job_t *job)
 {
-	double sum = 0;
+	double left = job->work;
 
 	for (uint32_t i = 0; i < job->step_count; i++) {
 		const batch_step_t *step = &job->steps[i];
-		uint32_t tasks = step->spec->count - (left ? step->done : 0);
 
-		sum += (double)tasks * step->spec->cpu_milli * step->spec->estimate_ms;
+		left -= (double)step->done * step->spec->cpu_milli * step->spec->estimate_ms;
 	}
-	return sum;
+	return left;
 }
 
 uint64_t batch_objective_ms(const batch_job_t *job, const Lp__BatchQueue *queue)
@@ -86,7 +85,7 @@
 		mean = g_new0(mean_t, 1);
 		g_hash_table_insert(means, job->spec->prefix, mean);
 	}
-	mean->sum += batch_work(job, false);
+	mean->sum += job->work;
 	mean->count++;
 }
 
@@ -108,8 +107,8 @@
 	double worth = WORTH_FIXED;
 
 	if (average > 0)
-		worth += (1.0 - WORTH_FIXED) * batch_work(job, false) / average;
-	return MIN(worth, WORTH_MAX) / MAX(batch_work(job, true), 1.0) * MAX(average, 1.0);
+		worth += (1.0 - WORTH_FIXED) * job->work / average;
+	return MIN(worth, WORTH_MAX) / MAX(batch_work_left(job), 1.0) * MAX(average, 1.0);
 }
 
 static unsigned rank_of(const batch_step_t *step, const Lp__BatchQueue *queue, uint64_t wall_ms)
@@ -150,7 +149,7 @@
 	batch_job_t *job;
 
 	TAILQ_FOREACH (job, &state->active, link) {
-		const Lp__BatchQueue *queue = batch_state_queue(state, job);
+		const Lp__BatchQueue *queue = job->queue;
 		double density = 0;
 
 		if (batch_job_ended(job))
--- a/src/batch_order.h
+++ b/src/batch_order.h
@@ -25,8 +25,7 @@
 /** Declared time of the longest chain of steps of an occurrence, in ms. @param left only of what is
  * not done yet */
 uint64_t batch_chain_ms(const batch_job_t *job, uint32_t occurrence, bool left);
-/** Declared work of a job, in thousandths of a core times ms. @param left only of tasks that are
- * not done */
-double batch_work(const batch_job_t *job, bool left);
+/** Declared work of the tasks that are not done, in thousandths of a core times ms. */
+double batch_work_left(const batch_job_t *job);
 /** Time after the due time within which an occurrence should be done, in ms. */
 uint64_t batch_objective_ms(const batch_job_t *job, const Lp__BatchQueue *queue);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -169,6 +169,7 @@
 
 	snapshot.config = state->config;
 	snapshot.next_seq = state->next_seq;
+	snapshot.start_term = state->start_term;
 	save_vms(mem, state, &snapshot);
 	save_jobs(mem, state, &snapshot);
 	save_waves(mem, state, &snapshot);
@@ -238,6 +239,7 @@
 	job->state = (batch_job_state_t)message->state;
 	job->ended_ms = message->ended_ms;
 	job->service = g_strdup(message->service);
+	batch_job_find_queue(state, job);
 	if (message->n_steps != 0 && message->n_steps != job->step_count)
 		goto malformed;
 	for (size_t i = 0; i < message->n_steps; i++) {
@@ -271,6 +273,7 @@
 	g_autoptr(GPtrArray) vms = g_ptr_array_new();
 
 	state->next_seq = snapshot->next_seq;
+	state->start_term = snapshot->start_term;
 	if (snapshot->config != NULL)
 		state->config = batch_message_copy(&snapshot->config->base);
 	for (size_t i = 0; i < snapshot->n_vms; i++) {
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -18,6 +18,7 @@
 	LIST_INIT(&state->vms);
 	LIST_INIT(&state->waves);
 	LIST_INIT(&state->moves);
+	state->wave_machines = g_hash_table_new(g_str_hash, g_str_equal);
 }
 
 static void free_jobs(struct batch_job_list *list)
@@ -39,6 +40,7 @@
 	free_jobs(&state->ended);
 	while ((vm = LIST_FIRST(&state->vms)) != NULL)
 		batch_vm_free(state, vm);
+	g_hash_table_remove_all(state->wave_machines);
 	while ((wave = LIST_FIRST(&state->waves)) != NULL)
 		batch_wave_free(wave);
 	while (!LIST_EMPTY(&state->moves))
@@ -47,6 +49,7 @@
 		lp__batch_config__free_unpacked(state->config, NULL);
 	g_hash_table_destroy(state->vms_by_life);
 	g_hash_table_destroy(state->ordered);
+	g_hash_table_destroy(state->wave_machines);
 	g_hash_table_destroy(state->by_id);
 	g_hash_table_destroy(state->by_seq);
 }
@@ -114,8 +117,12 @@
 	job->occurrences = occurrences_of(spec);
 	job->step_count = steps * job->occurrences;
 	job->steps = g_new0(batch_step_t, job->step_count);
-	for (uint32_t i = 0; i < job->step_count; i++)
+	for (uint32_t i = 0; i < job->step_count; i++) {
+		const Lp__BatchStep *step = spec->steps[i % steps];
+
 		init_step(&job->steps[i], job, i / steps, i % steps);
+		job->work += (double)step->count * step->cpu_milli * step->estimate_ms;
+	}
 	return job;
 }
 
@@ -272,17 +279,28 @@
 	return strcmp(queue->host, host) == 0 && strcmp(queue->prefix, prefix) == 0;
 }
 
-const Lp__BatchQueue *batch_state_queue(const batch_state_t *state, const batch_job_t *job)
+const Lp__BatchQueue *batch_state_place(const batch_state_t *state, const char *host,
+					const char *prefix)
 {
 	const Lp__BatchConfig *config = state->config;
 
 	for (size_t i = 0; config != NULL && i < config->n_queues; i++) {
-		if (same_place(job->spec->host, job->spec->prefix, config->queues[i]))
+		if (same_place(host, prefix, config->queues[i]))
 			return config->queues[i];
 	}
 	return NULL;
 }
 
+void batch_job_find_queue(const batch_state_t *state, batch_job_t *job)
+{
+	job->queue = batch_state_place(state, job->spec->host, job->spec->prefix);
+	/* The service is kept: the queue may be removed before the job has ended. */
+	if (job->queue == NULL || g_strcmp0(job->queue->service, job->service) == 0)
+		return;
+	g_free(job->service);
+	job->service = g_strdup(job->queue->service);
+}
+
 const Lp__BatchQueue *batch_state_route(const batch_state_t *state, const char *host,
 					const char *path)
 {
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -118,12 +118,14 @@
 	uint64_t ended_ms;
 	uint32_t occurrences;
 	uint32_t steps_done;
-	uint32_t step_count; /**< of all occurrences */
-	batch_step_t *steps; /**< occurrence by occurrence */
-	uint32_t held;	     /**< tasks with a VM */
-	bool archived;	     /**< in the list of ended jobs */
-	char *service;	     /**< that runs the job; kept when its queue is removed */
-	uint64_t seen_us;    /**< the leader's time of acceptance; not replicated */
+	uint32_t step_count;	     /**< of all occurrences */
+	batch_step_t *steps;	     /**< occurrence by occurrence */
+	uint32_t held;		     /**< tasks with a VM */
+	bool archived;		     /**< in the list of ended jobs */
+	char *service;		     /**< that runs the job; kept when its queue is removed */
+	const Lp__BatchQueue *queue; /**< NULL: removed */
+	double work;		     /**< declared, in thousandths of a core times ms */
+	uint64_t seen_us;	     /**< the leader's time of acceptance; not replicated */
 } batch_job_t;
 
 typedef struct {
@@ -156,6 +158,7 @@
 typedef struct {
 	Lp__BatchConfig *config; /**< NULL: none yet */
 	uint64_t next_seq;
+	uint64_t start_term;	      /**< of the latest leader that recorded intents */
 	GHashTable *by_id;	      /**< job id -> batch_job_t */
 	GHashTable *by_seq;	      /**< &seq -> batch_job_t */
 	struct batch_job_list active; /**< not ended, or with tasks that still have a VM */
@@ -164,6 +167,7 @@
 	GHashTable *vms_by_life; /**< id and birth -> batch_vm_t */
 	uint64_t vms_revision;	 /**< counts VM lives that came or went */
 	LIST_HEAD(batch_waves, batch_wave) waves;
+	GHashTable *wave_machines; /**< machine -> batch_wave_machine_t of its latest wave */
 	LIST_HEAD(batch_moves, batch_move) moves;
 	GHashTable *ordered; /**< machine -> uint64_t: wall clock of the latest recorded order */
 	uint64_t revision;   /**< counts changes */
@@ -189,8 +193,9 @@
 /** Queue with the longest prefix of path at host, or NULL. */
 const Lp__BatchQueue *batch_state_route(const batch_state_t *state, const char *host,
 					const char *path);
-/** Queue of a job, or NULL when it was removed. */
-const Lp__BatchQueue *batch_state_queue(const batch_state_t *state, const batch_job_t *job);
+/** Queue at a host with a prefix, or NULL. */
+const Lp__BatchQueue *batch_state_place(const batch_state_t *state, const char *host,
+					const char *prefix);
 const Lp__BatchService *batch_state_service(const batch_state_t *state, const char *name);
 batch_job_t *batch_state_job(const batch_state_t *state, const char *id);
 /** @return the task, or NULL */
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -11,6 +11,8 @@
 #define CORDON_WAIT_US (2500 * US_PER_MS)
 /* An order without an answer, or refused because the machine is busy, is sent again after this. */
 #define ORDER_RETRY_US (500 * US_PER_MS)
+/* How often waves are looked after. */
+#define ORDER_PERIOD_US (50 * US_PER_MS)
 /* A machine that has not reported again by this time after its maintenance does not count as down
  * for it any more. */
 #define RETURN_SLACK_MS 3000
@@ -185,12 +187,16 @@
 	uint64_t generation;
 	uint64_t wave;
 	char machine[VM_NAME_MAX];
+	uint64_t born_ms; /* of the machine's VM when the order was sent; 0: none */
+	bool again;
 } upkeep_t;
 
 static upkeep_t *upkeep_new(batch_leader_t *leader, uint64_t wave, const char *machine)
 {
 	upkeep_t *upkeep = g_new0(upkeep_t, 1);
+	const leader_vm_t *vm = leader_vm_of_machine(leader, machine);
 
+	upkeep->born_ms = vm != NULL ? vm->born_ms : 0;
 	upkeep->leader = leader;
 	upkeep->generation = leader->generation;
 	upkeep->wave = wave;
@@ -198,17 +204,21 @@
 	return upkeep;
 }
 
-static bool upkeep_current(const upkeep_t *upkeep)
+/* @return the machine, or NULL when this process has stopped leading since */
+static leader_machine_t *upkeep_machine(const upkeep_t *upkeep)
 {
-	return upkeep->leader->active && upkeep->generation == upkeep->leader->generation;
+	if (!upkeep->leader->active || upkeep->generation != upkeep->leader->generation)
+		return NULL;
+	return leader_machine_add(upkeep->leader, upkeep->machine);
 }
 
 static void on_order_recorded(void *arg, Lp__ResultCode code)
 {
 	g_autofree upkeep_t *upkeep = arg;
+	leader_machine_t *machine = upkeep_machine(upkeep);
 
-	if (upkeep_current(upkeep))
-		upkeep->leader->order_busy = false;
+	if (machine != NULL)
+		machine->busy = false;
 }
 
 static void on_order_reply(void *arg, const vm_reply_t *reply)
@@ -216,9 +226,10 @@
 	g_autofree upkeep_t *upkeep = arg;
 	batch_leader_t *leader = upkeep->leader;
 	Lp__BatchOrderState state = LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE;
+	leader_machine_t *machine = upkeep_machine(upkeep);
 	leader_vm_t *vm;
 
-	if (!upkeep_current(upkeep))
+	if (machine == NULL)
 		return;
 	log_event(G_LOG_LEVEL_MESSAGE,
 		  LOG_FIELDS("machine", upkeep->machine, "reply", vm_reply_name(reply->code)),
@@ -227,7 +238,11 @@
 	case VM_REPLY_OK:
 		state = LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN;
 		vm = leader_vm_of_machine(leader, upkeep->machine);
-		if (vm != NULL)
+		/* The VM that follows may have reported before the answer came. An order that was
+		 * repeated may have done nothing now: a VM that goes on reporting is used again. */
+		if (vm != NULL && upkeep->again)
+			vm->ordered_us = leader_now_us(leader);
+		else if (vm != NULL && vm->born_ms <= upkeep->born_ms)
 			leader_vm_mark_dead(vm, "its machine is down for maintenance");
 		break;
 	case VM_REPLY_INVALID:
@@ -245,19 +260,29 @@
 	case VM_REPLY_NONE:
 		break;
 	}
-	leader->order_due_us = leader_now_us(leader);
 	if (state == LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE) {
-		leader->order_due_us += reply->code == VM_REPLY_FENCED
-						? leader->config.holder_lease_ms * US_PER_MS
-						: ORDER_RETRY_US;
-		leader->order_busy = false;
+		machine->retry_us = leader_now_us(leader);
+		machine->retry_us += reply->code == VM_REPLY_FENCED
+					     ? leader->config.holder_lease_ms * US_PER_MS
+					     : ORDER_RETRY_US;
+		machine->busy = false;
 		return;
 	}
 	propose_order(leader, upkeep->wave, upkeep->machine, state, on_order_recorded,
 		      upkeep_new(leader, upkeep->wave, upkeep->machine));
 }
 
-static void send_order(batch_leader_t *leader, uint64_t wave, const char *machine)
+/* A VM that was born before the order is the one that the order ends. Without one, only the clocks
+ * tell. */
+static bool born_after(const leader_vm_t *vm, const batch_wave_machine_t *machine)
+{
+	if (machine->born_ms != 0)
+		return vm->born_ms > machine->born_ms;
+	return vm->born_ms > machine->since_ms + CLOCK_SLACK_MS;
+}
+
+/* @param again the order may have been carried out before */
+static void send_order(batch_leader_t *leader, uint64_t wave, const char *machine, bool again)
 {
 	machine_order_t order = {
 		.machine = machine,
@@ -266,21 +291,24 @@
 		.fence = leader_next_fence(leader),
 	};
 
-	leader->order_busy = true;
-	leader->port.order(leader->port.arg, &order, on_order_reply,
-			   upkeep_new(leader, wave, machine));
+	upkeep_t *upkeep = upkeep_new(leader, wave, machine);
+
+	upkeep->again = again;
+	leader_machine_add(leader, machine)->busy = true;
+	leader->port.order(leader->port.arg, &order, on_order_reply, upkeep);
 }
 
 static void on_intent_recorded(void *arg, Lp__ResultCode code)
 {
 	g_autofree upkeep_t *upkeep = arg;
+	leader_machine_t *machine = upkeep_machine(upkeep);
 
-	if (!upkeep_current(upkeep))
+	if (machine == NULL)
 		return;
 	if (code == LP__RESULT_CODE__RESULT_OK)
-		send_order(upkeep->leader, upkeep->wave, upkeep->machine);
+		send_order(upkeep->leader, upkeep->wave, upkeep->machine, false);
 	else
-		upkeep->leader->order_busy = false;
+		machine->busy = false;
 }
 
 static bool order_is_open(Lp__BatchOrderState state)
@@ -295,32 +323,32 @@
 	       state == LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE;
 }
 
+/* State of the machine in the latest wave that names it; NONE for one that has yet to be
+ * maintained. @return false when no wave names it */
+static bool wave_state(const batch_leader_t *leader, const char *machine,
+		       Lp__BatchOrderState *state)
+{
+	const batch_wave_machine_t *found =
+		g_hash_table_lookup(leader->state->wave_machines, machine);
+
+	if (found == NULL)
+		return false;
+	*state = found->state;
+	return true;
+}
+
 bool leader_maintenance_due(const batch_leader_t *leader, const char *machine)
 {
-	const batch_wave_t *wave;
+	Lp__BatchOrderState state;
 
-	LIST_FOREACH (wave, &leader->state->waves, link) {
-		for (size_t i = 0; i < wave->machine_count; i++) {
-			if (!order_is_final(wave->machines[i].state) &&
-			    strcmp(wave->machines[i].machine, machine) == 0)
-				return true;
-		}
-	}
-	return false;
+	return wave_state(leader, machine, &state) && !order_is_final(state);
 }
 
 bool leader_in_maintenance(const batch_leader_t *leader, const char *machine)
 {
-	const batch_wave_t *wave;
+	Lp__BatchOrderState state;
 
-	LIST_FOREACH (wave, &leader->state->waves, link) {
-		for (size_t i = 0; i < wave->machine_count; i++) {
-			if (order_is_open(wave->machines[i].state) &&
-			    strcmp(wave->machines[i].machine, machine) == 0)
-				return true;
-		}
-	}
-	return false;
+	return wave_state(leader, machine, &state) && order_is_open(state);
 }
 
 bool batch_wave_complete(const batch_wave_t *wave)
@@ -336,15 +364,6 @@
 {
 }
 
-/* A VM that was born before the order is the one that the order ends. Without one, only the clocks
- * tell. */
-static bool born_after(const leader_vm_t *vm, const batch_wave_machine_t *machine)
-{
-	if (machine->born_ms != 0)
-		return vm->born_ms > machine->born_ms;
-	return vm->born_ms > machine->since_ms + CLOCK_SLACK_MS;
-}
-
 void leader_upkeep_returned(batch_leader_t *leader, const leader_vm_t *vm)
 {
 	batch_wave_t *wave;
@@ -369,7 +388,8 @@
 	LIST_FOREACH (wave, &leader->state->waves, link) {
 		for (size_t i = 0; i < wave->machine_count; i++) {
 			if (wave->machines[i].state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
-			    !vm->cordoned && strcmp(wave->machines[i].machine, vm->machine) == 0) {
+			    !vm->cordoned && !born_after(vm, &wave->machines[i]) &&
+			    strcmp(wave->machines[i].machine, vm->machine) == 0) {
 				vm->cordoned = true;
 				vm->cordoned_us = leader_now_us(leader);
 			}
@@ -390,7 +410,8 @@
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
 	const leader_machine_t *known = leader_machine(leader, machine);
 
-	if (known != NULL && (known->busy || now_us < known->coming_until_us))
+	if (known != NULL &&
+	    (known->busy || now_us < known->coming_until_us || now_us < known->retry_us))
 		return false;
 	if (leader_move_open(leader, machine) || leader_held_by_other(leader, machine, now_us))
 		return false;
@@ -436,9 +457,11 @@
 				continue;
 			room--;
 			if (!prepare_machine(leader, machine->machine, now_us) ||
-			    leader->order_busy)
+			    leader->orders_left == 0)
 				continue;
-			leader->order_busy = true;
+			leader->orders_left--;
+			leader_machine_add(leader, machine->machine)->busy = true;
+			leader_machine_add(leader, machine->machine)->ordered_here = true;
 			propose_order(leader, wave->wave, machine->machine,
 				      LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_recorded,
 				      upkeep_new(leader, wave->wave, machine->machine));
@@ -460,8 +483,8 @@
 		/* Recorded by an earlier leader, or sent without an answer: the same order again,
 		 * once what was started there meanwhile has ended. */
 		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
-		    !leader->order_busy && prepare_machine(leader, machine->machine, now_us))
-			send_order(leader, wave->wave, machine->machine);
+		    prepare_machine(leader, machine->machine, now_us))
+			send_order(leader, wave->wave, machine->machine, true);
 	}
 	if (open < wave->max_down)
 		start_next(leader, wave, wave->max_down - open, now_us);
@@ -473,7 +496,10 @@
 
 	if (now_us < leader->order_due_us)
 		return;
-	leader->order_due_us = now_us + 50 * US_PER_MS;
+	leader->order_due_us = now_us + ORDER_PERIOD_US;
+	/* A quarter of what the platform takes; the rest is for moves. */
+	leader->orders_left =
+		(unsigned)MAX(1, leader->config.orders_per_s * ORDER_PERIOD_US / US_PER_S / 4);
 	LIST_FOREACH (wave, &leader->state->waves, link) {
 		if (!batch_wave_complete(wave))
 			tick_wave(leader, wave, now_us);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -14,7 +14,7 @@
 #include "clock.h"
 
 /* Idle connections kept per thread; 1,600 targets share the pools of all threads and processes. */
-#define IDLE_CONNECTIONS 512
+#define IDLE_CONNECTIONS 2000
 /* Peers with the usual keep-alive of 60 s and more have not closed a connection of this age. */
 #define IDLE_AGE_S 20
 /* Unacknowledged data for so long closes the connection: a silent peer. */
@@ -439,6 +439,11 @@
 	return 0;
 }
 
+void http_client_limit_host(http_client_t *client, unsigned connections)
+{
+	curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)connections);
+}
+
 void http_client_finish(http_client_t *client)
 {
 	http_call_t *call;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -75,6 +75,8 @@
 /** @return 0, or -1 when out of memory. */
 int http_client_init(http_client_t *client, struct tevent_context *ev,
 		     uint32_t connection_age_max_s);
+/** Most connections to one host; more calls wait for one. */
+void http_client_limit_host(http_client_t *client, unsigned connections);
 /** Cancels the calls in progress: their done functions are called with complete = false. */
 void http_client_finish(http_client_t *client);
 
--- a/src/log.c
+++ b/src/log.c
@@ -20,7 +20,8 @@
 	bool json;
 	bool debug;
 	unsigned node_id;
-	char name[64]; /* not empty: lines go to standard output */
+	GLogLevelFlags least; /* 0: no limit */
+	char name[64];	      /* not empty: lines go to standard output */
 	double tokens;
 	uint64_t refilled_us;
 	uint64_t dropped;
@@ -170,6 +171,11 @@
 		options.dropped++;
 }
 
+void log_set_least(GLogLevelFlags level)
+{
+	options.least = level;
+}
+
 void log_init_stdout(const char *name)
 {
 	int flags = fcntl(STDOUT_FILENO, F_GETFL);
@@ -190,6 +196,9 @@
 
 	if ((level & G_LOG_LEVEL_DEBUG) && !options.debug)
 		return G_LOG_WRITER_HANDLED;
+	/* GLib's levels fall with their importance. */
+	if (options.least != 0 && (level & G_LOG_LEVEL_MASK) > options.least)
+		return G_LOG_WRITER_HANDLED;
 	if (options.name[0] != '\0') {
 		write_stdout(level, fields, count);
 		return G_LOG_WRITER_HANDLED;
--- a/src/log.h
+++ b/src/log.h
@@ -28,6 +28,9 @@
  * takes some 50 requests a second at the peak. */
 #define LOG_LINES_PER_S 400
 
+/** Lines below this level are dropped. */
+void log_set_least(GLogLevelFlags level);
+
 /**
  * Logs a change of state with fields, such as
  * log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", id, "pool", pool), "VM drained").
--- a/src/process.h
+++ b/src/process.h
@@ -37,6 +37,7 @@
 	uint32_t checkpoint_ms;
 	uint32_t holder_lease_ms;
 	uint32_t maintenance_ms;
+	uint32_t orders_per_s; /**< moves and maintenance that the platform takes */
 	uint32_t move_ms;
 	uint32_t contact_ms;
 } process_settings_t;
--- /dev/null
+++ b/tests/lib_vm_sim.c
@@ -0,0 +1,1201 @@
+#include "lib_vm_sim.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+
+#define WALL_OFFSET_MS 1700000000000ULL
+#define TICK_US (25 * US_PER_MS)
+#define REPORT_MS 1500
+#define HOLD_MAX_MS 10000
+#define ORDER_TIMEOUT_MS 700
+#define MOVE_MS 1500
+#define MAINTENANCE_MS 2000
+#define VM_CPU 64000
+#define VM_MEM 262144
+#define CANCEL_MS 3000
+
+typedef struct {
+	task_name_t name;
+	uint32_t run;
+	uint32_t cpu;
+	uint32_t mem;
+	uint64_t start_us;
+	uint64_t end_us; /* 0: lasts */
+	bool fails;
+} sim_run_t;
+
+typedef struct sim_vm {
+	struct vm_sim *sim;
+	char id[32];
+	char machine[32];
+	char address[32];
+	char service[32];
+	uint64_t born_ms;
+	uint64_t seq;
+	bool up;
+	bool off; /* in the standby pool */
+	uint64_t silent_until_us;
+	uint64_t lease_us;
+	uint64_t lapsed_us; /* when a lease has lapsed last */
+	uint64_t fence;
+	uint64_t machine_fence;
+	GArray *runs;	     /* sim_run_t */
+	GArray *ended;	     /* vm_ended_t */
+	uint64_t last_end;   /* number of the latest end */
+	GHashTable *highest; /* task -> highest run that was stopped or has ended */
+	uint64_t wave_done;
+	bool busy; /* moving or under maintenance */
+} sim_vm_t;
+
+typedef struct {
+	uint64_t at_us;
+	uint64_t seq;
+	void (*fn)(void *arg);
+	void *arg;
+} event_t;
+
+/* A run that has ended done. The end counts once it is noted, unless the VM's lease lapsed before
+ * that: the leader may then take the run for lost. */
+typedef struct {
+	char vm[32];
+	uint64_t number;
+	uint64_t at_us;
+	bool restarted; /* the task was started again since */
+} done_t;
+
+struct vm_sim {
+	vm_sim_config_t config;
+	GRand *rand;
+	uint64_t now_us;
+	uint64_t event_seq;
+	GSequence *events;
+	batch_state_t state;
+	batch_leader_t *leader;
+	metrics_t *metrics;
+	uint64_t term;
+	uint64_t commit_us;    /* commands are applied in the order of their proposal */
+	GPtrArray *vms;	       /* sim_vm_t, one for each machine */
+	GHashTable *done;      /* tasks that have ended done, by name */
+	GHashTable *failed;    /* task -> number of failed ends */
+	GHashTable *cancelled; /* job -> time of the acknowledgement */
+	GString *violations;
+	uint32_t platform_ms;
+	unsigned next_vm;
+	uint64_t starts;
+	uint64_t moves;
+	bool calm;
+};
+
+/* --- events --- */
+
+static gint compare_events(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const event_t *x = a;
+	const event_t *y = b;
+
+	if (x->at_us != y->at_us)
+		return x->at_us < y->at_us ? -1 : 1;
+	return x->seq < y->seq ? -1 : 1;
+}
+
+static void at(vm_sim_t *sim, uint64_t at_us, void (*fn)(void *arg), void *arg)
+{
+	event_t *event = g_new(event_t, 1);
+
+	*event = (event_t){
+		.at_us = MAX(at_us, sim->now_us), .seq = sim->event_seq++, .fn = fn, .arg = arg};
+	g_sequence_insert_sorted(sim->events, event, compare_events, NULL);
+}
+
+static uint64_t after_ms(vm_sim_t *sim, uint32_t min_ms, uint32_t max_ms)
+{
+	return sim->now_us +
+	       (uint64_t)g_rand_int_range(sim->rand, (gint32)min_ms, (gint32)max_ms + 1) *
+		       US_PER_MS;
+}
+
+static bool chance(vm_sim_t *sim, double share)
+{
+	return !sim->calm && g_rand_double(sim->rand) < share;
+}
+
+static void violate(vm_sim_t *sim, const char *rule, const char *what)
+{
+	g_string_append_printf(sim->violations, "%" PRIu64 " ms: %s: %s\n", vm_sim_now_ms(sim),
+			       rule, what);
+}
+
+/* --- tasks on VMs --- */
+
+static char *task_key(const task_name_t *name)
+{
+	return g_strdup_printf("%s.%u.%u.%u", name->job, name->occurrence, name->step, name->index);
+}
+
+static bool same_task(const task_name_t *a, const task_name_t *b)
+{
+	return strcmp(a->job, b->job) == 0 && a->occurrence == b->occurrence &&
+	       a->step == b->step && a->index == b->index;
+}
+
+static const Lp__BatchStep *spec_of(const vm_sim_t *sim, const task_name_t *name)
+{
+	const batch_job_t *job = batch_state_job(&sim->state, name->job);
+
+	return job != NULL && name->step < job->spec->n_steps ? job->spec->steps[name->step] : NULL;
+}
+
+static void note_highest(sim_vm_t *vm, const task_name_t *name, uint32_t run)
+{
+	char *key = task_key(name);
+	uint32_t known = GPOINTER_TO_UINT(g_hash_table_lookup(vm->highest, key));
+
+	g_hash_table_replace(vm->highest, key, GUINT_TO_POINTER(MAX(known, run)));
+}
+
+static void end_run(sim_vm_t *vm, guint i, Lp__BatchEndKind kind)
+{
+	sim_run_t run = g_array_index(vm->runs, sim_run_t, i);
+	vm_ended_t ended = {
+		.number = ++vm->last_end, .task = run.name, .run = run.run, .kind = kind};
+	char *key;
+
+	g_array_append_val(vm->ended, ended);
+	note_highest(vm, &run.name, run.run);
+	g_array_remove_index(vm->runs, i);
+	key = task_key(&run.name);
+	if (kind == LP__BATCH_END_KIND__BATCH_END_DONE) {
+		done_t *done = g_new0(done_t, 1);
+
+		*done = (done_t){.number = ended.number, .at_us = vm->sim->now_us};
+		g_strlcpy(done->vm, vm->id, sizeof(done->vm));
+		if (g_hash_table_contains(vm->sim->done, key)) {
+			g_free(done);
+			g_free(key);
+		} else {
+			g_hash_table_replace(vm->sim->done, key, done);
+		}
+	} else if (kind == LP__BATCH_END_KIND__BATCH_END_FAILED) {
+		guint count = GPOINTER_TO_UINT(g_hash_table_lookup(vm->sim->failed, key));
+
+		g_hash_table_replace(vm->sim->failed, key, GUINT_TO_POINTER(count + 1));
+	} else {
+		g_free(key);
+	}
+}
+
+/* Ends what is over by now. */
+static void advance(sim_vm_t *vm)
+{
+	if (vm->lease_us <= vm->sim->now_us)
+		vm->lapsed_us = vm->lease_us;
+	for (guint i = 0; i < vm->runs->len;) {
+		const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
+
+		if (run->end_us != 0 && run->end_us <= MIN(vm->sim->now_us, vm->lease_us))
+			end_run(vm, i,
+				run->fails ? LP__BATCH_END_KIND__BATCH_END_FAILED
+					   : LP__BATCH_END_KIND__BATCH_END_DONE);
+		else if (vm->lease_us <= vm->sim->now_us)
+			end_run(vm, i, LP__BATCH_END_KIND__BATCH_END_LAPSED);
+		else
+			i++;
+	}
+}
+
+static void check_running_elsewhere(const sim_vm_t *vm, const task_name_t *name)
+{
+	vm_sim_t *sim = vm->sim;
+
+	for (guint i = 0; i < sim->vms->len; i++) {
+		sim_vm_t *other = g_ptr_array_index(sim->vms, i);
+
+		advance(other);
+		for (guint j = 0; other->up && j < other->runs->len; j++) {
+			if (same_task(&g_array_index(other->runs, sim_run_t, j).name, name)) {
+				g_autofree char *key = task_key(name);
+				g_autofree char *text =
+					g_strdup_printf("%s on %s and %s", key, other->id, vm->id);
+
+				violate(sim, "TWICE", text);
+			}
+		}
+	}
+}
+
+static void check_order(vm_sim_t *sim, const task_name_t *name)
+{
+	const batch_job_t *job = batch_state_job(&sim->state, name->job);
+	const Lp__BatchStep *spec = spec_of(sim, name);
+
+	for (size_t i = 0; spec != NULL && i < spec->n_after; i++) {
+		uint32_t before = spec->after[i];
+
+		for (uint32_t j = 0; j < job->spec->steps[before]->count; j++) {
+			task_name_t task = {
+				.occurrence = name->occurrence, .step = before, .index = j};
+			g_autofree char *key = NULL;
+
+			g_strlcpy(task.job, name->job, sizeof(task.job));
+			key = task_key(&task);
+			if (!job->spec->steps[before]->gang &&
+			    !g_hash_table_contains(sim->done, key))
+				violate(sim, "ORDER", key);
+		}
+	}
+}
+
+static void check_start(sim_vm_t *vm, const task_name_t *name)
+{
+	vm_sim_t *sim = vm->sim;
+	g_autofree char *key = task_key(name);
+	const uint64_t *cancelled_us = g_hash_table_lookup(sim->cancelled, name->job);
+	const batch_job_t *job = batch_state_job(&sim->state, name->job);
+
+	if (job == NULL) {
+		violate(sim, "UNASKED", key);
+		return;
+	}
+	check_running_elsewhere(vm, name);
+	if (g_hash_table_contains(sim->done, key)) {
+		done_t *done = g_hash_table_lookup(sim->done, key);
+
+		done->restarted = true;
+	}
+	check_order(sim, name);
+	if (cancelled_us != NULL && sim->now_us > *cancelled_us + CANCEL_MS * US_PER_MS)
+		violate(sim, "UNASKED after its cancelling", key);
+	if (!spec_of(sim, name)->long_running && job->queue != NULL &&
+	    GPOINTER_TO_UINT(g_hash_table_lookup(sim->failed, key)) >= job->queue->attempts)
+		violate(sim, "BUDGET", key);
+}
+
+static bool has_room(const sim_vm_t *vm, const Lp__BatchStep *spec)
+{
+	uint32_t cpu = spec->cpu_milli;
+	uint32_t mem = spec->mem_mib;
+
+	for (guint i = 0; i < vm->runs->len; i++) {
+		cpu += g_array_index(vm->runs, sim_run_t, i).cpu;
+		mem += g_array_index(vm->runs, sim_run_t, i).mem;
+	}
+	return cpu <= VM_CPU && mem <= VM_MEM;
+}
+
+static uint64_t clock_ms(const sim_vm_t *vm)
+{
+	return vm->sim->now_us / US_PER_MS + 1000;
+}
+
+static void extend_lease(sim_vm_t *vm, uint64_t until_ms)
+{
+	uint64_t now_ms = clock_ms(vm);
+	uint64_t left_ms = until_ms > now_ms ? until_ms - now_ms : 0;
+
+	vm->lease_us = MAX(vm->lease_us, vm->sim->now_us + MIN(left_ms, HOLD_MAX_MS) * US_PER_MS);
+}
+
+/* --- calls --- */
+
+typedef enum {
+	CALL_START,
+	CALL_STOP,
+	CALL_HOLD,
+	CALL_PACE,
+} call_kind_t;
+
+typedef struct {
+	vm_sim_t *sim;
+	call_kind_t kind;
+	char address[32];
+	char id[32];
+	vm_start_t start;
+	vm_stop_t stop;
+	vm_hold_t hold;
+	char spec[64];
+	vm_done_fn done;
+	void *arg;
+	bool silent; /* no answer */
+	vm_reply_t reply;
+	GArray *running;
+	GArray *ended;
+} call_t;
+
+static void call_free(call_t *call)
+{
+	if (call->running != NULL)
+		g_array_unref(call->running);
+	if (call->ended != NULL)
+		g_array_unref(call->ended);
+	g_free(call);
+}
+
+static void deliver_reply(void *arg)
+{
+	call_t *call = arg;
+
+	if (call->running != NULL) {
+		call->reply.running = (const vm_running_t *)call->running->data;
+		call->reply.running_count = call->running->len;
+		call->reply.ended = (const vm_ended_t *)call->ended->data;
+		call->reply.ended_count = call->ended->len;
+	}
+	call->done(call->arg, &call->reply);
+	call_free(call);
+}
+
+static sim_vm_t *vm_at(vm_sim_t *sim, const char *address)
+{
+	for (guint i = 0; i < sim->vms->len; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		if (strcmp(vm->address, address) == 0)
+			return vm;
+	}
+	return NULL;
+}
+
+static vm_reply_code_t run_start(sim_vm_t *vm, const call_t *call)
+{
+	const vm_start_t *start = &call->start;
+	const Lp__BatchStep *spec = spec_of(vm->sim, &start->task);
+	g_autofree char *key = task_key(&start->task);
+	sim_run_t run = {.name = start->task, .run = start->run, .start_us = vm->sim->now_us};
+
+	if (start->fence < vm->fence)
+		return VM_REPLY_FENCED;
+	vm->fence = start->fence;
+	if (start->lease_until_ms <= clock_ms(vm))
+		return VM_REPLY_TOO_LATE;
+	extend_lease(vm, start->lease_until_ms);
+	for (guint i = 0; i < vm->runs->len; i++) {
+		const sim_run_t *known = &g_array_index(vm->runs, sim_run_t, i);
+
+		if (same_task(&known->name, &start->task))
+			return known->run == start->run ? VM_REPLY_OK : VM_REPLY_OLD_RUN;
+	}
+	if (start->run <= GPOINTER_TO_UINT(g_hash_table_lookup(vm->highest, key)))
+		return VM_REPLY_OLD_RUN;
+	if (spec != NULL && !has_room(vm, spec))
+		return VM_REPLY_NO_ROOM;
+	check_start(vm, &start->task);
+	if (spec == NULL)
+		return VM_REPLY_INVALID;
+	run.cpu = spec->cpu_milli;
+	run.mem = spec->mem_mib;
+	run.fails = chance(vm->sim, vm->sim->config.failing_end);
+	if (!spec->long_running || run.fails)
+		run.end_us = vm->sim->now_us +
+			     (uint64_t)(spec->estimate_ms *
+					g_rand_double_range(vm->sim->rand, 0.7, 1.4) * US_PER_MS);
+	g_array_append_val(vm->runs, run);
+	vm->sim->starts++;
+	return VM_REPLY_OK;
+}
+
+static vm_reply_code_t run_stop(sim_vm_t *vm, const call_t *call)
+{
+	const vm_stop_t *stop = &call->stop;
+
+	if (stop->fence < vm->fence)
+		return VM_REPLY_FENCED;
+	vm->fence = stop->fence;
+	note_highest(vm, &stop->task, stop->run);
+	for (guint i = 0; i < vm->runs->len; i++) {
+		const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
+
+		if (same_task(&run->name, &stop->task) && run->run <= stop->run) {
+			end_run(vm, i, LP__BATCH_END_KIND__BATCH_END_STOPPED);
+			break;
+		}
+	}
+	return VM_REPLY_OK;
+}
+
+/* An end that is noted must not belong to a task that was started again. */
+static void check_noted(sim_vm_t *vm, const vm_ended_t *ended)
+{
+	g_autofree char *key = task_key(&ended->task);
+	const done_t *done = g_hash_table_lookup(vm->sim->done, key);
+
+	if (done != NULL && ended->kind == LP__BATCH_END_KIND__BATCH_END_DONE &&
+	    strcmp(done->vm, vm->id) == 0 && done->number == ended->number && done->restarted &&
+	    vm->lapsed_us < done->at_us)
+		violate(vm->sim, "TWICE after its end", key);
+}
+
+static vm_reply_code_t run_hold(sim_vm_t *vm, call_t *call)
+{
+	const vm_hold_t *hold = &call->hold;
+
+	if (hold->fence < vm->fence)
+		return VM_REPLY_FENCED;
+	vm->fence = hold->fence;
+	if (hold->lease_until_ms > 0)
+		extend_lease(vm, hold->lease_until_ms);
+	for (guint i = 0; i < vm->ended->len;) {
+		const vm_ended_t *ended = &g_array_index(vm->ended, vm_ended_t, i);
+
+		if (ended->number <= hold->noted) {
+			check_noted(vm, ended);
+			g_array_remove_index(vm->ended, i);
+		} else
+			i++;
+	}
+	return VM_REPLY_OK;
+}
+
+static void fill_lists(sim_vm_t *vm, call_t *call)
+{
+	call->running = g_array_new(FALSE, TRUE, sizeof(vm_running_t));
+	call->ended = g_array_new(FALSE, TRUE, sizeof(vm_ended_t));
+	for (guint i = 0; i < vm->runs->len; i++) {
+		const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
+		uint64_t age_us = vm->sim->now_us - run->start_us;
+		vm_running_t running = {
+			.task = run->name,
+			.run = run->run,
+			.percent = run->end_us != 0 ? (uint32_t)(age_us * 100 /
+								 (run->end_us - run->start_us))
+						    : (age_us > 900 * US_PER_MS ? 100 : 50),
+		};
+
+		g_array_append_val(call->running, running);
+	}
+	g_array_append_vals(call->ended, vm->ended->data, vm->ended->len);
+}
+
+static void finish_hold(void *arg)
+{
+	call_t *call = arg;
+	sim_vm_t *vm = vm_at(call->sim, call->address);
+
+	if (vm == NULL || !vm->up || call->sim->now_us < vm->silent_until_us) {
+		call->reply.code = VM_REPLY_NONE;
+		at(call->sim, after_ms(call->sim, 800, 800), deliver_reply, call);
+		return;
+	}
+	advance(vm);
+	fill_lists(vm, call);
+	call->reply.clock_ms = clock_ms(vm);
+	call->reply.born_ms = vm->born_ms;
+	at(call->sim, after_ms(call->sim, 1, 4), deliver_reply, call);
+}
+
+static void arrive(void *arg)
+{
+	call_t *call = arg;
+	vm_sim_t *sim = call->sim;
+	sim_vm_t *vm = vm_at(sim, call->address);
+
+	if (vm == NULL || !vm->up || sim->now_us < vm->silent_until_us) {
+		if (call->silent) {
+			call_free(call);
+			return;
+		}
+		call->reply.code = VM_REPLY_NONE;
+		at(sim, after_ms(sim, ORDER_TIMEOUT_MS, ORDER_TIMEOUT_MS), deliver_reply, call);
+		return;
+	}
+	advance(vm);
+	if (strcmp(vm->id, call->id) != 0) {
+		call->reply.code = VM_REPLY_OTHER_LIFE;
+	} else {
+		switch (call->kind) {
+		case CALL_START:
+			call->reply.code = run_start(vm, call);
+			break;
+		case CALL_STOP:
+			call->reply.code = run_stop(vm, call);
+			break;
+		case CALL_HOLD:
+			call->reply.code = run_hold(vm, call);
+			break;
+		case CALL_PACE:
+			call->reply.code = VM_REPLY_OK;
+			break;
+		}
+	}
+	if (call->silent) {
+		call_free(call);
+		return;
+	}
+	call->reply.clock_ms = clock_ms(vm);
+	if (call->kind == CALL_HOLD && call->reply.code == VM_REPLY_OK) {
+		uint32_t wait_ms = vm->ended->len > 0 ? 0 : call->hold.wait_ms;
+
+		/* Ends of the next moment are listed as a real VM would, at about their time. */
+		for (guint i = 0; i < vm->runs->len; i++) {
+			const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
+			uint64_t left_us =
+				run->end_us > sim->now_us ? run->end_us - sim->now_us : 0;
+
+			if (run->end_us != 0)
+				wait_ms = MIN(wait_ms, (uint32_t)(left_us / US_PER_MS + 1));
+		}
+		at(sim, sim->now_us + wait_ms * US_PER_MS, finish_hold, call);
+		return;
+	}
+	at(sim, after_ms(sim, 1, 4), deliver_reply, call);
+}
+
+static void no_answer(void *arg)
+{
+	call_t *call = arg;
+	vm_reply_t reply = {.code = VM_REPLY_NONE};
+
+	call->done(call->arg, &reply);
+	g_free(call);
+}
+
+static void send_call(vm_sim_t *sim, call_t *call, const vm_ref_t *vm)
+{
+	bool late = chance(sim, sim->config.late_order);
+	bool lost = !late && chance(sim, sim->config.lost_answer);
+
+	call->sim = sim;
+	g_strlcpy(call->address, vm->address, sizeof(call->address));
+	g_strlcpy(call->id, vm->id, sizeof(call->id));
+	if (late || lost) {
+		call_t *answer = g_memdup2(call, sizeof(*call));
+
+		call->silent = true;
+		at(sim, after_ms(sim, ORDER_TIMEOUT_MS, ORDER_TIMEOUT_MS), no_answer, answer);
+	}
+	at(sim, late ? after_ms(sim, 2000, 12000) : after_ms(sim, 1, 4), arrive, call);
+}
+
+static void port_start(void *arg, const vm_ref_t *vm, const vm_start_t *start, vm_done_fn done,
+		       void *done_arg)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	*call = (call_t){.kind = CALL_START, .start = *start, .done = done, .arg = done_arg};
+	send_call(arg, call, vm);
+}
+
+static void port_stop(void *arg, const vm_ref_t *vm, const vm_stop_t *stop, vm_done_fn done,
+		      void *done_arg)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	*call = (call_t){.kind = CALL_STOP, .stop = *stop, .done = done, .arg = done_arg};
+	send_call(arg, call, vm);
+}
+
+static void port_pace(void *arg, const vm_ref_t *vm, const vm_pace_t *pace, vm_done_fn done,
+		      void *done_arg)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	*call = (call_t){.kind = CALL_PACE, .done = done, .arg = done_arg};
+	send_call(arg, call, vm);
+}
+
+static void port_hold(void *arg, const vm_ref_t *vm, const vm_hold_t *hold, vm_done_fn done,
+		      void *done_arg)
+{
+	call_t *call = g_new0(call_t, 1);
+
+	*call = (call_t){.kind = CALL_HOLD, .hold = *hold, .done = done, .arg = done_arg};
+	send_call(arg, call, vm);
+}
+
+static void port_advise(void *arg, const task_name_t *step, const char *const *vms, size_t count,
+			advice_done_fn done, void *done_arg)
+{
+	const advice_reply_t reply = {0};
+
+	done(done_arg, &reply);
+}
+
+/* --- platform --- */
+
+typedef struct {
+	vm_sim_t *sim;
+	machine_list_fn done;
+	void *arg;
+} list_call_t;
+
+static void deliver_list(void *arg)
+{
+	g_autofree list_call_t *call = arg;
+	vm_sim_t *sim = call->sim;
+	g_autofree machine_info_t *machines = g_new0(machine_info_t, sim->vms->len);
+	machine_list_t list = {
+		.answered = true, .machines = machines, .machine_count = sim->vms->len};
+
+	for (guint i = 0; i < sim->vms->len; i++) {
+		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		g_strlcpy(machines[i].machine, vm->machine, VM_NAME_MAX);
+		g_strlcpy(machines[i].pool, vm->service, VM_NAME_MAX);
+		g_strlcpy(machines[i].vm, vm->id, VM_NAME_MAX);
+		machines[i].cpu_milli = VM_CPU;
+		machines[i].up = !vm->busy && (vm->up || vm->off);
+		machines[i].down = !vm->busy && !vm->up && !vm->off;
+	}
+	call->done(call->arg, &list);
+}
+
+static void port_machines(void *arg, const char *page, machine_list_fn done, void *done_arg)
+{
+	vm_sim_t *sim = arg;
+	list_call_t *call = g_new0(list_call_t, 1);
+
+	*call = (list_call_t){.sim = sim, .done = done, .arg = done_arg};
+	at(sim, after_ms(sim, 2, 10), deliver_list, call);
+}
+
+static void report(void *arg);
+
+static void boot(void *arg)
+{
+	sim_vm_t *vm = arg;
+	vm_sim_t *sim = vm->sim;
+
+	vm->busy = false;
+	vm->off = strcmp(vm->service, "standby") == 0;
+	vm->up = !vm->off;
+	vm->born_ms = sim->now_us / US_PER_MS + WALL_OFFSET_MS;
+	vm->seq = 0;
+	vm->fence = 0;
+	vm->lease_us = 0;
+	vm->last_end = 0;
+	g_array_set_size(vm->runs, 0);
+	g_array_set_size(vm->ended, 0);
+	g_hash_table_remove_all(vm->highest);
+	g_snprintf(vm->id, sizeof(vm->id), "vm-%u", sim->next_vm++);
+	if (vm->up)
+		report(vm);
+}
+
+/* An order ends what runs on the machine. */
+static void take_down(sim_vm_t *vm, uint32_t for_ms, const char *what)
+{
+	if (vm->runs->len > 0 && vm->up) {
+		g_autofree char *key = task_key(&g_array_index(vm->runs, sim_run_t, 0).name);
+		const Lp__BatchStep *spec =
+			spec_of(vm->sim, &g_array_index(vm->runs, sim_run_t, 0).name);
+		const batch_job_t *job = batch_state_job(
+			&vm->sim->state, g_array_index(vm->runs, sim_run_t, 0).name.job);
+
+		if (spec != NULL && job != NULL && !batch_job_ended(job))
+			violate(vm->sim, what, key);
+	}
+	vm->up = false;
+	vm->off = false;
+	vm->busy = true;
+	g_array_set_size(vm->runs, 0);
+	at(vm->sim, vm->sim->now_us + for_ms * US_PER_MS, boot, vm);
+}
+
+typedef struct {
+	vm_sim_t *sim;
+	char machine[32];
+	char pool[32];
+	uint64_t wave;
+	uint64_t fence;
+	vm_done_fn done;
+	void *arg;
+	vm_reply_code_t code;
+} order_call_t;
+
+static void deliver_order(void *arg)
+{
+	g_autofree order_call_t *call = arg;
+	const vm_reply_t reply = {.code = call->code};
+
+	call->done(call->arg, &reply);
+}
+
+static vm_reply_code_t carry_out(sim_vm_t *vm, const order_call_t *call)
+{
+	if (call->fence < vm->machine_fence)
+		return VM_REPLY_FENCED;
+	vm->machine_fence = call->fence;
+	if (call->pool[0] != '\0') {
+		if (strcmp(vm->service, call->pool) == 0)
+			return VM_REPLY_OK;
+		if (vm->busy || (!vm->up && !vm->off))
+			return VM_REPLY_BUSY;
+		take_down(vm, MOVE_MS, "a move ends a task");
+		g_strlcpy(vm->service, call->pool, sizeof(vm->service));
+		vm->sim->moves++;
+		return VM_REPLY_OK;
+	}
+	if (vm->wave_done == call->wave)
+		return VM_REPLY_OK;
+	if (vm->busy || (!vm->up && !vm->off))
+		return VM_REPLY_BUSY;
+	vm->wave_done = call->wave;
+	take_down(vm, MAINTENANCE_MS, "maintenance ends a task");
+	return VM_REPLY_OK;
+}
+
+static void arrive_order(void *arg)
+{
+	order_call_t *call = arg;
+	vm_sim_t *sim = call->sim;
+
+	call->code = VM_REPLY_INVALID;
+	for (guint i = 0; i < sim->vms->len; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		if (strcmp(vm->machine, call->machine) == 0) {
+			advance(vm);
+			call->code = carry_out(vm, call);
+		}
+	}
+	if (chance(sim, sim->config.lost_answer))
+		call->code = VM_REPLY_NONE;
+	at(sim, sim->now_us + sim->platform_ms * US_PER_MS, deliver_order, call);
+}
+
+static void port_order(void *arg, const machine_order_t *order, vm_done_fn done, void *done_arg)
+{
+	vm_sim_t *sim = arg;
+	order_call_t *call = g_new0(order_call_t, 1);
+
+	*call = (order_call_t){.sim = sim,
+			       .wave = order->wave,
+			       .fence = order->fence,
+			       .done = done,
+			       .arg = done_arg};
+	g_strlcpy(call->machine, order->machine, sizeof(call->machine));
+	g_strlcpy(call->pool, order->pool != NULL ? order->pool : "", sizeof(call->pool));
+	at(sim, after_ms(sim, 2, 8), arrive_order, call);
+}
+
+/* --- log --- */
+
+typedef struct {
+	vm_sim_t *sim;
+	Lp__BatchCommand *command;
+	uint64_t term;
+	batch_proposed_fn done;
+	void *arg;
+} proposal_t;
+
+static Lp__BatchCommand *copy_command(const Lp__BatchCommand *command)
+{
+	size_t length = lp__batch_command__get_packed_size(command);
+	g_autofree uint8_t *packed = g_malloc(length + 1);
+
+	lp__batch_command__pack(command, packed);
+	return lp__batch_command__unpack(NULL, length, packed);
+}
+
+static uint64_t wall_ms(const vm_sim_t *sim)
+{
+	return sim->now_us / US_PER_MS + WALL_OFFSET_MS;
+}
+
+static void commit(void *arg)
+{
+	g_autofree proposal_t *proposal = arg;
+	vm_sim_t *sim = proposal->sim;
+	Lp__Result result = LP__RESULT__INIT;
+
+	/* A deposed leader's proposal is lost, or recorded after its successor's. */
+	if (proposal->term != sim->term && g_rand_boolean(sim->rand)) {
+		if (proposal->done != NULL)
+			proposal->done(proposal->arg, LP__RESULT_CODE__RESULT_UNAVAILABLE);
+	} else {
+		batch_state_apply(&sim->state, wall_ms(sim), proposal->command, &result);
+		if (proposal->done != NULL)
+			proposal->done(proposal->arg, result.code);
+	}
+	lp__batch_command__free_unpacked(proposal->command, NULL);
+	if (batch_leader_active(sim->leader))
+		batch_leader_work(sim->leader);
+}
+
+static void propose(void *arg, Lp__BatchCommand *command, batch_proposed_fn done, void *done_arg)
+{
+	vm_sim_t *sim = arg;
+	proposal_t *proposal = g_new0(proposal_t, 1);
+
+	*proposal = (proposal_t){.sim = sim,
+				 .command = copy_command(command),
+				 .term = sim->term,
+				 .done = done,
+				 .arg = done_arg};
+	sim->commit_us = MAX(sim->commit_us, after_ms(sim, 8, 30));
+	at(sim, sim->commit_us, commit, proposal);
+}
+
+/* --- what happens by itself --- */
+
+static void report(void *arg)
+{
+	sim_vm_t *vm = arg;
+	vm_sim_t *sim = vm->sim;
+	const char *labels[] = {"a", "rack"};
+	const vm_report_t message = {
+		.id = vm->id,
+		.machine = vm->machine,
+		.service = vm->service,
+		.address = vm->address,
+		.data_centre = "dc",
+		.rack = "rack",
+		.labels = labels,
+		.label_count = 2,
+		.cpu_milli = VM_CPU,
+		.mem_mib = VM_MEM,
+		.born_ms = vm->born_ms,
+		.clock_ms = clock_ms(vm),
+		.seq = ++vm->seq,
+	};
+
+	if (!vm->up)
+		return;
+	if (sim->now_us >= vm->silent_until_us && batch_leader_active(sim->leader))
+		batch_leader_report(sim->leader, &message, sim->now_us);
+}
+
+static void report_again(void *arg)
+{
+	sim_vm_t *vm = arg;
+
+	report(vm);
+	at(vm->sim, vm->sim->now_us + REPORT_MS * US_PER_MS, report_again, vm);
+}
+
+static void tick(void *arg)
+{
+	vm_sim_t *sim = arg;
+
+	batch_leader_tick(sim->leader);
+	at(sim, sim->now_us + TICK_US, tick, sim);
+}
+
+static bool happens(vm_sim_t *sim, uint32_t every_ms)
+{
+	return every_ms > 0 && chance(sim, 100.0 / every_ms);
+}
+
+static sim_vm_t *some_vm(vm_sim_t *sim)
+{
+	return g_ptr_array_index(sim->vms,
+				 (guint)g_rand_int_range(sim->rand, 0, (gint32)sim->vms->len));
+}
+
+static void faults(void *arg)
+{
+	vm_sim_t *sim = arg;
+	sim_vm_t *vm = some_vm(sim);
+
+	if (happens(sim, sim->config.crash_every_ms) && vm->up) {
+		vm->up = false;
+		vm->busy = true;
+		g_array_set_size(vm->runs, 0);
+		at(sim, after_ms(sim, 500, 5000), boot, vm);
+	}
+	vm = some_vm(sim);
+	if (happens(sim, sim->config.silent_every_ms) && vm->up)
+		vm->silent_until_us = after_ms(sim, 1000, 6000);
+	if (happens(sim, sim->config.leader_every_ms))
+		vm_sim_change_leader(sim);
+	at(sim, sim->now_us + 100 * US_PER_MS, faults, sim);
+}
+
+static uint64_t port_now(void *arg)
+{
+	return ((const vm_sim_t *)arg)->now_us;
+}
+
+static uint64_t port_wall(void *arg)
+{
+	return wall_ms(arg);
+}
+
+/* --- interface --- */
+
+void vm_sim_change_leader(vm_sim_t *sim)
+{
+	batch_leader_deactivate(sim->leader);
+	batch_leader_activate(sim->leader, ++sim->term);
+}
+
+static void add_vm(vm_sim_t *sim, const char *service)
+{
+	sim_vm_t *vm = g_new0(sim_vm_t, 1);
+	unsigned n = sim->vms->len;
+
+	vm->sim = sim;
+	g_snprintf(vm->machine, sizeof(vm->machine), "m-%u", n);
+	g_snprintf(vm->address, sizeof(vm->address), "10.0.%u.%u:80", n / 250, n % 250 + 1);
+	g_strlcpy(vm->service, service, sizeof(vm->service));
+	vm->runs = g_array_new(FALSE, TRUE, sizeof(sim_run_t));
+	vm->ended = g_array_new(FALSE, TRUE, sizeof(vm_ended_t));
+	vm->highest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	g_ptr_array_add(sim->vms, vm);
+	boot(vm);
+	at(sim, after_ms(sim, 0, REPORT_MS), report_again, vm);
+}
+
+static void configure(vm_sim_t *sim)
+{
+	unsigned count = sim->config.services;
+	Lp__BatchConfig config = LP__BATCH_CONFIG__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	Lp__BatchQueue queues[16];
+	Lp__BatchService services[17];
+	Lp__BatchQueue *queue_list[16];
+	Lp__BatchService *service_list[17];
+	char names[17][32];
+	Lp__Result result = LP__RESULT__INIT;
+
+	for (unsigned i = 0; i <= count; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "s%u", i);
+		lp__batch_service__init(&services[i]);
+		services[i].name = i < count ? names[i] : (char *)"standby";
+		services[i].standby = i == count;
+		service_list[i] = &services[i];
+	}
+	for (unsigned i = 0; i < count; i++) {
+		lp__batch_queue__init(&queues[i]);
+		queues[i].name = names[i];
+		queues[i].host = (char *)"h";
+		queues[i].prefix = names[i];
+		queues[i].service = names[i];
+		queues[i].attempts = 3;
+		queues[i].timeout_ms = 3000;
+		queues[i].objective_ms = 600;
+		queues[i].stretch_percent = 160;
+		queue_list[i] = &queues[i];
+	}
+	config.version = 1;
+	config.queues = queue_list;
+	config.n_queues = count;
+	config.services = service_list;
+	config.n_services = count + 1;
+	command.body_case = LP__BATCH_COMMAND__BODY_CONFIG;
+	command.config = &config;
+	batch_state_apply(&sim->state, wall_ms(sim), &command, &result);
+}
+
+vm_sim_t *vm_sim_create(const vm_sim_config_t *config)
+{
+	vm_sim_t *sim = g_new0(vm_sim_t, 1);
+	batch_leader_options_t options = {
+		.config =
+			{
+				.lease_ms = 5000,
+				.lease_max_ms = HOLD_MAX_MS,
+				.late_order_ms = 12000,
+				.clock_skew_percent = 3,
+				.hold_wait_ms = 1000,
+				.silent_ms = REPORT_MS + 700,
+				.checkpoint_ms = 500,
+				.holder_lease_ms = 3000,
+				.maintenance_ms = MAINTENANCE_MS,
+				.move_ms = MOVE_MS,
+				.orders_per_s = 64,
+				.name = "sim",
+			},
+		.propose = propose,
+		.now_us = port_now,
+		.wall_ms = port_wall,
+		.arg = sim,
+	};
+
+	sim->config = *config;
+	sim->rand = g_rand_new_with_seed((guint32)config->seed);
+	sim->events = g_sequence_new(g_free);
+	sim->now_us = US_PER_S;
+	sim->vms = g_ptr_array_new();
+	sim->done = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sim->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sim->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sim->violations = g_string_new(NULL);
+	sim->platform_ms = 5;
+	sim->metrics = metrics_create();
+	batch_state_init(&sim->state);
+	configure(sim);
+	options.state = &sim->state;
+	options.metrics = sim->metrics;
+	options.port = (vm_port_t){.start = port_start,
+				   .stop = port_stop,
+				   .pace = port_pace,
+				   .hold = port_hold,
+				   .advise = port_advise,
+				   .machines = port_machines,
+				   .order = port_order,
+				   .arg = sim};
+	sim->leader = batch_leader_create(&options);
+	batch_leader_activate(sim->leader, ++sim->term);
+	for (unsigned i = 0; i < config->services; i++) {
+		g_autofree char *service = g_strdup_printf("s%u", i);
+
+		for (unsigned j = 0; j < config->vms_per_service; j++)
+			add_vm(sim, service);
+	}
+	for (unsigned i = 0; i < config->standby_vms; i++)
+		add_vm(sim, "standby");
+	at(sim, sim->now_us, tick, sim);
+	at(sim, sim->now_us, faults, sim);
+	return sim;
+}
+
+void vm_sim_destroy(vm_sim_t *sim)
+{
+	vm_sim_calm(sim);
+	batch_leader_destroy(sim->leader);
+	batch_state_finish(&sim->state);
+	metrics_destroy(sim->metrics);
+	for (guint i = 0; i < sim->vms->len; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		g_array_unref(vm->runs);
+		g_array_unref(vm->ended);
+		g_hash_table_destroy(vm->highest);
+		g_free(vm);
+	}
+	g_ptr_array_unref(sim->vms);
+	g_sequence_free(sim->events);
+	g_hash_table_destroy(sim->done);
+	g_hash_table_destroy(sim->failed);
+	g_hash_table_destroy(sim->cancelled);
+	g_string_free(sim->violations, TRUE);
+	g_rand_free(sim->rand);
+	g_free(sim);
+}
+
+void vm_sim_run(vm_sim_t *sim, uint64_t until_ms)
+{
+	GSequenceIter *first;
+
+	while (!g_sequence_iter_is_end(first = g_sequence_get_begin_iter(sim->events))) {
+		event_t event = *(event_t *)g_sequence_get(first);
+
+		if (event.at_us > until_ms * US_PER_MS)
+			break;
+		g_sequence_remove(first);
+		sim->now_us = event.at_us;
+		event.fn(event.arg);
+	}
+	sim->now_us = MAX(sim->now_us, until_ms * US_PER_MS);
+}
+
+void vm_sim_calm(vm_sim_t *sim)
+{
+	sim->calm = true;
+}
+
+uint64_t vm_sim_now_ms(const vm_sim_t *sim)
+{
+	return sim->now_us / US_PER_MS;
+}
+
+void vm_sim_submit(vm_sim_t *sim, const char *id, unsigned service, const Lp__BatchJob *job)
+{
+	Lp__BatchJob copy = *job;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	g_autofree char *prefix = g_strdup_printf("s%u", service);
+
+	copy.id = (char *)id;
+	copy.host = (char *)"h";
+	copy.prefix = prefix;
+	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
+	command.submit = &copy;
+	propose(sim, &command, NULL, NULL);
+	batch_leader_wake(sim->leader);
+}
+
+typedef struct {
+	vm_sim_t *sim;
+	char *id;
+} cancel_t;
+
+static void on_cancelled(void *arg, Lp__ResultCode code)
+{
+	cancel_t *cancel = arg;
+	uint64_t *at_us = g_new(uint64_t, 1);
+
+	*at_us = cancel->sim->now_us;
+	if (code == LP__RESULT_CODE__RESULT_OK)
+		g_hash_table_replace(cancel->sim->cancelled, g_strdup(cancel->id), at_us);
+	else
+		g_free(at_us);
+	g_free(cancel->id);
+	g_free(cancel);
+}
+
+void vm_sim_cancel(vm_sim_t *sim, const char *id)
+{
+	const batch_job_t *job = batch_state_job(&sim->state, id);
+	Lp__BatchCancel message = LP__BATCH_CANCEL__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	cancel_t *cancel;
+
+	if (job == NULL)
+		return;
+	cancel = g_new0(cancel_t, 1);
+	*cancel = (cancel_t){.sim = sim, .id = g_strdup(id)};
+	message.id = (char *)id;
+	message.host = job->spec->host;
+	message.prefix = job->spec->prefix;
+	command.body_case = LP__BATCH_COMMAND__BODY_CANCEL;
+	command.cancel = &message;
+	propose(sim, &command, on_cancelled, cancel);
+}
+
+void vm_sim_wave(vm_sim_t *sim, uint64_t number, uint32_t max_down)
+{
+	Lp__BatchWave wave = LP__BATCH_WAVE__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	g_autofree char **machines = g_new0(char *, sim->vms->len);
+
+	for (guint i = 0; i < sim->vms->len; i++)
+		machines[i] = ((sim_vm_t *)g_ptr_array_index(sim->vms, i))->machine;
+	wave.wave = number;
+	wave.machines = machines;
+	wave.n_machines = sim->vms->len;
+	wave.max_down = max_down;
+	wave.duration_ms = 30000;
+	command.body_case = LP__BATCH_COMMAND__BODY_WAVE;
+	command.wave = &wave;
+	propose(sim, &command, NULL, NULL);
+}
+
+void vm_sim_slow_answers(vm_sim_t *sim, uint32_t platform_ms)
+{
+	sim->platform_ms = platform_ms;
+}
+
+const batch_state_t *vm_sim_state(const vm_sim_t *sim)
+{
+	return &sim->state;
+}
+
+const char *vm_sim_violations(const vm_sim_t *sim)
+{
+	return sim->violations->str;
+}
+
+unsigned vm_sim_running(const vm_sim_t *sim)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < sim->vms->len; i++) {
+		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		count += vm->up ? vm->runs->len : 0;
+	}
+	return count;
+}
+
+uint64_t vm_sim_starts(const vm_sim_t *sim)
+{
+	return sim->starts;
+}
+
+uint64_t vm_sim_moves(const vm_sim_t *sim)
+{
+	return sim->moves;
+}
