--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -101,7 +101,7 @@
 {
 	if (job->archived || !batch_job_ended(job) || job->held > 0)
 		return;
-	job->archived = true;
+	batch_job_archive(job);
 	TAILQ_REMOVE(&state->active, job, link);
 	TAILQ_INSERT_TAIL(&state->ended, job, link);
 }
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -11,6 +11,8 @@
 
 /* Placements are this far apart: tasks that end together free room together. */
 #define PLACE_GAP_US (15 * US_PER_MS)
+/* A line names about ten tasks of a step; the others follow from the VMs' ends. */
+#define LOG_TASKS_BYTES 160
 /* VMs that the queue's policy is asked about for one step; the objective of a job allows for the
  * time that it takes to decide about 30. */
 #define ADVICE_VMS 30
@@ -208,6 +210,8 @@
 	for (size_t i = pass->planned->len - placed; i < pass->planned->len; i++) {
 		const planned_t *planned = &g_array_index(pass->planned, planned_t, i);
 
+		if (tasks->len > LOG_TASKS_BYTES)
+			break;
 		g_string_append_printf(tasks, "%s%u/%u@%s", tasks->len > 0 ? " " : "",
 				       planned->task->index, planned->run, planned->vm->id);
 	}
@@ -260,6 +264,9 @@
 typedef struct {
 	Lp__BatchTask ref;
 	vm_handle_t vm;
+	int64_t cpu; /* reserved on the VM */
+	int64_t mem;
+	int64_t gpu;
 } intent_t;
 
 typedef struct {
@@ -271,18 +278,19 @@
 
 static void unplan(batch_task_t *task)
 {
-	const Lp__BatchStep *spec = task->step->spec;
-	leader_vm_t *vm = task->soft.planned_vm;
-
 	if (!task->soft.planned)
 		return;
 	task->soft.planned = false;
 	task->soft.planned_vm = NULL;
 	task->step->planned--;
+}
+
+static void give_back(leader_vm_t *vm, const intent_t *intent)
+{
 	vm->planned--;
-	vm->planned_cpu -= spec->best_effort ? 0 : spec->cpu_milli;
-	vm->planned_mem -= spec->mem_mib;
-	vm->planned_gpu -= spec->gpu;
+	vm->planned_cpu -= intent->cpu;
+	vm->planned_mem -= intent->mem;
+	vm->planned_gpu -= intent->gpu;
 }
 
 static void settle_intent(batch_leader_t *leader, const intent_t *intent, bool recorded)
@@ -290,6 +298,9 @@
 	batch_task_t *task = batch_state_task(leader->state, &intent->ref);
 	leader_vm_t *vm = vm_handle_get(&intent->vm);
 
+	if (vm != NULL)
+		give_back(vm, intent);
+	/* The job may have ended, and its tasks with it. */
 	if (task == NULL)
 		return;
 	unplan(task);
@@ -341,6 +352,11 @@
 
 		batch_task_ref(planned->task, &intents->intents[i].ref);
 		intents->intents[i].ref.run = planned->run;
+		intents->intents[i].cpu = planned->task->step->spec->best_effort
+						  ? 0
+						  : planned->task->step->spec->cpu_milli;
+		intents->intents[i].mem = planned->task->step->spec->mem_mib;
+		intents->intents[i].gpu = planned->task->step->spec->gpu;
 		vm_handle_set(&intents->intents[i].vm, planned->vm);
 		refs[i] = &intents->intents[i].ref;
 		if (start == NULL || strcmp(start->vm, planned->vm->id) != 0) {
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -10,8 +10,10 @@
 
 /* A hold that had no answer is repeated after this: often enough to notice a return at once. */
 #define HOLD_RETRY_US (200 * US_PER_MS)
-/* Shortest time between two holds; ends that come together are listed together. */
+/* Shortest time between two holds of a VM; ends that come together are listed together. It grows
+ * while the leader is late, up to where a step would wait too long for the one before. */
 #define HOLD_GAP_US (15 * US_PER_MS)
+#define HOLD_GAP_MAX_US (150 * US_PER_MS)
 /* A VM whose holds are answered but whose ends fail is tried again after this. */
 #define QUARANTINE_US (4 * US_PER_S)
 /* So many failed ends at least, and twice the good ones, make a VM suspect of failing everything.
@@ -369,7 +371,7 @@
 	vm->suspect_us = 0;
 	vm->answered_us = now_us;
 	vm->noted_told = MAX(vm->noted_told, hold->noted);
-	vm->hold_due_us = now_us + HOLD_GAP_US;
+	vm->hold_due_us = now_us + CLAMP(2 * vm->leader->lag_us, HOLD_GAP_US, HOLD_GAP_MAX_US);
 	vm->orphans = match_running(vm, life, reply, listed, now_us);
 	if (life == NULL) {
 		for (size_t i = 0; i < reply->ended_count; i++)
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -11,6 +11,8 @@
 /** Takes over spec. */
 batch_job_t *batch_job_new(Lp__BatchJob *spec, uint64_t seq, uint64_t accepted_ms);
 void batch_job_free(batch_job_t *job);
+/** Drops everything that only running needs; the job is asked for its state from now on. */
+void batch_job_archive(batch_job_t *job);
 /** Finds the queue of the job in the configuration in force. */
 void batch_job_find_queue(const batch_state_t *state, batch_job_t *job);
 void batch_state_add(batch_state_t *state, batch_job_t *job);
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -10,6 +10,9 @@
 /* Weight of ends in the estimate of a VM's health halves in this time: several ends of the shortest
  * tasks (0.6 s) are seen in it. */
 #define HEALTH_HALVE_US (4 * US_PER_S)
+/* Ticks are due every 25 ms; later than this the process has more to do than it can. */
+#define TICK_LATE_US (40 * US_PER_MS)
+#define SLOW_PART_US (30 * US_PER_MS)
 /* After its farewell a VM still ends what runs there; bounds.stopMs is 200. */
 #define LEFT_GRACE_US (500 * US_PER_MS)
 
@@ -482,6 +485,20 @@
 	}
 }
 
+/* Tells which part of the work holds up the event loop. */
+static uint64_t note_time(const batch_leader_t *leader, const char *part, uint64_t since_us)
+{
+	uint64_t now_us = leader_now_us(leader);
+	char ms[16];
+
+	if (now_us > since_us + SLOW_PART_US) {
+		g_snprintf(ms, sizeof(ms), "%u", (unsigned)((now_us - since_us) / US_PER_MS));
+		log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("part", part, "ms", ms),
+			  "the leader's work was slow");
+	}
+	return now_us;
+}
+
 static void tick_vm(leader_vm_t *vm, uint64_t now_us)
 {
 	if (!vm->dead && vm->left_us != 0 && now_us > vm->left_us + LEFT_GRACE_US)
@@ -497,13 +514,25 @@
 	leader_hold_tick(vm, now_us);
 }
 
+static void measure_lag(batch_leader_t *leader, uint64_t now_us)
+{
+	uint64_t gap_us = leader->tick_us != 0 ? now_us - leader->tick_us : 0;
+	uint64_t late_us = gap_us > TICK_LATE_US ? gap_us - TICK_LATE_US : 0;
+
+	leader->tick_us = now_us;
+	/* Rises at once, falls over some ticks. */
+	leader->lag_us = MAX(late_us, leader->lag_us * 7 / 8);
+}
+
 void batch_leader_tick(batch_leader_t *leader)
 {
 	uint64_t now_us = leader_now_us(leader);
+	uint64_t part_us;
 	leader_vm_t *vm;
 
 	if (!leader->active)
 		return;
+	measure_lag(leader, now_us);
 	halve_health(leader, now_us);
 	vm = LIST_FIRST(&leader->vms);
 	while (vm != NULL) {
@@ -512,9 +541,13 @@
 		tick_vm(vm, now_us);
 		vm = next;
 	}
+	part_us = note_time(leader, "vms", now_us);
 	leader_machines_tick(leader, now_us);
+	part_us = note_time(leader, "machines", part_us);
 	leader_upkeep_tick(leader, now_us);
+	part_us = note_time(leader, "waves", part_us);
 	leader_place(leader, now_us);
+	note_time(leader, "placement", part_us);
 }
 
 void batch_leader_work(batch_leader_t *leader)
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -99,6 +99,8 @@
 	uint64_t term;
 	uint64_t generation; /**< counts activations; late answers of earlier ones are ignored */
 	uint64_t active_us;
+	uint64_t tick_us; /**< latest tick */
+	uint64_t lag_us;  /**< how late ticks come, smoothed: the load of this process */
 	LIST_HEAD(leader_vms, leader_vm) vms;
 	GHashTable *by_id;	/**< lives that are not dead */
 	GHashTable *by_machine; /**< machine -> leader_vm_t, not dead */
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -21,7 +21,13 @@
 #define HEARTBEAT_MS 120
 #define ELECTION_MIN_MS 500
 #define LEADER_LEASE_MS 400
-#define SNAPSHOT_ENTRIES 3000
+/* A snapshot holds up the event loop while the state is packed; the log that a restart reads again
+ * stays below 8 MB, about a second of a slow core. */
+#define SNAPSHOT_ENTRIES 8000
+#define LOG_BYTES (8U << 20)
+/* Proposals of this time are sent together: every message to a follower costs as much as ten
+ * entries. */
+#define FLUSH_DELAY_MS 2
 /* A voter that is silent for so long gives way to a spare member. Longer than a restart or a cut of
  * some seconds; two losses in a row are then survived where a spare exists. */
 #define REPLACE_VOTER_MS 12000
@@ -30,6 +36,8 @@
 /* How often the members tell who leads; an edge process is ready while it hears that. */
 #define HINT_MS 250
 #define TICK_MS 25
+/* A longer gap between two ticks is logged: peers and clients notice it. */
+#define SLOW_LOOP_US (200 * US_PER_MS)
 /* A command without an outcome after this is reported as unknown. Longer than an election; shorter
  * than the 4 s after which an operator counts an order as not acknowledged. */
 #define PROPOSE_TIMEOUT_MS 3000
@@ -67,6 +75,8 @@
 	metrics_counter_t *submitted;
 	metrics_counter_t *refused;
 	metrics_histogram_t *commit_latency;
+	metrics_histogram_t *tick_gap;
+	uint64_t tick_us; /* latest tick */
 };
 
 /* --- work of the leader --- */
@@ -96,10 +106,24 @@
 		activate(node, term);
 }
 
+static void measure_lag(batch_node_t *node, uint64_t now_us)
+{
+	uint64_t gap_us = node->tick_us != 0 ? now_us - node->tick_us : 0;
+	char ms[16];
+
+	node->tick_us = now_us;
+	metrics_record_us(node->tick_gap, gap_us);
+	if (gap_us < SLOW_LOOP_US)
+		return;
+	g_snprintf(ms, sizeof(ms), "%u", (unsigned)(gap_us / US_PER_MS));
+	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("ms", ms), "the event loop was held up");
+}
+
 static void on_tick(void *arg, uint64_t now_us)
 {
 	batch_node_t *node = arg;
 
+	measure_lag(node, now_us);
 	update_leadership(node);
 	if (node->led_term != 0 && replica_has_lease(node->replica))
 		batch_leader_tick(node->leader);
@@ -615,6 +639,8 @@
 		.election_min_ms = ELECTION_MIN_MS,
 		.lease_ms = LEADER_LEASE_MS,
 		.snapshot_every = SNAPSHOT_ENTRIES,
+		.log_bytes = LOG_BYTES,
+		.flush_delay_ms = FLUSH_DELAY_MS,
 		.seed = seed,
 		.voter_target = 2 * MAX(settings->losses, 1) + 1,
 		.replace_ms = REPLACE_VOTER_MS,
@@ -692,6 +718,7 @@
 	node->submitting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	node->submitted = metrics_counter(node->metrics, "batch_jobs_submitted_total", "");
 	node->refused = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
+	node->tick_gap = metrics_histogram(node->metrics, "node_tick_gap_us", "");
 	node->commit_latency = metrics_histogram(node->metrics, "batch_commit_latency_us", "");
 	batch_state_init(&node->state);
 	vm_cache_init(&node->vms);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -231,8 +231,9 @@
 {
 	batch_job_t *job;
 
+	/* Of an archived job only the state is kept. */
 	if (message->job == NULL || message->state > BATCH_JOB_CANCELLED ||
-	    batch_job_check(message->job) != NULL)
+	    (message->n_steps > 0 && batch_job_check(message->job) != NULL))
 		return -1;
 	job = batch_job_new(batch_message_copy(&message->job->base), message->seq,
 			    message->accepted_ms);
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -126,7 +126,7 @@
 	return job;
 }
 
-void batch_job_free(batch_job_t *job)
+static void free_steps(batch_job_t *job)
 {
 	for (uint32_t i = 0; i < job->step_count; i++) {
 		batch_step_t *step = &job->steps[i];
@@ -140,6 +140,30 @@
 		ticket_book_free(step->tickets);
 	}
 	g_free(job->steps);
+	job->steps = NULL;
+	job->step_count = 0;
+	job->occurrences = 0;
+}
+
+void batch_job_archive(batch_job_t *job)
+{
+	Lp__BatchJob *spec = job->spec;
+
+	job->archived = true;
+	free_steps(job);
+	for (size_t i = 0; i < spec->n_steps; i++)
+		lp__batch_step__free_unpacked(spec->steps[i], NULL);
+	free(spec->steps);
+	spec->steps = NULL;
+	spec->n_steps = 0;
+	if (spec->spec != protobuf_c_empty_string)
+		free(spec->spec);
+	spec->spec = (char *)protobuf_c_empty_string;
+}
+
+void batch_job_free(batch_job_t *job)
+{
+	free_steps(job);
 	g_free(job->service);
 	lp__batch_job__free_unpacked(job->spec, NULL);
 	g_free(job);
@@ -149,7 +173,8 @@
 {
 	g_hash_table_insert(state->by_id, job->spec->id, job);
 	g_hash_table_insert(state->by_seq, &job->seq, job);
-	job->archived = batch_job_ended(job) && job->held == 0;
+	if (batch_job_ended(job) && job->held == 0)
+		batch_job_archive(job);
 	if (job->archived)
 		TAILQ_INSERT_TAIL(&state->ended, job, link);
 	else
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -17,6 +17,8 @@
 #define IDLE_CONNECTIONS 2000
 /* Peers with the usual keep-alive of 60 s and more have not closed a connection of this age. */
 #define IDLE_AGE_S 20
+/* Handles that wait for a call; each takes some 10 KB. */
+#define IDLE_HANDLES 64
 /* Unacknowledged data for so long closes the connection: a silent peer. */
 #define USER_TIMEOUT_MS 3000
 
@@ -139,13 +141,31 @@
 	g_free((char *)header->value);
 }
 
+/* Handles are kept: making one takes longer than a request on an open connection. */
+static void keep_handle(http_client_t *client, CURL *easy)
+{
+	if (g_queue_get_length(&client->handles) >= IDLE_HANDLES) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	g_queue_push_head(&client->handles, easy);
+}
+
+static CURL *take_handle(http_client_t *client)
+{
+	CURL *easy = g_queue_pop_head(&client->handles);
+
+	return easy != NULL ? easy : curl_easy_init();
+}
+
 static void call_free(http_call_t *call)
 {
 	g_queue_unlink(&call->client->in_progress, &call->link);
 	call->client->calls--;
 	TALLOC_FREE(call->progress_timer);
 	curl_multi_remove_handle(call->client->multi, call->easy);
-	curl_easy_cleanup(call->easy);
+	keep_handle(call->client, call->easy);
 	curl_slist_free_all(call->headers);
 	g_array_unref(call->response_headers);
 	g_byte_array_unref(call->body);
@@ -430,6 +450,7 @@
 	if (multi == NULL)
 		return -1;
 	g_queue_init(&client->in_progress);
+	g_queue_init(&client->handles);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, on_set_timer);
@@ -452,6 +473,7 @@
 		call->error = "the client is stopping";
 		finish_call(call, CURLE_ABORTED_BY_CALLBACK);
 	}
+	g_queue_clear_full(&client->handles, curl_easy_cleanup);
 	curl_multi_cleanup(client->multi);
 	TALLOC_FREE(client->timer);
 }
@@ -459,7 +481,7 @@
 http_call_t *http_client_send(http_client_t *client, const http_call_request_t *request,
 			      http_call_done_fn done, void *arg)
 {
-	CURL *easy = curl_easy_init();
+	CURL *easy = take_handle(client);
 	http_call_t *call;
 
 	if (easy == NULL)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -70,6 +70,7 @@
 	unsigned calls;
 	uint32_t connection_age_max_s;
 	GQueue in_progress; /**< http_call_t */
+	GQueue handles;	    /**< CURL, idle */
 } http_client_t;
 
 /** @return 0, or -1 when out of memory. */
--- a/src/replica.c
+++ b/src/replica.c
@@ -19,18 +19,44 @@
 #define TICK_US (20 * US_PER_MS)
 #define DISK_RETRY_US (1 * US_PER_S)
 
-/* A snapshot is taken after so many bytes of entries, and so many stay in the log after it. Without
- * the bound, 4,000 template revisions of 35 KB would take 140 MB of memory on every process. */
+/* Unless configured, a snapshot is taken after so many bytes of entries, and so many stay in the
+ * log after it. Without the bound, 4,000 template revisions of 35 KB would take 140 MB of memory on
+ * every process. */
 #define LOG_BYTES (2U << 20)
 
-static void on_flush(struct tevent_context *ev, struct tevent_immediate *im, void *private_data);
+static void flush(replica_t *replica);
+
+static void on_flush(struct tevent_context *ev, struct tevent_immediate *im, void *private_data)
+{
+	flush(private_data);
+}
+
+static void on_flush_timer(struct tevent_context *ev, struct tevent_timer *te,
+			   struct timeval current, void *private_data)
+{
+	flush(private_data);
+}
 
 void replica_schedule(replica_t *replica)
 {
+	uint32_t delay_ms = replica->config.flush_delay_ms;
+
 	if (replica->flush_scheduled)
 		return;
 	replica->flush_scheduled = true;
-	tevent_schedule_immediate(replica->flush, replica->timers->ev, on_flush, replica);
+	/* The macro of tevent is more than one statement. */
+	if (delay_ms == 0) {
+		tevent_schedule_immediate(replica->flush, replica->timers->ev, on_flush, replica);
+		return;
+	}
+	tevent_add_timer(replica->timers->ev, replica,
+			 tevent_timeval_current_ofs(0, delay_ms * US_PER_MS), on_flush_timer,
+			 replica);
+}
+
+static uint64_t log_bytes(const replica_t *replica)
+{
+	return replica->config.log_bytes > 0 ? replica->config.log_bytes : LOG_BYTES;
 }
 
 static void send_message(replica_t *replica, Lp__RaftMessage *message)
@@ -215,7 +241,7 @@
 		if (entry == NULL)
 			break;
 		bytes += entry->data.len;
-		if (bytes > LOG_BYTES)
+		if (bytes > log_bytes(replica))
 			break;
 		keep++;
 	}
@@ -255,7 +281,7 @@
 		apply_entry(replica, entry);
 	}
 	if (replica->applied >= replica->snapshot_index + replica->config.snapshot_every ||
-	    replica->applied_bytes >= LOG_BYTES)
+	    replica->applied_bytes >= log_bytes(replica))
 		take_snapshot(replica);
 	if (replica->applied == before && leader == replica->last_leader)
 		return;
@@ -270,9 +296,8 @@
 
 /* One cycle: hand proposals to the core, send what may go before the sync, begin to write what was
  * saved unless a write is running, apply. */
-static void on_flush(struct tevent_context *ev, struct tevent_immediate *im, void *private_data)
+static void flush(replica_t *replica)
 {
-	replica_t *replica = private_data;
 	uint64_t now_us = clock_now_us();
 
 	replica->flush_scheduled = false;
--- a/src/replica.h
+++ b/src/replica.h
@@ -51,6 +51,8 @@
 	 * voter, until there are so many, and a voter that is silent for replace_ms gives way to a
 	 * learner.
 	 */
+	uint32_t flush_delay_ms; /**< proposals of so long are sent together; 0: at once */
+	uint32_t log_bytes; /**< a snapshot is taken after so many bytes of entries; 0: 2 MiB */
 	uint32_t voter_target;
 	uint32_t replace_ms;
 	uint64_t seed;
