--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -1267,6 +1267,186 @@
   assert(message->base.descriptor == &lp__vm_report_copies__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__vm_order__init
+                     (Lp__VmOrder         *message)
+{
+  static const Lp__VmOrder init_value = LP__VM_ORDER__INIT;
+  *message = init_value;
+}
+size_t lp__vm_order__get_packed_size
+                     (const Lp__VmOrder *message)
+{
+  assert(message->base.descriptor == &lp__vm_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__vm_order__pack
+                     (const Lp__VmOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__vm_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__vm_order__pack_to_buffer
+                     (const Lp__VmOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__vm_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__VmOrder *
+       lp__vm_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__VmOrder *)
+     protobuf_c_message_unpack (&lp__vm_order__descriptor,
+                                allocator, len, data);
+}
+void   lp__vm_order__free_unpacked
+                     (Lp__VmOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__vm_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lp__vm_running__init
+                     (Lp__VmRunning         *message)
+{
+  static const Lp__VmRunning init_value = LP__VM_RUNNING__INIT;
+  *message = init_value;
+}
+size_t lp__vm_running__get_packed_size
+                     (const Lp__VmRunning *message)
+{
+  assert(message->base.descriptor == &lp__vm_running__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__vm_running__pack
+                     (const Lp__VmRunning *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__vm_running__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__vm_running__pack_to_buffer
+                     (const Lp__VmRunning *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__vm_running__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__VmRunning *
+       lp__vm_running__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__VmRunning *)
+     protobuf_c_message_unpack (&lp__vm_running__descriptor,
+                                allocator, len, data);
+}
+void   lp__vm_running__free_unpacked
+                     (Lp__VmRunning *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__vm_running__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lp__vm_ended__init
+                     (Lp__VmEnded         *message)
+{
+  static const Lp__VmEnded init_value = LP__VM_ENDED__INIT;
+  *message = init_value;
+}
+size_t lp__vm_ended__get_packed_size
+                     (const Lp__VmEnded *message)
+{
+  assert(message->base.descriptor == &lp__vm_ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__vm_ended__pack
+                     (const Lp__VmEnded *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__vm_ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__vm_ended__pack_to_buffer
+                     (const Lp__VmEnded *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__vm_ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__VmEnded *
+       lp__vm_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__VmEnded *)
+     protobuf_c_message_unpack (&lp__vm_ended__descriptor,
+                                allocator, len, data);
+}
+void   lp__vm_ended__free_unpacked
+                     (Lp__VmEnded *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__vm_ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lp__vm_result__init
+                     (Lp__VmResult         *message)
+{
+  static const Lp__VmResult init_value = LP__VM_RESULT__INIT;
+  *message = init_value;
+}
+size_t lp__vm_result__get_packed_size
+                     (const Lp__VmResult *message)
+{
+  assert(message->base.descriptor == &lp__vm_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__vm_result__pack
+                     (const Lp__VmResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__vm_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__vm_result__pack_to_buffer
+                     (const Lp__VmResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__vm_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__VmResult *
+       lp__vm_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__VmResult *)
+     protobuf_c_message_unpack (&lp__vm_result__descriptor,
+                                allocator, len, data);
+}
+void   lp__vm_result__free_unpacked
+                     (Lp__VmResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__vm_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor lp__batch_step__field_descriptors[18] =
 {
   {
@@ -3930,143 +4110,782 @@
   (ProtobufCMessageInit) lp__vm_report_copies__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue lp__batch_end_kind__enum_values_by_number[6] =
-{
-  { "BATCH_END_DONE", "LP__BATCH_END_KIND__BATCH_END_DONE", 0 },
-  { "BATCH_END_FAILED", "LP__BATCH_END_KIND__BATCH_END_FAILED", 1 },
-  { "BATCH_END_STOPPED", "LP__BATCH_END_KIND__BATCH_END_STOPPED", 2 },
-  { "BATCH_END_LAPSED", "LP__BATCH_END_KIND__BATCH_END_LAPSED", 3 },
-  { "BATCH_END_BROKEN", "LP__BATCH_END_KIND__BATCH_END_BROKEN", 4 },
-  { "BATCH_END_ALONE", "LP__BATCH_END_KIND__BATCH_END_ALONE", 5 },
-};
-static const ProtobufCIntRange lp__batch_end_kind__value_ranges[] = {
-{0, 0},{0, 6}
-};
-static const ProtobufCEnumValueIndex lp__batch_end_kind__enum_values_by_name[6] =
-{
-  { "BATCH_END_ALONE", 5 },
-  { "BATCH_END_BROKEN", 4 },
-  { "BATCH_END_DONE", 0 },
-  { "BATCH_END_FAILED", 1 },
-  { "BATCH_END_LAPSED", 3 },
-  { "BATCH_END_STOPPED", 2 },
-};
-const ProtobufCEnumDescriptor lp__batch_end_kind__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "lp.BatchEndKind",
-  "BatchEndKind",
-  "Lp__BatchEndKind",
-  "lp",
-  6,
-  lp__batch_end_kind__enum_values_by_number,
-  6,
-  lp__batch_end_kind__enum_values_by_name,
-  1,
-  lp__batch_end_kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue lp__batch_order_state__enum_values_by_number[5] =
-{
-  { "BATCH_ORDER_NONE", "LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE", 0 },
-  { "BATCH_ORDER_SENT", "LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT", 1 },
-  { "BATCH_ORDER_BEGUN", "LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN", 2 },
-  { "BATCH_ORDER_DONE", "LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE", 3 },
-  { "BATCH_ORDER_GONE", "LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE", 4 },
-};
-static const ProtobufCIntRange lp__batch_order_state__value_ranges[] = {
-{0, 0},{0, 5}
-};
-static const ProtobufCEnumValueIndex lp__batch_order_state__enum_values_by_name[5] =
-{
-  { "BATCH_ORDER_BEGUN", 2 },
-  { "BATCH_ORDER_DONE", 3 },
-  { "BATCH_ORDER_GONE", 4 },
-  { "BATCH_ORDER_NONE", 0 },
-  { "BATCH_ORDER_SENT", 1 },
-};
-const ProtobufCEnumDescriptor lp__batch_order_state__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "lp.BatchOrderState",
-  "BatchOrderState",
-  "Lp__BatchOrderState",
-  "lp",
-  5,
-  lp__batch_order_state__enum_values_by_number,
-  5,
-  lp__batch_order_state__enum_values_by_name,
-  1,
-  lp__batch_order_state__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue lp__batch_call_kind__enum_values_by_number[3] =
-{
-  { "BATCH_CALL_SUBMIT", "LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT", 0 },
-  { "BATCH_CALL_STATE", "LP__BATCH_CALL_KIND__BATCH_CALL_STATE", 1 },
-  { "BATCH_CALL_CANCEL", "LP__BATCH_CALL_KIND__BATCH_CALL_CANCEL", 2 },
-};
-static const ProtobufCIntRange lp__batch_call_kind__value_ranges[] = {
-{0, 0},{0, 3}
-};
-static const ProtobufCEnumValueIndex lp__batch_call_kind__enum_values_by_name[3] =
-{
-  { "BATCH_CALL_CANCEL", 2 },
-  { "BATCH_CALL_STATE", 1 },
-  { "BATCH_CALL_SUBMIT", 0 },
-};
-const ProtobufCEnumDescriptor lp__batch_call_kind__descriptor =
-{
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "lp.BatchCallKind",
-  "BatchCallKind",
-  "Lp__BatchCallKind",
-  "lp",
-  3,
-  lp__batch_call_kind__enum_values_by_number,
-  3,
-  lp__batch_call_kind__enum_values_by_name,
-  1,
-  lp__batch_call_kind__value_ranges,
-  NULL,NULL,NULL,NULL   /* reserved[1234] */
-};
-static const ProtobufCEnumValue lp__batch_answer__enum_values_by_number[8] =
-{
-  { "BATCH_ANSWER_OK", "LP__BATCH_ANSWER__BATCH_ANSWER_OK", 0 },
-  { "BATCH_ANSWER_NOT_LEADER", "LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER", 1 },
-  { "BATCH_ANSWER_NO_QUEUE", "LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE", 2 },
-  { "BATCH_ANSWER_NO_JOB", "LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB", 3 },
-  { "BATCH_ANSWER_REFUSED", "LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED", 4 },
-  { "BATCH_ANSWER_UNAVAILABLE", "LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE", 5 },
-  { "BATCH_ANSWER_UNKNOWN", "LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN", 6 },
-  { "BATCH_ANSWER_INVALID", "LP__BATCH_ANSWER__BATCH_ANSWER_INVALID", 7 },
-};
-static const ProtobufCIntRange lp__batch_answer__value_ranges[] = {
-{0, 0},{0, 8}
-};
-static const ProtobufCEnumValueIndex lp__batch_answer__enum_values_by_name[8] =
-{
-  { "BATCH_ANSWER_INVALID", 7 },
-  { "BATCH_ANSWER_NOT_LEADER", 1 },
-  { "BATCH_ANSWER_NO_JOB", 3 },
-  { "BATCH_ANSWER_NO_QUEUE", 2 },
-  { "BATCH_ANSWER_OK", 0 },
-  { "BATCH_ANSWER_REFUSED", 4 },
-  { "BATCH_ANSWER_UNAVAILABLE", 5 },
-  { "BATCH_ANSWER_UNKNOWN", 6 },
-};
-const ProtobufCEnumDescriptor lp__batch_answer__descriptor =
+static const ProtobufCFieldDescriptor lp__vm_order__field_descriptors[17] =
 {
-  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
-  "lp.BatchAnswer",
-  "BatchAnswer",
-  "Lp__BatchAnswer",
-  "lp",
-  8,
-  lp__batch_answer__enum_values_by_number,
-  8,
-  lp__batch_answer__enum_values_by_name,
-  1,
-  lp__batch_answer__value_ranges,
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, kind),
+    &lp__vm_order_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_until_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, lease_until_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, spec),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "noted",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, noted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__vm_order__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  12,   /* field[12] = checkpoint */
+  9,   /* field[9] = fence */
+  7,   /* field[7] = index */
+  4,   /* field[4] = job */
+  1,   /* field[1] = kind */
+  10,   /* field[10] = lease_until_ms */
+  15,   /* field[15] = noted */
+  5,   /* field[5] = occurrence */
+  14,   /* field[14] = percent */
+  8,   /* field[8] = run */
+  0,   /* field[0] = seq */
+  11,   /* field[11] = spec */
+  6,   /* field[6] = step */
+  13,   /* field[13] = ticket */
+  3,   /* field[3] = vm */
+  16,   /* field[16] = wait_ms */
+};
+static const ProtobufCIntRange lp__vm_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor lp__vm_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.VmOrder",
+  "VmOrder",
+  "Lp__VmOrder",
+  "lp",
+  sizeof(Lp__VmOrder),
+  17,
+  lp__vm_order__field_descriptors,
+  lp__vm_order__field_indices_by_name,
+  1,  lp__vm_order__number_ranges,
+  (ProtobufCMessageInit) lp__vm_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__vm_running__field_descriptors[8] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmRunning, load),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__vm_running__field_indices_by_name[] = {
+  5,   /* field[5] = checkpoint */
+  3,   /* field[3] = index */
+  0,   /* field[0] = job */
+  7,   /* field[7] = load */
+  1,   /* field[1] = occurrence */
+  6,   /* field[6] = percent */
+  4,   /* field[4] = run */
+  2,   /* field[2] = step */
+};
+static const ProtobufCIntRange lp__vm_running__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor lp__vm_running__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.VmRunning",
+  "VmRunning",
+  "Lp__VmRunning",
+  "lp",
+  sizeof(Lp__VmRunning),
+  8,
+  lp__vm_running__field_descriptors,
+  lp__vm_running__field_indices_by_name,
+  1,  lp__vm_running__number_ranges,
+  (ProtobufCMessageInit) lp__vm_running__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__vm_ended__field_descriptors[8] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, kind),
+    &lp__batch_end_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmEnded, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__vm_ended__field_indices_by_name[] = {
+  7,   /* field[7] = checkpoint */
+  4,   /* field[4] = index */
+  1,   /* field[1] = job */
+  6,   /* field[6] = kind */
+  0,   /* field[0] = number */
+  2,   /* field[2] = occurrence */
+  5,   /* field[5] = run */
+  3,   /* field[3] = step */
+};
+static const ProtobufCIntRange lp__vm_ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor lp__vm_ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.VmEnded",
+  "VmEnded",
+  "Lp__VmEnded",
+  "lp",
+  sizeof(Lp__VmEnded),
+  8,
+  lp__vm_ended__field_descriptors,
+  lp__vm_ended__field_indices_by_name,
+  1,  lp__vm_ended__number_ranges,
+  (ProtobufCMessageInit) lp__vm_ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__vm_result__field_descriptors[6] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmResult, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmResult, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmResult, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmResult, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__VmResult, n_running),
+    offsetof(Lp__VmResult, running),
+    &lp__vm_running__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__VmResult, n_ended),
+    offsetof(Lp__VmResult, ended),
+    &lp__vm_ended__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__vm_result__field_indices_by_name[] = {
+  3,   /* field[3] = born_ms */
+  2,   /* field[2] = clock_ms */
+  1,   /* field[1] = code */
+  5,   /* field[5] = ended */
+  4,   /* field[4] = running */
+  0,   /* field[0] = seq */
+};
+static const ProtobufCIntRange lp__vm_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor lp__vm_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.VmResult",
+  "VmResult",
+  "Lp__VmResult",
+  "lp",
+  sizeof(Lp__VmResult),
+  6,
+  lp__vm_result__field_descriptors,
+  lp__vm_result__field_indices_by_name,
+  1,  lp__vm_result__number_ranges,
+  (ProtobufCMessageInit) lp__vm_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue lp__batch_end_kind__enum_values_by_number[6] =
+{
+  { "BATCH_END_DONE", "LP__BATCH_END_KIND__BATCH_END_DONE", 0 },
+  { "BATCH_END_FAILED", "LP__BATCH_END_KIND__BATCH_END_FAILED", 1 },
+  { "BATCH_END_STOPPED", "LP__BATCH_END_KIND__BATCH_END_STOPPED", 2 },
+  { "BATCH_END_LAPSED", "LP__BATCH_END_KIND__BATCH_END_LAPSED", 3 },
+  { "BATCH_END_BROKEN", "LP__BATCH_END_KIND__BATCH_END_BROKEN", 4 },
+  { "BATCH_END_ALONE", "LP__BATCH_END_KIND__BATCH_END_ALONE", 5 },
+};
+static const ProtobufCIntRange lp__batch_end_kind__value_ranges[] = {
+{0, 0},{0, 6}
+};
+static const ProtobufCEnumValueIndex lp__batch_end_kind__enum_values_by_name[6] =
+{
+  { "BATCH_END_ALONE", 5 },
+  { "BATCH_END_BROKEN", 4 },
+  { "BATCH_END_DONE", 0 },
+  { "BATCH_END_FAILED", 1 },
+  { "BATCH_END_LAPSED", 3 },
+  { "BATCH_END_STOPPED", 2 },
+};
+const ProtobufCEnumDescriptor lp__batch_end_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lp.BatchEndKind",
+  "BatchEndKind",
+  "Lp__BatchEndKind",
+  "lp",
+  6,
+  lp__batch_end_kind__enum_values_by_number,
+  6,
+  lp__batch_end_kind__enum_values_by_name,
+  1,
+  lp__batch_end_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue lp__batch_order_state__enum_values_by_number[5] =
+{
+  { "BATCH_ORDER_NONE", "LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE", 0 },
+  { "BATCH_ORDER_SENT", "LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT", 1 },
+  { "BATCH_ORDER_BEGUN", "LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN", 2 },
+  { "BATCH_ORDER_DONE", "LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE", 3 },
+  { "BATCH_ORDER_GONE", "LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE", 4 },
+};
+static const ProtobufCIntRange lp__batch_order_state__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex lp__batch_order_state__enum_values_by_name[5] =
+{
+  { "BATCH_ORDER_BEGUN", 2 },
+  { "BATCH_ORDER_DONE", 3 },
+  { "BATCH_ORDER_GONE", 4 },
+  { "BATCH_ORDER_NONE", 0 },
+  { "BATCH_ORDER_SENT", 1 },
+};
+const ProtobufCEnumDescriptor lp__batch_order_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lp.BatchOrderState",
+  "BatchOrderState",
+  "Lp__BatchOrderState",
+  "lp",
+  5,
+  lp__batch_order_state__enum_values_by_number,
+  5,
+  lp__batch_order_state__enum_values_by_name,
+  1,
+  lp__batch_order_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue lp__batch_call_kind__enum_values_by_number[3] =
+{
+  { "BATCH_CALL_SUBMIT", "LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT", 0 },
+  { "BATCH_CALL_STATE", "LP__BATCH_CALL_KIND__BATCH_CALL_STATE", 1 },
+  { "BATCH_CALL_CANCEL", "LP__BATCH_CALL_KIND__BATCH_CALL_CANCEL", 2 },
+};
+static const ProtobufCIntRange lp__batch_call_kind__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex lp__batch_call_kind__enum_values_by_name[3] =
+{
+  { "BATCH_CALL_CANCEL", 2 },
+  { "BATCH_CALL_STATE", 1 },
+  { "BATCH_CALL_SUBMIT", 0 },
+};
+const ProtobufCEnumDescriptor lp__batch_call_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lp.BatchCallKind",
+  "BatchCallKind",
+  "Lp__BatchCallKind",
+  "lp",
+  3,
+  lp__batch_call_kind__enum_values_by_number,
+  3,
+  lp__batch_call_kind__enum_values_by_name,
+  1,
+  lp__batch_call_kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue lp__batch_answer__enum_values_by_number[8] =
+{
+  { "BATCH_ANSWER_OK", "LP__BATCH_ANSWER__BATCH_ANSWER_OK", 0 },
+  { "BATCH_ANSWER_NOT_LEADER", "LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER", 1 },
+  { "BATCH_ANSWER_NO_QUEUE", "LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE", 2 },
+  { "BATCH_ANSWER_NO_JOB", "LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB", 3 },
+  { "BATCH_ANSWER_REFUSED", "LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED", 4 },
+  { "BATCH_ANSWER_UNAVAILABLE", "LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE", 5 },
+  { "BATCH_ANSWER_UNKNOWN", "LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN", 6 },
+  { "BATCH_ANSWER_INVALID", "LP__BATCH_ANSWER__BATCH_ANSWER_INVALID", 7 },
+};
+static const ProtobufCIntRange lp__batch_answer__value_ranges[] = {
+{0, 0},{0, 8}
+};
+static const ProtobufCEnumValueIndex lp__batch_answer__enum_values_by_name[8] =
+{
+  { "BATCH_ANSWER_INVALID", 7 },
+  { "BATCH_ANSWER_NOT_LEADER", 1 },
+  { "BATCH_ANSWER_NO_JOB", 3 },
+  { "BATCH_ANSWER_NO_QUEUE", 2 },
+  { "BATCH_ANSWER_OK", 0 },
+  { "BATCH_ANSWER_REFUSED", 4 },
+  { "BATCH_ANSWER_UNAVAILABLE", 5 },
+  { "BATCH_ANSWER_UNKNOWN", 6 },
+};
+const ProtobufCEnumDescriptor lp__batch_answer__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lp.BatchAnswer",
+  "BatchAnswer",
+  "Lp__BatchAnswer",
+  "lp",
+  8,
+  lp__batch_answer__enum_values_by_number,
+  8,
+  lp__batch_answer__enum_values_by_name,
+  1,
+  lp__batch_answer__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue lp__vm_order_kind__enum_values_by_number[4] =
+{
+  { "VM_ORDER_START", "LP__VM_ORDER_KIND__VM_ORDER_START", 0 },
+  { "VM_ORDER_STOP", "LP__VM_ORDER_KIND__VM_ORDER_STOP", 1 },
+  { "VM_ORDER_PACE", "LP__VM_ORDER_KIND__VM_ORDER_PACE", 2 },
+  { "VM_ORDER_HOLD", "LP__VM_ORDER_KIND__VM_ORDER_HOLD", 3 },
+};
+static const ProtobufCIntRange lp__vm_order_kind__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex lp__vm_order_kind__enum_values_by_name[4] =
+{
+  { "VM_ORDER_HOLD", 3 },
+  { "VM_ORDER_PACE", 2 },
+  { "VM_ORDER_START", 0 },
+  { "VM_ORDER_STOP", 1 },
+};
+const ProtobufCEnumDescriptor lp__vm_order_kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lp.VmOrderKind",
+  "VmOrderKind",
+  "Lp__VmOrderKind",
+  "lp",
+  4,
+  lp__vm_order_kind__enum_values_by_number,
+  4,
+  lp__vm_order_kind__enum_values_by_name,
+  1,
+  lp__vm_order_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -43,6 +43,10 @@
 typedef struct Lp__LeaderHint Lp__LeaderHint;
 typedef struct Lp__VmReportCopy Lp__VmReportCopy;
 typedef struct Lp__VmReportCopies Lp__VmReportCopies;
+typedef struct Lp__VmOrder Lp__VmOrder;
+typedef struct Lp__VmRunning Lp__VmRunning;
+typedef struct Lp__VmEnded Lp__VmEnded;
+typedef struct Lp__VmResult Lp__VmResult;
 
 
 /* --- enums --- */
@@ -102,6 +106,13 @@
   LP__BATCH_ANSWER__BATCH_ANSWER_INVALID = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__BATCH_ANSWER)
 } Lp__BatchAnswer;
+typedef enum _Lp__VmOrderKind {
+  LP__VM_ORDER_KIND__VM_ORDER_START = 0,
+  LP__VM_ORDER_KIND__VM_ORDER_STOP = 1,
+  LP__VM_ORDER_KIND__VM_ORDER_PACE = 2,
+  LP__VM_ORDER_KIND__VM_ORDER_HOLD = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__VM_ORDER_KIND)
+} Lp__VmOrderKind;
 
 /* --- messages --- */
 
@@ -641,6 +652,83 @@
     , 0, 0,NULL }
 
 
+struct  Lp__VmOrder
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  Lp__VmOrderKind kind;
+  char *address;
+  char *vm;
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+  uint64_t fence;
+  uint64_t lease_until_ms;
+  char *spec;
+  char *checkpoint;
+  char *ticket;
+  uint32_t percent;
+  uint64_t noted;
+  uint32_t wait_ms;
+};
+#define LP__VM_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__vm_order__descriptor) \
+    , 0, LP__VM_ORDER_KIND__VM_ORDER_START, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Lp__VmRunning
+{
+  ProtobufCMessage base;
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+  char *checkpoint;
+  uint32_t percent;
+  uint32_t load;
+};
+#define LP__VM_RUNNING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__vm_running__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Lp__VmEnded
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  uint32_t index;
+  uint32_t run;
+  Lp__BatchEndKind kind;
+  char *checkpoint;
+};
+#define LP__VM_ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__vm_ended__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, LP__BATCH_END_KIND__BATCH_END_DONE, (char *)protobuf_c_empty_string }
+
+
+struct  Lp__VmResult
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  uint32_t code;
+  uint64_t clock_ms;
+  uint64_t born_ms;
+  size_t n_running;
+  Lp__VmRunning **running;
+  size_t n_ended;
+  Lp__VmEnded **ended;
+};
+#define LP__VM_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__vm_result__descriptor) \
+    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
 /* Lp__BatchStep methods */
 void   lp__batch_step__init
                      (Lp__BatchStep         *message);
@@ -1173,6 +1261,82 @@
 void   lp__vm_report_copies__free_unpacked
                      (Lp__VmReportCopies *message,
                       ProtobufCAllocator *allocator);
+/* Lp__VmOrder methods */
+void   lp__vm_order__init
+                     (Lp__VmOrder         *message);
+size_t lp__vm_order__get_packed_size
+                     (const Lp__VmOrder   *message);
+size_t lp__vm_order__pack
+                     (const Lp__VmOrder   *message,
+                      uint8_t             *out);
+size_t lp__vm_order__pack_to_buffer
+                     (const Lp__VmOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__VmOrder *
+       lp__vm_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__vm_order__free_unpacked
+                     (Lp__VmOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Lp__VmRunning methods */
+void   lp__vm_running__init
+                     (Lp__VmRunning         *message);
+size_t lp__vm_running__get_packed_size
+                     (const Lp__VmRunning   *message);
+size_t lp__vm_running__pack
+                     (const Lp__VmRunning   *message,
+                      uint8_t             *out);
+size_t lp__vm_running__pack_to_buffer
+                     (const Lp__VmRunning   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__VmRunning *
+       lp__vm_running__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__vm_running__free_unpacked
+                     (Lp__VmRunning *message,
+                      ProtobufCAllocator *allocator);
+/* Lp__VmEnded methods */
+void   lp__vm_ended__init
+                     (Lp__VmEnded         *message);
+size_t lp__vm_ended__get_packed_size
+                     (const Lp__VmEnded   *message);
+size_t lp__vm_ended__pack
+                     (const Lp__VmEnded   *message,
+                      uint8_t             *out);
+size_t lp__vm_ended__pack_to_buffer
+                     (const Lp__VmEnded   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__VmEnded *
+       lp__vm_ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__vm_ended__free_unpacked
+                     (Lp__VmEnded *message,
+                      ProtobufCAllocator *allocator);
+/* Lp__VmResult methods */
+void   lp__vm_result__init
+                     (Lp__VmResult         *message);
+size_t lp__vm_result__get_packed_size
+                     (const Lp__VmResult   *message);
+size_t lp__vm_result__pack
+                     (const Lp__VmResult   *message,
+                      uint8_t             *out);
+size_t lp__vm_result__pack_to_buffer
+                     (const Lp__VmResult   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__VmResult *
+       lp__vm_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__vm_result__free_unpacked
+                     (Lp__VmResult *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Lp__BatchStep_Closure)
@@ -1259,6 +1423,18 @@
 typedef void (*Lp__VmReportCopies_Closure)
                  (const Lp__VmReportCopies *message,
                   void *closure_data);
+typedef void (*Lp__VmOrder_Closure)
+                 (const Lp__VmOrder *message,
+                  void *closure_data);
+typedef void (*Lp__VmRunning_Closure)
+                 (const Lp__VmRunning *message,
+                  void *closure_data);
+typedef void (*Lp__VmEnded_Closure)
+                 (const Lp__VmEnded *message,
+                  void *closure_data);
+typedef void (*Lp__VmResult_Closure)
+                 (const Lp__VmResult *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1269,6 +1445,7 @@
 extern const ProtobufCEnumDescriptor    lp__batch_order_state__descriptor;
 extern const ProtobufCEnumDescriptor    lp__batch_call_kind__descriptor;
 extern const ProtobufCEnumDescriptor    lp__batch_answer__descriptor;
+extern const ProtobufCEnumDescriptor    lp__vm_order_kind__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_step__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_job__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_advice__descriptor;
@@ -1297,6 +1474,10 @@
 extern const ProtobufCMessageDescriptor lp__leader_hint__descriptor;
 extern const ProtobufCMessageDescriptor lp__vm_report_copy__descriptor;
 extern const ProtobufCMessageDescriptor lp__vm_report_copies__descriptor;
+extern const ProtobufCMessageDescriptor lp__vm_order__descriptor;
+extern const ProtobufCMessageDescriptor lp__vm_running__descriptor;
+extern const ProtobufCMessageDescriptor lp__vm_ended__descriptor;
+extern const ProtobufCMessageDescriptor lp__vm_result__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -333,6 +333,18 @@
 	return true;
 }
 
+const char *batch_leader_data_centre(const batch_leader_t *leader, const char *vm_id)
+{
+	const leader_vm_t *vm = g_hash_table_lookup(leader->by_id, vm_id);
+
+	return vm != NULL && vm->data_centre[0] != '\0' ? vm->data_centre : NULL;
+}
+
+size_t batch_leader_vm_count(const batch_leader_t *leader)
+{
+	return g_hash_table_size(leader->machines);
+}
+
 void batch_leader_left(batch_leader_t *leader, const char *vm_id)
 {
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, vm_id);
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -61,6 +61,9 @@
 
 /** A VM reported at heard_us. @return false when the report is older than what is known */
 bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t heard_us);
+/** Data centre of a VM; NULL: unknown. */
+const char *batch_leader_data_centre(const batch_leader_t *leader, const char *vm_id);
+size_t batch_leader_vm_count(const batch_leader_t *leader);
 /** A VM has left after a graceful end. */
 void batch_leader_left(batch_leader_t *leader, const char *vm_id);
 /** Looks after all VMs and machines, then places. Call it every 25 to 50 ms. */
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "log.h"
 #include "vm_cache.h"
+#include "vm_relay.h"
 
 #define CLUSTER "lavenderpass"
 /* Log timing: an election takes 0.5 to 1 s, well within the lease of the VMs. Writes to the disk do
@@ -71,6 +72,7 @@
 	bool work_scheduled;
 	GHashTable *submitting; /* ids of jobs whose submission is being recorded */
 	vm_cache_t vms;
+	vm_relay_t *relay;
 	bool resigned;
 	metrics_counter_t *submitted;
 	metrics_counter_t *refused;
@@ -271,6 +273,22 @@
 		add_peer(node, hint->members[i]);
 }
 
+static void take_forwarded(void *arg, const vm_report_t *report, uint64_t heard_us)
+{
+	batch_node_report(arg, report);
+}
+
+/* From the leader, or from a member that received reports for the leader. */
+static void on_reports(batch_node_t *node, const Lp__VmReportCopies *copies)
+{
+	uint64_t now_us = clock_now_us();
+
+	if (batch_node_serves(node))
+		vm_copies_each(copies, now_us, take_forwarded, node);
+	else
+		vm_cache_take(&node->vms, copies, now_us);
+}
+
 static void on_message(void *arg, uint32_t from, const Lp__Envelope *envelope)
 {
 	batch_node_t *node = arg;
@@ -288,7 +306,10 @@
 		on_hint(node, envelope->leader_hint);
 		break;
 	case LP__ENVELOPE__BODY_VM_REPORTS:
-		vm_cache_take(&node->vms, envelope->vm_reports, clock_now_us());
+		on_reports(node, envelope->vm_reports);
+		break;
+	case LP__ENVELOPE__BODY_VM_RESULT:
+		vm_relay_result(node->relay, from, envelope->vm_result);
 		break;
 	default:
 		break;
@@ -307,6 +328,8 @@
 		  info->up ? "peer answers" : "peer does not answer");
 	if (info->up && info->disk)
 		replica_peer_up(node->replica, info->node_id, info->replica_id, info->disk);
+	if (!info->up)
+		vm_relay_peer_down(node->relay, info->node_id);
 }
 
 static uint64_t applied_index(void *arg)
@@ -571,6 +594,24 @@
 	schedule_work(node);
 }
 
+bool batch_node_forward_report(batch_node_t *node, const vm_report_t *report)
+{
+	uint32_t leader = batch_node_leader(node);
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__VmReportCopies copies = LP__VM_REPORT_COPIES__INIT;
+	Lp__VmReportCopy copy;
+	Lp__VmReportCopy *list[] = {&copy};
+
+	if (leader == 0 || leader == node->settings->node_id)
+		return false;
+	vm_copy_set(&copy, report);
+	copies.reports = list;
+	copies.n_reports = 1;
+	envelope.body_case = LP__ENVELOPE__BODY_VM_REPORTS;
+	envelope.vm_reports = &copies;
+	return peer_send(node->peers, leader, &envelope) == 0;
+}
+
 void batch_node_left(batch_node_t *node, const char *vm)
 {
 	vm_cache_remove(&node->vms, vm);
@@ -587,7 +628,31 @@
 	return clock_wall_ms();
 }
 
-static void create_leader(batch_node_t *node, const vm_port_t *port)
+static const char *vm_data_centre(void *arg, const char *vm)
+{
+	const batch_node_t *node = arg;
+
+	return batch_leader_data_centre(node->leader, vm);
+}
+
+static size_t vm_count(void *arg)
+{
+	const batch_node_t *node = arg;
+
+	return batch_leader_vm_count(node->leader);
+}
+
+static void create_relay(batch_node_t *node, const vm_port_t *direct)
+{
+	const vm_relay_options_t options = {.direct = *direct,
+					    .data_centre = vm_data_centre,
+					    .vm_count = vm_count,
+					    .arg = node};
+
+	node->relay = vm_relay_create(node->timers, &options);
+}
+
+static void create_leader(batch_node_t *node)
 {
 	const process_settings_t *settings = node->settings;
 	const batch_leader_options_t options = {
@@ -607,7 +672,7 @@
 				.name = settings->name,
 			},
 		.state = &node->state,
-		.port = *port,
+		.port = vm_relay_port(node->relay),
 		.propose = leader_propose,
 		.now_us = now_port,
 		.wall_ms = wall_port,
@@ -726,14 +791,17 @@
 		seed = clock_wall_ms();
 	if (create_replica(node, seed, error, error_size) != 0)
 		goto fail_state;
-	create_leader(node, &options->port);
+	create_relay(node, &options->port);
+	create_leader(node);
 	if (create_peers(node, seed, error, error_size) != 0)
 		goto fail_replica;
+	vm_relay_set_peers(node->relay, node->peers);
 	timer_subscribe(node->timers, &node->tick, TICK_MS * US_PER_MS, on_tick, node);
 	timer_subscribe(node->timers, &node->hint, HINT_MS * US_PER_MS, on_hint_timer, node);
 	return node;
 
 fail_replica:
+	vm_relay_destroy(node->relay);
 	batch_leader_destroy(node->leader);
 	replica_destroy(node->replica);
 fail_state:
@@ -756,6 +824,7 @@
 	timer_unsubscribe(node->timers, &node->hint);
 	batch_leader_deactivate(node->leader);
 	replica_destroy(node->replica);
+	vm_relay_destroy(node->relay);
 	peer_set_destroy(node->peers);
 	batch_leader_destroy(node->leader);
 	batch_state_finish(&node->state);
--- a/src/batch_node.h
+++ b/src/batch_node.h
@@ -45,6 +45,11 @@
 const batch_state_t *batch_node_state(const batch_node_t *node);
 /** A VM has reported to this process, which leads. */
 void batch_node_report(batch_node_t *node, const vm_report_t *report);
+/**
+ * A VM has reported to this process, which does not lead: passes the report on.
+ * @return false when the leader cannot be reached
+ */
+bool batch_node_forward_report(batch_node_t *node, const vm_report_t *report);
 /** A VM has told this process, which leads, that it ends. */
 void batch_node_left(batch_node_t *node, const char *vm);
 
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -14,6 +14,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "vm_relay.h"
 
 #define CLUSTER "lavenderpass"
 #define PING_MS 500
@@ -43,6 +44,7 @@
 	timer_service_t *timers;
 	timer_sub_t tick;
 	peer_set_t *peers;
+	vm_agent_t agent;
 	TAILQ_HEAD(edge_calls, edge_call) calls;
 	unsigned open;
 	uint64_t next_seq;
@@ -190,10 +192,9 @@
 	if (call == NULL)
 		return;
 	if (reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER) {
+		/* Sent again by the next tick, to whom the hints name then. */
 		if (call->sent_to == from)
 			call->sent_to = 0;
-		if (link->leader == from)
-			link->leader = 0;
 		return;
 	}
 	/* An earlier send may still be recorded, so that "not accepted" is not certain. */
@@ -214,6 +215,8 @@
 		on_hint(link, from, envelope->leader_hint);
 	else if (envelope->body_case == LP__ENVELOPE__BODY_BATCH_REPLY)
 		on_reply(link, from, envelope->batch_reply);
+	else if (envelope->body_case == LP__ENVELOPE__BODY_VM_ORDER)
+		vm_agent_order(&link->agent, from, envelope->vm_order);
 }
 
 static void on_peer_change(void *arg, const peer_info_t *info)
@@ -300,6 +303,7 @@
 		g_free(link);
 		return NULL;
 	}
+	link->agent = (vm_agent_t){.port = options->port, .peers = link->peers};
 	edge_link_set_seeds(link, settings);
 	timer_subscribe(link->timers, &link->tick, TICK_MS * US_PER_MS, on_tick, link);
 	return link;
--- a/src/edge_link.h
+++ b/src/edge_link.h
@@ -7,6 +7,7 @@
 #include "peer.h"
 #include "process.h"
 #include "timer.h"
+#include "vm_port.h"
 
 /**
  * @file
@@ -21,6 +22,7 @@
 	struct tevent_context *ev;
 	timer_service_t *timers;
 	metrics_t *metrics;
+	vm_port_t port; /**< makes the calls of orders that the leader passes on */
 } edge_link_options_t;
 
 struct edge_link;
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -4235,7 +4235,7 @@
   (ProtobufCMessageInit) lp__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__envelope__field_descriptors[18] =
+static const ProtobufCFieldDescriptor lp__envelope__field_descriptors[20] =
 {
   {
     "hello",
@@ -4453,6 +4453,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm_order",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Envelope, body_case),
+    offsetof(Lp__Envelope, vm_order),
+    &lp__vm_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vm_result",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Envelope, body_case),
+    offsetof(Lp__Envelope, vm_result),
+    &lp__vm_result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__envelope__field_indices_by_name[] = {
   14,   /* field[14] = batch_call */
@@ -4472,12 +4496,14 @@
   12,   /* field[12] = slot_loan */
   11,   /* field[11] = slot_request */
   10,   /* field[10] = targets */
+  18,   /* field[18] = vm_order */
   17,   /* field[17] = vm_reports */
+  19,   /* field[19] = vm_result */
 };
 static const ProtobufCIntRange lp__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor lp__envelope__descriptor =
 {
@@ -4487,7 +4513,7 @@
   "Lp__Envelope",
   "lp",
   sizeof(Lp__Envelope),
-  18,
+  20,
   lp__envelope__field_descriptors,
   lp__envelope__field_indices_by_name,
   1,  lp__envelope__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -658,7 +658,9 @@
   LP__ENVELOPE__BODY_BATCH_CALL = 15,
   LP__ENVELOPE__BODY_BATCH_REPLY = 16,
   LP__ENVELOPE__BODY_LEADER_HINT = 17,
-  LP__ENVELOPE__BODY_VM_REPORTS = 18
+  LP__ENVELOPE__BODY_VM_REPORTS = 18,
+  LP__ENVELOPE__BODY_VM_ORDER = 19,
+  LP__ENVELOPE__BODY_VM_RESULT = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__ENVELOPE__BODY__CASE)
 } Lp__Envelope__BodyCase;
 
@@ -685,6 +687,8 @@
     Lp__BatchReply *batch_reply;
     Lp__LeaderHint *leader_hint;
     Lp__VmReportCopies *vm_reports;
+    Lp__VmOrder *vm_order;
+    Lp__VmResult *vm_result;
   };
 };
 #define LP__ENVELOPE__INIT \
--- a/src/replica.c
+++ b/src/replica.c
@@ -165,6 +165,8 @@
 	}
 }
 
+static void apply_committed(replica_t *replica);
+
 static int write_log(void *arg)
 {
 	const replica_t *replica = arg;
@@ -187,6 +189,7 @@
 		raft_synced_to(replica->raft, replica->sync_index, !replica->vote_saved, now_us);
 	}
 	run_actions(replica);
+	apply_committed(replica);
 	replica_schedule(replica);
 }
 
@@ -425,6 +428,9 @@
 	case LP__ENVELOPE__BODY_RAFT:
 		raft_receive(replica->raft, clock_now_us(), envelope->raft);
 		run_actions(replica);
+		/* At once, even when proposals wait to be sent together: a leader serves only while
+		 * everything that is committed is applied. */
+		apply_committed(replica);
 		break;
 	case LP__ENVELOPE__BODY_PROPOSE:
 		replica_on_propose(replica, from, envelope->propose);
--- a/src/vm_cache.c
+++ b/src/vm_cache.c
@@ -61,27 +61,33 @@
 	g_hash_table_replace(cache->reports, copy->id, cached);
 }
 
+void vm_copy_set(Lp__VmReportCopy *copy, const vm_report_t *report)
+{
+	lp__vm_report_copy__init(copy);
+	copy->id = (char *)report->id;
+	copy->machine = (char *)report->machine;
+	copy->service = (char *)report->service;
+	copy->address = (char *)report->address;
+	copy->data_centre = (char *)report->data_centre;
+	copy->rack = (char *)report->rack;
+	copy->labels = (char **)report->labels;
+	copy->n_labels = report->label_count;
+	copy->cpu_milli = report->cpu_milli;
+	copy->mem_mib = report->mem_mib;
+	copy->gpu = report->gpu;
+	copy->draining = report->draining;
+	copy->remaining_ms = report->remaining_ms;
+	copy->warmup_ms = report->warmup_ms;
+	copy->born_ms = report->born_ms;
+	copy->clock_ms = report->clock_ms;
+	copy->seq = report->seq;
+}
+
 void vm_cache_add(vm_cache_t *cache, const vm_report_t *report, uint64_t now_us)
 {
-	Lp__VmReportCopy message = LP__VM_REPORT_COPY__INIT;
-
-	message.id = (char *)report->id;
-	message.machine = (char *)report->machine;
-	message.service = (char *)report->service;
-	message.address = (char *)report->address;
-	message.data_centre = (char *)report->data_centre;
-	message.rack = (char *)report->rack;
-	message.labels = (char **)report->labels;
-	message.n_labels = report->label_count;
-	message.cpu_milli = report->cpu_milli;
-	message.mem_mib = report->mem_mib;
-	message.gpu = report->gpu;
-	message.draining = report->draining;
-	message.remaining_ms = report->remaining_ms;
-	message.warmup_ms = report->warmup_ms;
-	message.born_ms = report->born_ms;
-	message.clock_ms = report->clock_ms;
-	message.seq = report->seq;
+	Lp__VmReportCopy message;
+
+	vm_copy_set(&message, report);
 	if (is_older(cache, &message))
 		return;
 	g_ptr_array_add(cache->fresh, copy_of(&message));
@@ -113,11 +119,8 @@
 	g_ptr_array_set_size(cache->fresh, 0);
 }
 
-static void call_with(const cached_t *cached,
-		      void (*fn)(void *arg, const vm_report_t *report, uint64_t heard_us),
-		      void *arg)
+static void call_with(const Lp__VmReportCopy *copy, uint64_t heard_us, vm_report_fn fn, void *arg)
 {
-	const Lp__VmReportCopy *copy = cached->copy;
 	const vm_report_t report = {
 		.id = copy->id,
 		.machine = copy->machine,
@@ -138,11 +141,11 @@
 		.seq = copy->seq,
 	};
 
-	fn(arg, &report, cached->heard_us);
+	fn(arg, &report, heard_us);
 }
 
-void vm_cache_each(const vm_cache_t *cache, uint64_t now_us, uint64_t age_max_us,
-		   void (*fn)(void *arg, const vm_report_t *report, uint64_t heard_us), void *arg)
+void vm_cache_each(const vm_cache_t *cache, uint64_t now_us, uint64_t age_max_us, vm_report_fn fn,
+		   void *arg)
 {
 	GHashTableIter iter;
 	void *value;
@@ -152,6 +155,12 @@
 		const cached_t *cached = value;
 
 		if (now_us <= cached->heard_us + age_max_us)
-			call_with(cached, fn, arg);
+			call_with(cached->copy, cached->heard_us, fn, arg);
 	}
 }
+
+void vm_copies_each(const Lp__VmReportCopies *copies, uint64_t now_us, vm_report_fn fn, void *arg)
+{
+	for (size_t i = 0; i < copies->n_reports; i++)
+		call_with(copies->reports[i], now_us, fn, arg);
+}
--- a/src/vm_cache.h
+++ b/src/vm_cache.h
@@ -19,6 +19,8 @@
 	GPtrArray *fresh;    /**< Lp__VmReportCopy that were not passed on yet */
 } vm_cache_t;
 
+typedef void (*vm_report_fn)(void *arg, const vm_report_t *report, uint64_t heard_us);
+
 void vm_cache_init(vm_cache_t *cache);
 void vm_cache_finish(vm_cache_t *cache);
 /** Keeps a report that this process received itself. */
@@ -30,5 +32,10 @@
 void vm_cache_fresh(vm_cache_t *cache, Lp__VmReportCopies *message);
 void vm_cache_passed_on(vm_cache_t *cache);
 /** Calls fn for each report that is at most age_max_us old; heard_us is when it was received. */
-void vm_cache_each(const vm_cache_t *cache, uint64_t now_us, uint64_t age_max_us,
-		   void (*fn)(void *arg, const vm_report_t *report, uint64_t heard_us), void *arg);
+void vm_cache_each(const vm_cache_t *cache, uint64_t now_us, uint64_t age_max_us, vm_report_fn fn,
+		   void *arg);
+
+/** Fills a copy that points into the report. */
+void vm_copy_set(Lp__VmReportCopy *copy, const vm_report_t *report);
+/** Calls fn for each report of a message, as heard now. */
+void vm_copies_each(const Lp__VmReportCopies *copies, uint64_t now_us, vm_report_fn fn, void *arg);
--- /dev/null
+++ b/src/vm_relay.c
@@ -0,0 +1,462 @@
+#define G_LOG_DOMAIN "relay"
+
+#include "vm_relay.h"
+
+#include <string.h>
+#include <sys/queue.h>
+
+#include <glib.h>
+#include <talloc.h>
+
+#include "clock.h"
+
+/* Fleets up to this size are called by the leader itself: a surge of 120 VMs needs less than a
+ * tenth of a core, and an edge process in between is one more that can fail. */
+#define DIRECT_VMS 120
+/* The edge process gives up after 700 ms, or the wait of a hold and 800 ms; its answer takes some
+ * ms more. */
+#define ORDER_TIMEOUT_MS 1000
+#define HOLD_SLACK_MS 1100
+#define TICK_MS 100
+
+typedef struct relay_call {
+	TAILQ_ENTRY(relay_call) link;
+	uint64_t seq;
+	uint32_t node;
+	uint64_t deadline_us;
+	vm_done_fn done;
+	void *arg;
+} relay_call_t;
+
+TAILQ_HEAD(relay_calls, relay_call);
+
+struct vm_relay {
+	timer_service_t *timers;
+	timer_sub_t tick;
+	vm_relay_options_t options;
+	peer_set_t *peers;
+	struct relay_calls calls;
+	GHashTable *by_seq;
+	uint64_t next_seq;
+};
+
+/* --- leader --- */
+
+static uint32_t hash_of(const char *vm, uint32_t node)
+{
+	return (g_str_hash(vm) ^ node * 2654435761U) * 2246822519U;
+}
+
+/* The edge process of the VM's data centre that always serves this VM, so that its connections are
+ * used again. @return 0 when there is none */
+static uint32_t choose_agent(const vm_relay_t *relay, const char *vm)
+{
+	const char *data_centre = relay->options.data_centre(relay->options.arg, vm);
+	uint32_t best = 0;
+	uint32_t best_hash = 0;
+
+	if (data_centre == NULL || relay->peers == NULL ||
+	    relay->options.vm_count(relay->options.arg) <= DIRECT_VMS)
+		return 0;
+	for (size_t i = 0; i < peer_count(relay->peers); i++) {
+		const peer_info_t *info = peer_at(relay->peers, i);
+		uint32_t hash;
+
+		if (!info->up || info->disk || strcmp(info->data_centre, data_centre) != 0)
+			continue;
+		hash = hash_of(vm, info->node_id);
+		if (best == 0 || hash > best_hash) {
+			best = info->node_id;
+			best_hash = hash;
+		}
+	}
+	return best;
+}
+
+static void finish(vm_relay_t *relay, relay_call_t *call, const vm_reply_t *reply)
+{
+	TAILQ_REMOVE(&relay->calls, call, link);
+	g_hash_table_remove(relay->by_seq, &call->seq);
+	call->done(call->arg, reply);
+	g_free(call);
+}
+
+/* @return false when the order has to go directly */
+static bool pass_on(vm_relay_t *relay, const vm_ref_t *vm, Lp__VmOrder *order, uint32_t timeout_ms,
+		    vm_done_fn done, void *arg)
+{
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	uint32_t node = choose_agent(relay, vm->id);
+	relay_call_t *call;
+
+	if (node == 0)
+		return false;
+	order->seq = ++relay->next_seq;
+	order->address = (char *)vm->address;
+	order->vm = (char *)vm->id;
+	envelope.body_case = LP__ENVELOPE__BODY_VM_ORDER;
+	envelope.vm_order = order;
+	if (peer_send(relay->peers, node, &envelope) != 0)
+		return false;
+	call = g_new0(relay_call_t, 1);
+	*call = (relay_call_t){
+		.seq = order->seq,
+		.node = node,
+		.deadline_us = clock_now_us() + timeout_ms * US_PER_MS,
+		.done = done,
+		.arg = arg,
+	};
+	TAILQ_INSERT_TAIL(&relay->calls, call, link);
+	g_hash_table_insert(relay->by_seq, &call->seq, call);
+	return true;
+}
+
+static void set_task(Lp__VmOrder *order, const task_name_t *task, uint32_t run, uint64_t fence)
+{
+	order->job = (char *)task->job;
+	order->occurrence = task->occurrence;
+	order->step = task->step;
+	order->index = task->index;
+	order->run = run;
+	order->fence = fence;
+}
+
+static void relay_start(void *arg, const vm_ref_t *vm, const vm_start_t *start, vm_done_fn done,
+			void *done_arg)
+{
+	vm_relay_t *relay = arg;
+	Lp__VmOrder order = LP__VM_ORDER__INIT;
+
+	set_task(&order, &start->task, start->run, start->fence);
+	order.kind = LP__VM_ORDER_KIND__VM_ORDER_START;
+	order.lease_until_ms = start->lease_until_ms;
+	order.spec = (char *)start->spec;
+	if (start->checkpoint != NULL)
+		order.checkpoint = (char *)start->checkpoint;
+	if (start->ticket != NULL)
+		order.ticket = (char *)start->ticket;
+	if (!pass_on(relay, vm, &order, ORDER_TIMEOUT_MS, done, done_arg))
+		relay->options.direct.start(relay->options.direct.arg, vm, start, done, done_arg);
+}
+
+static void relay_stop(void *arg, const vm_ref_t *vm, const vm_stop_t *stop, vm_done_fn done,
+		       void *done_arg)
+{
+	vm_relay_t *relay = arg;
+	Lp__VmOrder order = LP__VM_ORDER__INIT;
+
+	set_task(&order, &stop->task, stop->run, stop->fence);
+	order.kind = LP__VM_ORDER_KIND__VM_ORDER_STOP;
+	if (!pass_on(relay, vm, &order, ORDER_TIMEOUT_MS, done, done_arg))
+		relay->options.direct.stop(relay->options.direct.arg, vm, stop, done, done_arg);
+}
+
+static void relay_pace(void *arg, const vm_ref_t *vm, const vm_pace_t *pace, vm_done_fn done,
+		       void *done_arg)
+{
+	vm_relay_t *relay = arg;
+	Lp__VmOrder order = LP__VM_ORDER__INIT;
+
+	set_task(&order, &pace->task, pace->run, pace->fence);
+	order.kind = LP__VM_ORDER_KIND__VM_ORDER_PACE;
+	order.percent = pace->percent;
+	if (!pass_on(relay, vm, &order, ORDER_TIMEOUT_MS, done, done_arg))
+		relay->options.direct.pace(relay->options.direct.arg, vm, pace, done, done_arg);
+}
+
+static void relay_hold(void *arg, const vm_ref_t *vm, const vm_hold_t *hold, vm_done_fn done,
+		       void *done_arg)
+{
+	vm_relay_t *relay = arg;
+	Lp__VmOrder order = LP__VM_ORDER__INIT;
+
+	order.kind = LP__VM_ORDER_KIND__VM_ORDER_HOLD;
+	order.fence = hold->fence;
+	order.lease_until_ms = hold->lease_until_ms;
+	order.noted = hold->noted;
+	order.wait_ms = hold->wait_ms;
+	if (!pass_on(relay, vm, &order, hold->wait_ms + HOLD_SLACK_MS, done, done_arg))
+		relay->options.direct.hold(relay->options.direct.arg, vm, hold, done, done_arg);
+}
+
+static void relay_advise(void *arg, const task_name_t *step, const char *const *vms, size_t count,
+			 advice_done_fn done, void *done_arg)
+{
+	const vm_port_t *direct = &((vm_relay_t *)arg)->options.direct;
+
+	direct->advise(direct->arg, step, vms, count, done, done_arg);
+}
+
+static void relay_machines(void *arg, const char *page, machine_list_fn done, void *done_arg)
+{
+	const vm_port_t *direct = &((vm_relay_t *)arg)->options.direct;
+
+	direct->machines(direct->arg, page, done, done_arg);
+}
+
+static void relay_machine_order(void *arg, const machine_order_t *order, vm_done_fn done,
+				void *done_arg)
+{
+	const vm_port_t *direct = &((vm_relay_t *)arg)->options.direct;
+
+	direct->order(direct->arg, order, done, done_arg);
+}
+
+vm_port_t vm_relay_port(vm_relay_t *relay)
+{
+	return (vm_port_t){
+		.start = relay_start,
+		.stop = relay_stop,
+		.pace = relay_pace,
+		.hold = relay_hold,
+		.advise = relay_advise,
+		.machines = relay_machines,
+		.order = relay_machine_order,
+		.arg = relay,
+	};
+}
+
+static void take_lists(void *mem, const Lp__VmResult *result, vm_reply_t *reply)
+{
+	vm_running_t *running = talloc_zero_array(mem, vm_running_t, result->n_running + 1);
+	vm_ended_t *ended = talloc_zero_array(mem, vm_ended_t, result->n_ended + 1);
+
+	for (size_t i = 0; i < result->n_running; i++) {
+		const Lp__VmRunning *from = result->running[i];
+
+		g_strlcpy(running[i].task.job, from->job, VM_NAME_MAX);
+		running[i].task.occurrence = from->occurrence;
+		running[i].task.step = from->step;
+		running[i].task.index = from->index;
+		running[i].run = from->run;
+		running[i].percent = from->percent;
+		running[i].load = from->load;
+		g_strlcpy(running[i].checkpoint, from->checkpoint, VM_NAME_MAX);
+	}
+	for (size_t i = 0; i < result->n_ended; i++) {
+		const Lp__VmEnded *from = result->ended[i];
+
+		ended[i].number = from->number;
+		g_strlcpy(ended[i].task.job, from->job, VM_NAME_MAX);
+		ended[i].task.occurrence = from->occurrence;
+		ended[i].task.step = from->step;
+		ended[i].task.index = from->index;
+		ended[i].run = from->run;
+		ended[i].kind = from->kind;
+		g_strlcpy(ended[i].checkpoint, from->checkpoint, VM_NAME_MAX);
+	}
+	reply->running = running;
+	reply->running_count = result->n_running;
+	reply->ended = ended;
+	reply->ended_count = result->n_ended;
+}
+
+void vm_relay_result(vm_relay_t *relay, uint32_t from, const Lp__VmResult *result)
+{
+	relay_call_t *call = g_hash_table_lookup(relay->by_seq, &result->seq);
+	vm_reply_t reply = {.clock_ms = result->clock_ms, .born_ms = result->born_ms};
+	void *mem;
+
+	/* Given up since, or a result for an earlier leader on this machine. */
+	if (call == NULL || call->node != from || result->code > VM_REPLY_NONE)
+		return;
+	mem = talloc_new(NULL);
+	reply.code = (vm_reply_code_t)result->code;
+	take_lists(mem, result, &reply);
+	finish(relay, call, &reply);
+	talloc_free(mem);
+}
+
+static void give_up(vm_relay_t *relay, bool (*test)(const relay_call_t *call, uint64_t value),
+		    uint64_t value)
+{
+	const vm_reply_t none = {.code = VM_REPLY_NONE};
+	relay_call_t *call;
+	relay_call_t *next;
+
+	for (call = TAILQ_FIRST(&relay->calls); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, link);
+		if (test(call, value))
+			finish(relay, call, &none);
+	}
+}
+
+static bool is_overdue(const relay_call_t *call, uint64_t now_us)
+{
+	return now_us >= call->deadline_us;
+}
+
+static bool is_at_node(const relay_call_t *call, uint64_t node)
+{
+	return call->node == node;
+}
+
+static bool is_any(const relay_call_t *call, uint64_t unused)
+{
+	return true;
+}
+
+void vm_relay_peer_down(vm_relay_t *relay, uint32_t node_id)
+{
+	give_up(relay, is_at_node, node_id);
+}
+
+static void on_tick(void *arg, uint64_t now_us)
+{
+	give_up(arg, is_overdue, now_us);
+}
+
+vm_relay_t *vm_relay_create(timer_service_t *timers, const vm_relay_options_t *options)
+{
+	vm_relay_t *relay = g_new0(vm_relay_t, 1);
+
+	relay->timers = timers;
+	relay->options = *options;
+	TAILQ_INIT(&relay->calls);
+	relay->by_seq = g_hash_table_new(g_int64_hash, g_int64_equal);
+	/* Results for an earlier process on this machine must not match. */
+	relay->next_seq = (uint64_t)g_random_int() << 32;
+	timer_subscribe(timers, &relay->tick, TICK_MS * US_PER_MS, on_tick, relay);
+	return relay;
+}
+
+void vm_relay_set_peers(vm_relay_t *relay, peer_set_t *peers)
+{
+	relay->peers = peers;
+}
+
+void vm_relay_destroy(vm_relay_t *relay)
+{
+	timer_unsubscribe(relay->timers, &relay->tick);
+	give_up(relay, is_any, 0);
+	g_hash_table_destroy(relay->by_seq);
+	g_free(relay);
+}
+
+/* --- edge process --- */
+
+typedef struct {
+	vm_agent_t *agent;
+	uint32_t from;
+	uint64_t seq;
+} agent_call_t;
+
+static void fill_running(void *mem, const vm_reply_t *reply, Lp__VmResult *result)
+{
+	result->running = talloc_array(mem, Lp__VmRunning *, reply->running_count + 1);
+	for (size_t i = 0; i < reply->running_count; i++) {
+		const vm_running_t *from = &reply->running[i];
+		Lp__VmRunning *out = talloc(mem, Lp__VmRunning);
+
+		lp__vm_running__init(out);
+		out->job = (char *)from->task.job;
+		out->occurrence = from->task.occurrence;
+		out->step = from->task.step;
+		out->index = from->task.index;
+		out->run = from->run;
+		out->checkpoint = (char *)from->checkpoint;
+		out->percent = from->percent;
+		out->load = from->load;
+		result->running[result->n_running++] = out;
+	}
+}
+
+static void fill_ended(void *mem, const vm_reply_t *reply, Lp__VmResult *result)
+{
+	result->ended = talloc_array(mem, Lp__VmEnded *, reply->ended_count + 1);
+	for (size_t i = 0; i < reply->ended_count; i++) {
+		const vm_ended_t *from = &reply->ended[i];
+		Lp__VmEnded *out = talloc(mem, Lp__VmEnded);
+
+		lp__vm_ended__init(out);
+		out->number = from->number;
+		out->job = (char *)from->task.job;
+		out->occurrence = from->task.occurrence;
+		out->step = from->task.step;
+		out->index = from->task.index;
+		out->run = from->run;
+		out->kind = from->kind;
+		out->checkpoint = (char *)from->checkpoint;
+		result->ended[result->n_ended++] = out;
+	}
+}
+
+static void on_reply(void *arg, const vm_reply_t *reply)
+{
+	g_autofree agent_call_t *call = arg;
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__VmResult result = LP__VM_RESULT__INIT;
+	void *mem = talloc_new(NULL);
+
+	result.seq = call->seq;
+	result.code = reply->code;
+	result.clock_ms = reply->clock_ms;
+	result.born_ms = reply->born_ms;
+	fill_running(mem, reply, &result);
+	fill_ended(mem, reply, &result);
+	envelope.body_case = LP__ENVELOPE__BODY_VM_RESULT;
+	envelope.vm_result = &result;
+	if (peer_send(call->agent->peers, call->from, &envelope) != 0)
+		g_message("a VM's answer could not be passed on to the leader");
+	talloc_free(mem);
+}
+
+static task_name_t task_of(const Lp__VmOrder *order)
+{
+	task_name_t task = {
+		.occurrence = order->occurrence, .step = order->step, .index = order->index};
+
+	g_strlcpy(task.job, order->job, sizeof(task.job));
+	return task;
+}
+
+static void agent_start(vm_agent_t *agent, const vm_ref_t *vm, const Lp__VmOrder *order,
+			agent_call_t *call)
+{
+	const vm_start_t start = {
+		.task = task_of(order),
+		.run = order->run,
+		.spec = order->spec,
+		.lease_until_ms = order->lease_until_ms,
+		.fence = order->fence,
+		.checkpoint = order->checkpoint[0] != '\0' ? order->checkpoint : NULL,
+		.ticket = order->ticket[0] != '\0' ? order->ticket : NULL,
+	};
+
+	agent->port.start(agent->port.arg, vm, &start, on_reply, call);
+}
+
+void vm_agent_order(vm_agent_t *agent, uint32_t from, const Lp__VmOrder *order)
+{
+	const vm_ref_t vm = {.address = order->address, .id = order->vm};
+	const vm_stop_t stop = {.task = task_of(order), .run = order->run, .fence = order->fence};
+	const vm_pace_t pace = {.task = task_of(order),
+				.run = order->run,
+				.percent = order->percent,
+				.fence = order->fence};
+	const vm_hold_t hold = {.fence = order->fence,
+				.lease_until_ms = order->lease_until_ms,
+				.noted = order->noted,
+				.wait_ms = order->wait_ms};
+	agent_call_t *call = g_new0(agent_call_t, 1);
+
+	*call = (agent_call_t){.agent = agent, .from = from, .seq = order->seq};
+	switch (order->kind) {
+	case LP__VM_ORDER_KIND__VM_ORDER_START:
+		agent_start(agent, &vm, order, call);
+		return;
+	case LP__VM_ORDER_KIND__VM_ORDER_STOP:
+		agent->port.stop(agent->port.arg, &vm, &stop, on_reply, call);
+		return;
+	case LP__VM_ORDER_KIND__VM_ORDER_PACE:
+		agent->port.pace(agent->port.arg, &vm, &pace, on_reply, call);
+		return;
+	case LP__VM_ORDER_KIND__VM_ORDER_HOLD:
+		agent->port.hold(agent->port.arg, &vm, &hold, on_reply, call);
+		return;
+	case _LP__VM_ORDER_KIND_IS_INT_SIZE:
+		break;
+	}
+	g_warning("an order of an unknown kind is dropped");
+	g_free(call);
+}
