--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -87,6 +87,7 @@
 	uint64_t starts;
 	uint64_t moves;
 	bool calm;
+	bool wave_told;
 };
 
 /* --- events --- */
@@ -865,10 +866,29 @@
 	at(vm->sim, vm->sim->now_us + REPORT_MS * US_PER_MS, report_again, vm);
 }
 
+/* A wave is complete only when each machine was maintained. */
+static void check_waves(vm_sim_t *sim)
+{
+	const batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &sim->state.waves, link) {
+		for (guint i = 0; batch_wave_complete(wave) && i < sim->vms->len; i++) {
+			const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+			if (vm->wave_done != wave->wave && !sim->wave_told) {
+				violate(sim, "MIXED", vm->machine);
+				sim->wave_told = true;
+			}
+		}
+	}
+}
+
 static void tick(void *arg)
 {
 	vm_sim_t *sim = arg;
 
+	check_waves(sim);
+
 	batch_leader_tick(sim->leader);
 	at(sim, sim->now_us + TICK_US, tick, sim);
 }
--- /dev/null
+++ b/tests/test_adapter.c
@@ -0,0 +1,228 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <talloc.h>
+
+#include "adapter.h"
+
+static json_t *parse(const char *text)
+{
+	json_t *value = json_loads(text, 0, NULL);
+
+	assert_non_null(value);
+	return value;
+}
+
+static const char settings_text[] = "nodeName=core-ruwi-1\nrole=core\nip=10.1.0.11\nzone=ruwi\n"
+				    "listen.control=10.1.0.11:8623\nportRange=7060,7075\n"
+				    "seeds=10.1.0.11:8623,10.2.0.25:8623\nbootstrap=true\n"
+				    "dataDir=/data/my-core\nheartbeatMs=1500\nunknown.key=1\n"
+				    "faultTolerance.machines=2\nbounds.maintenanceS=2\n"
+				    "cloudApi.addr=10.200.0.107:8621\ncloudApi.dutyPerS=64.0\n";
+
+static int load(const char *text, process_settings_t *settings, char *error, size_t size)
+{
+	char path[] = "/tmp/lp-settings-XXXXXX";
+	int fd = g_mkstemp(path);
+	int result;
+
+	assert_true(fd >= 0);
+	close(fd);
+	assert_true(g_file_set_contents(path, text, -1, NULL));
+	result = adapter_settings_load(path, settings, error, size);
+	g_unlink(path);
+	return result;
+}
+
+/* Guards against settings that are read wrongly, and unknown keys that stop a process. */
+static void test_settings_are_read(void **state)
+{
+	process_settings_t settings;
+	char error[256] = "";
+
+	assert_int_equal(load(settings_text, &settings, error, sizeof(error)), 0);
+	assert_string_equal(settings.name, "core-ruwi-1");
+	assert_int_equal(settings.node_id, 0x0a01000b);
+	assert_int_equal(settings.peer_port, 7060);
+	assert_int_equal(settings.control_port, 8623);
+	assert_int_equal(settings.seed_count, 2);
+	assert_int_equal(settings.seeds[1], 0x0a020019);
+	assert_true(settings.first_start);
+	assert_int_equal(settings.losses, 2);
+	assert_int_equal(settings.maintenance_ms, 2000);
+	assert_int_equal(settings.orders_per_s, 64);
+	process_settings_finish(&settings);
+}
+
+/* Guards against a wrong value that is taken for zero: the message names the key. */
+static void test_wrong_settings_are_refused(void **state)
+{
+	static const struct {
+		const char *text;
+		const char *key;
+	} cases[] = {
+		{"ip=10.1.0.11\nzone=z\nportRange=1,2\n", "nodeName"},
+		{"nodeName=n\nip=here\nzone=z\nportRange=1,2\n", "ip"},
+		{"nodeName=n\nip=10.0.0.1\nzone=z\nportRange=x\n", "portRange"},
+		{"nodeName=n\nip=10.0.0.1\nzone=z\nportRange=1,2\nseeds=10.0.0.1\n", "seeds"},
+		{"nodeName=n\nip=10.0.0.1\nzone=z\nportRange=1,2\nheartbeatMs=-1\n", "heartbeatMs"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		process_settings_t settings;
+		char error[256] = "";
+
+		assert_int_equal(load(cases[i].text, &settings, error, sizeof(error)), -1);
+		assert_non_null(strstr(error, cases[i].key));
+	}
+}
+
+/* Guards against a field of a job that is lost or mixed up. */
+static void test_job_is_decoded(void **state)
+{
+	void *mem = talloc_new(NULL);
+	json_t *body = parse("{\"spec\":\"x\",\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":256,"
+			     "\"estimateMs\":900,\"affinity\":\"r1-3\"},{\"count\":2,\"after\":[0],"
+			     "\"savesProgress\":true,\"gang\":true,\"antiAffinity\":1,"
+			     "\"fills\":true,\"goalMs\":30,\"maxUnavailable\":1,"
+			     "\"longRunning\":true,\"constraints\":\"a\"}],\"times\":3,"
+			     "\"startAtMs\":1700000000000,\"intervalMs\":2000}");
+	Lp__BatchJob *job = adapter_decode_job(mem, body);
+
+	assert_non_null(job);
+	assert_int_equal(job->n_steps, 2);
+	assert_int_equal(job->steps[0]->cpu_milli, 500);
+	assert_string_equal(job->steps[0]->data_rack, "r1-3");
+	assert_int_equal(job->steps[1]->n_after, 1);
+	assert_true(job->steps[1]->checkpoints);
+	assert_true(job->steps[1]->gang);
+	assert_true(job->steps[1]->best_effort);
+	assert_true(job->steps[1]->long_running);
+	assert_int_equal(job->steps[1]->max_per_vm, 1);
+	assert_int_equal(job->steps[1]->tail_goal_ms, 30);
+	assert_int_equal(job->steps[1]->max_unavailable, 1);
+	assert_string_equal(job->steps[1]->constraint, "a");
+	assert_int_equal(job->times, 3);
+	assert_int_equal(job->first_due_ms, 1700000000000);
+	json_decref(body);
+	talloc_free(mem);
+}
+
+/* Guards against a report of another writer that names a VM to use. */
+static void test_malformed_reports_are_refused(void **state)
+{
+	static const char good[] =
+		"{\"service\":\"s\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"z\",\"state\":"
+		"\"ready\","
+		"\"capacity\":{\"cpu\":16000,\"memMb\":32768},\"labels\":[\"a\",\"r1-3\"],"
+		"\"born\":5,\"clockMs\":7,\"seq\":4}";
+	static const char *const replaced[][2] = {
+		{"\"ready\"", "\"lost\""},
+		{"\"ready\"", "7"},
+		{"\"10.128.0.9:8080\"", "\"here\""},
+		{"16000", "\"many\""},
+		{"\"seq\":4", "\"sequence\":4"},
+		{"\"s\"", "\"\""},
+		{"\"r1-3\"", "3"},
+		{"\"born\":5", "\"born\":-5"},
+	};
+	void *mem = talloc_new(NULL);
+	json_t *body = parse(good);
+	vm_report_t *report = adapter_decode_report(mem, "i-1", body);
+
+	assert_non_null(report);
+	assert_string_equal(report->rack, "r1-3");
+	assert_false(report->draining);
+	json_decref(body);
+	for (size_t i = 0; i < G_N_ELEMENTS(replaced); i++) {
+		g_auto(GStrv) parts = g_strsplit(good, replaced[i][0], 2);
+		g_autofree char *text = g_strjoinv(replaced[i][1], parts);
+
+		body = parse(text);
+		assert_null(adapter_decode_report(mem, "i-1", body));
+		json_decref(body);
+	}
+	talloc_free(mem);
+}
+
+/* Guards against an invalid configuration that is acknowledged. */
+static void test_invalid_configurations_are_refused(void **state)
+{
+	static const struct {
+		const char *routes;
+		bool decodes;
+		bool valid;
+	} cases[] = {
+		{"{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\",\"timeoutMs\":3000}", true,
+		 true},
+		{"{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"t\",\"timeoutMs\":3000}", true,
+		 false},
+		{"{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\",\"timeoutMs\":0}", true,
+		 false},
+		{"{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\",\"timeoutMs\":1},"
+		 "{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\",\"timeoutMs\":1}",
+		 true, false},
+		{"{\"host\":\"h\",\"service\":\"s\",\"timeoutMs\":3000}", false, false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		void *mem = talloc_new(NULL);
+		g_autofree char *text = g_strdup_printf(
+			"{\"version\":7,\"routes\":[%s],\"services\":[{\"name\":\"s\"}]}",
+			cases[i].routes);
+		json_t *body = parse(text);
+		Lp__BatchConfig *config = adapter_decode_config(mem, body, text, strlen(text));
+
+		assert_int_equal(config != NULL, cases[i].decodes);
+		if (config != NULL)
+			assert_int_equal(batch_config_check(config) == NULL, cases[i].valid);
+		json_decref(body);
+		talloc_free(mem);
+	}
+}
+
+/* Guards against lists of a VM that are read wrongly, or half. */
+static void test_lists_of_a_vm_are_decoded(void **state)
+{
+	void *mem = talloc_new(NULL);
+	vm_reply_t reply = {0};
+	json_t *body = parse("{\"clockMs\":482113,\"running\":[[\"5c0e.0.1.17\",2,\"0bb8\",41,12]],"
+			     "\"finishedRuns\":[[58,\"5c0e.0.1.9\",1,\"done\",\"\"]]}");
+
+	assert_int_equal(adapter_decode_lists(mem, body, &reply), 0);
+	assert_int_equal(reply.running_count, 1);
+	assert_string_equal(reply.running[0].task.job, "5c0e");
+	assert_int_equal(reply.running[0].task.index, 17);
+	assert_int_equal(reply.running[0].percent, 41);
+	assert_int_equal(reply.running[0].load, 12);
+	assert_int_equal(reply.ended[0].number, 58);
+	assert_int_equal(reply.ended[0].kind, LP__BATCH_END_KIND__BATCH_END_DONE);
+	json_decref(body);
+	body = parse("{\"running\":[],\"finishedRuns\":[[58,\"5c0e.0.1\",1,\"done\",\"\"]]}");
+	assert_int_equal(adapter_decode_lists(mem, body, &reply), -1);
+	json_decref(body);
+	talloc_free(mem);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_settings_are_read),
+		cmocka_unit_test(test_wrong_settings_are_refused),
+		cmocka_unit_test(test_job_is_decoded),
+		cmocka_unit_test(test_malformed_reports_are_refused),
+		cmocka_unit_test(test_invalid_configurations_are_refused),
+		cmocka_unit_test(test_lists_of_a_vm_are_decoded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -218,11 +218,13 @@
 	vm_sim_submit(sim, id, n % services, &made.job);
 }
 
+/* A job that has ended is only asked for its state; its steps are gone. */
 static bool is_lasting(const vm_sim_t *sim, unsigned n)
 {
 	g_autofree char *id = g_strdup_printf("%016x", n);
+	const batch_job_t *job = batch_state_job(vm_sim_state(sim), id);
 
-	return batch_state_job(vm_sim_state(sim), id)->spec->steps[0]->long_running;
+	return job->step_count > 0 && job->steps[0].spec->long_running;
 }
 
 /* Runs a random load with faults for 40 s, then calm for 40 s, and checks that everything that was
--- /dev/null
+++ b/tests/test_batch_plan.c
@@ -0,0 +1,334 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "batch_capacity.h"
+#include "batch_order.h"
+#include "batch_place.h"
+#include "batch_state.h"
+
+#define CORES 64.0
+
+/* --- placement --- */
+
+static place_vm_t vm_of(const char *rack, int64_t cpu)
+{
+	return (place_vm_t){
+		.rack = rack,
+		.cpu_milli = cpu,
+		.mem_mib = 1000000,
+		.cpu_total = 64000,
+		.slowness = 1.0,
+		.usable = true,
+		.allowed = true,
+	};
+}
+
+static Lp__BatchStep step_of(uint32_t cpu)
+{
+	Lp__BatchStep step = LP__BATCH_STEP__INIT;
+
+	step.count = 1;
+	step.cpu_milli = cpu;
+	step.estimate_ms = 1000;
+	return step;
+}
+
+/* Guards against a gang of which only some members are placed: they would wait for the others. */
+static void test_gang_is_placed_whole_or_not_at_all(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 8000), vm_of("r1", 4000)};
+	Lp__BatchStep step = step_of(4000);
+	size_t chosen[4];
+
+	step.gang = true;
+	assert_int_equal(place_step(vms, 2, &step, 4, chosen), 0);
+	assert_int_equal(vms[0].cpu_milli, 8000);
+	assert_int_equal(vms[1].cpu_milli, 4000);
+	assert_int_equal(place_step(vms, 2, &step, 3, chosen), 3);
+}
+
+/* Guards against a rack-local step that is spread over racks while one rack has room for it. */
+static void test_rack_local_step_stays_in_one_rack(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 8000), vm_of("r2", 16000), vm_of("r2", 8000)};
+	Lp__BatchStep step = step_of(4000);
+	size_t chosen[6];
+
+	step.rack_local = true;
+	assert_int_equal(place_step(vms, 3, &step, 6, chosen), 6);
+	for (size_t i = 0; i < 6; i++)
+		assert_string_equal(vms[chosen[i]].rack, "r2");
+}
+
+/* Guards against more tasks of a step on one VM than it may have, and against a VM without the
+ * label. */
+static void test_limits_of_a_step_hold(void **state)
+{
+	const char *labels[] = {"a", "r1"};
+	place_vm_t vms[] = {vm_of("r1", 64000), vm_of("r1", 64000), vm_of("r1", 64000)};
+	Lp__BatchStep step = step_of(1000);
+	size_t chosen[8];
+
+	vms[0].labels = labels;
+	vms[0].label_count = 2;
+	vms[1].labels = labels;
+	vms[1].label_count = 2;
+	step.constraint = (char *)"a";
+	step.max_per_vm = 2;
+	assert_int_equal(place_step(vms, 3, &step, 8, chosen), 4);
+	for (size_t i = 0; i < 4; i++)
+		assert_true(chosen[i] < 2);
+}
+
+/* Guards against a best-effort task beside a task that serves while another VM is free. */
+static void test_filling_tasks_avoid_serving_ones(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 64000), vm_of("r1", 1000)};
+	Lp__BatchStep step = step_of(30000);
+	size_t chosen[1];
+
+	vms[0].serving = 1;
+	step.best_effort = true;
+	assert_int_equal(place_step(vms, 2, &step, 1, chosen), 1);
+	assert_int_equal(chosen[0], 1);
+}
+
+/* Guards against work that goes to a slow VM while others have room. */
+static void test_slow_vms_come_last(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 64000), vm_of("r1", 64000)};
+	Lp__BatchStep step = step_of(30000);
+	size_t chosen[3];
+
+	vms[0].slowness = 4.0;
+	assert_int_equal(place_step(vms, 2, &step, 3, chosen), 3);
+	assert_int_equal(chosen[0], 1);
+	assert_int_equal(chosen[1], 1);
+	assert_int_equal(chosen[2], 0);
+}
+
+/* --- capacity --- */
+
+enum {
+	POOL_A,
+	POOL_B,
+	POOL_STANDBY,
+	POOLS
+};
+
+static capacity_machine_t machine_of(size_t pool, bool idle, uint64_t idle_ms)
+{
+	return (capacity_machine_t){.pool = pool, .cores = CORES, .idle = idle, .idle_ms = idle_ms};
+}
+
+/* Guards against a surge that is left to its own pool: the load is five times what two machines
+ * hold, four machines idle elsewhere. The callers get all of them. */
+static void test_surge_gets_idle_machines(void **state)
+{
+	const capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.need_cores = 10 * CORES, .required_vms = 2},
+		[POOL_B] = {.need_cores = 10, .required_vms = 1},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	const capacity_machine_t machines[] = {
+		machine_of(POOL_A, false, 0),	   machine_of(POOL_A, false, 0),
+		machine_of(POOL_B, true, 5000),	   machine_of(POOL_B, true, 100),
+		machine_of(POOL_B, false, 0),	   machine_of(POOL_STANDBY, true, 0),
+		machine_of(POOL_STANDBY, true, 0),
+	};
+	capacity_move_t moves[8];
+	size_t count = capacity_plan(pools, POOLS, machines, 7, 8, moves);
+
+	assert_int_equal(count, 4);
+	for (size_t i = 0; i < count; i++)
+		assert_int_equal(moves[i].to, POOL_A);
+	/* What is paid for comes before what is off; the longest idle first. */
+	assert_int_equal(moves[0].machine, 2);
+	assert_int_equal(moves[1].machine, 3);
+}
+
+/* Guards against a machine that is taken although it is at work, or needed where it is. */
+static void test_busy_and_needed_machines_stay(void **state)
+{
+	const capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.need_cores = 10 * CORES, .required_vms = 1},
+		[POOL_B] = {.need_cores = 1.2 * CORES, .required_vms = 2},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	capacity_machine_t machines[] = {
+		machine_of(POOL_A, false, 0),
+		machine_of(POOL_B, true, 5000),
+		machine_of(POOL_B, false, 0),
+		machine_of(POOL_STANDBY, true, 0),
+	};
+	capacity_move_t moves[4];
+
+	machines[3].fixed = true;
+	assert_int_equal(capacity_plan(pools, POOLS, machines, 4, 4, moves), 0);
+}
+
+/* Guards against idle machines that are paid for in a quiet time, and against a pool that is
+ * emptied below what its tasks need. */
+static void test_quiet_pool_is_switched_off_down_to_its_least(void **state)
+{
+	const capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.need_cores = 0, .required_vms = 2},
+		[POOL_B] = {.need_cores = 0, .required_vms = 1},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	const capacity_machine_t machines[] = {
+		machine_of(POOL_A, true, 9000), machine_of(POOL_A, true, 9000),
+		machine_of(POOL_A, true, 9000), machine_of(POOL_A, true, 100),
+		machine_of(POOL_B, true, 9000),
+	};
+	capacity_move_t moves[8];
+	size_t count = capacity_plan(pools, POOLS, machines, 5, 8, moves);
+
+	assert_int_equal(count, 2);
+	for (size_t i = 0; i < count; i++) {
+		assert_int_equal(moves[i].to, POOL_STANDBY);
+		assert_true(machines[moves[i].machine].idle_ms >= 1500);
+	}
+}
+
+/* Guards against machines that move back and forth: a plan's outcome needs no further move. */
+static void test_plan_is_stable(void **state)
+{
+	capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.required_vms = 1},
+		[POOL_B] = {.required_vms = 1},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	capacity_machine_t machines[12];
+	capacity_move_t moves[12];
+	GRand *rand = g_rand_new_with_seed(7);
+
+	for (unsigned round = 0; round < 500; round++) {
+		size_t count;
+
+		pools[POOL_A].need_cores = g_rand_double_range(rand, 0, 8 * CORES);
+		pools[POOL_B].need_cores = g_rand_double_range(rand, 0, 8 * CORES);
+		for (size_t i = 0; i < 12; i++)
+			machines[i] = machine_of((size_t)g_rand_int_range(rand, 0, POOLS),
+						 g_rand_boolean(rand), 5000);
+		count = capacity_plan(pools, POOLS, machines, 12, 12, moves);
+		for (size_t i = 0; i < count; i++) {
+			assert_true(machines[moves[i].machine].idle);
+			assert_int_not_equal(machines[moves[i].machine].pool, moves[i].to);
+			machines[moves[i].machine].pool = moves[i].to;
+		}
+		assert_int_equal(capacity_plan(pools, POOLS, machines, 12, 12, moves), 0);
+	}
+	g_rand_free(rand);
+}
+
+/* --- order --- */
+
+static void apply(batch_state_t *state, uint64_t wall_ms, Lp__BatchCommand *command)
+{
+	Lp__Result result = LP__RESULT__INIT;
+
+	batch_state_apply(state, wall_ms, command, &result);
+	assert_int_equal(result.code, LP__RESULT_CODE__RESULT_OK);
+}
+
+static void configure(batch_state_t *state)
+{
+	Lp__BatchService service = LP__BATCH_SERVICE__INIT;
+	Lp__BatchService *services[] = {&service};
+	Lp__BatchQueue queue = LP__BATCH_QUEUE__INIT;
+	Lp__BatchQueue *queues[] = {&queue};
+	Lp__BatchConfig config = LP__BATCH_CONFIG__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	service.name = (char *)"s";
+	queue.host = (char *)"h";
+	queue.prefix = (char *)"/q/";
+	queue.service = (char *)"s";
+	queue.objective_ms = 600;
+	queue.stretch_percent = 160;
+	queue.timeout_ms = 3000;
+	queue.attempts = 2;
+	config.version = 1;
+	config.services = services;
+	config.n_services = 1;
+	config.queues = queues;
+	config.n_queues = 1;
+	command.body_case = LP__BATCH_COMMAND__BODY_CONFIG;
+	command.config = &config;
+	apply(state, 1000, &command);
+}
+
+static void submit(batch_state_t *state, uint64_t wall_ms, const char *id, uint32_t count,
+		   bool lasting)
+{
+	Lp__BatchStep step = step_of(1000);
+	Lp__BatchStep *steps[] = {&step};
+	Lp__BatchJob job = LP__BATCH_JOB__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	step.count = count;
+	step.long_running = lasting;
+	job.id = (char *)id;
+	job.host = (char *)"h";
+	job.prefix = (char *)"/q/";
+	job.steps = steps;
+	job.n_steps = 1;
+	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
+	command.submit = &job;
+	apply(state, wall_ms, &command);
+}
+
+static const char *id_at(const GArray *candidates, guint i)
+{
+	return g_array_index(candidates, batch_candidate_t, i).step->job->spec->id;
+}
+
+/* Guards against late work that takes the room of work that can still be in time, and against tasks
+ * that last behind others. */
+static void test_order_of_candidates(void **state)
+{
+	batch_state_t batch;
+	GArray *candidates;
+
+	batch_state_init(&batch);
+	configure(&batch);
+	submit(&batch, 1000, "late", 1, false);
+	submit(&batch, 9000, "large", 20, false);
+	submit(&batch, 9000, "small", 1, false);
+	submit(&batch, 9000, "lasting", 3, true);
+	candidates = batch_candidates(&batch, 0, 9100);
+	assert_int_equal(candidates->len, 4);
+	assert_string_equal(id_at(candidates, 0), "lasting");
+	assert_string_equal(id_at(candidates, 1), "small");
+	assert_string_equal(id_at(candidates, 2), "large");
+	assert_string_equal(id_at(candidates, 3), "late");
+	g_array_unref(candidates);
+	batch_state_finish(&batch);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_gang_is_placed_whole_or_not_at_all),
+		cmocka_unit_test(test_rack_local_step_stays_in_one_rack),
+		cmocka_unit_test(test_limits_of_a_step_hold),
+		cmocka_unit_test(test_filling_tasks_avoid_serving_ones),
+		cmocka_unit_test(test_slow_vms_come_last),
+		cmocka_unit_test(test_surge_gets_idle_machines),
+		cmocka_unit_test(test_busy_and_needed_machines_stay),
+		cmocka_unit_test(test_quiet_pool_is_switched_off_down_to_its_least),
+		cmocka_unit_test(test_plan_is_stable),
+		cmocka_unit_test(test_order_of_candidates),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
