--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -88,6 +88,7 @@
 	uint64_t moves;
 	bool calm;
 	bool wave_told;
+	bool ending; /* only what is under way still happens */
 };
 
 /* --- events --- */
@@ -862,6 +863,8 @@
 {
 	sim_vm_t *vm = arg;
 
+	if (vm->sim->ending)
+		return;
 	report(vm);
 	at(vm->sim, vm->sim->now_us + REPORT_MS * US_PER_MS, report_again, vm);
 }
@@ -909,6 +912,8 @@
 	vm_sim_t *sim = arg;
 	sim_vm_t *vm = some_vm(sim);
 
+	if (sim->ending)
+		return;
 	if (happens(sim, sim->config.crash_every_ms) && vm->up) {
 		vm->up = false;
 		vm->busy = true;
@@ -1064,7 +1069,11 @@
 
 void vm_sim_destroy(vm_sim_t *sim)
 {
+	/* What is under way owns memory. */
 	vm_sim_calm(sim);
+	sim->ending = true;
+	batch_leader_deactivate(sim->leader);
+	vm_sim_run(sim, vm_sim_now_ms(sim) + 60000);
 	batch_leader_destroy(sim->leader);
 	batch_state_finish(&sim->state);
 	metrics_destroy(sim->metrics);
