--- a/completions/lavenderpass.bash
+++ b/completions/lavenderpass.bash
@@ -24,7 +24,7 @@
 		;;
 	esac
 	if [ "$COMP_CWORD" = 1 ]; then
-		words='serve init config template status explain vms pools waves jobs --help'
+		words='serve edge core init config template status explain vms pools waves jobs --help'
 		mapfile -t COMPREPLY < <(compgen -W "$words" -- "$cur")
 		return
 	fi
--- a/src/batch_capacity.h
+++ b/src/batch_capacity.h
@@ -21,8 +21,8 @@
 typedef struct {
 	size_t pool; /**< that it is in, or is moving to */
 	double cores;
-	bool idle;	  /**< runs nothing */
 	uint64_t idle_ms; /**< for so long */
+	bool idle;	  /**< runs nothing */
 	bool fixed;	  /**< may not be moved now */
 } capacity_machine_t;
 
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -43,7 +43,7 @@
 void vm_sim_submit(vm_sim_t *sim, const char *id, unsigned service, const Lp__BatchJob *job);
 void vm_sim_cancel(vm_sim_t *sim, const char *id);
 /** Starts a maintenance wave over all machines. */
-void vm_sim_wave(vm_sim_t *sim, uint64_t wave, uint32_t max_down);
+void vm_sim_wave(vm_sim_t *sim, uint64_t number, uint32_t max_down);
 /** The machine of a service is moved; its answer comes only after the new VM has reported. */
 void vm_sim_slow_answers(vm_sim_t *sim, uint32_t platform_ms);
 void vm_sim_change_leader(vm_sim_t *sim);
