batch_hold: move runs that stand still; steady clocks for ages and leases

Change: a run without progress for 2.5 s moves; ages, waves and holders' leases use the steady clock of the process that leads. Test: test_tasks_leave_a_vm_that_stands_still fails without the change.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -952,51 +952,6 @@
   assert(message->base.descriptor == &lp__batch_wave_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   lp__batch_ordered__init
-                     (Lp__BatchOrdered         *message)
-{
-  static const Lp__BatchOrdered init_value = LP__BATCH_ORDERED__INIT;
-  *message = init_value;
-}
-size_t lp__batch_ordered__get_packed_size
-                     (const Lp__BatchOrdered *message)
-{
-  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t lp__batch_ordered__pack
-                     (const Lp__BatchOrdered *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t lp__batch_ordered__pack_to_buffer
-                     (const Lp__BatchOrdered *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Lp__BatchOrdered *
-       lp__batch_ordered__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Lp__BatchOrdered *)
-     protobuf_c_message_unpack (&lp__batch_ordered__descriptor,
-                                allocator, len, data);
-}
-void   lp__batch_ordered__free_unpacked
-                     (Lp__BatchOrdered *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &lp__batch_ordered__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   lp__batch_snapshot__init
                      (Lp__BatchSnapshot         *message)
 {
@@ -3376,57 +3331,6 @@
   (ProtobufCMessageInit) lp__batch_wave_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_ordered__field_descriptors[2] =
-{
-  {
-    "machine",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Lp__BatchOrdered, machine),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "wall_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Lp__BatchOrdered, wall_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned lp__batch_ordered__field_indices_by_name[] = {
-  0,   /* field[0] = machine */
-  1,   /* field[1] = wall_ms */
-};
-static const ProtobufCIntRange lp__batch_ordered__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor lp__batch_ordered__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "lp.BatchOrdered",
-  "BatchOrdered",
-  "Lp__BatchOrdered",
-  "lp",
-  sizeof(Lp__BatchOrdered),
-  2,
-  lp__batch_ordered__field_descriptors,
-  lp__batch_ordered__field_indices_by_name,
-  1,  lp__batch_ordered__number_ranges,
-  (ProtobufCMessageInit) lp__batch_ordered__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[8] =
 {
   {
@@ -3505,11 +3409,11 @@
     "ordered",
     7,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     offsetof(Lp__BatchSnapshot, n_ordered),
     offsetof(Lp__BatchSnapshot, ordered),
-    &lp__batch_ordered__descriptor,
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -36,7 +36,6 @@
 typedef struct Lp__BatchJobState Lp__BatchJobState;
 typedef struct Lp__BatchVmState Lp__BatchVmState;
 typedef struct Lp__BatchWaveState Lp__BatchWaveState;
-typedef struct Lp__BatchOrdered Lp__BatchOrdered;
 typedef struct Lp__BatchSnapshot Lp__BatchSnapshot;
 typedef struct Lp__BatchCall Lp__BatchCall;
 typedef struct Lp__BatchReply Lp__BatchReply;
@@ -522,17 +521,6 @@
     , NULL, 0, 0,NULL }
 
 
-struct  Lp__BatchOrdered
-{
-  ProtobufCMessage base;
-  char *machine;
-  uint64_t wall_ms;
-};
-#define LP__BATCH_ORDERED__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&lp__batch_ordered__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
-
-
 struct  Lp__BatchSnapshot
 {
   ProtobufCMessage base;
@@ -546,8 +534,11 @@
   Lp__BatchWaveState **waves;
   size_t n_moves;
   Lp__BatchOrder **moves;
+  /*
+   * machines; when is not kept: an order counts as just given
+   */
   size_t n_ordered;
-  Lp__BatchOrdered **ordered;
+  char **ordered;
   uint64_t start_term;
 };
 #define LP__BATCH_SNAPSHOT__INIT \
@@ -1128,25 +1119,6 @@
 void   lp__batch_wave_state__free_unpacked
                      (Lp__BatchWaveState *message,
                       ProtobufCAllocator *allocator);
-/* Lp__BatchOrdered methods */
-void   lp__batch_ordered__init
-                     (Lp__BatchOrdered         *message);
-size_t lp__batch_ordered__get_packed_size
-                     (const Lp__BatchOrdered   *message);
-size_t lp__batch_ordered__pack
-                     (const Lp__BatchOrdered   *message,
-                      uint8_t             *out);
-size_t lp__batch_ordered__pack_to_buffer
-                     (const Lp__BatchOrdered   *message,
-                      ProtobufCBuffer     *buffer);
-Lp__BatchOrdered *
-       lp__batch_ordered__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   lp__batch_ordered__free_unpacked
-                     (Lp__BatchOrdered *message,
-                      ProtobufCAllocator *allocator);
 /* Lp__BatchSnapshot methods */
 void   lp__batch_snapshot__init
                      (Lp__BatchSnapshot         *message);
@@ -1402,9 +1374,6 @@
 typedef void (*Lp__BatchWaveState_Closure)
                  (const Lp__BatchWaveState *message,
                   void *closure_data);
-typedef void (*Lp__BatchOrdered_Closure)
-                 (const Lp__BatchOrdered *message,
-                  void *closure_data);
 typedef void (*Lp__BatchSnapshot_Closure)
                  (const Lp__BatchSnapshot *message,
                   void *closure_data);
@@ -1467,7 +1436,6 @@
 extern const ProtobufCMessageDescriptor lp__batch_job_state__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_vm_state__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_wave_state__descriptor;
-extern const ProtobufCMessageDescriptor lp__batch_ordered__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_call__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_reply__descriptor;
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -400,11 +400,11 @@
 	LIST_INSERT_HEAD(&state->moves, move, link);
 }
 
-void batch_ordered_set(batch_state_t *state, const char *machine, uint64_t wall_ms)
+void batch_ordered_set(batch_state_t *state, const char *machine)
 {
 	uint64_t *at = g_new(uint64_t, 1);
 
-	*at = wall_ms;
+	*at = state->clock_us;
 	g_hash_table_replace(state->ordered, g_strdup(machine), at);
 }
 
@@ -412,7 +412,7 @@
 {
 	batch_wave_t *wave = batch_state_wave(state, order->wave);
 
-	batch_ordered_set(state, order->machine, wall_ms);
+	batch_ordered_set(state, order->machine);
 	if (order->pool[0] != '\0') {
 		bool open = order->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT;
 
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -19,6 +19,9 @@
 /* So many failed ends at least, and twice the good ones, make a VM suspect of failing everything.
  */
 #define QUARANTINE_FAILURES 3.0
+/* A run without progress for so long stands still: holds look every second, and a run gains a
+ * percent in some ms. */
+#define STALL_US (2500 * US_PER_MS)
 /* Weight of one end in the estimate of a VM's speed. */
 #define SLOWNESS_WEIGHT 0.25
 #define SLOWNESS_MAX 10.0
@@ -268,7 +271,36 @@
 
 /* --- holds --- */
 
-static void take_running(batch_task_t *task, const vm_running_t *running, uint64_t now_us)
+static bool stands_still(const batch_task_t *task, uint64_t now_us)
+{
+	const Lp__BatchStep *spec = task->step->spec;
+	const run_soft_t *soft = &task->soft;
+
+	/* Those that fill take what is left over; the members of a gang wait for each other. */
+	if (spec->long_running || spec->best_effort || spec->gang || soft->paced < 100 ||
+	    soft->phase != RUN_CONFIRMED || soft->evacuate)
+		return false;
+	return now_us >= soft->stalled_us + STALL_US && soft->percent < 100;
+}
+
+static void check_progress(leader_vm_t *vm, batch_task_t *task, uint64_t now_us)
+{
+	char name[64];
+
+	if (!stands_still(task, now_us))
+		return;
+	task->soft.evacuate = true;
+	vm->quarantine_until_us = now_us + QUARANTINE_US;
+	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
+		   task->step->number, task->index, task->run);
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", vm->id,
+			     "reason", "no progress"),
+		  "moves a task to another VM");
+}
+
+static void take_running(leader_vm_t *vm, batch_task_t *task, const vm_running_t *running,
+			 uint64_t now_us)
 {
 	run_soft_t *soft = &task->soft;
 
@@ -283,6 +315,7 @@
 	soft->load = running->load;
 	if (strlen(running->checkpoint) < sizeof(soft->saved))
 		g_strlcpy(soft->saved, running->checkpoint, sizeof(soft->saved));
+	check_progress(vm, task, now_us);
 }
 
 /* Marks what the VM lists; returns the number of tasks that the log does not have there. */
@@ -297,7 +330,7 @@
 
 		if (task != NULL && task->vm != NULL && task->vm == life &&
 		    task->run == running->run) {
-			take_running(task, running, now_us);
+			take_running(vm, task, running, now_us);
 			g_hash_table_add(listed, task);
 			continue;
 		}
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -27,7 +27,8 @@
 void batch_wave_free(batch_wave_t *wave);
 /** Records a move, or with pool NULL that it has its outcome. */
 void batch_move_set(batch_state_t *state, const char *machine, const char *pool);
-void batch_ordered_set(batch_state_t *state, const char *machine, uint64_t wall_ms);
+/** An order for the machine is applied now. */
+void batch_ordered_set(batch_state_t *state, const char *machine);
 void batch_task_hold(batch_task_t *task, batch_vm_t *vm);
 struct batch_ticket_book;
 void ticket_book_free(struct batch_ticket_book *book);
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -441,7 +441,6 @@
 	leader->list_known = false;
 	leader->list_read_us = 0;
 	leader->order_seq = 0;
-	leader->active_wall_ms = leader->clock_wall_ms(leader->arg);
 	inherit_runs(leader);
 	g_snprintf(text, sizeof(text), "%" PRIu64, term);
 	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("term", text), "runs the batch jobs");
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -81,6 +81,7 @@
 	bool ordered_here; /**< the latest order is this leader's */
 	uint64_t retry_us;
 	unsigned refusals;
+	uint64_t begun_us; /**< since when it is known to be down for maintenance; 0: it is not */
 	uint64_t coming_until_us; /**< it was moved and is to report by then; 0: it was not */
 	uint64_t idle_us;	  /**< since when it runs nothing; 0: it runs something */
 } leader_machine_t;
@@ -118,7 +119,6 @@
 	uint64_t capacity_due_us;
 	uint64_t order_seq;	 /**< orders to the platform in this term */
 	GHashTable *machines;	 /**< name -> leader_machine_t */
-	uint64_t active_wall_ms; /**< wall clock at the activation */
 	GHashTable *need_before; /**< pool -> double: smoothed need, in cores */
 	uint64_t order_due_us;
 	unsigned orders_left; /**< maintenance orders in this period */
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -30,8 +30,8 @@
 #define FORECAST_MAX 2.0
 /* Jobs that cannot be in time count with this share of their need: they take what is left over. */
 #define LATE_SHARE 0.3
-/* The clocks of two leaders differ by less, except on a step of the clock. */
-#define CLOCK_SLACK_MS 500
+/* An order is given within this after it was applied here. */
+#define APPLY_SLACK_US (300 * US_PER_MS)
 /* The least time that the remaining chain of a job counts, in ms. */
 #define CHAIN_LEAST_MS 300
 
@@ -411,10 +411,11 @@
 }
 
 /* Cores that the job would use if there were room for everything. */
-static double job_need(const batch_job_t *job, const Lp__BatchQueue *queue, uint64_t wall_ms)
+static double job_need(batch_job_t *job, uint64_t now_us, uint64_t wall_ms)
 {
+	const Lp__BatchQueue *queue = job->queue;
 	double chain_ms = (double)MAX(batch_chain_ms(job, 0, true), CHAIN_LEAST_MS);
-	uint64_t age_ms = wall_ms > job->accepted_ms ? wall_ms - job->accepted_ms : 0;
+	uint64_t age_ms = batch_job_age_ms(job, now_us, wall_ms);
 	double need = batch_work_left(job) / 1000.0 / chain_ms;
 
 	if (queue != NULL && (double)age_ms + chain_ms > (double)batch_objective_ms(job, queue))
@@ -422,8 +423,7 @@
 	return need;
 }
 
-static void add_job(batch_leader_t *leader, pools_t *pools, const batch_job_t *job,
-		    uint64_t wall_ms)
+static void add_job(batch_leader_t *leader, pools_t *pools, batch_job_t *job, uint64_t wall_ms)
 {
 	capacity_pool_t *pool = pool_named(pools, job->service);
 	bool lasting = job->spec->steps[0]->long_running;
@@ -434,7 +434,7 @@
 	for (uint32_t i = 0; lasting && i < job->step_count; i++)
 		add_lasting(pool, &job->steps[i]);
 	if (!lasting)
-		pool->need_cores += job_need(job, job->queue, wall_ms);
+		pool->need_cores += job_need(job, leader_now_us(leader), wall_ms);
 }
 
 static void forecast(batch_leader_t *leader, const char *name, capacity_pool_t *pool)
@@ -459,7 +459,7 @@
 {
 	const Lp__BatchConfig *config = leader->state->config;
 	uint64_t wall_ms = leader->clock_wall_ms(leader->arg);
-	const batch_job_t *job;
+	batch_job_t *job;
 
 	for (size_t i = 0; i < config->n_services; i++) {
 		capacity_pool_t pool = {.standby = config->services[i]->standby, .required_vms = 2};
@@ -476,16 +476,12 @@
 
 bool leader_held_by_other(const batch_leader_t *leader, const char *machine, uint64_t now_us)
 {
-	const uint64_t *ordered_ms = g_hash_table_lookup(leader->state->ordered, machine);
+	const uint64_t *ordered_us = g_hash_table_lookup(leader->state->ordered, machine);
 	const leader_machine_t *known = leader_machine(leader, machine);
-	uint64_t lease_ms = leader->config.holder_lease_ms;
 
-	if (known != NULL && known->ordered_here)
+	if (ordered_us == NULL || (known != NULL && known->ordered_here))
 		return false;
-	/* The lease runs from the activation at the latest: clocks of leaders differ. */
-	if (ordered_ms == NULL || now_us >= leader->active_us + lease_ms * US_PER_MS)
-		return false;
-	return *ordered_ms + lease_ms + CLOCK_SLACK_MS > leader->active_wall_ms;
+	return now_us < *ordered_us + leader->config.holder_lease_ms * US_PER_MS + APPLY_SLACK_US;
 }
 
 bool leader_move_open(const batch_leader_t *leader, const char *machine)
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -191,6 +191,7 @@
 {
 	batch_node_t *node = arg;
 
+	node->state.clock_us = clock_now_us();
 	if (command->body_case == LP__COMMAND__BODY_BATCH)
 		batch_state_apply(&node->state, command->time_ms, command->batch, result);
 	else
@@ -211,6 +212,7 @@
 	if (node->leader != NULL)
 		batch_leader_deactivate(node->leader);
 	node->led_term = 0;
+	node->state.clock_us = clock_now_us();
 	return batch_state_load(&node->state, data, length);
 }
 
--- a/src/batch_order.c
+++ b/src/batch_order.c
@@ -13,6 +13,9 @@
 /* A job is worth at most this many times the mean job of its queue. */
 #define WORTH_MAX 4.0
 
+/* A job that a new leader first sees is taken to be at most so old. */
+#define AGE_MAX_MS 30000ULL
+
 enum {
 	RANK_LASTING,
 	RANK_IN_TIME,
@@ -111,12 +114,25 @@
 	return MIN(worth, WORTH_MAX) / MAX(batch_work_left(job), 1.0) * MAX(average, 1.0);
 }
 
-static unsigned rank_of(const batch_step_t *step, const Lp__BatchQueue *queue, uint64_t wall_ms)
+uint64_t batch_job_age_ms(batch_job_t *job, uint64_t now_us, uint64_t wall_ms)
+{
+	/* Only where a job is first seen the clocks of two leaders are compared; a step of the
+	 * clock does not age what is known. */
+	if (job->seen_us == 0) {
+		uint64_t age_ms = wall_ms > job->accepted_ms ? wall_ms - job->accepted_ms : 0;
+
+		job->seen_us = now_us - MIN(now_us, MIN(age_ms, AGE_MAX_MS) * US_PER_MS);
+	}
+	return (now_us - job->seen_us) / US_PER_MS;
+}
+
+static unsigned rank_of(const batch_step_t *step, const Lp__BatchQueue *queue, uint64_t now_us,
+			uint64_t wall_ms)
 {
-	const batch_job_t *job = step->job;
+	batch_job_t *job = step->job;
 	uint64_t due_ms = batch_step_due_ms(step);
-	uint64_t start_ms = due_ms > 0 ? due_ms : job->accepted_ms;
-	uint64_t age_ms = wall_ms > start_ms ? wall_ms - start_ms : 0;
+	uint64_t age_ms = due_ms > 0 ? (wall_ms > due_ms ? wall_ms - due_ms : 0)
+				     : batch_job_age_ms(job, now_us, wall_ms);
 	uint64_t end_ms = age_ms + batch_chain_ms(job, step->occurrence, true);
 	uint64_t objective_ms = batch_objective_ms(job, queue);
 	unsigned base = (queue != NULL ? queue->priority : 0) * RANKS;
@@ -162,7 +178,7 @@
 			if (density == 0)
 				density = density_of(job, means);
 			candidate.density = density;
-			candidate.rank = rank_of(candidate.step, queue, wall_ms);
+			candidate.rank = rank_of(candidate.step, queue, now_us, wall_ms);
 			g_array_append_val(candidates, candidate);
 		}
 	}
--- a/src/batch_order.h
+++ b/src/batch_order.h
@@ -27,5 +27,7 @@
 uint64_t batch_chain_ms(const batch_job_t *job, uint32_t occurrence, bool left);
 /** Declared work of the tasks that are not done, in thousandths of a core times ms. */
 double batch_work_left(const batch_job_t *job);
+/** Time since the job was accepted, by the steady clock of the process that leads. */
+uint64_t batch_job_age_ms(batch_job_t *job, uint64_t now_us, uint64_t wall_ms);
 /** Time after the due time within which an occurrence should be done, in ms. */
 uint64_t batch_objective_ms(const batch_job_t *job, const Lp__BatchQueue *queue);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -146,19 +146,11 @@
 {
 	GHashTableIter iter;
 	void *machine;
-	void *wall_ms;
 
-	snapshot->ordered =
-		talloc_array(mem, Lp__BatchOrdered *, g_hash_table_size(state->ordered) + 1);
+	snapshot->ordered = talloc_array(mem, char *, g_hash_table_size(state->ordered) + 1);
 	g_hash_table_iter_init(&iter, state->ordered);
-	while (g_hash_table_iter_next(&iter, &machine, &wall_ms)) {
-		Lp__BatchOrdered *out = talloc(mem, Lp__BatchOrdered);
-
-		lp__batch_ordered__init(out);
-		out->machine = machine;
-		out->wall_ms = *(uint64_t *)wall_ms;
-		snapshot->ordered[snapshot->n_ordered++] = out;
-	}
+	while (g_hash_table_iter_next(&iter, &machine, NULL))
+		snapshot->ordered[snapshot->n_ordered++] = machine;
 }
 
 uint8_t *batch_state_save(const batch_state_t *state, size_t *length)
@@ -294,8 +286,7 @@
 			return -1;
 	}
 	for (size_t i = 0; i < snapshot->n_ordered; i++)
-		batch_ordered_set(state, snapshot->ordered[i]->machine,
-				  snapshot->ordered[i]->wall_ms);
+		batch_ordered_set(state, snapshot->ordered[i]);
 	for (size_t i = 0; i < snapshot->n_moves; i++)
 		batch_move_set(state, snapshot->moves[i]->machine, snapshot->moves[i]->pool);
 	return 0;
@@ -306,6 +297,7 @@
 	Lp__BatchSnapshot *snapshot = lp__batch_snapshot__unpack(NULL, length, data);
 	uint64_t revision = state->revision;
 	uint64_t vms_revision = state->vms_revision;
+	uint64_t clock_us = state->clock_us;
 	int result;
 
 	if (snapshot == NULL)
@@ -314,6 +306,7 @@
 	batch_state_init(state);
 	state->revision = revision + 1;
 	state->vms_revision = vms_revision + 1;
+	state->clock_us = clock_us;
 	result = load_message(state, snapshot);
 	lp__batch_snapshot__free_unpacked(snapshot, NULL);
 	return result;
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -169,7 +169,8 @@
 	LIST_HEAD(batch_waves, batch_wave) waves;
 	GHashTable *wave_machines; /**< machine -> batch_wave_machine_t of its latest wave */
 	LIST_HEAD(batch_moves, batch_move) moves;
-	GHashTable *ordered; /**< machine -> uint64_t: wall clock of the latest recorded order */
+	GHashTable *ordered; /**< machine -> uint64_t: clock_us when its latest order was applied */
+	uint64_t clock_us;   /**< this replica's steady clock; set by the owner before it applies */
 	uint64_t revision;   /**< counts changes */
 } batch_state_t;
 
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -427,13 +427,18 @@
 }
 
 static void expire_open(batch_leader_t *leader, const batch_wave_t *wave,
-			const batch_wave_machine_t *machine)
+			const batch_wave_machine_t *machine, uint64_t now_us)
 {
-	uint64_t wall_ms = leader->clock_wall_ms(leader->arg);
+	leader_machine_t *known = leader_machine_add(leader, machine->machine);
+	uint64_t limit_us = (leader->config.maintenance_ms + RETURN_SLACK_MS) * US_PER_MS;
 
-	if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN ||
-	    wall_ms < machine->since_ms + leader->config.maintenance_ms + RETURN_SLACK_MS)
+	if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN)
 		return;
+	if (known->begun_us == 0)
+		known->begun_us = now_us;
+	if (now_us < known->begun_us + limit_us)
+		return;
+	known->begun_us = 0;
 	propose_order(leader, wave->wave, machine->machine, LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE,
 		      ignore_result, NULL);
 }
@@ -479,7 +484,7 @@
 		if (!order_is_open(machine->state))
 			continue;
 		open++;
-		expire_open(leader, wave, machine);
+		expire_open(leader, wave, machine, now_us);
 		/* Recorded by an earlier leader, or sent without an answer: the same order again,
 		 * once what was started there meanwhile has ended. */
 		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -25,6 +25,7 @@
 	uint64_t start_us;
 	uint64_t end_us; /* 0: lasts */
 	bool fails;
+	bool stuck;
 } sim_run_t;
 
 typedef struct sim_vm {
@@ -38,6 +39,7 @@
 	bool up;
 	bool off; /* in the standby pool */
 	uint64_t silent_until_us;
+	bool stuck; /* what is started there makes no progress */
 	uint64_t lease_us;
 	uint64_t lapsed_us; /* when a lease has lapsed last */
 	uint64_t fence;
@@ -386,6 +388,7 @@
 	check_start(vm, &start->task);
 	if (spec == NULL)
 		return VM_REPLY_INVALID;
+	run.stuck = vm->stuck;
 	run.cpu = spec->cpu_milli;
 	run.mem = spec->mem_mib;
 	run.fails = chance(vm->sim, vm->sim->config.failing_end);
@@ -807,6 +810,7 @@
 		if (proposal->done != NULL)
 			proposal->done(proposal->arg, LP__RESULT_CODE__RESULT_UNAVAILABLE);
 	} else {
+		sim->state.clock_us = sim->now_us;
 		batch_state_apply(&sim->state, wall_ms(sim), proposal->command, &result);
 		if (proposal->done != NULL)
 			proposal->done(proposal->arg, result.code);
@@ -1192,6 +1196,11 @@
 	propose(sim, &command, NULL, NULL);
 }
 
+void vm_sim_stick(vm_sim_t *sim, unsigned vm)
+{
+	((sim_vm_t *)g_ptr_array_index(sim->vms, vm))->stuck = true;
+}
+
 void vm_sim_slow_answers(vm_sim_t *sim, uint32_t platform_ms)
 {
 	sim->platform_ms = platform_ms;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -46,6 +46,8 @@
 void vm_sim_wave(vm_sim_t *sim, uint64_t number, uint32_t max_down);
 /** The machine of a service is moved; its answer comes only after the new VM has reported. */
 void vm_sim_slow_answers(vm_sim_t *sim, uint32_t platform_ms);
+/** What is started on a VM from now on makes no progress. */
+void vm_sim_stick(vm_sim_t *sim, unsigned vm);
 void vm_sim_change_leader(vm_sim_t *sim);
 
 const batch_state_t *vm_sim_state(const vm_sim_t *sim);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -158,6 +158,24 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against tasks that wait for ever on a VM where nothing makes progress, while its reports
+ * and answers are good. */
+static void test_tasks_leave_a_vm_that_stands_still(void **state)
+{
+	const vm_sim_config_t config = {.services = 1, .vms_per_service = 3, .seed = 8};
+	vm_sim_t *sim = vm_sim_create(&config);
+	made_job_t made;
+
+	make_job(&made, 1, 40, 4000, 600);
+	vm_sim_run(sim, 2000);
+	vm_sim_stick(sim, 1);
+	vm_sim_submit(sim, "a", 0, &made.job);
+	vm_sim_run(sim, 9000);
+	assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+	assert_kept(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against a cancelled job that goes on. */
 static void test_cancelled_job_stops(void **state)
 {
@@ -195,11 +213,6 @@
 	vm_sim_destroy(sim);
 }
 
-typedef struct {
-	vm_sim_config_t config;
-	const char *note;
-} storm_t;
-
 static void submit_mix(vm_sim_t *sim, GRand *rand, unsigned n, unsigned services)
 {
 	g_autofree char *id = g_strdup_printf("%016x", n);
@@ -372,6 +385,7 @@
 		cmocka_unit_test(test_idle_machines_follow_a_surge),
 		cmocka_unit_test(test_late_answer_of_a_move_spares_the_new_vm),
 		cmocka_unit_test(test_wave_reaches_all_machines),
+		cmocka_unit_test(test_tasks_leave_a_vm_that_stands_still),
 		cmocka_unit_test(test_cancelled_job_stops),
 		cmocka_unit_test(test_failing_job_fails),
 		cmocka_unit_test(test_promises_hold_under_faults),
--- a/tests/test_batch_plan.c
+++ b/tests/test_batch_plan.c
@@ -305,7 +305,7 @@
 	submit(&batch, 9000, "large", 20, false);
 	submit(&batch, 9000, "small", 1, false);
 	submit(&batch, 9000, "lasting", 3, true);
-	candidates = batch_candidates(&batch, 0, 9100);
+	candidates = batch_candidates(&batch, 100000000, 9100);
 	assert_int_equal(candidates->len, 4);
 	assert_string_equal(id_at(candidates, 0), "lasting");
 	assert_string_equal(id_at(candidates, 1), "small");
