batch_dispatch: a pool whose VMs all have bad results stays open

Change: quarantined VMs are left out only while the pool has others. Test: test_hopeless_jobs_do_not_close_a_pool fails without the change.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -66,7 +66,7 @@
 {
 	return leader_vm_answers(vm, now_us) && !vm->draining && !vm->cordoned &&
 	       vm->left_us == 0 && vm->orphans == 0 && vm->clock_us != 0 &&
-	       now_us >= vm->refused_until_us && now_us >= vm->quarantine_until_us;
+	       now_us >= vm->refused_until_us;
 }
 
 static place_vm_t place_of(leader_vm_t *vm, uint64_t now_us)
@@ -94,6 +94,26 @@
 	return place;
 }
 
+/* VMs with bad results get nothing while the pool has others; a pool of which all have bad results
+ * still runs what it can, as the jobs may be the cause. */
+static void leave_out_quarantined(const pass_t *pass, pool_t *pool)
+{
+	place_vm_t *places = (place_vm_t *)pool->places->data;
+	guint good = 0;
+
+	for (guint i = 0; i < pool->vms->len; i++) {
+		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
+
+		good += pass->now_us >= vm->quarantine_until_us;
+	}
+	for (guint i = 0; good > 0 && i < pool->vms->len; i++) {
+		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
+
+		if (pass->now_us < vm->quarantine_until_us)
+			places[i].usable = false;
+	}
+}
+
 static pool_t *pool_of(pass_t *pass, const char *service)
 {
 	pool_t *pool = g_hash_table_lookup(pass->pools, service);
@@ -119,6 +139,7 @@
 		g_array_append_val(pool->places, place);
 		g_ptr_array_add(pool->vms, vm);
 	}
+	leave_out_quarantined(pass, pool);
 	g_hash_table_insert(pass->pools, (char *)service, pool);
 	return pool;
 }
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -176,6 +176,30 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against hopeless jobs that take all VMs of a pool out of use for the others. */
+static void test_hopeless_jobs_do_not_close_a_pool(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = 2, .failing_end = 1.0, .seed = 10};
+	vm_sim_t *sim = vm_sim_create(&config);
+	made_job_t made;
+
+	make_job(&made, 1, 4, 4000, 100);
+	vm_sim_run(sim, 3000);
+	for (unsigned i = 0; i < 6; i++) {
+		g_autofree char *id = g_strdup_printf("bad-%u", i);
+
+		vm_sim_submit(sim, id, 0, &made.job);
+		vm_sim_run(sim, 3000 + 100 * (i + 1));
+	}
+	vm_sim_calm(sim);
+	vm_sim_submit(sim, "good", 0, &made.job);
+	vm_sim_run(sim, 5000);
+	assert_int_equal(state_of(sim, "good"), BATCH_JOB_COMPLETE);
+	assert_kept(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against a cancelled job that goes on. */
 static void test_cancelled_job_stops(void **state)
 {
@@ -386,6 +410,7 @@
 		cmocka_unit_test(test_late_answer_of_a_move_spares_the_new_vm),
 		cmocka_unit_test(test_wave_reaches_all_machines),
 		cmocka_unit_test(test_tasks_leave_a_vm_that_stands_still),
+		cmocka_unit_test(test_hopeless_jobs_do_not_close_a_pool),
 		cmocka_unit_test(test_cancelled_job_stops),
 		cmocka_unit_test(test_failing_job_fails),
 		cmocka_unit_test(test_promises_hold_under_faults),
