--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -367,7 +367,7 @@
 	leader->count.holds = metrics_counter(metrics, "batch_holds_total", "");
 	leader->count.stops = metrics_counter(metrics, "batch_stops_total", "");
 	leader->count.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
-	leader->count.end_to_start = metrics_histogram(metrics, "batch_start_latency_us", "");
+	leader->count.start_latency = metrics_histogram(metrics, "batch_start_latency_us", "");
 }
 
 batch_leader_t *batch_leader_create(const batch_leader_options_t *options)
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -23,12 +23,10 @@
 
 typedef struct {
 	uint32_t lease_ms;	/**< granted to what runs on a VM */
-	uint32_t lease_max_ms;	/**< a VM shortens a longer one to this */
 	uint32_t late_order_ms; /**< an order without an answer may be carried out so much later */
 	uint32_t clock_skew_percent; /**< a VM's clock may be slower by so much */
 	uint32_t hold_wait_ms;	     /**< longest wait of a hold for an end */
 	uint32_t silent_ms;	     /**< without a report for so long, a VM gets no new tasks */
-	uint32_t checkpoint_ms;	     /**< work between two checkpoints of a task */
 	uint32_t holder_lease_ms;    /**< orders of two leaders to one machine are so far apart */
 	uint32_t maintenance_ms;     /**< a machine is down so long for maintenance */
 	uint32_t orders_per_s;	     /**< that the platform takes */
@@ -78,10 +76,9 @@
 	uint32_t retry_after_s;
 	const char *reason; /**< static */
 } batch_admission_t;
-/** Whether a job should be accepted now. */
+/**
+ * Whether a job should be accepted now. Every job is: a late one keeps some worth, and takes only
+ * room that no job in time can use (batch_order.h).
+ */
 batch_admission_t batch_leader_admit(batch_leader_t *leader, const Lp__BatchQueue *queue,
 				     const Lp__BatchJob *job);
-
-/** Writes one line for each VM, job or wave that matters, for an operator. @return JSON text to be
- * freed with g_free() */
-char *batch_leader_explain(const batch_leader_t *leader);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -131,7 +131,7 @@
 		metrics_counter_t *holds;
 		metrics_counter_t *stops;
 		metrics_counter_t *dead;
-		metrics_histogram_t *end_to_start;
+		metrics_histogram_t *start_latency;
 	} count;
 };
 
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -115,6 +115,8 @@
 	if (vm == NULL)
 		return;
 	vm->starts_busy--;
+	metrics_record_us(vm->leader->count.start_latency,
+			  leader_now_us(vm->leader) - order->sent_us);
 	leader_grant_settled(vm, reply, order->sent_us, order->lease_end_us);
 	if (reply->clock_ms > 0) {
 		vm->clock_ms = reply->clock_ms;
--- a/src/process.h
+++ b/src/process.h
@@ -31,15 +31,11 @@
 	char *platform_address; /**< of the platform that owns the machines; NULL: none */
 	uint32_t report_ms;	/**< time between two reports of a VM */
 	uint32_t lease_max_ms;
-	uint32_t drain_ms; /**< a VM that drains gets no new tasks after this */
 	uint32_t grace_ms; /**< from SIGTERM to SIGKILL */
-	uint32_t config_apply_ms;
-	uint32_t checkpoint_ms;
 	uint32_t holder_lease_ms;
 	uint32_t maintenance_ms;
 	uint32_t orders_per_s; /**< moves and maintenance that the platform takes */
 	uint32_t move_ms;
-	uint32_t contact_ms;
 } process_settings_t;
 
 void process_settings_finish(process_settings_t *settings);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -1015,12 +1015,10 @@
 		.config =
 			{
 				.lease_ms = 5000,
-				.lease_max_ms = HOLD_MAX_MS,
 				.late_order_ms = 12000,
 				.clock_skew_percent = 3,
 				.hold_wait_ms = 1000,
 				.silent_ms = REPORT_MS + 700,
-				.checkpoint_ms = 500,
 				.holder_lease_ms = 3000,
 				.maintenance_ms = MAINTENANCE_MS,
 				.move_ms = MOVE_MS,
