replica_members: a silent voter gives way in time

Its successor had caught up after 0.1 s but had no vote when the leader's disk was lost 16 s later. Change: a silent voter gives way to a member that has caught up within the time that a successor has (bounds.catchUpS less 1.5 s); silent learners are dropped after four times as long. Test: test_lost_voter_is_replaced_in_time.

--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -27,9 +27,10 @@
 /* Proposals of this time are sent together: every message to a follower costs as much as ten
  * entries. */
 #define FLUSH_DELAY_MS 2
-/* A voter that is silent for so long gives way to a spare member. Longer than a restart or a cut of
- * some seconds; two losses in a row are then survived where a spare exists. */
-#define REPLACE_VOTER_MS 12000
+/* A change of the group takes two entries of the log, and the new member's snapshot some 100 ms. */
+#define REPLACE_SLACK_MS 1500
+/* Shorter than this is a restart, after which the voter answers again. */
+#define REPLACE_LEAST_MS 1500
 #define PING_MS 500
 #define PEER_TIMEOUT_MS 1500
 /* How often the members tell who leads; an edge process is ready while it hears that. */
@@ -457,6 +458,14 @@
 	return false;
 }
 
+uint32_t batch_node_replace_ms(const process_settings_t *settings)
+{
+	uint32_t catch_up_ms = settings->catch_up_ms;
+
+	return catch_up_ms > REPLACE_SLACK_MS + REPLACE_LEAST_MS ? catch_up_ms - REPLACE_SLACK_MS
+								 : REPLACE_LEAST_MS;
+}
+
 static int create_replica(batch_node_t *node, uint64_t seed, char *error, size_t error_size)
 {
 	const process_settings_t *settings = node->settings;
@@ -473,7 +482,7 @@
 		.flush_delay_ms = FLUSH_DELAY_MS,
 		.seed = seed,
 		.voter_target = 2 * MAX(settings->losses, 1) + 1,
-		.replace_ms = REPLACE_VOTER_MS,
+		.replace_ms = batch_node_replace_ms(settings),
 	};
 
 	/* The processes that the first settings name found the group. A later start with an empty
--- a/src/batch_node.h
+++ b/src/batch_node.h
@@ -28,6 +28,13 @@
 struct batch_node;
 typedef struct batch_node batch_node_t;
 
+/**
+ * Silence after which a voter gives way to a member that has caught up, in ms. Another machine may
+ * be lost once the successor of the first has had its time to catch up; it must have a vote by
+ * then.
+ */
+uint32_t batch_node_replace_ms(const process_settings_t *settings);
+
 /** @return the node, or NULL with a message in error */
 batch_node_t *batch_node_create(const batch_node_options_t *options, char *error,
 				size_t error_size);
--- a/src/process.h
+++ b/src/process.h
@@ -31,7 +31,8 @@
 	char *platform_address; /**< of the platform that owns the machines; NULL: none */
 	uint32_t report_ms;	/**< time between two reports of a VM */
 	uint32_t lease_max_ms;
-	uint32_t grace_ms; /**< from SIGTERM to SIGKILL */
+	uint32_t catch_up_ms; /**< a lost machine's successor has to have taken its place by then */
+	uint32_t grace_ms;    /**< from SIGTERM to SIGKILL */
 	uint32_t holder_lease_ms;
 	uint32_t maintenance_ms;
 	uint32_t orders_per_s; /**< moves and maintenance that the platform takes */
--- a/src/replica.h
+++ b/src/replica.h
@@ -49,7 +49,7 @@
 	/**
 	 * 0: the nodes in voters, and only they, vote. Otherwise any node with a disk may be made a
 	 * voter, until there are so many, and a voter that is silent for replace_ms gives way to a
-	 * learner.
+	 * learner. A learner that is silent for four times as long is dropped.
 	 */
 	uint32_t flush_delay_ms; /**< proposals of so long are sent together; 0: at once */
 	uint32_t log_bytes; /**< a snapshot is taken after so many bytes of entries; 0: 2 MiB */
--- a/src/replica_members.c
+++ b/src/replica_members.c
@@ -9,6 +9,8 @@
 
 /* A learner this close behind the leader's last entry is caught up. */
 #define CAUGHT_UP_ENTRIES 16
+/* A learner is of use when it returns, and costs little until then. */
+#define FORGET_FACTOR 4
 
 static known_peer_t *find_known(replica_t *replica, uint32_t node)
 {
@@ -87,7 +89,7 @@
 	       now_us < info.heard_us + replica->config.election_min_ms * US_PER_MS;
 }
 
-static bool is_silent(const replica_t *replica, raft_id_t id, uint64_t now_us)
+static bool is_silent(const replica_t *replica, raft_id_t id, uint64_t now_us, uint32_t limit_ms)
 {
 	raft_peer_info_t info;
 	uint64_t latest_us = replica->lead_since_us;
@@ -100,7 +102,7 @@
 		if (raft_id_equal(replica->known[i].id, id))
 			latest_us = MAX(latest_us, replica->known[i].up_us);
 	}
-	return now_us > latest_us + replica->config.replace_ms * US_PER_MS;
+	return now_us > latest_us + limit_ms * US_PER_MS;
 }
 
 static bool has_spare(const replica_t *replica, uint64_t now_us)
@@ -140,8 +142,9 @@
 
 	for (size_t i = 0; i < config->count; i++) {
 		raft_member_t member = config->members[i];
+		uint32_t limit_ms = replica->config.replace_ms * (member.voter ? 1 : FORGET_FACTOR);
 
-		if (!is_silent(replica, member.id, now_us) ||
+		if (!is_silent(replica, member.id, now_us, limit_ms) ||
 		    (member.voter && !has_spare(replica, now_us)))
 			continue;
 		if (raft_change(replica->raft, RAFT_REMOVE, member.id) != 0)
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -63,6 +63,21 @@
 	process_settings_finish(&settings);
 }
 
+/* Guards against a voter that is gone for good and keeps its vote until a second disk may be lost:
+ * the successor of the first has a vote when its time to catch up has passed. */
+static void test_lost_voter_is_replaced_in_time(void **state)
+{
+	process_settings_t settings;
+	char error[256] = "";
+
+	assert_int_equal(load(settings_text, &settings, error, sizeof(error)), 0);
+	assert_int_equal(settings.catch_up_ms, 4000);
+	assert_true(batch_node_replace_ms(&settings) + 1000 <= settings.catch_up_ms);
+	settings.catch_up_ms = 6000;
+	assert_true(batch_node_replace_ms(&settings) + 1000 <= settings.catch_up_ms);
+	process_settings_finish(&settings);
+}
+
 /* Guards against a wrong value that is taken for zero: the message names the key. */
 static void test_wrong_settings_are_refused(void **state)
 {
@@ -217,6 +232,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_settings_are_read),
+		cmocka_unit_test(test_lost_voter_is_replaced_in_time),
 		cmocka_unit_test(test_wrong_settings_are_refused),
 		cmocka_unit_test(test_job_is_decoded),
 		cmocka_unit_test(test_malformed_reports_are_refused),
