--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -446,10 +446,7 @@
 	}
 	if (hold->granted)
 		leader_grant_settled(vm, reply, hold->sent_us, hold->lease_end_us);
-	if (reply->clock_ms > 0) {
-		vm->clock_ms = reply->clock_ms;
-		vm->clock_us = leader_now_us(vm->leader);
-	}
+	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
 	switch (reply->code) {
 	case VM_REPLY_OK:
 		hold_answered(vm, hold, reply);
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -60,6 +60,21 @@
 	return vm->life;
 }
 
+void leader_vm_set_clock(leader_vm_t *vm, uint64_t clock_ms, uint64_t now_us)
+{
+	if (clock_ms == 0)
+		return;
+	vm->clock_ms = clock_ms;
+	vm->clock_us = now_us;
+}
+
+bool leader_vm_is_empty(leader_vm_t *vm)
+{
+	const batch_vm_t *life = leader_vm_life(vm);
+
+	return vm->planned == 0 && vm->orphans == 0 && (life == NULL || life->task_count == 0);
+}
+
 uint64_t leader_vm_clock_ms(const leader_vm_t *vm, uint64_t now_us)
 {
 	return vm->clock_us == 0 ? 0 : vm->clock_ms + (now_us - vm->clock_us) / US_PER_MS;
@@ -253,10 +268,7 @@
 		vm->cordoned = false;
 	}
 	vm->heard_us = now_us;
-	if (report->clock_ms > 0) {
-		vm->clock_ms = report->clock_ms;
-		vm->clock_us = now_us;
-	}
+	leader_vm_set_clock(vm, report->clock_ms, now_us);
 	if (report->draining && !vm->draining)
 		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "service", vm->service),
 			  "VM drains");
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -153,6 +153,10 @@
 /** Creates the view of a life that the log knows and that has not reported yet. */
 leader_vm_t *leader_vm_from_life(batch_leader_t *leader, batch_vm_t *life);
 void leader_vm_mark_dead(leader_vm_t *vm, const char *reason);
+/** Takes over what a VM told of its clock; 0: nothing. */
+void leader_vm_set_clock(leader_vm_t *vm, uint64_t clock_ms, uint64_t now_us);
+/** True when nothing runs on the VM, is about to, or may without the log's knowledge. */
+bool leader_vm_is_empty(leader_vm_t *vm);
 /** Present time on the VM's clock, estimated; 0: unknown. */
 uint64_t leader_vm_clock_ms(const leader_vm_t *vm, uint64_t now_us);
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine);
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -334,10 +334,8 @@
 static bool machine_is_empty(batch_leader_t *leader, const leader_machine_t *machine)
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
-	const batch_vm_t *life = vm != NULL ? leader_vm_life(vm) : NULL;
 
-	return vm == NULL ||
-	       (vm->planned == 0 && vm->orphans == 0 && (life == NULL || life->task_count == 0));
+	return vm == NULL || leader_vm_is_empty(vm);
 }
 
 /* Moves that were recorded and have no outcome yet, also those of an earlier leader. */
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -118,10 +118,7 @@
 	metrics_record_us(vm->leader->count.start_latency,
 			  leader_now_us(vm->leader) - order->sent_us);
 	leader_grant_settled(vm, reply, order->sent_us, order->lease_end_us);
-	if (reply->clock_ms > 0) {
-		vm->clock_ms = reply->clock_ms;
-		vm->clock_us = leader_now_us(vm->leader);
-	}
+	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
 	task = order_task(order, vm);
 	if (task != NULL && task->soft.phase != RUN_CONFIRMED)
 		start_settled(vm, task, reply);
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -397,13 +397,6 @@
 	}
 }
 
-static bool vm_is_empty(leader_vm_t *vm)
-{
-	const batch_vm_t *life = leader_vm_life(vm);
-
-	return vm->planned == 0 && vm->orphans == 0 && (life == NULL || life->task_count == 0);
-}
-
 /* Takes new tasks off the machine; true once nothing runs there. */
 static bool prepare_machine(batch_leader_t *leader, const char *machine, uint64_t now_us)
 {
@@ -423,7 +416,7 @@
 		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "machine", machine),
 			  "VM is cordoned for maintenance");
 	}
-	return vm_is_empty(vm);
+	return leader_vm_is_empty(vm);
 }
 
 static void expire_open(batch_leader_t *leader, const batch_wave_t *wave,
@@ -448,7 +441,7 @@
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
 
-	return vm == NULL || vm_is_empty(vm);
+	return vm == NULL || leader_vm_is_empty(vm);
 }
 
 static void start_next(batch_leader_t *leader, batch_wave_t *wave, uint32_t room, uint64_t now_us)
