--- a/src/replica.c
+++ b/src/replica.c
@@ -14,7 +14,10 @@
 #include <xxhash.h>
 
 #include "clock.h"
+#include "durable.h"
+#include "log.h"
 #include "replica_internal.h"
+#include "snapshot.h"
 
 #define TICK_US (20 * US_PER_MS)
 #define DISK_RETRY_US (1 * US_PER_S)
@@ -167,10 +170,16 @@
 
 static void apply_committed(replica_t *replica);
 
-static int write_log(void *arg)
+/* Runs on the disk thread. A crash between the two files leaves a log that begins before the
+ * snapshot, which recovery accepts. */
+static int write_files(void *arg)
 {
 	const replica_t *replica = arg;
 
+	if (replica->snapshot_file != NULL &&
+	    durable_replace(replica->snapshot_path, replica->snapshot_file,
+			    replica->snapshot_length) != 0)
+		return errno;
 	return wal_write(replica->wal);
 }
 
@@ -182,28 +191,92 @@
 	wal_end(replica->wal, error);
 	if (error != 0) {
 		errno = error;
-		disk_failed(replica, replica->log_path);
+		disk_failed(replica, replica->snapshot_file != NULL ? replica->snapshot_path
+								    : replica->log_path);
 		raft_set_disk(replica->raft, now_us, false);
 	} else {
 		send_list(replica, &replica->syncing);
 		raft_synced_to(replica->raft, replica->sync_index, !replica->vote_saved, now_us);
 	}
+	TALLOC_FREE(replica->snapshot_file);
 	run_actions(replica);
 	apply_committed(replica);
 	replica_schedule(replica);
 }
 
+/* Number of entries up to the applied one that stay in the log for replicas that lag. */
+static uint64_t entries_to_keep(const replica_t *replica)
+{
+	uint64_t index = replica->applied;
+	uint64_t bytes = 0;
+	uint64_t keep = 0;
+
+	while (keep < replica->config.snapshot_every) {
+		const Lp__LogEntry *entry = raft_entry(replica->raft, index--);
+
+		if (entry == NULL)
+			break;
+		bytes += entry->data.len;
+		if (bytes > log_bytes(replica))
+			break;
+		keep++;
+	}
+	return keep;
+}
+
+/* What was saved so far is durable once the files are written; what has to wait for that is sent
+ * then. */
+static void begin_write(replica_t *replica)
+{
+	TAILQ_CONCAT(&replica->syncing, &replica->unsynced, link);
+	replica->sync_index = raft_last_index(replica->raft);
+	replica->vote_saved = false;
+	disk_thread_run(&replica->disk, write_files, on_written, replica);
+}
+
+/* Encodes the state here and writes the files on the disk thread: written here, they held up the
+ * event loop of a member with 0.3 cores for 210 to 350 ms each time. @return true when a write was
+ * begun */
+static bool begin_snapshot(replica_t *replica)
+{
+	uint64_t begin_us = clock_now_us();
+	char index[24];
+	char bytes[24];
+	char encode_us[24];
+	size_t length = 0;
+	uint8_t *data = replica->machine.save(replica->machine.arg, &length);
+
+	replica->snapshot_due = false;
+	replica->snapshot_index = replica->applied;
+	replica->applied_bytes = 0;
+	raft_compact(replica->raft, replica->applied, data, length, entries_to_keep(replica));
+	free(data);
+	g_snprintf(index, sizeof(index), "%" PRIu64, replica->applied);
+	g_snprintf(bytes, sizeof(bytes), "%zu", length);
+	g_snprintf(encode_us, sizeof(encode_us), "%" PRIu64, clock_now_us() - begin_us);
+	log_event(G_LOG_LEVEL_MESSAGE,
+		  LOG_FIELDS("index", index, "bytes", bytes, "encode_us", encode_us),
+		  "snapshot of the state is taken");
+	if (replica->wal == NULL || replica->disk_failed)
+		return false;
+	replica->snapshot_file =
+		snapshot_pack(raft_snapshot(replica->raft), &replica->snapshot_length);
+	replica_store_fill(replica);
+	wal_begin_rewrite(replica->wal);
+	begin_write(replica);
+	return true;
+}
+
 /* Has what was saved written on the disk thread, and sends what had to wait for that when it is
  * durable. What is saved meanwhile goes into the next write. */
 static void sync_and_send(replica_t *replica, uint64_t now_us)
 {
 	if (replica->has_disk_thread && disk_thread_busy(&replica->disk))
 		return;
+	if (replica->snapshot_due && begin_snapshot(replica))
+		return;
 	if (replica->wal != NULL && !replica->disk_failed && wal_begin(replica->wal)) {
-		TAILQ_CONCAT(&replica->syncing, &replica->unsynced, link);
-		replica->sync_index = raft_last_index(replica->raft);
-		replica->vote_saved = false;
-		disk_thread_run(&replica->disk, write_log, on_written, replica);
+		begin_write(replica);
 		return;
 	}
 	send_list(replica, &replica->unsynced);
@@ -231,46 +304,6 @@
 		lp__command__free_unpacked(command, NULL);
 }
 
-/* Number of entries up to the applied one that stay in the log for replicas that lag. */
-static uint64_t entries_to_keep(const replica_t *replica)
-{
-	uint64_t index = replica->applied;
-	uint64_t bytes = 0;
-	uint64_t keep = 0;
-
-	while (keep < replica->config.snapshot_every) {
-		const Lp__LogEntry *entry = raft_entry(replica->raft, index--);
-
-		if (entry == NULL)
-			break;
-		bytes += entry->data.len;
-		if (bytes > log_bytes(replica))
-			break;
-		keep++;
-	}
-	return keep;
-}
-
-static void take_snapshot(replica_t *replica)
-{
-	size_t length = 0;
-	uint8_t *data;
-
-	wait_for_disk(replica);
-	data = replica->machine.save(replica->machine.arg, &length);
-	replica->snapshot_index = replica->applied;
-	replica->applied_bytes = 0;
-	raft_compact(replica->raft, replica->applied, data, length, entries_to_keep(replica));
-	free(data);
-	if (replica->disk_failed)
-		return;
-	if (replica_store_snapshot(replica) == 0 && replica_store_rewrite(replica) == 0)
-		return;
-	disk_failed(replica, replica->snapshot_path);
-	raft_set_disk(replica->raft, clock_now_us(), false);
-	run_actions(replica);
-}
-
 static void apply_committed(replica_t *replica)
 {
 	uint64_t before = replica->applied;
@@ -284,8 +317,12 @@
 		apply_entry(replica, entry);
 	}
 	if (replica->applied >= replica->snapshot_index + replica->config.snapshot_every ||
-	    replica->applied_bytes >= log_bytes(replica))
-		take_snapshot(replica);
+	    replica->applied_bytes >= log_bytes(replica)) {
+		replica->snapshot_due = true;
+		/* Otherwise the end of the running write schedules the next cycle. */
+		if (!replica->has_disk_thread || !disk_thread_busy(&replica->disk))
+			replica_schedule(replica);
+	}
 	if (replica->applied == before && leader == replica->last_leader)
 		return;
 	if (leader != replica->last_leader && leader != 0)
--- a/src/replica_internal.h
+++ b/src/replica_internal.h
@@ -76,6 +76,8 @@
 	char *snapshot_path;
 	char *identity_path;
 	wal_t *wal;
+	uint8_t *snapshot_file; /* that is being written; NULL: none */
+	size_t snapshot_length;
 	uint64_t disk_retry_us;
 
 	struct proposal_list queued;  /* PROPOSAL_QUEUED, PROPOSAL_FORWARDED, PROPOSAL_ANSWERED */
@@ -86,6 +88,7 @@
 	size_t known_count;
 	uint64_t lead_since_us; /* 0: does not lead */
 	bool has_disk_thread;
+	bool snapshot_due;
 	bool vote_saved; /* since the running sync began */
 	bool disk_failed;
 	bool flush_scheduled;
@@ -102,6 +105,8 @@
 int replica_store_recover(replica_t *replica, char *error, size_t error_size);
 void replica_store_vote(replica_t *replica, uint64_t term, raft_id_t vote);
 void replica_store_entry(replica_t *replica, const Lp__LogEntry *entry);
+/* Fills the log's buffer with what the log holds after the snapshot. */
+void replica_store_fill(replica_t *replica);
 /* Each returns 0, or -1 with errno set. */
 int replica_store_snapshot(replica_t *replica);
 int replica_store_rewrite(replica_t *replica);
--- a/src/replica_store.c
+++ b/src/replica_store.c
@@ -75,19 +75,33 @@
 	return snapshot_write(replica->snapshot_path, raft_snapshot(replica->raft));
 }
 
-int replica_store_rewrite(replica_t *replica)
+/* Entries that the snapshot covers stay in memory for members that lag, but not on disk: 8,000 of
+ * them took 80 ms of a full core to write again. */
+void replica_store_fill(replica_t *replica)
 {
 	const raft_t *raft = replica->raft;
+	const raft_snapshot_t *snapshot = raft_snapshot(raft);
+	uint64_t first = raft_first_index(raft);
 	wal_t *wal = replica->wal;
 
-	if (wal == NULL)
-		return 0;
 	wal_discard(wal);
-	append_base(wal, raft_first_index(raft) - 1, raft_base_term(raft), raft_base_config(raft));
+	if (snapshot->index >= first) {
+		first = snapshot->index + 1;
+		append_base(wal, snapshot->index, snapshot->term, &snapshot->config);
+	} else {
+		append_base(wal, first - 1, raft_base_term(raft), raft_base_config(raft));
+	}
 	append_vote(wal, raft_term(raft), raft_vote(raft));
-	for (uint64_t i = raft_first_index(raft); i <= raft_last_index(raft); i++)
+	for (uint64_t i = first; i <= raft_last_index(raft); i++)
 		append_message(wal, WAL_ENTRY, &raft_entry(raft, i)->base);
-	return wal_rewrite(wal);
+}
+
+int replica_store_rewrite(replica_t *replica)
+{
+	if (replica->wal == NULL)
+		return 0;
+	replica_store_fill(replica);
+	return wal_rewrite(replica->wal);
 }
 
 static int recover_base(replica_t *replica, const uint8_t *payload, size_t length)
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -11,25 +11,32 @@
 #define FRAME_META 1
 #define FRAME_DATA 2
 
-int snapshot_write(const char *path, const raft_snapshot_t *snapshot)
+uint8_t *snapshot_pack(const raft_snapshot_t *snapshot, size_t *length)
 {
 	Lp__SnapshotChunk meta = LP__SNAPSHOT_CHUNK__INIT;
 	uint8_t *packed;
 	uint8_t *file = NULL;
-	size_t length = 0;
 	size_t meta_length;
-	int result;
 
+	*length = 0;
 	meta.last_index = snapshot->index;
 	meta.last_term = snapshot->term;
 	meta.config = raft_config_to_message(NULL, &snapshot->config);
 	meta_length = lp__snapshot_chunk__get_packed_size(&meta);
 	packed = talloc_array(meta.config, uint8_t, meta_length);
 	lp__snapshot_chunk__pack(&meta, packed);
-	file = record_append(file, &length, FRAME_META, packed, meta_length);
-	file = record_append(file, &length, FRAME_DATA, snapshot->data, snapshot->length);
-	result = durable_replace(path, file, length);
+	file = record_append(file, length, FRAME_META, packed, meta_length);
+	file = record_append(file, length, FRAME_DATA, snapshot->data, snapshot->length);
 	talloc_free(meta.config);
+	return file;
+}
+
+int snapshot_write(const char *path, const raft_snapshot_t *snapshot)
+{
+	size_t length;
+	uint8_t *file = snapshot_pack(snapshot, &length);
+	int result = durable_replace(path, file, length);
+
 	talloc_free(file);
 	return result;
 }
--- a/src/snapshot.h
+++ b/src/snapshot.h
@@ -9,6 +9,9 @@
  * The snapshot file: written, synced, renamed, directory synced.
  */
 
+/** @return the contents of the snapshot file, to be freed with talloc_free() */
+uint8_t *snapshot_pack(const raft_snapshot_t *snapshot, size_t *length);
+
 /** @return 0, or -1 with errno set; the previous snapshot is then unchanged */
 int snapshot_write(const char *path, const raft_snapshot_t *snapshot);
 
--- a/src/wal.c
+++ b/src/wal.c
@@ -25,6 +25,8 @@
 	size_t length;
 	uint8_t *frame; /* that is being written */
 	size_t frame_length;
+	bool replacing; /* the frame becomes the whole file */
+	int new_fd;	/* of the new file; -1: none */
 };
 
 static int destroy_wal(wal_t *wal)
@@ -40,6 +42,7 @@
 
 	wal->path = talloc_strdup(wal, path);
 	wal->fd = -1;
+	wal->new_fd = -1;
 	talloc_set_destructor(wal, destroy_wal);
 	return wal;
 }
@@ -187,23 +190,54 @@
 {
 	if (wal->length == 0)
 		return false;
+	wal->replacing = false;
 	wal->frame_length = 0;
 	wal->frame = record_append(NULL, &wal->frame_length, FRAME_GROUP, wal->buffer, wal->length);
 	wal_discard(wal);
 	return true;
 }
 
+bool wal_begin_rewrite(wal_t *wal)
+{
+	if (!wal_begin(wal))
+		return false;
+	wal->replacing = true;
+	return true;
+}
+
+static int replace_file(wal_t *wal)
+{
+	if (durable_replace(wal->path, wal->frame, wal->frame_length) != 0)
+		return errno;
+	wal->new_fd = open(wal->path, O_WRONLY | O_CLOEXEC);
+	return wal->new_fd >= 0 ? 0 : errno;
+}
+
 int wal_write(wal_t *wal)
 {
+	if (wal->replacing)
+		return replace_file(wal);
 	if (wal->failed)
 		return EIO;
 	return write_all(wal, wal->frame, wal->frame_length) == 0 ? 0 : errno;
 }
 
+static void adopt_file(wal_t *wal)
+{
+	if (wal->fd >= 0)
+		close(wal->fd);
+	wal->fd = wal->new_fd;
+	wal->new_fd = -1;
+	wal->size = wal->frame_length;
+	wal->failed = false;
+}
+
 void wal_end(wal_t *wal, int error)
 {
 	if (error != 0)
 		wal->failed = true;
+	else if (wal->replacing)
+		adopt_file(wal);
 	else
 		wal->size += wal->frame_length;
 	TALLOC_FREE(wal->frame);
@@ -223,24 +257,16 @@
 
 int wal_rewrite(wal_t *wal)
 {
-	size_t length = 0;
-	uint8_t *frame = record_append(NULL, &length, FRAME_GROUP, wal->buffer, wal->length);
-	int result = durable_replace(wal->path, frame, length);
-	int fd;
+	int error;
 
-	talloc_free(frame);
-	if (result != 0)
-		return -1;
-	fd = open(wal->path, O_WRONLY | O_CLOEXEC);
-	if (fd < 0)
+	if (!wal_begin_rewrite(wal)) {
+		errno = EINVAL;
 		return -1;
-	if (wal->fd >= 0)
-		close(wal->fd);
-	wal->fd = fd;
-	wal->size = length;
-	wal->failed = false;
-	wal_discard(wal);
-	return 0;
+	}
+	error = wal_write(wal);
+	wal_end(wal, error);
+	errno = error;
+	return error == 0 ? 0 : -1;
 }
 
 uint64_t wal_size(const wal_t *wal)
--- a/src/wal.h
+++ b/src/wal.h
@@ -52,13 +52,16 @@
  * @return false when no record waits
  */
 bool wal_begin(wal_t *wal);
+/** Like wal_begin(), but wal_write() then replaces the file by one that holds only this frame,
+ * WAL_BASE first. */
+bool wal_begin_rewrite(wal_t *wal);
 /** Writes the frame and makes it durable. @return 0, or an errno value */
 int wal_write(wal_t *wal);
 /** Ends a write on the owner's thread. @param error what wal_write() returned */
 void wal_end(wal_t *wal, int error);
 /**
  * Replaces the file by one that holds only the waiting records, WAL_BASE first.
- * @return 0, or -1 with errno set; the old file is then unchanged
+ * @return 0, or -1 with errno set; every sync fails from then on until a rewrite succeeds
  */
 int wal_rewrite(wal_t *wal);
 /** Size of the file in bytes. */
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -510,6 +510,45 @@
 	g_free(command.op_id);
 }
 
+static off_t log_size(uint32_t n)
+{
+	g_autofree char *path = g_build_filename(nodes[n].dir, "log", NULL);
+	struct stat info;
+
+	return stat(path, &info) == 0 ? info.st_size : 0;
+}
+
+/* Guards against entries that the snapshot covers being written to the log again: that held up the
+ * event loop of a small member for a quarter of a second. 60 entries of 1,000 bytes; the snapshot
+ * covers 50 of them, which stay in memory. */
+static void test_log_file_starts_at_the_snapshot(void **state)
+{
+	const size_t size = 1000;
+	const int count = 60;
+	const off_t limit = 30 * 1000;
+	Lp__Command command = LP__COMMAND__INIT;
+	outcomes_t outcomes = {0};
+	uint32_t restarted;
+
+	command.op_id = g_strnfill(size, 'x');
+	RUN_UNTIL(leader() != 0);
+	for (int i = 0; i < count; i++) {
+		command.op_id[0] = (char)('0' + i);
+		replica_propose(nodes[leader()].replica, &command, 5000, on_done, &outcomes);
+		RUN_UNTIL(outcomes.ok + outcomes.other == i + 1);
+	}
+	assert_int_equal(outcomes.ok, count);
+	RUN_UNTIL(converged());
+	for (uint32_t n = 1; n <= VOTERS; n++)
+		RUN_UNTIL(log_size(n) < limit);
+	restarted = some_follower();
+	stop(restarted);
+	assert_true(start(restarted));
+	RUN_UNTIL(converged());
+	assert_int_equal(nodes[restarted].state.count, count);
+	g_free(command.op_id);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -525,6 +564,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_log_of_large_commands_is_bounded, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_log_file_starts_at_the_snapshot, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_too_large_command_is_refused, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_cut_off_leader_commits_nothing, set_up,
