batch_leader: runs that an earlier leader recorded late are found

An intent of the deposed leader was recorded after the next one had begun to lead, on a VM whose machine went down for maintenance before this leader heard of it. Nobody looked after that life: lives were taken over only at the beginning of a term. In the product the same can come from a proposal that is forwarded to the new leader.

Change: once a second the leader takes over lives with runs that it does not know, and ends them when a later VM has their machine or address. An older life does not hide a newer one that has ended.

--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -15,6 +15,9 @@
 #define SLOW_PART_US (30 * US_PER_MS)
 /* After its farewell a VM still ends what runs there; bounds.stopMs is 200. */
 #define LEFT_GRACE_US (500 * US_PER_MS)
+/* Looks this often for lives that only the log knows; such a run was never ordered here, and waits
+ * for at most this. */
+#define ADOPT_PERIOD_US (1 * US_PER_S)
 
 static void forget_vm(leader_vm_t *vm);
 
@@ -174,8 +177,12 @@
 /* Remembers the latest life of the VM that has ended: its late reports are not believed. */
 static void note_end(const leader_vm_t *vm)
 {
-	uint64_t *ended_ms = g_new(uint64_t, 1);
+	const uint64_t *known_ms = g_hash_table_lookup(vm->leader->ended, vm->id);
+	uint64_t *ended_ms;
 
+	if (known_ms != NULL && *known_ms >= vm->born_ms)
+		return;
+	ended_ms = g_new(uint64_t, 1);
 	*ended_ms = vm->born_ms;
 	g_hash_table_replace(vm->leader->ended, g_strdup(vm->id), ended_ms);
 }
@@ -289,20 +296,51 @@
 	end_predecessor(latest, leader_vm_of_machine(leader, latest->machine));
 }
 
-static bool is_later(const leader_vm_t *vm, const vm_report_t *report)
+static bool is_later(const leader_vm_t *vm, uint64_t born_ms)
 {
-	return vm != NULL && vm->heard_us != 0 && vm->born_ms > report->born_ms;
+	return vm != NULL && vm->heard_us != 0 && vm->born_ms > born_ms;
 }
 
 /* A life of the VM, or of another VM at its address or machine, that was born later is known; or
  * this life is known to have ended. */
-static bool is_superseded(const batch_leader_t *leader, const vm_report_t *report)
+static bool is_superseded(const batch_leader_t *leader, const char *vm, const char *address,
+			  const char *machine, uint64_t born_ms)
+{
+	const uint64_t *ended_ms = g_hash_table_lookup(leader->ended, vm);
+
+	return (ended_ms != NULL && *ended_ms >= born_ms) ||
+	       is_later(g_hash_table_lookup(leader->by_address, address), born_ms) ||
+	       is_later(leader_vm_of_machine(leader, machine), born_ms);
+}
+
+/* Intents of an earlier leader that were on their way are recorded although this one leads already.
+ * Their life may have ended before this leader heard of it. */
+static void adopt_life(batch_leader_t *leader, batch_vm_t *life)
 {
-	const uint64_t *ended_ms = g_hash_table_lookup(leader->ended, report->id);
+	bool ended = is_superseded(leader, life->id, life->address, life->machine, life->born_ms);
+	leader_vm_t *vm = leader_vm_from_life(leader, life);
+	char count[16];
 
-	return (ended_ms != NULL && *ended_ms >= report->born_ms) ||
-	       is_later(g_hash_table_lookup(leader->by_address, report->address), report) ||
-	       is_later(leader_vm_of_machine(leader, report->machine), report);
+	g_snprintf(count, sizeof(count), "%u", life->task_count);
+	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", life->id, "runs", count),
+		  "an earlier leader has recorded runs on a VM that was not known");
+	if (ended)
+		leader_vm_mark_dead(vm, "its machine or address has a later VM");
+	else
+		leader_upkeep_cordon(leader, vm);
+}
+
+static void adopt_lives(batch_leader_t *leader, uint64_t now_us)
+{
+	batch_vm_t *life;
+
+	if (now_us < leader->adopt_due_us)
+		return;
+	leader->adopt_due_us = now_us + ADOPT_PERIOD_US;
+	LIST_FOREACH (life, &leader->state->vms, link) {
+		if (life->task_count > 0 && life->leader == NULL)
+			adopt_life(leader, life);
+	}
 }
 
 static leader_vm_t *add_reported(batch_leader_t *leader, const vm_report_t *report)
@@ -321,7 +359,8 @@
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, report->id);
 	bool is_new;
 
-	if (is_superseded(leader, report) || (vm != NULL && vm->born_ms > report->born_ms))
+	if (is_superseded(leader, report->id, report->address, report->machine, report->born_ms) ||
+	    (vm != NULL && vm->born_ms > report->born_ms))
 		return false;
 	if (vm != NULL && vm->born_ms < report->born_ms) {
 		leader_vm_mark_dead(vm, "a later life of the VM has reported");
@@ -453,6 +492,7 @@
 	leader->list_known = false;
 	leader->list_read_us = 0;
 	leader->order_seq = 0;
+	leader->adopt_due_us = leader->active_us + ADOPT_PERIOD_US;
 	inherit_runs(leader);
 	g_snprintf(text, sizeof(text), "%" PRIu64, term);
 	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("term", text), "runs the batch jobs");
@@ -564,6 +604,8 @@
 		tick_vm(vm, now_us);
 		vm = next;
 	}
+	/* Every known VM has looked up its life in this tick. */
+	adopt_lives(leader, now_us);
 	part_us = note_time(leader, "vms", now_us);
 	leader_machines_tick(leader, now_us);
 	part_us = note_time(leader, "machines", part_us);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -111,6 +111,7 @@
 	bool place_due;
 	uint64_t place_us; /**< latest placement */
 	uint64_t halve_due_us;
+	uint64_t adopt_due_us;
 	double mean_slowness;
 
 	bool list_busy;	 /**< the platform's list is being read */
