--- a/src/batch_capacity.c
+++ b/src/batch_capacity.c
@@ -225,11 +225,11 @@
 	return count;
 }
 
-unsigned capacity_reserve(size_t machine_count, size_t queue_count)
+unsigned capacity_reserve(size_t machine_count, size_t used_pools)
 {
-	return queue_count > 0
-		       ? (unsigned)((double)machine_count * RESERVE_SHARE / (double)queue_count)
-		       : 0;
+	if (used_pools == 0)
+		return 0;
+	return (unsigned)((double)machine_count * RESERVE_SHARE / (double)used_pools);
 }
 
 size_t capacity_plan(const capacity_pool_t *pools, size_t pool_count,
--- a/src/batch_capacity.h
+++ b/src/batch_capacity.h
@@ -35,10 +35,10 @@
 } capacity_move_t;
 
 /**
- * @param queue_count pools that a queue sends work to
+ * @param used_pools number of pools that a queue sends work to
  * @return machines that each of them keeps for the beginning of a surge
  */
-unsigned capacity_reserve(size_t machine_count, size_t queue_count);
+unsigned capacity_reserve(size_t machine_count, size_t used_pools);
 
 /**
  * @param moves room for limit moves
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -116,14 +116,13 @@
 
 void leader_lose_run(batch_leader_t *leader, batch_task_t *task, const char *reason)
 {
-	char name[VM_NAME_MAX + 48];
+	char run[RUN_TEXT_MAX];
 
 	if (task->soft.losing || task->vm == NULL)
 		return;
-	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
-		   task->step->number, task->index, task->run);
+	run_text_of(run, task);
 	log_event(G_LOG_LEVEL_INFO,
-		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", task->vm->id,
+		  LOG_FIELDS("request", task->step->job->spec->id, "task", run, "vm", task->vm->id,
 			     "reason", reason),
 		  "run is lost");
 	propose_loss(leader, &task, 1);
@@ -220,12 +219,11 @@
 	if (ended->kind == LP__BATCH_END_KIND__BATCH_END_FAILED ||
 	    ended->kind == LP__BATCH_END_KIND__BATCH_END_ALONE ||
 	    ended->kind == LP__BATCH_END_KIND__BATCH_END_LAPSED) {
-		char name[64];
+		char run[RUN_TEXT_MAX];
 
-		g_snprintf(name, sizeof(name), "%u.%u.%u run %u", ended->task.occurrence,
-			   ended->task.step, ended->task.index, ended->run);
+		run_text_set(run, &ended->task, ended->run);
 		log_event(G_LOG_LEVEL_INFO,
-			  LOG_FIELDS("request", ended->task.job, "task", name, "vm", vm->id, "end",
+			  LOG_FIELDS("request", ended->task.job, "task", run, "vm", vm->id, "end",
 				     ended->kind == LP__BATCH_END_KIND__BATCH_END_FAILED ? "failed"
 				     : ended->kind == LP__BATCH_END_KIND__BATCH_END_ALONE
 					     ? "alone"
@@ -286,16 +284,15 @@
 
 static void check_progress(leader_vm_t *vm, batch_task_t *task, uint64_t now_us)
 {
-	char name[64];
+	char run[RUN_TEXT_MAX];
 
 	if (!stands_still(task, now_us))
 		return;
 	task->soft.evacuate = true;
 	vm->quarantine_until_us = now_us + QUARANTINE_US;
-	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
-		   task->step->number, task->index, task->run);
+	run_text_of(run, task);
 	log_event(G_LOG_LEVEL_INFO,
-		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", vm->id,
+		  LOG_FIELDS("request", task->step->job->spec->id, "task", run, "vm", vm->id,
 			     "reason", "no progress"),
 		  "moves a task to another VM");
 }
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -102,6 +102,20 @@
 	name->index = task->index;
 }
 
+void run_text_set(char text[RUN_TEXT_MAX], const task_name_t *name, uint32_t run)
+{
+	g_snprintf(text, RUN_TEXT_MAX, "%u.%u.%u run %u", name->occurrence, name->step, name->index,
+		   run);
+}
+
+void run_text_of(char text[RUN_TEXT_MAX], const batch_task_t *task)
+{
+	task_name_t name;
+
+	task_name_set(&name, task);
+	run_text_set(text, &name, task->run);
+}
+
 batch_task_t *leader_task(const batch_leader_t *leader, const task_name_t *name)
 {
 	batch_job_t *job = batch_state_job(leader->state, name->job);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -164,6 +164,12 @@
 bool leader_vm_answers(const leader_vm_t *vm, uint64_t now_us);
 
 void task_name_set(task_name_t *name, const batch_task_t *task);
+/** Room for the text of run_text_set(): four numbers, in bytes with the final 0. */
+#define RUN_TEXT_MAX 64
+/** How log lines name a run: OCCURRENCE.STEP.INDEX run NUMBER. */
+void run_text_set(char text[RUN_TEXT_MAX], const task_name_t *name, uint32_t run);
+/** The same for the latest run of a task. */
+void run_text_of(char text[RUN_TEXT_MAX], const batch_task_t *task);
 /** The task that a VM names, or NULL. */
 batch_task_t *leader_task(const batch_leader_t *leader, const task_name_t *name);
 
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -465,12 +465,12 @@
 static void set_reserves(const batch_leader_t *leader, const pools_t *pools)
 {
 	const Lp__BatchConfig *config = leader->state->config;
-	size_t queues = 0;
+	size_t used_pools = 0;
 	unsigned reserve;
 
 	for (size_t i = 0; i < config->n_services; i++)
-		queues += has_queue(config, config->services[i]->name);
-	reserve = capacity_reserve(g_hash_table_size(leader->machines), queues);
+		used_pools += has_queue(config, config->services[i]->name);
+	reserve = capacity_reserve(g_hash_table_size(leader->machines), used_pools);
 	for (size_t i = 0; i < config->n_services; i++) {
 		capacity_pool_t *pool = &g_array_index(pools->pools, capacity_pool_t, i);
 
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -14,7 +14,6 @@
 #include "clock.h"
 #include "log.h"
 
-#define CLUSTER "lavenderpass"
 /* Log timing: an election takes 0.5 to 1 s, well within the lease of the VMs. Writes to the disk do
  * not hold up the heartbeats. */
 #define HEARTBEAT_MS 120
@@ -31,8 +30,6 @@
 #define REPLACE_SLACK_MS 1500
 /* Shorter than this is a restart, after which the voter answers again. */
 #define REPLACE_LEAST_MS 1500
-#define PING_MS 500
-#define PEER_TIMEOUT_MS 1500
 /* How often the members tell who leads; an edge process is ready while it hears that. */
 #define HINT_MS 250
 #define TICK_MS 25
@@ -503,19 +500,7 @@
 {
 	const process_settings_t *settings = node->settings;
 	char address[32];
-	const peer_config_t config = {
-		.cluster = CLUSTER,
-		.node_id = settings->node_id,
-		.replica_id = replica_id(node->replica),
-		.incarnation = incarnation,
-		.data_centre = settings->data_centre,
-		.http_address = "",
-		.disk = settings->data_dir != NULL,
-		.listen_address = address,
-		.ping_ms = PING_MS,
-		.timeout_ms = PEER_TIMEOUT_MS,
-		.dial_back_port = settings->peer_port,
-	};
+	peer_config_t config;
 	const peer_callbacks_t callbacks = {
 		.message = on_message,
 		.change = on_peer_change,
@@ -526,6 +511,9 @@
 	size_t count;
 
 	process_address(settings->node_id, settings->peer_port, address, sizeof(address));
+	config = process_peer_config(settings, incarnation, address);
+	config.replica_id = replica_id(node->replica);
+	config.disk = settings->data_dir != NULL;
 	node->peers = peer_set_create(node->ev, node->ev, node->timers, &config, &callbacks);
 	if (node->peers == NULL) {
 		g_snprintf(error, error_size, "%s: %s", address, strerror(errno));
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -49,16 +49,15 @@
 static void log_start(const leader_vm_t *vm, const batch_task_t *task, vm_reply_code_t code,
 		      unsigned tries)
 {
-	char name[64];
+	char run[RUN_TEXT_MAX];
 	char term[24];
 	char try[8];
 
-	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
-		   task->step->number, task->index, task->run);
+	run_text_of(run, task);
 	g_snprintf(term, sizeof(term), "%" PRIu64, vm->leader->term);
 	g_snprintf(try, sizeof(try), "%u", tries);
 	log_event(G_LOG_LEVEL_INFO,
-		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", vm->id,
+		  LOG_FIELDS("request", task->step->job->spec->id, "task", run, "vm", vm->id,
 			     "reply", vm_reply_name(code), "try", try, "term", term),
 		  "start was not carried out");
 }
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -135,14 +135,13 @@
 
 static void log_move(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
 {
-	char name[64];
+	char run[RUN_TEXT_MAX];
 	char away[16];
 
-	g_snprintf(name, sizeof(name), "%u.%u.%u run %u", task->step->occurrence,
-		   task->step->number, task->index, task->run);
+	run_text_of(run, task);
 	g_snprintf(away, sizeof(away), "%u", unavailable(task->step, now_us));
 	log_event(G_LOG_LEVEL_INFO,
-		  LOG_FIELDS("request", task->step->job->spec->id, "task", name, "vm", vm->id,
+		  LOG_FIELDS("request", task->step->job->spec->id, "task", run, "vm", vm->id,
 			     "away", away, "reason",
 			     vm->draining ? "the VM drains" : "maintenance"),
 		  "moves a task to another VM");
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -16,9 +16,6 @@
 #include "log.h"
 #include "vm_relay.h"
 
-#define CLUSTER "lavenderpass"
-#define PING_MS 500
-#define PEER_TIMEOUT_MS 1500
 #define TICK_MS 50
 /* Hints come every 250 ms; three may be missed. A leader that falls silent has a successor 0.8 to
  * 1.6 s later, so a shorter time would not find one sooner. */
@@ -272,22 +269,14 @@
 	edge_link_t *link = g_new0(edge_link_t, 1);
 	uint64_t incarnation = 0;
 	char address[32];
-	peer_config_t config = {
-		.cluster = CLUSTER,
-		.node_id = settings->node_id,
-		.data_centre = settings->data_centre,
-		.http_address = "",
-		.listen_address = address,
-		.ping_ms = PING_MS,
-		.timeout_ms = PEER_TIMEOUT_MS,
-		.dial_back_port = settings->peer_port,
-	};
+	peer_config_t config;
 	const peer_callbacks_t callbacks = {
 		.message = on_message, .change = on_peer_change, .arg = link};
 
 	if (getrandom(&incarnation, sizeof(incarnation), 0) != (ssize_t)sizeof(incarnation))
 		incarnation = clock_wall_ms();
-	config.incarnation = incarnation;
+	process_address(settings->node_id, settings->peer_port, address, sizeof(address));
+	config = process_peer_config(settings, incarnation, address);
 	link->settings = settings;
 	link->timers = options->timers;
 	TAILQ_INIT(&link->calls);
@@ -295,7 +284,6 @@
 	link->unknown = metrics_counter(options->metrics, "edge_calls_unknown_total", "");
 	link->unavailable = metrics_counter(options->metrics, "edge_calls_unavailable_total", "");
 	link->latency = metrics_histogram(options->metrics, "edge_call_latency_us", "");
-	process_address(settings->node_id, settings->peer_port, address, sizeof(address));
 	link->peers =
 		peer_set_create(options->ev, options->ev, options->timers, &config, &callbacks);
 	if (link->peers == NULL) {
--- a/src/process.c
+++ b/src/process.c
@@ -6,6 +6,28 @@
 
 #include <glib.h>
 
+#define CLUSTER "lavenderpass"
+/* Well below the time after which a silent voter gives way, so that a connection that hangs is
+ * replaced before a member is. */
+#define PING_MS 500
+#define PEER_TIMEOUT_MS 1500
+
+peer_config_t process_peer_config(const process_settings_t *settings, uint64_t incarnation,
+				  const char *listen_address)
+{
+	return (peer_config_t){
+		.cluster = CLUSTER,
+		.node_id = settings->node_id,
+		.incarnation = incarnation,
+		.data_centre = settings->data_centre,
+		.http_address = "",
+		.listen_address = listen_address,
+		.ping_ms = PING_MS,
+		.timeout_ms = PEER_TIMEOUT_MS,
+		.dial_back_port = settings->peer_port,
+	};
+}
+
 void process_settings_finish(process_settings_t *settings)
 {
 	g_free(settings->name);
--- a/src/process.h
+++ b/src/process.h
@@ -4,6 +4,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "peer.h"
+
 /**
  * @file
  * What a process of the batch service is told when it starts. Filled in by the platform's adapter.
@@ -41,6 +43,11 @@
 
 void process_settings_finish(process_settings_t *settings);
 
+/** What connects a process with the others, the same for all roles.
+ * @param listen_address IP:port; has to outlive the result, like settings */
+peer_config_t process_peer_config(const process_settings_t *settings, uint64_t incarnation,
+				  const char *listen_address);
+
 /** Formats IP:port of a node. */
 void process_address(uint32_t node_id, uint16_t port, char *out, size_t size);
 /** @return 0, or -1 when text is not IP:port */
--- a/src/replica.c
+++ b/src/replica.c
@@ -234,15 +234,26 @@
 	disk_thread_run(&replica->disk, write_files, on_written, replica);
 }
 
+static void log_snapshot(const replica_t *replica, size_t length, uint64_t encoded_us)
+{
+	char index[24];
+	char bytes[24];
+	char encode_us[24];
+
+	g_snprintf(index, sizeof(index), "%" PRIu64, replica->applied);
+	g_snprintf(bytes, sizeof(bytes), "%zu", length);
+	g_snprintf(encode_us, sizeof(encode_us), "%" PRIu64, encoded_us);
+	log_event(G_LOG_LEVEL_MESSAGE,
+		  LOG_FIELDS("index", index, "bytes", bytes, "encode_us", encode_us),
+		  "snapshot of the state is taken");
+}
+
 /* Encodes the state here and writes the files on the disk thread: written here, they held up the
  * event loop of a member with 0.3 cores for 210 to 350 ms each time. @return true when a write was
  * begun */
 static bool begin_snapshot(replica_t *replica)
 {
 	uint64_t begin_us = clock_now_us();
-	char index[24];
-	char bytes[24];
-	char encode_us[24];
 	size_t length = 0;
 	uint8_t *data = replica->machine.save(replica->machine.arg, &length);
 
@@ -251,12 +262,7 @@
 	replica->applied_bytes = 0;
 	raft_compact(replica->raft, replica->applied, data, length, entries_to_keep(replica));
 	free(data);
-	g_snprintf(index, sizeof(index), "%" PRIu64, replica->applied);
-	g_snprintf(bytes, sizeof(bytes), "%zu", length);
-	g_snprintf(encode_us, sizeof(encode_us), "%" PRIu64, clock_now_us() - begin_us);
-	log_event(G_LOG_LEVEL_MESSAGE,
-		  LOG_FIELDS("index", index, "bytes", bytes, "encode_us", encode_us),
-		  "snapshot of the state is taken");
+	log_snapshot(replica, length, clock_now_us() - begin_us);
 	if (replica->wal == NULL || replica->disk_failed)
 		return false;
 	replica->snapshot_file =
--- a/src/replica_store.c
+++ b/src/replica_store.c
@@ -75,8 +75,8 @@
 	return snapshot_write(replica->snapshot_path, raft_snapshot(replica->raft));
 }
 
-/* Entries that the snapshot covers stay in memory for members that lag, but not on disk: 8,000 of
- * them took 80 ms of a full core to write again. */
+/* Entries that the snapshot covers stay in memory for members that lag, but are not written again:
+ * up to 8,000 of them were, at each snapshot. */
 void replica_store_fill(replica_t *replica)
 {
 	const raft_t *raft = replica->raft;
