message: one deep copy of a protobuf message

The same pack-and-unpack stood in batch_apply, vm_cache, edge_link, replica_propose (twice), fleet, proxy_claim, announce and the simulated fleet. message_copy() serves all of them.

--- a/src/announce.c
+++ b/src/announce.c
@@ -11,6 +11,7 @@
 #include "job_runner.h"
 #include "json_reply.h"
 #include "log.h"
+#include "message.h"
 #include "pause_watch.h"
 
 /* Reports are sent in batches; the delay adds to the bound of a leaving target. */
@@ -213,8 +214,6 @@
 		       passed->cordoned != report->echoed_cordoned || report->n_tasks > 0;
 	const fleet_vm_t *vm = fleet_vm_find(&announce->node->fleet, report->vm);
 	Lp__TargetReport copy = *report;
-	uint8_t *packed;
-	size_t length;
 
 	passed->heard_us = now_us;
 	/* With one announcement a second, every second unchanged one is passed on. */
@@ -227,11 +226,7 @@
 	/* The leader needs the image to see a reboot complete; otherwise the log has it all. */
 	if (vm != NULL && strcmp(vm->image, report->reg->image) == 0)
 		copy.reg = NULL;
-	length = lp__target_report__get_packed_size(&copy);
-	packed = g_malloc(length + 1);
-	lp__target_report__pack(&copy, packed);
-	g_ptr_array_add(announce->reports, lp__target_report__unpack(NULL, length, packed));
-	g_free(packed);
+	g_ptr_array_add(announce->reports, message_copy(&copy.base));
 }
 
 static void forget_passed(announce_t *announce)
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -3,15 +3,7 @@
 #include <string.h>
 
 #include "batch_internal.h"
-
-void *batch_message_copy(const ProtobufCMessage *message)
-{
-	size_t length = protobuf_c_message_get_packed_size(message);
-	g_autofree uint8_t *packed = g_malloc(length + 1);
-
-	protobuf_c_message_pack(message, packed);
-	return protobuf_c_message_unpack(message->descriptor, NULL, length, packed);
-}
+#include "message.h"
 
 static void set_result(Lp__Result *result, Lp__ResultCode code, const char *message)
 {
@@ -135,7 +127,7 @@
 		set_result(result, LP__RESULT_CODE__RESULT_INVALID, batch_job_check(spec));
 		return;
 	}
-	job = batch_job_new(batch_message_copy(&spec->base), state->next_seq++, wall_ms);
+	job = batch_job_new(message_copy(&spec->base), state->next_seq++, wall_ms);
 	job->service = g_strdup("");
 	batch_job_find_queue(state, job);
 	batch_state_add(state, job);
@@ -335,7 +327,7 @@
 		return;
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
-	state->config = batch_message_copy(&config->base);
+	state->config = message_copy(&config->base);
 	TAILQ_FOREACH (job, &state->ended, link)
 		job->queue = NULL;
 	TAILQ_FOREACH (job, &state->active, link)
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -32,5 +32,3 @@
 void batch_task_hold(batch_task_t *task, batch_vm_t *vm);
 struct batch_ticket_book;
 void ticket_book_free(struct batch_ticket_book *book);
-/** Copies a message. @return memory of protobuf-c */
-void *batch_message_copy(const ProtobufCMessage *message);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "batch_internal.h"
+#include "message.h"
 
 /* The messages of a snapshot live under a talloc context and point into the state. */
 
@@ -227,8 +228,7 @@
 	if (message->job == NULL || message->state > BATCH_JOB_CANCELLED ||
 	    (message->n_steps > 0 && batch_job_check(message->job) != NULL))
 		return -1;
-	job = batch_job_new(batch_message_copy(&message->job->base), message->seq,
-			    message->accepted_ms);
+	job = batch_job_new(message_copy(&message->job->base), message->seq, message->accepted_ms);
 	job->state = (batch_job_state_t)message->state;
 	job->ended_ms = message->ended_ms;
 	job->service = g_strdup(message->service);
@@ -268,7 +268,7 @@
 	state->next_seq = snapshot->next_seq;
 	state->start_term = snapshot->start_term;
 	if (snapshot->config != NULL)
-		state->config = batch_message_copy(&snapshot->config->base);
+		state->config = message_copy(&snapshot->config->base);
 	for (size_t i = 0; i < snapshot->n_vms; i++) {
 		const Lp__BatchVmState *message = snapshot->vms[i];
 		batch_vm_t *vm = batch_vm_new(state, message->id, message->born_ms,
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -14,6 +14,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "message.h"
 #include "vm_relay.h"
 
 #define TICK_MS 50
@@ -103,18 +104,6 @@
 	return true;
 }
 
-static Lp__BatchCall *copy_call(const Lp__BatchCall *call, uint64_t seq)
-{
-	size_t length = lp__batch_call__get_packed_size(call);
-	g_autofree uint8_t *packed = g_malloc(length + 1);
-	Lp__BatchCall *copy;
-
-	lp__batch_call__pack(call, packed);
-	copy = lp__batch_call__unpack(NULL, length, packed);
-	copy->seq = seq;
-	return copy;
-}
-
 void edge_link_call(edge_link_t *link, const Lp__BatchCall *message, uint32_t timeout_ms,
 		    edge_reply_fn done, void *arg)
 {
@@ -122,12 +111,13 @@
 	uint64_t now_us = clock_now_us();
 
 	*call = (edge_call_t){
-		.message = copy_call(message, ++link->next_seq),
+		.message = message_copy(&message->base),
 		.started_us = now_us,
 		.deadline_us = now_us + timeout_ms * US_PER_MS,
 		.done = done,
 		.arg = arg,
 	};
+	call->message->seq = ++link->next_seq;
 	TAILQ_INSERT_TAIL(&link->calls, call, link);
 	link->open++;
 	if (send_call(link, call))
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -12,19 +12,6 @@
 	*field = copy;
 }
 
-void *fleet_copy_message(const ProtobufCMessage *message)
-{
-	size_t length = protobuf_c_message_get_packed_size(message);
-	uint8_t *buffer = g_malloc(length + 1);
-	ProtobufCMessage *copy;
-
-	protobuf_c_message_pack(message, buffer);
-	copy = protobuf_c_message_unpack(message->descriptor, NULL, length, buffer);
-	g_free(buffer);
-	g_assert(copy != NULL);
-	return copy;
-}
-
 void fleet_init(fleet_t *fleet)
 {
 	memset(fleet, 0, sizeof(*fleet));
--- a/src/fleet_apply.c
+++ b/src/fleet_apply.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fleet_internal.h"
+#include "message.h"
 
 void fleet_answer(fleet_t *fleet, Lp__Result *result, Lp__ResultCode code, const char *format, ...)
 {
@@ -48,7 +49,7 @@
 	record.author = org->author;
 	record.note = org->note;
 	record.summary = summary;
-	fleet_audit_add(step->fleet, fleet_copy_message(&record.base));
+	fleet_audit_add(step->fleet, message_copy(&record.base));
 	g_free(summary);
 }
 
@@ -86,7 +87,7 @@
 	Lp__Template *old = org->template;
 	bool was_paused = old != NULL && old->maintenance != NULL && old->maintenance->paused;
 
-	org->template = fleet_copy_message(&cmd->template_->base);
+	org->template = message_copy(&cmd->template_->base);
 	fleet_org_bind_pools(org);
 	lp__template__free_unpacked(old, NULL);
 	org->revision++;
@@ -178,7 +179,7 @@
 
 	outcome.op_id = (char *)op_id;
 	outcome.result = (Lp__Result *)result;
-	fleet_op_add(fleet, fleet_copy_message(&outcome.base));
+	fleet_op_add(fleet, message_copy(&outcome.base));
 }
 
 void fleet_apply(fleet_t *fleet, uint64_t index, const Lp__Command *command, Lp__Result *result)
--- a/src/fleet_internal.h
+++ b/src/fleet_internal.h
@@ -18,8 +18,6 @@
 
 /** Replaces an owned string by a copy. */
 void fleet_set_string(char **field, const char *value);
-/** Deep copy; freed with protobuf_c_message_free_unpacked(). */
-void *fleet_copy_message(const ProtobufCMessage *message);
 
 fleet_org_t *fleet_org_add(fleet_t *fleet, const char *name);
 fleet_pool_t *fleet_pool_add(fleet_org_t *org, const char *name);
--- a/src/fleet_parts.c
+++ b/src/fleet_parts.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "fleet_internal.h"
+#include "message.h"
 
 fleet_org_t *fleet_org_add(fleet_t *fleet, const char *name)
 {
@@ -132,7 +133,7 @@
 {
 	fleet_job_t *job = g_new0(fleet_job_t, 1);
 
-	job->spec = fleet_copy_message(&spec->base);
+	job->spec = message_copy(&spec->base);
 	job->state = state;
 	job->vm = g_strdup("");
 	job->reason = g_strdup("");
--- a/src/fleet_snapshot.c
+++ b/src/fleet_snapshot.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fleet_internal.h"
+#include "message.h"
 
 /* A message that borrows the fleet's strings; the list owns the struct only. */
 static void *borrow(GPtrArray *list, const void *init, size_t size)
@@ -220,7 +221,7 @@
 	    fleet_org_find(fleet, state->template_->organisation) != NULL)
 		return -1;
 	org = fleet_org_add(fleet, state->template_->organisation);
-	org->template = fleet_copy_message(&state->template_->base);
+	org->template = message_copy(&state->template_->base);
 	fleet_org_bind_pools(org);
 	org->revision = state->revision;
 	org->index = state->index;
@@ -316,7 +317,7 @@
 	if (outcome->result == NULL || outcome->op_id[0] == '\0' ||
 	    g_hash_table_contains(fleet->op_by_id, outcome->op_id))
 		return -1;
-	fleet_op_add(fleet, fleet_copy_message(&outcome->base));
+	fleet_op_add(fleet, message_copy(&outcome->base));
 	return 0;
 }
 
@@ -337,7 +338,7 @@
 	for (size_t i = 0; i < snapshot->n_ops; i++)
 		failed |= load_op(fleet, snapshot->ops[i]);
 	for (size_t i = 0; i < snapshot->n_audit; i++)
-		fleet_audit_add(fleet, fleet_copy_message(&snapshot->audit[i]->base));
+		fleet_audit_add(fleet, message_copy(&snapshot->audit[i]->base));
 	fleet->applied = snapshot->index;
 	fleet->member_epoch = snapshot->member_epoch;
 	fleet->next_wave = snapshot->next_wave;
--- a/src/proxy_claim.c
+++ b/src/proxy_claim.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "message.h"
 #include "proxy_internal.h"
 
 /* One exchange with the control thread. */
@@ -93,18 +94,6 @@
 	g_free(op);
 }
 
-static Lp__Outcome *outcome_copy(const Lp__Outcome *outcome)
-{
-	size_t size = lp__outcome__get_packed_size(outcome);
-	uint8_t *data = g_malloc(size + 1);
-	Lp__Outcome *copy;
-
-	lp__outcome__pack(outcome, data);
-	copy = lp__outcome__unpack(NULL, size, data);
-	g_free(data);
-	return copy;
-}
-
 /* --- acquire --- */
 
 static void deliver_claim(void *arg)
@@ -123,7 +112,7 @@
 	op->result = result;
 	op->claim = claim;
 	if (outcome != NULL)
-		op->outcome = outcome_copy(outcome);
+		op->outcome = message_copy(&outcome->base);
 	if (post_back(op, deliver_claim))
 		return;
 	/* The I/O thread has ended: the request was not sent. */
@@ -213,7 +202,7 @@
 {
 	claim_op_t *op = op_create(request);
 
-	op->outcome = outcome_copy(&request->answer);
+	op->outcome = message_copy(&request->answer.base);
 	request->claimed = false;
 	request->step = PROXY_RECORDING;
 	mailbox_post(op->control, control_record, op);
--- a/src/replica_propose.c
+++ b/src/replica_propose.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "clock.h"
+#include "message.h"
 #include "replica_internal.h"
 
 /* Wait before a refused or unsendable proposal is sent again. */
@@ -14,30 +15,6 @@
 /* After this the forwarding process has given up on its proposal. */
 #define FORWARDED_LIMIT_US (60 * US_PER_S)
 
-static Lp__Command *copy_command(const Lp__Command *command)
-{
-	size_t length = lp__command__get_packed_size(command);
-	uint8_t *packed = talloc_array(NULL, uint8_t, length + 1);
-	Lp__Command *copy;
-
-	lp__command__pack(command, packed);
-	copy = lp__command__unpack(NULL, length, packed);
-	talloc_free(packed);
-	return copy;
-}
-
-static Lp__Result *copy_result(const Lp__Result *result)
-{
-	size_t length = lp__result__get_packed_size(result);
-	uint8_t *packed = talloc_array(NULL, uint8_t, length + 1);
-	Lp__Result *copy;
-
-	lp__result__pack(result, packed);
-	copy = lp__result__unpack(NULL, length, packed);
-	talloc_free(packed);
-	return copy;
-}
-
 static int destroy_proposal(proposal_t *proposal)
 {
 	lp__command__free_unpacked(proposal->command, NULL);
@@ -50,7 +27,7 @@
 {
 	proposal_t *proposal = talloc_zero(replica, proposal_t);
 
-	proposal->command = copy_command(command);
+	proposal->command = message_copy(&command->base);
 	proposal->resend = command->op_id != NULL && command->op_id[0] != '\0';
 	talloc_set_destructor(proposal, destroy_proposal);
 	return proposal;
@@ -62,7 +39,7 @@
 
 	result.code = LP__RESULT_CODE__RESULT_INVALID;
 	result.message = (char *)"the command is larger than 768 KiB";
-	proposal->result = copy_result(&result);
+	proposal->result = message_copy(&result.base);
 	proposal->state = PROPOSAL_ANSWERED;
 }
 
@@ -324,7 +301,7 @@
 		proposal->retry_us = clock_now_us() + RETRY_US;
 		return;
 	}
-	proposal->result = copy_result(reply->result);
+	proposal->result = message_copy(&reply->result->base);
 	proposal->index = reply->result->index;
 	proposal->state = PROPOSAL_ANSWERED;
 	finish_answered(replica);
--- a/src/template.c
+++ b/src/template.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "fleet_internal.h"
+#include "message.h"
 #include "template_internal.h"
 
 #define NAME_MAX_BYTES 64
@@ -389,7 +390,7 @@
 	borrowed.weights = &weights;
 	borrowed.maintenance = &maintenance;
 	borrowed.text = (char *)text;
-	copy = fleet_copy_message(&borrowed.base);
+	copy = message_copy(&borrowed.base);
 	for (uint32_t i = 0; i < yaml->pools_count; i++)
 		free_pool(pools[i]);
 	g_free(pools);
--- a/src/vm_cache.c
+++ b/src/vm_cache.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "message.h"
+
 typedef struct {
 	Lp__VmReportCopy *copy;
 	uint64_t heard_us;
@@ -32,15 +34,6 @@
 	g_ptr_array_unref(cache->fresh);
 }
 
-static Lp__VmReportCopy *copy_of(const Lp__VmReportCopy *message)
-{
-	size_t length = lp__vm_report_copy__get_packed_size(message);
-	g_autofree uint8_t *packed = g_malloc(length + 1);
-
-	lp__vm_report_copy__pack(message, packed);
-	return lp__vm_report_copy__unpack(NULL, length, packed);
-}
-
 static bool is_older(const vm_cache_t *cache, const Lp__VmReportCopy *message)
 {
 	const cached_t *cached = g_hash_table_lookup(cache->reports, message->id);
@@ -90,15 +83,15 @@
 	vm_copy_set(&message, report);
 	if (is_older(cache, &message))
 		return;
-	g_ptr_array_add(cache->fresh, copy_of(&message));
-	keep(cache, copy_of(&message), now_us);
+	g_ptr_array_add(cache->fresh, message_copy(&message.base));
+	keep(cache, message_copy(&message.base), now_us);
 }
 
 void vm_cache_take(vm_cache_t *cache, const Lp__VmReportCopies *copies, uint64_t now_us)
 {
 	for (size_t i = 0; i < copies->n_reports; i++) {
 		if (!is_older(cache, copies->reports[i]))
-			keep(cache, copy_of(copies->reports[i]), now_us);
+			keep(cache, message_copy(&copies->reports[i]->base), now_us);
 	}
 }
 
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "message.h"
 
 #define WALL_OFFSET_MS 1700000000000ULL
 #define TICK_US (25 * US_PER_MS)
@@ -789,15 +790,6 @@
 	void *arg;
 } proposal_t;
 
-static Lp__BatchCommand *copy_command(const Lp__BatchCommand *command)
-{
-	size_t length = lp__batch_command__get_packed_size(command);
-	g_autofree uint8_t *packed = g_malloc(length + 1);
-
-	lp__batch_command__pack(command, packed);
-	return lp__batch_command__unpack(NULL, length, packed);
-}
-
 static uint64_t wall_ms(const vm_sim_t *sim)
 {
 	return sim->now_us / US_PER_MS + WALL_OFFSET_MS;
@@ -830,7 +822,7 @@
 	proposal_t *proposal = g_new0(proposal_t, 1);
 
 	*proposal = (proposal_t){.sim = sim,
-				 .command = copy_command(command),
+				 .command = message_copy(&command->base),
 				 .term = sim->term,
 				 .done = done,
 				 .arg = done_arg};
