vm_relay: the project's rendezvous hashing picks the edge process

The relay had a hash and a search of its own for what rendezvous_pick() does for claims. Each VM still has one edge process of its data centre; which one it is changes with the hash.

--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -9,6 +9,7 @@
 #include <talloc.h>
 
 #include "clock.h"
+#include "rendezvous.h"
 
 /* Fleets up to this size are called by the leader itself: a surge of 120 VMs needs less than a
  * tenth of a core, and an edge process in between is one more that can fail. */
@@ -43,35 +44,27 @@
 
 /* --- leader --- */
 
-static uint32_t hash_of(const char *vm, uint32_t node)
-{
-	return (g_str_hash(vm) ^ node * 2654435761U) * 2246822519U;
-}
-
 /* The edge process of the VM's data centre that always serves this VM, so that its connections are
  * used again. @return 0 when there is none */
 static uint32_t choose_agent(const vm_relay_t *relay, const char *vm)
 {
 	const char *data_centre = relay->options.data_centre(relay->options.arg, vm);
-	uint32_t best = 0;
-	uint32_t best_hash = 0;
+	g_autofree rendezvous_node_t *nodes = NULL;
+	size_t count = 0;
+	uint32_t agent = 0;
 
 	if (data_centre == NULL || relay->peers == NULL ||
 	    relay->options.vm_count(relay->options.arg) <= DIRECT_VMS)
 		return 0;
+	nodes = g_new(rendezvous_node_t, peer_count(relay->peers) + 1);
 	for (size_t i = 0; i < peer_count(relay->peers); i++) {
 		const peer_info_t *info = peer_at(relay->peers, i);
-		uint32_t hash;
-
-		if (!info->up || info->disk || strcmp(info->data_centre, data_centre) != 0)
-			continue;
-		hash = hash_of(vm, info->node_id);
-		if (best == 0 || hash > best_hash) {
-			best = info->node_id;
-			best_hash = hash;
-		}
+
+		if (info->up && !info->disk && strcmp(info->data_centre, data_centre) == 0)
+			nodes[count++] = (rendezvous_node_t){info->node_id, info->data_centre};
 	}
-	return best;
+	rendezvous_pick(nodes, count, vm, NULL, 1, &agent);
+	return agent;
 }
 
 static void finish(vm_relay_t *relay, relay_call_t *call, const vm_reply_t *reply)
