batch_place: the room of a task is counted in one place

The leader counted what runs on a VM with a copy of what the placement does for a task that it places, and wrote three times that tasks that fill take no processor. place_take() and place_cpu() serve both.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -49,19 +49,6 @@
 	g_free(pool);
 }
 
-static void count_task(place_vm_t *place, const batch_task_t *task)
-{
-	const Lp__BatchStep *spec = task->step->spec;
-
-	if (!spec->best_effort)
-		place->cpu_milli -= spec->cpu_milli;
-	place->mem_mib -= spec->mem_mib;
-	place->gpu -= spec->gpu;
-	place->serving += spec->tail_goal_ms > 0;
-	place->filling += spec->best_effort;
-	place->long_running += spec->long_running;
-}
-
 static bool vm_usable(const leader_vm_t *vm, uint64_t now_us)
 {
 	return leader_vm_answers(vm, now_us) && !vm->draining && !vm->cordoned &&
@@ -89,7 +76,7 @@
 
 	if (life != NULL) {
 		LIST_FOREACH (task, &life->tasks, vm_link)
-			count_task(&place, task);
+			place_take(&place, task->step->spec, 1);
 	}
 	return place;
 }
@@ -209,7 +196,7 @@
 	task->soft.planned_vm = vm;
 	task->step->planned++;
 	vm->planned++;
-	vm->planned_cpu += spec->best_effort ? 0 : spec->cpu_milli;
+	vm->planned_cpu += place_cpu(spec);
 	vm->planned_mem += spec->mem_mib;
 	vm->planned_gpu += spec->gpu;
 	g_array_append_val(pass->planned, planned);
@@ -369,15 +356,14 @@
 	*intents = (intents_t){.leader = leader, .generation = leader->generation, .count = count};
 	for (size_t i = 0; i < count; i++) {
 		const planned_t *planned = &g_array_index(pass->planned, planned_t, i);
+		const Lp__BatchStep *spec = planned->task->step->spec;
 		Lp__BatchStart *start = i > 0 ? list[message.n_starts - 1] : NULL;
 
 		batch_task_ref(planned->task, &intents->intents[i].ref);
 		intents->intents[i].ref.run = planned->run;
-		intents->intents[i].cpu = planned->task->step->spec->best_effort
-						  ? 0
-						  : planned->task->step->spec->cpu_milli;
-		intents->intents[i].mem = planned->task->step->spec->mem_mib;
-		intents->intents[i].gpu = planned->task->step->spec->gpu;
+		intents->intents[i].cpu = place_cpu(spec);
+		intents->intents[i].mem = spec->mem_mib;
+		intents->intents[i].gpu = spec->gpu;
 		vm_handle_set(&intents->intents[i].vm, planned->vm);
 		refs[i] = &intents->intents[i].ref;
 		if (start == NULL || strcmp(start->vm, planned->vm->id) != 0) {
--- a/src/batch_place.c
+++ b/src/batch_place.c
@@ -17,6 +17,11 @@
 /* A long-running task on a machine that is due for maintenance has to move once more. */
 #define COST_LEAVING 2.0
 
+int64_t place_cpu(const Lp__BatchStep *step)
+{
+	return step->best_effort ? 0 : step->cpu_milli;
+}
+
 bool place_fits(const place_vm_t *vm, const Lp__BatchStep *step)
 {
 	if (!step->best_effort && vm->cpu_milli < (int64_t)step->cpu_milli)
@@ -63,10 +68,9 @@
 	return sum;
 }
 
-static void take(place_vm_t *vm, const Lp__BatchStep *step, int sign)
+void place_take(place_vm_t *vm, const Lp__BatchStep *step, int sign)
 {
-	if (!step->best_effort)
-		vm->cpu_milli -= sign * (int64_t)step->cpu_milli;
+	vm->cpu_milli -= sign * place_cpu(step);
 	vm->mem_mib -= sign * (int64_t)step->mem_mib;
 	vm->gpu -= sign * (int64_t)step->gpu;
 	vm->same_step += (uint32_t)sign;
@@ -105,7 +109,7 @@
 
 		if (vm == NULL)
 			break;
-		take(vm, step, 1);
+		place_take(vm, step, 1);
 		chosen[placed++] = (size_t)(vm - vms);
 	}
 	return placed;
@@ -114,7 +118,7 @@
 static void undo(place_vm_t *vms, const Lp__BatchStep *step, const size_t *chosen, size_t placed)
 {
 	for (size_t i = 0; i < placed; i++)
-		take(&vms[chosen[i]], step, -1);
+		place_take(&vms[chosen[i]], step, -1);
 }
 
 /* Tasks that one rack takes; stops at want. */
@@ -129,7 +133,7 @@
 		if (strcmp(copy.rack, rack) != 0)
 			continue;
 		while (room < want && may_run(&copy, step)) {
-			take(&copy, step, 1);
+			place_take(&copy, step, 1);
 			room++;
 		}
 	}
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -39,5 +39,9 @@
  */
 size_t place_step(place_vm_t *vms, size_t count, const Lp__BatchStep *step, size_t want,
 		  size_t *chosen);
+/** What a task takes of a VM's processor; those that fill use what is left over. */
+int64_t place_cpu(const Lp__BatchStep *step);
+/** Takes the room of a task of the step. @param sign -1: gives it back */
+void place_take(place_vm_t *vm, const Lp__BatchStep *step, int sign);
 /** True when an empty VM of this size could run a task of the step. */
 bool place_fits(const place_vm_t *vm, const Lp__BatchStep *step);
