batch_machines: moves and maintenance share their orders' context

A move and a maintenance order each had a context type, its constructor, its check for a change of the leader, and a function that proposes the order; the end of a machine's maintenance was proposed in two places. machine_call_t and end_maintenance() serve both.

--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -229,6 +229,24 @@
 void leader_machine_reported(batch_leader_t *leader, const leader_vm_t *vm);
 /** Reads the platform's list, and moves machines to where the demand is. */
 void leader_machines_tick(batch_leader_t *leader, uint64_t now_us);
+/** An order about a machine while it is recorded or carried out; done functions free it. */
+typedef struct {
+	batch_leader_t *leader;
+	uint64_t generation;
+	uint64_t wave; /**< of maintenance; unused by a move */
+	char machine[VM_NAME_MAX];
+	char pool[VM_NAME_MAX]; /**< that the machine is moved to; "": maintenance */
+	uint64_t born_ms;	/**< of the machine's VM when this was created; 0: none */
+	bool again;		/**< the platform may have carried out the same order before */
+} machine_call_t;
+
+/** @param pool NULL: maintenance in the wave */
+machine_call_t *machine_call_new(batch_leader_t *leader, const char *machine, const char *pool,
+				 uint64_t wave);
+/** @return the machine, or NULL when this process has stopped leading since */
+leader_machine_t *machine_call_get(const machine_call_t *call);
+/** Proposes the state of the order. done(call, code) takes call over. */
+void machine_call_propose(machine_call_t *call, Lp__BatchOrderState state, batch_proposed_fn done);
 /** Fencing token of the next order to the platform. */
 uint64_t leader_next_fence(batch_leader_t *leader);
 /** True while the machine's maintenance was ordered and is not over. */
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -173,52 +173,49 @@
 
 /* --- moves --- */
 
-typedef struct {
-	batch_leader_t *leader;
-	uint64_t generation;
-	char machine[VM_NAME_MAX];
-	char pool[VM_NAME_MAX];
-	uint64_t born_ms; /* of the machine's VM when the order was sent; 0: none */
-} move_t;
-
-static move_t *move_new(batch_leader_t *leader, const leader_machine_t *machine, const char *pool)
+machine_call_t *machine_call_new(batch_leader_t *leader, const char *machine, const char *pool,
+				 uint64_t wave)
 {
-	move_t *move = g_new0(move_t, 1);
-	const leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
+	machine_call_t *call = g_new0(machine_call_t, 1);
+	const leader_vm_t *vm = leader_vm_of_machine(leader, machine);
 
-	move->leader = leader;
-	move->generation = leader->generation;
-	g_strlcpy(move->machine, machine->name, sizeof(move->machine));
-	g_strlcpy(move->pool, pool, sizeof(move->pool));
-	move->born_ms = vm != NULL ? vm->born_ms : 0;
-	return move;
+	call->leader = leader;
+	call->generation = leader->generation;
+	call->wave = wave;
+	call->born_ms = vm != NULL ? vm->born_ms : 0;
+	g_strlcpy(call->machine, machine, sizeof(call->machine));
+	if (pool != NULL)
+		g_strlcpy(call->pool, pool, sizeof(call->pool));
+	return call;
 }
 
-static leader_machine_t *move_machine(const move_t *move)
+leader_machine_t *machine_call_get(const machine_call_t *call)
 {
-	if (!move->leader->active || move->generation != move->leader->generation)
+	if (!call->leader->active || call->generation != call->leader->generation)
 		return NULL;
-	return leader_machine(move->leader, move->machine);
+	return leader_machine(call->leader, call->machine);
 }
 
-static void propose_move(batch_leader_t *leader, const char *machine, const char *pool,
-			 Lp__BatchOrderState state, batch_proposed_fn done, move_t *arg)
+void machine_call_propose(machine_call_t *call, Lp__BatchOrderState state, batch_proposed_fn done)
 {
 	Lp__BatchOrder order = LP__BATCH_ORDER__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 
-	order.machine = (char *)machine;
-	order.pool = (char *)pool;
+	order.machine = call->machine;
+	order.pool = call->pool;
+	order.wave = call->wave;
 	order.state = state;
+	if (call->pool[0] == '\0' && state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT)
+		order.born_ms = call->born_ms;
 	command.body_case = LP__BATCH_COMMAND__BODY_ORDER;
 	command.order = &order;
-	leader->propose(leader->arg, &command, done, arg);
+	call->leader->propose(call->leader->arg, &command, done, call);
 }
 
 static void on_move_closed(void *arg, Lp__ResultCode code)
 {
-	g_autofree move_t *move = arg;
-	leader_machine_t *machine = move_machine(move);
+	g_autofree machine_call_t *move = arg;
+	leader_machine_t *machine = machine_call_get(move);
 
 	if (machine != NULL)
 		machine->busy = false;
@@ -227,8 +224,8 @@
 static void close_move(batch_leader_t *leader, leader_machine_t *machine, const char *pool,
 		       Lp__BatchOrderState state)
 {
-	propose_move(leader, machine->name, pool, state, on_move_closed,
-		     move_new(leader, machine, pool));
+	machine_call_propose(machine_call_new(leader, machine->name, pool, 0), state,
+			     on_move_closed);
 }
 
 static void uncordon(batch_leader_t *leader, const leader_machine_t *machine)
@@ -271,9 +268,9 @@
 
 static void on_move_reply(void *arg, const vm_reply_t *reply)
 {
-	g_autofree move_t *move = arg;
+	g_autofree machine_call_t *move = arg;
 	batch_leader_t *leader = move->leader;
-	leader_machine_t *machine = move_machine(move);
+	leader_machine_t *machine = machine_call_get(move);
 
 	if (machine == NULL)
 		return;
@@ -313,13 +310,13 @@
 
 	machine->busy = true;
 	leader->port.order(leader->port.arg, &order, on_move_reply,
-			   move_new(leader, machine, pool));
+			   machine_call_new(leader, machine->name, pool, 0));
 }
 
 static void on_move_recorded(void *arg, Lp__ResultCode code)
 {
-	g_autofree move_t *move = arg;
-	leader_machine_t *machine = move_machine(move);
+	g_autofree machine_call_t *move = arg;
+	leader_machine_t *machine = machine_call_get(move);
 
 	if (machine == NULL)
 		return;
@@ -376,8 +373,8 @@
 		vm->cordoned = true;
 		vm->cordoned_us = leader_now_us(leader);
 	}
-	propose_move(leader, machine->name, pool, LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT,
-		     on_move_recorded, move_new(leader, machine, pool));
+	machine_call_propose(machine_call_new(leader, machine->name, pool, 0),
+			     LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_move_recorded);
 }
 
 /* --- need --- */
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -164,57 +164,10 @@
 
 /* --- waves --- */
 
-static void propose_order(batch_leader_t *leader, uint64_t wave, const char *machine,
-			  Lp__BatchOrderState state, batch_proposed_fn done, void *arg)
-{
-	Lp__BatchOrder order = LP__BATCH_ORDER__INIT;
-	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
-	const leader_vm_t *vm = leader_vm_of_machine(leader, machine);
-
-	order.machine = (char *)machine;
-	order.wave = wave;
-	order.state = state;
-	if (vm != NULL && state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT)
-		order.born_ms = vm->born_ms;
-	command.body_case = LP__BATCH_COMMAND__BODY_ORDER;
-	command.order = &order;
-	leader->propose(leader->arg, &command, done, arg);
-}
-
-typedef struct {
-	batch_leader_t *leader;
-	uint64_t generation;
-	uint64_t wave;
-	char machine[VM_NAME_MAX];
-	uint64_t born_ms; /* of the machine's VM when the order was sent; 0: none */
-	bool again;
-} upkeep_t;
-
-static upkeep_t *upkeep_new(batch_leader_t *leader, uint64_t wave, const char *machine)
-{
-	upkeep_t *upkeep = g_new0(upkeep_t, 1);
-	const leader_vm_t *vm = leader_vm_of_machine(leader, machine);
-
-	upkeep->born_ms = vm != NULL ? vm->born_ms : 0;
-	upkeep->leader = leader;
-	upkeep->generation = leader->generation;
-	upkeep->wave = wave;
-	g_strlcpy(upkeep->machine, machine, sizeof(upkeep->machine));
-	return upkeep;
-}
-
-/* @return the machine, or NULL when this process has stopped leading since */
-static leader_machine_t *upkeep_machine(const upkeep_t *upkeep)
-{
-	if (!upkeep->leader->active || upkeep->generation != upkeep->leader->generation)
-		return NULL;
-	return leader_machine_add(upkeep->leader, upkeep->machine);
-}
-
 static void on_order_recorded(void *arg, Lp__ResultCode code)
 {
-	g_autofree upkeep_t *upkeep = arg;
-	leader_machine_t *machine = upkeep_machine(upkeep);
+	g_autofree machine_call_t *upkeep = arg;
+	leader_machine_t *machine = machine_call_get(upkeep);
 
 	if (machine != NULL)
 		machine->busy = false;
@@ -222,10 +175,10 @@
 
 static void on_order_reply(void *arg, const vm_reply_t *reply)
 {
-	g_autofree upkeep_t *upkeep = arg;
+	g_autofree machine_call_t *upkeep = arg;
 	batch_leader_t *leader = upkeep->leader;
 	Lp__BatchOrderState state = LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE;
-	leader_machine_t *machine = upkeep_machine(upkeep);
+	leader_machine_t *machine = machine_call_get(upkeep);
 	leader_vm_t *vm;
 
 	if (machine == NULL)
@@ -267,8 +220,8 @@
 		machine->busy = false;
 		return;
 	}
-	propose_order(leader, upkeep->wave, upkeep->machine, state, on_order_recorded,
-		      upkeep_new(leader, upkeep->wave, upkeep->machine));
+	machine_call_propose(machine_call_new(leader, upkeep->machine, NULL, upkeep->wave), state,
+			     on_order_recorded);
 }
 
 /* A VM that was born before the order is the one that the order ends. Without one, only the clocks
@@ -290,7 +243,7 @@
 		.fence = leader_next_fence(leader),
 	};
 
-	upkeep_t *upkeep = upkeep_new(leader, wave, machine);
+	machine_call_t *upkeep = machine_call_new(leader, machine, NULL, wave);
 
 	upkeep->again = again;
 	leader_machine_add(leader, machine)->busy = true;
@@ -299,8 +252,8 @@
 
 static void on_intent_recorded(void *arg, Lp__ResultCode code)
 {
-	g_autofree upkeep_t *upkeep = arg;
-	leader_machine_t *machine = upkeep_machine(upkeep);
+	g_autofree machine_call_t *upkeep = arg;
+	leader_machine_t *machine = machine_call_get(upkeep);
 
 	if (machine == NULL)
 		return;
@@ -359,8 +312,16 @@
 	return true;
 }
 
-static void ignore_result(void *arg, Lp__ResultCode code)
+static void on_end_recorded(void *arg, Lp__ResultCode code)
 {
+	g_free(arg);
+}
+
+/* Without a record the wave's next tick, or the VM's next report, proposes it again. */
+static void end_maintenance(batch_leader_t *leader, const batch_wave_t *wave, const char *machine)
+{
+	machine_call_propose(machine_call_new(leader, machine, NULL, wave->wave),
+			     LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE, on_end_recorded);
 }
 
 void leader_upkeep_returned(batch_leader_t *leader, const leader_vm_t *vm)
@@ -373,9 +334,7 @@
 
 			if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN &&
 			    strcmp(machine->machine, vm->machine) == 0 && born_after(vm, machine))
-				propose_order(leader, wave->wave, machine->machine,
-					      LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE,
-					      ignore_result, NULL);
+				end_maintenance(leader, wave, machine->machine);
 		}
 	}
 }
@@ -431,8 +390,7 @@
 	if (now_us < known->begun_us + limit_us)
 		return;
 	known->begun_us = 0;
-	propose_order(leader, wave->wave, machine->machine, LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE,
-		      ignore_result, NULL);
+	end_maintenance(leader, wave, machine->machine);
 }
 
 /* Empty machines are maintained first: nothing has to move for them. */
@@ -447,7 +405,8 @@
 {
 	for (int idle = 1; idle >= 0; idle--) {
 		for (size_t i = 0; i < wave->machine_count && room > 0; i++) {
-			batch_wave_machine_t *machine = &wave->machines[i];
+			const batch_wave_machine_t *machine = &wave->machines[i];
+			leader_machine_t *known;
 
 			if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE ||
 			    is_idle_machine(leader, machine->machine) != (idle == 1))
@@ -457,11 +416,12 @@
 			    leader->orders_left == 0)
 				continue;
 			leader->orders_left--;
-			leader_machine_add(leader, machine->machine)->busy = true;
-			leader_machine_add(leader, machine->machine)->ordered_here = true;
-			propose_order(leader, wave->wave, machine->machine,
-				      LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_recorded,
-				      upkeep_new(leader, wave->wave, machine->machine));
+			known = leader_machine_add(leader, machine->machine);
+			known->busy = true;
+			known->ordered_here = true;
+			machine_call_propose(
+				machine_call_new(leader, machine->machine, NULL, wave->wave),
+				LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_recorded);
 		}
 	}
 }
