--- a/tests/test_batch_plan.c
+++ b/tests/test_batch_plan.c
@@ -13,6 +13,7 @@
 #include "batch_order.h"
 #include "batch_place.h"
 #include "batch_state.h"
+#include "lib_batch.h"
 
 #define CORES 64.0
 
@@ -383,59 +384,25 @@
 
 /* --- order --- */
 
-static void apply(batch_state_t *state, uint64_t wall_ms, Lp__BatchCommand *command)
-{
-	Lp__Result result = LP__RESULT__INIT;
-
-	batch_state_apply(state, wall_ms, command, &result);
-	assert_int_equal(result.code, LP__RESULT_CODE__RESULT_OK);
-}
-
 static void configure(batch_state_t *state)
 {
-	Lp__BatchService service = LP__BATCH_SERVICE__INIT;
-	Lp__BatchService *services[] = {&service};
 	Lp__BatchQueue queue = LP__BATCH_QUEUE__INIT;
-	Lp__BatchQueue *queues[] = {&queue};
-	Lp__BatchConfig config = LP__BATCH_CONFIG__INIT;
-	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
-
-	service.name = (char *)"s";
-	queue.host = (char *)"h";
-	queue.prefix = (char *)"/q/";
-	queue.service = (char *)"s";
+
 	queue.objective_ms = 600;
 	queue.stretch_percent = 160;
 	queue.timeout_ms = 3000;
 	queue.attempts = 2;
-	config.version = 1;
-	config.services = services;
-	config.n_services = 1;
-	config.queues = queues;
-	config.n_queues = 1;
-	command.body_case = LP__BATCH_COMMAND__BODY_CONFIG;
-	command.config = &config;
-	apply(state, 1000, &command);
+	assert_int_equal(batch_test_configure(state, 1000, 1, &queue), LP__RESULT_CODE__RESULT_OK);
 }
 
 static void submit(batch_state_t *state, uint64_t wall_ms, const char *id, uint32_t count,
 		   bool lasting)
 {
 	Lp__BatchStep step = step_of(1000);
-	Lp__BatchStep *steps[] = {&step};
-	Lp__BatchJob job = LP__BATCH_JOB__INIT;
-	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 
 	step.count = count;
 	step.long_running = lasting;
-	job.id = (char *)id;
-	job.host = (char *)"h";
-	job.prefix = (char *)"/q/";
-	job.steps = steps;
-	job.n_steps = 1;
-	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
-	command.submit = &job;
-	apply(state, wall_ms, &command);
+	assert_int_equal(batch_test_submit(state, wall_ms, id, &step), LP__RESULT_CODE__RESULT_OK);
 }
 
 static const char *id_at(const GArray *candidates, guint i)
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -11,60 +11,32 @@
 #include <glib.h>
 
 #include "batch_state.h"
+#include "lib_batch.h"
 
 static batch_state_t batch;
 static uint64_t wall_ms;
 
 static Lp__ResultCode apply(Lp__BatchCommand *command)
 {
-	Lp__Result result = LP__RESULT__INIT;
-
-	batch_state_apply(&batch, wall_ms, command, &result);
-	return result.code;
+	return batch_test_apply(&batch, wall_ms, command);
 }
 
 static Lp__ResultCode set_config(uint64_t version, bool with_queue)
 {
-	Lp__BatchService service = LP__BATCH_SERVICE__INIT;
-	Lp__BatchService *services[] = {&service};
 	Lp__BatchQueue queue = LP__BATCH_QUEUE__INIT;
-	Lp__BatchQueue *queues[] = {&queue};
-	Lp__BatchConfig config = LP__BATCH_CONFIG__INIT;
-	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 
-	service.name = (char *)"s";
-	queue.host = (char *)"h";
-	queue.prefix = (char *)"/q/";
-	queue.service = (char *)"s";
 	queue.timeout_ms = 3000;
 	queue.attempts = 2;
-	config.version = version;
-	config.services = services;
-	config.n_services = 1;
-	config.queues = queues;
-	config.n_queues = with_queue ? 1 : 0;
-	command.body_case = LP__BATCH_COMMAND__BODY_CONFIG;
-	command.config = &config;
-	return apply(&command);
+	return batch_test_configure(&batch, wall_ms, version, with_queue ? &queue : NULL);
 }
 
 static Lp__ResultCode submit(const char *id, uint32_t count, bool gang)
 {
 	Lp__BatchStep step = LP__BATCH_STEP__INIT;
-	Lp__BatchStep *steps[] = {&step};
-	Lp__BatchJob job = LP__BATCH_JOB__INIT;
-	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 
 	step.count = count;
 	step.gang = gang;
-	job.id = (char *)id;
-	job.host = (char *)"h";
-	job.prefix = (char *)"/q/";
-	job.steps = steps;
-	job.n_steps = 1;
-	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
-	command.submit = &job;
-	return apply(&command);
+	return batch_test_submit(&batch, wall_ms, id, &step);
 }
 
 static void start(const char *id, uint32_t index, uint32_t run, const char *vm, uint64_t term)
