--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -49,7 +49,7 @@
 static uint32_t choose_agent(const vm_relay_t *relay, const char *vm)
 {
 	const char *data_centre = relay->options.data_centre(relay->options.arg, vm);
-	g_autofree rendezvous_node_t *nodes = NULL;
+	rendezvous_node_t *nodes;
 	size_t count = 0;
 	uint32_t agent = 0;
 
@@ -64,6 +64,7 @@
 			nodes[count++] = (rendezvous_node_t){info->node_id, info->data_centre};
 	}
 	rendezvous_pick(nodes, count, vm, NULL, 1, &agent);
+	g_free(nodes);
 	return agent;
 }
 
