tools/load: a request whose connection broke is lost, not unsent

Only the load tool makes a second attempt of a repeatable request, and only after 'not sent'. libcurl sends a request again by itself when a reused connection ends before the answer; when the process was killed, that second connection is refused and the call ends with CURLE_COULDNT_CONNECT, although the request had run. The refusal of the following attempt was true for what it knew.

Ruled out: the product's client, which has ended a second passage since it was written (on_ready_to_send in http_client).

Change: the tool notes that an attempt had a connection, refuses the library's second sending, and counts the attempt as lost.

--- a/tests/test_cluster_tools.c
+++ b/tests/test_cluster_tools.c
@@ -110,6 +110,52 @@
 	json_decref(summary);
 }
 
+/* Distinct requests of the load tool that the emulator began to run. */
+static unsigned count_started(const json_t *journal)
+{
+	GHashTable *started = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned count;
+	size_t i;
+	json_t *line;
+
+	json_array_foreach (journal, i, line) {
+		const char *path = json_string_value(json_object_get(line, "path"));
+
+		if (g_str_has_prefix(path, "/x/") &&
+		    strcmp(json_string_value(json_object_get(line, "event")), "start") == 0)
+			g_hash_table_add(started, (void *)path);
+	}
+	count = g_hash_table_size(started);
+	g_hash_table_destroy(started);
+	return count;
+}
+
+/* Guards against a request that ran being journaled as never sent: its reused connection broke and
+ * the HTTP library could not connect again. The next attempt's refusal then looked false. */
+static void test_broken_connections_are_not_unsent(void **state)
+{
+	const char *const args[] = {"--class", "c:/x:100:repeatable", "--seconds", "2", "--seed",
+				    "7",       "--timeout-ms",	      "1000",	   NULL};
+	cluster_t *cluster = *state;
+	json_t *summary;
+	json_t *executions;
+	pid_t load;
+
+	/* The relay would accept connections for a target that does not. */
+	cluster->nodes[0].http_port = cluster->target_port;
+	cluster_behaviour(cluster, "vm=barid-vm001&mode=slow&ms=100");
+	load = cluster_load_start(cluster, "broken", args);
+	g_usleep(1000000);
+	cluster_behaviour(cluster, "vm=barid-vm001&mode=killed");
+	summary = cluster_load_wait(cluster, "broken", load, 30000);
+	executions = cluster_journal(cluster->journal);
+	assert_true(final(summary, "lost") > 0);
+	assert_true(final(summary, "not_sent") > 0);
+	assert_int_equal(final(summary, "ran") + final(summary, "lost"), count_started(executions));
+	json_decref(executions);
+	json_decref(summary);
+}
+
 /* Guards against an emulator whose refusals are not true. */
 static void test_refused_requests_do_not_run(void **state)
 {
@@ -152,6 +198,8 @@
 		cmocka_unit_test_setup_teardown(test_all_requests_are_journaled, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_closed_answers_are_lost_and_resent_once,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_broken_connections_are_not_unsent, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_refused_requests_do_not_run, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_relay_faults, set_up, tear_down),
--- a/tools/load.c
+++ b/tools/load.c
@@ -40,6 +40,7 @@
 	unsigned entry_index;
 	unsigned attempt;
 	unsigned resends;
+	bool sent; /* the present attempt had a connection */
 	uint64_t due_us;
 	uint64_t sent_us;
 	uint64_t resend_us;
@@ -67,8 +68,20 @@
 	return size * count;
 }
 
-/* Without a seek function libcurl cannot rewind the body. It would otherwise resend a POST by
- * itself when a reused connection ends before the answer, unseen by the journal. */
+/* Runs when a connection is ready for the request. libcurl sends a request again by itself when a
+ * reused connection ends before the answer; the journal would not show that sending, so it is
+ * refused. */
+static int on_ready_to_send(void *arg, char *remote_ip, char *local_ip, int remote_port,
+			    int local_port)
+{
+	request_t *request = arg;
+
+	if (request->sent)
+		return CURL_PREREQFUNC_ABORT;
+	request->sent = true;
+	return CURL_PREREQFUNC_OK;
+}
+
 static size_t read_body(char *out, size_t size, size_t count, void *arg)
 {
 	request_t *request = arg;
@@ -125,6 +138,7 @@
 	request->entry = entries[request->entry_index++ % g_strv_length(entries)];
 	request->attempt++;
 	request->sent_us = clock_now_us();
+	request->sent = false;
 	request->body_sent = 0;
 	g_byte_array_set_size(request->answer, 0);
 	g_clear_pointer(&request->outcome, g_free);
@@ -134,6 +148,8 @@
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_POST, 1L);
 	curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, (long)strlen(request->body));
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, request);
 	curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_body);
 	curl_easy_setopt(easy, CURLOPT_READDATA, request);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, request->headers);
@@ -203,7 +219,8 @@
 
 static seen_t judge(const request_t *request, CURLcode code)
 {
-	if (code == CURLE_COULDNT_CONNECT)
+	/* A failed connection is also reported after an attempt whose first connection broke. */
+	if (code == CURLE_COULDNT_CONNECT && !request->sent)
 		return SEEN_NOT_SENT;
 	if (code != CURLE_OK)
 		return SEEN_LOST;
