peer: as many peers as descriptors allow; exchanged machines are forgotten

Cause: a process knew at most 128 peers (PEER_MAX), and never forgot one.

Change: up to 1,800 peers, found by a hash; a peer without a permanent address (the seeds') is forgotten after 10 minutes of silence; a full set is logged and counted.

Test: test_many_peers_come_and_go, 300 peers that come and go; it fails with a limit of 128 (the 129th process is never up).

--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -204,10 +204,10 @@
 
 /* --- peers --- */
 
-static void add_peer(batch_node_t *node, uint32_t id)
+static void add_peer(batch_node_t *node, uint32_t id, bool permanent)
 {
 	char address[32];
-	peer_address_t peer = {.node_id = id, .address = address};
+	peer_address_t peer = {.node_id = id, .address = address, .permanent = permanent};
 
 	process_address(id, node->settings->peer_port, address, sizeof(address));
 	peer_set_address(node->peers, &peer);
@@ -216,7 +216,7 @@
 static void on_hint(batch_node_t *node, const Lp__LeaderHint *hint)
 {
 	for (size_t i = 0; i < hint->n_members; i++)
-		add_peer(node, hint->members[i]);
+		add_peer(node, hint->members[i], false);
 }
 
 static void take_forwarded(void *arg, const vm_report_t *report, uint64_t heard_us)
@@ -521,7 +521,7 @@
 	}
 	count = replica_members(node->replica, members, G_N_ELEMENTS(members));
 	for (size_t i = 0; i < count; i++)
-		add_peer(node, members[i]);
+		add_peer(node, members[i], false);
 	batch_node_set_seeds(node, settings);
 	return 0;
 }
@@ -529,7 +529,7 @@
 void batch_node_set_seeds(batch_node_t *node, const process_settings_t *settings)
 {
 	for (size_t i = 0; i < settings->seed_count; i++)
-		add_peer(node, settings->seeds[i]);
+		add_peer(node, settings->seeds[i], true);
 }
 
 batch_node_t *batch_node_create(const batch_node_options_t *options, char *error, size_t error_size)
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -128,10 +128,10 @@
 
 /* --- messages --- */
 
-static void add_peer(edge_link_t *link, uint32_t id)
+static void add_peer(edge_link_t *link, uint32_t id, bool permanent)
 {
 	char address[32];
-	peer_address_t peer = {.node_id = id, .address = address};
+	peer_address_t peer = {.node_id = id, .address = address, .permanent = permanent};
 
 	process_address(id, link->settings->peer_port, address, sizeof(address));
 	peer_set_address(link->peers, &peer);
@@ -150,7 +150,7 @@
 static void on_hint(edge_link_t *link, uint32_t from, const Lp__LeaderHint *hint)
 {
 	for (size_t i = 0; i < hint->n_members; i++)
-		add_peer(link, hint->members[i]);
+		add_peer(link, hint->members[i], false);
 	if (!hint->serving || hint->term < link->term)
 		return;
 	if (hint->term > link->term || link->leader != from) {
@@ -250,7 +250,7 @@
 void edge_link_set_seeds(edge_link_t *link, const process_settings_t *settings)
 {
 	for (size_t i = 0; i < settings->seed_count; i++)
-		add_peer(link, settings->seeds[i]);
+		add_peer(link, settings->seeds[i], true);
 }
 
 edge_link_t *edge_link_create(const edge_link_options_t *options, char *error, size_t error_size)
--- a/src/peer.c
+++ b/src/peer.c
@@ -12,6 +12,7 @@
 #include <tevent.h>
 
 #include "clock.h"
+#include "log.h"
 #include "peer_conn.h"
 
 #define TICK_MS 50
@@ -48,6 +49,8 @@
 	uint64_t accepted_incarnation;
 	uint64_t accepted_connection;
 	uint64_t retired_incarnation;
+	uint64_t added_us;
+	bool permanent;
 } peer_t;
 
 struct peer_set {
@@ -62,8 +65,9 @@
 	GRand *rand;
 	TAILQ_HEAD(accepted_list, accepted) accepted;
 	size_t pending;
-	size_t count;
-	peer_t *peers[PEER_MAX];
+	GPtrArray *peers;  /* peer_t */
+	GHashTable *by_id; /* node id -> peer_t */
+	bool full;
 };
 
 static void dialled_frame(peer_conn_t *conn, const Lp__Envelope *envelope);
@@ -83,26 +87,38 @@
 
 static peer_t *find(const peer_set_t *set, uint32_t node_id)
 {
-	for (size_t i = 0; i < set->count; i++) {
-		if (set->peers[i]->info.node_id == node_id)
-			return set->peers[i];
-	}
-	return NULL;
+	return g_hash_table_lookup(set->by_id, GUINT_TO_POINTER(node_id));
+}
+
+static void log_full(peer_set_t *set)
+{
+	char peers[16];
+
+	if (set->full)
+		return;
+	set->full = true;
+	g_snprintf(peers, sizeof(peers), "%u", set->peers->len);
+	log_event(G_LOG_LEVEL_WARNING, LOG_FIELDS("peers", peers),
+		  "no room for another peer; further processes are not connected");
 }
 
 static peer_t *add(peer_set_t *set, uint32_t node_id)
 {
 	peer_t *peer;
 
-	if (set->count == PEER_MAX)
+	if (set->peers->len >= PEER_MAX) {
+		log_full(set);
 		return NULL;
+	}
 	peer = talloc_zero(set, peer_t);
 	peer->set = set;
 	peer->info.node_id = node_id;
 	peer->info.data_centre = talloc_strdup(peer, "");
 	peer->info.http_address = talloc_strdup(peer, "");
 	peer->backoff_ms = BACKOFF_MIN_MS;
-	set->peers[set->count++] = peer;
+	peer->added_us = clock_now_us();
+	g_ptr_array_add(set->peers, peer);
+	g_hash_table_insert(set->by_id, GUINT_TO_POINTER(node_id), peer);
 	return peer;
 }
 
@@ -329,7 +345,11 @@
 	peer = find(set, hello->node_id);
 	if (peer == NULL)
 		peer = add(set, hello->node_id);
-	if (peer == NULL || hello_is_duplicate(set, peer, hello, clock_now_us())) {
+	if (peer == NULL) {
+		set->counters.refused++;
+		return NULL;
+	}
+	if (hello_is_duplicate(set, peer, hello, clock_now_us())) {
 		set->counters.duplicate_node++;
 		return NULL;
 	}
@@ -456,13 +476,39 @@
 		send_ping(peer, now_us);
 }
 
+static bool is_forgotten(const peer_t *peer, uint64_t now_us)
+{
+	uint64_t heard_us = MAX(peer->info.last_heard_us, peer->added_us);
+
+	return !peer->permanent && !peer->info.up && peer->accepted == NULL &&
+	       now_us - heard_us >= peer->set->config.forget_ms * US_PER_MS;
+}
+
+/* Machines are exchanged all the time; without this, their successors would find the set full. */
+static void forget_silent(peer_set_t *set, uint64_t now_us)
+{
+	for (guint i = set->peers->len; set->config.forget_ms > 0 && i-- > 0;) {
+		peer_t *peer = g_ptr_array_index(set->peers, i);
+
+		if (!is_forgotten(peer, now_us))
+			continue;
+		close_dialled(peer);
+		g_hash_table_remove(set->by_id, GUINT_TO_POINTER(peer->info.node_id));
+		g_ptr_array_remove_index_fast(set->peers, i);
+		talloc_free(peer);
+		set->counters.forgotten++;
+		set->full = false;
+	}
+}
+
 static void on_tick(void *arg, uint64_t now_us)
 {
 	peer_set_t *set = arg;
 
 	expire_accepted(set, now_us);
-	for (size_t i = 0; i < set->count; i++)
-		tick_peer(set->peers[i], now_us);
+	for (guint i = 0; i < set->peers->len; i++)
+		tick_peer(g_ptr_array_index(set->peers, i), now_us);
+	forget_silent(set, now_us);
 }
 
 static int listen_on(peer_set_t *set)
@@ -503,6 +549,8 @@
 		errno = error;
 		return NULL;
 	}
+	set->peers = g_ptr_array_new();
+	set->by_id = g_hash_table_new(NULL, NULL);
 	set->rand = g_rand_new_with_seed((guint32)config->incarnation);
 	for (size_t i = 0; i < config->peer_count; i++)
 		peer_set_address(set, &config->peers[i]);
@@ -517,8 +565,10 @@
 	timer_unsubscribe(set->timers, &set->tick);
 	while (!TAILQ_EMPTY(&set->accepted))
 		drop_accepted(TAILQ_FIRST(&set->accepted));
-	for (size_t i = 0; i < set->count; i++)
-		close_dialled(set->peers[i]);
+	for (guint i = 0; i < set->peers->len; i++)
+		close_dialled(g_ptr_array_index(set->peers, i));
+	g_hash_table_destroy(set->by_id);
+	g_ptr_array_free(set->peers, TRUE);
 	TALLOC_FREE(set->listen_watch);
 	close(set->listen_fd);
 	g_rand_free(set->rand);
@@ -533,7 +583,10 @@
 		return;
 	if (peer == NULL)
 		peer = add(set, address->node_id);
-	if (peer == NULL || (peer->address != NULL && strcmp(peer->address, address->address) == 0))
+	if (peer == NULL)
+		return;
+	peer->permanent |= address->permanent;
+	if (peer->address != NULL && strcmp(peer->address, address->address) == 0)
 		return;
 	talloc_free(peer->address);
 	peer->address = talloc_strdup(peer, address->address);
@@ -559,12 +612,14 @@
 
 size_t peer_count(const peer_set_t *set)
 {
-	return set->count;
+	return set->peers->len;
 }
 
 const peer_info_t *peer_at(const peer_set_t *set, size_t i)
 {
-	return &set->peers[i]->info;
+	const peer_t *peer = g_ptr_array_index(set->peers, (guint)i);
+
+	return &peer->info;
 }
 
 const peer_counters_t *peer_counters(const peer_set_t *set)
--- a/src/peer.h
+++ b/src/peer.h
@@ -16,11 +16,13 @@
 
 struct tevent_context;
 
-#define PEER_MAX 128
+/** Peers of one process. Each takes two descriptors, of 4,096 on the smallest VMs. */
+#define PEER_MAX 1800
 
 typedef struct {
 	uint32_t node_id;
 	const char *address; /**< IP:port */
+	bool permanent;	     /**< never forgotten */
 } peer_address_t;
 
 /** What is known of a peer from its latest Hello and pings. */
@@ -52,6 +54,9 @@
 	 * back at this port. 0: only the configured peers are dialled. */
 	uint16_t dial_back_port;
 	uint32_t timeout_ms; /**< 2,000: silent for so long, the connection is replaced */
+	/** A peer without a permanent address is forgotten when it was silent for so long.
+	 * 0: never */
+	uint32_t forget_ms;
 } peer_config_t;
 
 typedef void (*peer_message_fn)(void *arg, uint32_t from, const Lp__Envelope *envelope);
@@ -87,6 +92,7 @@
 
 /** @return the peer's facts, or NULL for an unknown node. */
 const peer_info_t *peer_info(const peer_set_t *set, uint32_t node_id);
+/** Peers that are known now; positions change when a peer is forgotten. */
 size_t peer_count(const peer_set_t *set);
 const peer_info_t *peer_at(const peer_set_t *set, size_t i);
 
@@ -98,6 +104,8 @@
 	uint64_t frames_bad;
 	uint64_t wrong_cluster;
 	uint64_t reconnects;	 /**< connections replaced because they were silent */
+	uint64_t forgotten;	 /**< silent peers that were dropped from the set */
+	uint64_t refused;	 /**< connections of further processes while the set was full */
 	uint64_t duplicate_node; /**< Hello with this process's node id or that of a live peer */
 } peer_counters_t;
 const peer_counters_t *peer_counters(const peer_set_t *set);
--- a/src/process.c
+++ b/src/process.c
@@ -11,6 +11,9 @@
  * replaced before a member is. */
 #define PING_MS 500
 #define PEER_TIMEOUT_MS 1500
+/* Longer than any restart or cut that a machine returns from at its old address; a machine that was
+ * exchanged costs one dial a second until then. */
+#define PEER_FORGET_MS (10 * 60 * 1000)
 
 peer_config_t process_peer_config(const process_settings_t *settings, uint64_t incarnation,
 				  const char *listen_address)
@@ -24,6 +27,7 @@
 		.listen_address = listen_address,
 		.ping_ms = PING_MS,
 		.timeout_ms = PEER_TIMEOUT_MS,
+		.forget_ms = PEER_FORGET_MS,
 		.dial_back_port = settings->peer_port,
 	};
 }
--- a/src/publish.c
+++ b/src/publish.c
@@ -69,32 +69,36 @@
 
 static void publish_claim_members(node_t *node)
 {
-	claims_member_t members[PEER_MAX];
+	GArray *members;
 	const fleet_member_t *member;
-	size_t count = 0;
 
 	if (node->claims == NULL)
 		return;
+	members = g_array_new(FALSE, FALSE, sizeof(claims_member_t));
 	TAILQ_FOREACH (member, &node->fleet.members, link) {
-		if (count == PEER_MAX)
-			break;
-		members[count++] = (claims_member_t){
+		claims_member_t entry = {
 			.node_id = member->node_id,
 			.data_centre = member->data_centre,
 		};
+
+		g_array_append_val(members, entry);
 	}
-	claims_set_members(node->claims, node->fleet.member_epoch, members, count, clock_now_us());
+	claims_set_members(node->claims, node->fleet.member_epoch,
+			   (const claims_member_t *)(void *)members->data, members->len,
+			   clock_now_us());
+	g_array_unref(members);
 }
 
 static void publish_peers(node_t *node)
 {
-	route_peer_t peers[PEER_MAX];
+	route_peer_t *peers;
 	size_t count = 0;
 
 	/* The replica may apply its log before the peers are connected. */
 	if (node->peers == NULL)
 		return;
-	for (size_t i = 0; i < peer_count(node->peers) && count < PEER_MAX; i++) {
+	peers = g_new(route_peer_t, peer_count(node->peers));
+	for (size_t i = 0; i < peer_count(node->peers); i++) {
 		const peer_info_t *info = peer_at(node->peers, i);
 
 		if (info->http_address == NULL || info->data_centre == NULL ||
@@ -108,6 +112,7 @@
 		};
 	}
 	route_table_set_peers(node->routes, peers, count);
+	g_free(peers);
 }
 
 void publish_members(node_t *node)
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -19,6 +19,7 @@
 
 #define PING_MS 50
 #define TIMEOUT_MS 300
+#define FORGET_MS 1000
 #define ENTRY_BYTES 1000
 
 typedef struct {
@@ -317,6 +318,66 @@
 	peer_set_destroy(one.set);
 }
 
+static void start_open(node_t *node, uint32_t id, const char *listen, const peer_address_t *peer)
+{
+	peer_callbacks_t callbacks = {.message = on_message, .change = on_change, .arg = node};
+	peer_config_t config = {
+		.cluster = "c",
+		.node_id = id,
+		.replica_id = 1,
+		.incarnation = id,
+		.data_centre = "muscat-1",
+		.http_address = "127.0.0.1:80",
+		.listen_address = listen,
+		.peers = peer,
+		.peer_count = peer != NULL ? 1 : 0,
+		.ping_ms = PING_MS,
+		.timeout_ms = TIMEOUT_MS,
+		.forget_ms = FORGET_MS,
+	};
+
+	*node = (node_t){0};
+	node->set = peer_set_create(ev, ev, &timers, &config, &callbacks);
+	assert_non_null(node->set);
+}
+
+/* Guards against processes beyond a fixed number that are never heard (300 machines, of which a
+ * process knew 128), and against exchanged machines that fill the set for ever. */
+static void test_many_peers_come_and_go(void **state)
+{
+	enum {
+		MANY = 300
+	};
+	char *a = free_address();
+	peer_address_t to_a = {.node_id = 1, .address = a, .permanent = true};
+	peer_address_t gone = {.node_id = 2, .address = free_address(), .permanent = true};
+	node_t one;
+	node_t many[MANY];
+
+	start_open(&one, 1, a, &gone);
+	for (unsigned i = 0; i < MANY; i++) {
+		start_open(&many[i], 1000 + i, free_address(), &to_a);
+		run_ms(1);
+	}
+	for (unsigned i = 0; i < MANY; i++)
+		await_up(&many[i], 1, true);
+	assert_int_equal(peer_count(one.set), MANY + 1);
+	for (unsigned i = 0; i < MANY; i++)
+		assert_non_null(peer_info(one.set, 1000 + i));
+	for (unsigned i = 1; i < MANY; i++)
+		peer_set_destroy(many[i].set);
+	for (unsigned i = 0; i < 1000 && peer_count(one.set) > 2; i++)
+		run_ms(10);
+	assert_int_equal(peer_count(one.set), 2);
+	assert_int_equal(peer_counters(one.set)->forgotten, MANY - 1);
+	assert_int_equal(peer_counters(one.set)->refused, 0);
+	/* One that is connected and one with a permanent address stay. */
+	assert_non_null(peer_info(one.set, 1000));
+	assert_non_null(peer_info(one.set, 2));
+	peer_set_destroy(many[0].set);
+	peer_set_destroy(one.set);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -328,6 +389,7 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_garbage_closes_the_connection, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_many_peers_come_and_go, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
