batch_place: the tasks of a job share a VM, or else a rack or a data centre

Change: a step takes the fullest VM with room for all its tasks, then the VM with the most room; further VMs are of the same rack or data centre. A task that has failed goes to another VM, as all tasks of a small job now share the VM that failed it. Tasks that last are spread as before.

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -84,7 +84,7 @@
 	task->vm->task_count--;
 	task->step->job->held--;
 	task->vm = NULL;
-	task->soft = (run_soft_t){0};
+	task->soft = (run_soft_t){.failed_vm = task->soft.failed_vm};
 }
 
 /* --- jobs --- */
@@ -292,6 +292,7 @@
 		.paced = 100,
 		.planned = task->soft.planned,
 		.planned_vm = task->soft.planned_vm,
+		.failed_vm = task->soft.failed_vm,
 	};
 	batch_task_hold(task, vm);
 	if (task->step->job->state == BATCH_JOB_QUEUED)
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -62,6 +62,7 @@
 	const batch_task_t *task;
 	place_vm_t place = {
 		.rack = vm->rack,
+		.data_centre = vm->data_centre,
 		.labels = (const char *const *)vm->labels,
 		.label_count = vm->label_count,
 		.cpu_milli = (int64_t)vm->cpu_milli - vm->planned_cpu,
@@ -136,28 +137,72 @@
 	return task->status == BATCH_TASK_WAITING && task->vm == NULL && !task->soft.planned;
 }
 
-/* Counts the step's tasks on each VM, and takes the tickets of its queue. */
-static void prepare_pool(pass_t *pass, pool_t *pool, const batch_step_t *step,
+/* VMs on which waiting tasks of the step have failed; NULL: none. */
+static GHashTable *failed_vms(const batch_step_t *step)
+{
+	GHashTable *failed = NULL;
+
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		const batch_task_t *task = &step->tasks[i];
+
+		if (task->soft.failed_vm == 0 || !task_eligible(task))
+			continue;
+		if (failed == NULL)
+			failed = g_hash_table_new(NULL, NULL);
+		g_hash_table_add(failed, GUINT_TO_POINTER(task->soft.failed_vm));
+	}
+	return failed;
+}
+
+/* The view of the VM that runs the task, or is about to; NULL: it is not in this placement. */
+static place_vm_t *place_of_task(const pass_t *pass, place_vm_t *places, const batch_task_t *task)
+{
+	const leader_vm_t *vm = task->soft.planned ? task->soft.planned_vm
+				: task->vm != NULL ? task->vm->leader
+						   : NULL;
+
+	return vm != NULL && vm->place_pass == pass->number ? &places[vm->place_index] : NULL;
+}
+
+static void count_job(const pass_t *pass, place_vm_t *places, const batch_step_t *placed)
+{
+	const batch_job_t *job = placed->job;
+
+	for (uint32_t i = 0; i < job->step_count; i++) {
+		const batch_step_t *step = &job->steps[i];
+
+		if (step->assigned + step->planned == 0)
+			continue;
+		for (uint32_t j = 0; j < step->spec->count; j++) {
+			place_vm_t *place = place_of_task(pass, places, &step->tasks[j]);
+
+			if (place == NULL)
+				continue;
+			place->same_job++;
+			place->same_step += step == placed;
+		}
+	}
+}
+
+/* Counts the tasks of the step and its job on each VM, and takes the tickets of its queue. */
+static void prepare_pool(const pass_t *pass, pool_t *pool, const batch_step_t *step,
 			 const Lp__BatchQueue *queue)
 {
 	place_vm_t *places = (place_vm_t *)pool->places->data;
 	bool advised = queue != NULL && queue->advice != NULL;
+	g_autoptr(GHashTable) failed = failed_vms(step);
 
 	for (guint i = 0; i < pool->vms->len; i++) {
 		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
 
 		places[i].same_step = 0;
+		places[i].same_job = 0;
 		places[i].allowed = !advised || ticket_find(step, vm->id, pass->now_us) != NULL;
+		places[i].failed_here =
+			failed != NULL &&
+			g_hash_table_contains(failed, GUINT_TO_POINTER(leader_vm_hash(vm->id)));
 	}
-	for (uint32_t j = 0; j < step->spec->count; j++) {
-		const batch_task_t *task = &step->tasks[j];
-		const leader_vm_t *vm = task->soft.planned ? task->soft.planned_vm
-					: task->vm != NULL ? task->vm->leader
-							   : NULL;
-
-		if (vm != NULL && vm->place_pass == pass->number)
-			places[vm->place_index].same_step++;
-	}
+	count_job(pass, places, step);
 }
 
 static bool tickets_ready(pass_t *pass, pool_t *pool, batch_step_t *step,
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -214,8 +214,11 @@
 		return;
 	batch_task_ref(task, ref);
 	ref->run = ended->run;
-	if (task->run == ended->run && task->vm == leader_vm_life(vm))
+	if (task->run == ended->run && task->vm == leader_vm_life(vm)) {
+		if (ended->kind == LP__BATCH_END_KIND__BATCH_END_FAILED)
+			task->soft.failed_vm = leader_vm_hash(vm->id);
 		leader_learn(vm, task, ended->kind, now_us);
+	}
 	if (ended->kind == LP__BATCH_END_KIND__BATCH_END_FAILED ||
 	    ended->kind == LP__BATCH_END_KIND__BATCH_END_ALONE ||
 	    ended->kind == LP__BATCH_END_KIND__BATCH_END_LAPSED) {
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -83,6 +83,11 @@
 	return vm->clock_us == 0 ? 0 : vm->clock_ms + (now_us - vm->clock_us) / US_PER_MS;
 }
 
+uint32_t leader_vm_hash(const char *vm_id)
+{
+	return g_str_hash(vm_id) | 1U;
+}
+
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine)
 {
 	return g_hash_table_lookup(leader->by_machine, machine);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -160,6 +160,8 @@
 bool leader_vm_is_empty(leader_vm_t *vm);
 /** Present time on the VM's clock, estimated; 0: unknown. */
 uint64_t leader_vm_clock_ms(const leader_vm_t *vm, uint64_t now_us);
+/** Never 0, so that 0 can stand for no VM. */
+uint32_t leader_vm_hash(const char *vm_id);
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine);
 bool leader_vm_answers(const leader_vm_t *vm, uint64_t now_us);
 
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -10,12 +10,16 @@
  * @file
  * Placement of one step's tasks on the VMs of a pool. Answers the surges that ask for more than a
  * pool holds: tasks go to the rack of their data, gangs are placed whole or not at all, tasks that
- * serve are kept apart from those that fill, and VMs with bad results come last. Pure.
+ * serve are kept apart from those that fill, and VMs with bad results come last. Answers the loss
+ * and the slowness of VMs, racks and data centres: a job is late as soon as one of its tasks is, so
+ * its tasks share as few of them as possible, and a failure delays few jobs instead of most. Tasks
+ * that last are spread instead: each of them counts by itself. Pure.
  */
 
 /** A VM as the placement sees it; amounts are what is not reserved. */
 typedef struct {
 	const char *rack; /**< label */
+	const char *data_centre;
 	const char *const *labels;
 	size_t label_count;
 	int64_t cpu_milli;
@@ -26,8 +30,10 @@
 	uint32_t filling; /**< best-effort tasks */
 	uint32_t long_running;
 	uint32_t same_step; /**< tasks of the step that is placed */
+	uint32_t same_job;  /**< tasks of the job that is placed, those of the step among them */
 	double slowness;    /**< 1 is the speed that was declared; higher is slower */
 	bool leaving;	    /**< its machine is due for maintenance */
+	bool failed_here;   /**< a task of the step has failed on it */
 	bool usable;
 	bool allowed; /**< by the queue's policy; always true without one */
 } place_vm_t;
--- a/tests/test_batch_plan.c
+++ b/tests/test_batch_plan.c
@@ -116,6 +116,126 @@
 	assert_int_equal(chosen[2], 0);
 }
 
+/* Guards against a job whose tasks are scattered over the gaps of many VMs although one VM has room
+ * for all: a failure of any of them would make the job late. */
+static void test_job_shares_a_vm(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 10000), vm_of("r1", 50000), vm_of("r2", 64000),
+			    vm_of("r2", 20000)};
+	Lp__BatchStep step = step_of(6000);
+	size_t chosen[8];
+
+	assert_int_equal(place_step(vms, 4, &step, 8, chosen), 8);
+	for (size_t i = 0; i < 8; i++)
+		assert_int_equal(chosen[i], 1);
+	assert_int_equal(vms[1].same_job, 8);
+}
+
+/* Guards against a job that is too large for one VM and takes more VMs, racks or data centres than
+ * it needs, and against gaps that are left unused when nothing else has room. */
+static void test_large_job_shares_a_data_centre(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 12000), vm_of("r2", 24000), vm_of("r2", 24000),
+			    vm_of("r3", 24000)};
+	Lp__BatchStep step = step_of(6000);
+	size_t chosen[16];
+
+	vms[0].data_centre = "dc-a";
+	vms[1].data_centre = "dc-b";
+	vms[2].data_centre = "dc-b";
+	vms[3].data_centre = "dc-a";
+	assert_int_equal(place_step(vms, 4, &step, 8, chosen), 8);
+	assert_int_equal(vms[1].same_job, 4);
+	assert_int_equal(vms[2].same_job, 4);
+	assert_int_equal(place_step(vms, 4, &step, 8, chosen), 6);
+	for (size_t i = 0; i < 4; i++)
+		assert_int_equal(vms[i].cpu_milli, 0);
+}
+
+/* Guards against a second failure of a task on a VM that fails what it starts, which ends a job of
+ * two attempts. */
+static void test_failed_task_runs_elsewhere(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 64000), vm_of("r2", 6000)};
+	Lp__BatchStep step = step_of(6000);
+	size_t chosen[1];
+
+	vms[0].same_job = 5;
+	vms[0].failed_here = true;
+	assert_int_equal(place_step(vms, 2, &step, 1, chosen), 1);
+	assert_int_equal(chosen[0], 1);
+}
+
+/* Guards against tasks that last being put on one VM: each of them counts by itself. */
+static void test_lasting_tasks_are_not_drawn_together(void **state)
+{
+	place_vm_t vms[] = {vm_of("r1", 64000), vm_of("r1", 12000), vm_of("r1", 12000)};
+	Lp__BatchStep step = step_of(6000);
+	size_t chosen[4];
+
+	step.long_running = true;
+	for (size_t i = 0; i < 3; i++)
+		vms[i].long_running = 1;
+	assert_int_equal(place_step(vms, 3, &step, 4, chosen), 4);
+	assert_int_equal(vms[1].cpu_milli + vms[2].cpu_milli, 0);
+}
+
+/*
+ * Plays the load of a surge and the loss of a quarter of the VMs: 40 VMs of 64 cores, jobs of 2 to
+ * 14 tasks of 4 to 8 cores that come and go until 80% of the pool is in use. Counts the running
+ * jobs that have a task on a lost VM.
+ */
+static double share_of_jobs_hit(unsigned lost)
+{
+	enum {
+		VMS = 40,
+		JOBS = 400,
+		TASKS_MAX = 14
+	};
+	static size_t chosen[JOBS][TASKS_MAX];
+	size_t placed[JOBS] = {0};
+	Lp__BatchStep steps[JOBS];
+	place_vm_t vms[VMS];
+	GRand *rand = g_rand_new_with_seed(7);
+	unsigned running = 0;
+	unsigned hit = 0;
+
+	for (size_t i = 0; i < VMS; i++)
+		vms[i] = vm_of("r1", 64000);
+	for (size_t i = 0; i < JOBS; i++) {
+		size_t want = (size_t)g_rand_int_range(rand, 2, TASKS_MAX + 1);
+		size_t old = i >= 45 ? i - 45 : JOBS;
+
+		/* The job before the last 44 has ended. */
+		for (size_t j = 0; old < JOBS && j < placed[old]; j++)
+			place_take(&vms[chosen[old][j]], &steps[old], -1);
+		for (size_t v = 0; v < VMS; v++)
+			vms[v].same_job = vms[v].same_step = 0;
+		steps[i] = step_of((uint32_t)g_rand_int_range(rand, 4000, 8001));
+		placed[i] = place_step(vms, VMS, &steps[i], want, chosen[i]);
+	}
+	for (size_t i = JOBS - 45; i < JOBS; i++) {
+		bool on_lost = false;
+
+		for (size_t j = 0; j < placed[i]; j++)
+			on_lost |= chosen[i][j] % VMS < lost;
+		running += placed[i] > 0;
+		hit += on_lost;
+	}
+	g_rand_free(rand);
+	return (double)hit / running;
+}
+
+/* Guards against a failure that delays most jobs: with a quarter of the VMs lost, scattered tasks
+ * hit about nine jobs of ten, tasks that share VMs about a quarter. */
+static void test_loss_of_vms_hits_few_jobs(void **state)
+{
+	double hit = share_of_jobs_hit(10);
+
+	print_message("a quarter of the VMs is lost: %.2f of the jobs are hit\n", hit);
+	assert_true(hit < 0.5);
+}
+
 /* --- capacity --- */
 
 enum {
@@ -441,6 +561,11 @@
 		cmocka_unit_test(test_limits_of_a_step_hold),
 		cmocka_unit_test(test_filling_tasks_avoid_serving_ones),
 		cmocka_unit_test(test_slow_vms_come_last),
+		cmocka_unit_test(test_job_shares_a_vm),
+		cmocka_unit_test(test_large_job_shares_a_data_centre),
+		cmocka_unit_test(test_failed_task_runs_elsewhere),
+		cmocka_unit_test(test_lasting_tasks_are_not_drawn_together),
+		cmocka_unit_test(test_loss_of_vms_hits_few_jobs),
 		cmocka_unit_test(test_surge_gets_idle_machines),
 		cmocka_unit_test(test_busy_and_needed_machines_stay),
 		cmocka_unit_test(test_quiet_pool_is_switched_off_down_to_its_least),
