--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -42,30 +42,30 @@
 	uint64_t life_revision;
 
 	bool hold_busy;
-	uint32_t hold_number;  /**< of the latest hold; answers to earlier ones are not read */
-	uint64_t hold_late_us; /**< a hold without an answer by then is probed */
-	unsigned hold_probes;  /**< sent for the latest hold */
-	bool ends_busy;	       /**< ends are being recorded */
-	bool confirmed;	       /**< it has acknowledged this leader's fencing token */
-	bool suspect;	       /**< the latest hold had no answer */
+	bool ends_busy;	      /**< ends are being recorded */
+	bool confirmed;	      /**< it has acknowledged this leader's fencing token */
+	bool suspect;	      /**< the latest hold had no answer */
+	uint32_t hold_number; /**< of the latest hold; answers to earlier ones are not read */
+	unsigned hold_probes; /**< sent for the latest hold */
 	uint64_t hold_due_us;
+	uint64_t hold_late_us;	  /**< a hold without an answer by then is probed */
 	uint64_t suspect_us;	  /**< since when */
 	uint64_t answered_us;	  /**< latest answer to a hold; 0: none */
 	uint64_t lease_end_us;	  /**< of the grants that were answered */
-	uint64_t late_grant_us;	  /**< grants without an answer are carried out by then, or never */
-	unsigned late_grants;	  /**< number of these */
-	uint64_t unsure_grant_us; /**< when the latest of them was given up */
+	uint64_t late_grant_us;	  /**< a grant without an answer is carried out by then, or never */
+	uint64_t unsure_grant_us; /**< when the latest grant without an answer was given up */
 	uint64_t noted_told;	  /**< highest number of a recorded end that it was told */
 	uint64_t noted_unlogged;  /**< ends of a life that the log does not know */
 	unsigned orphans;	  /**< it runs so many tasks that the log does not know */
 	unsigned starts_busy;
+	unsigned late_grants; /**< grants without an answer */
 
 	uint64_t place_pass; /**< the placement that place_index belongs to */
 	guint place_index;
-	int64_t planned_cpu; /**< reserved for intents that are being recorded */
+	unsigned planned;    /**< intents that are being recorded */
+	int64_t planned_cpu; /**< reserved for them */
 	int64_t planned_mem;
 	int64_t planned_gpu;
-	unsigned planned;
 
 	uint64_t refused_until_us; /**< it had no room, or was unhealthy */
 	uint64_t ordered_us;	   /**< maintenance was ordered again; 0: it was not */
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -26,12 +26,12 @@
 	int64_t mem_mib;
 	int64_t gpu;
 	int64_t cpu_total;
+	double slowness;  /**< 1 is the speed that was declared; higher is slower */
 	uint32_t serving; /**< tasks with a tail goal */
 	uint32_t filling; /**< best-effort tasks */
 	uint32_t long_running;
 	uint32_t same_step; /**< tasks of the step that is placed */
 	uint32_t same_job;  /**< tasks of the job that is placed, those of the step among them */
-	double slowness;    /**< 1 is the speed that was declared; higher is slower */
 	bool leaving;	    /**< its machine is due for maintenance */
 	bool failed_here;   /**< a task of the step has failed on it */
 	bool usable;
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -75,9 +75,9 @@
 	uint32_t percent;    /**< progress; a long-running task is at work at 100 */
 	uint32_t paced;	     /**< percent that was ordered; 100 at a start */
 	uint32_t load; /**< tail in ms of a task with a goal, otherwise thousandths of a core */
-	uint64_t over_goal_us;	      /**< since when the tail is over its goal; 0: it is not */
-	struct leader_vm *planned_vm; /**< while planned */
-	uint32_t failed_vm;	      /**< hash of the VM where a run failed last; 0: none */
+	uint64_t over_goal_us;		  /**< since when the tail is over its goal; 0: it is not */
+	struct leader_vm *planned_vm;	  /**< while planned */
+	uint32_t failed_vm;		  /**< hash of the VM where a run failed last; 0: none */
 	char saved[BATCH_CHECKPOINT_MAX]; /**< latest checkpoint that the VM has told; "": none */
 } run_soft_t;
 
