batch_lease: the end of a VM's lease is a decision of its own

Moved out of batch_hold: until when something may run on a VM, from the grants that were answered and those that were not.

--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -45,50 +45,35 @@
 	uint64_t noted;
 } hold_t;
 
-uint64_t lease_true_us(const batch_leader_t *leader)
+batch_lease_limits_t leader_lease_limits(const batch_leader_t *leader)
 {
-	return leader->config.lease_ms * (100ULL + leader->config.clock_skew_percent) * US_PER_MS /
-	       100;
+	const batch_leader_config_t *config = &leader->config;
+
+	return (batch_lease_limits_t){
+		.length_us =
+			config->lease_ms * (100ULL + config->clock_skew_percent) * US_PER_MS / 100,
+		.late_us = config->late_order_ms * US_PER_MS,
+	};
 }
 
 void leader_grant_settled(leader_vm_t *vm, const vm_reply_t *reply, uint64_t sent_us)
 {
-	const batch_leader_t *leader = vm->leader;
-	uint64_t now_us = leader_now_us(leader);
+	batch_lease_limits_t limits = leader_lease_limits(vm->leader);
+	uint64_t now_us = leader_now_us(vm->leader);
 
 	if (reply->code == VM_REPLY_NOT_SENT)
 		return;
-	if (reply->code != VM_REPLY_NONE) {
-		vm->lease_end_us = MAX(vm->lease_end_us, now_us + lease_true_us(leader));
-		return;
-	}
-	if (now_us > vm->late_grant_us)
-		vm->late_grants = 0;
-	vm->late_grants++;
-	vm->unsure_grant_us = now_us;
-	vm->late_grant_us =
-		MAX(vm->late_grant_us, sent_us + leader->config.late_order_ms * US_PER_MS);
+	if (reply->code == VM_REPLY_NONE)
+		batch_lease_given_up(&vm->lease, &limits, sent_us, now_us);
+	else
+		batch_lease_answered(&vm->lease, &limits, now_us);
 }
 
-/*
- * Nothing runs on the VM after this without another grant. A grant without an answer was carried
- * out before it was given up, or is carried out late; then it extends the lease only while
- * something still runs there, and one that is carried out before the end that the others give
- * extends it once more.
- */
-static uint64_t lease_end_us(const leader_vm_t *vm)
+static bool lease_is_over(const leader_vm_t *vm, uint64_t now_us)
 {
-	uint64_t end_us = vm->lease_end_us;
+	batch_lease_limits_t limits = leader_lease_limits(vm->leader);
 
-	for (unsigned i = 0; i < vm->late_grants; i++) {
-		uint64_t latest_us = MAX(vm->unsure_grant_us, MIN(vm->late_grant_us, end_us));
-		uint64_t next_us = latest_us + lease_true_us(vm->leader);
-
-		if (next_us <= end_us)
-			break;
-		end_us = next_us;
-	}
-	return end_us;
+	return now_us > batch_lease_end_us(&vm->lease, &limits);
 }
 
 /* --- losses --- */
@@ -634,7 +619,7 @@
 		probe_late_hold(vm, now_us);
 	if (vm->hold_busy || vm->ends_busy)
 		return;
-	if (vm->suspect && vm->starts_busy == 0 && now_us > lease_end_us(vm) && life != NULL &&
+	if (vm->suspect && vm->starts_busy == 0 && lease_is_over(vm, now_us) && life != NULL &&
 	    life->task_count > 0) {
 		/* Everything that ran there was ended by the VM itself when its lease expired. */
 		leader_lose_all(vm, "the lease of the silent VM has expired");
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -253,6 +253,7 @@
 
 leader_vm_t *leader_vm_from_life(batch_leader_t *leader, batch_vm_t *life)
 {
+	batch_lease_limits_t limits = leader_lease_limits(leader);
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, life->id);
 	leader_vm_t *added;
 
@@ -267,8 +268,7 @@
 	replace_text(&added->machine, life->machine);
 	index_vm(added);
 	/* An earlier leader may have sent grants that are still on their way. */
-	added->lease_end_us = leader->active_us + leader->config.late_order_ms * US_PER_MS +
-			      lease_true_us(leader);
+	added->lease.answered_end_us = leader->active_us + limits.late_us + limits.length_us;
 	return added;
 }
 
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "batch_leader.h"
+#include "batch_lease.h"
 #include "clock.h"
 
 /**
@@ -48,17 +49,14 @@
 	uint32_t hold_number; /**< of the latest hold; answers to earlier ones are not read */
 	unsigned hold_probes; /**< sent for the latest hold */
 	uint64_t hold_due_us;
-	uint64_t hold_late_us;	  /**< a hold without an answer by then is probed */
-	uint64_t suspect_us;	  /**< since when */
-	uint64_t answered_us;	  /**< latest answer to a hold; 0: none */
-	uint64_t lease_end_us;	  /**< of the grants that were answered */
-	uint64_t late_grant_us;	  /**< a grant without an answer is carried out by then, or never */
-	uint64_t unsure_grant_us; /**< when the latest grant without an answer was given up */
-	uint64_t noted_told;	  /**< highest number of a recorded end that it was told */
-	uint64_t noted_unlogged;  /**< ends of a life that the log does not know */
-	unsigned orphans;	  /**< it runs so many tasks that the log does not know */
+	uint64_t hold_late_us; /**< a hold without an answer by then is probed */
+	uint64_t suspect_us;   /**< since when */
+	uint64_t answered_us;  /**< latest answer to a hold; 0: none */
+	batch_lease_t lease;
+	uint64_t noted_told;	 /**< highest number of a recorded end that it was told */
+	uint64_t noted_unlogged; /**< ends of a life that the log does not know */
+	unsigned orphans;	 /**< it runs so many tasks that the log does not know */
 	unsigned starts_busy;
-	unsigned late_grants; /**< grants without an answer */
 
 	uint64_t place_pass; /**< the placement that place_index belongs to */
 	guint place_index;
@@ -183,8 +181,7 @@
 batch_task_t *leader_task(const batch_leader_t *leader, const task_name_t *name);
 
 /* batch_hold.c */
-/** Longest time that a lease granted now runs, in true time. */
-uint64_t lease_true_us(const batch_leader_t *leader);
+batch_lease_limits_t leader_lease_limits(const batch_leader_t *leader);
 /** Sends what the VM needs to hear: a hold, or the loss of its tasks when its lease has ended. */
 void leader_hold_tick(leader_vm_t *vm, uint64_t now_us);
 /** Accounts for a grant that was sent at sent_us. */
