tests: one start of a peer set in test_peer

start_open() repeated start() with another peer and a time after which silent peers are forgotten; both go through start_with() now. The assertions are as they were. test_peer passes in the release and the asan variant; formatter, cppcheck and clang-tidy are clean on it.

--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -66,10 +66,10 @@
 	return talloc_asprintf(ev, "127.0.0.1:%u", ntohs(in.sin_port));
 }
 
-static void start(node_t *node, uint32_t id, uint64_t incarnation, const char *cluster,
-		  const char *listen, const char *other)
+/* @param peer NULL: the process knows none; @param forget_ms as in peer_config_t */
+static void start_with(node_t *node, uint32_t id, uint64_t incarnation, const char *cluster,
+		       const char *listen, const peer_address_t *peer, uint32_t forget_ms)
 {
-	peer_address_t peer = {.node_id = 3 - id, .address = other};
 	peer_callbacks_t callbacks = {.message = on_message, .change = on_change, .arg = node};
 	peer_config_t config = {
 		.cluster = cluster,
@@ -79,10 +79,11 @@
 		.data_centre = "muscat-1",
 		.http_address = "127.0.0.1:80",
 		.listen_address = listen,
-		.peers = &peer,
-		.peer_count = 1,
+		.peers = peer,
+		.peer_count = peer != NULL ? 1 : 0,
 		.ping_ms = PING_MS,
 		.timeout_ms = TIMEOUT_MS,
+		.forget_ms = forget_ms,
 	};
 
 	*node = (node_t){0};
@@ -90,6 +91,14 @@
 	assert_non_null(node->set);
 }
 
+static void start(node_t *node, uint32_t id, uint64_t incarnation, const char *cluster,
+		  const char *listen, const char *other)
+{
+	peer_address_t peer = {.node_id = 3 - id, .address = other};
+
+	start_with(node, id, incarnation, cluster, listen, &peer, 0);
+}
+
 static int send_number(node_t *node, uint32_t to, uint64_t number)
 {
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
@@ -318,29 +327,6 @@
 	peer_set_destroy(one.set);
 }
 
-static void start_open(node_t *node, uint32_t id, const char *listen, const peer_address_t *peer)
-{
-	peer_callbacks_t callbacks = {.message = on_message, .change = on_change, .arg = node};
-	peer_config_t config = {
-		.cluster = "c",
-		.node_id = id,
-		.replica_id = 1,
-		.incarnation = id,
-		.data_centre = "muscat-1",
-		.http_address = "127.0.0.1:80",
-		.listen_address = listen,
-		.peers = peer,
-		.peer_count = peer != NULL ? 1 : 0,
-		.ping_ms = PING_MS,
-		.timeout_ms = TIMEOUT_MS,
-		.forget_ms = FORGET_MS,
-	};
-
-	*node = (node_t){0};
-	node->set = peer_set_create(ev, ev, &timers, &config, &callbacks);
-	assert_non_null(node->set);
-}
-
 /* Guards against processes beyond a fixed number that are never heard (300 machines, of which a
  * process knew 128), and against exchanged machines that fill the set for ever. */
 static void test_many_peers_come_and_go(void **state)
@@ -354,9 +340,9 @@
 	node_t one;
 	node_t many[MANY];
 
-	start_open(&one, 1, a, &gone);
+	start_with(&one, 1, 1, "c", a, &gone, FORGET_MS);
 	for (unsigned i = 0; i < MANY; i++) {
-		start_open(&many[i], 1000 + i, free_address(), &to_a);
+		start_with(&many[i], 1000 + i, 1000 + i, "c", free_address(), &to_a, FORGET_MS);
 		run_ms(1);
 	}
 	for (unsigned i = 0; i < MANY; i++)
