test_cluster_batch: a job is rejected only once its submissions have results

Change: the check runs at each start and at each result of a submission, and fails when a started job has no submission in flight and none was accepted or is unknown. A start during the first submission is judged when its result arrives, so no case that failed before passes now but the wrong one.

--- a/tests/test_cluster_batch.c
+++ b/tests/test_cluster_batch.c
@@ -91,8 +91,9 @@
 typedef struct {
 	char id[20];
 	bool accepted;
-	bool unknown;  /* a response was lost, so the job may have been accepted */
-	bool rejected; /* every response so far rejected the job */
+	bool unknown;			/* a response was lost, so the job may have been accepted */
+	bool started;			/* a VM was told to start a task of the job */
+	unsigned submissions_in_flight; /* submissions that have no result yet */
 	bool cancelled;
 	bool complete;
 	uint64_t last_request_us;
@@ -329,14 +330,24 @@
 	return NULL;
 }
 
+/* A start can overtake the response that accepts its job, so the job counts as rejected only once
+ * every submission has its result. Called at each start and at each result of a submission. */
+static void check_not_rejected(const job_t *job)
+{
+	if (job->started && job->submissions_in_flight == 0 && !job->accepted && !job->unknown)
+		report_violation("task of a rejected job started", job->id);
+}
+
 static void check_start(const vm_t *vm, const char *task)
 {
-	const job_t *job = find_job(task);
+	job_t *job = find_job(task);
 
-	if (job == NULL)
+	if (job == NULL) {
 		report_violation("task of an unknown job started", task);
-	else if (job->rejected)
-		report_violation("task of a rejected job started", task);
+	} else {
+		job->started = true;
+		check_not_rejected(job);
+	}
 	if (g_hash_table_contains(done_tasks, task))
 		report_violation("task started again after it was done", task);
 	for (unsigned i = 0; i < VMS; i++) {
@@ -583,7 +594,8 @@
 
 		job->accepted |= accepted;
 		job->unknown |= !accepted && !rejected && result->sent;
-		job->rejected = !job->accepted && !job->unknown;
+		job->submissions_in_flight--;
+		check_not_rejected(job);
 		return;
 	}
 	if (!result->complete)
@@ -625,6 +637,8 @@
 	};
 
 	client_call->job = job;
+	if (strcmp(method, "POST") == 0)
+		job->submissions_in_flight++;
 	job->last_request_us = clock_now_us();
 	g_strlcpy(client_call->method, method, sizeof(client_call->method));
 	assert_non_null(http_client_send(&client, &request, on_client_reply, client_call));
@@ -645,7 +659,6 @@
 	job_t *job = g_new0(job_t, 1);
 
 	g_snprintf(job->id, sizeof(job->id), "%08x%08x", g_rand_int(rng), jobs->len);
-	job->rejected = true;
 	g_ptr_array_add(jobs, job);
 	send_client_request(job, "POST", job_body());
 }
