--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -2791,7 +2791,7 @@
   (ProtobufCMessageInit) lp__batch_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_command__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lp__batch_command__field_descriptors[10] =
 {
   {
     "config",
@@ -2889,21 +2889,47 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "term",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchCommand, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchCommand, leader_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_command__field_indices_by_name[] = {
   2,   /* field[2] = cancel */
   0,   /* field[0] = config */
   4,   /* field[4] = ends */
+  9,   /* field[9] = leader_ms */
   5,   /* field[5] = lost */
   7,   /* field[7] = order */
   3,   /* field[3] = starts */
   1,   /* field[1] = submit */
+  8,   /* field[8] = term */
   6,   /* field[6] = wave */
 };
 static const ProtobufCIntRange lp__batch_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor lp__batch_command__descriptor =
 {
@@ -2913,7 +2939,7 @@
   "Lp__BatchCommand",
   "lp",
   sizeof(Lp__BatchCommand),
-  8,
+  10,
   lp__batch_command__field_descriptors,
   lp__batch_command__field_indices_by_name,
   1,  lp__batch_command__number_ranges,
@@ -3331,7 +3357,7 @@
   (ProtobufCMessageInit) lp__batch_wave_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[12] =
 {
   {
     "config",
@@ -3429,13 +3455,65 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ordered_ms",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Lp__BatchSnapshot, n_ordered_ms),
+    offsetof(Lp__BatchSnapshot, ordered_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_clock_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchSnapshot, log_clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_term",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchSnapshot, log_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_leader_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchSnapshot, log_leader_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = config */
   2,   /* field[2] = jobs */
+  9,   /* field[9] = log_clock_ms */
+  11,   /* field[11] = log_leader_ms */
+  10,   /* field[10] = log_term */
   5,   /* field[5] = moves */
   1,   /* field[1] = next_seq */
   6,   /* field[6] = ordered */
+  8,   /* field[8] = ordered_ms */
   7,   /* field[7] = start_term */
   3,   /* field[3] = vms */
   4,   /* field[4] = waves */
@@ -3443,7 +3521,7 @@
 static const ProtobufCIntRange lp__batch_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor lp__batch_snapshot__descriptor =
 {
@@ -3453,7 +3531,7 @@
   "Lp__BatchSnapshot",
   "lp",
   sizeof(Lp__BatchSnapshot),
-  8,
+  12,
   lp__batch_snapshot__field_descriptors,
   lp__batch_snapshot__field_indices_by_name,
   1,  lp__batch_snapshot__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -496,6 +496,13 @@
 struct  Lp__BatchCommand
 {
   ProtobufCMessage base;
+  /*
+   * Term of the leader that proposed the command, and the time since it began to lead, on its
+   * monotonic clock. From these, replicas know how long ago a command was proposed at least; 0:
+   * unknown.
+   */
+  uint64_t term;
+  uint64_t leader_ms;
   Lp__BatchCommand__BodyCase body_case;
   union {
     Lp__BatchConfig *config;
@@ -510,7 +517,7 @@
 };
 #define LP__BATCH_COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_command__descriptor) \
-    , LP__BATCH_COMMAND__BODY__NOT_SET, {0} }
+    , 0, 0, LP__BATCH_COMMAND__BODY__NOT_SET, {0} }
 
 
 struct  Lp__BatchTaskState
@@ -609,7 +616,7 @@
   size_t n_moves;
   Lp__BatchOrder **moves;
   /*
-   * Machines with a platform request. The send time of a request is not saved; after loading, it is
+   * Machines with a platform request. The local time of a request is not saved; after loading, it is
    * the time of loading.
    */
   size_t n_ordered;
@@ -618,10 +625,21 @@
    * term of the latest leader that committed start intents
    */
   uint64_t start_term;
+  /*
+   * Clock of the log when the latest result for each entry of ordered was applied; 0: no result.
+   */
+  size_t n_ordered_ms;
+  uint64_t *ordered_ms;
+  uint64_t log_clock_ms;
+  /*
+   * term and leader_ms of the latest command that had them
+   */
+  uint64_t log_term;
+  uint64_t log_leader_ms;
 };
 #define LP__BATCH_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_snapshot__descriptor) \
-    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
 
 
 /*
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "batch_internal.h"
+#include "clock.h"
 #include "message.h"
 
 static void set_result(Lp__Result *result, Lp__ResultCode code, const char *message)
@@ -402,19 +403,44 @@
 	LIST_INSERT_HEAD(&state->moves, move, link);
 }
 
-void batch_record_request_time(batch_state_t *state, const char *machine)
+void batch_record_request(batch_state_t *state, const char *machine, uint64_t result_log_ms)
 {
-	uint64_t *request_us = g_new(uint64_t, 1);
+	batch_request_t *request = g_new(batch_request_t, 1);
 
-	*request_us = state->clock_us;
-	g_hash_table_replace(state->last_request_us, g_strdup(machine), request_us);
+	*request = (batch_request_t){.applied_us = state->clock_us, .result_log_ms = result_log_ms};
+	g_hash_table_replace(state->last_requests, g_strdup(machine), request);
+}
+
+uint64_t batch_request_age_us(const batch_state_t *state, const batch_request_t *request,
+			      uint64_t now_us)
+{
+	uint64_t local_us = now_us > request->applied_us ? now_us - request->applied_us : 0;
+	uint64_t log_ms =
+		request->result_log_ms != 0 ? state->log_clock_ms - request->result_log_ms : 0;
+
+	return MAX(local_us, log_ms * US_PER_MS);
+}
+
+/* Adds the time since the previous command of the same leader. The time between the commands of
+ * two leaders is unknown and does not count. */
+static void advance_log_clock(batch_state_t *state, const Lp__BatchCommand *command)
+{
+	if (command->leader_ms == 0 || command->term < state->log_term)
+		return;
+	if (command->term == state->log_term && command->leader_ms > state->log_leader_ms)
+		state->log_clock_ms += command->leader_ms - state->log_leader_ms;
+	if (command->term > state->log_term || command->leader_ms > state->log_leader_ms)
+		state->log_leader_ms = command->leader_ms;
+	state->log_term = command->term;
 }
 
 static void apply_order(batch_state_t *state, uint64_t wall_ms, const Lp__BatchOrder *order)
 {
 	batch_wave_t *wave = batch_state_wave(state, order->wave);
 
-	batch_record_request_time(state, order->machine);
+	batch_record_request(
+		state, order->machine,
+		order->state > LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT ? state->log_clock_ms : 0);
 	if (order->pool[0] != '\0') {
 		bool in_progress = order->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT;
 
@@ -438,6 +464,7 @@
 		       Lp__Result *result)
 {
 	state->revision++;
+	advance_log_clock(state, command);
 	switch (command->body_case) {
 	case LP__BATCH_COMMAND__BODY_CONFIG:
 		apply_config(state, command->config);
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -19,13 +19,22 @@
  * decisions of the service. */
 #define ADVICE_VMS_MAX 30
 
+/* Most task sizes that a pool remembers as not placeable. */
+#define UNPLACEABLE_MAX 8
+
+/* Resources of a task. */
+typedef struct {
+	int64_t cpu_milli;
+	int64_t mem_mib;
+} unplaceable_t;
+
 /* The VMs of one service, as used in a placement pass. */
 typedef struct {
-	GArray *place_vms;	 /* of place_vm_t */
-	GPtrArray *vms;		 /* of leader_vm_t, in the same order as place_vms */
-	int64_t unplaceable_cpu; /* smallest CPU demand among the tasks of this pass that fitted on
-				    no VM, in thousandths of a core; INT64_MAX: none */
-	int64_t unplaceable_mem;
+	GArray *place_vms; /* of place_vm_t */
+	GPtrArray *vms;	   /* of leader_vm_t, in the same order as place_vms */
+	size_t unplaceable_count;
+	unplaceable_t unplaceable[UNPLACEABLE_MAX]; /* task sizes that fitted on no VM of the pool
+						       in this pass */
 } pool_t;
 
 typedef struct {
@@ -55,8 +64,8 @@
 static bool vm_usable(const leader_vm_t *vm, uint64_t now_us)
 {
 	return leader_vm_is_responsive(vm, now_us) && !vm->draining && !vm->cordoned &&
-	       vm->shutdown_us == 0 && vm->orphan_count == 0 && vm->vm_clock_read_us != 0 &&
-	       now_us >= vm->backoff_until_us;
+	       !vm->drained_for_move && vm->shutdown_us == 0 && vm->orphan_count == 0 &&
+	       vm->vm_clock_read_us != 0 && now_us >= vm->backoff_until_us;
 }
 
 static place_vm_t make_place_vm(leader_vm_t *vm, uint64_t now_us)
@@ -115,8 +124,6 @@
 	pool = g_new0(pool_t, 1);
 	pool->place_vms = g_array_new(FALSE, FALSE, sizeof(place_vm_t));
 	pool->vms = g_ptr_array_new();
-	pool->unplaceable_cpu = INT64_MAX;
-	pool->unplaceable_mem = INT64_MAX;
 	LIST_FOREACH (vm, &pass->leader->vms, link) {
 		place_vm_t place_vm;
 
@@ -257,10 +264,29 @@
 	g_array_append_val(pass->planned, planned);
 }
 
+/* True when a task that needs no more than one of the step has fitted on no VM in this pass. */
 static bool pool_known_full(const pool_t *pool, const Lp__BatchStep *spec)
 {
-	return !spec->best_effort && spec->max_per_vm == 0 && spec->constraint[0] == '\0' &&
-	       spec->cpu_milli >= pool->unplaceable_cpu && spec->mem_mib >= pool->unplaceable_mem;
+	for (size_t i = 0; i < pool->unplaceable_count && !spec->best_effort; i++) {
+		if (spec->cpu_milli >= pool->unplaceable[i].cpu_milli &&
+		    spec->mem_mib >= pool->unplaceable[i].mem_mib)
+			return true;
+	}
+	return false;
+}
+
+/* Remembers the size of the step's tasks, if nothing but the free resources has limited where they
+ * can run. */
+static void remember_unplaceable(pool_t *pool, const batch_candidate_t *candidate)
+{
+	const Lp__BatchStep *spec = candidate->step->spec;
+
+	if (spec->gang || spec->best_effort || spec->gpu > 0 || spec->max_per_vm > 0 ||
+	    spec->constraint[0] != '\0' || pool->unplaceable_count == UNPLACEABLE_MAX ||
+	    (candidate->queue != NULL && candidate->queue->advice != NULL))
+		return;
+	pool->unplaceable[pool->unplaceable_count++] =
+		(unplaceable_t){.cpu_milli = spec->cpu_milli, .mem_mib = spec->mem_mib};
 }
 
 /* Logs one line for the step: which task goes to which VM, and how many tasks still wait. */
@@ -292,29 +318,29 @@
 	batch_step_t *step = candidate->step;
 	const Lp__BatchStep *spec = step->spec;
 	pool_t *pool = get_pool(pass, step->job->service);
-	void *mem = talloc_new(NULL);
-	batch_task_t **tasks = talloc_zero_array(mem, batch_task_t *, spec->count);
-	size_t *chosen = talloc_zero_array(mem, size_t, spec->count);
+	void *mem;
+	batch_task_t **tasks;
+	size_t *chosen;
 	size_t wanted = 0;
 	size_t placed;
 
+	if (pool->vms->len == 0 || pool_known_full(pool, spec))
+		return;
+	mem = talloc_new(NULL);
+	tasks = talloc_zero_array(mem, batch_task_t *, spec->count);
+	chosen = talloc_zero_array(mem, size_t, spec->count);
 	for (uint32_t i = 0; i < spec->count; i++) {
 		if (is_placeable(&step->tasks[i]))
 			tasks[wanted++] = &step->tasks[i];
 	}
-	if (wanted == 0 || (spec->gang && wanted < spec->count) || pool->vms->len == 0)
-		goto finish;
-	if (pool_known_full(pool, spec) || !tickets_available(pass, pool, step, candidate->queue))
+	if (wanted == 0 || (spec->gang && wanted < spec->count) ||
+	    !tickets_available(pass, pool, step, candidate->queue))
 		goto finish;
 	prepare_pool(pass, pool, step, candidate->queue);
 	placed = place_step((place_vm_t *)pool->place_vms->data, pool->place_vms->len, spec, wanted,
 			    chosen);
-	if (placed < wanted && !spec->gang && !spec->best_effort && spec->max_per_vm == 0 &&
-	    spec->constraint[0] == '\0' &&
-	    (candidate->queue == NULL || candidate->queue->advice == NULL)) {
-		pool->unplaceable_cpu = MIN(pool->unplaceable_cpu, spec->cpu_milli);
-		pool->unplaceable_mem = MIN(pool->unplaceable_mem, spec->mem_mib);
-	}
+	if (placed < wanted)
+		remember_unplaceable(pool, candidate);
 	for (size_t i = 0; i < placed; i++)
 		reserve_task(pass, tasks[i], g_ptr_array_index(pool->vms, chosen[i]));
 	if (placed > 0)
@@ -439,7 +465,7 @@
 	message.term = leader->term;
 	command.body_case = LP__BATCH_COMMAND__BODY_STARTS;
 	command.starts = &message;
-	leader->propose(leader->arg, &command, on_intents_committed, intents);
+	leader_propose(leader, &command, on_intents_committed, intents);
 	talloc_free(mem);
 }
 
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -134,7 +134,7 @@
 	command.body_case = LP__BATCH_COMMAND__BODY_LOST;
 	command.lost = &lost;
 	metrics_add(leader->stats.lost, count);
-	leader->propose(leader->arg, &command, on_lost_committed, lost_runs);
+	leader_propose(leader, &command, on_lost_committed, lost_runs);
 	talloc_free(ends);
 }
 
@@ -297,7 +297,7 @@
 	vm_handle_set(&context->vm, vm);
 	vm->commit_in_flight = true;
 	metrics_add(leader->stats.ends, ends.n_ends);
-	leader->propose(leader->arg, &command, on_finished_committed, context);
+	leader_propose(leader, &command, on_finished_committed, context);
 finish:
 	talloc_free(mem);
 }
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -43,8 +43,11 @@
  * the move has ended
  */
 void batch_move_set(batch_state_t *state, const char *machine, const char *pool);
-/** Stores the present clock_us as the time of the machine's latest platform request. */
-void batch_record_request_time(batch_state_t *state, const char *machine);
+/**
+ * Stores the present clock_us as the time of the machine's latest platform request.
+ * @param result_log_ms as in batch_request_t
+ */
+void batch_record_request(batch_state_t *state, const char *machine, uint64_t result_log_ms);
 /** Assigns the task to the VM, and counts it among the tasks of the VM and of its job. */
 void batch_task_attach_vm(batch_task_t *task, batch_vm_t *vm);
 struct batch_ticket_cache;
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -28,6 +28,14 @@
 	return leader->now_us(leader->arg);
 }
 
+void leader_propose(batch_leader_t *leader, Lp__BatchCommand *command, batch_proposed_fn done,
+		    void *done_arg)
+{
+	command->term = leader->term;
+	command->leader_ms = (leader_now_us(leader) - leader->activated_us) / US_PER_MS + 1;
+	leader->propose(leader->arg, command, done, done_arg);
+}
+
 void vm_handle_set(vm_handle_t *handle, const leader_vm_t *vm)
 {
 	handle->leader = vm->leader;
@@ -449,6 +457,8 @@
 	leader->stats.holds_overtaken = metrics_counter(metrics, "batch_holds_overtaken_total", "");
 	leader->stats.stops = metrics_counter(metrics, "batch_stops_total", "");
 	leader->stats.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
+	leader->stats.drains = metrics_counter(metrics, "batch_drains_total", "");
+	leader->stats.preemptions = metrics_counter(metrics, "batch_preemptions_total", "");
 	leader->stats.start_latency = metrics_histogram(metrics, "batch_start_latency_us", "");
 }
 
@@ -473,6 +483,7 @@
 	leader->machines =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, leader_machine_free);
 	leader->smoothed_need = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	forecast_init(&leader->forecast);
 	init_metrics(leader);
 	return leader;
 }
@@ -486,6 +497,7 @@
 	g_hash_table_destroy(leader->ended_incarnations);
 	g_hash_table_destroy(leader->machines);
 	g_hash_table_destroy(leader->smoothed_need);
+	forecast_finish(&leader->forecast);
 	g_free(leader);
 }
 
@@ -624,6 +636,11 @@
 	leader->tick_lag_us = MAX(late_us, leader->tick_lag_us * 7 / 8);
 }
 
+void batch_leader_observe(batch_leader_t *leader)
+{
+	leader_observe_demand(leader, leader_now_us(leader));
+}
+
 void batch_leader_tick(batch_leader_t *leader)
 {
 	uint64_t now_us = leader_now_us(leader);
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -82,6 +82,11 @@
  * Must be called every 25 to 50 ms.
  */
 void batch_leader_tick(batch_leader_t *leader);
+/**
+ * Keeps the forecast of demand up to date on a process that does not lead, so that it can plan at
+ * once when it becomes leader. Called instead of batch_leader_tick().
+ */
+void batch_leader_observe(batch_leader_t *leader);
 /**
  * Places waiting tasks if anything has changed since the last placement pass. Called after events
  * such as a finished run.
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "batch_forecast.h"
 #include "batch_leader.h"
 #include "batch_lease.h"
 #include "clock.h"
@@ -40,8 +41,10 @@
 	bool draining;
 	uint64_t drain_until_us; /**< earliest time at which a draining VM ends */
 	bool cordoned; /**< the VM gets no new tasks because of a planned move or maintenance */
-	bool dead;     /**< the VM has ended and runs no tasks any more */
-	uint64_t shutdown_us; /**< time when the VM announced its shutdown; 0: not announced */
+	bool drained_for_move; /**< the VM gets no new tasks, and its machine moves once the VM's
+				  tasks have ended */
+	bool dead;	       /**< the VM has ended and runs no tasks any more */
+	uint64_t shutdown_us;  /**< time when the VM announced its shutdown; 0: not announced */
 
 	batch_vm_t *record; /**< replicated record of this incarnation, or NULL; read it through
 			       leader_vm_record() */
@@ -106,6 +109,8 @@
 	uint64_t arrival_deadline_us; /**< time by which the machine must report after a move; 0: no
 					 move, or it has reported */
 	uint64_t idle_since_us; /**< time when it was first seen without tasks; 0: it runs tasks */
+	char *drain_to; /**< pool to which the machine moves once its tasks have ended; NULL: no
+			   such move is planned */
 } leader_machine_t;
 
 struct batch_leader {
@@ -147,6 +152,8 @@
 					  became leader */
 	GHashTable *machines;	       /**< machine name -> leader_machine_t */
 	GHashTable *smoothed_need;     /**< pool name -> double, the smoothed CPU demand in cores */
+	forecast_t forecast;	       /**< demand of the pools; kept up to date on followers too */
+	uint64_t forecast_seq; /**< number of the latest job that the forecast has counted */
 	uint64_t maintenance_due_us;
 	unsigned maintenance_requests_left; /**< number of maintenance requests still allowed until
 					       the next update of the waves */
@@ -161,6 +168,8 @@
 						       was answered first */
 		metrics_counter_t *stops;
 		metrics_counter_t *dead;
+		metrics_counter_t *drains;	/**< number of machines drained for another pool */
+		metrics_counter_t *preemptions; /**< number of late tasks stopped for that */
 		metrics_histogram_t *start_latency;
 	} stats;
 };
@@ -174,6 +183,9 @@
 } vm_handle_t;
 
 uint64_t leader_now_us(const batch_leader_t *leader);
+/** Proposes the command to the replicated log, with this leader's term and clock. */
+void leader_propose(batch_leader_t *leader, Lp__BatchCommand *command, batch_proposed_fn done,
+		    void *done_arg);
 void vm_handle_set(vm_handle_t *handle, const leader_vm_t *vm);
 /**
  * @return the VM, or NULL when it is no longer known or the leader was deactivated after the handle
@@ -285,6 +297,8 @@
 void leader_machine_free(void *data);
 /** Updates the machine of a VM that has sent a report. */
 void leader_machine_reported(batch_leader_t *leader, const leader_vm_t *vm);
+/** Adds the jobs accepted since the last call to the forecast of the pools' demand. */
+void leader_observe_demand(batch_leader_t *leader, uint64_t now_us);
 /** Refreshes the list of the platform's machines, and moves machines to pools with more demand. */
 void leader_machines_tick(batch_leader_t *leader, uint64_t now_us);
 /** Context of a platform request while it is committed and carried out. Freed by the callbacks. */
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -16,8 +16,6 @@
 /* Interval between runs of the capacity planning, which decides the sizes of the pools. A surge
  * builds up over seconds, and a move takes 1.5 s. */
 #define CAPACITY_PERIOD_US (200 * US_PER_MS)
-/* Most moves started in one CAPACITY_PERIOD_US. */
-#define MOVES_MAX 24
 /* Delay before repeating a move request that was unanswered, or refused because the machine is
  * busy. */
 #define MOVE_RETRY_US (400 * US_PER_MS)
@@ -31,9 +29,21 @@
 #define FORECAST_WINDOW_S 1.5
 /* Upper limit of the extrapolated demand, as a multiple of the present demand. */
 #define FORECAST_MAX 2.0
-/* Factor applied to the demand of jobs that cannot meet their objective any more. It is below 1,
- * because such jobs only use spare capacity. */
+/* Factors applied to the demand of jobs that cannot meet their objective any more, and of those
+ * that are worth nothing any more. Such jobs only use spare capacity. */
 #define LATE_JOB_WEIGHT 0.3
+#define VERY_LATE_JOB_WEIGHT 0.1
+/* A job that is older than this when it is first seen came before, such as one that is replayed
+ * from the log, and says nothing about the present demand. */
+#define ARRIVAL_AGE_MAX_MS 1500
+/* Time to detect that a reserve is due and to order its moves, added to the duration of a move. */
+#define RESERVE_LEAD_US (1000 * US_PER_MS)
+/* Share of all machines that a pool's surge takes, for the time needed to move them. */
+#define SURGE_MACHINES_SHARE 0.4
+/* Tasks that run for longer than declared are expected to end within this time. */
+#define OVERDUE_TASK_MS 200
+/* Expected time from the decision to stop a task until its VM has listed the end of its run. */
+#define STOP_TASK_MS 300
 /* Longest time from the moment when this replica applies the command of a platform request until
  * the leader that proposed the command sends the request. */
 #define REQUEST_SEND_DELAY_MAX_US (300 * US_PER_MS)
@@ -73,6 +83,7 @@
 
 	g_free(machine->name);
 	g_free(machine->pool);
+	g_free(machine->drain_to);
 	g_free(machine);
 }
 
@@ -219,7 +230,7 @@
 		order.born_ms = call->born_ms;
 	command.body_case = LP__BATCH_COMMAND__BODY_ORDER;
 	command.order = &order;
-	call->leader->propose(call->leader->arg, &command, done, call);
+	leader_propose(call->leader, &command, done, call);
 }
 
 static void on_move_result_committed(void *arg, Lp__ResultCode code)
@@ -419,33 +430,59 @@
 	pool->required_vms = MAX(pool->required_vms, spread + 1);
 }
 
-/* @return number of cores that the job could use now if capacity were unlimited */
-static double job_need(batch_job_t *job, uint64_t now_us, uint64_t wall_ms)
+/* Adds the number of cores that the job could use now if capacity were unlimited. */
+static void add_batch_job(batch_leader_t *leader, capacity_pool_t *pool, batch_job_t *job,
+			  uint64_t now_us, uint64_t wall_ms)
 {
-	const Lp__BatchQueue *queue = job->queue;
-	double critical_path_ms =
-		(double)MAX(batch_critical_path_ms(job, 0, true), CRITICAL_PATH_MIN_MS);
-	uint64_t age_ms = batch_job_age_ms(job, now_us, wall_ms);
-	double need = batch_remaining_work(job) / 1000.0 / critical_path_ms;
+	double path_ms = (double)MAX(batch_critical_path_ms(job, 0, true), CRITICAL_PATH_MIN_MS);
+	double cores = batch_remaining_work(job) / 1000.0 / path_ms;
 
-	if (queue != NULL &&
-	    (double)age_ms + critical_path_ms > (double)batch_objective_ms(job, queue))
-		need *= LATE_JOB_WEIGHT;
-	return need;
+	switch (batch_job_timing(job, 0, now_us, wall_ms)) {
+	case JOB_ON_TIME:
+		pool->need_cores += cores;
+		break;
+	case JOB_LATE:
+		pool->late_cores += LATE_JOB_WEIGHT * cores;
+		break;
+	case JOB_VERY_LATE:
+		pool->late_cores += VERY_LATE_JOB_WEIGHT * cores;
+		break;
+	}
 }
 
-static void add_job(batch_leader_t *leader, pools_t *pools, batch_job_t *job, uint64_t wall_ms)
+static void add_job(batch_leader_t *leader, pools_t *pools, batch_job_t *job, bool long_running,
+		    uint64_t wall_ms)
 {
 	capacity_pool_t *pool = find_pool(pools, job->service);
-	bool is_long_running = job->spec->steps[0]->long_running;
 
 	if (pool == NULL || batch_job_ended(job) ||
+	    job->spec->steps[0]->long_running != long_running ||
 	    (job->spec->times > 0 && job->spec->first_due_ms > wall_ms + 2000))
 		return;
-	for (uint32_t i = 0; is_long_running && i < job->step_count; i++)
+	for (uint32_t i = 0; long_running && i < job->step_count; i++)
 		add_long_running(pool, &job->steps[i]);
-	if (!is_long_running)
-		pool->need_cores += job_need(job, leader_now_us(leader), wall_ms);
+	if (!long_running)
+		add_batch_job(leader, pool, job, leader_now_us(leader), wall_ms);
+}
+
+void leader_observe_demand(batch_leader_t *leader, uint64_t now_us)
+{
+	uint64_t wall_ms = leader->wall_ms(leader->arg);
+	uint64_t latest_seq = leader->forecast_seq;
+	batch_job_t *job;
+
+	TAILQ_FOREACH_REVERSE (job, &leader->state->active, batch_job_list, link) {
+		if (job->seq <= leader->forecast_seq)
+			break;
+		latest_seq = MAX(latest_seq, job->seq);
+		if (job->spec->steps[0]->long_running || job->spec->times > 0 ||
+		    batch_job_age_ms(job, now_us, wall_ms) > ARRIVAL_AGE_MAX_MS)
+			continue;
+		/* The declared work is in thousandths of a core times ms. */
+		forecast_add(&leader->forecast, job->service, job->work / 1e6);
+	}
+	leader->forecast_seq = latest_seq;
+	forecast_advance(&leader->forecast, now_us);
 }
 
 static void extrapolate_need(batch_leader_t *leader, const char *name, capacity_pool_t *pool)
@@ -475,26 +512,69 @@
 	return false;
 }
 
-static void set_reserves(const batch_leader_t *leader, const pools_t *pools)
+static double mean_machine_cores(const batch_leader_t *leader)
+{
+	GHashTableIter iter;
+	void *value;
+	double sum = 0;
+
+	g_hash_table_iter_init(&iter, leader->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		sum += ((const leader_machine_t *)value)->cores;
+	return MAX(1.0, sum / MAX(1U, g_hash_table_size(leader->machines)));
+}
+
+/* @return time needed to move the machines of a pool's surge to it */
+static uint64_t reserve_lead_us(const batch_leader_t *leader)
+{
+	double machines = SURGE_MACHINES_SHARE * g_hash_table_size(leader->machines);
+	double move_s = machines / MAX(1U, leader->config.platform_requests_per_s);
+
+	return leader->config.move_ms * US_PER_MS + (uint64_t)(move_s * US_PER_S) + RESERVE_LEAD_US;
+}
+
+/* Sets the reserve of each pool with a queue. A pool whose surge is due or goes on gets what its
+ * last surge took. A pool of which nothing is known gets an equal share. */
+static void set_reserves(const batch_leader_t *leader, const pools_t *pools, uint64_t now_us)
 {
 	const Lp__BatchConfig *config = leader->state->config;
+	size_t machine_count = g_hash_table_size(leader->machines);
+	uint64_t lead_us = reserve_lead_us(leader);
+	double cores = mean_machine_cores(leader);
 	size_t used_pools = 0;
-	unsigned reserve;
+	unsigned share;
 
 	for (size_t i = 0; i < config->n_services; i++)
 		used_pools += has_queue(config, config->services[i]->name);
-	reserve = capacity_reserve_per_pool(g_hash_table_size(leader->machines), used_pools);
+	share = capacity_reserve_per_pool(machine_count, used_pools);
 	for (size_t i = 0; i < config->n_services; i++) {
 		capacity_pool_t *pool = &g_array_index(pools->pools, capacity_pool_t, i);
+		forecast_outlook_t outlook;
 
-		if (!pool->standby && has_queue(config, config->services[i]->name))
-			pool->reserve_vms = reserve;
+		if (pool->standby || !has_queue(config, config->services[i]->name))
+			continue;
+		outlook = forecast_outlook(&leader->forecast, config->services[i]->name, now_us,
+					   lead_us);
+		switch (outlook.state) {
+		case FORECAST_POSSIBLE:
+			pool->reserve_vms = share;
+			break;
+		case FORECAST_UNLIKELY:
+			break;
+		case FORECAST_DUE:
+		case FORECAST_SURGING:
+			pool->reserve_due = true;
+			pool->reserve_vms =
+				capacity_vms_for(pool->need_cores + outlook.surge_cores, cores);
+			break;
+		}
 	}
 }
 
-static void collect_pools(batch_leader_t *leader, pools_t *pools)
+static void collect_pools(batch_leader_t *leader, pools_t *pools, uint64_t now_us)
 {
 	const Lp__BatchConfig *config = leader->state->config;
+	g_autofree double *lasting_cores = g_new0(double, config->n_services + 1);
 	uint64_t wall_ms = leader->wall_ms(leader->arg);
 	batch_job_t *job;
 
@@ -505,25 +585,36 @@
 		g_array_append_val(pools->pools, pool);
 	}
 	TAILQ_FOREACH (job, &leader->state->active, link)
-		add_job(leader, pools, job, wall_ms);
-	set_reserves(leader, pools);
+		add_job(leader, pools, job, true, wall_ms);
+	set_reserves(leader, pools, now_us);
 	for (guint i = 0; i < pools->names->len; i++)
-		extrapolate_need(leader, g_ptr_array_index(pools->names, i),
-				 &g_array_index(pools->pools, capacity_pool_t, i));
+		lasting_cores[i] = g_array_index(pools->pools, capacity_pool_t, i).need_cores;
+	TAILQ_FOREACH (job, &leader->state->active, link)
+		add_job(leader, pools, job, false, wall_ms);
+	for (guint i = 0; i < pools->names->len; i++) {
+		capacity_pool_t *pool = &g_array_index(pools->pools, capacity_pool_t, i);
+		forecast_outlook_t outlook = forecast_outlook(
+			&leader->forecast, g_ptr_array_index(pools->names, i), now_us, 0);
+
+		extrapolate_need(leader, g_ptr_array_index(pools->names, i), pool);
+		/* At the beginning of a surge, the jobs that wait show only a part of the demand
+		 * that their arrival rate brings. */
+		if (outlook.state == FORECAST_SURGING)
+			pool->need_cores =
+				MAX(pool->need_cores, lasting_cores[i] + outlook.arriving_cores);
+	}
 }
 
 bool leader_machine_leased_elsewhere(const batch_leader_t *leader, const char *machine,
 				     uint64_t now_us)
 {
-	const uint64_t *last_request_us =
-		g_hash_table_lookup(leader->state->last_request_us, machine);
+	const batch_request_t *request = g_hash_table_lookup(leader->state->last_requests, machine);
 	const leader_machine_t *known_machine = leader_find_machine(leader, machine);
 
-	if (last_request_us == NULL ||
-	    (known_machine != NULL && known_machine->requested_by_this_leader))
+	if (request == NULL || (known_machine != NULL && known_machine->requested_by_this_leader))
 		return false;
-	return now_us < *last_request_us + leader->config.holder_lease_ms * US_PER_MS +
-				REQUEST_SEND_DELAY_MAX_US;
+	return batch_request_age_us(leader->state, request, now_us) <
+	       leader->config.holder_lease_ms * US_PER_MS + REQUEST_SEND_DELAY_MAX_US;
 }
 
 bool leader_move_pending(const batch_leader_t *leader, const char *machine)
@@ -561,6 +652,87 @@
 	return now_us < machine->arrival_deadline_us;
 }
 
+/* @return expected time until the task's run ends, by its declared run time and the VM's speed */
+static uint64_t remaining_run_ms(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
+{
+	uint64_t run_ms = (uint64_t)(task->step->spec->estimate_ms * vm->slowness);
+	uint64_t age_ms = (now_us - task->local.phase_since_us) / US_PER_MS;
+
+	return run_ms > age_ms + OVERDUE_TASK_MS ? run_ms - age_ms : OVERDUE_TASK_MS;
+}
+
+/* True when a drain stops the task instead of waiting for its end: its job is late, so that it is
+ * worth a fraction of what the machine does elsewhere, and less work is lost than is left. A job
+ * that has had a turn as a starved job is not stopped again. */
+static bool is_preempted(const batch_leader_t *leader, const leader_vm_t *vm,
+			 const batch_task_t *task, uint64_t now_us)
+{
+	const batch_step_t *step = task->step;
+	uint64_t age_ms = (now_us - task->local.phase_since_us) / US_PER_MS;
+
+	if (task->status != BATCH_TASK_ASSIGNED || task->local.phase != RUN_CONFIRMED ||
+	    step->job->starved_turn != 0 ||
+	    batch_job_timing(step->job, step->occurrence, now_us, leader->wall_ms(leader->arg)) ==
+		    JOB_ON_TIME)
+		return false;
+	return step->spec->checkpoints || age_ms < remaining_run_ms(vm, task, now_us);
+}
+
+/* Estimates how long the VM takes until all its tasks have ended. @return false when it runs tasks
+ * that do not end by themselves */
+static bool estimate_drain(batch_leader_t *leader, leader_vm_t *vm, uint64_t now_us,
+			   uint64_t *drain_ms)
+{
+	const batch_vm_t *record = leader_vm_record(vm);
+	const batch_task_t *task;
+
+	*drain_ms = 0;
+	if (record == NULL || vm->orphan_count > 0)
+		return false;
+	LIST_FOREACH (task, &record->tasks, vm_link) {
+		uint64_t end_ms = remaining_run_ms(vm, task, now_us);
+
+		if (task->step->spec->long_running || task->step->spec->best_effort ||
+		    task->step->spec->gang)
+			return false;
+		if (end_ms > STOP_TASK_MS && is_preempted(leader, vm, task, now_us))
+			end_ms = STOP_TASK_MS;
+		*drain_ms = MAX(*drain_ms, end_ms);
+	}
+	return true;
+}
+
+static size_t pool_index(const pools_t *pools, const capacity_pool_t *pool)
+{
+	return (size_t)(pool - (const capacity_pool_t *)pools->pools->data);
+}
+
+static capacity_machine_t describe_machine(batch_leader_t *leader, pools_t *pools,
+					   leader_machine_t *machine, const capacity_pool_t *pool,
+					   uint64_t now_us)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
+	const capacity_pool_t *destination =
+		machine->drain_to != NULL ? find_pool(pools, machine->drain_to) : NULL;
+	capacity_machine_t entry = {
+		.pool = pool_index(pools, pool),
+		.cores = machine->cores,
+		.idle = machine->idle_since_us != 0,
+		.idle_ms = machine->idle_since_us != 0
+				   ? (now_us - machine->idle_since_us) / US_PER_MS
+				   : 0,
+		.immovable = is_immovable(leader, machine, vm, now_us),
+	};
+
+	if (destination != NULL) {
+		entry.draining = true;
+		entry.draining_to = pool_index(pools, destination);
+	}
+	if (vm != NULL && !entry.idle && !entry.immovable)
+		entry.drainable = estimate_drain(leader, vm, now_us, &entry.drain_ms);
+	return entry;
+}
+
 static void collect_machines(batch_leader_t *leader, pools_t *pools, GArray *machines,
 			     GPtrArray *leader_machines, uint64_t now_us)
 {
@@ -580,27 +752,119 @@
 			machine->idle_since_us = 0;
 		else if (machine->idle_since_us == 0)
 			machine->idle_since_us = now_us;
-		entry = (capacity_machine_t){
-			.pool = (size_t)(pool - (capacity_pool_t *)pools->pools->data),
-			.cores = machine->cores,
-			.idle = machine->idle_since_us != 0,
-			.idle_ms = machine->idle_since_us != 0
-					   ? (now_us - machine->idle_since_us) / US_PER_MS
-					   : 0,
-			.immovable = is_immovable(leader, machine, vm, now_us),
-		};
+		entry = describe_machine(leader, pools, machine, pool, now_us);
 		g_array_append_val(machines, entry);
 		g_ptr_array_add(leader_machines, machine);
 	}
 }
 
+/* --- drains --- */
+
+static void set_drained(batch_leader_t *leader, const leader_machine_t *machine, bool drained)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
+
+	if (vm != NULL)
+		vm->drained_for_move = drained;
+	leader->placement_due |= !drained;
+}
+
+static void preempt_late_tasks(batch_leader_t *leader, const leader_machine_t *machine)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
+	const batch_vm_t *record = vm != NULL ? leader_vm_record(vm) : NULL;
+	uint64_t now_us = leader_now_us(leader);
+	batch_task_t *task;
+	char run[RUN_LABEL_MAX];
+
+	if (record == NULL)
+		return;
+	LIST_FOREACH (task, &record->tasks, vm_link) {
+		if (remaining_run_ms(vm, task, now_us) <= STOP_TASK_MS ||
+		    !is_preempted(leader, vm, task, now_us))
+			continue;
+		run_label_of_task(run, task);
+		log_event(G_LOG_LEVEL_INFO,
+			  LOG_FIELDS("request", task->step->job->spec->id, "task", run, "vm",
+				     vm->id, "to", machine->drain_to),
+			  "stopping a late task, because another pool needs the machine");
+		metrics_add(leader->stats.preemptions, 1);
+		task->local.evacuate = true;
+	}
+}
+
+static void begin_drain(batch_leader_t *leader, leader_machine_t *machine, const char *pool,
+			uint64_t drain_ms)
+{
+	char ms[16];
+
+	g_snprintf(ms, sizeof(ms), "%u", (unsigned)drain_ms);
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("machine", machine->name, "from", machine->pool, "to", pool, "ms", ms),
+		  "draining a machine for another pool");
+	metrics_add(leader->stats.drains, 1);
+	g_free(machine->drain_to);
+	machine->drain_to = g_strdup(pool);
+	set_drained(leader, machine, true);
+	preempt_late_tasks(leader, machine);
+}
+
+static void end_drain(batch_leader_t *leader, leader_machine_t *machine)
+{
+	g_clear_pointer(&machine->drain_to, g_free);
+	set_drained(leader, machine, false);
+}
+
+/* Moves the drained machines whose tasks have ended. */
+static void drains_tick(batch_leader_t *leader, uint64_t now_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, leader->machines);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		leader_machine_t *machine = value;
+		const leader_vm_t *vm;
+		g_autofree char *pool = NULL;
+
+		if (machine->drain_to == NULL)
+			continue;
+		vm = leader_vm_of_machine(leader, machine->name);
+		if (vm != NULL && !is_immovable(leader, machine, vm, now_us) &&
+		    !machine_is_empty(leader, machine))
+			continue;
+		pool = g_strdup(machine->drain_to);
+		end_drain(leader, machine);
+		/* A machine whose VM has ended, or that is due for something else, stays. */
+		if (vm != NULL && !is_immovable(leader, machine, vm, now_us))
+			begin_move(leader, machine, pool);
+	}
+}
+
 /* @return most moves per period: three quarters of the platform's rate limit, as the rest is for
  * maintenance and repeated requests */
 static size_t moves_allowed(const batch_leader_t *leader)
 {
 	uint64_t orders = leader->config.platform_requests_per_s * CAPACITY_PERIOD_US / US_PER_S;
 
-	return CLAMP(orders * 3 / 4, 1, MOVES_MAX);
+	return MAX(orders * 3 / 4, 1);
+}
+
+static void carry_out(batch_leader_t *leader, const capacity_move_t *move,
+		      const capacity_machine_t *planned, leader_machine_t *machine,
+		      const char *pool)
+{
+	switch (move->action) {
+	case CAPACITY_MOVE:
+		begin_move(leader, machine, pool);
+		break;
+	case CAPACITY_DRAIN:
+		begin_drain(leader, machine, pool, planned->drain_ms);
+		break;
+	case CAPACITY_KEEP:
+		end_drain(leader, machine);
+		break;
+	}
 }
 
 static void plan_capacity(batch_leader_t *leader, uint64_t now_us)
@@ -611,17 +875,20 @@
 	};
 	g_autoptr(GArray) machines = g_array_new(FALSE, TRUE, sizeof(capacity_machine_t));
 	g_autoptr(GPtrArray) leader_machines = g_ptr_array_new();
-	capacity_move_t moves[MOVES_MAX];
+	size_t limit = moves_allowed(leader);
+	g_autofree capacity_move_t *moves = g_new(capacity_move_t, limit);
 	size_t count;
 
-	collect_pools(leader, &pools);
+	collect_pools(leader, &pools, now_us);
 	collect_machines(leader, &pools, machines, leader_machines, now_us);
 	count = capacity_plan((const capacity_pool_t *)pools.pools->data, pools.pools->len,
-			      (const capacity_machine_t *)machines->data, machines->len,
-			      moves_allowed(leader), moves);
+			      (const capacity_machine_t *)machines->data, machines->len, limit,
+			      moves);
 	for (size_t i = 0; i < count; i++)
-		begin_move(leader, g_ptr_array_index(leader_machines, moves[i].machine),
-			   g_ptr_array_index(pools.names, moves[i].to));
+		carry_out(leader, &moves[i],
+			  &g_array_index(machines, capacity_machine_t, moves[i].machine),
+			  g_ptr_array_index(leader_machines, moves[i].machine),
+			  g_ptr_array_index(pools.names, moves[i].to));
 	g_ptr_array_unref(pools.names);
 	g_array_unref(pools.pools);
 }
@@ -631,6 +898,8 @@
 	if (leader->state->config == NULL)
 		return;
 	machine_list_tick(leader, now_us);
+	leader_observe_demand(leader, now_us);
+	drains_tick(leader, now_us);
 	if (!leader->list_complete || now_us < leader->capacity_due_us)
 		return;
 	leader->capacity_due_us = now_us + CAPACITY_PERIOD_US;
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -109,6 +109,8 @@
 	update_leadership(node);
 	if (node->active_term != 0 && replica_has_lease(node->replica))
 		batch_leader_tick(node->leader);
+	else
+		batch_leader_observe(node->leader);
 }
 
 static void place_tasks(struct tevent_context *ev, struct tevent_immediate *im, void *private_data)
--- a/src/batch_order.c
+++ b/src/batch_order.c
@@ -15,6 +15,12 @@
 /* Upper limit of the value of a job. A job whose work is the mean of its queue has the value 1. */
 #define VALUE_MAX 4.0
 
+/* Age from which a very late job counts as starved. In each queue, one starved job at a time is
+ * placed like a job on time, for STARVED_TURN_US or until it has ended, so that each gets its turn
+ * however much work on time there is: with N starved jobs in its queue, within N turns. */
+#define STARVED_AGE_MS 20000
+#define STARVED_TURN_US (1 * US_PER_S)
+
 /* Upper limit of a job's age at the time when a new leader first sees the job. This age is the
  * difference between the wall clocks of two processes, which can differ. */
 #define INITIAL_AGE_MAX_MS 30000ULL
@@ -53,11 +59,23 @@
 	return longest_ms;
 }
 
-uint64_t batch_critical_path_ms(const batch_job_t *job, uint32_t occurrence, bool remaining_only)
+uint64_t batch_critical_path_ms(batch_job_t *job, uint32_t occurrence, bool remaining_only)
 {
 	size_t steps = job->spec->n_steps;
+	const batch_step_t *first = &job->steps[occurrence * steps];
 
-	return critical_path_ms(&job->steps[occurrence * steps], steps, remaining_only);
+	if (!remaining_only) {
+		if (job->path_ms == 0)
+			job->path_ms = critical_path_ms(first, steps, false);
+		return job->path_ms;
+	}
+	if (job->occurrences > 1)
+		return critical_path_ms(first, steps, true);
+	if (job->remaining_path_ms == 0 || job->remaining_path_steps_done != job->steps_done) {
+		job->remaining_path_ms = critical_path_ms(first, steps, true);
+		job->remaining_path_steps_done = job->steps_done;
+	}
+	return job->remaining_path_ms;
 }
 
 double batch_remaining_work(const batch_job_t *job)
@@ -72,7 +90,7 @@
 	return remaining;
 }
 
-uint64_t batch_objective_ms(const batch_job_t *job, const Lp__BatchQueue *queue)
+uint64_t batch_objective_ms(batch_job_t *job, const Lp__BatchQueue *queue)
 {
 	if (queue == NULL)
 		return 0;
@@ -136,25 +154,32 @@
 	return (now_us - job->accepted_mono_us) / US_PER_MS;
 }
 
-static unsigned candidate_rank(const batch_step_t *step, const Lp__BatchQueue *queue,
-			       uint64_t now_us, uint64_t wall_ms)
+job_timing_t batch_job_timing(batch_job_t *job, uint32_t occurrence, uint64_t now_us,
+			      uint64_t wall_ms)
 {
-	batch_job_t *job = step->job;
-	uint64_t due_ms = batch_step_due_ms(step);
+	uint64_t due_ms = batch_step_due_ms(&job->steps[occurrence * job->spec->n_steps]);
 	uint64_t age_ms = due_ms > 0 ? (wall_ms > due_ms ? wall_ms - due_ms : 0)
 				     : batch_job_age_ms(job, now_us, wall_ms);
-	uint64_t finish_age_ms = age_ms + batch_critical_path_ms(job, step->occurrence, true);
-	uint64_t objective_ms = batch_objective_ms(job, queue);
+	uint64_t finish_age_ms = age_ms + batch_critical_path_ms(job, occurrence, true);
+	uint64_t objective_ms = batch_objective_ms(job, job->queue);
+
+	if (finish_age_ms <= objective_ms)
+		return JOB_ON_TIME;
+	return finish_age_ms <= VERY_LATE_FACTOR * objective_ms ? JOB_LATE : JOB_VERY_LATE;
+}
+
+static unsigned candidate_rank(const batch_step_t *step, job_timing_t timing)
+{
+	const Lp__BatchQueue *queue = step->job->queue;
 	unsigned rank_base = (queue != NULL ? queue->priority : 0) * RANKS_PER_PRIORITY;
 
 	if (step->spec->long_running)
 		return RANK_LONG_RUNNING;
-	if (finish_age_ms <= objective_ms)
+	if (timing == JOB_ON_TIME)
 		return rank_base + RANK_ON_TIME;
 	/* Late steps of all priorities come after all steps that can be on time. */
 	rank_base += 1U << 16;
-	return rank_base +
-	       (finish_age_ms <= VERY_LATE_FACTOR * objective_ms ? RANK_LATE : RANK_VERY_LATE);
+	return rank_base + (timing == JOB_LATE ? RANK_LATE : RANK_VERY_LATE);
 }
 
 static gint compare_candidates(gconstpointer a, gconstpointer b)
@@ -164,11 +189,65 @@
 
 	if (x->rank != y->rank)
 		return x->rank < y->rank ? -1 : 1;
-	if (x->value_density != y->value_density)
+	/* Very late jobs are worth nothing any more, so the oldest comes first. */
+	if (x->timing != JOB_VERY_LATE && x->value_density != y->value_density)
 		return x->value_density > y->value_density ? -1 : 1;
 	return x->step->job->seq < y->step->job->seq ? -1 : 1;
 }
 
+/* --- starved jobs --- */
+
+static bool is_starved(const batch_candidate_t *candidate, uint64_t now_us, uint64_t wall_ms)
+{
+	return candidate->timing == JOB_VERY_LATE && !candidate->step->spec->long_running &&
+	       batch_step_due_ms(candidate->step) == 0 &&
+	       batch_job_age_ms(candidate->step->job, now_us, wall_ms) > STARVED_AGE_MS;
+}
+
+/* @return the jobs that have the present turn, by the path prefix of their queue */
+static GHashTable *jobs_with_turn(const batch_state_t *state, uint64_t turn)
+{
+	GHashTable *chosen = g_hash_table_new(g_str_hash, g_str_equal);
+	batch_job_t *job;
+
+	TAILQ_FOREACH (job, &state->active, link) {
+		if (job->starved_turn == turn && !batch_job_ended(job))
+			g_hash_table_insert(chosen, job->spec->prefix, job);
+	}
+	return chosen;
+}
+
+/* Gives one starved job of each queue the rank of a job on time: the one that has the present turn,
+ * or else the one whose last turn is the longest ago. The candidates are still in the order of
+ * their jobs' acceptance. */
+static void promote_starved(const batch_state_t *state, GArray *candidates, uint64_t now_us,
+			    uint64_t wall_ms)
+{
+	uint64_t turn = now_us / STARVED_TURN_US;
+	g_autoptr(GHashTable) chosen = jobs_with_turn(state, turn);
+
+	for (guint i = 0; i < candidates->len; i++) {
+		batch_candidate_t *candidate = &g_array_index(candidates, batch_candidate_t, i);
+		batch_job_t *job = candidate->step->job;
+		const batch_job_t *other = g_hash_table_lookup(chosen, job->spec->prefix);
+
+		candidate->starved = is_starved(candidate, now_us, wall_ms);
+		if (candidate->starved &&
+		    (other == NULL ||
+		     (other->starved_turn != turn && job->starved_turn < other->starved_turn)))
+			g_hash_table_insert(chosen, job->spec->prefix, job);
+	}
+	for (guint i = 0; i < candidates->len && g_hash_table_size(chosen) > 0; i++) {
+		batch_candidate_t *candidate = &g_array_index(candidates, batch_candidate_t, i);
+		batch_job_t *job = candidate->step->job;
+
+		if (!candidate->starved || g_hash_table_lookup(chosen, job->spec->prefix) != job)
+			continue;
+		job->starved_turn = turn;
+		candidate->rank = candidate_rank(candidate->step, JOB_ON_TIME);
+	}
+}
+
 GArray *batch_sorted_candidates(const batch_state_t *state, uint64_t now_us, uint64_t wall_ms)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(batch_candidate_t));
@@ -189,10 +268,13 @@
 			if (value_density == 0)
 				value_density = compute_value_density(job, means);
 			candidate.value_density = value_density;
-			candidate.rank = candidate_rank(candidate.step, queue, now_us, wall_ms);
+			candidate.timing =
+				batch_job_timing(job, candidate.step->occurrence, now_us, wall_ms);
+			candidate.rank = candidate_rank(candidate.step, candidate.timing);
 			g_array_append_val(candidates, candidate);
 		}
 	}
+	promote_starved(state, candidates, now_us, wall_ms);
 	g_array_sort(candidates, compare_candidates);
 	return candidates;
 }
--- a/src/batch_order.h
+++ b/src/batch_order.h
@@ -8,14 +8,26 @@
  * @file
  * Order in which waiting steps are placed when demand exceeds the capacity of a pool: long-running
  * steps first, then the jobs that can still meet their objective, by value per remaining work, then
- * late jobs. There is no I/O; the only state changed is the job age cached by batch_job_age_ms().
+ * late jobs, and last the jobs that are worth nothing any more, the oldest first. Jobs that starve
+ * at the end of this order take turns at its head. There is no I/O; the only state changed is the
+ * job age cached by batch_job_age_ms().
  */
 
+/** Whether a job can still meet its objective, as far as its declared run times tell. */
+typedef enum {
+	JOB_ON_TIME,
+	JOB_LATE,      /**< it is expected within three times its objective */
+	JOB_VERY_LATE, /**< later than that, it is worth no more than one that never ends */
+} job_timing_t;
+
 /** A step with waiting tasks that may be placed now. */
 typedef struct {
 	batch_step_t *step;
 	const Lp__BatchQueue *queue; /**< queue of the job; NULL: removed from the configuration */
-	unsigned rank;		     /**< steps with a lower rank are placed first */
+	job_timing_t timing;
+	bool starved;  /**< the job is very late and waits for long; such jobs take turns to be
+			  placed like jobs on time */
+	unsigned rank; /**< steps with a lower rank are placed first */
 	double value_density; /**< value of the job per remaining work; within a rank, higher is
 				 placed first */
 } batch_candidate_t;
@@ -30,7 +42,10 @@
  * @return declared run time of the critical path (longest chain of dependent steps) of an
  * occurrence, in ms. @param remaining_only counts completed steps as 0 ms
  */
-uint64_t batch_critical_path_ms(const batch_job_t *job, uint32_t occurrence, bool remaining_only);
+uint64_t batch_critical_path_ms(batch_job_t *job, uint32_t occurrence, bool remaining_only);
+/** @return whether the occurrence of the job can still meet its objective */
+job_timing_t batch_job_timing(batch_job_t *job, uint32_t occurrence, uint64_t now_us,
+			      uint64_t wall_ms);
 /** @return declared work of the job's tasks that are not done, in thousandths of a core times ms */
 double batch_remaining_work(const batch_job_t *job);
 /** @return time since the job was accepted, in ms, measured on this leader's monotonic clock */
@@ -39,4 +54,4 @@
  * @return time in ms within which an occurrence of the job should complete, counted from its due
  * time; 0 when queue is NULL
  */
-uint64_t batch_objective_ms(const batch_job_t *job, const Lp__BatchQueue *queue);
+uint64_t batch_objective_ms(batch_job_t *job, const Lp__BatchQueue *queue);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -144,16 +144,38 @@
 	}
 }
 
-static void save_order_machines(void *mem, const batch_state_t *state, Lp__BatchSnapshot *snapshot)
+static void save_requests(void *mem, const batch_state_t *state, Lp__BatchSnapshot *snapshot)
 {
+	size_t count = g_hash_table_size(state->last_requests);
 	GHashTableIter iter;
 	void *machine;
+	void *value;
+
+	snapshot->ordered = talloc_array(mem, char *, count + 1);
+	snapshot->ordered_ms = talloc_array(mem, uint64_t, count + 1);
+	g_hash_table_iter_init(&iter, state->last_requests);
+	while (g_hash_table_iter_next(&iter, &machine, &value)) {
+		const batch_request_t *request = value;
 
-	snapshot->ordered =
-		talloc_array(mem, char *, g_hash_table_size(state->last_request_us) + 1);
-	g_hash_table_iter_init(&iter, state->last_request_us);
-	while (g_hash_table_iter_next(&iter, &machine, NULL))
 		snapshot->ordered[snapshot->n_ordered++] = machine;
+		snapshot->ordered_ms[snapshot->n_ordered_ms++] = request->result_log_ms;
+	}
+	snapshot->log_clock_ms = state->log_clock_ms;
+	snapshot->log_term = state->log_term;
+	snapshot->log_leader_ms = state->log_leader_ms;
+}
+
+/* A snapshot of a version without the clock of the log has no results. */
+static void load_requests(batch_state_t *state, const Lp__BatchSnapshot *snapshot)
+{
+	state->log_clock_ms = MAX(snapshot->log_clock_ms, 1);
+	state->log_term = snapshot->log_term;
+	state->log_leader_ms = snapshot->log_leader_ms;
+	for (size_t i = 0; i < snapshot->n_ordered; i++)
+		batch_record_request(state, snapshot->ordered[i],
+				     i < snapshot->n_ordered_ms
+					     ? MIN(snapshot->ordered_ms[i], state->log_clock_ms)
+					     : 0);
 }
 
 uint8_t *batch_state_save(const batch_state_t *state, size_t *length)
@@ -169,7 +191,7 @@
 	save_jobs(mem, state, &snapshot);
 	save_waves(mem, state, &snapshot);
 	save_moves(mem, state, &snapshot);
-	save_order_machines(mem, state, &snapshot);
+	save_requests(mem, state, &snapshot);
 	packed = malloc(lp__batch_snapshot__get_packed_size(&snapshot) + 1);
 	if (packed == NULL)
 		g_error("out of memory while saving a snapshot");
@@ -288,8 +310,7 @@
 		if (load_wave(state, snapshot->waves[i]) != 0)
 			return -1;
 	}
-	for (size_t i = 0; i < snapshot->n_ordered; i++)
-		batch_record_request_time(state, snapshot->ordered[i]);
+	load_requests(state, snapshot);
 	for (size_t i = 0; i < snapshot->n_moves; i++)
 		batch_move_set(state, snapshot->moves[i]->machine, snapshot->moves[i]->pool);
 	return 0;
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -12,7 +12,8 @@
 	state->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	state->by_seq = g_hash_table_new(g_int64_hash, g_int64_equal);
 	state->vms_by_incarnation = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	state->last_request_us = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	state->log_clock_ms = 1;
+	state->last_requests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&state->active);
 	TAILQ_INIT(&state->ended);
 	LIST_INIT(&state->vms);
@@ -48,7 +49,7 @@
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
 	g_hash_table_destroy(state->vms_by_incarnation);
-	g_hash_table_destroy(state->last_request_us);
+	g_hash_table_destroy(state->last_requests);
 	g_hash_table_destroy(state->wave_machines);
 	g_hash_table_destroy(state->by_id);
 	g_hash_table_destroy(state->by_seq);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -149,6 +149,13 @@
 	double work; /**< declared work of all tasks, in thousandths of a core times ms */
 	uint64_t accepted_mono_us; /**< time of acceptance on this leader's monotonic clock, set by
 				      batch_job_age_ms(); 0: not set; not replicated */
+	uint64_t path_ms; /**< cached by batch_critical_path_ms(): declared run time of the critical
+			     path; 0: not computed; not replicated */
+	uint64_t remaining_path_ms; /**< the same for the remaining steps, when
+				       remaining_path_steps_done steps were done */
+	uint32_t remaining_path_steps_done;
+	uint64_t starved_turn; /**< number of the job's latest turn as a starved job, see
+				  batch_order.c; 0: none; not replicated */
 } batch_job_t;
 
 typedef struct {
@@ -179,6 +186,14 @@
 	char *pool;
 } batch_move_t;
 
+/** Latest platform request for a machine. */
+typedef struct {
+	uint64_t applied_us;	/**< batch_state_t.clock_us when its command was applied; not
+				   replicated */
+	uint64_t result_log_ms; /**< batch_state_t.log_clock_ms when its result was applied; 0: it
+				   has no result yet, so it can be sent again at any time */
+} batch_request_t;
+
 TAILQ_HEAD(batch_job_list, batch_job);
 
 typedef struct {
@@ -196,9 +211,12 @@
 	GHashTable *wave_machines; /**< machine -> batch_wave_machine_t of the latest wave that
 				      includes it */
 	LIST_HEAD(batch_moves, batch_move) moves;
-	GHashTable *last_request_us; /**< machine -> uint64_t, the clock_us when the command of its
-					latest platform request was applied; the times are not
-					replicated */
+	GHashTable *last_requests; /**< machine -> batch_request_t */
+	uint64_t log_clock_ms;	   /**< sum of the times that passed between the commands of each
+				      leader, by its monotonic clock, from 1: the time between two
+				      commands of the log is at least the difference */
+	uint64_t log_term;	   /**< term of the latest leader that counts in log_clock_ms */
+	uint64_t log_leader_ms;
 	uint64_t clock_us; /**< monotonic clock of this replica; the owner sets it before applying
 			      each command */
 	uint64_t revision; /**< number of applied commands and loaded snapshots so far */
@@ -269,5 +287,11 @@
  * longer knows the machine
  */
 bool batch_wave_complete(const batch_wave_t *wave);
+/**
+ * @return lower bound of the time since the platform request was last sent, in microseconds
+ * @param now_us time on the clock of batch_state_t.clock_us
+ */
+uint64_t batch_request_age_us(const batch_state_t *state, const batch_request_t *request,
+			      uint64_t now_us);
 /** Sets ref to the identity of the task's latest run, in the form used in commands. */
 void batch_task_ref(const batch_task_t *task, Lp__BatchTask *ref);
--- /dev/null
+++ b/tests/lib_load_play.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+/**
+ * @file
+ * Plays a load on the simulated fleet, and reports what the clients got: the share of the jobs that
+ * were complete within their objective by second of submission, and what it cost. The services
+ * surge by turns, as the users' queues do.
+ */
+
+/** Most services of a played load. */
+#define LOAD_SERVICES_MAX 4
+
+/** The jobs of one service: steps of equal tasks that run one after another. */
+typedef struct {
+	double rate_per_s; /**< mean number of jobs a second */
+	unsigned steps;	   /**< 1 to 3 */
+	uint32_t tasks;	   /**< number of tasks of a step */
+	uint32_t cpu_milli;
+	uint32_t task_ms;
+} load_service_t;
+
+typedef struct {
+	unsigned services;
+	unsigned vms_per_service;
+	unsigned standby_vms;
+	uint32_t platform_requests_per_s;
+	load_service_t service[LOAD_SERVICES_MAX];
+	uint32_t turn_ms;  /**< duration of a service's surge; the services surge one after another,
+			      and the first begins at 0 */
+	double surge;	   /**< rate in a surge, as a multiple of the mean */
+	double between;	   /**< rate outside the surges, as a multiple of the mean */
+	uint32_t burst_ms; /**< start of a burst of all services; 0: none */
+	uint32_t burst_for_ms;
+	double burst;	      /**< rate in the burst, as a multiple of that without it */
+	uint32_t duration_ms; /**< time in which jobs are submitted */
+	uint64_t seed;
+} load_play_t;
+
+typedef struct {
+	unsigned jobs;
+	unsigned in_time;     /**< jobs complete within their objective */
+	unsigned late;	      /**< jobs complete within three times their objective */
+	unsigned ended;	      /**< jobs complete 30 s after the last submission */
+	double in_time_share; /**< share of the declared work that belongs to jobs in time */
+	GArray *by_second;    /**< element N, a double: in_time_share of the jobs submitted in
+				 second N; -1 when there were none */
+	double machine_s;     /**< seconds of switched-on machines, up to duration_ms */
+	uint64_t moves;
+	double longest_late_s; /**< longest time from the submission of a job to its end */
+	char *violations;      /**< of the guarantees that the simulated fleet checks; "": none */
+} load_result_t;
+
+/** Plays the load. load_result_finish() frees what the result refers to. */
+void load_play(const load_play_t *play, load_result_t *result);
+void load_result_finish(load_result_t *result);
+/** @return in_time_share over the seconds from first to last, each weighted alike */
+double load_share_between(const load_result_t *result, unsigned first, unsigned last);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -2,6 +2,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "clock.h"
@@ -974,6 +975,19 @@
 	batch_leader_activate(sim->leader, ++sim->term);
 }
 
+void vm_sim_restart_processes(vm_sim_t *sim)
+{
+	size_t length;
+	uint8_t *snapshot = batch_state_save(&sim->state, &length);
+
+	batch_leader_deactivate(sim->leader);
+	sim->state.clock_us = sim->now_us;
+	if (batch_state_load(&sim->state, snapshot, length) != 0)
+		add_violation(sim, "snapshot cannot be loaded", "restart");
+	free(snapshot);
+	batch_leader_activate(sim->leader, ++sim->term);
+}
+
 static void add_vm(vm_sim_t *sim, const char *service)
 {
 	sim_vm_t *vm = g_new0(sim_vm_t, 1);
@@ -1046,7 +1060,9 @@
 				.holder_lease_ms = 3000,
 				.maintenance_ms = MAINTENANCE_MS,
 				.move_ms = MOVE_MS,
-				.platform_requests_per_s = 64,
+				.platform_requests_per_s = config->platform_requests_per_s > 0
+								   ? config->platform_requests_per_s
+								   : 64,
 				.name = "sim",
 			},
 		.propose = propose,
@@ -1250,6 +1266,16 @@
 	return count;
 }
 
+unsigned vm_sim_switched_on_count(const vm_sim_t *sim)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < sim->vms->len; i++)
+		count += strcmp(((const sim_vm_t *)g_ptr_array_index(sim->vms, i))->service,
+				"standby") != 0;
+	return count;
+}
+
 uint64_t vm_sim_start_count(const vm_sim_t *sim)
 {
 	return sim->starts;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -30,6 +30,7 @@
 					     of one VM for 1 to 6 s; 0: no outages */
 	uint32_t mean_leader_change_interval_ms; /**< mean time between leader changes; 0: no
 						    changes */
+	uint32_t platform_requests_per_s;	 /**< rate limit that the leader is told; 0: 64 */
 	uint64_t seed;
 } vm_sim_config_t;
 
@@ -60,11 +61,15 @@
  */
 void vm_sim_stall_vm(vm_sim_t *sim, unsigned vm);
 void vm_sim_change_leader(vm_sim_t *sim);
+/** Restarts all processes: the state is loaded from a snapshot, and a new leader takes over. */
+void vm_sim_restart_processes(vm_sim_t *sim);
 
 const batch_state_t *vm_sim_state(const vm_sim_t *sim);
 /** @return all violations recorded so far, one line each; "": none */
 const char *vm_sim_violations(const vm_sim_t *sim);
 /** @return number of runs that are running now on all VMs */
 unsigned vm_sim_running_count(const vm_sim_t *sim);
+/** @return number of machines that are not in the standby pool */
+unsigned vm_sim_switched_on_count(const vm_sim_t *sim);
 uint64_t vm_sim_start_count(const vm_sim_t *sim);
 uint64_t vm_sim_move_count(const vm_sim_t *sim);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -116,6 +116,43 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against a fleet that does not move for seconds after all processes were restarted, because
+ * the new leader takes the replayed platform requests for recent ones. */
+static void test_machines_move_soon_after_restart(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 3, .vms_per_service = 4, .standby_vms = 4, .seed = 2};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+	uint64_t moves;
+
+	make_job(&fixture, 1, 8, 4000, 800);
+	/* The machines move once before, and a job runs after that, so that time passes in the
+	 * log. */
+	for (unsigned i = 0; i < 40; i++) {
+		g_autofree char *id = g_strdup_printf("a%u", i);
+
+		vm_sim_submit(sim, id, 0, &fixture.job);
+		vm_sim_run(sim, 8000 + 50 * (i + 1));
+	}
+	vm_sim_run(sim, 18000);
+	vm_sim_submit(sim, "b", 1, &fixture.job);
+	vm_sim_run(sim, 22000);
+	moves = vm_sim_move_count(sim);
+	assert_true(moves > 0);
+	vm_sim_restart_processes(sim);
+	for (unsigned i = 0; i < 40; i++) {
+		g_autofree char *id = g_strdup_printf("c%u", i);
+
+		vm_sim_submit(sim, id, 2, &fixture.job);
+		vm_sim_run(sim, 22000 + 50 * (i + 1));
+	}
+	vm_sim_run(sim, 24500);
+	assert_true(vm_sim_move_count(sim) >= moves + 4);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against stopping and restarting a run when only the response to its start request was
  * lost. One response in five is lost, so after three attempts one start in 125 has an unknown
  * result, which is about one of the 80 starts in this test. */
@@ -524,6 +561,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_steps_run_in_order),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
+		cmocka_unit_test(test_machines_move_soon_after_restart),
 		cmocka_unit_test(test_lost_start_replies_cause_no_second_run),
 		cmocka_unit_test(test_lost_hold_replies_delay_few_jobs),
 		cmocka_unit_test(test_late_move_reply_keeps_the_new_vm),
--- a/tests/test_batch_plan.c
+++ b/tests/test_batch_plan.c
@@ -511,6 +511,122 @@
 	g_rand_free(rand);
 }
 
+static capacity_machine_t make_drainable(size_t pool, uint64_t drain_ms)
+{
+	return (capacity_machine_t){
+		.pool = pool, .cores = CORES, .drainable = true, .drain_ms = drain_ms};
+}
+
+/* Guards against a surge that gets no machine because all are busy with late tasks: the machines of
+ * a pool without demand on time are drained, those first that take the shortest time, while the
+ * pool keeps what its demand on time and its minimum need. */
+static void test_machines_with_late_tasks_are_drained(void **state)
+{
+	const capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.need_cores = 10 * CORES, .required_vms = 1},
+		[POOL_B] = {.need_cores = CORES, .late_cores = 20 * CORES, .required_vms = 1},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	capacity_machine_t machines[] = {
+		make_machine(POOL_A, false, 0), make_drainable(POOL_B, 900),
+		make_drainable(POOL_B, 300),	make_drainable(POOL_B, 60000),
+		make_machine(POOL_B, false, 0), make_drainable(POOL_B, 700),
+	};
+	capacity_move_t moves[8];
+
+	assert_int_equal(capacity_plan(pools, POOLS, machines, 6, 8, moves), 3);
+	for (size_t i = 0; i < 3; i++) {
+		assert_int_equal(moves[i].action, CAPACITY_DRAIN);
+		assert_int_equal(moves[i].to, POOL_A);
+	}
+	assert_int_equal(moves[0].machine, 2);
+	assert_int_equal(moves[1].machine, 5);
+	assert_int_equal(moves[2].machine, 1);
+}
+
+/* Guards against a machine that stays drained for a surge that is over, or that its own pool needs
+ * for tasks on time. */
+static void test_drains_end_when_no_longer_needed(void **state)
+{
+	capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.need_cores = CORES, .required_vms = 1},
+		[POOL_B] = {.need_cores = CORES, .late_cores = CORES, .required_vms = 1},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	capacity_machine_t machines[] = {
+		make_machine(POOL_A, false, 0), make_machine(POOL_A, false, 0),
+		make_machine(POOL_B, false, 0), make_machine(POOL_B, false, 0),
+		make_drainable(POOL_B, 500),
+	};
+	capacity_move_t moves[4];
+
+	machines[4].draining = true;
+	machines[4].draining_to = POOL_A;
+	assert_int_equal(capacity_plan(pools, POOLS, machines, 5, 4, moves), 1);
+	assert_int_equal(moves[0].action, CAPACITY_KEEP);
+	assert_int_equal(moves[0].machine, 4);
+	/* The surge of its destination goes on. */
+	pools[POOL_A].need_cores = 2.5 * CORES;
+	assert_int_equal(capacity_plan(pools, POOLS, machines, 5, 4, moves), 0);
+	pools[POOL_B].need_cores = 2.5 * CORES;
+	assert_int_equal(capacity_plan(pools, POOLS, machines, 5, 4, moves), 1);
+	assert_int_equal(moves[0].action, CAPACITY_KEEP);
+}
+
+/* Guards against late work that takes machines from pools with demand on time or from reserves: it
+ * only gets machines that nobody needs. */
+static void test_late_work_gets_spare_machines_only(void **state)
+{
+	const capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.late_cores = 10 * CORES, .required_vms = 1},
+		[POOL_B] = {.need_cores = CORES, .required_vms = 1, .reserve_vms = 3},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	const capacity_machine_t machines[] = {
+		make_machine(POOL_A, false, 0),	     make_machine(POOL_B, false, 0),
+		make_machine(POOL_B, true, 5000),    make_machine(POOL_B, true, 5000),
+		make_machine(POOL_STANDBY, true, 0), make_machine(POOL_STANDBY, true, 0),
+	};
+	capacity_move_t moves[8];
+
+	assert_int_equal(capacity_plan(pools, POOLS, machines, 6, 8, moves), 2);
+	for (size_t i = 0; i < 2; i++) {
+		assert_int_equal(moves[i].to, POOL_A);
+		assert_int_equal(machines[moves[i].machine].pool, POOL_STANDBY);
+	}
+}
+
+/* Guards against machines that go to and fro between two pools whose demand changes places every
+ * second: the machines follow the demand only as often as it changes. */
+static void test_machines_do_not_go_to_and_fro(void **state)
+{
+	capacity_pool_t pools[POOLS] = {
+		[POOL_A] = {.required_vms = 1},
+		[POOL_B] = {.required_vms = 1},
+		[POOL_STANDBY] = {.standby = true},
+	};
+	capacity_machine_t machines[10];
+	capacity_move_t moves[10];
+	unsigned changes = 0;
+
+	for (size_t i = 0; i < 10; i++)
+		machines[i] = make_drainable(i < 5 ? POOL_A : POOL_B, 500);
+	for (unsigned period = 0; period < 100; period++) {
+		bool first = period / 5 % 2 == 0;
+		size_t count;
+
+		/* The pools differ by less than a machine. */
+		pools[POOL_A].need_cores = (first ? 4.6 : 4.2) * CORES;
+		pools[POOL_B].need_cores = (first ? 4.2 : 4.6) * CORES;
+		pools[POOL_A].late_cores = pools[POOL_B].late_cores = 5 * CORES;
+		count = capacity_plan(pools, POOLS, machines, 10, 10, moves);
+		changes += (unsigned)count;
+		for (size_t i = 0; i < count; i++)
+			machines[moves[i].machine].pool = moves[i].to;
+	}
+	assert_int_equal(changes, 0);
+}
+
 /* --- order --- */
 
 static void configure(batch_state_t *state)
@@ -562,6 +678,39 @@
 	batch_state_finish(&batch);
 }
 
+/* Guards against late work that never ends because jobs on time keep coming: after 20 s, each of
+ * the three late jobs has a turn of a second ahead of the jobs on time, once in three seconds. */
+static void test_starved_jobs_take_turns(void **state)
+{
+	static const char *const late[] = {"late-a", "late-b", "late-c"};
+	unsigned first[G_N_ELEMENTS(late)] = {0};
+	batch_state_t batch;
+	GArray *candidates;
+
+	batch_state_init(&batch);
+	configure(&batch);
+	for (size_t i = 0; i < G_N_ELEMENTS(late); i++)
+		submit(&batch, 1000, late[i], 20, false);
+	/* A job's age counts from the first time that it is seen. */
+	candidates = batch_sorted_candidates(&batch, 1000000, 1000);
+	g_array_unref(candidates);
+	submit(&batch, 19500, "on-time", 20, false);
+	candidates = batch_sorted_candidates(&batch, 19500000ULL, 19500);
+	assert_string_equal(job_id_at(candidates, 0), "on-time");
+	g_array_unref(candidates);
+	for (unsigned turn = 0; turn < 9; turn++) {
+		uint64_t now_us = (22 + turn) * 1000000ULL;
+
+		candidates = batch_sorted_candidates(&batch, now_us, now_us / 1000);
+		for (size_t i = 0; i < G_N_ELEMENTS(late); i++)
+			first[i] += strcmp(job_id_at(candidates, 0), late[i]) == 0;
+		g_array_unref(candidates);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(late); i++)
+		assert_int_equal(first[i], 3);
+	batch_state_finish(&batch);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -582,7 +731,12 @@
 		cmocka_unit_test(test_reserves_are_used_last),
 		cmocka_unit_test(test_reserve_reduces_unmet_demand_at_surge_start),
 		cmocka_unit_test(test_capacity_plan_is_stable),
+		cmocka_unit_test(test_machines_with_late_tasks_are_drained),
+		cmocka_unit_test(test_drains_end_when_no_longer_needed),
+		cmocka_unit_test(test_late_work_gets_spare_machines_only),
+		cmocka_unit_test(test_machines_do_not_go_to_and_fro),
 		cmocka_unit_test(test_candidate_order),
+		cmocka_unit_test(test_starved_jobs_take_turns),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "batch_state.h"
+#include "clock.h"
 #include "lib_batch.h"
 
 static batch_state_t batch;
@@ -281,6 +282,62 @@
 	g_rand_free(rand);
 }
 
+static void apply_order(batch_state_t *state, uint64_t term, uint64_t leader_ms,
+			const char *machine, Lp__BatchOrderState order_state)
+{
+	Lp__BatchOrder order = LP__BATCH_ORDER__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	order.machine = (char *)machine;
+	order.pool = (char *)"s";
+	order.state = order_state;
+	command.body_case = LP__BATCH_COMMAND__BODY_ORDER;
+	command.order = &order;
+	command.term = term;
+	command.leader_ms = leader_ms;
+	batch_test_apply(state, 1000, &command);
+}
+
+static uint64_t request_age_ms(const batch_state_t *state, const char *machine)
+{
+	const batch_request_t *request = g_hash_table_lookup(state->last_requests, machine);
+
+	assert_non_null(request);
+	return batch_request_age_us(state, request, state->clock_us) / US_PER_MS;
+}
+
+/* Guards against a fleet that does not move for the holder's lease after all processes were
+ * restarted: the log tells how long ago each platform request had its result. A request without a
+ * result, and the time between two leaders, must not count. */
+static void test_request_age_survives_restart(void **state)
+{
+	uint8_t *snapshot;
+	size_t length;
+
+	/* All commands are replayed at the same local time, as at a start. */
+	apply_order(&batch, 3, 1000, "old", LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT);
+	apply_order(&batch, 3, 1200, "old", LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
+	apply_order(&batch, 3, 1300, "open", LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT);
+	apply_order(&batch, 3, 9000, "recent", LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
+	assert_int_equal(request_age_ms(&batch, "old"), 7800);
+	assert_int_equal(request_age_ms(&batch, "open"), 0);
+	assert_int_equal(request_age_ms(&batch, "recent"), 0);
+	/* The clock of the next leader begins at 0; a late command of the former one is ignored. */
+	apply_order(&batch, 4, 500, "new", LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
+	apply_order(&batch, 3, 20000, "stale", LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT);
+	apply_order(&batch, 4, 2500, "newest", LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
+	assert_int_equal(request_age_ms(&batch, "recent"), 2000);
+	assert_int_equal(request_age_ms(&batch, "new"), 2000);
+	snapshot = batch_state_save(&batch, &length);
+	assert_int_equal(batch_state_load(&batch, snapshot, length), 0);
+	free(snapshot);
+	assert_int_equal(request_age_ms(&batch, "old"), 9800);
+	assert_int_equal(request_age_ms(&batch, "open"), 0);
+	/* Local time counts too, from when the command was applied. */
+	batch.clock_us += 3 * US_PER_S;
+	assert_int_equal(request_age_ms(&batch, "open"), 3000);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -302,6 +359,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_damaged_snapshot_does_not_crash, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_request_age_survives_restart, set_up,
+						tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
