batch_upkeep: long-running tasks move from the beginning of a wave

Change: a third of a wave's slots goes to machines with long-running tasks from the beginning; while such a task starts up, hold requests return after 200 ms. A request that is being committed takes a slot, so that another machine cannot take it in the meantime.

--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -25,6 +25,11 @@
 /* Most probes per hold request. Two are enough to tell an unresponsive VM from a VM whose single
  * response was lost. */
 #define PROBES_MAX 2
+/* Wait of a hold request while a long-running task starts up for which others of its step wait: the
+ * next one can only move once the response shows that the task is available. No longer than
+ * STARTUP_POLLED_MS after its start, as it may fail to become available. */
+#define STARTUP_POLL_MS 200
+#define STARTUP_POLLED_MS 5000
 /* A hold request allows the VM to delay its response until the first of its runs should have
  * finished. That is the expected run time (the declared one, corrected by the VM's slowness) plus
  * this percentage of it and WAIT_MARGIN_MS. The margin is needed because declared times are off by
@@ -552,6 +557,13 @@
 	return record != NULL && (record->task_count > 0 || !vm->fence_acked);
 }
 
+/* True while the task starts up and others of its step can only move once it is available. */
+static bool awaits_startup(const batch_task_t *task, double age_ms)
+{
+	return task->step->spec->max_unavailable > 0 && task->local.progress_percent < 100 &&
+	       age_ms < STARTUP_POLLED_MS;
+}
+
 /* @return time in ms until the first of the VM's runs should have finished, including the wait
  * margin. The expected run time is the declared one, corrected by the VM's slowness. */
 static uint32_t expected_end_ms(const leader_vm_t *vm, const batch_vm_t *record, uint64_t now_us)
@@ -565,10 +577,13 @@
 		double margin_ms = run_ms * WAIT_MARGIN_PERCENT / 100 + WAIT_MARGIN_MS;
 		double age_ms = 0;
 
-		if (spec->long_running)
-			continue;
 		if (task->local.phase == RUN_CONFIRMED)
 			age_ms = (double)(now_us - task->local.phase_since_us) / US_PER_MS;
+		if (spec->long_running) {
+			if (awaits_startup(task, age_ms))
+				next_ms = MIN(next_ms, STARTUP_POLL_MS);
+			continue;
+		}
 		next_ms = MIN(next_ms, (uint64_t)(MAX(run_ms - age_ms, 0) + margin_ms));
 	}
 	return (uint32_t)next_ms;
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -14,6 +14,9 @@
 #define MAINTENANCE_RETRY_US (500 * US_PER_MS)
 /* Interval between updates of the maintenance waves. */
 #define WAVE_PERIOD_US (50 * US_PER_MS)
+/* The share of a wave's slots that machines with long-running tasks get from the beginning, as a
+ * divisor. */
+#define LASTING_SLOTS_DIVISOR 3
 /* A machine still counts as in maintenance for this long after its expected downtime. If it has
  * not reported by then, its maintenance is taken as complete. */
 #define RETURN_GRACE_MS 3000
@@ -410,39 +413,84 @@
 	propose_maintenance_done(leader, wave, machine->machine);
 }
 
-/* True when the machine runs no tasks. Such machines are maintained first, because no task has
- * to move. */
-static bool is_idle_machine(batch_leader_t *leader, const char *machine)
+typedef enum {
+	MACHINE_IDLE,
+	MACHINE_BUSY,
+	MACHINE_LASTING, /* it runs long-running tasks */
+} machine_load_t;
+
+static machine_load_t machine_load(batch_leader_t *leader, const char *machine)
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
+	const batch_vm_t *record = vm != NULL ? leader_vm_record(vm) : NULL;
+	const batch_task_t *task;
 
-	return vm == NULL || leader_vm_is_empty(vm);
+	if (vm == NULL || leader_vm_is_empty(vm))
+		return MACHINE_IDLE;
+	if (record == NULL)
+		return MACHINE_BUSY;
+	LIST_FOREACH (task, &record->tasks, vm_link) {
+		if (task->step->spec->long_running)
+			return MACHINE_LASTING;
+	}
+	return MACHINE_BUSY;
 }
 
-static void start_maintenance(batch_leader_t *leader, batch_wave_t *wave, uint32_t slots,
-			      uint64_t now_us)
+static void request_maintenance(batch_leader_t *leader, const batch_wave_t *wave,
+				const char *machine)
 {
-	for (int idle = 1; idle >= 0; idle--) {
-		for (size_t i = 0; i < wave->machine_count && slots > 0; i++) {
-			const batch_wave_machine_t *machine = &wave->machines[i];
-			leader_machine_t *platform_machine;
-
-			if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE ||
-			    is_idle_machine(leader, machine->machine) != (idle == 1))
-				continue;
-			slots--;
-			if (!prepare_machine(leader, machine->machine, now_us) ||
-			    leader->maintenance_requests_left == 0)
-				continue;
-			leader->maintenance_requests_left--;
-			platform_machine = leader_machine_add(leader, machine->machine);
-			platform_machine->request_in_flight = true;
-			platform_machine->requested_by_this_leader = true;
-			machine_call_propose(
-				machine_call_new(leader, machine->machine, NULL, wave->number),
-				LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_committed);
-		}
+	leader_machine_t *platform_machine = leader_machine_add(leader, machine);
+
+	leader->maintenance_requests_left--;
+	platform_machine->request_in_flight = true;
+	platform_machine->requested_by_this_leader = true;
+	machine_call_propose(machine_call_new(leader, machine, NULL, wave->number),
+			     LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_committed);
+}
+
+/* True while a platform request for the machine is being committed or carried out. */
+static bool is_requested(const batch_leader_t *leader, const char *machine)
+{
+	const leader_machine_t *platform_machine = leader_find_machine(leader, machine);
+
+	return platform_machine != NULL && platform_machine->request_in_flight;
+}
+
+/* Prepares up to slots machines of the wave with the given load, and requests the maintenance of
+ * those that are ready. @return number of machines prepared */
+static uint32_t start_machines(batch_leader_t *leader, const batch_wave_t *wave,
+			       machine_load_t load, uint32_t slots, uint64_t now_us)
+{
+	uint32_t prepared = 0;
+
+	for (size_t i = 0; i < wave->machine_count && prepared < slots; i++) {
+		const batch_wave_machine_t *machine = &wave->machines[i];
+
+		if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE ||
+		    is_requested(leader, machine->machine) ||
+		    machine_load(leader, machine->machine) != load)
+			continue;
+		prepared++;
+		if (prepare_machine(leader, machine->machine, now_us) &&
+		    leader->maintenance_requests_left > 0)
+			request_maintenance(leader, wave, machine->machine);
 	}
+	return prepared;
+}
+
+/* Machines with long-running tasks get a share of the slots from the beginning: their tasks can
+ * only move one after the other, which takes longest. The other slots go to idle machines first,
+ * because no task has to move. */
+static void start_maintenance(batch_leader_t *leader, const batch_wave_t *wave, uint32_t slots,
+			      uint64_t now_us)
+{
+	uint32_t lasting_slots = (slots + LASTING_SLOTS_DIVISOR - 1) / LASTING_SLOTS_DIVISOR;
+
+	slots -= start_machines(leader, wave, MACHINE_LASTING, lasting_slots, now_us);
+	slots -= start_machines(leader, wave, MACHINE_IDLE, slots, now_us);
+	slots -= start_machines(leader, wave, MACHINE_BUSY, slots, now_us);
+	if (slots > 0)
+		start_machines(leader, wave, MACHINE_LASTING, slots + lasting_slots, now_us);
 }
 
 static void tick_wave(batch_leader_t *leader, batch_wave_t *wave, uint64_t now_us)
@@ -452,6 +500,9 @@
 	for (size_t i = 0; i < wave->machine_count; i++) {
 		const batch_wave_machine_t *machine = &wave->machines[i];
 
+		/* A request that is not committed yet takes a slot too. */
+		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE)
+			in_progress += is_requested(leader, machine->machine);
 		if (!is_in_progress(machine->state))
 			continue;
 		in_progress++;
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -252,6 +252,34 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against a wave that ends late because the tasks that may only move one after the other
+ * come last: while idle machines are maintained, long-running tasks move already. */
+static void test_wave_moves_long_running_tasks_first(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 2, .vms_per_service = 12, .standby_vms = 4, .seed = 4};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+	uint64_t ended_ms = 0;
+
+	make_long_running_job(&fixture, 8, 1);
+	vm_sim_run(sim, 3000);
+	vm_sim_submit(sim, "lasting", 0, &fixture.job);
+	vm_sim_run(sim, 8000);
+	vm_sim_start_wave(sim, 1, 6);
+	for (uint64_t at_ms = 8100; at_ms < 60000 && ended_ms == 0; at_ms += 100) {
+		vm_sim_run(sim, at_ms);
+		if (batch_wave_complete(batch_state_wave(vm_sim_state(sim), 1)))
+			ended_ms = at_ms;
+	}
+	print_message("wave took %" PRIu64 " ms\n", ended_ms - 8000);
+	assert_no_violations(sim);
+	/* Eight tasks move one after the other, each in 1.1 s to stop and start up and less than a
+	 * second to decide, and the last machine takes 2 s. */
+	assert_in_range(ended_ms, 8000, 8000 + 8 * 2000 + 2000);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against maintenance that ends a running task, or never reaches a machine. */
 static void test_wave_reaches_all_machines(void **state)
 {
@@ -566,6 +594,7 @@
 		cmocka_unit_test(test_lost_hold_replies_delay_few_jobs),
 		cmocka_unit_test(test_late_move_reply_keeps_the_new_vm),
 		cmocka_unit_test(test_wave_reaches_all_machines),
+		cmocka_unit_test(test_wave_moves_long_running_tasks_first),
 		cmocka_unit_test(test_tasks_move_off_a_stalled_vm),
 		cmocka_unit_test(test_failing_jobs_do_not_block_a_pool),
 		cmocka_unit_test(test_cancelled_job_stops),
