--- a/src/batch_capacity.h
+++ b/src/batch_capacity.h
@@ -16,7 +16,6 @@
  */
 
 typedef struct {
-	bool standby;	   /**< standby pool: its machines are switched off and cost nothing */
 	double need_cores; /**< number of cores that the tasks which can still be on time could use
 			      now */
 	double late_cores; /**< number of cores that the pool gets for its late tasks, as long as no
@@ -26,6 +25,7 @@
 				  now */
 	bool reserve_due;      /**< the reserve is for a surge that is predicted or goes on, so that
 				  machines with late tasks are drained for it */
+	bool standby;	       /**< standby pool: its machines are switched off and cost nothing */
 } capacity_pool_t;
 
 typedef struct {
@@ -33,12 +33,12 @@
 			moving to */
 	double cores;
 	uint64_t idle_ms;   /**< duration for which the machine has run no tasks */
+	uint64_t drain_ms;  /**< estimated time until its tasks have ended */
+	size_t draining_to; /**< destination of the move for which the machine is drained */
 	bool idle;	    /**< the machine runs no tasks */
 	bool immovable;	    /**< the machine must not be moved now */
 	bool drainable;	    /**< the machine runs only tasks that end by themselves */
-	uint64_t drain_ms;  /**< estimated time until its tasks have ended */
 	bool draining;	    /**< the machine is drained for a move */
-	size_t draining_to; /**< destination of that move */
 } capacity_machine_t;
 
 typedef enum {
--- a/src/batch_forecast.h
+++ b/src/batch_forecast.h
@@ -74,10 +74,11 @@
 
 void forecast_init(forecast_t *forecast);
 void forecast_finish(forecast_t *forecast);
-/** Adds work that has arrived for the pool in the present step. @param core_s in core seconds */
-void forecast_add(forecast_t *forecast, const char *pool, double core_s);
+/** Adds work that has arrived for the named pool in the present step. @param core_s in core seconds
+ */
+void forecast_add(forecast_t *forecast, const char *name, double core_s);
 /** Ends the present step if it is over, and detects the beginning and the end of surges. */
 void forecast_advance(forecast_t *forecast, uint64_t now_us);
 /** @param horizon_us time that the caller needs to prepare for a surge */
-forecast_outlook_t forecast_outlook(const forecast_t *forecast, const char *pool, uint64_t now_us,
+forecast_outlook_t forecast_outlook(const forecast_t *forecast, const char *name, uint64_t now_us,
 				    uint64_t horizon_us);
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -3,6 +3,8 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include <talloc.h>
+
 #include "batch_capacity.h"
 #include "batch_leader_internal.h"
 #include "batch_order.h"
@@ -574,7 +576,7 @@
 static void collect_pools(batch_leader_t *leader, pools_t *pools, uint64_t now_us)
 {
 	const Lp__BatchConfig *config = leader->state->config;
-	g_autofree double *lasting_cores = g_new0(double, config->n_services + 1);
+	double *lasting_cores = talloc_zero_array(NULL, double, config->n_services + 1);
 	uint64_t wall_ms = leader->wall_ms(leader->arg);
 	batch_job_t *job;
 
@@ -603,6 +605,7 @@
 			pool->need_cores =
 				MAX(pool->need_cores, lasting_cores[i] + outlook.arriving_cores);
 	}
+	talloc_free(lasting_cores);
 }
 
 bool leader_machine_leased_elsewhere(const batch_leader_t *leader, const char *machine,
--- a/tests/lib_load_play.c
+++ b/tests/lib_load_play.c
@@ -1,9 +1,9 @@
 #include "lib_load_play.h"
 
 #include <math.h>
-#include <string.h>
 
-#include "clock.h"
+#include <talloc.h>
+
 #include "lib_vm_sim.h"
 
 /* Time before the first submission, in which the fleet reports and settles. */
@@ -145,8 +145,9 @@
 static void summarise(const player_t *player, load_result_t *result)
 {
 	unsigned seconds = player->play->duration_ms / 1000 + 1;
-	g_autofree double *owed = g_new0(double, seconds);
-	g_autofree double *earned = g_new0(double, seconds);
+	void *mem = talloc_new(NULL);
+	double *owed = talloc_zero_array(mem, double, seconds);
+	double *earned = talloc_zero_array(mem, double, seconds);
 	double all_owed = 0;
 	double all_earned = 0;
 
@@ -174,6 +175,7 @@
 		all_earned += earned[i];
 	}
 	result->in_time_share = all_owed > 0 ? all_earned / all_owed : 0;
+	talloc_free(mem);
 }
 
 void load_play(const load_play_t *play, load_result_t *result)
