batch: a pool in its first surge keeps its reserve

Change: it keeps an equal share until the surge ends; only a surge whose end is foreseen gives it up.

--- a/src/batch_forecast.c
+++ b/src/batch_forecast.c
@@ -300,14 +300,13 @@
 	}
 }
 
-/* @return whether the pool's surge goes on for longer than the horizon, as far as its last one
- * tells */
-static bool surge_goes_on(const forecast_pool_t *pool, uint64_t now_us, uint64_t horizon_us)
+/* True when the pool's surge ends within the horizon, if it lasts as long as its last one. */
+static bool surge_ends(const forecast_pool_t *pool, uint64_t now_us, uint64_t horizon_us)
 {
 	const forecast_surge_t *last = &pool->surges[1];
 
-	return pool->surge_count < 2 ||
-	       now_us + horizon_us < pool->surges[0].start_us + (last->end_us - last->start_us);
+	return pool->surge_count >= 2 &&
+	       now_us + horizon_us >= pool->surges[0].start_us + (last->end_us - last->start_us);
 }
 
 static forecast_state_t outlook_state(const forecast_t *forecast, const forecast_pool_t *pool,
@@ -332,9 +331,11 @@
 		return outlook;
 	outlook.state = outlook_state(forecast, pool, now_us, horizon_us);
 	outlook.arriving_cores = pool->arriving_cores;
-	if (!pool->surging && pool->surge_count > 0)
+	if (!pool->surging && pool->surge_count > 0) {
 		outlook.surge_cores = surge_cores(&pool->surges[0], now_us);
-	else if (pool->surging && pool->surge_count >= 2 && surge_goes_on(pool, now_us, horizon_us))
+	} else if (pool->surging && pool->surge_count >= 2) {
 		outlook.surge_cores = surge_cores(&pool->surges[1], now_us);
+		outlook.ending = surge_ends(pool, now_us, horizon_us);
+	}
 	return outlook;
 }
--- a/src/batch_forecast.h
+++ b/src/batch_forecast.h
@@ -68,8 +68,10 @@
 typedef struct {
 	forecast_state_t state;
 	double arriving_cores; /**< cores that the work arriving now takes if it goes on arriving */
-	double surge_cores;    /**< cores that the pool's latest surge took; 0: none was seen. While
-				  the pool surges, 0 once the surge is about to end */
+	double surge_cores;    /**< cores that the pool's latest surge took, not counting one that
+				  goes on; 0: none was seen */
+	bool ending; /**< the pool's surge is about to end, if it lasts as long as its last
+			one */
 } forecast_outlook_t;
 
 void forecast_init(forecast_t *forecast);
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -535,8 +535,35 @@
 	return leader->config.move_ms * US_PER_MS + (uint64_t)(move_s * US_PER_S) + RESERVE_LEAD_US;
 }
 
-/* Sets the reserve of each pool with a queue. A pool whose surge is due or goes on gets what its
- * last surge took. A pool of which nothing is known gets an equal share. */
+/* @return reserve of a pool, in VMs: what its last surge took when a surge is due or goes on, an
+ * equal share when nothing is known
+ * @param share an equal share of the machines that are kept as reserves
+ * @param due set to whether the reserve is for a surge of known size */
+static unsigned reserve_for(const forecast_outlook_t *outlook, double lasting_cores,
+			    double cores_per_vm, unsigned share, bool *due)
+{
+	unsigned surge_vms = capacity_vms_for(lasting_cores + outlook->surge_cores, cores_per_vm);
+
+	*due = false;
+	switch (outlook->state) {
+	case FORECAST_POSSIBLE:
+		return share;
+	case FORECAST_UNLIKELY:
+		return 0;
+	case FORECAST_DUE:
+		break;
+	case FORECAST_SURGING:
+		if (outlook->ending)
+			return 0;
+		if (outlook->surge_cores == 0)
+			return share;
+		break;
+	}
+	*due = true;
+	return surge_vms;
+}
+
+/* Sets the reserve of each pool with a queue. */
 static void set_reserves(const batch_leader_t *leader, const pools_t *pools, uint64_t now_us)
 {
 	const Lp__BatchConfig *config = leader->state->config;
@@ -557,19 +584,8 @@
 			continue;
 		outlook = forecast_outlook(&leader->forecast, config->services[i]->name, now_us,
 					   lead_us);
-		switch (outlook.state) {
-		case FORECAST_POSSIBLE:
-			pool->reserve_vms = share;
-			break;
-		case FORECAST_UNLIKELY:
-			break;
-		case FORECAST_DUE:
-		case FORECAST_SURGING:
-			pool->reserve_due = true;
-			pool->reserve_vms =
-				capacity_vms_for(pool->need_cores + outlook.surge_cores, cores);
-			break;
-		}
+		pool->reserve_vms =
+			reserve_for(&outlook, pool->need_cores, cores, share, &pool->reserve_due);
 	}
 }
 
