--- a/src/batch_capacity.c
+++ b/src/batch_capacity.c
@@ -161,31 +161,17 @@
 	return best_index;
 }
 
-static size_t cover_deficits(plan_t *plan, size_t limit, capacity_move_t *moves)
+/* Moves idle machines to the pools that lack capacity. @param with_late whether late tasks count;
+ * they get no machine of a reserve */
+static size_t cover_deficits(plan_t *plan, bool with_late, size_t limit, capacity_move_t *moves)
 {
+	unsigned max_rank = with_late ? DONOR_STANDBY : DONOR_RESERVE;
 	double cores = mean_machine_cores(plan);
 	size_t count = 0;
 
 	while (count < limit) {
-		ssize_t to = find_largest_deficit(plan, cores, false);
-		ssize_t donor = to >= 0 ? find_donor(plan, (size_t)to, DONOR_RESERVE) : -1;
-
-		if (donor < 0)
-			break;
-		moves[count++] = move_machine(plan, (size_t)donor, (size_t)to);
-	}
-	return count;
-}
-
-/* Gives pools with late tasks machines that nobody needs otherwise. */
-static size_t cover_late_work(plan_t *plan, size_t limit, capacity_move_t *moves)
-{
-	double cores = mean_machine_cores(plan);
-	size_t count = 0;
-
-	while (count < limit) {
-		ssize_t to = find_largest_deficit(plan, cores, true);
-		ssize_t donor = to >= 0 ? find_donor(plan, (size_t)to, DONOR_STANDBY) : -1;
+		ssize_t to = find_largest_deficit(plan, cores, with_late);
+		ssize_t donor = to >= 0 ? find_donor(plan, (size_t)to, max_rank) : -1;
 
 		if (donor < 0)
 			break;
@@ -425,11 +411,11 @@
 		allocated[pool].vms++;
 	}
 	count = review_drains(&plan, limit, moves);
-	count += cover_deficits(&plan, limit - count, moves + count);
+	count += cover_deficits(&plan, false, limit - count, moves + count);
 	count += drain_for_deficits(&plan, limit - count, moves + count);
 	count += fill_reserves(&plan, limit - count, moves + count);
 	count += drain_for_reserves(&plan, limit - count, moves + count);
-	count += cover_late_work(&plan, limit - count, moves + count);
+	count += cover_deficits(&plan, true, limit - count, moves + count);
 	count += release_idle(&plan, limit - count, moves + count);
 	talloc_free(mem);
 	return count;
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -75,44 +75,42 @@
 	load_result_finish(&result);
 }
 
-/* Guards against a fleet that stays behind after a burst of all services, because late work holds
- * the machines that the next surge needs. */
-static void test_recovery_from_burst_between_turns(void **state)
+/* Plays the load with a burst of all services, and checks the time after the recovery. */
+static void check_recovery(load_play_t *load)
 {
-	load_play_t load = turns;
 	load_result_t result;
 	double share;
 
-	load.burst_ms = BURST_S * 1000;
-	load.burst_for_ms = BURST_FOR_S * 1000;
-	load.burst = 6;
-	play(&load, &result);
+	load->burst_ms = BURST_S * 1000;
+	load->burst_for_ms = BURST_FOR_S * 1000;
+	load->burst = 6;
+	play(load, &result);
 	share = load_share_between(&result, BURST_S + BURST_FOR_S + RECOVERY_S, LAST_S);
 	print_message("after the recovery: %.3f\n", share);
 	assert_true(share >= IN_TIME_GOAL);
 	load_result_finish(&result);
 }
 
+/* Guards against a fleet that stays behind after a burst of all services, because late work holds
+ * the machines that the next surge needs. */
+static void test_recovery_from_burst_between_turns(void **state)
+{
+	load_play_t load = turns;
+
+	check_recovery(&load);
+}
+
 /* Guards against late work that gets ahead of work on time once it has waited for long: the demand
  * is even, half of the fleet's room, and three times the room for 5 s. */
 static void test_recovery_from_burst_of_even_demand(void **state)
 {
 	load_play_t load = turns;
-	load_result_t result;
-	double share;
 
 	load.surge = 1;
 	load.between = 1;
 	for (unsigned i = 0; i < load.services; i++)
 		load.service[i].rate_per_s *= 1.8;
-	load.burst_ms = BURST_S * 1000;
-	load.burst_for_ms = BURST_FOR_S * 1000;
-	load.burst = 6;
-	play(&load, &result);
-	share = load_share_between(&result, BURST_S + BURST_FOR_S + RECOVERY_S, LAST_S);
-	print_message("after the recovery: %.3f\n", share);
-	assert_true(share >= IN_TIME_GOAL);
-	load_result_finish(&result);
+	check_recovery(&load);
 }
 
 static int set_up(void **state)
