batch_machines: read the time of day once for a plan; tests share a set-up

Found in the read-through, no change of behaviour: - the estimate of each machine's drain read the time of day for every running task in each period of 200 ms, and the demand of each job read the monotonic clock; both are read once for a plan now; - surge_ends() checked a condition that its only caller has checked; the comment of first_surge_after() named the wrong end; - test_overload and test_batch_leader had the same group set-up, which is in lib_vm_sim now.

--- a/src/batch_forecast.c
+++ b/src/batch_forecast.c
@@ -102,7 +102,7 @@
 
 /* --- predictions --- */
 
-/* @return the pool's latest surge that began after the given time, or NULL */
+/* @return the first of the pool's surges that began after the given time, or NULL */
 static const forecast_surge_t *first_surge_after(const forecast_pool_t *pool, uint64_t time_us)
 {
 	const forecast_surge_t *found = NULL;
@@ -300,13 +300,13 @@
 	}
 }
 
-/* True when the pool's surge ends within the horizon, if it lasts as long as its last one. */
+/* True when the surge of a pool that surges for the second time at least ends within the horizon,
+ * if it lasts as long as the last one. */
 static bool surge_ends(const forecast_pool_t *pool, uint64_t now_us, uint64_t horizon_us)
 {
 	const forecast_surge_t *last = &pool->surges[1];
 
-	return pool->surge_count >= 2 &&
-	       now_us + horizon_us >= pool->surges[0].start_us + (last->end_us - last->start_us);
+	return now_us + horizon_us >= pool->surges[0].start_us + (last->end_us - last->start_us);
 }
 
 static forecast_state_t outlook_state(const forecast_t *forecast, const forecast_pool_t *pool,
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -433,8 +433,8 @@
 }
 
 /* Adds the number of cores that the job could use now if capacity were unlimited. */
-static void add_batch_job(batch_leader_t *leader, capacity_pool_t *pool, batch_job_t *job,
-			  uint64_t now_us, uint64_t wall_ms)
+static void add_batch_job(capacity_pool_t *pool, batch_job_t *job, uint64_t now_us,
+			  uint64_t wall_ms)
 {
 	double path_ms = (double)MAX(batch_critical_path_ms(job, 0, true), CRITICAL_PATH_MIN_MS);
 	double cores = batch_remaining_work(job) / 1000.0 / path_ms;
@@ -452,7 +452,7 @@
 	}
 }
 
-static void add_job(batch_leader_t *leader, pools_t *pools, batch_job_t *job, bool long_running,
+static void add_job(pools_t *pools, batch_job_t *job, bool long_running, uint64_t now_us,
 		    uint64_t wall_ms)
 {
 	capacity_pool_t *pool = find_pool(pools, job->service);
@@ -464,7 +464,7 @@
 	for (uint32_t i = 0; long_running && i < job->step_count; i++)
 		add_long_running(pool, &job->steps[i]);
 	if (!long_running)
-		add_batch_job(leader, pool, job, leader_now_us(leader), wall_ms);
+		add_batch_job(pool, job, now_us, wall_ms);
 }
 
 void leader_observe_demand(batch_leader_t *leader, uint64_t now_us)
@@ -589,11 +589,10 @@
 	}
 }
 
-static void collect_pools(batch_leader_t *leader, pools_t *pools, uint64_t now_us)
+static void collect_pools(batch_leader_t *leader, pools_t *pools, uint64_t now_us, uint64_t wall_ms)
 {
 	const Lp__BatchConfig *config = leader->state->config;
 	double *lasting_cores = talloc_zero_array(NULL, double, config->n_services + 1);
-	uint64_t wall_ms = leader->wall_ms(leader->arg);
 	batch_job_t *job;
 
 	for (size_t i = 0; i < config->n_services; i++) {
@@ -603,12 +602,12 @@
 		g_array_append_val(pools->pools, pool);
 	}
 	TAILQ_FOREACH (job, &leader->state->active, link)
-		add_job(leader, pools, job, true, wall_ms);
+		add_job(pools, job, true, now_us, wall_ms);
 	set_reserves(leader, pools, now_us);
 	for (guint i = 0; i < pools->names->len; i++)
 		lasting_cores[i] = g_array_index(pools->pools, capacity_pool_t, i).need_cores;
 	TAILQ_FOREACH (job, &leader->state->active, link)
-		add_job(leader, pools, job, false, wall_ms);
+		add_job(pools, job, false, now_us, wall_ms);
 	for (guint i = 0; i < pools->names->len; i++) {
 		capacity_pool_t *pool = &g_array_index(pools->pools, capacity_pool_t, i);
 		forecast_outlook_t outlook = forecast_outlook(
@@ -683,24 +682,22 @@
 /* True when a drain stops the task instead of waiting for its end: its job is late, so that it is
  * worth a fraction of what the machine does elsewhere, and less work is lost than is left. A job
  * that has had a turn as a starved job is not stopped again. */
-static bool is_preempted(const batch_leader_t *leader, const leader_vm_t *vm,
-			 const batch_task_t *task, uint64_t now_us)
+static bool is_preempted(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us,
+			 uint64_t wall_ms)
 {
 	const batch_step_t *step = task->step;
 	uint64_t age_ms = (now_us - task->local.phase_since_us) / US_PER_MS;
 
 	if (task->status != BATCH_TASK_ASSIGNED || task->local.phase != RUN_CONFIRMED ||
 	    step->job->starved_turn != 0 ||
-	    batch_job_timing(step->job, step->occurrence, now_us, leader->wall_ms(leader->arg)) ==
-		    JOB_ON_TIME)
+	    batch_job_timing(step->job, step->occurrence, now_us, wall_ms) == JOB_ON_TIME)
 		return false;
 	return step->spec->checkpoints || age_ms < remaining_run_ms(vm, task, now_us);
 }
 
 /* Estimates how long the VM takes until all its tasks have ended. @return false when it runs tasks
  * that do not end by themselves */
-static bool estimate_drain(batch_leader_t *leader, leader_vm_t *vm, uint64_t now_us,
-			   uint64_t *drain_ms)
+static bool estimate_drain(leader_vm_t *vm, uint64_t now_us, uint64_t wall_ms, uint64_t *drain_ms)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
 	const batch_task_t *task;
@@ -714,7 +711,7 @@
 		if (task->step->spec->long_running || task->step->spec->best_effort ||
 		    task->step->spec->gang)
 			return false;
-		if (end_ms > STOP_TASK_MS && is_preempted(leader, vm, task, now_us))
+		if (end_ms > STOP_TASK_MS && is_preempted(vm, task, now_us, wall_ms))
 			end_ms = STOP_TASK_MS;
 		*drain_ms = MAX(*drain_ms, end_ms);
 	}
@@ -728,7 +725,7 @@
 
 static capacity_machine_t describe_machine(batch_leader_t *leader, pools_t *pools,
 					   leader_machine_t *machine, const capacity_pool_t *pool,
-					   uint64_t now_us)
+					   uint64_t now_us, uint64_t wall_ms)
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
 	const capacity_pool_t *destination =
@@ -748,12 +745,12 @@
 		entry.draining_to = pool_index(pools, destination);
 	}
 	if (vm != NULL && !entry.idle && !entry.immovable)
-		entry.drainable = estimate_drain(leader, vm, now_us, &entry.drain_ms);
+		entry.drainable = estimate_drain(vm, now_us, wall_ms, &entry.drain_ms);
 	return entry;
 }
 
 static void collect_machines(batch_leader_t *leader, pools_t *pools, GArray *machines,
-			     GPtrArray *leader_machines, uint64_t now_us)
+			     GPtrArray *leader_machines, uint64_t now_us, uint64_t wall_ms)
 {
 	GHashTableIter iter;
 	void *value;
@@ -771,7 +768,7 @@
 			machine->idle_since_us = 0;
 		else if (machine->idle_since_us == 0)
 			machine->idle_since_us = now_us;
-		entry = describe_machine(leader, pools, machine, pool, now_us);
+		entry = describe_machine(leader, pools, machine, pool, now_us, wall_ms);
 		g_array_append_val(machines, entry);
 		g_ptr_array_add(leader_machines, machine);
 	}
@@ -793,6 +790,7 @@
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
 	const batch_vm_t *record = vm != NULL ? leader_vm_record(vm) : NULL;
 	uint64_t now_us = leader_now_us(leader);
+	uint64_t wall_ms = leader->wall_ms(leader->arg);
 	batch_task_t *task;
 	char run[RUN_LABEL_MAX];
 
@@ -800,7 +798,7 @@
 		return;
 	LIST_FOREACH (task, &record->tasks, vm_link) {
 		if (remaining_run_ms(vm, task, now_us) <= STOP_TASK_MS ||
-		    !is_preempted(leader, vm, task, now_us))
+		    !is_preempted(vm, task, now_us, wall_ms))
 			continue;
 		run_label_of_task(run, task);
 		log_event(G_LOG_LEVEL_INFO,
@@ -894,12 +892,13 @@
 	};
 	g_autoptr(GArray) machines = g_array_new(FALSE, TRUE, sizeof(capacity_machine_t));
 	g_autoptr(GPtrArray) leader_machines = g_ptr_array_new();
+	uint64_t wall_ms = leader->wall_ms(leader->arg);
 	size_t limit = moves_allowed(leader);
 	g_autofree capacity_move_t *moves = g_new(capacity_move_t, limit);
 	size_t count;
 
-	collect_pools(leader, &pools, now_us);
-	collect_machines(leader, &pools, machines, leader_machines, now_us);
+	collect_pools(leader, &pools, now_us, wall_ms);
+	collect_machines(leader, &pools, machines, leader_machines, now_us, wall_ms);
 	count = capacity_plan((const capacity_pool_t *)pools.pools->data, pools.pools->len,
 			      (const capacity_machine_t *)machines->data, machines->len, limit,
 			      moves);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "log.h"
 #include "message.h"
 
 #define WALL_OFFSET_MS 1700000000000ULL
@@ -1046,6 +1047,14 @@
 	batch_state_apply(&sim->state, wall_ms(sim), &command, &result);
 }
 
+int vm_sim_set_up(void **state)
+{
+	log_init(false, false, 0);
+	if (getenv("LAVENDERPASS_VERBOSE") == NULL)
+		log_set_min_level(G_LOG_LEVEL_CRITICAL);
+	return 0;
+}
+
 vm_sim_t *vm_sim_create(const vm_sim_config_t *config)
 {
 	vm_sim_t *sim = g_new0(vm_sim_t, 1);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -37,6 +37,11 @@
 struct vm_sim;
 typedef struct vm_sim vm_sim_t;
 
+/**
+ * Group set-up for cmocka: logs only errors unless LAVENDERPASS_VERBOSE is set, because thousands
+ * of log lines of the simulated leaders would hide the test results. @return 0
+ */
+int vm_sim_set_up(void **state);
 vm_sim_t *vm_sim_create(const vm_sim_config_t *config);
 void vm_sim_destroy(vm_sim_t *sim);
 /** Runs the simulation until the virtual clock reaches until_ms. */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -14,7 +14,6 @@
 
 #include "clock.h"
 #include "lib_vm_sim.h"
-#include "log.h"
 
 #define STEPS_MAX 3
 
@@ -574,16 +573,6 @@
 	vm_sim_destroy(sim);
 }
 
-static int set_up(void **state)
-{
-	log_init(false, false, 0);
-	/* Without this, thousands of log lines of the simulated leaders would hide the test
-	 * results. */
-	if (getenv("LAVENDERPASS_VERBOSE") == NULL)
-		log_set_min_level(G_LOG_LEVEL_CRITICAL);
-	return 0;
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -606,5 +595,5 @@
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
-	return cmocka_run_group_tests(tests, set_up, NULL);
+	return cmocka_run_group_tests(tests, vm_sim_set_up, NULL);
 }
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -10,12 +10,10 @@
 
 #include <cmocka.h>
 
-#include <stdlib.h>
-
 #include <glib.h>
 
 #include "lib_load_play.h"
-#include "log.h"
+#include "lib_vm_sim.h"
 
 #define IN_TIME_GOAL 0.95
 #define TURN_S 4
@@ -113,15 +111,6 @@
 	check_recovery(&load);
 }
 
-static int set_up(void **state)
-{
-	log_init(false, false, 0);
-	/* Without this, thousands of log lines of the simulated leaders would hide the results. */
-	if (getenv("LAVENDERPASS_VERBOSE") == NULL)
-		log_set_min_level(G_LOG_LEVEL_CRITICAL);
-	return 0;
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -130,5 +119,5 @@
 		cmocka_unit_test(test_recovery_from_burst_of_even_demand),
 	};
 
-	return cmocka_run_group_tests(tests, set_up, NULL);
+	return cmocka_run_group_tests(tests, vm_sim_set_up, NULL);
 }
