batch_machines: a VM has ended once its machine has left the platform's list

Callers saw a long-running task that did not run for 17 to 23 s although there was room for it (LOST: "is to last and doesn't run"; in the users' record run 1 is gone at 5.660 s, run 3 begins at 28.513 s).

Cause: a VM that ends for good sends nothing, and its machine disappears from the platform's list. The leader only acted on machines that the list shows as down, so the runs waited until their lease had certainly expired: 10 s after the last grant without a response, and 17.15 s (12 s for a late request, 5.15 s of lease) after each change of the leader, as a new leader has to assume the latest grant.

The new test failed: no run after 6 s.

Change: an unresponsive VM whose machine two whole readings of the list in a row lack, both requested since it is unresponsive, has ended. Two, because a list that changes between its pages can lack a machine once. Nothing else that the leader knows proves the end: a refused connection may be a cut.

--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -41,10 +41,12 @@
 	bool draining;
 	uint64_t drain_until_us; /**< earliest time at which a draining VM ends */
 	bool cordoned; /**< the VM gets no new tasks because of a planned move or maintenance */
-	bool drained_for_move; /**< the VM gets no new tasks, and its machine moves once the VM's
-				  tasks have ended */
-	bool dead;	       /**< the VM has ended and runs no tasks any more */
-	uint64_t shutdown_us;  /**< time when the VM announced its shutdown; 0: not announced */
+	bool drained_for_move;	  /**< the VM gets no new tasks, and its machine moves once the VM's
+				     tasks have ended */
+	unsigned readings_missed; /**< number of readings of the platform's list without the VM's
+				     machine since the VM is unresponsive */
+	bool dead;		  /**< the VM has ended and runs no tasks any more */
+	uint64_t shutdown_us;	  /**< time when the VM announced its shutdown; 0: not announced */
 
 	batch_vm_t *record; /**< replicated record of this incarnation, or NULL; read it through
 			       leader_vm_record() */
@@ -108,7 +110,8 @@
 					  maintenance; 0: not seen */
 	uint64_t arrival_deadline_us; /**< time by which the machine must report after a move; 0: no
 					 move, or it has reported */
-	uint64_t idle_since_us; /**< time when it was first seen without tasks; 0: it runs tasks */
+	uint64_t listed_reading; /**< number of the latest reading of the platform's list with it */
+	uint64_t idle_since_us;	 /**< time when it was first seen without tasks; 0: it runs tasks */
 	char *drain_to; /**< pool to which the machine moves once its tasks have ended; NULL: no
 			   such move is planned */
 } leader_machine_t;
@@ -147,6 +150,8 @@
 	bool list_complete;  /**< the whole list of machines was received at least once since this
 				process became leader */
 	uint64_t list_requested_us;
+	uint64_t list_reading; /**< number of readings of the list that were begun */
+	size_t listed_count;   /**< number of machines in the present reading so far */
 	uint64_t capacity_due_us;
 	uint64_t platform_request_seq; /**< number of platform requests sent since this process
 					  became leader */
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -15,6 +15,9 @@
  * whether its machine is down. */
 #define LIST_PERIOD_US (8 * US_PER_S)
 #define LIST_URGENT_PERIOD_US (1 * US_PER_S)
+/* A machine has left the fleet when this many readings of the list in a row lack it: one reading
+ * can lack a machine if the list changes between two pages. */
+#define READINGS_MISSED_MAX 2
 /* Interval between runs of the capacity planning, which decides the sizes of the pools. A surge
  * builds up over seconds, and a move takes 1.5 s. */
 #define CAPACITY_PERIOD_US (200 * US_PER_MS)
@@ -128,6 +131,7 @@
 	leader_machine_t *machine = leader_machine_add(leader, listed->machine);
 	uint64_t now_us = leader_now_us(leader);
 
+	machine->listed_reading = leader->list_reading;
 	check_unresponsive_vm(leader, listed);
 	/* The list is possibly older than a move of the machine that is in progress or just
 	 * complete. */
@@ -140,6 +144,31 @@
 	}
 }
 
+static bool is_listed(const batch_leader_t *leader, const leader_vm_t *vm)
+{
+	const leader_machine_t *machine = leader_find_machine(leader, vm->machine);
+
+	return machine != NULL && machine->listed_reading == leader->list_reading;
+}
+
+/* Marks unresponsive VMs as dead whose machines have left the platform's list. Otherwise their runs
+ * would wait for the latest possible expiry of the lease, which is 17 s away after a change of the
+ * leader. */
+static void check_unlisted_vms(batch_leader_t *leader)
+{
+	leader_vm_t *vm;
+
+	LIST_FOREACH (vm, &leader->vms, link) {
+		if (vm->dead || vm->machine[0] == '\0')
+			continue;
+		if (!vm->unresponsive || vm->unresponsive_since_us > leader->list_requested_us ||
+		    is_listed(leader, vm))
+			vm->readings_missed = 0;
+		else if (++vm->readings_missed >= READINGS_MISSED_MAX)
+			leader_vm_mark_dead(vm, "its machine has left the platform's list");
+	}
+}
+
 static void request_page(batch_leader_t *leader, const char *page);
 
 static void on_list(void *arg, const machine_list_t *list)
@@ -152,10 +181,14 @@
 	leader->list_in_flight = false;
 	for (size_t i = 0; i < list->machine_count; i++)
 		update_machine(leader, &list->machines[i]);
-	if (list->answered && list->next_page != NULL)
+	leader->listed_count += list->machine_count;
+	if (list->answered && list->next_page != NULL) {
 		request_page(leader, list->next_page);
-	else if (list->answered)
+	} else if (list->answered) {
 		leader->list_complete = true;
+		if (leader->listed_count > 0)
+			check_unlisted_vms(leader);
+	}
 }
 
 static void request_page(batch_leader_t *leader, const char *page)
@@ -191,6 +224,8 @@
 	if (leader->list_in_flight || now_us < leader->list_requested_us + period_us)
 		return;
 	leader->list_requested_us = now_us;
+	leader->list_reading++;
+	leader->listed_count = 0;
 	request_page(leader, NULL);
 }
 
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -44,6 +44,7 @@
 	uint64_t seq;
 	bool up;
 	bool powered_off; /* the machine is in the standby pool */
+	bool removed;	  /* the machine has left the fleet */
 	uint64_t cut_off_until_us;
 	bool stalled; /* runs started from now on are marked as stalled */
 	uint64_t lease_end_us;
@@ -660,18 +661,21 @@
 	g_autofree list_call_t *call = arg;
 	vm_sim_t *sim = call->sim;
 	g_autofree machine_info_t *machines = g_new0(machine_info_t, sim->vms->len);
-	machine_list_t list = {
-		.answered = true, .machines = machines, .machine_count = sim->vms->len};
+	machine_list_t list = {.answered = true, .machines = machines};
 
 	for (guint i = 0; i < sim->vms->len; i++) {
 		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
-
-		g_strlcpy(machines[i].machine, vm->machine, VM_NAME_MAX);
-		g_strlcpy(machines[i].pool, vm->service, VM_NAME_MAX);
-		g_strlcpy(machines[i].vm, vm->id, VM_NAME_MAX);
-		machines[i].cpu_milli = VM_CPU_MILLI;
-		machines[i].up = !vm->busy && (vm->up || vm->powered_off);
-		machines[i].down = !vm->busy && !vm->up && !vm->powered_off;
+		machine_info_t *listed = &machines[list.machine_count];
+
+		if (vm->removed)
+			continue;
+		g_strlcpy(listed->machine, vm->machine, VM_NAME_MAX);
+		g_strlcpy(listed->pool, vm->service, VM_NAME_MAX);
+		g_strlcpy(listed->vm, vm->id, VM_NAME_MAX);
+		listed->cpu_milli = VM_CPU_MILLI;
+		listed->up = !vm->busy && (vm->up || vm->powered_off);
+		listed->down = !vm->busy && !vm->up && !vm->powered_off;
+		list.machine_count++;
 	}
 	call->done(call->arg, &list);
 }
@@ -1248,6 +1252,30 @@
 	((sim_vm_t *)g_ptr_array_index(sim->vms, vm))->stalled = true;
 }
 
+static bool runs_job(const sim_vm_t *vm, const char *job)
+{
+	for (guint i = 0; i < vm->runs->len; i++) {
+		if (strcmp(g_array_index(vm->runs, sim_run_t, i).task.job, job) == 0)
+			return true;
+	}
+	return false;
+}
+
+void vm_sim_remove_machine_of(vm_sim_t *sim, const char *job)
+{
+	for (guint i = 0; i < sim->vms->len; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		if (!vm->up || !runs_job(vm, job))
+			continue;
+		vm->up = false;
+		vm->busy = true;
+		vm->removed = true;
+		g_array_set_size(vm->runs, 0);
+		return;
+	}
+}
+
 void vm_sim_set_platform_delay(vm_sim_t *sim, uint32_t platform_delay_ms)
 {
 	sim->platform_delay_ms = platform_delay_ms;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -65,6 +65,9 @@
  * mark yet: marked runs finish as usual.
  */
 void vm_sim_stall_vm(vm_sim_t *sim, unsigned vm);
+/** Removes a machine that runs a task of the job from the fleet: its VM ends without notice, and
+ * the platform does not list the machine any more. */
+void vm_sim_remove_machine_of(vm_sim_t *sim, const char *job);
 void vm_sim_change_leader(vm_sim_t *sim);
 /** Restarts all processes: the state is loaded from a snapshot, and a new leader takes over. */
 void vm_sim_restart_processes(vm_sim_t *sim);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -16,6 +16,9 @@
 #include "lib_vm_sim.h"
 
 #define STEPS_MAX 3
+/* Most time from the end of a long-running task to its next run while there is room: what the
+ * users' rules allow. */
+#define RERUN_MAX_MS 6000
 
 /* A job with steps that run one after another, and the arrays that it refers to. */
 typedef struct {
@@ -115,6 +118,28 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against a long-running task that waits for a lease of 17 s, because its machine has left
+ * the fleet just before a change of the leader. */
+static void test_task_of_a_removed_machine_runs_soon(void **state)
+{
+	const vm_sim_config_t config = {.services = 1, .vms_per_service = 4, .seed = 7};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_long_running_job(&fixture, 1, 0);
+	vm_sim_run(sim, 4000);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	vm_sim_run(sim, 8000);
+	assert_int_equal(vm_sim_running_count(sim), 1);
+	vm_sim_remove_machine_of(sim, "a");
+	vm_sim_change_leader(sim);
+	assert_int_equal(vm_sim_running_count(sim), 0);
+	vm_sim_run(sim, 8000 + RERUN_MAX_MS);
+	assert_int_equal(vm_sim_running_count(sim), 1);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against a fleet that does not move for seconds after all processes were restarted, because
  * the new leader takes the replayed platform requests for recent ones. */
 static void test_machines_move_soon_after_restart(void **state)
@@ -578,6 +603,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_steps_run_in_order),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
+		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
 		cmocka_unit_test(test_machines_move_soon_after_restart),
 		cmocka_unit_test(test_lost_start_replies_cause_no_second_run),
 		cmocka_unit_test(test_lost_hold_replies_delay_few_jobs),
