batch_upkeep: commit repeated maintenance requests

Two holders ordered the maintenance of machine m-c024d in turn within leaseMs 3,000: fencing tokens of term 48 at 84.023 s, of term 49 at 85.337 s and of term 50 at 85.462 s.

Cause: the intent of the first request is committed, so that the next leader waits for the end of the holder's lease. When the result of that request is not committed, the next leader repeats the request once that lease is over, without a command in the log. A third leader that follows within the lease finds only the old intent, and repeats the request at once.

Change: a repeated request is committed like the first one and counts against the requests allowed in a period. Repeated moves are not in the log either, but wait for holder_lease_ms after the activation.

--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -921,8 +921,8 @@
 	if (!leader->list_complete || now_us < leader->capacity_due_us)
 		return;
 	leader->capacity_due_us = now_us + CAPACITY_PERIOD_US;
-	/* For holder_lease_ms after this leader was activated, an earlier leader can still
-	 * repeat its unfinished requests, so do not repeat them yet. */
+	/* An earlier leader possibly repeated the requests of unfinished moves until this leader
+	 * was activated. Repeated requests are not in the log, so wait for the end of its lease. */
 	if (now_us >= leader->activated_us + leader->config.holder_lease_ms * US_PER_MS)
 		resend_moves(leader, now_us);
 	plan_capacity(leader, now_us);
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -271,7 +271,7 @@
 	if (machine == NULL)
 		return;
 	if (code == LP__RESULT_CODE__RESULT_OK)
-		send_maintenance_request(call->leader, call->wave, call->machine, false);
+		send_maintenance_request(call->leader, call->wave, call->machine, call->resent);
 	else
 		machine->request_in_flight = false;
 }
@@ -436,16 +436,19 @@
 	return MACHINE_BUSY;
 }
 
+/* Commits the intent to send a maintenance request, and then sends it. A repeated request is
+ * committed again, so that the next leader knows when the holder's lease of this one ends. */
 static void request_maintenance(batch_leader_t *leader, const batch_wave_t *wave,
-				const char *machine)
+				const char *machine, bool resent)
 {
 	leader_machine_t *platform_machine = leader_machine_add(leader, machine);
+	machine_call_t *call = machine_call_new(leader, machine, NULL, wave->number);
 
+	call->resent = resent;
 	leader->maintenance_requests_left--;
 	platform_machine->request_in_flight = true;
 	platform_machine->requested_by_this_leader = true;
-	machine_call_propose(machine_call_new(leader, machine, NULL, wave->number),
-			     LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_committed);
+	machine_call_propose(call, LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_intent_committed);
 }
 
 /* True while a platform request for the machine is being committed or carried out. */
@@ -473,7 +476,7 @@
 		prepared++;
 		if (prepare_machine(leader, machine->machine, now_us) &&
 		    leader->maintenance_requests_left > 0)
-			request_maintenance(leader, wave, machine->machine);
+			request_maintenance(leader, wave, machine->machine, false);
 	}
 	return prepared;
 }
@@ -510,8 +513,9 @@
 		/* The request was committed by an earlier leader or is unanswered. Send it again
 		 * once the tasks that were started on the machine in the meantime have ended. */
 		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
-		    prepare_machine(leader, machine->machine, now_us))
-			send_maintenance_request(leader, wave->number, machine->machine, true);
+		    prepare_machine(leader, machine->machine, now_us) &&
+		    leader->maintenance_requests_left > 0)
+			request_maintenance(leader, wave, machine->machine, true);
 	}
 	if (in_progress < wave->max_down)
 		start_maintenance(leader, wave, wave->max_down - in_progress, now_us);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -22,6 +22,8 @@
 #define VM_CPU_MILLI 64000
 #define VM_MEM_MIB 262144
 #define CANCEL_GRACE_MS 3000
+/* Time for which only one leader may send platform requests for a machine. */
+#define HOLDER_LEASE_MS 3000
 
 typedef struct {
 	task_id_t task;
@@ -50,6 +52,8 @@
 	uint64_t lease_lapsed_us; /* end of the latest lease that has expired */
 	uint64_t fence;
 	uint64_t machine_fence;
+	uint64_t machine_term; /* term of the leader that last sent a request for the machine */
+	uint64_t machine_requested_us;
 	GArray *runs;		  /* of sim_run_t */
 	GArray *finished;	  /* of vm_finished_run_t */
 	uint64_t last_end_number; /* number of the latest entry in finished */
@@ -748,11 +752,24 @@
 	call->done(call->arg, &reply);
 }
 
+/* Records a violation if two leaders send requests for the machine within the holder's lease. */
+static void check_holder(sim_vm_t *vm, uint64_t fence)
+{
+	uint64_t term = fence >> 24;
+
+	if (vm->machine_term != 0 && vm->machine_term != term &&
+	    vm->sim->now_us < vm->machine_requested_us + HOLDER_LEASE_MS * US_PER_MS)
+		add_violation(vm->sim, "ONE", vm->machine);
+	vm->machine_term = term;
+	vm->machine_requested_us = vm->sim->now_us;
+}
+
 static vm_reply_code_t execute_platform_call(sim_vm_t *vm, const platform_call_t *call)
 {
 	if (call->fence < vm->machine_fence)
 		return VM_REPLY_FENCED;
 	vm->machine_fence = call->fence;
+	check_holder(vm, call->fence);
 	if (call->pool[0] != '\0') {
 		if (strcmp(vm->service, call->pool) == 0)
 			return VM_REPLY_OK;
@@ -1066,7 +1083,7 @@
 				.clock_skew_percent = 3,
 				.hold_wait_ms = 1000,
 				.report_timeout_ms = REPORT_INTERVAL_MS + 700,
-				.holder_lease_ms = 3000,
+				.holder_lease_ms = HOLDER_LEASE_MS,
 				.maintenance_ms = MAINTENANCE_MS,
 				.move_ms = MOVE_MS,
 				.platform_requests_per_s = config->platform_requests_per_s > 0
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -545,6 +545,25 @@
 	}
 }
 
+/* Guards against leaders that take turns on a machine: a leader repeated the unanswered maintenance
+ * request of an earlier one within the holder's lease. */
+static void test_guarantees_with_short_terms(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 5,
+			.standby_vms = 3,
+			.lost_reply_share = 0.4,
+			.failed_end_share = 0.02,
+			.mean_leader_change_interval_ms = 1500,
+			.seed = seed,
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Prints the leader's CPU time for a large fleet, which shows whether its work grows with the
  * square of the number of VMs. */
 static void test_leader_cpu_time_on_large_fleet(void **state)
@@ -592,6 +611,7 @@
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
 		cmocka_unit_test(test_guarantees_with_most_replies_lost),
+		cmocka_unit_test(test_guarantees_with_short_terms),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
