batch_machines: drop platform requests whose commit took too long

Cause: a leader sends a platform request when it applies the command. The next leader counts the holder's lease from the time when it applied the same command itself, and allows 300 ms more. A leader that is behind sends the request later than that: nothing bounded the time, and commits of a loaded leader take longer.

Change: a request is sent only within 1 s of its proposal, which is before its commit, and the next leader allows for that second. A request that comes later is dropped: the wave proposes it again, and resend_moves() sends a committed move, which is bounded by holder_lease_ms after an activation. A new leader waits up to 0.7 s longer before it orders a machine that the leader before it has just ordered.

--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -305,7 +305,8 @@
 typedef struct {
 	batch_leader_t *leader;
 	uint64_t generation;
-	uint64_t wave; /**< number of the maintenance wave; unused for a move */
+	uint64_t created_us; /**< time when the call was created, before its command was proposed */
+	uint64_t wave;	     /**< number of the maintenance wave; unused for a move */
 	char machine[VM_NAME_MAX];
 	char pool[VM_NAME_MAX]; /**< destination pool of a move; "": maintenance */
 	uint64_t born_ms; /**< start time of the VM that the machine ran when this call was created;
@@ -325,6 +326,11 @@
  * the call was created
  */
 leader_machine_t *machine_call_get(const machine_call_t *call);
+/**
+ * False when the command of the call took so long to commit that the request must not be sent any
+ * more: the next leader counts the holder's lease from about the time of the commit.
+ */
+bool machine_call_may_send(const machine_call_t *call);
 /** Proposes to commit the state of the platform request. done() receives call and frees it. */
 void machine_call_propose(machine_call_t *call, Lp__BatchOrderState state, batch_proposed_fn done);
 /** @return fencing token for the next platform request, higher than all earlier ones */
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -46,9 +46,10 @@
 #define OVERDUE_TASK_MS 200
 /* Expected time from the decision to stop a task until its VM has listed the end of its run. */
 #define STOP_TASK_MS 300
-/* Longest time from the moment when this replica applies the command of a platform request until
- * the leader that proposed the command sends the request. */
-#define REQUEST_SEND_DELAY_MAX_US (300 * US_PER_MS)
+/* Longest time from the proposal of a platform request until the leader sends the request; a leader
+ * that is behind when its command is applied drops the request after this time. Longer than most
+ * commits of a leader under load take. */
+#define REQUEST_SEND_DELAY_MAX_US (1000 * US_PER_MS)
 /* Lower limit of a job's remaining critical path, in ms. A job's demand is estimated as its
  * remaining work divided by its remaining critical path. */
 #define CRITICAL_PATH_MIN_MS 300
@@ -204,6 +205,7 @@
 
 	call->leader = leader;
 	call->generation = leader->generation;
+	call->created_us = leader_now_us(leader);
 	call->wave = wave;
 	call->born_ms = vm != NULL ? vm->born_ms : 0;
 	g_strlcpy(call->machine, machine, sizeof(call->machine));
@@ -219,6 +221,11 @@
 	return leader_find_machine(call->leader, call->machine);
 }
 
+bool machine_call_may_send(const machine_call_t *call)
+{
+	return leader_now_us(call->leader) <= call->created_us + REQUEST_SEND_DELAY_MAX_US;
+}
+
 void machine_call_propose(machine_call_t *call, Lp__BatchOrderState state, batch_proposed_fn done)
 {
 	Lp__BatchOrder order = LP__BATCH_ORDER__INIT;
@@ -345,12 +352,14 @@
 
 	if (machine == NULL)
 		return;
-	if (code == LP__RESULT_CODE__RESULT_OK) {
+	if (code != LP__RESULT_CODE__RESULT_OK) {
+		machine->request_in_flight = false;
+		uncordon(move->leader, machine);
+	} else if (machine_call_may_send(move)) {
 		send_move(move->leader, machine, move->pool);
-		return;
+	} else {
+		machine->request_in_flight = false; /* resend_moves() sends the request */
 	}
-	machine->request_in_flight = false;
-	uncordon(move->leader, machine);
 }
 
 static bool machine_is_empty(batch_leader_t *leader, const leader_machine_t *machine)
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -270,7 +270,7 @@
 
 	if (machine == NULL)
 		return;
-	if (code == LP__RESULT_CODE__RESULT_OK)
+	if (code == LP__RESULT_CODE__RESULT_OK && machine_call_may_send(call))
 		send_maintenance_request(call->leader, call->wave, call->machine, call->resent);
 	else
 		machine->request_in_flight = false;
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -98,9 +98,11 @@
 	GHashTable *cancelled; /* job -> time in us when its cancellation was committed */
 	GString *violations;
 	uint32_t platform_delay_ms;
+	uint32_t commit_delay_ms; /* added to the delay of each commit */
 	unsigned next_vm;
 	uint64_t starts;
 	uint64_t moves;
+	uint64_t maintenance_requests;
 	bool faults_stopped;
 	bool wave_violation_reported;
 	bool shutting_down; /* no further periodic events are scheduled */
@@ -820,6 +822,7 @@
 				  .fence = request->fence,
 				  .done = done,
 				  .arg = done_arg};
+	sim->maintenance_requests += request->pool == NULL;
 	g_strlcpy(call->machine, request->machine, sizeof(call->machine));
 	g_strlcpy(call->pool, request->pool != NULL ? request->pool : "", sizeof(call->pool));
 	schedule(sim, random_time_us(sim, 2, 8), deliver_platform_call, call);
@@ -872,7 +875,8 @@
 				 .term = sim->term,
 				 .done = done,
 				 .arg = done_arg};
-	sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 8, 30));
+	sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 8 + sim->commit_delay_ms,
+							    30 + sim->commit_delay_ms));
 	schedule(sim, sim->commit_us, commit, proposal);
 }
 
@@ -1270,6 +1274,11 @@
 	sim->platform_delay_ms = platform_delay_ms;
 }
 
+void vm_sim_set_commit_delay(vm_sim_t *sim, uint32_t commit_delay_ms)
+{
+	sim->commit_delay_ms = commit_delay_ms;
+}
+
 const batch_state_t *vm_sim_state(const vm_sim_t *sim)
 {
 	return &sim->state;
@@ -1311,3 +1320,8 @@
 {
 	return sim->moves;
 }
+
+uint64_t vm_sim_maintenance_request_count(const vm_sim_t *sim)
+{
+	return sim->maintenance_requests;
+}
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -60,6 +60,8 @@
 void vm_sim_start_wave(vm_sim_t *sim, uint64_t number, uint32_t max_down);
 /** Sets the time between carrying out a platform request and responding to it. */
 void vm_sim_set_platform_delay(vm_sim_t *sim, uint32_t platform_delay_ms);
+/** Sets a time that passes before each commit, in addition to the usual 8 to 30 ms. */
+void vm_sim_set_commit_delay(vm_sim_t *sim, uint32_t commit_delay_ms);
 /**
  * Marks the runs that start on the VM from now on as stalled. The simulation does not act on the
  * mark yet: marked runs finish as usual.
@@ -78,3 +80,5 @@
 unsigned vm_sim_switched_on_count(const vm_sim_t *sim);
 uint64_t vm_sim_start_count(const vm_sim_t *sim);
 uint64_t vm_sim_move_count(const vm_sim_t *sim);
+/** @return number of requests for maintenance that were sent to the platform */
+uint64_t vm_sim_maintenance_request_count(const vm_sim_t *sim);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -299,6 +299,25 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against a platform request that is sent long after its commit by a leader that is behind:
+ * the next leader counts the holder's lease from the commit. */
+static void test_slow_commits_send_no_maintenance_requests(void **state)
+{
+	const vm_sim_config_t config = {.services = 1, .vms_per_service = 6, .seed = 4};
+	vm_sim_t *sim = vm_sim_create(&config);
+
+	vm_sim_run(sim, 4000);
+	vm_sim_set_commit_delay(sim, 1500);
+	vm_sim_start_wave(sim, 1, 2);
+	vm_sim_run(sim, 12000);
+	assert_int_equal(vm_sim_maintenance_request_count(sim), 0);
+	vm_sim_set_commit_delay(sim, 0);
+	vm_sim_run(sim, 40000);
+	assert_true(batch_wave_complete(batch_state_wave(vm_sim_state(sim), 1)));
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Tasks must not wait forever on a VM that makes no progress although it sends reports and
  * responses. The simulation does not act on vm_sim_stall_vm() yet, so this test does not
  * exercise the case. */
@@ -603,6 +622,7 @@
 		cmocka_unit_test(test_late_move_reply_keeps_the_new_vm),
 		cmocka_unit_test(test_wave_reaches_all_machines),
 		cmocka_unit_test(test_wave_moves_long_running_tasks_first),
+		cmocka_unit_test(test_slow_commits_send_no_maintenance_requests),
 		cmocka_unit_test(test_tasks_move_off_a_stalled_vm),
 		cmocka_unit_test(test_failing_jobs_do_not_block_a_pool),
 		cmocka_unit_test(test_cancelled_job_stops),
