batch_dispatch: start no run that is being committed as lost

Cause: two start intents can name the same run and the same VM: one of a deposed leader that its successor commits, or one that this leader took for uncommitted after 3 s, and the intent that this leader proposes for the task meanwhile. The first one assigns the run. The next answer of the VM does not list it, so it is proposed as lost ('not started under an earlier leader'). Then the second intent is committed. It changes nothing, but the leader took the assignment for its own and sent the start request. The run goes on while the log has lost it, its end is committed and acknowledged, and the task is started again.

Change: no start request is sent for a run whose loss is being committed.

Evidence: the simulation has outages of the replicated log, proposals that time out or are passed on to the next leader, and records a start after the acknowledged end of a run.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -397,10 +397,11 @@
 	if (!committed || task->status != BATCH_TASK_ASSIGNED || task->run != intent->ref.run ||
 	    task->local.phase != RUN_INHERITED)
 		return;
-	/* A start intent of an earlier leader with the same run number was possibly committed
-	 * first, for another VM. */
-	if (task->vm == NULL || strcmp(task->vm->id, intent->vm.vm) != 0 ||
-	    task->vm->born_ms != intent->vm.born_ms)
+	/* A start intent with the same run number, of an earlier leader or one that had timed out,
+	 * was possibly committed first: for another VM, or so long ago that the run is being
+	 * committed as lost. */
+	if (task->local.loss_pending || task->vm == NULL ||
+	    strcmp(task->vm->id, intent->vm.vm) != 0 || task->vm->born_ms != intent->vm.born_ms)
 		return;
 	if (vm == NULL) {
 		leader_mark_run_lost(leader, task, "the VM has ended before the start");
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -22,6 +22,8 @@
 #define VM_CPU_MILLI 64000
 #define VM_MEM_MIB 262144
 #define CANCEL_GRACE_MS 3000
+/* Time after which the outcome of a proposal that is not committed is reported as unknown. */
+#define PROPOSE_TIMEOUT_MS 3000
 /* Time for which only one leader may send platform requests for a machine. */
 #define HOLDER_LEASE_MS 3000
 
@@ -78,6 +80,7 @@
 	uint64_t number;
 	uint64_t time_us;
 	bool started_again; /* the task was started again after this run had completed */
+	bool acknowledged;  /* the leader has acknowledged it, and the VM's lease had not expired */
 } completion_t;
 
 struct vm_sim {
@@ -284,6 +287,8 @@
 		completion_t *done = g_hash_table_lookup(sim->completed, key);
 
 		done->started_again = true;
+		if (done->acknowledged)
+			add_violation(sim, "TWICE after its acknowledged end", key);
 	}
 	check_step_order(sim, id);
 	if (cancelled_us != NULL && sim->now_us > *cancelled_us + CANCEL_GRACE_MS * US_PER_MS)
@@ -442,11 +447,14 @@
 static void check_acknowledged_run(sim_vm_t *vm, const vm_finished_run_t *finished)
 {
 	g_autofree char *key = task_key(&finished->task);
-	const completion_t *done = g_hash_table_lookup(vm->sim->completed, key);
+	completion_t *done = g_hash_table_lookup(vm->sim->completed, key);
 
-	if (done != NULL && finished->kind == LP__BATCH_END_KIND__BATCH_END_DONE &&
-	    strcmp(done->vm, vm->id) == 0 && done->number == finished->number &&
-	    done->started_again && vm->lease_lapsed_us < done->time_us)
+	if (done == NULL || finished->kind != LP__BATCH_END_KIND__BATCH_END_DONE ||
+	    strcmp(done->vm, vm->id) != 0 || done->number != finished->number ||
+	    vm->lease_lapsed_us >= done->time_us)
+		return;
+	done->acknowledged = true;
+	if (done->started_again)
 		add_violation(vm->sim, "TWICE after its end", key);
 }
 
@@ -834,8 +842,11 @@
 	vm_sim_t *sim;
 	Lp__BatchCommand *command;
 	uint64_t term;
-	batch_proposed_fn done;
+	batch_proposed_fn done; /* NULL: the outcome was reported, or is not reported */
 	void *arg;
+	bool requeued; /* its leader was deposed before the commit, and it was passed on */
+	bool committed;
+	bool timed_out;
 } proposal_t;
 
 static uint64_t wall_ms(const vm_sim_t *sim)
@@ -843,24 +854,55 @@
 	return sim->now_us / US_PER_MS + WALL_OFFSET_MS;
 }
 
+static void report_outcome(proposal_t *proposal, Lp__ResultCode code)
+{
+	batch_proposed_fn done = proposal->done;
+
+	proposal->done = NULL;
+	if (done != NULL)
+		done(proposal->arg, code);
+}
+
+/* Frees the proposal after both its commit and its timeout. */
+static void free_if_finished(proposal_t *proposal)
+{
+	if (!proposal->committed || !proposal->timed_out)
+		return;
+	lp__batch_command__free_unpacked(proposal->command, NULL);
+	g_free(proposal);
+}
+
+static void time_out_proposal(void *arg)
+{
+	proposal_t *proposal = arg;
+
+	proposal->timed_out = true;
+	report_outcome(proposal, LP__RESULT_CODE__RESULT_UNKNOWN);
+	free_if_finished(proposal);
+}
+
 static void commit(void *arg)
 {
-	g_autofree proposal_t *proposal = arg;
+	proposal_t *proposal = arg;
 	vm_sim_t *sim = proposal->sim;
 	Lp__Result result = LP__RESULT__INIT;
 
 	/* A proposal of a deposed leader is either lost, or committed after proposals of its
-	 * successor. */
+	 * successor, possibly after it was passed on to the successor. */
+	if (proposal->term != sim->term && !proposal->requeued && g_rand_boolean(sim->rand)) {
+		proposal->requeued = true;
+		schedule(sim, random_time_us(sim, 0, 2000), commit, proposal);
+		return;
+	}
+	proposal->committed = true;
 	if (proposal->term != sim->term && g_rand_boolean(sim->rand)) {
-		if (proposal->done != NULL)
-			proposal->done(proposal->arg, LP__RESULT_CODE__RESULT_UNAVAILABLE);
+		report_outcome(proposal, LP__RESULT_CODE__RESULT_UNAVAILABLE);
 	} else {
 		sim->state.clock_us = sim->now_us;
 		batch_state_apply(&sim->state, wall_ms(sim), proposal->command, &result);
-		if (proposal->done != NULL)
-			proposal->done(proposal->arg, result.code);
+		report_outcome(proposal, result.code);
 	}
-	lp__batch_command__free_unpacked(proposal->command, NULL);
+	free_if_finished(proposal);
 	if (batch_leader_active(sim->leader))
 		batch_leader_place_tasks(sim->leader);
 }
@@ -878,6 +920,7 @@
 	sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 8 + sim->commit_delay_ms,
 							    30 + sim->commit_delay_ms));
 	schedule(sim, sim->commit_us, commit, proposal);
+	schedule(sim, sim->now_us + PROPOSE_TIMEOUT_MS * US_PER_MS, time_out_proposal, proposal);
 }
 
 /* --- periodic events and faults --- */
@@ -976,6 +1019,8 @@
 		vm->cut_off_until_us = random_time_us(sim, 1000, 6000);
 	if (fault_due(sim, sim->config.mean_leader_change_interval_ms))
 		vm_sim_change_leader(sim);
+	if (fault_due(sim, sim->config.mean_commit_stall_interval_ms))
+		sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 500, 5000));
 	schedule(sim, sim->now_us + 100 * US_PER_MS, inject_faults, sim);
 }
 
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -30,6 +30,9 @@
 					     of one VM for 1 to 6 s; 0: no outages */
 	uint32_t mean_leader_change_interval_ms; /**< mean time between leader changes; 0: no
 						    changes */
+	uint32_t mean_commit_stall_interval_ms;	 /**< mean time between outages of the replicated
+						    log, in which nothing is committed for 0.5 to 5
+						    s; 0: no outages */
 	uint32_t platform_requests_per_s;	 /**< rate limit that the leader is told; 0: 64 */
 	uint64_t seed;
 } vm_sim_config_t;
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -583,6 +583,32 @@
 	}
 }
 
+static void run_load_with_commit_stalls(uint64_t seed)
+{
+	const vm_sim_config_t config = {
+		.services = 2,
+		.vms_per_service = 3,
+		.standby_vms = 2,
+		.lost_reply_share = 0.02,
+		.failed_end_share = 0.02,
+		.mean_leader_change_interval_ms = 2000,
+		.mean_commit_stall_interval_ms = 5000,
+		.seed = seed,
+	};
+
+	run_random_load(&config);
+}
+
+/* Guards against starting a run that is being committed as lost: an earlier start intent for the
+ * same VM was committed first, and the task was started a second time after it was done. */
+static void test_guarantees_with_commit_stalls(void **state)
+{
+	static const uint64_t failed[] = {13, 21, 104, 108, 124, 148, 191, 199, 242, 314};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++)
+		run_load_with_commit_stalls(failed[i]);
+}
+
 /* Prints the leader's CPU time for a large fleet, which shows whether its work grows with the
  * square of the number of VMs. */
 static void test_leader_cpu_time_on_large_fleet(void **state)
@@ -632,6 +658,7 @@
 		cmocka_unit_test(test_guarantees_with_late_orders),
 		cmocka_unit_test(test_guarantees_with_most_replies_lost),
 		cmocka_unit_test(test_guarantees_with_short_terms),
+		cmocka_unit_test(test_guarantees_with_commit_stalls),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
