batch_upkeep: check that a machine is still empty before its maintenance

Cause: a machine whose VM is unknown to the leader counts as empty, so its maintenance is proposed. If the VM reports to this leader before the command is committed, it is not cordoned, as only committed requests cordon a VM, and gets tasks. The request was then sent without another look.

Change: when the command is committed, the machine's VM is cordoned, and the request is sent only if it runs no tasks. Otherwise the wave repeats the request once they have ended, as for other requests that are committed and have no result.

--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -263,15 +263,35 @@
 	leader->port.order(leader->port.arg, &request, on_maintenance_reply, call);
 }
 
+/* Cordons the machine's VM. @return true when the machine runs no tasks */
+static bool cordon_machine(batch_leader_t *leader, const char *machine, uint64_t now_us)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
+
+	if (vm == NULL)
+		return true;
+	if (!vm->cordoned) {
+		vm->cordoned = true;
+		vm->cordoned_since_us = now_us;
+		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "machine", machine),
+			  "VM is cordoned for maintenance");
+	}
+	return leader_vm_is_empty(vm);
+}
+
 static void on_intent_committed(void *arg, Lp__ResultCode code)
 {
 	g_autofree machine_call_t *call = arg;
+	batch_leader_t *leader = call->leader;
 	leader_machine_t *machine = machine_call_get(call);
 
 	if (machine == NULL)
 		return;
-	if (code == LP__RESULT_CODE__RESULT_OK && machine_call_may_send(call))
-		send_maintenance_request(call->leader, call->wave, call->machine, call->resent);
+	/* A VM that has reported since the request was proposed was not cordoned then, and possibly
+	 * runs tasks; the request is repeated once they have ended. */
+	if (code == LP__RESULT_CODE__RESULT_OK && machine_call_may_send(call) &&
+	    cordon_machine(leader, call->machine, leader_now_us(leader)))
+		send_maintenance_request(leader, call->wave, call->machine, call->resent);
 	else
 		machine->request_in_flight = false;
 }
@@ -376,7 +396,6 @@
  * tasks */
 static bool prepare_machine(batch_leader_t *leader, const char *machine, uint64_t now_us)
 {
-	leader_vm_t *vm = leader_vm_of_machine(leader, machine);
 	const leader_machine_t *platform_machine = leader_find_machine(leader, machine);
 
 	if (platform_machine != NULL &&
@@ -386,15 +405,7 @@
 	if (leader_move_pending(leader, machine) ||
 	    leader_machine_leased_elsewhere(leader, machine, now_us))
 		return false;
-	if (vm == NULL)
-		return true;
-	if (!vm->cordoned) {
-		vm->cordoned = true;
-		vm->cordoned_since_us = now_us;
-		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "machine", machine),
-			  "VM is cordoned for maintenance");
-	}
-	return leader_vm_is_empty(vm);
+	return cordon_machine(leader, machine, now_us);
 }
 
 static void expire_maintenance(batch_leader_t *leader, const batch_wave_t *wave,
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -599,6 +599,16 @@
 	run_random_load(&config);
 }
 
+/* Guards against maintenance that ends running tasks: the machine's VM had first reported to this
+ * leader, and got the tasks, while the request was being committed. */
+static void test_maintenance_with_commit_stalls(void **state)
+{
+	static const uint64_t failed[] = {34, 89, 107, 130, 138, 179, 184, 233};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++)
+		run_load_with_commit_stalls(failed[i]);
+}
+
 /* Guards against starting a run that is being committed as lost: an earlier start intent for the
  * same VM was committed first, and the task was started a second time after it was done. */
 static void test_guarantees_with_commit_stalls(void **state)
@@ -658,6 +668,7 @@
 		cmocka_unit_test(test_guarantees_with_late_orders),
 		cmocka_unit_test(test_guarantees_with_most_replies_lost),
 		cmocka_unit_test(test_guarantees_with_short_terms),
+		cmocka_unit_test(test_maintenance_with_commit_stalls),
 		cmocka_unit_test(test_guarantees_with_commit_stalls),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
