--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -22,6 +22,10 @@
 #define VM_CPU_MILLI 64000
 #define VM_MEM_MIB 262144
 #define CANCEL_GRACE_MS 3000
+/* Time after which the outcome of a proposal that is not committed is reported as unknown. */
+#define PROPOSE_TIMEOUT_MS 3000
+/* Time for which only one leader may send platform requests for a machine. */
+#define HOLDER_LEASE_MS 3000
 
 typedef struct {
 	task_id_t task;
@@ -51,6 +55,8 @@
 	uint64_t lease_lapsed_us; /* end of the latest lease that has expired */
 	uint64_t fence;
 	uint64_t machine_fence;
+	uint64_t machine_term; /* term of the leader that last sent a request for the machine */
+	uint64_t machine_requested_us;
 	GArray *runs;		  /* of sim_run_t */
 	GArray *finished;	  /* of vm_finished_run_t */
 	uint64_t last_end_number; /* number of the latest entry in finished */
@@ -75,6 +81,7 @@
 	uint64_t number;
 	uint64_t time_us;
 	bool started_again; /* the task was started again after this run had completed */
+	bool acknowledged;  /* the leader has acknowledged it, and the VM's lease had not expired */
 } completion_t;
 
 struct vm_sim {
@@ -95,9 +102,11 @@
 	GHashTable *cancelled; /* job -> time in us when its cancellation was committed */
 	GString *violations;
 	uint32_t platform_delay_ms;
+	uint32_t commit_delay_ms; /* added to the delay of each commit */
 	unsigned next_vm;
 	uint64_t starts;
 	uint64_t moves;
+	uint64_t maintenance_requests;
 	bool faults_stopped;
 	bool wave_violation_reported;
 	bool shutting_down; /* no further periodic events are scheduled */
@@ -279,6 +288,8 @@
 		completion_t *done = g_hash_table_lookup(sim->completed, key);
 
 		done->started_again = true;
+		if (done->acknowledged)
+			add_violation(sim, "TWICE after its acknowledged end", key);
 	}
 	check_step_order(sim, id);
 	if (cancelled_us != NULL && sim->now_us > *cancelled_us + CANCEL_GRACE_MS * US_PER_MS)
@@ -437,11 +448,14 @@
 static void check_acknowledged_run(sim_vm_t *vm, const vm_finished_run_t *finished)
 {
 	g_autofree char *key = task_key(&finished->task);
-	const completion_t *done = g_hash_table_lookup(vm->sim->completed, key);
+	completion_t *done = g_hash_table_lookup(vm->sim->completed, key);
 
-	if (done != NULL && finished->kind == LP__BATCH_END_KIND__BATCH_END_DONE &&
-	    strcmp(done->vm, vm->id) == 0 && done->number == finished->number &&
-	    done->started_again && vm->lease_lapsed_us < done->time_us)
+	if (done == NULL || finished->kind != LP__BATCH_END_KIND__BATCH_END_DONE ||
+	    strcmp(done->vm, vm->id) != 0 || done->number != finished->number ||
+	    vm->lease_lapsed_us >= done->time_us)
+		return;
+	done->acknowledged = true;
+	if (done->started_again)
 		add_violation(vm->sim, "TWICE after its end", key);
 }
 
@@ -752,11 +766,24 @@
 	call->done(call->arg, &reply);
 }
 
+/* Records a violation if two leaders send requests for the machine within the holder's lease. */
+static void check_holder(sim_vm_t *vm, uint64_t fence)
+{
+	uint64_t term = fence >> 24;
+
+	if (vm->machine_term != 0 && vm->machine_term != term &&
+	    vm->sim->now_us < vm->machine_requested_us + HOLDER_LEASE_MS * US_PER_MS)
+		add_violation(vm->sim, "ONE", vm->machine);
+	vm->machine_term = term;
+	vm->machine_requested_us = vm->sim->now_us;
+}
+
 static vm_reply_code_t execute_platform_call(sim_vm_t *vm, const platform_call_t *call)
 {
 	if (call->fence < vm->machine_fence)
 		return VM_REPLY_FENCED;
 	vm->machine_fence = call->fence;
+	check_holder(vm, call->fence);
 	if (call->pool[0] != '\0') {
 		if (strcmp(vm->service, call->pool) == 0)
 			return VM_REPLY_OK;
@@ -807,6 +834,7 @@
 				  .fence = request->fence,
 				  .done = done,
 				  .arg = done_arg};
+	sim->maintenance_requests += request->pool == NULL;
 	g_strlcpy(call->machine, request->machine, sizeof(call->machine));
 	g_strlcpy(call->pool, request->pool != NULL ? request->pool : "", sizeof(call->pool));
 	schedule(sim, random_time_us(sim, 2, 8), deliver_platform_call, call);
@@ -818,8 +846,11 @@
 	vm_sim_t *sim;
 	Lp__BatchCommand *command;
 	uint64_t term;
-	batch_proposed_fn done;
+	batch_proposed_fn done; /* NULL: the outcome was reported, or is not reported */
 	void *arg;
+	bool requeued; /* its leader was deposed before the commit, and it was passed on */
+	bool committed;
+	bool timed_out;
 } proposal_t;
 
 static uint64_t wall_ms(const vm_sim_t *sim)
@@ -827,24 +858,55 @@
 	return sim->now_us / US_PER_MS + WALL_OFFSET_MS;
 }
 
+static void report_outcome(proposal_t *proposal, Lp__ResultCode code)
+{
+	batch_proposed_fn done = proposal->done;
+
+	proposal->done = NULL;
+	if (done != NULL)
+		done(proposal->arg, code);
+}
+
+/* Frees the proposal after both its commit and its timeout. */
+static void free_if_finished(proposal_t *proposal)
+{
+	if (!proposal->committed || !proposal->timed_out)
+		return;
+	lp__batch_command__free_unpacked(proposal->command, NULL);
+	g_free(proposal);
+}
+
+static void time_out_proposal(void *arg)
+{
+	proposal_t *proposal = arg;
+
+	proposal->timed_out = true;
+	report_outcome(proposal, LP__RESULT_CODE__RESULT_UNKNOWN);
+	free_if_finished(proposal);
+}
+
 static void commit(void *arg)
 {
-	g_autofree proposal_t *proposal = arg;
+	proposal_t *proposal = arg;
 	vm_sim_t *sim = proposal->sim;
 	Lp__Result result = LP__RESULT__INIT;
 
 	/* A proposal of a deposed leader is either lost, or committed after proposals of its
-	 * successor. */
+	 * successor, possibly after it was passed on to the successor. */
+	if (proposal->term != sim->term && !proposal->requeued && g_rand_boolean(sim->rand)) {
+		proposal->requeued = true;
+		schedule(sim, random_time_us(sim, 0, 2000), commit, proposal);
+		return;
+	}
+	proposal->committed = true;
 	if (proposal->term != sim->term && g_rand_boolean(sim->rand)) {
-		if (proposal->done != NULL)
-			proposal->done(proposal->arg, LP__RESULT_CODE__RESULT_UNAVAILABLE);
+		report_outcome(proposal, LP__RESULT_CODE__RESULT_UNAVAILABLE);
 	} else {
 		sim->state.clock_us = sim->now_us;
 		batch_state_apply(&sim->state, wall_ms(sim), proposal->command, &result);
-		if (proposal->done != NULL)
-			proposal->done(proposal->arg, result.code);
+		report_outcome(proposal, result.code);
 	}
-	lp__batch_command__free_unpacked(proposal->command, NULL);
+	free_if_finished(proposal);
 	if (batch_leader_active(sim->leader))
 		batch_leader_place_tasks(sim->leader);
 }
@@ -859,8 +921,10 @@
 				 .term = sim->term,
 				 .done = done,
 				 .arg = done_arg};
-	sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 8, 30));
+	sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 8 + sim->commit_delay_ms,
+							    30 + sim->commit_delay_ms));
 	schedule(sim, sim->commit_us, commit, proposal);
+	schedule(sim, sim->now_us + PROPOSE_TIMEOUT_MS * US_PER_MS, time_out_proposal, proposal);
 }
 
 /* --- periodic events and faults --- */
@@ -959,6 +1023,8 @@
 		vm->cut_off_until_us = random_time_us(sim, 1000, 6000);
 	if (fault_due(sim, sim->config.mean_leader_change_interval_ms))
 		vm_sim_change_leader(sim);
+	if (fault_due(sim, sim->config.mean_commit_stall_interval_ms))
+		sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 500, 5000));
 	schedule(sim, sim->now_us + 100 * US_PER_MS, inject_faults, sim);
 }
 
@@ -1070,7 +1136,7 @@
 				.clock_skew_percent = 3,
 				.hold_wait_ms = 1000,
 				.report_timeout_ms = REPORT_INTERVAL_MS + 700,
-				.holder_lease_ms = 3000,
+				.holder_lease_ms = HOLDER_LEASE_MS,
 				.maintenance_ms = MAINTENANCE_MS,
 				.move_ms = MOVE_MS,
 				.platform_requests_per_s = config->platform_requests_per_s > 0
@@ -1281,6 +1347,11 @@
 	sim->platform_delay_ms = platform_delay_ms;
 }
 
+void vm_sim_set_commit_delay(vm_sim_t *sim, uint32_t commit_delay_ms)
+{
+	sim->commit_delay_ms = commit_delay_ms;
+}
+
 const batch_state_t *vm_sim_state(const vm_sim_t *sim)
 {
 	return &sim->state;
@@ -1322,3 +1393,8 @@
 {
 	return sim->moves;
 }
+
+uint64_t vm_sim_maintenance_request_count(const vm_sim_t *sim)
+{
+	return sim->maintenance_requests;
+}
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -324,6 +324,25 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against a platform request that is sent long after its commit by a leader that is behind:
+ * the next leader counts the holder's lease from the commit. */
+static void test_slow_commits_send_no_maintenance_requests(void **state)
+{
+	const vm_sim_config_t config = {.services = 1, .vms_per_service = 6, .seed = 4};
+	vm_sim_t *sim = vm_sim_create(&config);
+
+	vm_sim_run(sim, 4000);
+	vm_sim_set_commit_delay(sim, 1500);
+	vm_sim_start_wave(sim, 1, 2);
+	vm_sim_run(sim, 12000);
+	assert_int_equal(vm_sim_maintenance_request_count(sim), 0);
+	vm_sim_set_commit_delay(sim, 0);
+	vm_sim_run(sim, 40000);
+	assert_true(batch_wave_complete(batch_state_wave(vm_sim_state(sim), 1)));
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Tasks must not wait forever on a VM that makes no progress although it sends reports and
  * responses. The simulation does not act on vm_sim_stall_vm() yet, so this test does not
  * exercise the case. */
@@ -570,6 +589,61 @@
 	}
 }
 
+/* Guards against leaders that take turns on a machine: a leader repeated the unanswered maintenance
+ * request of an earlier one within the holder's lease. */
+static void test_guarantees_with_short_terms(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 5,
+			.standby_vms = 3,
+			.lost_reply_share = 0.4,
+			.failed_end_share = 0.02,
+			.mean_leader_change_interval_ms = 1500,
+			.seed = seed,
+		};
+
+		run_random_load(&config);
+	}
+}
+
+static void run_load_with_commit_stalls(uint64_t seed)
+{
+	const vm_sim_config_t config = {
+		.services = 2,
+		.vms_per_service = 3,
+		.standby_vms = 2,
+		.lost_reply_share = 0.02,
+		.failed_end_share = 0.02,
+		.mean_leader_change_interval_ms = 2000,
+		.mean_commit_stall_interval_ms = 5000,
+		.seed = seed,
+	};
+
+	run_random_load(&config);
+}
+
+/* Guards against maintenance that ends running tasks: the machine's VM had first reported to this
+ * leader, and got the tasks, while the request was being committed. */
+static void test_maintenance_with_commit_stalls(void **state)
+{
+	static const uint64_t failed[] = {34, 89, 107, 130, 138, 179, 184, 233};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++)
+		run_load_with_commit_stalls(failed[i]);
+}
+
+/* Guards against starting a run that is being committed as lost: an earlier start intent for the
+ * same VM was committed first, and the task was started a second time after it was done. */
+static void test_guarantees_with_commit_stalls(void **state)
+{
+	static const uint64_t failed[] = {13, 21, 104, 108, 124, 148, 191, 199, 242, 314};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++)
+		run_load_with_commit_stalls(failed[i]);
+}
+
 /* Prints the leader's CPU time for a large fleet, which shows whether its work grows with the
  * square of the number of VMs. */
 static void test_leader_cpu_time_on_large_fleet(void **state)
@@ -610,6 +684,7 @@
 		cmocka_unit_test(test_late_move_reply_keeps_the_new_vm),
 		cmocka_unit_test(test_wave_reaches_all_machines),
 		cmocka_unit_test(test_wave_moves_long_running_tasks_first),
+		cmocka_unit_test(test_slow_commits_send_no_maintenance_requests),
 		cmocka_unit_test(test_tasks_move_off_a_stalled_vm),
 		cmocka_unit_test(test_failing_jobs_do_not_block_a_pool),
 		cmocka_unit_test(test_cancelled_job_stops),
@@ -618,6 +693,9 @@
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
 		cmocka_unit_test(test_guarantees_with_most_replies_lost),
+		cmocka_unit_test(test_guarantees_with_short_terms),
+		cmocka_unit_test(test_maintenance_with_commit_stalls),
+		cmocka_unit_test(test_guarantees_with_commit_stalls),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
