edge_link: a call is sent again only when its copy is possibly lost

Cause: an edge process sent each call without a reply again after 700 ms, to the same leader over the same live connection. A leader that needs 2.4 s for a call got four copies of it. A process that had replied that it does not lead got a copy of each waiting call every 50 ms, as long as its latest hint was fresh. The copies also covered replies that the leader dropped when it could not send them.

Evidence: test_edge_link on the unchanged edge_link.c. test_slow_leader_gets_each_call_once: 80 copies of 20 calls (0x50 != 0x14). test_calls_wait_for_the_next_hint_after_not_leader: 360 copies of 20 calls (0x168 != 0x14). The tests of a broken connection and of a change of the leader passed before, too; they guard the cases in which a copy is needed.

Change: peer_info_t counts the connections with a peer that have ended. A call is sent again when this number has changed since it was sent, when another leader announces itself, or, after a reply of a process that does not lead, with the next hint of an active leader. Calls are numbered from the process's random incarnation, so that a reply to an earlier incarnation does not match a new call.

All five tests pass with the change; test_peer and test_cluster_batch pass.

--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -9,6 +9,10 @@
 #include "clock.h"
 #include "log.h"
 
+/* Interval at which replies that could not be sent are tried again. A connection that broke is back
+ * after 50 ms at the earliest. */
+#define REPLY_RETRY_MS 50
+
 typedef struct {
 	batch_node_t *node;
 	uint64_t seq;
@@ -209,18 +213,44 @@
 	uint32_t from;
 } forwarded_call_t;
 
-static void send_reply(void *arg, const Lp__BatchReply *reply)
+static int send_to_edge(void *arg, uint32_t to, const Lp__BatchReply *reply)
 {
-	forwarded_call_t *forwarded = arg;
+	const batch_node_t *node = arg;
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 
 	envelope.body_case = LP__ENVELOPE__BODY_BATCH_REPLY;
 	envelope.batch_reply = (Lp__BatchReply *)reply;
-	if (peer_send(forwarded->node->peers, forwarded->from, &envelope) != 0)
-		g_message("cannot send a reply, the edge process will retry");
+	return peer_send(node->peers, to, &envelope);
+}
+
+static void send_reply(void *arg, const Lp__BatchReply *reply)
+{
+	forwarded_call_t *forwarded = arg;
+
+	reply_queue_send(&forwarded->node->replies, forwarded->from, reply, clock_now_us());
 	talloc_free(forwarded);
 }
 
+static void flush_replies(void *arg, uint64_t now_us)
+{
+	batch_node_t *node = arg;
+
+	reply_queue_flush(&node->replies, now_us);
+}
+
+void batch_calls_init(batch_node_t *node)
+{
+	reply_queue_init(&node->replies, node->metrics, send_to_edge, node);
+	timer_subscribe(node->timers, &node->reply_timer, REPLY_RETRY_MS * US_PER_MS, flush_replies,
+			node);
+}
+
+void batch_calls_finish(batch_node_t *node)
+{
+	timer_unsubscribe(node->timers, &node->reply_timer);
+	reply_queue_finish(&node->replies);
+}
+
 void batch_node_handle_forwarded_call(batch_node_t *node, uint32_t from, const Lp__BatchCall *call)
 {
 	forwarded_call_t *forwarded = talloc_zero(NULL, forwarded_call_t);
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -582,6 +582,7 @@
 	if (create_peers(node, random_seed, error, error_size) != 0)
 		goto fail_replica;
 	vm_relay_set_peers(node->relay, node->peers);
+	batch_calls_init(node);
 	timer_subscribe(node->timers, &node->tick_timer, LEADER_TICK_MS * US_PER_MS, on_leader_tick,
 			node);
 	timer_subscribe(node->timers, &node->hint_timer, HINT_INTERVAL_MS * US_PER_MS,
@@ -613,6 +614,7 @@
 	batch_leader_deactivate(node->leader);
 	replica_destroy(node->replica);
 	vm_relay_destroy(node->relay);
+	batch_calls_finish(node);
 	peer_set_destroy(node->peers);
 	batch_leader_destroy(node->leader);
 	batch_state_finish(&node->state);
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "batch_node.h"
+#include "reply_queue.h"
 #include "vm_cache.h"
 #include "vm_relay.h"
 
@@ -30,6 +31,8 @@
 	GHashTable *submitting; /* ids of submitted jobs that are not committed yet */
 	vm_cache_t report_cache;
 	vm_relay_t *relay;
+	reply_queue_t replies; /* replies to edge processes that could not be sent yet */
+	timer_sub_t reply_timer;
 	/* Set by batch_node_resign(): batch_node_is_active_leader() returns false from then on. */
 	bool resigned;
 	metrics_counter_t *jobs_submitted;
@@ -39,6 +42,9 @@
 	uint64_t last_tick_us;
 };
 
+/** Prepares for calls of edge processes. */
+void batch_calls_init(batch_node_t *node);
+void batch_calls_finish(batch_node_t *node);
 /**
  * Handles a client's call forwarded by an edge process, and replies to it.
  * @param from node id of the edge process
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -22,18 +22,16 @@
  * so three in a row can be missed. A shorter time would not find a new leader sooner: it is elected
  * 0.8 to 1.6 s after the old one falls silent. */
 #define LEADER_HINT_TIMEOUT_MS 1000
-/* Time after which a call without a reply is sent again. Longer than it takes to commit a job (two
- * disk syncs of 9 ms and the network delay), shorter than a client waits. */
-#define RESEND_AFTER_MS 700
 
 typedef struct edge_call {
 	TAILQ_ENTRY(edge_call) link;
 	Lp__BatchCall *message;
 	uint64_t started_us;
 	uint64_t deadline_us;
-	uint64_t sent_us;
-	/* Node id of the leader that the call was last sent to; 0: it must be sent (again). */
+	/* Node id of the leader whose reply is awaited; 0: the call must be sent (again). */
 	uint32_t sent_to;
+	/* peer_info_t.connections_ended of that leader when the call was sent. */
+	uint64_t sent_connection;
 	unsigned send_count;
 	edge_reply_fn done;
 	void *arg;
@@ -51,6 +49,9 @@
 	uint32_t leader; /* node id of the latest active leader; 0: none known yet */
 	uint64_t term;
 	uint64_t last_hint_us;
+	/* The leader has replied that it is none. Calls wait for the next hint of an active leader.
+	 */
+	bool leader_refused;
 	bool had_leader; /* whether a leader was known at the last tick; used to log changes */
 	metrics_counter_t *calls_resent;
 	metrics_counter_t *calls_unknown;
@@ -93,7 +94,7 @@
 {
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 
-	if (!edge_link_has_leader(link))
+	if (!edge_link_has_leader(link) || link->leader_refused)
 		return false;
 	envelope.body_case = LP__ENVELOPE__BODY_BATCH_CALL;
 	envelope.batch_call = call->message;
@@ -101,8 +102,8 @@
 		return false;
 	if (call->send_count > 0)
 		metrics_add(link->calls_resent, 1);
-	call->sent_us = clock_now_us();
 	call->sent_to = link->leader;
+	call->sent_connection = peer_info(link->peers, link->leader)->connections_ended;
 	call->send_count++;
 	return true;
 }
@@ -120,10 +121,10 @@
 		.done = done,
 		.arg = arg,
 	};
-	call->message->seq = ++link->next_seq;
+	call->message->seq = link->next_seq++;
 	TAILQ_INSERT_TAIL(&link->calls, call, link);
 	link->open_calls++;
-	if (send_call(link, call))
+	if (send_call(link, call) || link->leader_refused)
 		return;
 	metrics_add(link->calls_unavailable, 1);
 	finish_with_answer(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE);
@@ -166,6 +167,7 @@
 			  "leader changed");
 	}
 	link->leader = from;
+	link->leader_refused = false;
 	link->term = hint->term;
 	link->last_hint_us = clock_now_us();
 	resend_to_new_leader(link);
@@ -182,9 +184,11 @@
 	if (call == NULL)
 		return;
 	if (reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER) {
-		/* check_calls() will send the call again, to the leader that is known by then. */
+		/* The next hint of an active leader lets the call be sent again. */
 		if (call->sent_to == from)
 			call->sent_to = 0;
+		if (link->leader == from)
+			link->leader_refused = true;
 		return;
 	}
 	/* When the call was sent more than once, an earlier copy could still be committed, so the
@@ -212,19 +216,19 @@
 
 static void on_peer_change(void *arg, const peer_info_t *info)
 {
-	edge_link_t *link = arg;
-	edge_call_t *call;
 	char id[16];
 
 	g_snprintf(id, sizeof(id), "%u", info->node_id);
 	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("peer", id, "data_centre", info->data_centre),
 		  info->up ? "peer is up" : "peer is down");
-	if (info->up)
-		return;
-	TAILQ_FOREACH (call, &link->calls, link) {
-		if (call->sent_to == info->node_id)
-			call->sent_to = 0;
-	}
+}
+
+/* True when the call, or the reply to it, was possibly lost with a connection. */
+static bool is_copy_lost(const edge_link_t *link, const edge_call_t *call)
+{
+	const peer_info_t *info = peer_info(link->peers, call->sent_to);
+
+	return info == NULL || info->connections_ended != call->sent_connection;
 }
 
 static void check_calls(void *arg, uint64_t now_us)
@@ -244,8 +248,8 @@
 		if (now_us >= call->deadline_us) {
 			metrics_add(link->calls_unknown, 1);
 			finish_with_answer(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
-		} else if (call->sent_to == 0 ||
-			   now_us >= call->sent_us + RESEND_AFTER_MS * US_PER_MS) {
+		} else if (call->sent_to == 0 || is_copy_lost(link, call)) {
+			call->sent_to = 0;
 			send_call(link, call);
 		}
 	}
@@ -275,6 +279,8 @@
 	config = process_peer_config(settings, incarnation, address);
 	link->settings = settings;
 	link->timers = options->timers;
+	/* A reply to a call of an earlier incarnation of this process must not match a new call. */
+	link->next_seq = incarnation;
 	TAILQ_INIT(&link->calls);
 	link->calls_resent = metrics_counter(options->metrics, "edge_calls_resent_total", "");
 	link->calls_unknown = metrics_counter(options->metrics, "edge_calls_unknown_total", "");
--- a/src/edge_link.h
+++ b/src/edge_link.h
@@ -11,9 +11,11 @@
 
 /**
  * @file
- * Connection of an edge process to the leader: finds the leader, forwards clients' calls to it,
- * resends them when the leader changes (calls are idempotent by the job id), and times them out.
- * Single-threaded.
+ * Connection of an edge process to the leader: finds the leader, forwards clients' calls to it, and
+ * times them out. Calls are idempotent by the job id. A call is sent again only when its earlier
+ * copy or the reply is possibly lost: the connection to the leader broke, the leader changed, or
+ * the process has replied that it does not lead. A slow reply is waited for, because a copy would
+ * add to the load of a leader that is behind. Single-threaded.
  */
 
 struct tevent_context;
--- a/src/peer.c
+++ b/src/peer.c
@@ -196,8 +196,10 @@
 
 static void close_dialled(peer_t *peer)
 {
-	if (peer->dialled != NULL)
+	if (peer->dialled != NULL) {
 		peer_conn_free(peer->dialled);
+		peer->info.connections_ended++;
+	}
 	peer->dialled = NULL;
 	peer->verified = false;
 }
@@ -300,10 +302,12 @@
 {
 	peer_set_t *set = accepted->set;
 
-	if (accepted->peer == NULL)
+	if (accepted->peer == NULL) {
 		set->pending_count--;
-	else if (accepted->peer->accepted == accepted)
+	} else if (accepted->peer->accepted == accepted) {
 		accepted->peer->accepted = NULL;
+		accepted->peer->info.connections_ended++;
+	}
 	TAILQ_REMOVE(&set->accepted, accepted, link);
 	peer_conn_free(accepted->conn);
 	talloc_free(accepted);
--- a/src/peer.h
+++ b/src/peer.h
@@ -38,6 +38,9 @@
 	bool up;       /**< whether the peer answers pings; see peer_config_t.timeout_ms */
 	uint64_t last_heard_us;
 	uint64_t applied_index; /**< last log index the peer has applied */
+	/** Number of connections with the peer, in either direction, that have ended. While it does
+	 * not change, no message that was queued to the peer or sent by it is lost. */
+	uint64_t connections_ended;
 } peer_info_t;
 
 typedef struct {
