edge_link: "unknown" only for calls that a leader possibly carried out

Callers got 504 for requests that no leader had taken, and for requests whose outcome the next leader would have known; they cannot repeat an unsafe request after a 504.

Cause: at its deadline, and when the edge process ended, each call without a reply was completed as unknown, whether a leader had it or not. A call that had been sent twice was completed as unknown at once when the second leader could not commit it or refused it, and so was a call whose outcome the leader itself did not know.

Change: a call knows whether an earlier copy was possibly carried out. If so, it is sent to the next leader marked as sent before (BatchCall.resent), every 200 ms until its deadline; the leader does not refuse such a copy, because the earlier one can still be committed (a deposed leader forwards its proposals for 3 s). Otherwise the answer is UNAVAILABLE (503, Retry-After). Causes are counted (edge_answers_total) and stand in the line of each answer. BatchCall.remaining_ms tells the leader how long the client still waits; nothing uses it yet.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -3538,7 +3538,7 @@
   (ProtobufCMessageInit) lp__batch_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_call__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lp__batch_call__field_descriptors[7] =
 {
   {
     "seq",
@@ -3600,18 +3600,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resent",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchCall, resent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchCall, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_call__field_indices_by_name[] = {
   2,   /* field[2] = host */
   4,   /* field[4] = job */
   1,   /* field[1] = kind */
   3,   /* field[3] = path */
+  6,   /* field[6] = remaining_ms */
+  5,   /* field[5] = resent */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange lp__batch_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lp__batch_call__descriptor =
 {
@@ -3621,14 +3647,14 @@
   "Lp__BatchCall",
   "lp",
   sizeof(Lp__BatchCall),
-  5,
+  7,
   lp__batch_call__field_descriptors,
   lp__batch_call__field_indices_by_name,
   1,  lp__batch_call__number_ranges,
   (ProtobufCMessageInit) lp__batch_call__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_reply__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lp__batch_reply__field_descriptors[7] =
 {
   {
     "seq",
@@ -3702,11 +3728,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reason",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchReply, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_reply__field_indices_by_name[] = {
   1,   /* field[1] = answer */
   4,   /* field[4] = is_pending */
   3,   /* field[3] = pending */
+  6,   /* field[6] = reason */
   5,   /* field[5] = retry_after_s */
   0,   /* field[0] = seq */
   2,   /* field[2] = state */
@@ -3714,7 +3753,7 @@
 static const ProtobufCIntRange lp__batch_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lp__batch_reply__descriptor =
 {
@@ -3724,7 +3763,7 @@
   "Lp__BatchReply",
   "lp",
   sizeof(Lp__BatchReply),
-  6,
+  7,
   lp__batch_reply__field_descriptors,
   lp__batch_reply__field_indices_by_name,
   1,  lp__batch_reply__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -656,10 +656,19 @@
    * job to submit; the leader sets id, host and prefix
    */
   Lp__BatchJob *job;
+  /*
+   * An earlier copy of the call was possibly handled and the reply to it lost. The call must not be
+   * refused: a refusal would not be true if the earlier copy is committed.
+   */
+  protobuf_c_boolean resent;
+  /*
+   * time that the client still waits when the call is sent; 0: unknown
+   */
+  uint32_t remaining_ms;
 };
 #define LP__BATCH_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_call__descriptor) \
-    , 0, LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL }
+    , 0, LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0 }
 
 
 struct  Lp__BatchReply
@@ -683,10 +692,14 @@
    */
   protobuf_c_boolean is_pending;
   uint32_t retry_after_s;
+  /*
+   * why the call was not carried out; for logs
+   */
+  char *reason;
 };
 #define LP__BATCH_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_reply__descriptor) \
-    , 0, LP__BATCH_ANSWER__BATCH_ANSWER_OK, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, LP__BATCH_ANSWER__BATCH_ANSWER_OK, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -109,8 +109,8 @@
 		return;
 	}
 	/* The admission check is skipped for a repeated submission: it must not be rejected,
-	 * because the first one could be committed already. */
-	if (!g_hash_table_contains(node->submitting, job_id))
+	 * because the first one could be committed already, or still be. */
+	if (!call->resent && !g_hash_table_contains(node->submitting, job_id))
 		admission = batch_leader_admit(node->leader, queue, call->job);
 	if (!admission.accept) {
 		metrics_add(node->jobs_rejected, 1);
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -23,6 +23,36 @@
  * 0.8 to 1.6 s after the old one falls silent. */
 #define LEADER_HINT_TIMEOUT_MS 1000
 
+/* Time after which a call is sent again whose outcome the leader did not know, or that it refused
+ * although an earlier copy is possibly committed. */
+#define ASK_AGAIN_MS 200
+
+/* Why a call was not carried out, or why its outcome is unknown. */
+typedef enum {
+	CAUSE_NO_LEADER,
+	CAUSE_NOT_CONNECTED,
+	CAUSE_NOT_SENT_IN_TIME,
+	CAUSE_UNAVAILABLE,
+	CAUSE_REFUSED,
+	CAUSE_NO_REPLY,
+	CAUSE_REPLY_LOST,
+	CAUSE_STOPPING,
+} answer_cause_t;
+
+static const struct {
+	const char *label;
+	const char *text;
+} causes[] = {
+	[CAUSE_NO_LEADER] = {"no_leader", "no active leader is known"},
+	[CAUSE_NOT_CONNECTED] = {"not_connected", "the leader cannot be reached"},
+	[CAUSE_NOT_SENT_IN_TIME] = {"not_sent_in_time", "no leader took the call in time"},
+	[CAUSE_UNAVAILABLE] = {"unavailable", "the leader could not commit the call"},
+	[CAUSE_REFUSED] = {"refused", "the leader refused the call"},
+	[CAUSE_NO_REPLY] = {"no_reply", "no reply of the leader in time"},
+	[CAUSE_REPLY_LOST] = {"reply_lost", "the reply of an earlier leader is lost"},
+	[CAUSE_STOPPING] = {"stopping", "the process stops"},
+};
+
 typedef struct edge_call {
 	TAILQ_ENTRY(edge_call) link;
 	Lp__BatchCall *message;
@@ -33,6 +63,9 @@
 	/* peer_info_t.connections_ended of that leader when the call was sent. */
 	uint64_t sent_connection;
 	unsigned send_count;
+	/* An earlier copy was possibly carried out, and the reply to it is lost. */
+	bool uncertain;
+	uint64_t ask_again_us; /* time before which the call is not sent again */
 	edge_reply_fn done;
 	void *arg;
 } edge_call_t;
@@ -56,6 +89,7 @@
 	metrics_counter_t *calls_resent;
 	metrics_counter_t *calls_unknown;
 	metrics_counter_t *calls_unavailable;
+	metrics_counter_t *answers[G_N_ELEMENTS(causes)];
 	metrics_histogram_t *call_latency;
 };
 
@@ -80,22 +114,31 @@
 	g_free(call);
 }
 
-static void finish_with_answer(edge_link_t *link, edge_call_t *call, Lp__BatchAnswer answer)
+/* Completes a call that was not carried out, or whose outcome is unknown. */
+static void finish_without_reply(edge_link_t *link, edge_call_t *call, answer_cause_t cause)
 {
 	Lp__BatchReply reply = LP__BATCH_REPLY__INIT;
+	bool unknown = call->uncertain || call->sent_to != 0;
 
-	reply.answer = answer;
+	reply.answer = unknown ? LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN
+			       : LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE;
 	reply.retry_after_s = 1;
+	reply.reason = (char *)causes[cause].text;
+	metrics_add(unknown ? link->calls_unknown : link->calls_unavailable, 1);
+	metrics_add(link->answers[cause], 1);
 	finish_call(link, call, &reply);
 }
 
 /* Sends a call to the leader. @return false when no leader is known or its connection is down */
-static bool send_call(edge_link_t *link, edge_call_t *call)
+static bool send_call(edge_link_t *link, edge_call_t *call, uint64_t now_us)
 {
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 
 	if (!edge_link_has_leader(link) || link->leader_refused)
 		return false;
+	call->message->resent = call->uncertain;
+	call->message->remaining_ms =
+		(uint32_t)((call->deadline_us - MIN(now_us, call->deadline_us)) / US_PER_MS);
 	envelope.body_case = LP__ENVELOPE__BODY_BATCH_CALL;
 	envelope.batch_call = call->message;
 	if (peer_send(link->peers, link->leader, &envelope) != 0)
@@ -124,10 +167,10 @@
 	call->message->seq = link->next_seq++;
 	TAILQ_INSERT_TAIL(&link->calls, call, link);
 	link->open_calls++;
-	if (send_call(link, call) || link->leader_refused)
-		return;
-	metrics_add(link->calls_unavailable, 1);
-	finish_with_answer(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE);
+	if (!edge_link_has_leader(link))
+		finish_without_reply(link, call, CAUSE_NO_LEADER);
+	else if (!send_call(link, call, now_us) && !link->leader_refused)
+		finish_without_reply(link, call, CAUSE_NOT_CONNECTED);
 }
 
 /* --- messages --- */
@@ -141,13 +184,23 @@
 	peer_set_address(link->peers, &peer);
 }
 
-static void resend_to_new_leader(edge_link_t *link)
+/* Prepares to send a call again whose earlier copy was possibly carried out. */
+static void mark_uncertain(edge_call_t *call)
+{
+	if (call->sent_to != 0 && call->message->kind != LP__BATCH_CALL_KIND__BATCH_CALL_STATE)
+		call->uncertain = true;
+	call->sent_to = 0;
+}
+
+static void resend_to_new_leader(edge_link_t *link, uint64_t now_us)
 {
 	edge_call_t *call;
 
 	TAILQ_FOREACH (call, &link->calls, link) {
-		if (call->sent_to != link->leader)
-			send_call(link, call);
+		if (call->sent_to == link->leader || now_us < call->ask_again_us)
+			continue;
+		mark_uncertain(call);
+		send_call(link, call, now_us);
 	}
 }
 
@@ -170,7 +223,16 @@
 	link->leader_refused = false;
 	link->term = hint->term;
 	link->last_hint_us = clock_now_us();
-	resend_to_new_leader(link);
+	resend_to_new_leader(link, link->last_hint_us);
+}
+
+/* True when the reply does not settle the outcome: the leader does not know it, or it says that
+ * this copy had no effect while an earlier one can still be committed. */
+static bool must_ask_again(const edge_call_t *call, Lp__BatchAnswer answer)
+{
+	return answer == LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN ||
+	       (call->uncertain && (answer == LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE ||
+				    answer == LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED));
 }
 
 static void on_batch_reply(edge_link_t *link, uint32_t from, const Lp__BatchReply *reply)
@@ -191,14 +253,18 @@
 			link->leader_refused = true;
 		return;
 	}
-	/* When the call was sent more than once, an earlier copy could still be committed, so the
-	 * rejection of this copy does not settle the outcome. */
-	if (call->send_count > 1 && (reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE ||
-				     reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED)) {
-		metrics_add(link->calls_unknown, 1);
-		finish_with_answer(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
+	if (must_ask_again(call, reply->answer)) {
+		/* The reply to a copy that was sent since then settles the outcome. */
+		if (call->sent_to != from)
+			return;
+		mark_uncertain(call);
+		call->ask_again_us = clock_now_us() + ASK_AGAIN_MS * US_PER_MS;
 		return;
 	}
+	if (reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE)
+		metrics_add(link->answers[CAUSE_UNAVAILABLE], 1);
+	else if (reply->answer == LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED)
+		metrics_add(link->answers[CAUSE_REFUSED], 1);
 	finish_call(link, call, reply);
 }
 
@@ -226,11 +292,21 @@
 /* True when the call, or the reply to it, was possibly lost with a connection. */
 static bool is_copy_lost(const edge_link_t *link, const edge_call_t *call)
 {
-	const peer_info_t *info = peer_info(link->peers, call->sent_to);
+	const peer_info_t *info;
 
+	if (call->sent_to == 0)
+		return false;
+	info = peer_info(link->peers, call->sent_to);
 	return info == NULL || info->connections_ended != call->sent_connection;
 }
 
+static answer_cause_t cause_at_deadline(const edge_call_t *call)
+{
+	if (call->uncertain)
+		return CAUSE_REPLY_LOST;
+	return call->sent_to != 0 ? CAUSE_NO_REPLY : CAUSE_NOT_SENT_IN_TIME;
+}
+
 static void check_calls(void *arg, uint64_t now_us)
 {
 	edge_link_t *link = arg;
@@ -245,13 +321,12 @@
 	link->had_leader = has_leader;
 	for (call = TAILQ_FIRST(&link->calls); call != NULL; call = next) {
 		next = TAILQ_NEXT(call, link);
-		if (now_us >= call->deadline_us) {
-			metrics_add(link->calls_unknown, 1);
-			finish_with_answer(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
-		} else if (call->sent_to == 0 || is_copy_lost(link, call)) {
-			call->sent_to = 0;
-			send_call(link, call);
-		}
+		if (is_copy_lost(link, call))
+			mark_uncertain(call);
+		if (now_us >= call->deadline_us)
+			finish_without_reply(link, call, cause_at_deadline(call));
+		else if (call->sent_to == 0 && now_us >= call->ask_again_us)
+			send_call(link, call, now_us);
 	}
 }
 
@@ -286,6 +361,11 @@
 	link->calls_unknown = metrics_counter(options->metrics, "edge_calls_unknown_total", "");
 	link->calls_unavailable =
 		metrics_counter(options->metrics, "edge_calls_unavailable_total", "");
+	for (size_t i = 0; i < G_N_ELEMENTS(causes); i++) {
+		g_autofree char *label = g_strdup_printf("cause=\"%s\"", causes[i].label);
+
+		link->answers[i] = metrics_counter(options->metrics, "edge_answers_total", label);
+	}
 	link->call_latency = metrics_histogram(options->metrics, "edge_call_latency_us", "");
 	link->peers =
 		peer_set_create(options->ev, options->ev, options->timers, &config, &callbacks);
@@ -309,7 +389,7 @@
 	timer_unsubscribe(link->timers, &link->call_check);
 	for (call = TAILQ_FIRST(&link->calls); call != NULL; call = next) {
 		next = TAILQ_NEXT(call, link);
-		finish_with_answer(link, call, LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN);
+		finish_without_reply(link, call, CAUSE_STOPPING);
 	}
 	peer_set_destroy(link->peers);
 	g_free(link);
--- a/src/edge_link.h
+++ b/src/edge_link.h
@@ -36,7 +36,8 @@
  * @return the link, to be freed with edge_link_destroy(), or NULL with a message in error
  */
 edge_link_t *edge_link_create(const edge_link_options_t *options, char *error, size_t error_size);
-/** Completes open calls with the answer UNKNOWN and frees the link. */
+/** Completes the open calls, with the answer UNAVAILABLE if they had no effect, else UNKNOWN, and
+ * frees the link. */
 void edge_link_destroy(edge_link_t *link);
 /** Connects to the seeds in settings, in addition to the known peers. */
 void edge_link_set_seeds(edge_link_t *link, const process_settings_t *settings);
@@ -48,13 +49,16 @@
 
 /**
  * Receives the reply to a call.
- * @param reply its answer is UNAVAILABLE when the call certainly had no effect
+ * @param reply its answer is UNAVAILABLE or REFUSED when the call certainly had no effect, UNKNOWN
+ * when it was possibly carried out; reason then says why
  */
 typedef void (*edge_reply_fn)(void *arg, const Lp__BatchReply *reply);
 /**
  * Forwards a call to the leader. When no leader is known, done gets the answer UNAVAILABLE at once.
+ * A call whose reply is lost is sent to the next leader.
  * @param message the call, which is copied
- * @param timeout_ms time after which done gets the answer UNKNOWN if there was no reply
+ * @param timeout_ms time after which done gets the answer UNKNOWN, or UNAVAILABLE when no leader
+ * has taken the call
  */
 void edge_link_call(edge_link_t *link, const Lp__BatchCall *message, uint32_t timeout_ms,
 		    edge_reply_fn done, void *arg);
--- a/tests/test_edge_link.c
+++ b/tests/test_edge_link.c
@@ -41,7 +41,8 @@
 	uint64_t delay_us;
 	Lp__BatchAnswer answer;
 	unsigned call_count;
-	GArray *replies; /* elements: stub_reply_t */
+	unsigned resent_count; /* calls that are marked as sent before */
+	GArray *replies;       /* elements: stub_reply_t */
 	uint64_t hint_due_us;
 } stub_leader_t;
 
@@ -74,6 +75,8 @@
 	if (envelope->body_case != LP__ENVELOPE__BODY_BATCH_CALL)
 		return;
 	leader->call_count++;
+	if (envelope->batch_call->resent)
+		leader->resent_count++;
 	reply.seq = envelope->batch_call->seq;
 	reply.due_us = clock_now_us() + leader->delay_us;
 	if (!leader->silent)
@@ -309,6 +312,76 @@
 	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_OK], CALL_COUNT);
 }
 
+/* Guards against "unknown" for a call that no leader has taken: the client could not repeat it. */
+static void test_unsent_calls_are_answered_as_not_run(void **state)
+{
+	start_leader(0, 1);
+	wait_for_leader();
+	leaders[0].answer = LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER;
+	leaders[0].serving = false;
+	make_calls(CALL_COUNT);
+	wait_for_answers(CALL_COUNT);
+	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE], CALL_COUNT);
+}
+
+/* Guards against "unknown" for calls that can still be asked about at the next leader. */
+static void test_lost_replies_are_asked_for_again(void **state)
+{
+	start_leader(0, 1);
+	start_leader(1, 2);
+	leaders[1].serving = false;
+	leaders[1].answer = LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE;
+	wait_for_leader();
+	leaders[0].silent = true;
+	make_calls(CALL_COUNT);
+	run_event_loop_ms(100);
+	stop_leader(0);
+	leaders[1].serving = true;
+	run_event_loop_ms(700);
+	assert_int_equal(answers.count, 0);
+	assert_in_range(leaders[1].call_count, CALL_COUNT, 4 * CALL_COUNT);
+	assert_int_equal(leaders[1].resent_count, leaders[1].call_count);
+	leaders[1].answer = LP__BATCH_ANSWER__BATCH_ANSWER_OK;
+	wait_for_answers(CALL_COUNT);
+	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_OK], CALL_COUNT);
+}
+
+/* Guards against "not run" for calls that the leader possibly carried out before it died. */
+static void test_calls_of_a_dead_leader_are_unknown(void **state)
+{
+	start_leader(0, 1);
+	start_leader(1, 2);
+	leaders[1].serving = false;
+	leaders[1].answer = LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED;
+	wait_for_leader();
+	leaders[0].silent = true;
+	make_calls(CALL_COUNT);
+	run_event_loop_ms(100);
+	stop_leader(0);
+	leaders[1].serving = true;
+	wait_for_answers(CALL_COUNT);
+	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN], CALL_COUNT);
+}
+
+/* Guards against the answer to a stopped process's clients that says nothing about the outcome. */
+static void test_open_calls_are_answered_before_the_end(void **state)
+{
+	start_leader(0, 1);
+	wait_for_leader();
+	leaders[0].silent = true;
+	make_calls(CALL_COUNT);
+	run_event_loop_ms(100);
+	leaders[0].silent = false;
+	leaders[0].answer = LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER;
+	leaders[0].serving = false;
+	make_calls(CALL_COUNT);
+	run_event_loop_ms(100);
+	edge_link_destroy(edge);
+	edge = NULL;
+	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN], CALL_COUNT);
+	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE], CALL_COUNT);
+}
+
 /* --- kept replies --- */
 
 typedef struct {
@@ -364,6 +437,14 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_calls_wait_for_the_next_hint_after_not_leader,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_unsent_calls_are_answered_as_not_run, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_lost_replies_are_asked_for_again, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_calls_of_a_dead_leader_are_unknown, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_open_calls_are_answered_before_the_end, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_replies_are_kept_until_they_can_be_sent,
 						set_up, tear_down),
 	};
