batch_calls: a leader that is behind refuses submissions before it commits them

Callers of a leader that was behind waited for their whole deadline and got 504, and each accepted job put the leader further behind: nothing was refused for load.

Cause: batch_leader_admit() accepted every job, whatever the leader's delay, and a submission was committed even if its client had left by then.

Change: batch_admit.c decides from the lag of the event loop and the age of the oldest command of a client that is not committed. From a delay of 0.8 s on submissions are refused (429, Retry-After from the delay, spread by a hash of the job's id), until it is below 0.3 s; a submission is also refused when the client's remaining time (BatchCall.remaining_ms) is shorter than the delay. Copies of calls whose reply is lost are not refused. The age of the oldest command falls with its commit, so that a refusing leader needs no submissions to see that it has caught up. Each refusal is logged with its inputs. batch_leader_admit(), which decided nothing, is removed.

--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -13,25 +13,34 @@
  * after 50 ms at the earliest. */
 #define REPLY_RETRY_MS 50
 
-typedef struct {
+typedef struct pending_call {
+	TAILQ_ENTRY(pending_call) link;
 	batch_node_t *node;
 	uint64_t seq;
+	uint64_t proposed_us;
 	char *job_id; /* id of the submitted job; NULL for a cancellation */
 	batch_reply_fn done;
 	void *arg;
 } pending_call_t;
 
-static void reply_with_answer(uint64_t seq, Lp__BatchAnswer answer, uint32_t retry_after_s,
-			      batch_reply_fn done, void *arg)
+static void reply_with_reason(uint64_t seq, Lp__BatchAnswer answer, uint32_t retry_after_s,
+			      const char *reason, batch_reply_fn done, void *arg)
 {
 	Lp__BatchReply reply = LP__BATCH_REPLY__INIT;
 
 	reply.seq = seq;
 	reply.answer = answer;
 	reply.retry_after_s = retry_after_s;
+	reply.reason = (char *)reason;
 	done(arg, &reply);
 }
 
+static void reply_with_answer(uint64_t seq, Lp__BatchAnswer answer, uint32_t retry_after_s,
+			      batch_reply_fn done, void *arg)
+{
+	reply_with_reason(seq, answer, retry_after_s, "", done, arg);
+}
+
 static Lp__BatchAnswer answer_for_result(Lp__ResultCode code)
 {
 	switch (code) {
@@ -55,6 +64,7 @@
 {
 	g_autofree pending_call_t *call = arg;
 
+	TAILQ_REMOVE(&call->node->pending, call, link);
 	if (call->job_id != NULL) {
 		g_hash_table_remove(call->node->submitting, call->job_id);
 		log_event(G_LOG_LEVEL_INFO,
@@ -74,9 +84,11 @@
 
 	*pending = (pending_call_t){.node = node,
 				    .seq = call->seq,
+				    .proposed_us = clock_now_us(),
 				    .job_id = g_strdup(job_id),
 				    .done = done,
 				    .arg = arg};
+	TAILQ_INSERT_TAIL(&node->pending, pending, link);
 	return pending;
 }
 
@@ -86,6 +98,50 @@
 	       strcmp(job->spec->prefix, queue->prefix) == 0;
 }
 
+static void log_refusal(const batch_node_t *node, const Lp__BatchQueue *queue, const char *job_id,
+			const batch_admit_input_t *input, const batch_admission_t *admission)
+{
+	char numbers[4][16];
+
+	g_snprintf(numbers[0], sizeof(numbers[0]), "%u", (unsigned)(input->lag_us / US_PER_MS));
+	g_snprintf(numbers[1], sizeof(numbers[1]), "%u", (unsigned)(input->oldest_us / US_PER_MS));
+	g_snprintf(numbers[2], sizeof(numbers[2]), "%u", input->remaining_ms);
+	g_snprintf(numbers[3], sizeof(numbers[3]), "%u", g_hash_table_size(node->submitting));
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", job_id, "queue", queue->name, "reason", admission->reason,
+			     "lag_ms", numbers[0], "oldest_ms", numbers[1], "remaining_ms",
+			     numbers[2], "open", numbers[3]),
+		  "job rejected");
+}
+
+/* Replies to a submission that the leader has no time for. @return false when it can be taken */
+static bool refuse_if_behind(batch_node_t *node, const Lp__BatchCall *call,
+			     const Lp__BatchQueue *queue, const char *job_id, batch_reply_fn done,
+			     void *arg)
+{
+	const pending_call_t *oldest = TAILQ_FIRST(&node->pending);
+	const batch_admit_input_t input = {
+		.lag_us = batch_leader_lag_us(node->leader),
+		.oldest_us = oldest != NULL ? clock_now_us() - oldest->proposed_us : 0,
+		.remaining_ms = call->remaining_ms,
+		.job_hash = g_str_hash(job_id),
+	};
+	bool was_refusing = node->admit.refusing;
+	batch_admission_t admission = batch_admit(&node->admit, &input);
+
+	if (node->admit.refusing != was_refusing)
+		log_event(G_LOG_LEVEL_MESSAGE, NULL,
+			  was_refusing ? "the leader accepts jobs again"
+				       : "the leader is behind and refuses jobs");
+	if (admission.accept)
+		return false;
+	metrics_add(node->jobs_rejected, 1);
+	log_refusal(node, queue, job_id, &input, &admission);
+	reply_with_reason(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED,
+			  admission.retry_after_s, admission.reason, done, arg);
+	return true;
+}
+
 static void handle_submit(batch_node_t *node, const Lp__BatchCall *call,
 			  const Lp__BatchQueue *queue, const char *job_id, batch_reply_fn done,
 			  void *arg)
@@ -93,7 +149,6 @@
 	const batch_job_t *existing = batch_state_job(&node->state, job_id);
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	Lp__BatchJob job;
-	batch_admission_t admission = {.accept = true};
 
 	if (existing != NULL) {
 		reply_with_answer(call->seq,
@@ -110,18 +165,9 @@
 	}
 	/* The admission check is skipped for a repeated submission: it must not be rejected,
 	 * because the first one could be committed already, or still be. */
-	if (!call->resent && !g_hash_table_contains(node->submitting, job_id))
-		admission = batch_leader_admit(node->leader, queue, call->job);
-	if (!admission.accept) {
-		metrics_add(node->jobs_rejected, 1);
-		log_event(G_LOG_LEVEL_INFO,
-			  LOG_FIELDS("request", job_id, "queue", queue->name, "reason",
-				     admission.reason),
-			  "job rejected");
-		reply_with_answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED,
-				  admission.retry_after_s, done, arg);
+	if (!call->resent && !g_hash_table_contains(node->submitting, job_id) &&
+	    refuse_if_behind(node, call, queue, job_id, done, arg))
 		return;
-	}
 	metrics_add(node->jobs_submitted, 1);
 	g_hash_table_add(node->submitting, g_strdup(job_id));
 	job = *call->job;
@@ -182,8 +228,8 @@
 		return;
 	}
 	if (node->state.config == NULL) {
-		reply_with_answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE, 1, done,
-				  arg);
+		reply_with_reason(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE, 1,
+				  "the leader has no configuration yet", done, arg);
 		return;
 	}
 	queue = batch_state_match_queue(&node->state, call->host, call->path);
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -698,12 +698,6 @@
 	return names[code];
 }
 
-batch_admission_t batch_leader_admit(batch_leader_t *leader, const Lp__BatchQueue *queue,
-				     const Lp__BatchJob *job)
-{
-	return (batch_admission_t){.accept = true};
-}
-
 uint64_t batch_leader_lag_us(const batch_leader_t *leader)
 {
 	return leader->tick_lag_us;
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -95,16 +95,5 @@
 /** Makes the next tick run a placement pass, for example after a job was accepted. */
 void batch_leader_request_placement(batch_leader_t *leader);
 
-typedef struct {
-	bool accept;
-	uint32_t retry_after_s;
-	const char *reason; /**< static string */
-} batch_admission_t;
-/**
- * Decides whether to accept a job. At present every job is accepted: a late job still has some
- * value, and it only uses capacity that no job on schedule can use (see batch_order.h).
- */
-batch_admission_t batch_leader_admit(batch_leader_t *leader, const Lp__BatchQueue *queue,
-				     const Lp__BatchJob *job);
 /** Returns the smoothed delay of the ticks in us, a measure of the load of this process. */
 uint64_t batch_leader_lag_us(const batch_leader_t *leader);
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -567,6 +567,7 @@
 	node->metrics = options->metrics;
 	node->placement_event = tevent_create_immediate(node->ev);
 	node->submitting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	TAILQ_INIT(&node->pending);
 	node->jobs_submitted = metrics_counter(node->metrics, "batch_jobs_submitted_total", "");
 	node->jobs_rejected = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
 	node->tick_gap = metrics_histogram(node->metrics, "node_tick_gap_us", "");
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "batch_admit.h"
 #include "batch_node.h"
 #include "reply_queue.h"
 #include "vm_cache.h"
@@ -29,6 +30,8 @@
 	struct tevent_immediate *placement_event;
 	bool placement_scheduled;
 	GHashTable *submitting; /* ids of submitted jobs that are not committed yet */
+	TAILQ_HEAD(pending_calls, pending_call) pending; /* calls being committed, oldest first */
+	batch_admit_t admit;
 	vm_cache_t report_cache;
 	vm_relay_t *relay;
 	reply_queue_t replies; /* replies to edge processes that could not be sent yet */
--- a/tests/test_batch_admit.c
+++ b/tests/test_batch_admit.c
@@ -5,9 +5,73 @@
 
 #include <cmocka.h>
 
+#include <glib.h>
+
+#include "batch_admit.h"
 #include "batch_leader.h"
 #include "clock.h"
 
+#define CLIENTS 1000
+
+static batch_admission_t admit_at(batch_admit_t *admit, uint64_t lag_ms, uint64_t oldest_ms,
+				  uint32_t remaining_ms)
+{
+	batch_admit_input_t input = {
+		.lag_us = lag_ms * US_PER_MS,
+		.oldest_us = oldest_ms * US_PER_MS,
+		.remaining_ms = remaining_ms,
+	};
+
+	return batch_admit(admit, &input);
+}
+
+/* Guards against a leader that takes jobs whose clients have left before they are committed. */
+static void test_job_without_time_to_commit_is_refused(void **state)
+{
+	batch_admit_t admit = {0};
+
+	assert_true(admit_at(&admit, 0, 25, 200).accept);
+	assert_false(admit_at(&admit, 100, 150, 200).accept);
+	assert_true(admit_at(&admit, 100, 150, 2850).accept);
+	assert_true(admit_at(&admit, 100, 150, 0).accept);
+}
+
+/* Guards against a leader that is behind and takes ever more jobs, and against refusals that come
+ * and go with each commit. */
+static void test_leader_behind_refuses_until_it_has_caught_up(void **state)
+{
+	batch_admit_t admit = {0};
+
+	assert_true(admit_at(&admit, 0, 700, 2850).accept);
+	assert_false(admit_at(&admit, 500, 400, 2850).accept);
+	assert_false(admit_at(&admit, 0, 700, 2850).accept);
+	assert_false(admit_at(&admit, 0, 400, 2850).accept);
+	assert_true(admit_at(&admit, 0, 200, 2850).accept);
+	assert_true(admit_at(&admit, 0, 700, 2850).accept);
+}
+
+/* Guards against refused clients that all return at the same time, or before the delay is over. */
+static void test_refused_clients_return_spread(void **state)
+{
+	unsigned by_second[16] = {0};
+
+	for (unsigned i = 0; i < CLIENTS; i++) {
+		g_autofree char *id = g_strdup_printf("%016x", i * 2654435761U);
+
+		by_second[batch_admit_retry_after_s(1500, g_str_hash(id))]++;
+	}
+	for (unsigned second = 0; second < G_N_ELEMENTS(by_second); second++) {
+		if (second >= 2 && second <= 5)
+			assert_in_range(by_second[second], CLIENTS / 6, CLIENTS / 3);
+		else
+			assert_int_equal(by_second[second], 0);
+	}
+	assert_in_range(batch_admit_retry_after_s(60000, UINT32_MAX), 5, 15);
+	assert_in_range(batch_admit_retry_after_s(0, 1), 1, 2);
+}
+
+/* --- lag of the leader --- */
+
 static uint64_t leader_clock_us;
 
 static uint64_t leader_now_us(void *arg)
@@ -69,6 +133,9 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_job_without_time_to_commit_is_refused),
+		cmocka_unit_test(test_leader_behind_refuses_until_it_has_caught_up),
+		cmocka_unit_test(test_refused_clients_return_spread),
 		cmocka_unit_test(test_reelected_leader_starts_without_lag),
 	};
 
