--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -534,6 +534,8 @@
 	leader->term = term;
 	leader->generation++;
 	leader->activated_us = leader_now_us(leader);
+	leader->last_tick_us = 0;
+	leader->tick_lag_us = 0;
 	leader->placement_due = true;
 	leader->list_in_flight = false;
 	leader->list_complete = false;
@@ -696,8 +698,7 @@
 	return names[code];
 }
 
-batch_admission_t batch_leader_admit(batch_leader_t *leader, const Lp__BatchQueue *queue,
-				     const Lp__BatchJob *job)
+uint64_t batch_leader_lag_us(const batch_leader_t *leader)
 {
-	return (batch_admission_t){.accept = true};
+	return leader->tick_lag_us;
 }
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -567,6 +567,7 @@
 	node->metrics = options->metrics;
 	node->placement_event = tevent_create_immediate(node->ev);
 	node->submitting = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	TAILQ_INIT(&node->pending);
 	node->jobs_submitted = metrics_counter(node->metrics, "batch_jobs_submitted_total", "");
 	node->jobs_rejected = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
 	node->tick_gap = metrics_histogram(node->metrics, "node_tick_gap_us", "");
@@ -582,6 +583,7 @@
 	if (create_peers(node, random_seed, error, error_size) != 0)
 		goto fail_replica;
 	vm_relay_set_peers(node->relay, node->peers);
+	batch_calls_init(node);
 	timer_subscribe(node->timers, &node->tick_timer, LEADER_TICK_MS * US_PER_MS, on_leader_tick,
 			node);
 	timer_subscribe(node->timers, &node->hint_timer, HINT_INTERVAL_MS * US_PER_MS,
@@ -613,6 +615,7 @@
 	batch_leader_deactivate(node->leader);
 	replica_destroy(node->replica);
 	vm_relay_destroy(node->relay);
+	batch_calls_finish(node);
 	peer_set_destroy(node->peers);
 	batch_leader_destroy(node->leader);
 	batch_state_finish(&node->state);
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -2,7 +2,9 @@
 
 #include <glib.h>
 
+#include "batch_admit.h"
 #include "batch_node.h"
+#include "reply_queue.h"
 #include "vm_cache.h"
 #include "vm_relay.h"
 
@@ -28,8 +30,12 @@
 	struct tevent_immediate *placement_event;
 	bool placement_scheduled;
 	GHashTable *submitting; /* ids of submitted jobs that are not committed yet */
+	TAILQ_HEAD(pending_calls, pending_call) pending; /* calls being committed, oldest first */
+	batch_admit_t admit;
 	vm_cache_t report_cache;
 	vm_relay_t *relay;
+	reply_queue_t replies; /* replies to edge processes that could not be sent yet */
+	timer_sub_t reply_timer;
 	/* Set by batch_node_resign(): batch_node_is_active_leader() returns false from then on. */
 	bool resigned;
 	metrics_counter_t *jobs_submitted;
@@ -39,6 +45,9 @@
 	uint64_t last_tick_us;
 };
 
+/** Prepares for calls of edge processes. */
+void batch_calls_init(batch_node_t *node);
+void batch_calls_finish(batch_node_t *node);
 /**
  * Handles a client's call forwarded by an edge process, and replies to it.
  * @param from node id of the edge process
