peer, replica, raft: handle members' messages first and judge timeouts after them

Cause (one part of it): the messages of the other members share the event loop with those of all edge processes, one event a round, and the timers run before the sockets are read. A leader judged "no acknowledgement of a majority" while the acknowledgements lay in its sockets, and one event could handle 256 KiB of messages. A leader whose own loop stood still for 0.6 s ended its term although the latest heartbeat had been acknowledged, because the time since that heartbeat also counted the time in which it had sent none.

Change: the connections of members (peers with a disk) are checked every 10 ms, and between the messages of one event, with a non-blocking poll(); what has arrived is handled, and what is queued is sent, ahead of the rest. The replica's tick and the peer set's tick do so, and collect the result of the disk thread, before they judge a timeout. A read event stops after 16 KiB. A leader ends its term when a heartbeat has been unacknowledged for the minimum election timeout, not when that time has passed since the latest acknowledged one; the lease, on which safety rests, is unchanged. The timer service passes the current time to each subscriber, as an earlier one may now have recorded later times.

Observability: "gave up the lead" with the reason, the time since the latest acknowledged heartbeat and the latest tick gap; metric node_member_wait_us.

--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -213,6 +213,14 @@
 	return node->peers == NULL ? -1 : peer_send(node->peers, node_id, envelope);
 }
 
+static void receive_from_members(void *arg)
+{
+	const batch_node_t *node = arg;
+
+	if (node->peers != NULL)
+		peer_set_serve_members(node->peers);
+}
+
 /* --- peers --- */
 
 static void add_peer(batch_node_t *node, uint32_t id, bool permanent)
@@ -290,6 +298,13 @@
 		vm_relay_peer_down(node->relay, info->node_id);
 }
 
+static void on_member_waited(void *arg, uint64_t us)
+{
+	const batch_node_t *node = arg;
+
+	metrics_record_us(node->member_wait, us);
+}
+
 static uint64_t applied_index(void *arg)
 {
 	const batch_node_t *node = arg;
@@ -498,6 +513,7 @@
 		.log_bytes_max = LOG_BYTES,
 		.flush_delay_ms = FLUSH_DELAY_MS,
 		.seed = random_seed,
+		.receive_pending = receive_from_members,
 		.voter_target = 2 * MAX(settings->tolerated_machine_losses, 1) + 1,
 		.replace_ms = batch_node_voter_timeout_ms(settings),
 	};
@@ -529,6 +545,7 @@
 		.message_received = on_message,
 		.peer_changed = on_peer_change,
 		.applied_index = applied_index,
+		.member_waited = on_member_waited,
 		.arg = node,
 	};
 	uint32_t members[REPLICA_MEMBERS_MAX];
@@ -570,6 +587,7 @@
 	node->jobs_submitted = metrics_counter(node->metrics, "batch_jobs_submitted_total", "");
 	node->jobs_rejected = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
 	node->tick_gap = metrics_histogram(node->metrics, "node_tick_gap_us", "");
+	node->member_wait = metrics_histogram(node->metrics, "node_member_wait_us", "");
 	node->commit_latency = metrics_histogram(node->metrics, "batch_commit_latency_us", "");
 	batch_state_init(&node->state);
 	vm_cache_init(&node->report_cache);
--- a/src/disk_thread.c
+++ b/src/disk_thread.c
@@ -92,6 +92,11 @@
 	return disk->busy;
 }
 
+void disk_thread_poll(disk_thread_t *disk)
+{
+	report_completion(disk);
+}
+
 void disk_thread_wait(disk_thread_t *disk)
 {
 	if (!disk->busy)
--- a/src/disk_thread.h
+++ b/src/disk_thread.h
@@ -36,5 +36,7 @@
 		     void (*done)(void *arg, int result), void *arg);
 /** True from disk_thread_run() until done() is called. May be called on the owner's thread only. */
 bool disk_thread_busy(const disk_thread_t *disk);
+/** Calls done() if the running call has ended, before the event loop reports it. */
+void disk_thread_poll(disk_thread_t *disk);
 /** Waits until the running call, if any, has ended and calls its done(). */
 void disk_thread_wait(disk_thread_t *disk);
--- a/src/peer.c
+++ b/src/peer.c
@@ -3,6 +3,7 @@
 #include "peer.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/queue.h>
 #include <unistd.h>
@@ -22,6 +23,12 @@
  * closed at once. */
 #define ACCEPTED_PENDING_MAX 128
 
+/* Interval at which the members' connections are checked ahead of other events. Far below the
+ * leader lease, and long enough that the checks take little of a slow core. */
+#define MEMBER_CHECK_US (10 * US_PER_MS)
+/* Most members' connections that are served ahead of other events; each member has two. */
+#define MEMBER_CONNS_MAX 128
+
 struct peer;
 
 /* An accepted connection. peer is NULL until the Hello has arrived. */
@@ -71,6 +78,9 @@
 	GHashTable *by_id;    /* node id -> peer_t */
 	bool limit_logged; /* whether it was logged that PEER_MAX is reached; reset when a peer is
 			      forgotten */
+	timer_sub_t member_check;
+	uint64_t members_served_us; /* when peer_set_serve_members() last returned */
+	bool serving_members;
 };
 
 static void on_dialled_frame(peer_conn_t *conn, const Lp__Envelope *envelope);
@@ -397,9 +407,8 @@
 		report_change(peer);
 }
 
-static void on_accepted_frame(peer_conn_t *conn, const Lp__Envelope *envelope)
+static void handle_accepted_frame(accepted_t *accepted, const Lp__Envelope *envelope)
 {
-	accepted_t *accepted = conn->owner;
 	peer_set_t *set = accepted->set;
 	peer_t *peer = accepted->peer;
 
@@ -416,12 +425,122 @@
 	peer->info.last_heard_us = accepted->last_frame_us;
 	if (envelope->body_case == LP__ENVELOPE__BODY_PING) {
 		peer->info.applied_index = envelope->ping->applied_index;
-		send_pong(set, conn, envelope->ping->seq);
+		send_pong(set, accepted->conn, envelope->ping->seq);
 	} else if (envelope->body_case != LP__ENVELOPE__BODY__NOT_SET) {
 		set->callbacks.message_received(set->callbacks.arg, peer->info.node_id, envelope);
 	}
 }
 
+static void serve_members_if_due(peer_set_t *set)
+{
+	if (set->config.has_disk && clock_now_us() - set->members_served_us >= MEMBER_CHECK_US)
+		peer_set_serve_members(set);
+}
+
+static void on_accepted_frame(peer_conn_t *conn, const Lp__Envelope *envelope)
+{
+	accepted_t *accepted = conn->owner;
+	peer_set_t *set = accepted->set;
+	bool is_member = accepted->peer != NULL && accepted->peer->info.has_disk;
+
+	handle_accepted_frame(accepted, envelope);
+	if (!is_member)
+		serve_members_if_due(set);
+}
+
+/* --- members first --- */
+
+typedef struct {
+	uint32_t node_id;
+	bool dialled;
+} member_conn_t;
+
+static peer_conn_t *member_conn(const peer_set_t *set, const member_conn_t *member)
+{
+	const peer_t *peer = find_peer(set, member->node_id);
+
+	if (peer == NULL)
+		return NULL;
+	if (member->dialled)
+		return peer->dialled;
+	return peer->accepted != NULL ? peer->accepted->conn : NULL;
+}
+
+static size_t add_member_conn(const peer_set_t *set, const member_conn_t *member,
+			      struct pollfd *poll_fd)
+{
+	const peer_conn_t *conn = member_conn(set, member);
+
+	if (conn == NULL || conn->connecting)
+		return 0;
+	*poll_fd = (struct pollfd){.fd = conn->fd, .events = POLLIN};
+	if (peer_conn_has_queued(conn))
+		poll_fd->events |= POLLOUT;
+	return 1;
+}
+
+static size_t list_member_conns(const peer_set_t *set, member_conn_t *members, struct pollfd *fds)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < set->peers->len && count + 2 <= MEMBER_CONNS_MAX; i++) {
+		const peer_t *peer = g_ptr_array_index(set->peers, i);
+
+		if (!peer->info.has_disk)
+			continue;
+		for (unsigned dialled = 0; dialled < 2; dialled++) {
+			members[count] = (member_conn_t){peer->info.node_id, dialled != 0};
+			count += add_member_conn(set, &members[count], &fds[count]);
+		}
+	}
+	return count;
+}
+
+/* Handles a connection that poll() has reported. The handlers of earlier messages may have closed
+ * or replaced it, so it is looked up for each use. */
+static void serve_member_conn(peer_set_t *set, const member_conn_t *member, short events)
+{
+	peer_conn_t *conn = member_conn(set, member);
+
+	set->counters.members_served_first++;
+	if (conn != NULL && (events & POLLOUT) != 0)
+		peer_conn_handle_ready(conn, false, true);
+	conn = member_conn(set, member);
+	if (conn != NULL && (events & ~POLLOUT) != 0)
+		peer_conn_handle_ready(conn, true, false);
+}
+
+void peer_set_serve_members(peer_set_t *set)
+{
+	member_conn_t members[MEMBER_CONNS_MAX];
+	struct pollfd fds[MEMBER_CONNS_MAX];
+	uint64_t waited_us = clock_now_us() - set->members_served_us;
+	bool any_read = false;
+	size_t count;
+
+	if (!set->config.has_disk || set->serving_members)
+		return;
+	set->serving_members = true;
+	count = list_member_conns(set, members, fds);
+	/* If poll() fails, the event loop still reaches the connections in turn. */
+	if (count > 0 && poll(fds, count, 0) > 0) {
+		for (size_t i = 0; i < count; i++) {
+			any_read |= (fds[i].revents & POLLIN) != 0;
+			if (fds[i].revents != 0)
+				serve_member_conn(set, &members[i], fds[i].revents);
+		}
+	}
+	set->serving_members = false;
+	set->members_served_us = clock_now_us();
+	if (any_read && set->callbacks.member_waited != NULL)
+		set->callbacks.member_waited(set->callbacks.arg, waited_us);
+}
+
+static void on_member_check(void *arg, uint64_t now_us)
+{
+	serve_members_if_due(arg);
+}
+
 static void on_accept(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
 		      void *private_data)
 {
@@ -515,6 +634,9 @@
 {
 	peer_set_t *set = arg;
 
+	peer_set_serve_members(set);
+	/* The messages have set times after now_us. */
+	now_us = clock_now_us();
 	expire_accepted(set, now_us);
 	for (guint i = 0; i < set->peers->len; i++)
 		tick_peer(g_ptr_array_index(set->peers, i), now_us);
@@ -564,7 +686,9 @@
 	set->rand = g_rand_new_with_seed((guint32)config->incarnation);
 	for (size_t i = 0; i < config->peer_count; i++)
 		peer_set_address(set, &config->peers[i]);
+	set->members_served_us = clock_now_us();
 	timer_subscribe(timers, &set->tick, TICK_MS * US_PER_MS, on_tick, set);
+	timer_subscribe(timers, &set->member_check, MEMBER_CHECK_US, on_member_check, set);
 	return set;
 }
 
@@ -573,6 +697,7 @@
 	if (set == NULL)
 		return;
 	timer_unsubscribe(set->timers, &set->tick);
+	timer_unsubscribe(set->timers, &set->member_check);
 	while (!TAILQ_EMPTY(&set->accepted))
 		close_accepted(TAILQ_FIRST(&set->accepted));
 	for (guint i = 0; i < set->peers->len; i++)
--- a/src/peer.h
+++ b/src/peer.h
@@ -74,6 +74,9 @@
 	peer_message_fn message_received;
 	peer_change_fn peer_changed;
 	uint64_t (*applied_index)(void *arg); /**< returns the index to send with each ping */
+	/** Called when messages of another member were read ahead of other events, with the time
+	 * since the preceding check, which they have waited at most; NULL if not needed. */
+	void (*member_waited)(void *arg, uint64_t us);
 	void *arg;
 } peer_callbacks_t;
 
@@ -98,6 +101,15 @@
  */
 int peer_send(peer_set_t *set, uint32_t node_id, const Lp__Envelope *envelope);
 
+/**
+ * Handles the messages that have arrived from members (peers with a disk), and sends those queued
+ * to them, without waiting for the event loop to reach their connections. Does nothing when this
+ * process has no disk. Call it before a timeout of the replicated log is judged; the set itself
+ * does so every 10 ms, and between the messages of one event. Does nothing when called while it
+ * runs.
+ */
+void peer_set_serve_members(peer_set_t *set);
+
 /** @return the state of a peer, valid until the peer is forgotten, or NULL for an unknown node */
 const peer_info_t *peer_info(const peer_set_t *set, uint32_t node_id);
 /** Returns the number of known peers, connected or not. */
@@ -118,6 +130,8 @@
 	uint64_t forgotten;  /**< number of silent peers removed after remove_silent_after_ms */
 	uint64_t refused_over_limit; /**< number of connections of unknown peers refused because of
 					PEER_MAX */
+	uint64_t members_served_first; /**< number of members' connections that were read or written
+					  ahead of other events */
 	/** Number of Hellos refused because their node id is 0, is that of this process or of a
 	 * peer with a live connection, or, on a dialled connection, is not that of the expected
 	 * peer. */
--- a/src/peer_conn.c
+++ b/src/peer_conn.c
@@ -12,8 +12,9 @@
 #include <tevent.h>
 
 #define LISTEN_BACKLOG 128
-/* Each read event stops after this many bytes, so that a busy peer cannot starve the others. */
-#define READ_BYTES_PER_EVENT (256U << 10)
+/* Each read event stops after this many bytes, so that a busy peer cannot starve the others. 256
+ * KiB held some thousand messages, which took a slow core over 100 ms. */
+#define READ_BYTES_PER_EVENT ((size_t)16 << 10)
 
 /* Parses "IP:port", with brackets around an IPv6 address. @return 0, or -1 if the address is
  * invalid */
@@ -141,7 +142,8 @@
 	while (bytes_read < READ_BYTES_PER_EVENT) {
 		size_t space;
 		uint8_t *buffer = frame_decoder_write_buffer(&conn->decoder, &space);
-		ssize_t n = recv(conn->fd, buffer, space, 0);
+		size_t wanted = MIN(space, READ_BYTES_PER_EVENT - bytes_read);
+		ssize_t n = recv(conn->fd, buffer, wanted, 0);
 
 		if (n < 0 && errno == EINTR)
 			continue;
@@ -156,7 +158,7 @@
 		frame_decoder_mark_received(&conn->decoder, (size_t)n);
 		if (!dispatch_frames(conn))
 			return;
-		if ((size_t)n < space)
+		if ((size_t)n < wanted)
 			return;
 	}
 }
@@ -174,22 +176,33 @@
 	send_queued(conn);
 }
 
-static void on_event(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-		     void *private_data)
+void peer_conn_handle_ready(peer_conn_t *conn, bool readable, bool writable)
 {
-	peer_conn_t *conn = private_data;
-
+	if (conn->freed_flag != NULL)
+		return;
 	if (conn->connecting) {
 		on_connected(conn);
 		return;
 	}
 	/* Either send or receive per event, not both, because each can free the connection. */
-	if ((flags & TEVENT_FD_WRITE) != 0 && conn->send_offset < conn->send_queue->len)
+	if (writable && peer_conn_has_queued(conn))
 		send_queued(conn);
-	else if ((flags & TEVENT_FD_READ) != 0)
+	else if (readable)
 		on_readable(conn);
 }
 
+bool peer_conn_has_queued(const peer_conn_t *conn)
+{
+	return conn->send_offset < conn->send_queue->len;
+}
+
+static void on_event(struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+		     void *private_data)
+{
+	peer_conn_handle_ready(private_data, (flags & TEVENT_FD_READ) != 0,
+			       (flags & TEVENT_FD_WRITE) != 0);
+}
+
 static int destroy_conn(peer_conn_t *conn)
 {
 	if (conn->freed_flag != NULL)
--- a/src/peer_conn.h
+++ b/src/peer_conn.h
@@ -69,6 +69,14 @@
 /** Closes the connection; queued messages that are not sent yet are lost. */
 void peer_conn_free(peer_conn_t *conn);
 
+/**
+ * Sends what is queued if the socket is writable, and otherwise reads if it is readable. May free
+ * the connection through its callbacks. Does nothing while one of its messages is being handled.
+ */
+void peer_conn_handle_ready(peer_conn_t *conn, bool readable, bool writable);
+/** True when queued bytes wait to be sent. */
+bool peer_conn_has_queued(const peer_conn_t *conn);
+
 /** Queues a message. @return 0, or -1 when the queue is full or the message too large */
 int peer_conn_send(peer_conn_t *conn, const Lp__Envelope *envelope);
 
--- a/src/raft.h
+++ b/src/raft.h
@@ -192,6 +192,10 @@
  * all committed entries and has applied them.
  */
 bool raft_has_lease(const raft_t *raft, uint64_t now_us);
+/** Returns when this replica, as the leader, sent the latest heartbeat round that a majority of the
+ * voters has acknowledged, or when it became the leader if there is none. Still valid right after
+ * its term as the leader has ended. */
+uint64_t raft_majority_contact_us(const raft_t *raft, uint64_t now_us);
 /** Returns when the latest message of a leader arrived, or the time of raft_start() if none has
  * arrived yet. */
 uint64_t raft_leader_contact_us(const raft_t *raft);
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include <glib.h>
 #include <talloc.h>
 
 #include "raft_internal.h"
@@ -296,13 +297,33 @@
 	send_heartbeats(raft, now_us);
 }
 
-void raft_leader_tick(raft_t *raft, uint64_t now_us)
+/* Returns the send time of the oldest heartbeat round that no majority of the voters has
+ * acknowledged, or now_us if there is none. The time since the latest acknowledged round would also
+ * count a time in which this replica was blocked and sent no heartbeats. */
+static uint64_t oldest_unacked_round_us(const raft_t *raft, uint64_t now_us)
 {
 	uint64_t acked_us = majority_acked_round_us(raft, now_us);
+	uint64_t first = raft->heartbeat_round < ROUND_HISTORY
+				 ? 1
+				 : raft->heartbeat_round - ROUND_HISTORY + 1;
+
+	for (uint64_t round = first; round <= raft->heartbeat_round; round++) {
+		uint64_t sent_us = raft->round_sent_us[round % ROUND_HISTORY];
+
+		if (sent_us > acked_us)
+			return sent_us;
+	}
+	return now_us;
+}
 
-	if (acked_us < raft->leader_since_us)
-		acked_us = raft->leader_since_us;
-	if (now_us > acked_us + raft->options.election_min_us) {
+uint64_t raft_majority_contact_us(const raft_t *raft, uint64_t now_us)
+{
+	return MAX(majority_acked_round_us(raft, now_us), raft->leader_since_us);
+}
+
+void raft_leader_tick(raft_t *raft, uint64_t now_us)
+{
+	if (now_us > oldest_unacked_round_us(raft, now_us) + raft->options.election_min_us) {
 		raft_become_follower(raft, now_us, raft->term, (raft_id_t){0});
 		return;
 	}
--- a/src/replica.c
+++ b/src/replica.c
@@ -173,6 +173,33 @@
 	}
 }
 
+static void log_end_of_term(const replica_t *replica, const char *reason, uint64_t now_us)
+{
+	char term[24];
+	char contact_ms[24];
+	char tick_gap_ms[24];
+
+	g_snprintf(term, sizeof(term), "%" PRIu64, replica->led_term);
+	g_snprintf(contact_ms, sizeof(contact_ms), "%" PRIu64,
+		   (now_us - raft_majority_contact_us(replica->raft, now_us)) / 1000);
+	g_snprintf(tick_gap_ms, sizeof(tick_gap_ms), "%" PRIu64, replica->tick_gap_us / 1000);
+	log_event(G_LOG_LEVEL_MESSAGE,
+		  LOG_FIELDS("term", term, "reason", reason, "ms_since_majority", contact_ms,
+			     "tick_gap_ms", tick_gap_ms),
+		  "gave up the lead");
+}
+
+/* Logs the end of this replica's term as the leader. Must follow each call of the core that can end
+ * it. */
+static void check_end_of_term(replica_t *replica, const char *reason, uint64_t now_us)
+{
+	bool leads = raft_role(replica->raft) == RAFT_LEADER;
+
+	if (replica->led_term != 0 && (!leads || raft_term(replica->raft) != replica->led_term))
+		log_end_of_term(replica, reason, now_us);
+	replica->led_term = leads ? raft_term(replica->raft) : 0;
+}
+
 static void apply_committed(replica_t *replica);
 
 /* Writes the snapshot and the log on the disk thread. After a crash between the two, the log begins
@@ -199,6 +226,7 @@
 		on_disk_failure(replica, replica->pending_snapshot != NULL ? replica->snapshot_path
 									   : replica->log_path);
 		raft_set_disk_writable(replica->raft, now_us, false);
+		check_end_of_term(replica, "the disk cannot be written", now_us);
 	} else {
 		send_messages(replica, &replica->syncing_messages);
 		raft_mark_synced_to(replica->raft, replica->syncing_index,
@@ -382,12 +410,28 @@
 	raft_mark_synced(replica->raft, now_us);
 }
 
+/* Handles what other members and the disk thread have reported already. A timeout that was judged
+ * before would count the time that their reports spent in this process's queues as silence. */
+static void handle_pending_input(replica_t *replica)
+{
+	if (replica->has_disk_thread)
+		disk_thread_poll(&replica->disk_thread);
+	if (replica->config.receive_pending != NULL)
+		replica->config.receive_pending(replica->send_arg);
+}
+
 static void on_tick(void *arg, uint64_t now_us)
 {
 	replica_t *replica = arg;
 
+	replica->tick_gap_us = now_us - replica->last_tick_us;
+	replica->last_tick_us = now_us;
+	handle_pending_input(replica);
+	/* The input took time too, and may have begun a heartbeat round after now_us. */
+	now_us = clock_now_us();
 	retry_disk(replica, now_us);
 	raft_tick(replica->raft, now_us);
+	check_end_of_term(replica, "no acknowledgement of a majority", now_us);
 	run_actions(replica);
 	replica_members_tick(replica, now_us);
 	run_actions(replica);
@@ -459,7 +503,8 @@
 	}
 	replica->has_disk_thread = replica->wal != NULL;
 	replica->config_seen_index = raft_config_index(replica->raft);
-	raft_start(replica->raft, clock_now_us());
+	replica->last_tick_us = clock_now_us();
+	raft_start(replica->raft, replica->last_tick_us);
 	timer_subscribe(timers, &replica->tick, TICK_INTERVAL_US, on_tick, replica);
 	return replica;
 
@@ -482,6 +527,7 @@
 	switch ((int)envelope->body_case) {
 	case LP__ENVELOPE__BODY_RAFT:
 		raft_receive(replica->raft, clock_now_us(), envelope->raft);
+		check_end_of_term(replica, "another replica has a later term", clock_now_us());
 		run_actions(replica);
 		/* Apply committed entries at once, also when flush_delay_ms delays proposals: a
 		 * leader holds the lease only while it has applied all of them. */
--- a/src/replica.h
+++ b/src/replica.h
@@ -65,6 +65,12 @@
 	uint32_t voter_target;
 	uint32_t replace_ms;
 	uint64_t seed;
+	/**
+	 * Passes all messages that have arrived from other members to replica_receive(); NULL if
+	 * not needed. Called with the send_arg of replica_create() before timeouts are judged, so
+	 * that a busy event loop does not count as silence of the others.
+	 */
+	void (*receive_pending)(void *arg);
 } replica_config_t;
 
 struct replica;
--- a/src/replica_internal.h
+++ b/src/replica_internal.h
@@ -92,6 +92,10 @@
 	known_peer_t known_peers[RAFT_MEMBERS_MAX];
 	size_t known_peer_count;
 	uint64_t leader_since_us; /* when this replica became the leader; 0 if it is not */
+	uint64_t led_term; /* term that this replica leads, for the log line at its end; 0 if it
+			      does not lead */
+	uint64_t last_tick_us;
+	uint64_t tick_gap_us; /* time between the latest two ticks */
 	bool has_disk_thread;
 	bool snapshot_due;
 	bool vote_saved_since_sync; /* true when a vote was buffered after the running write started
--- a/src/serve.c
+++ b/src/serve.c
@@ -118,6 +118,14 @@
 	return node->peers == NULL ? -1 : peer_send(node->peers, node_id, envelope);
 }
 
+static void receive_from_members(void *arg)
+{
+	node_t *node = arg;
+
+	if (node->peers != NULL)
+		peer_set_serve_members(node->peers);
+}
+
 static void ignore_result(void *arg, const Lp__Result *result)
 {
 }
@@ -398,6 +406,7 @@
 		.lease_ms = settings->timing.lease_ms,
 		.snapshot_every = settings->limits.snapshot_entries,
 		.seed = node->incarnation,
+		.receive_pending = receive_from_members,
 	};
 	const replica_state_machine_t state_machine = publish_state_machine(node);
 	char error[ERROR_SIZE];
--- a/src/timer.c
+++ b/src/timer.c
@@ -22,7 +22,8 @@
 		LIST_FOREACH (sub, &service->subs, link) {
 			if (sub->due_us <= now_us) {
 				sub->due_us = now_us + sub->period_us;
-				sub->fn(sub->arg, now_us);
+				/* Earlier subscribers may have recorded later times than now_us. */
+				sub->fn(sub->arg, clock_now_us());
 				break;
 			}
 		}
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -14,6 +14,7 @@
 #include <tevent.h>
 
 #include "clock.h"
+#include "frame.h"
 #include "peer.h"
 #include "peer_conn.h"
 
@@ -371,6 +372,116 @@
 	peer_set_destroy(node1.set);
 }
 
+/* A peer that this test plays itself on a plain socket. */
+static int connect_raw_peer(const char *address, uint32_t id, bool has_disk)
+{
+	g_autoptr(GByteArray) frame = g_byte_array_new();
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__Hello hello = LP__HELLO__INIT;
+	int fd = connect_to(address);
+
+	hello.cluster = (char *)"c";
+	hello.node_id = id;
+	hello.replica_id = 1;
+	hello.incarnation = id;
+	hello.data_centre = (char *)"muscat-1";
+	hello.disk = has_disk;
+	hello.connection = 1;
+	envelope.body_case = LP__ENVELOPE__BODY_HELLO;
+	envelope.hello = &hello;
+	frame_append(frame, &envelope);
+	assert_int_equal(send(fd, frame->data, frame->len, MSG_NOSIGNAL), frame->len);
+	return fd;
+}
+
+static void send_raw_messages(int fd, unsigned count)
+{
+	g_autoptr(GByteArray) frames = g_byte_array_new();
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__RaftMessage raft = LP__RAFT_MESSAGE__INIT;
+
+	envelope.body_case = LP__ENVELOPE__BODY_RAFT;
+	envelope.raft = &raft;
+	while (count-- > 0)
+		frame_append(frames, &envelope);
+	assert_int_equal(send(fd, frames->data, frames->len, MSG_NOSIGNAL), frames->len);
+}
+
+#define MEMBER_ID 7
+#define HANDLING_MS 1
+
+typedef struct {
+	unsigned bulk_count;
+	unsigned member_count;
+	unsigned bulk_before_member; /* messages of the other peers before the member's */
+} flood_t;
+
+static void on_flood_message(void *arg, uint32_t from, const Lp__Envelope *envelope)
+{
+	flood_t *flood = arg;
+
+	if (from == MEMBER_ID) {
+		flood->bulk_before_member = flood->bulk_count;
+		flood->member_count++;
+		return;
+	}
+	flood->bulk_count++;
+	g_usleep(HANDLING_MS * US_PER_MS);
+}
+
+/* Guards against a leader that loses its lease of 400 ms because the acknowledgements of the other
+ * members wait behind the messages of its edge processes. */
+static void test_member_message_does_not_wait_behind_a_flood(void **state)
+{
+	enum {
+		FLOODING_PEERS = 40,
+		MESSAGES_PER_PEER = 50,
+		LONGEST_WAIT_MS = 100,
+	};
+	char *addr1 = unused_address();
+	flood_t flood = {0};
+	peer_callbacks_t callbacks = {.message_received = on_flood_message, .arg = &flood};
+	peer_config_t config = {
+		.cluster = "c",
+		.node_id = 1,
+		.replica_id = 1,
+		.incarnation = 1,
+		.data_centre = "muscat-1",
+		.http_address = "127.0.0.1:80",
+		.has_disk = true,
+		.listen_address = addr1,
+		.ping_ms = PING_MS,
+		.timeout_ms = 60 * 1000,
+	};
+	peer_set_t *set = peer_set_create(ev, ev, &timers, &config, &callbacks);
+	int fds[FLOODING_PEERS];
+	int member_fd;
+
+	assert_non_null(set);
+	for (unsigned i = 0; i < FLOODING_PEERS; i++)
+		fds[i] = connect_raw_peer(addr1, 1000 + i, false);
+	member_fd = connect_raw_peer(addr1, MEMBER_ID, true);
+	for (unsigned i = 0; i < 1000 && peer_count(set) <= FLOODING_PEERS; i++)
+		run_event_loop_ms(10);
+	assert_int_equal(peer_count(set), FLOODING_PEERS + 1);
+	for (unsigned i = 0; i < FLOODING_PEERS; i++)
+		send_raw_messages(fds[i], MESSAGES_PER_PEER);
+	send_raw_messages(member_fd, 1);
+	for (unsigned i = 0; i < 1000 && (flood.member_count == 0 ||
+					  flood.bulk_count < FLOODING_PEERS * MESSAGES_PER_PEER);
+	     i++)
+		run_event_loop_ms(10);
+	assert_int_equal(flood.bulk_count, FLOODING_PEERS * MESSAGES_PER_PEER);
+	assert_int_equal(flood.member_count, 1);
+	print_message("%u messages were handled before the member's\n", flood.bulk_before_member);
+	assert_in_range(flood.bulk_before_member, 0, LONGEST_WAIT_MS / HANDLING_MS);
+	assert_true(peer_counters(set)->members_served_first > 0);
+	peer_set_destroy(set);
+	for (unsigned i = 0; i < FLOODING_PEERS; i++)
+		close(fds[i]);
+	close(member_fd);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -379,6 +490,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_other_cluster_and_duplicate_node_id_are_refused, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_member_message_does_not_wait_behind_a_flood,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_silent_connection_is_replaced, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_invalid_frame_closes_the_connection, set_up,
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -100,6 +100,43 @@
 	talloc_free(raft);
 }
 
+/* Guards against a leader that ends its term because its own event loop was busy: an
+ * acknowledgement of the latest heartbeat means that no heartbeat is unanswered, whatever time has
+ * passed since. */
+static void test_leader_keeps_its_term_when_no_heartbeat_is_unanswered(void **state)
+{
+	const raft_options_t options = {
+		.self = {1, 1},
+		.has_disk = true,
+		.heartbeat_us = 120 * US_PER_MS,
+		.election_min_us = 500 * US_PER_MS,
+		.lease_us = 400 * US_PER_MS,
+	};
+	raft_config_t config = {.members = {{{1, 1}, true}, {{2, 1}, true}, {{3, 1}, true}},
+				.count = 3};
+	const uint64_t elected_us = 2 * US_PER_S;
+	const uint64_t busy_until_us = elected_us + 600 * US_PER_MS;
+	raft_t *raft = raft_create(NULL, &options);
+
+	raft_restore_base(raft, 0, 0, &config);
+	raft_start(raft, 0);
+	raft_tick(raft, elected_us);
+	receive_vote_grant(raft, 1, true, elected_us);
+	receive_vote_grant(raft, 1, false, elected_us);
+	assert_int_equal(raft_role(raft), RAFT_LEADER);
+	receive_append_success(raft, 1, 1, busy_until_us);
+	raft_mark_applied(raft, 1);
+	raft_tick(raft, busy_until_us);
+	assert_int_equal(raft_role(raft), RAFT_LEADER);
+	assert_false(raft_has_lease(raft, busy_until_us));
+	/* The heartbeat that this tick has sent remains unanswered. */
+	raft_tick(raft, busy_until_us + options.election_min_us);
+	assert_int_equal(raft_role(raft), RAFT_LEADER);
+	raft_tick(raft, busy_until_us + options.election_min_us + 1);
+	assert_int_equal(raft_role(raft), RAFT_FOLLOWER);
+	talloc_free(raft);
+}
+
 static void receive_vote_request(raft_t *raft, bool pre_vote, uint64_t now_us)
 {
 	Lp__RaftMessage message = LP__RAFT_MESSAGE__INIT;
@@ -187,6 +224,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_entry_of_earlier_term_is_not_committed_by_count),
+		cmocka_unit_test(test_leader_keeps_its_term_when_no_heartbeat_is_unanswered),
 		cmocka_unit_test(test_no_vote_is_granted_during_a_possible_lease),
 		cmocka_unit_test(test_too_high_term_or_index_is_ignored),
 	};
--- a/tests/test_replica.c
+++ b/tests/test_replica.c
@@ -52,6 +52,9 @@
 static const uint32_t voters[VOTERS] = {1, 2, 3};
 static char data_root[64];
 static char error_text[512];
+/* Messages to this node wait until its replica asks for pending input; 0: none. */
+static uint32_t busy_node;
+static GQueue busy_packets = G_QUEUE_INIT;
 static size_t largest_heartbeat;
 /* Whether replicas are started with a voter target, so that any node with a disk may become a voter
  * and silent voters are replaced. */
@@ -104,21 +107,38 @@
 	return 0;
 }
 
+static void deliver_packet(packet_t *packet)
+{
+	Lp__Envelope *envelope = lp__envelope__unpack(NULL, packet->length, packet->data);
+
+	if (nodes[packet->to].replica != NULL && !nodes[packet->to].isolated)
+		replica_receive(nodes[packet->to].replica, packet->from, envelope);
+	lp__envelope__free_unpacked(envelope, NULL);
+	g_free(packet->data);
+	g_free(packet);
+}
+
 static void deliver(void)
 {
 	packet_t *packet;
 
 	while ((packet = g_queue_pop_head(&packets)) != NULL) {
-		Lp__Envelope *envelope = lp__envelope__unpack(NULL, packet->length, packet->data);
-
-		if (nodes[packet->to].replica != NULL && !nodes[packet->to].isolated)
-			replica_receive(nodes[packet->to].replica, packet->from, envelope);
-		lp__envelope__free_unpacked(envelope, NULL);
-		g_free(packet->data);
-		g_free(packet);
+		if (packet->to == busy_node)
+			g_queue_push_tail(&busy_packets, packet);
+		else
+			deliver_packet(packet);
 	}
 }
 
+static void receive_pending(void *arg)
+{
+	const node_t *node = arg;
+	packet_t *packet;
+
+	while (node->node == busy_node && (packet = g_queue_pop_head(&busy_packets)) != NULL)
+		deliver_packet(packet);
+}
+
 static void announce_peers(uint32_t a, uint32_t b)
 {
 	if (a != b && nodes[a].replica != NULL && nodes[b].replica != NULL)
@@ -142,6 +162,7 @@
 		.lease_ms = 120,
 		.snapshot_every = 50,
 		.seed = n,
+		.receive_pending = receive_pending,
 		.voter_target = dynamic_voters ? VOTERS : 0,
 		.replace_ms = REPLACE_MS,
 	};
@@ -284,7 +305,12 @@
 
 static int tear_down(void **state)
 {
+	packet_t *packet;
+
 	dynamic_voters = false;
+	busy_node = 0;
+	while ((packet = g_queue_pop_head(&busy_packets)) != NULL)
+		deliver_packet(packet);
 	for (uint32_t n = 1; n <= NODES; n++) {
 		stop_replica(n);
 		delete_data_dir(nodes[n].dir);
@@ -295,6 +321,19 @@
 	return g_rmdir(data_root);
 }
 
+/* Guards against a leader that ends its term although the acknowledgements have arrived, because it
+ * judges the timeout before it has read them. */
+static void test_arrived_acknowledgements_keep_the_term(void **state)
+{
+	uint32_t leader = leader_with_lease();
+	uint64_t term = replica_term(nodes[leader].replica);
+
+	busy_node = leader;
+	run_for(1000);
+	assert_true(replica_is_leader(nodes[leader].replica));
+	assert_int_equal(replica_term(nodes[leader].replica), term);
+}
+
 static uint32_t any_follower(void)
 {
 	return leader_with_lease() % VOTERS + 1;
@@ -564,6 +603,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_proposals_from_every_node_reach_all, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_arrived_acknowledgements_keep_the_term, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_init_of_existing_data_dir_is_refused, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_leader_failure_and_restart, set_up, tear_down),
