--- a/tests/lib_load_play.c
+++ b/tests/lib_load_play.c
@@ -4,8 +4,6 @@
 
 #include <talloc.h>
 
-#include "lib_vm_sim.h"
-
 /* Time before the first submission, in which the fleet reports and settles. */
 #define LEAD_MS 8000
 /* Time after the last submission, in which the remaining jobs can end. */
@@ -13,6 +11,7 @@
 #define STEP_MS 25
 #define STEPS_MAX 3
 /* Objective of the simulated queues: stretch times the declared run time, plus a constant. */
+#define LONG_RUNNING_ID "long-running"
 #define STRETCH 1.6
 #define OBJECTIVE_MS 600
 
@@ -30,6 +29,7 @@
 	GRand *rand;
 	GArray *jobs; /* of played_job_t */
 	double next_ms[LOAD_SERVICES_MAX];
+	bool crashed; /* the crash of play->crash_ms has happened */
 } player_t;
 
 static double rate_per_ms(const load_play_t *play, unsigned service, double at_ms)
@@ -114,13 +114,50 @@
 	}
 }
 
+static void submit_long_running(const player_t *player)
+{
+	Lp__BatchStep step = LP__BATCH_STEP__INIT;
+	Lp__BatchStep *list[] = {&step};
+	Lp__BatchJob job = LP__BATCH_JOB__INIT;
+
+	if (player->play->long_running == 0)
+		return;
+	step.count = player->play->long_running;
+	step.cpu_milli = 1000;
+	step.mem_mib = 1000;
+	step.long_running = true;
+	step.max_per_vm = 1;
+	job.spec = (char *)"spec";
+	job.steps = list;
+	job.n_steps = 1;
+	vm_sim_submit(player->sim, LONG_RUNNING_ID, 0, &job);
+}
+
+/* Crashes a VM when it is time to, and notes when the long-running tasks run again. */
+static void crash_and_watch(player_t *player, uint64_t at_ms, load_result_t *result)
+{
+	const load_play_t *play = player->play;
+
+	if (play->crash_ms == 0 || at_ms < play->crash_ms)
+		return;
+	if (!player->crashed)
+		player->crashed =
+			vm_sim_crash_vm_of_job(player->sim, LONG_RUNNING_ID, LOAD_CRASH_MS);
+	else if (result->restart_s < 0 &&
+		 vm_sim_job_running_count(player->sim, LONG_RUNNING_ID) == play->long_running)
+		result->restart_s = (double)(at_ms - play->crash_ms) / 1000.0;
+}
+
 static void run_load(player_t *player, load_result_t *result)
 {
 	const load_play_t *play = player->play;
 	uint64_t start_moves;
+	uint64_t start_busy_us;
 	guint first_open = 0;
 
+	submit_long_running(player);
 	vm_sim_run(player->sim, LEAD_MS);
+	start_busy_us = vm_sim_stats(player->sim)->busy_us;
 	start_moves = vm_sim_move_count(player->sim);
 	for (unsigned i = 0; i < play->services; i++)
 		player->next_ms[i] = next_arrival_ms(player, i, 0);
@@ -138,7 +175,11 @@
 			result->machine_s +=
 				vm_sim_switched_on_count(player->sim) * STEP_MS / 1000.0;
 			result->moves = vm_sim_move_count(player->sim) - start_moves;
+			result->busy_share =
+				(double)(vm_sim_stats(player->sim)->busy_us - start_busy_us) /
+				1000.0 / play->duration_ms;
 		}
+		crash_and_watch(player, at_ms, result);
 	}
 }
 
@@ -174,6 +215,7 @@
 		all_owed += owed[i];
 		all_earned += earned[i];
 	}
+	result->longest_wait_s = (double)vm_sim_stats(player->sim)->longest_wait_us / 1e6;
 	result->in_time_share = all_owed > 0 ? all_earned / all_owed : 0;
 	talloc_free(mem);
 }
@@ -184,13 +226,15 @@
 					.vms_per_service = play->vms_per_service,
 					.standby_vms = play->standby_vms,
 					.platform_requests_per_s = play->platform_requests_per_s,
+					.processor = play->processor,
 					.seed = play->seed};
 	player_t player = {.play = play,
 			   .sim = vm_sim_create(&config),
 			   .rand = g_rand_new_with_seed((guint32)play->seed),
 			   .jobs = g_array_new(FALSE, FALSE, sizeof(played_job_t))};
 
-	*result = (load_result_t){.by_second = g_array_new(FALSE, FALSE, sizeof(double))};
+	*result = (load_result_t){.restart_s = -1,
+				  .by_second = g_array_new(FALSE, FALSE, sizeof(double))};
 	run_load(&player, result);
 	summarise(&player, result);
 	result->violations = g_strdup(vm_sim_violations(player.sim));
--- a/tests/lib_load_play.h
+++ b/tests/lib_load_play.h
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "lib_vm_sim.h"
+
 /**
  * @file
  * Plays a load on the simulated fleet, and reports what the clients got: the share of the jobs that
@@ -14,6 +16,8 @@
 
 /** Most services of a played load. */
 #define LOAD_SERVICES_MAX 4
+/** Time for which a crashed machine is down. */
+#define LOAD_CRASH_MS 300
 
 /** The jobs of one service: steps of equal tasks that run one after another. */
 typedef struct {
@@ -36,8 +40,13 @@
 	double between;	   /**< rate outside the surges, as a multiple of the mean */
 	uint32_t burst_ms; /**< start of a burst of all services; 0: none */
 	uint32_t burst_for_ms;
-	double burst;	      /**< rate in the burst, as a multiple of that without it */
-	uint32_t duration_ms; /**< time in which jobs are submitted */
+	double burst;	       /**< rate in the burst, as a multiple of that without it */
+	uint32_t duration_ms;  /**< time in which jobs are submitted */
+	uint32_t long_running; /**< number of long-running tasks, of one job of the first service
+				  that is submitted before the others */
+	uint32_t crash_ms;     /**< time at which a VM with a long-running task crashes; its machine
+				  is up again after LOAD_CRASH_MS; 0: none */
+	vm_sim_processor_t processor;
 	uint64_t seed;
 } load_play_t;
 
@@ -52,7 +61,12 @@
 	double machine_s;     /**< seconds of switched-on machines, up to duration_ms */
 	uint64_t moves;
 	double longest_late_s; /**< longest time from the submission of a job to its end */
-	char *violations;      /**< of the guarantees that the simulated fleet checks; "": none */
+	double busy_share;     /**< share of the time up to duration_ms in which the leader was
+				  busy */
+	double longest_wait_s; /**< longest time for which an event has waited for the leader */
+	double restart_s; /**< time from the crash until all long-running tasks ran again; -1: they
+			     did not */
+	char *violations; /**< of the guarantees that the simulated fleet checks; "": none */
 } load_result_t;
 
 /** Plays the load. load_result_finish() frees what the result refers to. */
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -59,9 +59,17 @@
 	bool busy; /* the machine is being moved, maintained or restarted */
 } sim_vm_t;
 
+/* Where an event is handled. */
+typedef enum {
+	OUTSIDE,	/* on a VM or by the platform, at its time */
+	LEADER_TIMER,	/* by the leader's process, before the messages that it has to read */
+	LEADER_MESSAGE, /* by the leader's process, in the order of arrival */
+} place_t;
+
 typedef struct {
 	uint64_t time_us;
 	uint64_t seq;
+	place_t place;
 	void (*fn)(void *arg);
 	void *arg;
 } event_t;
@@ -82,6 +90,14 @@
 	uint64_t now_us;
 	uint64_t event_seq;
 	GSequence *events;
+	GQueue leader_timers;	/* of event_t that are due, while the leader is busy */
+	GQueue leader_messages; /* of event_t that are due, while the leader is busy */
+	uint64_t leader_busy_until_us;
+	bool leader_scheduled;	       /* an event for the first entry of the queues is scheduled */
+	bool in_leader;		       /* the leader handles an event; now_us is its time */
+	uint64_t candidates_charged;   /* candidates whose cost was charged */
+	metrics_counter_t *candidates; /* candidates that the leader has examined */
+	vm_sim_stats_t stats;
 	batch_state_t state;
 	batch_leader_t *leader;
 	metrics_t *metrics;
@@ -114,17 +130,112 @@
 	return first->seq < second->seq ? -1 : 1;
 }
 
-static void schedule(vm_sim_t *sim, uint64_t time_us, void (*fn)(void *arg), void *arg)
+static void schedule_at(vm_sim_t *sim, place_t place, uint64_t time_us, void (*fn)(void *arg),
+			void *arg)
 {
 	event_t *event = g_new(event_t, 1);
 
 	*event = (event_t){.time_us = MAX(time_us, sim->now_us),
 			   .seq = sim->event_seq++,
+			   .place = place,
 			   .fn = fn,
 			   .arg = arg};
 	g_sequence_insert_sorted(sim->events, event, compare_events, NULL);
 }
 
+static void schedule(vm_sim_t *sim, uint64_t time_us, void (*fn)(void *arg), void *arg)
+{
+	schedule_at(sim, OUTSIDE, time_us, fn, arg);
+}
+
+/* --- processor of the leader --- */
+
+static bool has_processor(const vm_sim_t *sim)
+{
+	const vm_sim_processor_t *processor = &sim->config.processor;
+
+	return processor->message_us + processor->commit_us + processor->candidate_ns > 0;
+}
+
+/* Advances the clock by the time that the leader has just spent. The other parts of the simulation
+ * do not see this before handle_next() sets the clock back. */
+static void charge(vm_sim_t *sim, uint64_t us)
+{
+	if (sim->in_leader)
+		sim->now_us += us;
+}
+
+static void charge_message(vm_sim_t *sim)
+{
+	charge(sim, sim->config.processor.message_us);
+}
+
+static void charge_candidates(vm_sim_t *sim)
+{
+	uint64_t examined = metrics_get(sim->candidates);
+
+	charge(sim,
+	       (examined - sim->candidates_charged) * sim->config.processor.candidate_ns / 1000);
+	sim->candidates_charged = examined;
+}
+
+static void schedule_leader(vm_sim_t *sim);
+
+/* Lets the leader handle the first event that waits for it. */
+static void handle_next(void *arg)
+{
+	vm_sim_t *sim = arg;
+	uint64_t start_us = sim->now_us;
+	event_t *event = g_queue_pop_head(&sim->leader_timers);
+
+	if (event == NULL)
+		event = g_queue_pop_head(&sim->leader_messages);
+	sim->leader_scheduled = false;
+	sim->stats.longest_wait_us =
+		MAX(sim->stats.longest_wait_us, start_us - MIN(start_us, event->time_us));
+	sim->in_leader = true;
+	if (event->place == LEADER_MESSAGE)
+		charge_message(sim);
+	event->fn(event->arg);
+	charge_candidates(sim);
+	sim->in_leader = false;
+	sim->leader_busy_until_us = sim->now_us;
+	sim->stats.busy_us += sim->now_us - start_us;
+	sim->now_us = start_us;
+	g_free(event);
+	schedule_leader(sim);
+}
+
+static void schedule_leader(vm_sim_t *sim)
+{
+	if (sim->leader_scheduled ||
+	    (g_queue_is_empty(&sim->leader_timers) && g_queue_is_empty(&sim->leader_messages)))
+		return;
+	sim->leader_scheduled = true;
+	schedule(sim, sim->leader_busy_until_us, handle_next, sim);
+}
+
+/* Handles an event whose time has come, or queues it for the leader. Takes ownership of it. */
+static void handle_event(vm_sim_t *sim, event_t *event)
+{
+	if (event->place == OUTSIDE || !has_processor(sim)) {
+		event->fn(event->arg);
+		g_free(event);
+		return;
+	}
+	g_queue_push_tail(
+		event->place == LEADER_TIMER ? &sim->leader_timers : &sim->leader_messages, event);
+	schedule_leader(sim);
+}
+
+static void handle_now(vm_sim_t *sim, place_t place, void (*fn)(void *arg), void *arg)
+{
+	event_t *event = g_new(event_t, 1);
+
+	*event = (event_t){.time_us = sim->now_us, .place = place, .fn = fn, .arg = arg};
+	handle_event(sim, event);
+}
+
 static uint64_t random_time_us(vm_sim_t *sim, uint32_t min_ms, uint32_t max_ms)
 {
 	return sim->now_us +
@@ -333,7 +444,10 @@
 	char spec[64];
 	vm_reply_fn done;
 	void *arg;
-	bool no_reply; /* the request is carried out, but its response is dropped */
+	bool no_reply;	/* the request is carried out, but its response is dropped */
+	bool has_timer; /* a timer for the response is scheduled, and frees the call if the response
+			   was handled before */
+	bool closed;	/* the caller has got a response, or the timer has fired */
 	vm_reply_t reply;
 	GArray *running;
 	GArray *finished;
@@ -358,8 +472,26 @@
 		call->reply.finished = (const vm_finished_run_t *)call->finished->data;
 		call->reply.finished_count = call->finished->len;
 	}
-	call->done(call->arg, &call->reply);
-	call_free(call);
+	if (!call->closed)
+		call->done(call->arg, &call->reply);
+	if (call->has_timer && !call->closed)
+		call->closed = true;
+	else
+		call_free(call);
+}
+
+/* Ends a call whose response the leader has not read in time. */
+static void on_call_timer(void *arg)
+{
+	call_t *call = arg;
+	const vm_reply_t reply = {.code = VM_REPLY_NO_RESPONSE};
+
+	if (call->closed) {
+		call_free(call);
+		return;
+	}
+	call->closed = true;
+	call->done(call->arg, &reply);
 }
 
 static sim_vm_t *find_vm(vm_sim_t *sim, const char *address)
@@ -493,14 +625,16 @@
 
 	if (vm == NULL || !vm->up || call->sim->now_us < vm->cut_off_until_us) {
 		call->reply.code = VM_REPLY_NO_RESPONSE;
-		schedule(call->sim, random_time_us(call->sim, 800, 800), deliver_reply, call);
+		schedule_at(call->sim, LEADER_MESSAGE, random_time_us(call->sim, 800, 800),
+			    deliver_reply, call);
 		return;
 	}
 	end_due_runs(vm);
 	list_runs(vm, call);
 	call->reply.clock_ms = clock_ms(vm);
 	call->reply.born_ms = vm->born_ms;
-	schedule(call->sim, random_time_us(call->sim, 1, 4), deliver_reply, call);
+	schedule_at(call->sim, LEADER_MESSAGE, random_time_us(call->sim, 1, 4), deliver_reply,
+		    call);
 }
 
 static void deliver_call(void *arg)
@@ -515,8 +649,9 @@
 			return;
 		}
 		call->reply.code = VM_REPLY_NO_RESPONSE;
-		schedule(sim, random_time_us(sim, REQUEST_TIMEOUT_MS, REQUEST_TIMEOUT_MS),
-			 deliver_reply, call);
+		schedule_at(sim, LEADER_MESSAGE,
+			    random_time_us(sim, REQUEST_TIMEOUT_MS, REQUEST_TIMEOUT_MS),
+			    deliver_reply, call);
 		return;
 	}
 	end_due_runs(vm);
@@ -558,7 +693,7 @@
 		schedule(sim, sim->now_us + wait_ms * US_PER_MS, answer_hold, call);
 		return;
 	}
-	schedule(sim, random_time_us(sim, 1, 4), deliver_reply, call);
+	schedule_at(sim, LEADER_MESSAGE, random_time_us(sim, 1, 4), deliver_reply, call);
 }
 
 static void deliver_timeout(void *arg)
@@ -589,6 +724,7 @@
 	bool delayed = fault_occurs(sim, sim->config.late_request_share);
 	bool reply_lost = !delayed && fault_occurs(sim, sim->config.lost_reply_share);
 
+	charge_message(sim);
 	call->sim = sim;
 	g_strlcpy(call->address, vm->address, sizeof(call->address));
 	g_strlcpy(call->id, vm->id, sizeof(call->id));
@@ -596,8 +732,12 @@
 		call_t *timeout_call = g_memdup2(call, sizeof(*call));
 
 		call->no_reply = true;
-		schedule(sim, sim->now_us + timeout_ms(call) * US_PER_MS, deliver_timeout,
-			 timeout_call);
+		schedule_at(sim, LEADER_TIMER, sim->now_us + timeout_ms(call) * US_PER_MS,
+			    deliver_timeout, timeout_call);
+	} else if (has_processor(sim)) {
+		call->has_timer = true;
+		schedule_at(sim, LEADER_TIMER, sim->now_us + timeout_ms(call) * US_PER_MS,
+			    on_call_timer, call);
 	}
 	schedule(sim, delayed ? random_time_us(sim, 2000, 12000) : random_time_us(sim, 1, 4),
 		 deliver_call, call);
@@ -682,10 +822,11 @@
 	list_call_t *call = g_new0(list_call_t, 1);
 
 	*call = (list_call_t){.sim = sim, .done = done, .arg = done_arg};
-	schedule(sim, random_time_us(sim, 2, 10), deliver_list, call);
+	charge_message(sim);
+	schedule_at(sim, LEADER_MESSAGE, random_time_us(sim, 2, 10), deliver_list, call);
 }
 
-static void send_report(void *arg);
+static void send_report(sim_vm_t *vm);
 
 static void boot_vm(void *arg)
 {
@@ -788,8 +929,8 @@
 	}
 	if (fault_occurs(sim, sim->config.lost_reply_share))
 		call->code = VM_REPLY_NO_RESPONSE;
-	schedule(sim, sim->now_us + sim->platform_delay_ms * US_PER_MS, deliver_platform_reply,
-		 call);
+	schedule_at(sim, LEADER_MESSAGE, sim->now_us + sim->platform_delay_ms * US_PER_MS,
+		    deliver_platform_reply, call);
 }
 
 static void port_order(void *arg, const platform_request_t *request, vm_reply_fn done,
@@ -805,6 +946,7 @@
 				  .arg = done_arg};
 	g_strlcpy(call->machine, request->machine, sizeof(call->machine));
 	g_strlcpy(call->pool, request->pool != NULL ? request->pool : "", sizeof(call->pool));
+	charge_message(sim);
 	schedule(sim, random_time_us(sim, 2, 8), deliver_platform_call, call);
 }
 
@@ -835,6 +977,7 @@
 		if (proposal->done != NULL)
 			proposal->done(proposal->arg, LP__RESULT_CODE__RESULT_UNAVAILABLE);
 	} else {
+		charge(sim, sim->config.processor.commit_us);
 		sim->state.clock_us = sim->now_us;
 		batch_state_apply(&sim->state, wall_ms(sim), proposal->command, &result);
 		if (proposal->done != NULL)
@@ -856,12 +999,12 @@
 				 .done = done,
 				 .arg = done_arg};
 	sim->commit_us = MAX(sim->commit_us, random_time_us(sim, 8, 30));
-	schedule(sim, sim->commit_us, commit, proposal);
+	schedule_at(sim, LEADER_MESSAGE, sim->commit_us, commit, proposal);
 }
 
 /* --- periodic events and faults --- */
 
-static void send_report(void *arg)
+static void deliver_report(void *arg)
 {
 	sim_vm_t *vm = arg;
 	vm_sim_t *sim = vm->sim;
@@ -882,12 +1025,16 @@
 		.seq = ++vm->seq,
 	};
 
-	if (!vm->up)
-		return;
-	if (sim->now_us >= vm->cut_off_until_us && batch_leader_active(sim->leader))
+	if (vm->up && batch_leader_active(sim->leader))
 		batch_leader_report(sim->leader, &message, sim->now_us);
 }
 
+static void send_report(sim_vm_t *vm)
+{
+	if (vm->up && vm->sim->now_us >= vm->cut_off_until_us)
+		handle_now(vm->sim, LEADER_MESSAGE, deliver_report, vm);
+}
+
 static void report_periodically(void *arg)
 {
 	sim_vm_t *vm = arg;
@@ -923,7 +1070,8 @@
 	check_waves(sim);
 
 	batch_leader_tick(sim->leader);
-	schedule(sim, sim->now_us + TICK_US, tick, sim);
+	charge_candidates(sim);
+	schedule_at(sim, LEADER_TIMER, sim->now_us + TICK_US, tick, sim);
 }
 
 static bool fault_due(vm_sim_t *sim, uint32_t every_ms)
@@ -937,6 +1085,14 @@
 				 (guint)g_rand_int_range(sim->rand, 0, (gint32)sim->vms->len));
 }
 
+static void crash(sim_vm_t *vm, uint32_t down_ms)
+{
+	vm->up = false;
+	vm->busy = true;
+	g_array_set_size(vm->runs, 0);
+	schedule(vm->sim, vm->sim->now_us + down_ms * US_PER_MS, boot_vm, vm);
+}
+
 static void inject_faults(void *arg)
 {
 	vm_sim_t *sim = arg;
@@ -945,10 +1101,7 @@
 	if (sim->shutting_down)
 		return;
 	if (fault_due(sim, sim->config.mean_crash_interval_ms) && vm->up) {
-		vm->up = false;
-		vm->busy = true;
-		g_array_set_size(vm->runs, 0);
-		schedule(sim, random_time_us(sim, 500, 5000), boot_vm, vm);
+		crash(vm, (uint32_t)g_rand_int_range(sim->rand, 500, 5001));
 	}
 	vm = random_vm(sim);
 	if (fault_due(sim, sim->config.mean_cutoff_interval_ms) && vm->up)
@@ -960,7 +1113,10 @@
 
 static uint64_t port_now(void *arg)
 {
-	return ((const vm_sim_t *)arg)->now_us;
+	vm_sim_t *sim = arg;
+
+	charge_candidates(sim);
+	return sim->now_us;
 }
 
 static uint64_t port_wall(void *arg)
@@ -1082,7 +1238,7 @@
 
 	sim->config = *config;
 	sim->rand = g_rand_new_with_seed((guint32)config->seed);
-	sim->events = g_sequence_new(g_free);
+	sim->events = g_sequence_new(NULL);
 	sim->now_us = US_PER_S;
 	sim->vms = g_ptr_array_new();
 	sim->completed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -1091,6 +1247,7 @@
 	sim->violations = g_string_new(NULL);
 	sim->platform_delay_ms = 5;
 	sim->metrics = metrics_create();
+	sim->candidates = metrics_counter(sim->metrics, "batch_candidates_total", "");
 	batch_state_init(&sim->state);
 	configure(sim);
 	options.state = &sim->state;
@@ -1113,16 +1270,22 @@
 	}
 	for (unsigned i = 0; i < config->standby_vms; i++)
 		add_vm(sim, "standby");
-	schedule(sim, sim->now_us, tick, sim);
+	schedule_at(sim, LEADER_TIMER, sim->now_us, tick, sim);
 	schedule(sim, sim->now_us, inject_faults, sim);
 	return sim;
 }
 
+static void free_event(gpointer event, gpointer data)
+{
+	g_free(event);
+}
+
 void vm_sim_destroy(vm_sim_t *sim)
 {
 	/* Let the pending events run, because the handler of an event frees the event's memory. */
 	vm_sim_stop_faults(sim);
 	sim->shutting_down = true;
+	sim->config.processor = (vm_sim_processor_t){0};
 	batch_leader_deactivate(sim->leader);
 	vm_sim_run(sim, vm_sim_now_ms(sim) + 60000);
 	batch_leader_destroy(sim->leader);
@@ -1137,6 +1300,7 @@
 		g_free(vm);
 	}
 	g_ptr_array_unref(sim->vms);
+	g_sequence_foreach(sim->events, free_event, NULL);
 	g_sequence_free(sim->events);
 	g_hash_table_destroy(sim->completed);
 	g_hash_table_destroy(sim->failed);
@@ -1151,13 +1315,13 @@
 	GSequenceIter *first;
 
 	while (!g_sequence_iter_is_end(first = g_sequence_get_begin_iter(sim->events))) {
-		event_t event = *(event_t *)g_sequence_get(first);
+		event_t *event = g_sequence_get(first);
 
-		if (event.time_us > until_ms * US_PER_MS)
+		if (event->time_us > until_ms * US_PER_MS)
 			break;
 		g_sequence_remove(first);
-		sim->now_us = event.time_us;
-		event.fn(event.arg);
+		sim->now_us = event->time_us;
+		handle_event(sim, event);
 	}
 	sim->now_us = MAX(sim->now_us, until_ms * US_PER_MS);
 }
@@ -1172,8 +1336,23 @@
 	return sim->now_us / US_PER_MS;
 }
 
+typedef struct {
+	vm_sim_t *sim;
+	Lp__BatchCommand *command;
+} submission_t;
+
+static void deliver_submission(void *arg)
+{
+	g_autofree submission_t *message = arg;
+
+	propose(message->sim, message->command, NULL, NULL);
+	batch_leader_request_placement(message->sim->leader);
+	lp__batch_command__free_unpacked(message->command, NULL);
+}
+
 void vm_sim_submit(vm_sim_t *sim, const char *id, unsigned service, const Lp__BatchJob *job)
 {
+	submission_t *message;
 	Lp__BatchJob copy = *job;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	g_autofree char *prefix = g_strdup_printf("s%u", service);
@@ -1183,8 +1362,9 @@
 	copy.prefix = prefix;
 	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
 	command.submit = &copy;
-	propose(sim, &command, NULL, NULL);
-	batch_leader_request_placement(sim->leader);
+	message = g_new0(submission_t, 1);
+	*message = (submission_t){.sim = sim, .command = message_copy(&command.base)};
+	handle_now(sim, LEADER_MESSAGE, deliver_submission, message);
 }
 
 typedef struct {
@@ -1275,6 +1455,39 @@
 	return count;
 }
 
+unsigned vm_sim_job_running_count(const vm_sim_t *sim, const char *id)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < sim->vms->len; i++) {
+		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		for (guint j = 0; vm->up && j < vm->runs->len; j++)
+			count += strcmp(g_array_index(vm->runs, sim_run_t, j).task.job, id) == 0;
+	}
+	return count;
+}
+
+bool vm_sim_crash_vm_of_job(vm_sim_t *sim, const char *id, uint32_t down_ms)
+{
+	for (guint i = 0; i < sim->vms->len; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		for (guint j = 0; vm->up && j < vm->runs->len; j++) {
+			if (strcmp(g_array_index(vm->runs, sim_run_t, j).task.job, id) == 0) {
+				crash(vm, down_ms);
+				return true;
+			}
+		}
+	}
+	return false;
+}
+
+const vm_sim_stats_t *vm_sim_stats(const vm_sim_t *sim)
+{
+	return &sim->stats;
+}
+
 unsigned vm_sim_switched_on_count(const vm_sim_t *sim)
 {
 	unsigned count = 0;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -16,6 +16,18 @@
  * records violations of the guarantees, such as a task that runs twice.
  */
 
+/**
+ * Processor time of the leader's process. While the leader is busy, the events for it wait: timers
+ * are handled first, messages in the order of their arrival. A call whose response is not handled
+ * before its timeout ends without a response. All 0: the leader takes no time.
+ */
+typedef struct {
+	uint32_t message_us; /**< for each message that it reads or sends */
+	uint32_t commit_us;  /**< for each command of the replicated log, in addition to the message
+				that acknowledges it */
+	uint32_t candidate_ns; /**< for each candidate that a placement pass examines */
+} vm_sim_processor_t;
+
 typedef struct {
 	unsigned services;
 	unsigned vms_per_service;
@@ -31,9 +43,16 @@
 	uint32_t mean_leader_change_interval_ms; /**< mean time between leader changes; 0: no
 						    changes */
 	uint32_t platform_requests_per_s;	 /**< rate limit that the leader is told; 0: 64 */
+	vm_sim_processor_t processor;
 	uint64_t seed;
 } vm_sim_config_t;
 
+/** What the simulated processor of the leader has done. */
+typedef struct {
+	uint64_t busy_us;
+	uint64_t longest_wait_us; /**< longest time for which an event has waited for the leader */
+} vm_sim_stats_t;
+
 struct vm_sim;
 typedef struct vm_sim vm_sim_t;
 
@@ -78,3 +97,11 @@
 unsigned vm_sim_switched_on_count(const vm_sim_t *sim);
 uint64_t vm_sim_start_count(const vm_sim_t *sim);
 uint64_t vm_sim_move_count(const vm_sim_t *sim);
+const vm_sim_stats_t *vm_sim_stats(const vm_sim_t *sim);
+/** @return number of runs of the job's tasks that are running now */
+unsigned vm_sim_job_running_count(const vm_sim_t *sim, const char *id);
+/**
+ * Crashes a VM that runs a task of the job. Its machine is up again, with another VM, after
+ * down_ms. @return false when no VM runs any
+ */
+bool vm_sim_crash_vm_of_job(vm_sim_t *sim, const char *id, uint32_t down_ms);
