batch_dispatch: examine only VMs and steps that a placement pass can use

Under overload a placement pass runs every 15 ms. Each pass compared the service of all VMs with each service that has waiting work, determined the timing and value of every waiting step and sorted them, also when no VM had room. Each addition or removal of a VM record made the next tick look up the records of all VMs by a formatted key.

The change: the leader keeps the VMs of each service in a list; the state tells it about records of VMs as they are added and removed; names of services and queue prefixes are interned, so that they are compared as pointers. A pass leaves out the steps that fit on no VM of their pool before it determines their timing, except of a job that may get its turn as a starved job, and takes the others from a heap, best first, instead of sorting them.

comes_before() also defines an order that the comparison left open: the starved job that has its turn was compared with jobs on time by age or by value, depending on the side, which is not transitive. It comes first now, as documented.

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -26,7 +26,8 @@
 	LIST_INIT(&vm->tasks);
 	LIST_INSERT_HEAD(&state->vms, vm, link);
 	g_hash_table_insert(state->vms_by_incarnation, batch_vm_key(id, born_ms), vm);
-	state->vms_revision++;
+	if (state->vm_listener.added != NULL)
+		state->vm_listener.added(state->vm_listener.arg, vm);
 	return vm;
 }
 
@@ -34,8 +35,9 @@
 {
 	g_autofree char *key = batch_vm_key(vm->id, vm->born_ms);
 
+	if (state->vm_listener.removed != NULL)
+		state->vm_listener.removed(state->vm_listener.arg, vm);
 	g_hash_table_remove(state->vms_by_incarnation, key);
-	state->vms_revision++;
 	LIST_REMOVE(vm, link);
 	g_free(vm->id);
 	g_free(vm->address);
@@ -133,7 +135,7 @@
 		return;
 	}
 	job = batch_job_new(message_copy(&spec->base), state->next_seq++, wall_ms);
-	job->service = g_strdup("");
+	job->service = g_intern_static_string("");
 	batch_job_resolve_queue(state, job);
 	batch_state_add_job(state, job);
 }
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -30,6 +30,7 @@
 
 /* The VMs of one service, as used in a placement pass. */
 typedef struct {
+	place_vm_t most;   /* the most unreserved resources of any VM, each for itself */
 	GArray *place_vms; /* of place_vm_t */
 	GPtrArray *vms;	   /* of leader_vm_t, in the same order as place_vms */
 	size_t unplaceable_count;
@@ -42,8 +43,11 @@
 	uint64_t now_us;
 	uint64_t wall_ms;
 	uint64_t number;
-	GHashTable *pools; /* service name -> pool_t */
-	GArray *planned;   /* of planned_t */
+	uint64_t vms_examined;
+	GHashTable *pools;	  /* service name, interned -> pool_t */
+	const char *last_service; /* service of the latest look-up, and its pool */
+	pool_t *last_pool;
+	GArray *planned; /* of planned_t */
 } placement_pass_t;
 
 typedef struct {
@@ -114,23 +118,53 @@
 	}
 }
 
-static pool_t *get_pool(placement_pass_t *pass, const char *service)
+static void update_mean_slowness(batch_leader_t *leader)
 {
-	pool_t *pool = g_hash_table_lookup(pass->pools, service);
+	const leader_vm_t *vm;
+	double sum = 0;
+	unsigned count = 0;
+
+	LIST_FOREACH (vm, &leader->vms, link) {
+		if (vm->dead)
+			continue;
+		sum += vm->slowness;
+		count++;
+	}
+	if (count > 0)
+		leader->mean_slowness = sum / count;
+}
+
+/* Updates the most unreserved resources of the pool's VMs. */
+static void update_most(pool_t *pool)
+{
+	const place_vm_t *place_vms = (const place_vm_t *)pool->place_vms->data;
+
+	pool->most = (place_vm_t){.cpu_milli = -1, .mem_mib = -1, .gpu = -1};
+	for (guint i = 0; i < pool->place_vms->len; i++) {
+		pool->most.cpu_milli = MAX(pool->most.cpu_milli, place_vms[i].cpu_milli);
+		pool->most.mem_mib = MAX(pool->most.mem_mib, place_vms[i].mem_mib);
+		pool->most.gpu = MAX(pool->most.gpu, place_vms[i].gpu);
+	}
+}
+
+static pool_t *new_pool(placement_pass_t *pass, const char *service)
+{
+	pool_t *pool = g_new0(pool_t, 1);
+	const leader_service_t *known;
 	leader_vm_t *vm;
 
-	if (pool != NULL)
-		return pool;
-	pool = g_new0(pool_t, 1);
 	pool->place_vms = g_array_new(FALSE, FALSE, sizeof(place_vm_t));
 	pool->vms = g_ptr_array_new();
-	LIST_FOREACH (vm, &pass->leader->vms, link) {
-		place_vm_t place_vm;
+	if (g_hash_table_size(pass->pools) == 0)
+		update_mean_slowness(pass->leader);
+	g_hash_table_insert(pass->pools, (char *)service, pool);
+	known = g_hash_table_lookup(pass->leader->services, service);
+	if (known == NULL)
+		return pool;
+	LIST_FOREACH (vm, &known->vms, service_link) {
+		place_vm_t place_vm = make_place_vm(vm, pass->now_us);
 
-		metrics_add(pass->leader->stats.place_vms, 1);
-		if (vm->dead || strcmp(vm->service, service) != 0)
-			continue;
-		place_vm = make_place_vm(vm, pass->now_us);
+		pass->vms_examined++;
 		if (!place_vm.usable)
 			continue;
 		vm->pass_number = pass->number;
@@ -139,10 +173,22 @@
 		g_ptr_array_add(pool->vms, vm);
 	}
 	exclude_quarantined(pass, pool);
-	g_hash_table_insert(pass->pools, (char *)service, pool);
+	update_most(pool);
 	return pool;
 }
 
+/* @param service name of the service, interned */
+static pool_t *get_pool(placement_pass_t *pass, const char *service)
+{
+	if (pass->last_pool != NULL && pass->last_service == service)
+		return pass->last_pool;
+	pass->last_service = service;
+	pass->last_pool = g_hash_table_lookup(pass->pools, service);
+	if (pass->last_pool == NULL)
+		pass->last_pool = new_pool(pass, service);
+	return pass->last_pool;
+}
+
 static bool is_placeable(const batch_task_t *task)
 {
 	return task->status == BATCH_TASK_WAITING && task->vm == NULL &&
@@ -276,6 +322,18 @@
 	return false;
 }
 
+/* False when no VM of the step's service has enough unreserved resources for a task of it. Steps
+ * that need tickets of a policy service are examined even so, because that requests the tickets. */
+static bool step_has_room(void *arg, const batch_step_t *step)
+{
+	placement_pass_t *pass = arg;
+	const Lp__BatchQueue *queue = step->job->queue;
+
+	if (queue != NULL && queue->advice != NULL)
+		return true;
+	return place_fits(&get_pool(pass, step->job->service)->most, step->spec);
+}
+
 /* Remembers the size of the step's tasks, if nothing but the free resources has limited where they
  * can run. */
 static void remember_unplaceable(pool_t *pool, const batch_candidate_t *candidate)
@@ -325,7 +383,7 @@
 	size_t wanted = 0;
 	size_t placed;
 
-	if (pool->vms->len == 0 || pool_known_full(pool, spec))
+	if (pool->vms->len == 0 || !step_has_room(pass, step) || pool_known_full(pool, spec))
 		return;
 	mem = talloc_new(NULL);
 	tasks = talloc_zero_array(mem, batch_task_t *, spec->count);
@@ -344,8 +402,10 @@
 		remember_unplaceable(pool, candidate);
 	for (size_t i = 0; i < placed; i++)
 		reserve_task(pass, tasks[i], g_ptr_array_index(pool->vms, chosen[i]));
-	if (placed > 0)
+	if (placed > 0) {
+		update_most(pool);
 		log_placement(pass, step, placed, wanted);
+	}
 finish:
 	talloc_free(mem);
 }
@@ -490,22 +550,6 @@
 	}
 }
 
-static void update_mean_slowness(batch_leader_t *leader)
-{
-	const leader_vm_t *vm;
-	double sum = 0;
-	unsigned count = 0;
-
-	LIST_FOREACH (vm, &leader->vms, link) {
-		if (vm->dead)
-			continue;
-		sum += vm->slowness;
-		count++;
-	}
-	if (count > 0)
-		leader->mean_slowness = sum / count;
-}
-
 void leader_place_tasks(batch_leader_t *leader, uint64_t now_us)
 {
 	placement_pass_t pass = {
@@ -514,25 +558,26 @@
 		.wall_ms = leader->wall_ms(leader->arg),
 		.number = ++leader->pass_count,
 	};
-	g_autoptr(GArray) candidates = NULL;
+	const batch_room_t room = {.has_room = step_has_room, .arg = &pass};
+	batch_candidates_t candidates;
+	const batch_candidate_t *candidate;
 
 	if (!leader->placement_due || now_us < leader->last_placement_us + PLACE_MIN_INTERVAL_US)
 		return;
 	leader->placement_due = false;
 	leader->last_placement_us = now_us;
-	candidates = batch_sorted_candidates(leader->state, now_us, pass.wall_ms);
-	metrics_add(leader->stats.candidates, candidates->len);
-	if (candidates->len == 0)
-		return;
-	update_mean_slowness(leader);
-	pass.pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, pool_free);
+	pass.pools = g_hash_table_new_full(NULL, NULL, NULL, pool_free);
 	pass.planned = g_array_new(FALSE, FALSE, sizeof(planned_t));
-	for (guint i = 0; i < candidates->len; i++)
-		place_candidate(&pass, &g_array_index(candidates, batch_candidate_t, i));
+	batch_candidates_init(&candidates, leader->state, &room, now_us, pass.wall_ms);
+	while ((candidate = batch_candidates_next(&candidates)) != NULL)
+		place_candidate(&pass, candidate);
 	if (pass.planned->len > 0) {
 		g_array_sort(pass.planned, compare_planned);
 		propose_intents(&pass);
 	}
+	metrics_add(leader->stats.candidates, candidates.examined);
+	metrics_add(leader->stats.place_vms, pass.vms_examined);
+	batch_candidates_finish(&candidates);
 	g_array_unref(pass.planned);
 	g_hash_table_destroy(pass.pools);
 }
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -60,17 +60,39 @@
 	return (vm_ref_t){.address = vm->address, .id = vm->id};
 }
 
-batch_vm_t *leader_vm_record(leader_vm_t *vm)
+/* @return the VM of the incarnation, which may have ended; NULL: unknown */
+static leader_vm_t *find_incarnation(const batch_leader_t *leader, const char *id, uint64_t born_ms)
 {
-	const batch_state_t *state = vm->leader->state;
+	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, id);
 
-	if (vm->record_revision != state->vms_revision) {
-		vm->record = batch_state_vm(state, vm->id, vm->born_ms);
-		vm->record_revision = state->vms_revision;
-		if (vm->record != NULL)
-			vm->record->leader = vm;
+	if (vm != NULL && vm->born_ms == born_ms)
+		return vm;
+	LIST_FOREACH (vm, &leader->vms, link) {
+		if (vm->born_ms == born_ms && strcmp(vm->id, id) == 0)
+			return vm;
 	}
-	return vm->record;
+	return NULL;
+}
+
+static void link_record(leader_vm_t *vm, batch_vm_t *record)
+{
+	vm->record = record;
+	record->leader = vm;
+}
+
+static void on_record_added(void *arg, batch_vm_t *record)
+{
+	leader_vm_t *vm = find_incarnation(arg, record->id, record->born_ms);
+
+	if (vm != NULL)
+		link_record(vm, record);
+}
+
+static void on_record_removed(void *arg, batch_vm_t *record)
+{
+	if (record->leader != NULL)
+		record->leader->record = NULL;
+	record->leader = NULL;
 }
 
 void leader_vm_set_clock(leader_vm_t *vm, uint64_t clock_ms, uint64_t now_us)
@@ -152,9 +174,11 @@
 			   const char *address)
 {
 	leader_vm_t *vm = g_new0(leader_vm_t, 1);
+	batch_vm_t *record;
 
 	*vm = (leader_vm_t){
 		.leader = leader,
+		.number = ++leader->vm_count,
 		.id = copy_or_empty(id),
 		.machine = copy_or_empty(""),
 		.service = copy_or_empty(""),
@@ -163,13 +187,51 @@
 		.rack = copy_or_empty(""),
 		.born_ms = born_ms,
 		.slowness = 1.0,
-		.record_revision = UINT64_MAX,
 	};
 	LIST_INSERT_HEAD(&leader->vms, vm, link);
 	g_hash_table_insert(leader->by_id, vm->id, vm);
+	record = batch_state_vm(leader->state, vm->id, vm->born_ms);
+	if (record != NULL)
+		link_record(vm, record);
 	return vm;
 }
 
+static leader_service_t *get_service(batch_leader_t *leader, const char *name)
+{
+	const char *key = g_intern_string(name);
+	leader_service_t *service = g_hash_table_lookup(leader->services, key);
+
+	if (service != NULL)
+		return service;
+	service = g_new0(leader_service_t, 1);
+	LIST_INIT(&service->vms);
+	g_hash_table_insert(leader->services, (char *)key, service);
+	return service;
+}
+
+static void leave_service(leader_vm_t *vm)
+{
+	if (vm->pool != NULL)
+		LIST_REMOVE(vm, service_link);
+	vm->pool = NULL;
+}
+
+/* Adds the VM to the VMs of the service that it has reported. */
+static void join_service(leader_vm_t *vm)
+{
+	leader_service_t *service = get_service(vm->leader, vm->service);
+	leader_vm_t *next = LIST_FIRST(&service->vms);
+	leader_vm_t *last = NULL;
+
+	for (; next != NULL && next->number > vm->number; next = LIST_NEXT(next, service_link))
+		last = next;
+	if (last != NULL)
+		LIST_INSERT_AFTER(last, vm, service_link);
+	else
+		LIST_INSERT_HEAD(&service->vms, vm, service_link);
+	vm->pool = service;
+}
+
 static void free_labels(leader_vm_t *vm)
 {
 	for (size_t i = 0; i < vm->label_count; i++)
@@ -226,6 +288,7 @@
 	if (record != NULL && record->leader == vm)
 		record->leader = NULL;
 	LIST_REMOVE(vm, link);
+	leave_service(vm);
 	remove_from_index(vm->leader->by_id, vm->id, vm);
 	unindex_vm(vm);
 	free_labels(vm);
@@ -245,6 +308,7 @@
 	if (vm->dead)
 		return;
 	vm->dead = true;
+	leave_service(vm);
 	remove_from_index(vm->leader->by_id, vm->id, vm);
 	unindex_vm(vm);
 	remember_ended_incarnation(vm);
@@ -256,12 +320,14 @@
 	leader_mark_all_runs_lost(vm, reason);
 }
 
-static void replace_string(char **field, const char *value)
+/* @return whether the field has changed. @param value NULL: the field keeps its value */
+static bool replace_string(char **field, const char *value)
 {
 	if (value == NULL || strcmp(*field, value) == 0)
-		return;
+		return false;
 	g_free(*field);
 	*field = g_strdup(value);
+	return true;
 }
 
 leader_vm_t *leader_vm_from_record(batch_leader_t *leader, batch_vm_t *record)
@@ -292,7 +358,10 @@
 {
 	unindex_vm(vm);
 	replace_string(&vm->machine, report->machine);
-	replace_string(&vm->service, report->service);
+	if (replace_string(&vm->service, report->service) || vm->pool == NULL) {
+		leave_service(vm);
+		join_service(vm);
+	}
 	replace_string(&vm->address, report->address);
 	replace_string(&vm->data_centre, report->data_centre);
 	replace_string(&vm->rack, report->rack);
@@ -499,6 +568,9 @@
 	leader->arg = options->arg;
 	leader->metrics = options->metrics;
 	leader->mean_slowness = 1.0;
+	leader->services = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	leader->state->vm_listener = (batch_vm_listener_t){
+		.added = on_record_added, .removed = on_record_removed, .arg = leader};
 	leader->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	leader->by_machine = g_hash_table_new(g_str_hash, g_str_equal);
 	leader->by_address = g_hash_table_new(g_str_hash, g_str_equal);
@@ -515,6 +587,8 @@
 void batch_leader_destroy(batch_leader_t *leader)
 {
 	batch_leader_deactivate(leader);
+	leader->state->vm_listener = (batch_vm_listener_t){0};
+	g_hash_table_destroy(leader->services);
 	g_hash_table_destroy(leader->by_id);
 	g_hash_table_destroy(leader->by_machine);
 	g_hash_table_destroy(leader->by_address);
@@ -683,8 +757,6 @@
 		tick_vm(vm, now_us);
 		vm = next;
 	}
-	/* tick_vm() has called leader_vm_record() for every known VM, so a record whose leader
-	 * member is NULL belongs to an unknown VM. */
 	adopt_vm_records(leader, now_us);
 	part_start_us = end_part(leader, LEADER_PART_VMS, now_us);
 	leader_machines_tick(leader, now_us);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -19,6 +19,10 @@
 /** What the leader knows about one incarnation of a VM. Not replicated. */
 typedef struct leader_vm {
 	LIST_ENTRY(leader_vm) link;
+	LIST_ENTRY(leader_vm) service_link;
+	struct leader_service *pool; /**< the VMs of its service; NULL: it has not reported, or has
+					ended */
+	uint64_t number;	     /**< VMs that became known later have a higher one */
 	batch_leader_t *leader;
 	char *id;
 	char *machine;
@@ -46,9 +50,7 @@
 	bool dead;	       /**< the VM has ended and runs no tasks any more */
 	uint64_t shutdown_us;  /**< time when the VM announced its shutdown; 0: not announced */
 
-	batch_vm_t *record; /**< replicated record of this incarnation, or NULL; read it through
-			       leader_vm_record() */
-	uint64_t record_revision;
+	batch_vm_t *record; /**< replicated record of this incarnation; NULL: it has none */
 
 	bool hold_in_flight;
 	bool commit_in_flight; /**< a command with finished runs of this VM is being committed */
@@ -92,6 +94,11 @@
 	uint64_t quarantine_until_us;
 } leader_vm_t;
 
+/** The VMs of a service that have reported and not ended, latest first. */
+typedef struct leader_service {
+	LIST_HEAD(leader_service_vms, leader_vm) vms;
+} leader_service_t;
+
 /** A machine owned by the platform. Each start of the machine is a new VM incarnation. */
 typedef struct {
 	char *name;
@@ -140,6 +147,8 @@
 	uint64_t last_tick_us;
 	uint64_t tick_lag_us; /**< smoothed delay of ticks, a measure of the load of this process */
 	LIST_HEAD(leader_vms, leader_vm) vms;
+	uint64_t vm_count;	/**< number of VMs that became known so far */
+	GHashTable *services;	/**< service name, interned -> leader_service_t */
 	GHashTable *by_id;	/**< VM id -> leader_vm_t of the latest incarnation; no dead VMs */
 	GHashTable *by_machine; /**< machine -> leader_vm_t of the latest VM on it; no dead VMs */
 	GHashTable *by_address; /**< address -> leader_vm_t of the latest VM with it; no dead VMs */
@@ -206,7 +215,10 @@
 leader_vm_t *vm_handle_get(const vm_handle_t *handle);
 vm_ref_t leader_vm_ref(const leader_vm_t *vm);
 /** @return the replicated record of the VM's incarnation, or NULL when it has none */
-batch_vm_t *leader_vm_record(leader_vm_t *vm);
+static inline batch_vm_t *leader_vm_record(const leader_vm_t *vm)
+{
+	return vm->record;
+}
 /** Adds a VM that has a replicated record but has not reported to this leader yet. */
 leader_vm_t *leader_vm_from_record(batch_leader_t *leader, batch_vm_t *record);
 void leader_vm_mark_dead(leader_vm_t *vm, const char *reason);
--- a/src/batch_order.c
+++ b/src/batch_order.c
@@ -98,19 +98,20 @@
 	       queue->objective_ms;
 }
 
-static bool step_ready(const batch_step_t *step, uint64_t now_us, uint64_t wall_ms)
+/* True when the step has tasks to be placed now, if it is not blocked by other steps. */
+static bool step_due(const batch_step_t *step, uint64_t now_us, uint64_t wall_ms)
 {
 	return step->waiting > step->pending_intents && now_us >= step->retry_us &&
-	       batch_step_due_ms(step) <= wall_ms && batch_step_unblocked(step);
+	       batch_step_due_ms(step) <= wall_ms;
 }
 
 static void add_to_mean(GHashTable *means, const batch_job_t *job)
 {
-	work_mean_t *mean = g_hash_table_lookup(means, job->spec->prefix);
+	work_mean_t *mean = g_hash_table_lookup(means, job->prefix);
 
 	if (mean == NULL) {
 		mean = g_new0(work_mean_t, 1);
-		g_hash_table_insert(means, job->spec->prefix, mean);
+		g_hash_table_insert(means, (char *)job->prefix, mean);
 	}
 	mean->sum += job->work;
 	mean->count++;
@@ -120,7 +121,7 @@
  * queue */
 static GHashTable *mean_work_by_prefix(const batch_state_t *state)
 {
-	GHashTable *means = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	GHashTable *means = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	const batch_job_t *job;
 
 	TAILQ_FOREACH (job, &state->active, link)
@@ -132,7 +133,7 @@
  * mean work of the jobs of its queue */
 static double compute_value_density(const batch_job_t *job, GHashTable *means)
 {
-	const work_mean_t *mean = g_hash_table_lookup(means, job->spec->prefix);
+	const work_mean_t *mean = g_hash_table_lookup(means, job->prefix);
 	double average = mean != NULL && mean->count > 0 ? mean->sum / mean->count : 0;
 	double value = VALUE_FIXED_SHARE;
 
@@ -182,17 +183,21 @@
 	return rank_base + (timing == JOB_LATE ? RANK_LATE : RANK_VERY_LATE);
 }
 
-static gint compare_candidates(gconstpointer a, gconstpointer b)
+/* True when a comes before b. */
+static bool comes_before(const batch_candidate_t *a, const batch_candidate_t *b)
 {
-	const batch_candidate_t *x = a;
-	const batch_candidate_t *y = b;
-
-	if (x->rank != y->rank)
-		return x->rank < y->rank ? -1 : 1;
+	if (a->rank != b->rank)
+		return a->rank < b->rank;
+	/* Only a job that has its turn is very late among jobs on time. */
+	if ((a->timing == JOB_VERY_LATE) != (b->timing == JOB_VERY_LATE))
+		return a->timing == JOB_VERY_LATE;
 	/* Very late jobs are worth nothing any more, so the oldest comes first. */
-	if (x->timing != JOB_VERY_LATE && x->value_density != y->value_density)
-		return x->value_density > y->value_density ? -1 : 1;
-	return x->step->job->seq < y->step->job->seq ? -1 : 1;
+	if (a->timing != JOB_VERY_LATE && a->value_density != b->value_density)
+		return a->value_density > b->value_density;
+	if (a->step->job != b->step->job)
+		return a->step->job->seq < b->step->job->seq;
+	/* The last step of a job first, so that jobs end. */
+	return a->step > b->step;
 }
 
 /* --- starved jobs --- */
@@ -207,74 +212,187 @@
 /* @return the jobs that have the present turn, by the path prefix of their queue */
 static GHashTable *jobs_with_turn(const batch_state_t *state, uint64_t turn)
 {
-	GHashTable *chosen = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *chosen = g_hash_table_new(NULL, NULL);
 	batch_job_t *job;
 
 	TAILQ_FOREACH (job, &state->active, link) {
 		if (job->starved_turn == turn && !batch_job_ended(job))
-			g_hash_table_insert(chosen, job->spec->prefix, job);
+			g_hash_table_insert(chosen, (char *)job->prefix, job);
 	}
 	return chosen;
 }
 
-/* Gives one starved job of each queue the rank of a job on time: the one that has the present turn,
- * or else the one whose last turn is the longest ago. The candidates are still in the order of
- * their jobs' acceptance. */
-static void promote_starved(const batch_state_t *state, GArray *candidates, uint64_t now_us,
-			    uint64_t wall_ms)
+/* Chooses one starved job of each queue: the one that has the present turn, or else the one whose
+ * last turn is the longest ago. The candidates are in the order of their jobs' acceptance. */
+static void choose_starved(GHashTable *chosen, const batch_candidate_t *candidate, uint64_t turn)
 {
-	uint64_t turn = now_us / STARVED_TURN_US;
-	g_autoptr(GHashTable) chosen = jobs_with_turn(state, turn);
+	batch_job_t *job = candidate->step->job;
+	const batch_job_t *other = g_hash_table_lookup(chosen, job->prefix);
+
+	if (other == NULL ||
+	    (other->starved_turn != turn && job->starved_turn < other->starved_turn))
+		g_hash_table_insert(chosen, (char *)job->prefix, job);
+}
+
+/* Marks the turn of the chosen jobs. */
+static void begin_turns(GHashTable *chosen, uint64_t turn)
+{
+	GHashTableIter iter;
+	void *job;
 
+	g_hash_table_iter_init(&iter, chosen);
+	while (g_hash_table_iter_next(&iter, NULL, &job))
+		((batch_job_t *)job)->starved_turn = turn;
+}
+
+/* Gives the starved jobs whose turn it is the rank of a job on time. */
+static void promote_starved(const GArray *candidates, uint64_t turn)
+{
 	for (guint i = 0; i < candidates->len; i++) {
 		batch_candidate_t *candidate = &g_array_index(candidates, batch_candidate_t, i);
-		batch_job_t *job = candidate->step->job;
-		const batch_job_t *other = g_hash_table_lookup(chosen, job->spec->prefix);
-
-		candidate->starved = is_starved(candidate, now_us, wall_ms);
-		if (candidate->starved &&
-		    (other == NULL ||
-		     (other->starved_turn != turn && job->starved_turn < other->starved_turn)))
-			g_hash_table_insert(chosen, job->spec->prefix, job);
-	}
-	for (guint i = 0; i < candidates->len && g_hash_table_size(chosen) > 0; i++) {
-		batch_candidate_t *candidate = &g_array_index(candidates, batch_candidate_t, i);
-		batch_job_t *job = candidate->step->job;
 
-		if (!candidate->starved || g_hash_table_lookup(chosen, job->spec->prefix) != job)
-			continue;
-		job->starved_turn = turn;
-		candidate->rank = candidate_rank(candidate->step, JOB_ON_TIME);
+		if (candidate->starved && candidate->step->job->starved_turn == turn)
+			candidate->rank = candidate_rank(candidate->step, JOB_ON_TIME);
 	}
 }
 
-GArray *batch_sorted_candidates(const batch_state_t *state, uint64_t now_us, uint64_t wall_ms)
+/* --- collection --- */
+
+typedef struct {
+	batch_candidates_t *candidates;
+	const batch_room_t *room;
+	GHashTable *chosen; /* starved jobs that have the turn, by the path prefix of their queue */
+	uint64_t turn;
+	uint64_t now_us;
+	uint64_t wall_ms;
+} collection_t;
+
+static bool has_room(const collection_t *collection, const batch_step_t *step)
+{
+	const batch_room_t *room = collection->room;
+
+	return room == NULL || room->has_room(room->arg, step);
+}
+
+/* True when the job possibly is the starved job of its queue that gets the present turn. */
+static bool may_get_turn(const collection_t *collection, batch_job_t *job)
+{
+	const batch_job_t *other;
+
+	if (batch_job_age_ms(job, collection->now_us, collection->wall_ms) <= STARVED_AGE_MS)
+		return false;
+	other = g_hash_table_lookup(collection->chosen, job->prefix);
+	return other == NULL ||
+	       (other->starved_turn != collection->turn && job->starved_turn < other->starved_turn);
+}
+
+static void collect_step(collection_t *collection, batch_step_t *step)
+{
+	batch_candidate_t candidate = {.step = step, .queue = step->job->queue};
+	bool placeable;
+
+	if (!step_due(step, collection->now_us, collection->wall_ms))
+		return;
+	placeable = has_room(collection, step);
+	if ((!placeable && !may_get_turn(collection, step->job)) || !batch_step_unblocked(step))
+		return;
+	collection->candidates->examined++;
+	candidate.timing = batch_job_timing(step->job, step->occurrence, collection->now_us,
+					    collection->wall_ms);
+	candidate.starved = is_starved(&candidate, collection->now_us, collection->wall_ms);
+	if (candidate.starved)
+		choose_starved(collection->chosen, &candidate, collection->turn);
+	if (!placeable)
+		return;
+	candidate.rank = candidate_rank(step, candidate.timing);
+	g_array_append_val(collection->candidates->heap, candidate);
+}
+
+static void collect_candidates(collection_t *collection, const batch_state_t *state)
 {
-	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(batch_candidate_t));
-	g_autoptr(GHashTable) means = mean_work_by_prefix(state);
 	batch_job_t *job;
 
 	TAILQ_FOREACH (job, &state->active, link) {
-		const Lp__BatchQueue *queue = job->queue;
-		double value_density = 0;
-
 		if (batch_job_ended(job))
 			continue;
-		for (uint32_t i = 0; i < job->step_count; i++) {
-			batch_candidate_t candidate = {.step = &job->steps[i], .queue = queue};
-
-			if (!step_ready(candidate.step, now_us, wall_ms))
-				continue;
-			if (value_density == 0)
-				value_density = compute_value_density(job, means);
-			candidate.value_density = value_density;
-			candidate.timing =
-				batch_job_timing(job, candidate.step->occurrence, now_us, wall_ms);
-			candidate.rank = candidate_rank(candidate.step, candidate.timing);
-			g_array_append_val(candidates, candidate);
+		for (uint32_t i = 0; i < job->step_count; i++)
+			collect_step(collection, &job->steps[i]);
+	}
+}
+
+static void set_value_densities(const GArray *candidates, const batch_state_t *state)
+{
+	g_autoptr(GHashTable) means = mean_work_by_prefix(state);
+	const batch_job_t *job = NULL;
+	double value_density = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		batch_candidate_t *candidate = &g_array_index(candidates, batch_candidate_t, i);
+
+		if (candidate->step->job != job) {
+			job = candidate->step->job;
+			value_density = compute_value_density(job, means);
 		}
+		candidate->value_density = value_density;
+	}
+}
+
+/* --- heap with the next candidate at its root --- */
+
+static void sift_down(GArray *heap, guint parent)
+{
+	batch_candidate_t *items = (batch_candidate_t *)heap->data;
+	batch_candidate_t moved = items[parent];
+
+	for (guint child = 2 * parent + 1; child < heap->len; child = 2 * parent + 1) {
+		if (child + 1 < heap->len && comes_before(&items[child + 1], &items[child]))
+			child++;
+		if (!comes_before(&items[child], &moved))
+			break;
+		items[parent] = items[child];
+		parent = child;
 	}
-	promote_starved(state, candidates, now_us, wall_ms);
-	g_array_sort(candidates, compare_candidates);
-	return candidates;
+	items[parent] = moved;
+}
+
+void batch_candidates_init(batch_candidates_t *candidates, const batch_state_t *state,
+			   const batch_room_t *room, uint64_t now_us, uint64_t wall_ms)
+{
+	uint64_t turn = now_us / STARVED_TURN_US;
+	g_autoptr(GHashTable) chosen = jobs_with_turn(state, turn);
+	collection_t collection = {.candidates = candidates,
+				   .room = room,
+				   .chosen = chosen,
+				   .turn = turn,
+				   .now_us = now_us,
+				   .wall_ms = wall_ms};
+
+	*candidates =
+		(batch_candidates_t){.heap = g_array_new(FALSE, FALSE, sizeof(batch_candidate_t))};
+	collect_candidates(&collection, state);
+	begin_turns(chosen, turn);
+	if (candidates->heap->len == 0)
+		return;
+	set_value_densities(candidates->heap, state);
+	promote_starved(candidates->heap, turn);
+	for (guint i = candidates->heap->len / 2; i-- > 0;)
+		sift_down(candidates->heap, i);
+}
+
+const batch_candidate_t *batch_candidates_next(batch_candidates_t *candidates)
+{
+	GArray *heap = candidates->heap;
+
+	if (heap->len == 0)
+		return NULL;
+	candidates->current = g_array_index(heap, batch_candidate_t, 0);
+	g_array_remove_index_fast(heap, 0);
+	if (heap->len > 0)
+		sift_down(heap, 0);
+	return &candidates->current;
+}
+
+void batch_candidates_finish(batch_candidates_t *candidates)
+{
+	g_array_unref(candidates->heap);
 }
--- a/src/batch_order.h
+++ b/src/batch_order.h
@@ -32,11 +32,28 @@
 				 placed first */
 } batch_candidate_t;
 
+/** Tells whether a task of the step could be placed at present. */
+typedef struct {
+	bool (*has_room)(void *arg, const batch_step_t *step);
+	void *arg;
+} batch_room_t;
+
+/** The steps that may be placed now. They are taken one by one, in placement order. */
+typedef struct {
+	GArray *heap;	   /**< of batch_candidate_t */
+	uint64_t examined; /**< number of steps whose timing was determined */
+	batch_candidate_t current;
+} batch_candidates_t;
+
 /**
- * @return the steps that may be placed now, in placement order, as a GArray of batch_candidate_t
- * that the caller releases with g_array_unref()
+ * Collects the steps that may be placed now. batch_candidates_finish() frees them.
+ * @param room steps for which it has none are left out; NULL: all have room
  */
-GArray *batch_sorted_candidates(const batch_state_t *state, uint64_t now_us, uint64_t wall_ms);
+void batch_candidates_init(batch_candidates_t *candidates, const batch_state_t *state,
+			   const batch_room_t *room, uint64_t now_us, uint64_t wall_ms);
+/** @return the next step in placement order, valid until the next call; NULL: no more */
+const batch_candidate_t *batch_candidates_next(batch_candidates_t *candidates);
+void batch_candidates_finish(batch_candidates_t *candidates);
 
 /**
  * @return declared run time of the critical path (longest chain of dependent steps) of an
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -45,7 +45,7 @@
 	message->state = job->state;
 	message->accepted_ms = job->accepted_ms;
 	message->ended_ms = job->ended_ms;
-	message->service = job->service;
+	message->service = (char *)job->service;
 	/* The steps of an archived job were freed. */
 	if (job->archived)
 		return message;
@@ -256,7 +256,7 @@
 	job = batch_job_new(message_copy(&message->job->base), message->seq, message->accepted_ms);
 	job->state = (batch_job_state_t)message->state;
 	job->ended_ms = message->ended_ms;
-	job->service = g_strdup(message->service);
+	job->service = g_intern_string(message->service);
 	batch_job_resolve_queue(state, job);
 	if (message->n_steps != 0 && message->n_steps != job->step_count)
 		goto malformed;
@@ -320,7 +320,7 @@
 {
 	Lp__BatchSnapshot *snapshot = lp__batch_snapshot__unpack(NULL, length, data);
 	uint64_t revision = state->revision;
-	uint64_t vms_revision = state->vms_revision;
+	batch_vm_listener_t vm_listener = state->vm_listener;
 	uint64_t clock_us = state->clock_us;
 	int result;
 
@@ -329,7 +329,7 @@
 	batch_state_finish(state);
 	batch_state_init(state);
 	state->revision = revision + 1;
-	state->vms_revision = vms_revision + 1;
+	state->vm_listener = vm_listener;
 	state->clock_us = clock_us;
 	result = load_snapshot_message(state, snapshot);
 	lp__batch_snapshot__free_unpacked(snapshot, NULL);
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -114,6 +114,7 @@
 
 	job->seq = seq;
 	job->spec = spec;
+	job->prefix = g_intern_string(spec->prefix);
 	job->accepted_ms = accepted_ms;
 	job->occurrences = occurrence_count(spec);
 	job->step_count = steps * job->occurrences;
@@ -165,7 +166,6 @@
 void batch_job_free(batch_job_t *job)
 {
 	free_steps(job);
-	g_free(job->service);
 	lp__batch_job__free_unpacked(job->spec, NULL);
 	g_free(job);
 }
@@ -322,10 +322,8 @@
 	job->queue = batch_state_find_queue(state, job->spec->host, job->spec->prefix);
 	/* Keep the last service of a job whose queue was removed, because its tasks still need
 	 * VMs of that service. */
-	if (job->queue == NULL || g_strcmp0(job->queue->service, job->service) == 0)
-		return;
-	g_free(job->service);
-	job->service = g_strdup(job->queue->service);
+	if (job->queue != NULL)
+		job->service = g_intern_string(job->queue->service);
 }
 
 const Lp__BatchQueue *batch_state_match_queue(const batch_state_t *state, const char *host,
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -143,8 +143,10 @@
 	batch_step_t *steps;   /**< all steps of the first occurrence, then those of the second, and
 				  so on */
 	uint32_t tasks_on_vms; /**< number of tasks whose vm is not NULL */
-	bool archived; /**< the job is in the list of ended jobs, and its steps were freed */
-	char *service; /**< name of the service that runs the job; kept when the queue is removed */
+	bool archived;	     /**< the job is in the list of ended jobs, and its steps were freed */
+	const char *service; /**< name of the service that runs the job, interned; kept when the
+				queue is removed */
+	const char *prefix;  /**< path prefix of the job's queue, interned */
 	const Lp__BatchQueue *queue; /**< queue of the job; NULL: removed from the configuration */
 	double work; /**< declared work of all tasks, in thousandths of a core times ms */
 	uint64_t accepted_mono_us; /**< time of acceptance on this leader's monotonic clock, set by
@@ -196,6 +198,13 @@
 
 TAILQ_HEAD(batch_job_list, batch_job);
 
+/** Is told about the records of VM incarnations. Unset functions are not called. */
+typedef struct {
+	void (*added)(void *arg, batch_vm_t *vm);
+	void (*removed)(void *arg, batch_vm_t *vm); /**< called before the record is freed */
+	void *arg;
+} batch_vm_listener_t;
+
 typedef struct {
 	Lp__BatchConfig *config; /**< latest configuration; NULL: none yet */
 	uint64_t next_seq;
@@ -205,8 +214,8 @@
 	struct batch_job_list active; /**< jobs that have not ended or have tasks with a VM */
 	struct batch_job_list ended;  /**< archived jobs, oldest first */
 	LIST_HEAD(batch_vms, batch_vm) vms;
-	GHashTable *vms_by_incarnation; /**< batch_vm_key() of the incarnation -> batch_vm_t */
-	uint64_t vms_revision; /**< number of additions and removals of VM incarnations so far */
+	GHashTable *vms_by_incarnation;	 /**< batch_vm_key() of the incarnation -> batch_vm_t */
+	batch_vm_listener_t vm_listener; /**< not replicated; kept when a snapshot is loaded */
 	LIST_HEAD(batch_waves, batch_wave) waves;
 	GHashTable *wave_machines; /**< machine -> batch_wave_machine_t of the latest wave that
 				      includes it */
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -1483,6 +1483,11 @@
 	return false;
 }
 
+metrics_t *vm_sim_metrics(const vm_sim_t *sim)
+{
+	return sim->metrics;
+}
+
 const vm_sim_stats_t *vm_sim_stats(const vm_sim_t *sim)
 {
 	return &sim->stats;
@@ -1498,6 +1503,19 @@
 	return count;
 }
 
+unsigned vm_sim_service_vm_count(const vm_sim_t *sim, unsigned service)
+{
+	g_autofree char *name = g_strdup_printf("s%u", service);
+	unsigned count = 0;
+
+	for (guint i = 0; i < sim->vms->len; i++) {
+		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		count += vm->up && strcmp(vm->service, name) == 0;
+	}
+	return count;
+}
+
 uint64_t vm_sim_start_count(const vm_sim_t *sim)
 {
 	return sim->starts;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -95,8 +95,12 @@
 unsigned vm_sim_running_count(const vm_sim_t *sim);
 /** @return number of machines that are not in the standby pool */
 unsigned vm_sim_switched_on_count(const vm_sim_t *sim);
+/** @return number of VMs of the service that are up */
+unsigned vm_sim_service_vm_count(const vm_sim_t *sim, unsigned service);
 uint64_t vm_sim_start_count(const vm_sim_t *sim);
 uint64_t vm_sim_move_count(const vm_sim_t *sim);
+/** @return the metrics of the simulated leader */
+metrics_t *vm_sim_metrics(const vm_sim_t *sim);
 const vm_sim_stats_t *vm_sim_stats(const vm_sim_t *sim);
 /** @return number of runs of the job's tasks that are running now */
 unsigned vm_sim_job_running_count(const vm_sim_t *sim, const char *id);
--- a/tests/test_batch_plan.c
+++ b/tests/test_batch_plan.c
@@ -650,6 +650,20 @@
 	assert_int_equal(batch_test_submit(state, wall_ms, id, &step), LP__RESULT_CODE__RESULT_OK);
 }
 
+/* @return the candidates in placement order, as a GArray of batch_candidate_t */
+static GArray *sorted_candidates(const batch_state_t *state, uint64_t now_us, uint64_t wall_ms)
+{
+	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(batch_candidate_t));
+	batch_candidates_t candidates;
+	const batch_candidate_t *candidate;
+
+	batch_candidates_init(&candidates, state, NULL, now_us, wall_ms);
+	while ((candidate = batch_candidates_next(&candidates)) != NULL)
+		g_array_append_vals(sorted, candidate, 1);
+	batch_candidates_finish(&candidates);
+	return sorted;
+}
+
 static const char *job_id_at(const GArray *candidates, guint i)
 {
 	return g_array_index(candidates, batch_candidate_t, i).step->job->spec->id;
@@ -668,7 +682,7 @@
 	submit(&batch, 9000, "large", 20, false);
 	submit(&batch, 9000, "small", 1, false);
 	submit(&batch, 9000, "long-running", 3, true);
-	candidates = batch_sorted_candidates(&batch, 100000000, 9100);
+	candidates = sorted_candidates(&batch, 100000000, 9100);
 	assert_int_equal(candidates->len, 4);
 	assert_string_equal(job_id_at(candidates, 0), "long-running");
 	assert_string_equal(job_id_at(candidates, 1), "small");
@@ -692,16 +706,16 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(late); i++)
 		submit(&batch, 1000, late[i], 20, false);
 	/* A job's age counts from the first time that it is seen. */
-	candidates = batch_sorted_candidates(&batch, 1000000, 1000);
+	candidates = sorted_candidates(&batch, 1000000, 1000);
 	g_array_unref(candidates);
 	submit(&batch, 19500, "on-time", 20, false);
-	candidates = batch_sorted_candidates(&batch, 19500000ULL, 19500);
+	candidates = sorted_candidates(&batch, 19500000ULL, 19500);
 	assert_string_equal(job_id_at(candidates, 0), "on-time");
 	g_array_unref(candidates);
 	for (unsigned turn = 0; turn < 9; turn++) {
 		uint64_t now_us = (22 + turn) * 1000000ULL;
 
-		candidates = batch_sorted_candidates(&batch, now_us, now_us / 1000);
+		candidates = sorted_candidates(&batch, now_us, now_us / 1000);
 		for (size_t i = 0; i < G_N_ELEMENTS(late); i++)
 			first[i] += strcmp(job_id_at(candidates, 0), late[i]) == 0;
 		g_array_unref(candidates);
