vm_relay: VM requests go through edge processes of other data centres

Cause (one part of it): a request whose VM has no edge process of its data centre that is up, or whose data centre the leader does not know, was sent by the leader itself, over HTTP. A leader that is behind sees its peers as down, so that it makes the requests to 1,100 VMs itself just then.

Change: such requests go to an edge process of any data centre, and if the queue of the chosen one is full, to the next one. The leader sends a request itself only if no edge process takes it (metric batch_direct_requests_total). The edge processes are indexed by data centre when a peer changes; before, each request walked over all peers.

--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -294,6 +294,7 @@
 		  info->up ? "peer is up" : "peer is down");
 	if (info->up && info->has_disk)
 		replica_peer_up(node->replica, info->node_id, info->replica_id, info->has_disk);
+	vm_relay_peers_changed(node->relay);
 	if (!info->up)
 		vm_relay_peer_down(node->relay, info->node_id);
 }
@@ -443,7 +444,8 @@
 	const vm_relay_options_t options = {.direct = *direct,
 					    .data_centre = data_centre_of_vm,
 					    .vm_count = vm_count,
-					    .arg = node};
+					    .arg = node,
+					    .metrics = node->metrics};
 
 	node->relay = vm_relay_create(node->timers, &options);
 }
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -22,6 +22,10 @@
 #define START_TIMEOUT_MS 450
 #define HOLD_MARGIN_MS 650
 #define TIMEOUT_CHECK_MS 100
+/* Most edge processes to which a request is offered, until the queue of one takes it. */
+#define EDGES_TRIED_MAX 2
+/* Key of all edge processes in vm_relay_t.edge_nodes. No data centre has an empty name. */
+#define ANY_DATA_CENTRE ""
 
 typedef struct relay_call {
 	TAILQ_ENTRY(relay_call) link;
@@ -42,33 +46,67 @@
 	struct relay_calls calls;
 	GHashTable *calls_by_seq;
 	uint64_t next_seq;
+	GHashTable *edge_nodes; /* data centre -> GArray of rendezvous_node_t: the edge processes
+				   that are up */
+	metrics_counter_t *direct_requests;
+	bool edge_nodes_valid; /* false after a peer has come up or gone down */
 };
 
 /* --- leader --- */
 
-/* Chooses an edge process in the VM's data centre by rendezvous hashing, so that requests to one VM
- * reuse the same connections.
- * @return its node id, or 0 when there is none or the fleet has at most DIRECT_VMS_MAX VMs */
-static uint32_t choose_edge_node(const vm_relay_t *relay, const char *vm)
+static void add_edge_node(vm_relay_t *relay, const char *data_centre, uint32_t node_id)
 {
-	const char *data_centre = relay->options.data_centre(relay->options.arg, vm);
-	rendezvous_node_t *edge_nodes;
-	size_t count = 0;
-	uint32_t chosen = 0;
+	rendezvous_node_t node = {.node_id = node_id, .data_centre = ""};
+	GArray *nodes = g_hash_table_lookup(relay->edge_nodes, data_centre);
 
-	if (data_centre == NULL || relay->peers == NULL ||
-	    relay->options.vm_count(relay->options.arg) <= DIRECT_VMS_MAX)
-		return 0;
-	edge_nodes = g_new(rendezvous_node_t, peer_count(relay->peers) + 1);
+	if (nodes == NULL) {
+		nodes = g_array_new(FALSE, FALSE, sizeof(rendezvous_node_t));
+		g_hash_table_insert(relay->edge_nodes, g_strdup(data_centre), nodes);
+	}
+	g_array_append_val(nodes, node);
+}
+
+static void index_edge_nodes(vm_relay_t *relay)
+{
+	g_hash_table_remove_all(relay->edge_nodes);
 	for (size_t i = 0; i < peer_count(relay->peers); i++) {
 		const peer_info_t *info = peer_info_at(relay->peers, i);
 
-		if (info->up && !info->has_disk && strcmp(info->data_centre, data_centre) == 0)
-			edge_nodes[count++] = (rendezvous_node_t){info->node_id, info->data_centre};
+		if (!info->up || info->has_disk)
+			continue;
+		add_edge_node(relay, info->data_centre, info->node_id);
+		add_edge_node(relay, ANY_DATA_CENTRE, info->node_id);
 	}
-	rendezvous_pick(edge_nodes, count, vm, NULL, 1, &chosen);
-	g_free(edge_nodes);
-	return chosen;
+	relay->edge_nodes_valid = true;
+}
+
+void vm_relay_peers_changed(vm_relay_t *relay)
+{
+	relay->edge_nodes_valid = false;
+}
+
+/* Chooses edge processes in the VM's data centre by rendezvous hashing, so that requests to one VM
+ * reuse the same connections. If there are none, chooses them anywhere: the HTTP requests to
+ * hundreds of VMs would overload the leader just when it or a data centre is in trouble.
+ * @param chosen receives the node ids in order of preference
+ * @return their number; 0: there is no edge process, or the fleet has at most DIRECT_VMS_MAX VMs */
+static size_t choose_edge_nodes(vm_relay_t *relay, const char *vm, uint32_t chosen[EDGES_TRIED_MAX])
+{
+	const char *data_centre = relay->options.data_centre(relay->options.arg, vm);
+	const GArray *nodes = NULL;
+
+	if (relay->peers == NULL || relay->options.vm_count(relay->options.arg) <= DIRECT_VMS_MAX)
+		return 0;
+	if (!relay->edge_nodes_valid)
+		index_edge_nodes(relay);
+	if (data_centre != NULL)
+		nodes = g_hash_table_lookup(relay->edge_nodes, data_centre);
+	if (nodes == NULL)
+		nodes = g_hash_table_lookup(relay->edge_nodes, ANY_DATA_CENTRE);
+	if (nodes == NULL)
+		return 0;
+	return rendezvous_pick((const rendezvous_node_t *)nodes->data, nodes->len, vm, NULL,
+			       EDGES_TRIED_MAX, chosen);
 }
 
 static void complete_call(vm_relay_t *relay, relay_call_t *call, const vm_reply_t *reply)
@@ -79,24 +117,39 @@
 	g_free(call);
 }
 
+/* Sends the request to the first of the chosen edge processes whose queue takes it. @return its
+ * node id; 0: none takes it */
+static uint32_t send_to_edge(vm_relay_t *relay, const vm_ref_t *vm, Lp__VmOrder *order)
+{
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	uint32_t chosen[EDGES_TRIED_MAX];
+	size_t count = choose_edge_nodes(relay, vm->id, chosen);
+
+	envelope.body_case = LP__ENVELOPE__BODY_VM_ORDER;
+	envelope.vm_order = order;
+	for (size_t i = 0; i < count; i++) {
+		if (peer_send(relay->peers, chosen[i], &envelope) == 0)
+			return chosen[i];
+	}
+	return 0;
+}
+
 /* Forwards a request to an edge process. @return false when this failed; the caller then sends the
  * request to the VM directly */
 static bool forward_request(vm_relay_t *relay, const vm_ref_t *vm, Lp__VmOrder *order,
 			    uint32_t timeout_ms, vm_reply_fn done, void *arg)
 {
-	Lp__Envelope envelope = LP__ENVELOPE__INIT;
-	uint32_t edge_node = choose_edge_node(relay, vm->id);
+	uint32_t edge_node;
 	relay_call_t *call;
 
-	if (edge_node == 0)
-		return false;
 	order->seq = ++relay->next_seq;
 	order->address = (char *)vm->address;
 	order->vm = (char *)vm->id;
-	envelope.body_case = LP__ENVELOPE__BODY_VM_ORDER;
-	envelope.vm_order = order;
-	if (peer_send(relay->peers, edge_node, &envelope) != 0)
+	edge_node = send_to_edge(relay, vm, order);
+	if (edge_node == 0) {
+		metrics_add(relay->direct_requests, 1);
 		return false;
+	}
 	call = g_new0(relay_call_t, 1);
 	*call = (relay_call_t){
 		.seq = order->seq,
@@ -315,6 +368,10 @@
 	relay->options = *options;
 	TAILQ_INIT(&relay->calls);
 	relay->calls_by_seq = g_hash_table_new(g_int64_hash, g_int64_equal);
+	relay->edge_nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						  (GDestroyNotify)g_array_unref);
+	relay->direct_requests =
+		metrics_counter(options->metrics, "batch_direct_requests_total", "");
 	/* Request numbers start at a random value, so that a late result of a request that an
 	 * earlier process on this machine made does not match a request of this process. */
 	relay->next_seq = (uint64_t)g_random_int() << 32;
@@ -333,6 +390,7 @@
 	timer_unsubscribe(relay->timers, &relay->timeout_check);
 	fail_matching_calls(relay, is_any_call, 0);
 	g_hash_table_destroy(relay->calls_by_seq);
+	g_hash_table_destroy(relay->edge_nodes);
 	g_free(relay);
 }
 
--- a/src/vm_relay.h
+++ b/src/vm_relay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "metrics.h"
 #include "peer.h"
 #include "timer.h"
 #include "vm_port.h"
@@ -22,6 +23,7 @@
 	const char *(*data_centre)(void *arg, const char *vm);
 	size_t (*vm_count)(void *arg); /**< returns the number of known VMs */
 	void *arg;		       /**< first argument of data_centre and vm_count */
+	metrics_t *metrics;
 } vm_relay_options_t;
 
 /**
@@ -43,6 +45,9 @@
 /** Completes the requests that were forwarded to a disconnected peer with VM_REPLY_NO_RESPONSE. */
 void vm_relay_peer_down(vm_relay_t *relay, uint32_t node_id);
 
+/** Must be called when a peer has come up, gone down or restarted. */
+void vm_relay_peers_changed(vm_relay_t *relay);
+
 /** The edge process's side: makes the requests that the leader forwards. */
 typedef struct {
 	vm_port_t port;
