vm_relay: results that wait to be read do not count as missing

Cause (one part of it): the leader judged the timeouts of the requests that edge processes make for it by its own clock, before it read what had arrived. A start whose result waited for 450 ms was sent again up to three times, then stopped, held and given up, and a hold request without a result made its VM unresponsive: the work grew because the leader was behind. The lag of the tick, from which the interval of hold requests follows, did not show it, as ticks can come in time while messages wait.

Change: a result carries the time that the edge process took, so that the leader knows how long results wait before it reads them. A request fails only if its deadline has passed by that time (1.5 s at most), and at two checks in a row, between which messages were read. The delay counts as lag (metric batch_input_delay_us).

Evidence: test_arrived_results_do_not_time_out fails on the unchanged code: the reply is 0xb (no response), not 0 (ok).

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -4635,7 +4635,7 @@
   (ProtobufCMessageInit) lp__vm_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__vm_result__field_descriptors[6] =
+static const ProtobufCFieldDescriptor lp__vm_result__field_descriptors[7] =
 {
   {
     "seq",
@@ -4709,11 +4709,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "elapsed_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmResult, elapsed_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__vm_result__field_indices_by_name[] = {
   3,   /* field[3] = born_ms */
   2,   /* field[2] = clock_ms */
   1,   /* field[1] = code */
+  6,   /* field[6] = elapsed_us */
   5,   /* field[5] = ended */
   4,   /* field[4] = running */
   0,   /* field[0] = seq */
@@ -4721,7 +4734,7 @@
 static const ProtobufCIntRange lp__vm_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lp__vm_result__descriptor =
 {
@@ -4731,7 +4744,7 @@
   "Lp__VmResult",
   "lp",
   sizeof(Lp__VmResult),
-  6,
+  7,
   lp__vm_result__field_descriptors,
   lp__vm_result__field_indices_by_name,
   1,  lp__vm_result__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -908,10 +908,14 @@
   Lp__VmRunning **running;
   size_t n_ended;
   Lp__VmEnded **ended;
+  /*
+   * time that the edge process took from the request to this result; 0: unknown
+   */
+  uint32_t elapsed_us;
 };
 #define LP__VM_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__vm_result__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /* Lp__BatchStep methods */
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -12,6 +12,9 @@
 #define HEALTH_HALF_LIFE_US (4 * US_PER_S)
 /* Gap between ticks above which this process counts as overloaded. Ticks are due every 25 ms. */
 #define TICK_LATE_US (40 * US_PER_MS)
+/* Input delay up to which this process does not count as overloaded: the network's delay, and a few
+ * ms of work in this process and the edge process. */
+#define INPUT_DELAY_NORMAL_US (25 * US_PER_MS)
 #define SLOW_PART_US (30 * US_PER_MS)
 /* A VM that announced its shutdown counts as ended after this time. VMs stop their tasks within
  * 200 ms (bounds.stopMs). */
@@ -733,10 +736,18 @@
 	uint64_t late_us = gap_us > TICK_LATE_US ? gap_us - TICK_LATE_US : 0;
 
 	leader->last_tick_us = now_us;
+	/* Ticks can come in time while many messages wait. */
+	if (leader->input_delay_us > INPUT_DELAY_NORMAL_US)
+		late_us = MAX(late_us, leader->input_delay_us - INPUT_DELAY_NORMAL_US);
 	/* A longer delay counts at once. After it, tick_lag_us falls by an eighth per tick. */
 	leader->tick_lag_us = MAX(late_us, leader->tick_lag_us * 7 / 8);
 }
 
+void batch_leader_set_input_delay(batch_leader_t *leader, uint64_t delay_us)
+{
+	leader->input_delay_us = delay_us;
+}
+
 void batch_leader_observe(batch_leader_t *leader)
 {
 	leader_observe_demand(leader, leader_now_us(leader));
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -82,6 +82,10 @@
  * Must be called every 25 to 50 ms.
  */
 void batch_leader_tick(batch_leader_t *leader);
+/**
+ * Tells how long messages wait before this process reads them. It counts as load like a late tick.
+ */
+void batch_leader_set_input_delay(batch_leader_t *leader, uint64_t delay_us);
 /**
  * Keeps the forecast of demand up to date on a process that does not lead, so that it can plan at
  * once when it becomes leader. Called instead of batch_leader_tick().
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -149,6 +149,7 @@
 	uint64_t activated_us;
 	uint64_t last_tick_us;
 	uint64_t tick_lag_us; /**< smoothed delay of ticks, a measure of the load of this process */
+	uint64_t input_delay_us; /**< time that messages wait before this process reads them */
 	LIST_HEAD(leader_vms, leader_vm) vms;
 	uint64_t vm_count;	/**< number of VMs that became known so far */
 	GHashTable *services;	/**< service name, interned -> leader_service_t */
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -106,6 +106,8 @@
 	batch_node_t *node = arg;
 
 	record_tick_gap(node, now_us);
+	metrics_record_us(node->input_delay, vm_relay_input_delay_us(node->relay));
+	batch_leader_set_input_delay(node->leader, vm_relay_input_delay_us(node->relay));
 	update_leadership(node);
 	if (node->active_term != 0 && replica_has_lease(node->replica))
 		batch_leader_tick(node->leader);
@@ -591,6 +593,7 @@
 	node->jobs_rejected = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
 	node->tick_gap = metrics_histogram(node->metrics, "node_tick_gap_us", "");
 	node->member_wait = metrics_histogram(node->metrics, "node_member_wait_us", "");
+	node->input_delay = metrics_histogram(node->metrics, "batch_input_delay_us", "");
 	node->commit_latency = metrics_histogram(node->metrics, "batch_commit_latency_us", "");
 	batch_state_init(&node->state);
 	vm_cache_init(&node->report_cache);
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -42,6 +42,7 @@
 	metrics_counter_t *jobs_rejected;
 	metrics_histogram_t *commit_latency;
 	metrics_histogram_t *tick_gap;
+	metrics_histogram_t *input_delay;
 	metrics_histogram_t *member_wait;
 	uint64_t last_tick_us;
 };
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -26,12 +26,19 @@
 #define EDGES_TRIED_MAX 2
 /* Key of all edge processes in vm_relay_t.edge_nodes. No data centre has an empty name. */
 #define ANY_DATA_CENTRE ""
+/* Upper limit of the time by which timeouts are extended while results wait to be read. Less than
+ * the time for which an edge process that does not answer at all may hold up its VMs. */
+#define INPUT_DELAY_MAX_US (1500 * US_PER_MS)
+/* Weight of one result in the falling average of the input delay, as a divisor. */
+#define INPUT_DELAY_DECAY 16
 
 typedef struct relay_call {
 	TAILQ_ENTRY(relay_call) link;
 	uint64_t seq;
 	uint32_t edge_node;
+	uint64_t sent_us;
 	uint64_t deadline_us;
+	bool overdue; /* the deadline had passed at the latest check */
 	vm_reply_fn done;
 	void *arg;
 } relay_call_t;
@@ -46,8 +53,9 @@
 	struct relay_calls calls;
 	GHashTable *calls_by_seq;
 	uint64_t next_seq;
-	GHashTable *edge_nodes; /* data centre -> GArray of rendezvous_node_t: the edge processes
-				   that are up */
+	uint64_t input_delay_us; /* see vm_relay_input_delay_us() */
+	GHashTable *edge_nodes;	 /* data centre -> GArray of rendezvous_node_t: the edge processes
+				    that are up */
 	metrics_counter_t *direct_requests;
 	bool edge_nodes_valid; /* false after a peer has come up or gone down */
 };
@@ -140,6 +148,7 @@
 			    uint32_t timeout_ms, vm_reply_fn done, void *arg)
 {
 	uint32_t edge_node;
+	uint64_t now_us;
 	relay_call_t *call;
 
 	order->seq = ++relay->next_seq;
@@ -150,11 +159,13 @@
 		metrics_add(relay->direct_requests, 1);
 		return false;
 	}
+	now_us = clock_now_us();
 	call = g_new0(relay_call_t, 1);
 	*call = (relay_call_t){
 		.seq = order->seq,
 		.edge_node = edge_node,
-		.deadline_us = clock_now_us() + timeout_ms * US_PER_MS,
+		.sent_us = now_us,
+		.deadline_us = now_us + timeout_ms * US_PER_MS,
 		.done = done,
 		.arg = arg,
 	};
@@ -304,6 +315,30 @@
 	reply->finished_count = result->n_ended;
 }
 
+/* Measures how long the result waited before this process read it: the time since the request was
+ * sent, less the time that the edge process took. A longer delay counts at once, a shorter one by
+ * and by. */
+static void measure_input_delay(vm_relay_t *relay, const relay_call_t *call,
+				const Lp__VmResult *result)
+{
+	uint64_t total_us = clock_now_us() - call->sent_us;
+	uint64_t delay_us;
+
+	if (result->elapsed_us == 0)
+		return;
+	delay_us = total_us > result->elapsed_us ? total_us - result->elapsed_us : 0;
+	delay_us = MIN(delay_us, INPUT_DELAY_MAX_US);
+	if (delay_us > relay->input_delay_us)
+		relay->input_delay_us = delay_us;
+	else
+		relay->input_delay_us -= (relay->input_delay_us - delay_us) / INPUT_DELAY_DECAY;
+}
+
+uint64_t vm_relay_input_delay_us(const vm_relay_t *relay)
+{
+	return relay->input_delay_us;
+}
+
 void vm_relay_handle_result(vm_relay_t *relay, uint32_t from, const Lp__VmResult *result)
 {
 	relay_call_t *call = g_hash_table_lookup(relay->calls_by_seq, &result->seq);
@@ -313,6 +348,7 @@
 	/* The request has already timed out, or an earlier process on this machine made it. */
 	if (call == NULL || call->edge_node != from || result->code > VM_REPLY_NO_RESPONSE)
 		return;
+	measure_input_delay(relay, call, result);
 	mem = talloc_new(NULL);
 	reply.code = (vm_reply_code_t)result->code;
 	decode_run_lists(mem, result, &reply);
@@ -335,11 +371,6 @@
 	}
 }
 
-static bool has_timed_out(const relay_call_t *call, uint64_t now_us)
-{
-	return now_us >= call->deadline_us;
-}
-
 static bool was_sent_to(const relay_call_t *call, uint64_t node_id)
 {
 	return call->edge_node == node_id;
@@ -355,9 +386,28 @@
 	fail_matching_calls(relay, was_sent_to, node_id);
 }
 
+/* Fails the calls that have timed out. A result that has arrived may still wait to be read, so a
+ * call fails only if the deadline has passed by the time that results presently wait, and at two
+ * checks in a row, between which this process has read messages. Otherwise the requests of a leader
+ * that is behind would fail and be repeated, which makes it fall further behind. */
 static void check_timeouts(void *arg, uint64_t now_us)
 {
-	fail_matching_calls(arg, has_timed_out, now_us);
+	vm_relay_t *relay = arg;
+	const vm_reply_t no_response = {.code = VM_REPLY_NO_RESPONSE};
+	relay_call_t *call;
+	relay_call_t *next;
+
+	if (TAILQ_EMPTY(&relay->calls))
+		relay->input_delay_us = 0;
+	for (call = TAILQ_FIRST(&relay->calls); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, link);
+		if (now_us < call->deadline_us + relay->input_delay_us)
+			continue;
+		if (call->overdue)
+			complete_call(relay, call, &no_response);
+		else
+			call->overdue = true;
+	}
 }
 
 vm_relay_t *vm_relay_create(timer_service_t *timers, const vm_relay_options_t *options)
@@ -400,6 +450,7 @@
 	vm_agent_t *agent;
 	uint32_t from;
 	uint64_t seq;
+	uint64_t received_us;
 } forwarded_request_t;
 
 static void encode_running_runs(void *mem, const vm_reply_t *reply, Lp__VmResult *result)
@@ -453,6 +504,7 @@
 	result.code = reply->code;
 	result.clock_ms = reply->clock_ms;
 	result.born_ms = reply->born_ms;
+	result.elapsed_us = (uint32_t)MAX(clock_now_us() - call->received_us, 1);
 	encode_running_runs(mem, reply, &result);
 	encode_finished_runs(mem, reply, &result);
 	envelope.body_case = LP__ENVELOPE__BODY_VM_RESULT;
@@ -502,7 +554,8 @@
 				.wait_ms = order->wait_ms};
 	forwarded_request_t *call = g_new0(forwarded_request_t, 1);
 
-	*call = (forwarded_request_t){.agent = agent, .from = from, .seq = order->seq};
+	*call = (forwarded_request_t){
+		.agent = agent, .from = from, .seq = order->seq, .received_us = clock_now_us()};
 	switch (order->kind) {
 	case LP__VM_ORDER_KIND__VM_ORDER_START:
 		send_start(agent, &vm, order, call);
--- a/src/vm_relay.h
+++ b/src/vm_relay.h
@@ -47,6 +47,11 @@
 
 /** Must be called when a peer has come up, gone down or restarted. */
 void vm_relay_peers_changed(vm_relay_t *relay);
+/**
+ * @return how long results of forwarded requests presently wait before this process reads them, in
+ * microseconds, with the time on the network: a measure of how far it is behind
+ */
+uint64_t vm_relay_input_delay_us(const vm_relay_t *relay);
 
 /** The edge process's side: makes the requests that the leader forwards. */
 typedef struct {
--- a/tests/test_vm_relay.c
+++ b/tests/test_vm_relay.c
@@ -21,6 +21,8 @@
 #define PING_MS 20
 #define PEER_TIMEOUT_MS 20000
 #define VM_COUNT 1000
+/* Longer than the time in which a start request without a result fails. */
+#define BLOCKED_MS 700
 
 /* One process. Each has an event loop of its own, so that one can be blocked. */
 typedef struct {
@@ -208,6 +210,23 @@
 	assert_int_equal(replies, 2);
 }
 
+/* Guards against requests that fail although their results have arrived, while the leader is
+ * behind. */
+static void test_arrived_results_do_not_time_out(void **state)
+{
+	send_start();
+	run_process_ms(&core, 20);
+	run_process_ms(&edge, 100);
+	assert_int_equal(edge_starts, 1);
+	assert_int_equal(replies, 0);
+	usleep(BLOCKED_MS * 1000);
+	for (unsigned i = 0; i < 30 && replies == 0; i++)
+		run_process_ms(&core, 1);
+	assert_int_equal(replies, 1);
+	assert_int_equal(reply_code, VM_REPLY_OK);
+	assert_true(vm_relay_input_delay_us(relay) >= BLOCKED_MS * US_PER_MS);
+}
+
 /* Guards against a request without a result that never fails. */
 static void test_missing_result_times_out(void **state)
 {
@@ -222,6 +241,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_requests_go_through_other_data_centres, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_arrived_results_do_not_time_out, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_missing_result_times_out, set_up, tear_down),
 	};
 
