mono_timer: timers follow the monotonic clock

When the time of day of two core processes steps back after it had been ahead, they do nothing by time for 8.5 s: no heartbeat, no election, no tick. One request in seven is refused.

A step back leaves the pending one in the future.

Change: mono_timer wraps the timers of tevent. Before each round of the loop it compares the time of day with the monotonic clock, and sets all pending timers of the loop again when the difference has changed by 2 ms or more; one that fires early after a step forward waits for the rest. Nothing wakes more often than before. A timerfd for each of the four parts would need no comparison, but a system call each time that libcurl or libmicrohttpd changes its timeout.

The tests replace gettimeofday(), which libtevent calls. On the unchanged code test_step_back_does_not_stop_the_timer_service fails with '1 is not within the range 5-16', and test_step_back_does_not_delay_call_timeouts with '4205491 is not within the range 150000-1000000'.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -9,9 +9,11 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <talloc.h>
 #include <tevent.h>
 
 #include "clock.h"
+#include "mono_timer.h"
 
 /*
  * Limit of the idle connections that a thread keeps. Ample for 1,600 targets, because the
@@ -31,7 +33,7 @@
 	http_client_t *client;
 	CURL *easy;
 	struct curl_slist *headers;
-	struct tevent_timer *progress_timer;
+	mono_timer_t *progress_timer;
 	http_call_done_fn done;
 	void *arg;
 	bool (*before_send)(void *arg);
@@ -112,10 +114,9 @@
 	return 0;
 }
 
-static void on_timeout(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
-		       void *private_data)
+static void on_timeout(void *arg)
 {
-	http_client_t *client = private_data;
+	http_client_t *client = arg;
 	int running;
 
 	client->timer = NULL;
@@ -126,14 +127,12 @@
 static int set_timer(CURLM *multi, long timeout_ms, void *private_data)
 {
 	http_client_t *client = private_data;
-	struct timeval due;
 
 	TALLOC_FREE(client->timer);
-	if (timeout_ms < 0)
-		return 0;
-	due = tevent_timeval_current_ofs((uint32_t)(timeout_ms / 1000),
-					 (uint32_t)(timeout_ms % 1000 * US_PER_MS));
-	client->timer = tevent_add_timer(client->ev, client->ev, due, on_timeout, client);
+	if (timeout_ms >= 0)
+		client->timer =
+			mono_timer_add(client->ev, client->ev, (uint64_t)timeout_ms * US_PER_MS,
+				       on_timeout, client);
 	return 0;
 }
 
@@ -341,21 +340,17 @@
 	}
 }
 
-static void on_progress_timer(struct tevent_context *ev, struct tevent_timer *te,
-			      struct timeval current, void *private_data);
+static void on_progress_timer(void *arg);
 
 static void arm_progress_timer(http_call_t *call, uint64_t wait_us)
 {
-	call->progress_timer = tevent_add_timer(
-		call->client->ev, call->client->ev,
-		tevent_timeval_current_ofs((uint32_t)(wait_us / US_PER_S), wait_us % US_PER_S),
-		on_progress_timer, call);
+	call->progress_timer = mono_timer_add(call->client->ev, call->client->ev, wait_us,
+					      on_progress_timer, call);
 }
 
-static void on_progress_timer(struct tevent_context *ev, struct tevent_timer *te,
-			      struct timeval current, void *private_data)
+static void on_progress_timer(void *arg)
 {
-	http_call_t *call = private_data;
+	http_call_t *call = arg;
 	uint64_t idle_us = clock_now_us() - call->last_progress_us;
 
 	call->progress_timer = NULL;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -15,6 +15,7 @@
  * be called in the thread of that context.
  */
 
+struct mono_timer;
 struct tevent_context;
 struct http_call;
 typedef struct http_call http_call_t;
@@ -71,8 +72,8 @@
 
 typedef struct {
 	struct tevent_context *ev;
-	void *multi;		    /**< CURLM handle */
-	struct tevent_timer *timer; /**< timer for the timeout that libcurl asked for */
+	void *multi;		  /**< CURLM handle */
+	struct mono_timer *timer; /**< timer for the timeout that libcurl asked for */
 	unsigned call_count;
 	/** Age in seconds above which connections are not reused. */
 	uint32_t connection_age_max_s;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -14,9 +14,11 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <microhttpd.h>
+#include <talloc.h>
 #include <tevent.h>
 
 #include "clock.h"
+#include "mono_timer.h"
 
 #define LISTEN_BACKLOG 1024
 /* Longest time between two runs of the libmicrohttpd daemon. An idle timeout is late by at most
@@ -130,10 +132,9 @@
 static void run_daemon(http_server_t *server);
 static void arm_timer(http_server_t *server, uint64_t wait_ms);
 
-static void on_timer(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
-		     void *private_data)
+static void on_timer(void *arg)
 {
-	http_server_t *server = private_data;
+	http_server_t *server = arg;
 
 	server->timer = NULL;
 	run_daemon(server);
@@ -162,10 +163,8 @@
 static void arm_timer(http_server_t *server, uint64_t wait_ms)
 {
 	TALLOC_FREE(server->timer);
-	server->timer = tevent_add_timer(
-		server->ev, server->ev,
-		tevent_timeval_current_ofs(wait_ms / 1000, (wait_ms % 1000) * US_PER_MS), on_timer,
-		server);
+	server->timer =
+		mono_timer_add(server->ev, server->ev, wait_ms * US_PER_MS, on_timer, server);
 }
 
 /* Counts malformed requests, which libmicrohttpd rejects by itself and only logs. */
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -42,7 +42,7 @@
 	struct tevent_context *ev;
 	struct MHD_Daemon *daemon;
 	struct tevent_fd *daemon_watch; /**< watch of the daemon's epoll descriptor */
-	struct tevent_timer *timer;	/**< timer of the daemon's next run */
+	struct mono_timer *timer;	/**< timer of the daemon's next run */
 	mailbox_t mailbox;		/**< receives replies made in other threads */
 	http_handler_fn handler;
 	void *handler_arg;
--- a/src/replica.c
+++ b/src/replica.c
@@ -16,6 +16,7 @@
 #include "clock.h"
 #include "durable.h"
 #include "log.h"
+#include "mono_timer.h"
 #include "replica_internal.h"
 #include "snapshot.h"
 
@@ -33,10 +34,9 @@
 	flush(private_data);
 }
 
-static void on_flush_timer(struct tevent_context *ev, struct tevent_timer *te,
-			   struct timeval current, void *private_data)
+static void on_flush_timer(void *arg)
 {
-	flush(private_data);
+	flush(arg);
 }
 
 void replica_schedule_flush(replica_t *replica)
@@ -52,9 +52,7 @@
 					  replica);
 		return;
 	}
-	tevent_add_timer(replica->timers->ev, replica,
-			 tevent_timeval_current_ofs(0, delay_ms * US_PER_MS), on_flush_timer,
-			 replica);
+	mono_timer_add(replica->timers->ev, replica, delay_ms * US_PER_MS, on_flush_timer, replica);
 }
 
 static uint64_t max_log_bytes(const replica_t *replica)
--- a/src/timer.c
+++ b/src/timer.c
@@ -1,21 +1,22 @@
 #include "timer.h"
 
-#include <tevent.h>
+#include <talloc.h>
 
 #include "clock.h"
+#include "mono_timer.h"
 
 /* Resolution of the timers. No subscriber needs a finer one. */
 #define TICK_US (10 * US_PER_MS)
 
 static void schedule_tick(timer_service_t *service);
 
-static void on_tick(struct tevent_context *ev, struct tevent_timer *te, struct timeval current,
-		    void *private_data)
+static void on_tick(void *arg)
 {
-	timer_service_t *service = private_data;
+	timer_service_t *service = arg;
 	uint64_t now_us = clock_now_us();
 	timer_sub_t *sub;
 
+	service->timer = NULL;
 	/* The called function may end any subscription, including the next one in the list, so the
 	 * search restarts at the head of the list after each call. */
 	do {
@@ -32,9 +33,7 @@
 
 static void schedule_tick(timer_service_t *service)
 {
-	struct timeval next = tevent_timeval_current_ofs(0, TICK_US);
-
-	service->timer = tevent_add_timer(service->ev, service->ev, next, on_tick, service);
+	service->timer = mono_timer_add(service->ev, service->ev, TICK_US, on_tick, service);
 }
 
 void timer_service_init(timer_service_t *service, struct tevent_context *ev)
--- a/src/timer.h
+++ b/src/timer.h
@@ -3,11 +3,12 @@
 #include <stdint.h>
 #include <sys/queue.h>
 
+struct mono_timer;
 struct tevent_context;
 
 /**
  * @file
- * Calls functions periodically in an event loop. One tevent timer drives all subscriptions of a
+ * Calls functions periodically in an event loop. One monotonic timer drives all subscriptions of a
  * thread. When periods are missed, for example because the process was frozen, the function is
  * called only once for all of them.
  */
@@ -26,7 +27,7 @@
 
 typedef struct {
 	struct tevent_context *ev;
-	struct tevent_timer *timer;
+	struct mono_timer *timer;
 	LIST_HEAD(timer_sub_list, timer_sub) subs;
 } timer_service_t;
 
