raft: acknowledge heartbeats without waiting for the disk

Cause: a follower held back each reply to the leader until the running write and the next one had ended, also for a heartbeat that brings no entry.

Change: a heartbeat is acknowledged at once, up to the entries that are durable, unless the term or the vote is not durable yet.

--- a/src/raft.c
+++ b/src/raft.c
@@ -110,6 +110,7 @@
 {
 	raft_action_t *action = raft_queue_action(raft, RAFT_SAVE_VOTE);
 
+	raft->vote_unsynced = true;
 	action->save_vote.term = raft->term;
 	action->save_vote.vote = raft->voted_for;
 }
@@ -390,7 +391,10 @@
 {
 	if (!raft->disk_writable)
 		return;
-	raft->synced_index = index;
+	/* A snapshot may have replaced the log while the entries were written. */
+	raft->synced_index = MIN(index, raft_last_index(raft));
+	if (votes)
+		raft->vote_unsynced = false;
 	if (raft->role == RAFT_LEADER)
 		raft_leader_advance_commit(raft, now_us);
 	else if (votes && raft->role == RAFT_CANDIDATE && has_vote_majority(raft))
--- a/src/raft_follower.c
+++ b/src/raft_follower.c
@@ -1,13 +1,14 @@
 #include <string.h>
 
+#include <glib.h>
 #include <talloc.h>
 
 #include "raft_internal.h"
 
-static void reply_append(raft_t *raft, raft_id_t to, const Lp__AppendRequest *append, bool success,
-			 uint64_t match)
+static void queue_append_reply(raft_t *raft, raft_id_t to, const Lp__AppendRequest *append,
+			       bool success, uint64_t match, bool after_sync)
 {
-	Lp__RaftMessage *message = raft_queue_message(raft, to, true);
+	Lp__RaftMessage *message = raft_queue_message(raft, to, after_sync);
 	Lp__AppendReply *reply = talloc(message, Lp__AppendReply);
 
 	lp__append_reply__init(reply);
@@ -20,6 +21,25 @@
 	message->append_reply = reply;
 }
 
+static void reply_append(raft_t *raft, raft_id_t to, const Lp__AppendRequest *append, bool success,
+			 uint64_t match)
+{
+	queue_append_reply(raft, to, append, success, match, true);
+}
+
+/* Acknowledges a request whose entries are in the log up to index match. A heartbeat is
+ * acknowledged without waiting for the disk, up to the entries that are durable already: otherwise
+ * the leader would lose its lease while a write is slow. */
+static void acknowledge_append(raft_t *raft, raft_id_t to, const Lp__AppendRequest *append,
+			       uint64_t match)
+{
+	if (append->n_entries > 0 || raft->vote_unsynced) {
+		reply_append(raft, to, append, true, match);
+		return;
+	}
+	queue_append_reply(raft, to, append, true, MIN(match, raft->synced_index), false);
+}
+
 static void accept_leader(raft_t *raft, uint64_t now_us, uint64_t term, raft_id_t leader)
 {
 	raft_become_follower(raft, now_us, term, leader);
@@ -92,7 +112,10 @@
 		last = raft->commit_index;
 	/* While this follower's disk cannot be written, it rejects the append although it holds the
 	 * entries, so that the leader does not count them as durable; see on_append_rejected(). */
-	reply_append(raft, from, append, raft->disk_writable, last);
+	if (raft->disk_writable)
+		acknowledge_append(raft, from, append, last);
+	else
+		reply_append(raft, from, append, false, last);
 }
 
 static void reply_snapshot(raft_t *raft, raft_id_t to, uint64_t offset, bool done)
--- a/src/raft_internal.h
+++ b/src/raft_internal.h
@@ -46,6 +46,7 @@
 	raft_id_t voted_for;
 	raft_id_t leader;
 	bool disk_writable;
+	bool vote_unsynced; /* the term and vote are not durable yet */
 
 	/* Log entries in memory, with the indexes base_index + 1 to base_index + entry_count. */
 	Lp__LogEntry **entries;
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -137,6 +137,79 @@
 	talloc_free(raft);
 }
 
+/* Passes a heartbeat of node 2 to the core. @return the reply, and sets after_sync */
+static Lp__AppendReply receive_append(raft_t *raft, uint64_t term, uint64_t prev_index,
+				      size_t entry_count, bool *after_sync)
+{
+	Lp__RaftMessage message = LP__RAFT_MESSAGE__INIT;
+	Lp__AppendRequest append = LP__APPEND_REQUEST__INIT;
+	Lp__AppendReply reply = LP__APPEND_REPLY__INIT;
+	Lp__LogEntry entry = LP__LOG_ENTRY__INIT;
+	Lp__LogEntry *entries[] = {&entry};
+	Lp__ReplicaId from = {PROTOBUF_C_MESSAGE_INIT(&lp__replica_id__descriptor), 2, 1};
+	Lp__ReplicaId to = {PROTOBUF_C_MESSAGE_INIT(&lp__replica_id__descriptor), 1, 1};
+	raft_action_t *action;
+
+	entry.index = prev_index + 1;
+	entry.term = term;
+	append.term = term;
+	append.prev_index = prev_index;
+	append.prev_term = prev_index > 0 ? term : 0;
+	append.n_entries = entry_count;
+	append.entries = entries;
+	message.from = &from;
+	message.to = &to;
+	message.body_case = LP__RAFT_MESSAGE__BODY_APPEND;
+	message.append = &append;
+	raft_receive(raft, US_PER_S, &message);
+	while ((action = raft_pop_action(raft)) != NULL) {
+		if (action->type == RAFT_SEND) {
+			reply.success = action->send.message->append_reply->success;
+			reply.match = action->send.message->append_reply->match;
+			*after_sync = action->send.after_sync;
+		}
+		talloc_free(action);
+	}
+	return reply;
+}
+
+/* Guards against a leader that loses its lease while the disks of its followers are slow, and
+ * against the acknowledgement of entries, terms or votes that are not durable. */
+static void test_heartbeat_is_acknowledged_while_the_disk_writes(void **state)
+{
+	const raft_options_t options = {
+		.self = {1, 1}, .has_disk = true, .heartbeat_us = 200, .election_min_us = 800};
+	raft_config_t config = {.members = {{{1, 1}, true}, {{2, 1}, true}, {{3, 1}, true}},
+				.count = 3};
+	raft_t *raft = raft_create(NULL, &options);
+	Lp__AppendReply reply;
+	bool after_sync;
+
+	raft_restore_base(raft, 0, 0, &config);
+	raft_start(raft, 0);
+	receive_append(raft, 1, 0, 0, &after_sync);
+	assert_true(after_sync); /* term 1 is not durable yet */
+	raft_mark_synced(raft, US_PER_S);
+	reply = receive_append(raft, 1, 0, 1, &after_sync);
+	assert_true(after_sync);
+	assert_int_equal(reply.match, 1);
+	reply = receive_append(raft, 1, 1, 0, &after_sync);
+	assert_false(after_sync);
+	assert_true(reply.success);
+	assert_int_equal(reply.match, 0);
+	raft_mark_synced_to(raft, 1, true, US_PER_S);
+	reply = receive_append(raft, 1, 1, 0, &after_sync);
+	assert_false(after_sync);
+	assert_int_equal(reply.match, 1);
+	raft_mark_synced_to(raft, 9, true, US_PER_S);
+	receive_append(raft, 1, 1, 1, &after_sync);
+	reply = receive_append(raft, 1, 2, 0, &after_sync);
+	assert_int_equal(reply.match, 1); /* index 9 was beyond the log's end */
+	receive_append(raft, 2, 1, 0, &after_sync);
+	assert_true(after_sync); /* term 2 is not durable yet */
+	talloc_free(raft);
+}
+
 static void receive_vote_request(raft_t *raft, bool pre_vote, uint64_t now_us)
 {
 	Lp__RaftMessage message = LP__RAFT_MESSAGE__INIT;
@@ -224,6 +297,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_entry_of_earlier_term_is_not_committed_by_count),
+		cmocka_unit_test(test_heartbeat_is_acknowledged_while_the_disk_writes),
 		cmocka_unit_test(test_leader_keeps_its_term_when_no_heartbeat_is_unanswered),
 		cmocka_unit_test(test_no_vote_is_granted_during_a_possible_lease),
 		cmocka_unit_test(test_too_high_term_or_index_is_ignored),
