peer: send messages to members, pings and hints at once

Cause: a message was only queued, and sent when the event loop reached its connection. The timers of a tick run before any socket: a heartbeat was queued, the leader's tick ran for 0.2 to 0.5 s, and then the heartbeat was sent, although the lease of 0.4 s runs from the time at which it was queued.

Change: messages to members, pings, pongs and leader hints are written to the socket when they are queued. What the socket does not take, and a broken connection, are left to the event loop as before.

--- a/src/peer.c
+++ b/src/peer.c
@@ -178,6 +178,7 @@
 	envelope.body_case = LP__ENVELOPE__BODY_PING;
 	envelope.ping = &ping;
 	peer_conn_send(peer->dialled, &envelope);
+	peer_conn_flush(peer->dialled);
 	peer->ping_due_us = now_us + peer->set->config.ping_ms * US_PER_MS;
 }
 
@@ -191,6 +192,7 @@
 	envelope.body_case = LP__ENVELOPE__BODY_PONG;
 	envelope.pong = &pong;
 	peer_conn_send(conn, &envelope);
+	peer_conn_flush(conn);
 }
 
 static void schedule_dial(peer_t *peer, uint64_t now_us)
@@ -729,13 +731,24 @@
 	peer->dial_due_us = 0;
 }
 
+/* True for messages that must not wait while the event loop runs a long pass: those to members, as
+ * the leader's lease runs from the time at which a heartbeat was sent, and hints, as an edge
+ * process without them stops accepting requests. */
+static bool is_urgent(const peer_t *peer, const Lp__Envelope *envelope)
+{
+	return (peer->set->config.has_disk && peer->info.has_disk) ||
+	       envelope->body_case == LP__ENVELOPE__BODY_LEADER_HINT;
+}
+
 int peer_send(peer_set_t *set, uint32_t node_id, const Lp__Envelope *envelope)
 {
 	peer_t *peer = find_peer(set, node_id);
 
-	if (peer == NULL || !peer->verified)
+	if (peer == NULL || !peer->verified || peer_conn_send(peer->dialled, envelope) != 0)
 		return -1;
-	return peer_conn_send(peer->dialled, envelope);
+	if (is_urgent(peer, envelope))
+		peer_conn_flush(peer->dialled);
+	return 0;
 }
 
 const peer_info_t *peer_info(const peer_set_t *set, uint32_t node_id)
--- a/src/peer_conn.c
+++ b/src/peer_conn.c
@@ -89,7 +89,9 @@
 	conn->callbacks->on_closed(conn, reason);
 }
 
-static void send_queued(peer_conn_t *conn)
+/* Sends queued bytes until the socket takes no more. @return 0, or -1 when the connection is broken
+ */
+static int write_queue(peer_conn_t *conn)
 {
 	while (conn->send_offset < conn->send_queue->len) {
 		ssize_t n = send(conn->fd, conn->send_queue->data + conn->send_offset,
@@ -98,17 +100,29 @@
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-			return;
-		if (n < 0) {
-			report_closed(conn, PEER_CONN_DISCONNECTED);
-			return;
-		}
+			return 0;
+		if (n < 0)
+			return -1;
 		conn->send_offset += (size_t)n;
 		conn->counters->bytes_sent += (uint64_t)n;
 	}
 	g_byte_array_set_size(conn->send_queue, 0);
 	conn->send_offset = 0;
 	TEVENT_FD_NOT_WRITEABLE(conn->fd_event);
+	return 0;
+}
+
+static void send_queued(peer_conn_t *conn)
+{
+	if (write_queue(conn) != 0)
+		report_closed(conn, PEER_CONN_DISCONNECTED);
+}
+
+void peer_conn_flush(peer_conn_t *conn)
+{
+	/* A broken connection is left to the event loop, which also finds it writable. */
+	if (!conn->connecting)
+		write_queue(conn);
 }
 
 /* Decodes the received frames and passes them to the owner. @return false when the owner has freed
--- a/src/peer_conn.h
+++ b/src/peer_conn.h
@@ -80,6 +80,10 @@
 /** Queues a message. @return 0, or -1 when the queue is full or the message too large */
 int peer_conn_send(peer_conn_t *conn, const Lp__Envelope *envelope);
 
+/** Sends the queued messages at once, as far as the socket takes them. Does not free the
+ * connection. */
+void peer_conn_flush(peer_conn_t *conn);
+
 /** Listens on an address of the form IP:port. @return a non-blocking socket, or -1 with errno set
  */
 int peer_conn_listen(const char *address);
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -372,13 +372,11 @@
 	peer_set_destroy(node1.set);
 }
 
-/* A peer that this test plays itself on a plain socket. */
-static int connect_raw_peer(const char *address, uint32_t id, bool has_disk)
+static void send_raw_hello(int fd, uint32_t id, bool has_disk)
 {
 	g_autoptr(GByteArray) frame = g_byte_array_new();
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 	Lp__Hello hello = LP__HELLO__INIT;
-	int fd = connect_to(address);
 
 	hello.cluster = (char *)"c";
 	hello.node_id = id;
@@ -391,6 +389,14 @@
 	envelope.hello = &hello;
 	frame_append(frame, &envelope);
 	assert_int_equal(send(fd, frame->data, frame->len, MSG_NOSIGNAL), frame->len);
+}
+
+/* Connects as a peer that the test plays itself. @return its socket */
+static int connect_raw_peer(const char *address, uint32_t id, bool has_disk)
+{
+	int fd = connect_to(address);
+
+	send_raw_hello(fd, id, has_disk);
 	return fd;
 }
 
@@ -410,6 +416,29 @@
 #define MEMBER_ID 7
 #define HANDLING_MS 1
 
+static peer_set_t *start_member(const char *listen, const peer_address_t *peer, uint32_t timeout_ms,
+				const peer_callbacks_t *callbacks)
+{
+	peer_config_t config = {
+		.cluster = "c",
+		.node_id = 1,
+		.replica_id = 1,
+		.incarnation = 1,
+		.data_centre = "muscat-1",
+		.http_address = "127.0.0.1:80",
+		.has_disk = true,
+		.listen_address = listen,
+		.peers = peer,
+		.peer_count = peer != NULL ? 1 : 0,
+		.ping_ms = 60 * 1000,
+		.timeout_ms = timeout_ms,
+	};
+	peer_set_t *set = peer_set_create(ev, ev, &timers, &config, callbacks);
+
+	assert_non_null(set);
+	return set;
+}
+
 typedef struct {
 	unsigned bulk_count;
 	unsigned member_count;
@@ -441,23 +470,10 @@
 	char *addr1 = unused_address();
 	flood_t flood = {0};
 	peer_callbacks_t callbacks = {.message_received = on_flood_message, .arg = &flood};
-	peer_config_t config = {
-		.cluster = "c",
-		.node_id = 1,
-		.replica_id = 1,
-		.incarnation = 1,
-		.data_centre = "muscat-1",
-		.http_address = "127.0.0.1:80",
-		.has_disk = true,
-		.listen_address = addr1,
-		.ping_ms = PING_MS,
-		.timeout_ms = 60 * 1000,
-	};
-	peer_set_t *set = peer_set_create(ev, ev, &timers, &config, &callbacks);
+	peer_set_t *set = start_member(addr1, NULL, 60 * 1000, &callbacks);
 	int fds[FLOODING_PEERS];
 	int member_fd;
 
-	assert_non_null(set);
 	for (unsigned i = 0; i < FLOODING_PEERS; i++)
 		fds[i] = connect_raw_peer(addr1, 1000 + i, false);
 	member_fd = connect_raw_peer(addr1, MEMBER_ID, true);
@@ -482,6 +498,47 @@
 	close(member_fd);
 }
 
+/* Lets node 1 dial a peer that the test plays itself. @return the peer's socket */
+static int accept_raw_peer(node_t *node, int listen_fd, bool has_disk)
+{
+	char data[4096];
+	int fd = -1;
+
+	for (unsigned i = 0; i < 1000 && fd < 0; i++) {
+		run_event_loop_ms(10);
+		fd = accept4(listen_fd, NULL, NULL, SOCK_NONBLOCK);
+	}
+	assert_true(fd >= 0);
+	send_raw_hello(fd, MEMBER_ID, has_disk);
+	for (unsigned i = 0; i < 1000 && peer_info(node->set, MEMBER_ID)->incarnation == 0; i++)
+		run_event_loop_ms(10);
+	run_event_loop_ms(50);
+	while (recv(fd, data, sizeof(data), 0) > 0)
+		;
+	return fd;
+}
+
+/* Guards against a heartbeat that waits for the end of a long pass of its sender, while the lease
+ * that it is to extend runs out. */
+static void test_message_to_a_member_is_sent_before_the_next_event(void **state)
+{
+	char *member_addr = unused_address();
+	peer_address_t member = {.node_id = MEMBER_ID, .address = member_addr, .permanent = true};
+	node_t node1 = {0};
+	peer_callbacks_t callbacks = {.message_received = on_message, .arg = &node1};
+	int listen_fd = peer_conn_listen(member_addr);
+	char data[4096];
+	int fd;
+
+	node1.set = start_member(unused_address(), &member, 60 * 1000, &callbacks);
+	fd = accept_raw_peer(&node1, listen_fd, true);
+	assert_int_equal(send_numbered_message(&node1, MEMBER_ID, 1), 0);
+	assert_in_range(recv(fd, data, sizeof(data), 0), ENTRY_BYTES, sizeof(data));
+	close(fd);
+	close(listen_fd);
+	peer_set_destroy(node1.set);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -492,6 +549,8 @@
 			test_other_cluster_and_duplicate_node_id_are_refused, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_member_message_does_not_wait_behind_a_flood,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_message_to_a_member_is_sent_before_the_next_event, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_silent_connection_is_replaced, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_invalid_frame_closes_the_connection, set_up,
