peer: read what has arrived before a peer counts as silent

What callers saw: after a busy time of the leader on a large fleet, no edge process could reach it for tens of seconds (503), and it sent its requests to all VMs by itself, which made it busier.

Cause: the silence of a peer was judged by a timer, and timers run before sockets. A leader with more to read than it could read closed the connections of its 147 edge processes, whose pongs lay in its sockets, and then had to connect to them again, which cost more time than reading them.

Change: before a connection is replaced, what has arrived on it is handled; an accepted connection on which something waits is kept. A connection that was established late, because this process was late, has the whole timeout from then on.

--- a/src/peer.c
+++ b/src/peer.c
@@ -46,7 +46,8 @@
 	char *address;	      /* address at which the peer is dialled; NULL if it is not dialled */
 	peer_conn_t *dialled; /* connection that this process dialled; NULL if there is none */
 	bool verified;	      /* the dialled process sent a Hello with the expected identity */
-	uint64_t dial_started_us;
+	uint64_t dialled_us;  /* when the dialled connection was started, was established late, or
+				 brought its  Hello */
 	uint64_t last_pong_us;
 	uint64_t ping_due_us;
 	uint64_t dial_due_us;
@@ -218,7 +219,7 @@
 {
 	peer_set_t *set = peer->set;
 
-	peer->dial_started_us = now_us;
+	peer->dialled_us = now_us;
 	peer->dialled = peer_conn_dial(set, set->ev, peer->address, set->config.timeout_ms,
 				       &dialled_callbacks, &set->counters, peer);
 	if (peer->dialled == NULL) {
@@ -279,6 +280,7 @@
 		return;
 	}
 	peer->verified = true;
+	peer->dialled_us = clock_now_us();
 	if (update_peer_info(peer, hello))
 		report_change(peer);
 	send_ping(peer, clock_now_us());
@@ -576,22 +578,50 @@
 	while (accepted != NULL) {
 		accepted_t *next = TAILQ_NEXT(accepted, link);
 
-		if (now_us - accepted->last_frame_us >= silence_limit_us)
+		if (now_us - accepted->last_frame_us < silence_limit_us) {
+			accepted = next;
+			continue;
+		}
+		/* What waits to be read was sent in time; this process is late. */
+		if (peer_conn_has_input(accepted->conn))
+			accepted->last_frame_us = now_us;
+		else
 			close_accepted(accepted);
 		accepted = next;
 	}
 }
 
-static void tick_peer(peer_t *peer, uint64_t now_us)
+static bool has_timed_out(const peer_t *peer, uint64_t timeout_us)
+{
+	return peer->dialled != NULL &&
+	       clock_now_us() - MAX(peer->last_pong_us, peer->dialled_us) >= timeout_us;
+}
+
+/* True when the dialled connection has made no progress for the peer timeout, although what has
+ * arrived on it was handled: a pong may wait there while this process is busy. */
+static bool is_silent(peer_t *peer, uint64_t timeout_us)
+{
+	if (!has_timed_out(peer, timeout_us))
+		return false;
+	if (peer_conn_has_input(peer->dialled)) {
+		if (peer->dialled->connecting)
+			peer->dialled_us = clock_now_us();
+		peer_conn_handle_ready(peer->dialled, true, false);
+	}
+	return has_timed_out(peer, timeout_us);
+}
+
+static void tick_peer(peer_t *peer)
 {
 	const peer_config_t *config = &peer->set->config;
 	uint64_t timeout_us = config->timeout_ms * US_PER_MS;
 	/* A connection is replaced after the timeout. The new one has two ping intervals to answer
 	 * before the peer counts as down. */
 	uint64_t down_us = timeout_us + 2 * config->ping_ms * US_PER_MS;
+	bool silent = is_silent(peer, timeout_us);
+	uint64_t now_us = clock_now_us();
 
-	if (peer->dialled != NULL &&
-	    now_us - MAX(peer->last_pong_us, peer->dial_started_us) >= timeout_us) {
+	if (silent) {
 		peer->set->counters.reconnects++;
 		close_dialled(peer);
 		peer->dial_due_us = now_us;
@@ -641,7 +671,7 @@
 	now_us = clock_now_us();
 	expire_accepted(set, now_us);
 	for (guint i = 0; i < set->peers->len; i++)
-		tick_peer(g_ptr_array_index(set->peers, i), now_us);
+		tick_peer(g_ptr_array_index(set->peers, i));
 	forget_silent_peers(set, now_us);
 }
 
--- a/src/peer_conn.c
+++ b/src/peer_conn.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -205,6 +206,13 @@
 		on_readable(conn);
 }
 
+bool peer_conn_has_input(const peer_conn_t *conn)
+{
+	struct pollfd poll_fd = {.fd = conn->fd, .events = conn->connecting ? POLLOUT : POLLIN};
+
+	return poll(&poll_fd, 1, 0) > 0;
+}
+
 bool peer_conn_has_queued(const peer_conn_t *conn)
 {
 	return conn->send_offset < conn->send_queue->len;
--- a/src/peer_conn.h
+++ b/src/peer_conn.h
@@ -74,6 +74,8 @@
  * the connection through its callbacks. Does nothing while one of its messages is being handled.
  */
 void peer_conn_handle_ready(peer_conn_t *conn, bool readable, bool writable);
+/** True when bytes, the end of the stream or the outcome of connecting wait to be handled. */
+bool peer_conn_has_input(const peer_conn_t *conn);
 /** True when queued bytes wait to be sent. */
 bool peer_conn_has_queued(const peer_conn_t *conn);
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -539,6 +539,44 @@
 	peer_set_destroy(node1.set);
 }
 
+static void send_raw_pong(int fd)
+{
+	g_autoptr(GByteArray) frame = g_byte_array_new();
+	Lp__Envelope envelope = LP__ENVELOPE__INIT;
+	Lp__Pong pong = LP__PONG__INIT;
+
+	envelope.body_case = LP__ENVELOPE__BODY_PONG;
+	envelope.pong = &pong;
+	frame_append(frame, &envelope);
+	assert_int_equal(send(fd, frame->data, frame->len, MSG_NOSIGNAL), frame->len);
+}
+
+/* Guards against a busy process that drops its peers because it judges their silence before it has
+ * read their pongs, and is then busy with connecting to them again. */
+static void test_pong_that_has_arrived_keeps_the_connection(void **state)
+{
+	char *member_addr = unused_address();
+	peer_address_t member = {.node_id = MEMBER_ID, .address = member_addr, .permanent = true};
+	node_t node1 = {0};
+	peer_callbacks_t callbacks = {
+		.message_received = on_message, .peer_changed = on_change, .arg = &node1};
+	int listen_fd = peer_conn_listen(member_addr);
+	int fd;
+
+	node1.set = start_member(unused_address(), &member, TIMEOUT_MS, &callbacks);
+	fd = accept_raw_peer(&node1, listen_fd, false);
+	send_raw_pong(fd);
+	wait_for_up_state(&node1, MEMBER_ID, true);
+	send_raw_pong(fd);
+	g_usleep(2 * TIMEOUT_MS * US_PER_MS);
+	tevent_loop_once(ev);
+	assert_int_equal(peer_counters(node1.set)->reconnects, 0);
+	assert_true(peer_info(node1.set, MEMBER_ID)->up);
+	close(fd);
+	close(listen_fd);
+	peer_set_destroy(node1.set);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -551,6 +589,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_message_to_a_member_is_sent_before_the_next_event, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_pong_that_has_arrived_keeps_the_connection,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_silent_connection_is_replaced, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_invalid_frame_closes_the_connection, set_up,
