--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -85,6 +85,7 @@
 	/* The leader has replied that it is none. Calls wait for the next hint of an active leader.
 	 */
 	bool leader_refused;
+	bool refuses_calls;
 	bool had_leader; /* whether a leader was known at the last tick; used to log changes */
 	metrics_counter_t *calls_resent;
 	metrics_counter_t *calls_unknown;
@@ -167,7 +168,9 @@
 	call->message->seq = link->next_seq++;
 	TAILQ_INSERT_TAIL(&link->calls, call, link);
 	link->open_calls++;
-	if (!edge_link_has_leader(link))
+	if (link->refuses_calls)
+		finish_without_reply(link, call, CAUSE_STOPPING);
+	else if (!edge_link_has_leader(link))
 		finish_without_reply(link, call, CAUSE_NO_LEADER);
 	else if (!send_call(link, call, now_us) && !link->leader_refused)
 		finish_without_reply(link, call, CAUSE_NOT_CONNECTED);
@@ -381,16 +384,26 @@
 	return link;
 }
 
-void edge_link_destroy(edge_link_t *link)
+void edge_link_refuse_calls(edge_link_t *link)
+{
+	link->refuses_calls = true;
+}
+
+void edge_link_finish_calls(edge_link_t *link)
 {
 	edge_call_t *call;
 	edge_call_t *next;
 
-	timer_unsubscribe(link->timers, &link->call_check);
 	for (call = TAILQ_FIRST(&link->calls); call != NULL; call = next) {
 		next = TAILQ_NEXT(call, link);
 		finish_without_reply(link, call, CAUSE_STOPPING);
 	}
+}
+
+void edge_link_destroy(edge_link_t *link)
+{
+	timer_unsubscribe(link->timers, &link->call_check);
+	edge_link_finish_calls(link);
 	peer_set_destroy(link->peers);
 	g_free(link);
 }
--- a/src/edge_link.h
+++ b/src/edge_link.h
@@ -39,6 +39,10 @@
 /** Completes the open calls, with the answer UNAVAILABLE if they had no effect, else UNKNOWN, and
  * frees the link. */
 void edge_link_destroy(edge_link_t *link);
+/** Completes new calls at once, with the answer UNAVAILABLE. Called before the process ends. */
+void edge_link_refuse_calls(edge_link_t *link);
+/** Completes the open calls, like edge_link_destroy(). */
+void edge_link_finish_calls(edge_link_t *link);
 /** Connects to the seeds in settings, in addition to the known peers. */
 void edge_link_set_seeds(edge_link_t *link, const process_settings_t *settings);
 
