start_window: start no more tasks at a time than the leader can follow up

When more jobs come than the leader's processor can serve, it ordered starts for all of them: each start costs a commit, a request, a response, hold requests and an end. The responses wait behind the messages of the next starts, the timeouts of 0.3 to 0.5 s pass, the requests are sent again, stopped and given up, and this work displaces the rest.

The change: the starts in flight, from the start intent to the response, are bounded by a window, like a congestion window. It doubles or grows step by step while responses are read within 60 ms, and is halved at most once in 100 ms when even the fastest response of an interval came later, or when the event loop was late. The fastest response counts, so that VMs which do not respond do not slow down the starts on the others. A pass starts the most valuable steps first, as before, and stops when the window is full; the rest waits without any work for it. Long-running tasks do not wait for the window. Placement passes take at most a tenth of the processor: the time to the next one grows with the duration of the latest.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -12,6 +12,9 @@
 /* Shortest interval between placement passes: one pass then reuses the capacity of all tasks
  * that finish at about the same time. */
 #define PLACE_MIN_INTERVAL_US (15 * US_PER_MS)
+/* Time until the next pass, as a multiple of the duration of the latest one: placement takes at
+ * most a tenth of the processor. */
+#define PLACE_INTERVAL_FACTOR 9
 /* Size limit of the task list in a log line, enough for about ten tasks of a step. For the other
  * tasks, later log lines about their runs name the VM. */
 #define LOG_TASKS_BYTES 160
@@ -19,6 +22,8 @@
  * decisions of the service. */
 #define ADVICE_VMS_MAX 30
 
+#define WINDOW_LOG_PERIOD_US (1 * US_PER_S)
+
 /* Most task sizes that a pool remembers as not placeable. */
 #define UNPLACEABLE_MAX 8
 
@@ -301,6 +306,7 @@
 	const Lp__BatchStep *spec = task->step->spec;
 	planned_t planned = {.task = task, .vm = vm, .run = next_run(task->step, task)};
 
+	start_window_add(&pass->leader->window);
 	task->local.intent_pending = true;
 	task->local.intent_vm = vm;
 	task->step->pending_intents++;
@@ -322,13 +328,29 @@
 	return false;
 }
 
-/* False when no VM of the step's service has enough unreserved resources for a task of it. Steps
- * that need tickets of a policy service are examined even so, because that requests the tickets. */
+/* @return number of tasks of the step that may be started now. Long-running tasks do not wait for
+ * the window, and a gang is started as a whole. */
+static size_t window_room(const placement_pass_t *pass, const Lp__BatchStep *spec)
+{
+	unsigned room = start_window_room(&pass->leader->window);
+
+	if (spec->long_running || (spec->gang && room > 0))
+		return spec->count;
+	return MIN(room, spec->count);
+}
+
+/* False when the window has no room, or no VM of the step's service has enough unreserved resources
+ * for a task of it. Steps that need tickets of a policy service do not need room on a VM, because
+ * examining them requests the tickets. */
 static bool step_has_room(void *arg, const batch_step_t *step)
 {
 	placement_pass_t *pass = arg;
 	const Lp__BatchQueue *queue = step->job->queue;
 
+	if (window_room(pass, step->spec) == 0) {
+		pass->leader->window_full = true;
+		return false;
+	}
 	if (queue != NULL && queue->advice != NULL)
 		return true;
 	return place_fits(&get_pool(pass, step->job->service)->most, step->spec);
@@ -382,16 +404,19 @@
 	size_t *chosen;
 	size_t wanted = 0;
 	size_t placed;
+	size_t room;
 
 	if (pool->vms->len == 0 || !step_has_room(pass, step) || pool_known_full(pool, spec))
 		return;
 	mem = talloc_new(NULL);
 	tasks = talloc_zero_array(mem, batch_task_t *, spec->count);
 	chosen = talloc_zero_array(mem, size_t, spec->count);
-	for (uint32_t i = 0; i < spec->count; i++) {
+	room = window_room(pass, spec);
+	for (uint32_t i = 0; i < spec->count && wanted < room; i++) {
 		if (is_placeable(&step->tasks[i]))
 			tasks[wanted++] = &step->tasks[i];
 	}
+	pass->leader->window_full |= wanted == room && room < spec->count;
 	if (wanted == 0 || (spec->gang && wanted < spec->count) ||
 	    !tickets_available(pass, pool, step, candidate->queue))
 		goto finish;
@@ -444,7 +469,8 @@
 	vm->planned_gpu -= intent->gpu;
 }
 
-static void finish_intent(batch_leader_t *leader, const intent_t *intent, bool committed)
+/* @return whether a start request was sent */
+static bool finish_intent(batch_leader_t *leader, const intent_t *intent, bool committed)
 {
 	batch_task_t *task = batch_state_task(leader->state, &intent->ref);
 	leader_vm_t *vm = vm_handle_get(&intent->vm);
@@ -453,24 +479,27 @@
 		release_reservation(vm, intent);
 	/* The task is NULL when its job has ended and the tasks were freed. */
 	if (task == NULL)
-		return;
+		return false;
 	clear_planned(task);
 	if (!committed || task->status != BATCH_TASK_ASSIGNED || task->run != intent->ref.run ||
 	    task->local.phase != RUN_INHERITED)
-		return;
+		return false;
 	/* A start intent of an earlier leader with the same run number was possibly committed
 	 * first, for another VM. */
 	if (task->vm == NULL || strcmp(task->vm->id, intent->vm.vm) != 0 ||
 	    task->vm->born_ms != intent->vm.born_ms)
-		return;
+		return false;
 	if (vm == NULL) {
 		leader_mark_run_lost(leader, task, "the VM has ended before the start");
-	} else if (batch_job_ended(task->step->job)) {
+		return false;
+	}
+	if (batch_job_ended(task->step->job)) {
 		task->local.phase = RUN_REFUSED;
 		leader_mark_run_lost(leader, task, "the job has ended before the start");
-	} else {
-		leader_request_start(vm, task);
+		return false;
 	}
+	leader_request_start(vm, task);
+	return true;
 }
 
 static void on_intents_committed(void *arg, Lp__ResultCode code)
@@ -481,8 +510,11 @@
 	if (!leader->active || leader->generation != intents->generation)
 		return;
 	leader->placement_due = true;
-	for (size_t i = 0; i < intents->count; i++)
-		finish_intent(leader, &intents->intents[i], code == LP__RESULT_CODE__RESULT_OK);
+	for (size_t i = 0; i < intents->count; i++) {
+		if (!finish_intent(leader, &intents->intents[i],
+				   code == LP__RESULT_CODE__RESULT_OK))
+			start_window_remove(&leader->window);
+	}
 }
 
 static void propose_intents(placement_pass_t *pass)
@@ -538,6 +570,31 @@
 	return strcmp(first->vm->id, second->vm->id);
 }
 
+static void report_window(batch_leader_t *leader, uint64_t now_us)
+{
+	char size[16];
+	char in_flight[16];
+
+	metrics_set(leader->stats.window, (uint64_t)leader->window.size);
+	metrics_set(leader->stats.in_flight, leader->window.in_flight);
+	if (!leader->window_full)
+		return;
+	metrics_add(leader->stats.window_full, 1);
+	if (now_us < leader->window_logged_us + WINDOW_LOG_PERIOD_US)
+		return;
+	leader->window_logged_us = now_us;
+	g_snprintf(size, sizeof(size), "%u", (unsigned)leader->window.size);
+	g_snprintf(in_flight, sizeof(in_flight), "%u", leader->window.in_flight);
+	log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("window", size, "in_flight", in_flight),
+		  "waiting tasks are not started, because this process is behind");
+}
+
+void leader_window_changed(batch_leader_t *leader)
+{
+	if (leader->window_full && start_window_room(&leader->window) > 0)
+		leader->placement_due = true;
+}
+
 void leader_clear_planned(batch_leader_t *leader)
 {
 	batch_job_t *job;
@@ -562,21 +619,32 @@
 	batch_candidates_t candidates;
 	const batch_candidate_t *candidate;
 
-	if (!leader->placement_due || now_us < leader->last_placement_us + PLACE_MIN_INTERVAL_US)
+	if (!leader->placement_due || now_us < leader->next_placement_us)
 		return;
 	leader->placement_due = false;
-	leader->last_placement_us = now_us;
+	leader->window_full = false;
 	pass.pools = g_hash_table_new_full(NULL, NULL, NULL, pool_free);
 	pass.planned = g_array_new(FALSE, FALSE, sizeof(planned_t));
 	batch_candidates_init(&candidates, leader->state, &room, now_us, pass.wall_ms);
-	while ((candidate = batch_candidates_next(&candidates)) != NULL)
+	/* Long-running steps, which do not wait for the window, come first. */
+	while ((candidate = batch_candidates_next(&candidates)) != NULL) {
+		if (window_room(&pass, candidate->step->spec) == 0) {
+			leader->window_full = true;
+			break;
+		}
 		place_candidate(&pass, candidate);
+	}
 	if (pass.planned->len > 0) {
 		g_array_sort(pass.planned, compare_planned);
 		propose_intents(&pass);
 	}
 	metrics_add(leader->stats.candidates, candidates.examined);
 	metrics_add(leader->stats.place_vms, pass.vms_examined);
+	metrics_add(leader->stats.passes, 1);
+	report_window(leader, now_us);
+	leader->next_placement_us =
+		now_us + MAX(PLACE_MIN_INTERVAL_US,
+			     (leader_now_us(leader) - now_us) * (PLACE_INTERVAL_FACTOR + 1));
 	batch_candidates_finish(&candidates);
 	g_array_unref(pass.planned);
 	g_hash_table_destroy(pass.pools);
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -547,6 +547,10 @@
 	leader->stats.preemptions = metrics_counter(metrics, "batch_preemptions_total", "");
 	leader->stats.candidates = metrics_counter(metrics, "batch_candidates_total", "");
 	leader->stats.place_vms = metrics_counter(metrics, "batch_place_vms_total", "");
+	leader->stats.passes = metrics_counter(metrics, "batch_passes_total", "");
+	leader->stats.window_full = metrics_counter(metrics, "batch_window_full_total", "");
+	leader->stats.window = metrics_counter(metrics, "batch_start_window", "");
+	leader->stats.in_flight = metrics_counter(metrics, "batch_starts_in_flight", "");
 	for (int i = 0; i < LEADER_PART_COUNT; i++) {
 		g_autofree char *labels = g_strdup_printf("part=\"%s\"", part_name(i));
 
@@ -633,6 +637,8 @@
 	leader->generation++;
 	leader->activated_us = leader_now_us(leader);
 	leader->placement_due = true;
+	leader->window_full = false;
+	start_window_init(&leader->window, leader->activated_us);
 	leader->list_in_flight = false;
 	leader->list_complete = false;
 	leader->list_requested_us = 0;
@@ -656,6 +662,7 @@
 		next = LIST_NEXT(vm, link);
 		free_vm(vm);
 	}
+	start_window_finish(&leader->window);
 	g_hash_table_remove_all(leader->ended_incarnations);
 	g_hash_table_remove_all(leader->machines);
 	g_hash_table_remove_all(leader->smoothed_need);
@@ -731,6 +738,7 @@
 	uint64_t late_us = gap_us > TICK_LATE_US ? gap_us - TICK_LATE_US : 0;
 
 	leader->last_tick_us = now_us;
+	start_window_delayed(&leader->window, late_us, now_us);
 	/* A longer delay counts at once. After it, tick_lag_us falls by an eighth per tick. */
 	leader->tick_lag_us = MAX(late_us, leader->tick_lag_us * 7 / 8);
 }
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -6,6 +6,7 @@
 #include "batch_leader.h"
 #include "batch_lease.h"
 #include "clock.h"
+#include "start_window.h"
 
 /**
  * @file
@@ -156,7 +157,10 @@
 					   incarnation that has ended */
 	uint64_t pass_count;
 	bool placement_due;
-	uint64_t last_placement_us;
+	uint64_t next_placement_us; /**< earliest time of the next placement pass */
+	start_window_t window;
+	uint64_t window_logged_us;
+	bool window_full; /**< the latest placement pass left out steps because of the window */
 	uint64_t decay_due_us;
 	uint64_t adopt_due_us;
 	double mean_slowness;
@@ -190,6 +194,10 @@
 		metrics_counter_t *preemptions; /**< number of late tasks stopped for that */
 		metrics_counter_t *candidates;	/**< number of steps examined for placement */
 		metrics_counter_t *place_vms;	/**< number of VMs examined for placement */
+		metrics_counter_t *passes;	/**< number of placement passes */
+		metrics_counter_t *window_full; /**< number of passes that the window has ended */
+		metrics_counter_t *window;	/**< number of starts allowed at the same time */
+		metrics_counter_t *in_flight;	/**< number of starts in flight */
 		metrics_counter_t *part_us[LEADER_PART_COUNT]; /**< time spent in each part */
 		metrics_histogram_t *start_latency;
 	} stats;
@@ -281,6 +289,8 @@
 /* batch_dispatch.c */
 void leader_place_tasks(batch_leader_t *leader, uint64_t now_us);
 void leader_clear_planned(batch_leader_t *leader);
+/** Runs another placement pass if the window has kept the latest one from starting tasks. */
+void leader_window_changed(batch_leader_t *leader);
 
 /* batch_ticket.c */
 typedef struct batch_ticket_cache batch_ticket_cache_t;
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -132,10 +132,12 @@
 		handle_start_unknown(vm, task);
 		break;
 	case VM_REPLY_NO_RESPONSE:
-		if (attempt < START_ATTEMPTS_MAX && may_retry_start(vm, task))
+		if (attempt < START_ATTEMPTS_MAX && may_retry_start(vm, task)) {
+			start_window_add(&vm->leader->window);
 			send_start(vm, task, attempt + 1);
-		else
+		} else {
 			handle_start_unknown(vm, task);
+		}
 		break;
 	}
 }
@@ -143,14 +145,19 @@
 static void on_start_reply(void *arg, const vm_reply_t *reply)
 {
 	g_autofree vm_request_t *request = arg;
+	batch_leader_t *leader = request->vm.leader;
+	uint64_t latency_us = leader_now_us(leader) - request->sent_us;
 	leader_vm_t *vm = vm_handle_get(&request->vm);
 	batch_task_t *task;
 
+	if (!leader->active || request->vm.generation != leader->generation)
+		return;
+	start_window_answered(&leader->window, latency_us, leader_now_us(leader));
+	leader_window_changed(leader);
 	if (vm == NULL)
 		return;
 	vm->starts_in_flight--;
-	metrics_record_us(vm->leader->stats.start_latency,
-			  leader_now_us(vm->leader) - request->sent_us);
+	metrics_record_us(leader->stats.start_latency, latency_us);
 	leader_update_lease(vm, reply, request->sent_us);
 	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
 	task = find_requested_task(request, vm);
--- /dev/null
+++ b/src/start_window.c
@@ -0,0 +1,106 @@
+#include "start_window.h"
+
+#include <glib.h>
+
+#include "clock.h"
+
+/* A leader that is not behind starts some thousand tasks a second, each within 50 ms, and a surge
+ * brings the first thousand at once. */
+#define INITIAL_SIZE 1024
+#define SIZE_MAX_STARTS 8192
+/* Latency above which a response counts as late. Responses normally arrive within a few ms. A task
+ * passes four such queues on the way to its end, and jobs of half a second allow for 600 ms. */
+#define LATENCY_TARGET_US (60 * US_PER_MS)
+/* Interval in which the window shrinks at most once. The next responses show the effect. */
+#define INTERVAL_US (100 * US_PER_MS)
+/* Fewer responses in an interval are no measure of the leader's load: they can be those of one VM
+ * that does not respond. */
+#define ANSWERS_MIN 8
+#define SHRINK_FACTOR 0.5
+/* Growth for as many responses as the window has room for, from the threshold on. */
+#define GROWTH 8.0
+
+void start_window_init(start_window_t *window, uint64_t now_us)
+{
+	*window = (start_window_t){.size = INITIAL_SIZE,
+				   .threshold = SIZE_MAX_STARTS,
+				   .fastest_us = UINT64_MAX,
+				   .interval_us = now_us};
+}
+
+void start_window_finish(start_window_t *window)
+{
+	*window = (start_window_t){0};
+}
+
+unsigned start_window_room(const start_window_t *window)
+{
+	unsigned size = (unsigned)window->size;
+
+	return size > window->in_flight ? size - window->in_flight : 0;
+}
+
+void start_window_add(start_window_t *window)
+{
+	window->in_flight++;
+	window->most_in_flight = MAX(window->most_in_flight, window->in_flight);
+}
+
+void start_window_remove(start_window_t *window)
+{
+	if (window->in_flight > 0)
+		window->in_flight--;
+}
+
+static void begin_interval(start_window_t *window, uint64_t now_us)
+{
+	window->interval_us = now_us;
+	window->most_in_flight = window->in_flight;
+	window->answers = 0;
+	window->fastest_us = UINT64_MAX;
+}
+
+static void shrink(start_window_t *window, uint64_t now_us)
+{
+	window->size = MAX(window->size * SHRINK_FACTOR, START_WINDOW_MIN);
+	window->threshold = window->size;
+	begin_interval(window, now_us);
+}
+
+/* A window that is not used says nothing about the starts that it would allow. */
+static void grow(start_window_t *window)
+{
+	if (window->most_in_flight < window->size / 2)
+		return;
+	window->size += window->size < window->threshold ? 1.0 : GROWTH / window->size;
+	window->size = MIN(window->size, SIZE_MAX_STARTS);
+}
+
+static void end_interval(start_window_t *window, uint64_t now_us)
+{
+	if (now_us < window->interval_us + INTERVAL_US || window->answers < ANSWERS_MIN)
+		return;
+	if (window->fastest_us > LATENCY_TARGET_US)
+		shrink(window, now_us);
+	else
+		begin_interval(window, now_us);
+}
+
+void start_window_answered(start_window_t *window, uint64_t latency_us, uint64_t now_us)
+{
+	end_interval(window, now_us);
+	/* An interval begins with its first response, so that it covers many of them. */
+	if (window->answers == 0)
+		window->interval_us = now_us;
+	if (latency_us <= LATENCY_TARGET_US)
+		grow(window);
+	start_window_remove(window);
+	window->answers++;
+	window->fastest_us = MIN(window->fastest_us, latency_us);
+}
+
+void start_window_delayed(start_window_t *window, uint64_t delay_us, uint64_t now_us)
+{
+	if (delay_us > LATENCY_TARGET_US && now_us >= window->interval_us + INTERVAL_US)
+		shrink(window, now_us);
+}
