--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -550,6 +550,10 @@
 	leader->stats.preemptions = metrics_counter(metrics, "batch_preemptions_total", "");
 	leader->stats.candidates = metrics_counter(metrics, "batch_candidates_total", "");
 	leader->stats.place_vms = metrics_counter(metrics, "batch_place_vms_total", "");
+	leader->stats.passes = metrics_counter(metrics, "batch_passes_total", "");
+	leader->stats.window_full = metrics_counter(metrics, "batch_window_full_total", "");
+	leader->stats.window = metrics_counter(metrics, "batch_start_window", "");
+	leader->stats.in_flight = metrics_counter(metrics, "batch_starts_in_flight", "");
 	for (int i = 0; i < LEADER_PART_COUNT; i++) {
 		g_autofree char *labels = g_strdup_printf("part=\"%s\"", part_name(i));
 
@@ -638,6 +642,8 @@
 	leader->last_tick_us = 0;
 	leader->tick_lag_us = 0;
 	leader->placement_due = true;
+	leader->window_full = false;
+	start_window_init(&leader->window, leader->activated_us);
 	leader->list_in_flight = false;
 	leader->list_complete = false;
 	leader->list_requested_us = 0;
@@ -661,6 +667,7 @@
 		next = LIST_NEXT(vm, link);
 		free_vm(vm);
 	}
+	start_window_finish(&leader->window);
 	g_hash_table_remove_all(leader->ended_incarnations);
 	g_hash_table_remove_all(leader->machines);
 	g_hash_table_remove_all(leader->smoothed_need);
@@ -739,6 +746,7 @@
 	/* Ticks can come in time while many messages wait. */
 	if (leader->input_delay_us > INPUT_DELAY_NORMAL_US)
 		late_us = MAX(late_us, leader->input_delay_us - INPUT_DELAY_NORMAL_US);
+	start_window_delayed(&leader->window, late_us, now_us);
 	/* A longer delay counts at once. After it, tick_lag_us falls by an eighth per tick. */
 	leader->tick_lag_us = MAX(late_us, leader->tick_lag_us * 7 / 8);
 }
