start_window, batch_machines: a loaded leader goes on starting tasks

Cause: the window of starts shrinks while the fastest response takes over 60 ms. Work other than starts (reports, moves, calls) delays responses by more than that on a loaded leader, so that the window stayed at its minimum of 16: some hundred starts a second for 1,100 VMs. The moves of machines took the most: 500 to 1,100 in 4 s, each with two commits and an HTTP request, more of them the more tasks wait.

Change: the minimum is 128. While the leader is behind, a quarter of the moves is allowed. The time by which messages wait does not shrink the window by itself, as the latency of the responses shows it already.

--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -743,10 +743,10 @@
 	uint64_t late_us = gap_us > TICK_LATE_US ? gap_us - TICK_LATE_US : 0;
 
 	leader->last_tick_us = now_us;
+	start_window_delayed(&leader->window, late_us, now_us);
 	/* Ticks can come in time while many messages wait. */
 	if (leader->input_delay_us > INPUT_DELAY_NORMAL_US)
 		late_us = MAX(late_us, leader->input_delay_us - INPUT_DELAY_NORMAL_US);
-	start_window_delayed(&leader->window, late_us, now_us);
 	/* A longer delay counts at once. After it, tick_lag_us falls by an eighth per tick. */
 	leader->tick_lag_us = MAX(late_us, leader->tick_lag_us * 7 / 8);
 }
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -21,6 +21,9 @@
 /* Interval between runs of the capacity planning, which decides the sizes of the pools. A surge
  * builds up over seconds, and a move takes 1.5 s. */
 #define CAPACITY_PERIOD_US (200 * US_PER_MS)
+/* Lag of this process from which the moves are limited, and the divisor of their number then. */
+#define MOVES_LAG_US (100 * US_PER_MS)
+#define BEHIND_MOVES_DIVISOR 4
 /* Delay before repeating a move request that was unanswered, or refused because the machine is
  * busy. */
 #define MOVE_RETRY_US (400 * US_PER_MS)
@@ -903,11 +906,14 @@
 }
 
 /* @return most moves per period: three quarters of the platform's rate limit, as the rest is for
- * maintenance and repeated requests */
+ * maintenance and repeated requests, and fewer while this process is behind: each move costs it two
+ * commits and an HTTP request, and more machines do not help while it cannot start tasks on them */
 static size_t moves_allowed(const batch_leader_t *leader)
 {
 	uint64_t orders = leader->config.platform_requests_per_s * CAPACITY_PERIOD_US / US_PER_S;
 
+	if (leader->tick_lag_us > MOVES_LAG_US)
+		orders /= BEHIND_MOVES_DIVISOR;
 	return MAX(orders * 3 / 4, 1);
 }
 
--- a/src/start_window.c
+++ b/src/start_window.c
@@ -8,9 +8,6 @@
  * brings the first thousand at once. */
 #define INITIAL_SIZE 1024
 #define SIZE_MAX_STARTS 8192
-/* Latency above which a response counts as late. Responses normally arrive within a few ms. A task
- * passes four such queues on the way to its end, and jobs of half a second allow for 600 ms. */
-#define LATENCY_TARGET_US (60 * US_PER_MS)
 /* Interval in which the window shrinks at most once. The next responses show the effect. */
 #define INTERVAL_US (100 * US_PER_MS)
 /* Fewer responses in an interval are no measure of the leader's load: they can be those of one VM
@@ -80,7 +77,7 @@
 {
 	if (now_us < window->interval_us + INTERVAL_US || window->answers < ANSWERS_MIN)
 		return;
-	if (window->fastest_us > LATENCY_TARGET_US)
+	if (window->fastest_us > START_WINDOW_LATENCY_US)
 		shrink(window, now_us);
 	else
 		begin_interval(window, now_us);
@@ -92,7 +89,7 @@
 	/* An interval begins with its first response, so that it covers many of them. */
 	if (window->answers == 0)
 		window->interval_us = now_us;
-	if (latency_us <= LATENCY_TARGET_US)
+	if (latency_us <= START_WINDOW_LATENCY_US)
 		grow(window);
 	start_window_remove(window);
 	window->answers++;
@@ -101,6 +98,6 @@
 
 void start_window_delayed(start_window_t *window, uint64_t delay_us, uint64_t now_us)
 {
-	if (delay_us > LATENCY_TARGET_US && now_us >= window->interval_us + INTERVAL_US)
+	if (delay_us > START_WINDOW_LATENCY_US && now_us >= window->interval_us + INTERVAL_US)
 		shrink(window, now_us);
 }
--- a/src/start_window.h
+++ b/src/start_window.h
@@ -12,7 +12,13 @@
  */
 
 /** Lower limit of the window, so that starts always make progress. */
-#define START_WINDOW_MIN 16
+#define START_WINDOW_MIN 128
+/**
+ * Latency above which a response counts as late, in microseconds. Responses normally arrive within
+ * a few ms. A task passes four such queues on the way to its end, and jobs of half a second allow
+ * for 600 ms.
+ */
+#define START_WINDOW_LATENCY_US (60 * US_PER_MS)
 
 typedef struct {
 	double size;
