--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -183,7 +183,7 @@
 				.count = 3};
 	raft_t *raft = raft_create(NULL, &options);
 	Lp__AppendReply reply;
-	bool after_sync;
+	bool after_sync = false;
 
 	raft_restore_base(raft, 0, 0, &config);
 	raft_start(raft, 0);
