duty_limit, batch_node: the leader's passes leave time for messages

Cause: ticks (every 25 ms) and placements (after each event, at most every 15 ms) are timers and immediate events, and tevent runs both before sockets. When the fleet is so large, or the core so slow, that a pass takes about as long as the interval, sockets are read only now and then. A profile of such a leader: 48 to 54% of the time in timers, 23 to 31% in immediate events, 18% in sockets.

Change: after a pass that took t, the next one of its kind waits for 3 t, so that ticks take a quarter of the time at most, and placements another one. Passes of up to 5 ms are not affected: their intervals are longer than that already. Metric node_leader_passes_deferred_total.

--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -101,6 +101,20 @@
 	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("ms", ms), "event loop was blocked");
 }
 
+/* Runs a pass of the leader unless it is too early after the preceding one of its kind; a later
+ * event then makes up for it. */
+static void run_pass(batch_node_t *node, duty_limit_t *limit, void (*pass)(batch_leader_t *leader))
+{
+	uint64_t started_us = clock_now_us();
+
+	if (!duty_limit_may_start(limit, started_us)) {
+		metrics_add(node->passes_deferred, 1);
+		return;
+	}
+	pass(node->leader);
+	duty_limit_record(limit, started_us, clock_now_us());
+}
+
 static void on_leader_tick(void *arg, uint64_t now_us)
 {
 	batch_node_t *node = arg;
@@ -108,7 +122,7 @@
 	record_tick_gap(node, now_us);
 	update_leadership(node);
 	if (node->active_term != 0 && replica_has_lease(node->replica))
-		batch_leader_tick(node->leader);
+		run_pass(node, &node->tick_limit, batch_leader_tick);
 	else
 		batch_leader_observe(node->leader);
 }
@@ -120,7 +134,7 @@
 	node->placement_scheduled = false;
 	update_leadership(node);
 	if (node->active_term != 0 && replica_has_lease(node->replica))
-		batch_leader_place_tasks(node->leader);
+		run_pass(node, &node->placement_limit, batch_leader_place_tasks);
 }
 
 static void schedule_placement(batch_node_t *node)
@@ -587,6 +601,8 @@
 	node->jobs_submitted = metrics_counter(node->metrics, "batch_jobs_submitted_total", "");
 	node->jobs_rejected = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
 	node->tick_gap = metrics_histogram(node->metrics, "node_tick_gap_us", "");
+	node->passes_deferred =
+		metrics_counter(node->metrics, "node_leader_passes_deferred_total", "");
 	node->member_wait = metrics_histogram(node->metrics, "node_member_wait_us", "");
 	node->commit_latency = metrics_histogram(node->metrics, "batch_commit_latency_us", "");
 	batch_state_init(&node->state);
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "batch_node.h"
+#include "duty_limit.h"
 #include "vm_cache.h"
 #include "vm_relay.h"
 
@@ -37,6 +38,9 @@
 	metrics_histogram_t *commit_latency;
 	metrics_histogram_t *tick_gap;
 	metrics_histogram_t *member_wait;
+	metrics_counter_t *passes_deferred;
+	duty_limit_t tick_limit;
+	duty_limit_t placement_limit;
 	uint64_t last_tick_us;
 };
 
