--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -5,6 +5,7 @@
 #include "batch_admit.h"
 #include "batch_node.h"
 #include "reply_queue.h"
+#include "duty_limit.h"
 #include "vm_cache.h"
 #include "vm_relay.h"
 
@@ -44,6 +45,9 @@
 	metrics_histogram_t *tick_gap;
 	metrics_histogram_t *input_delay;
 	metrics_histogram_t *member_wait;
+	metrics_counter_t *passes_deferred;
+	duty_limit_t tick_limit;
+	duty_limit_t placement_limit;
 	uint64_t last_tick_us;
 };
 
