edge_link: calls that nobody has end with the last known leader

Callers waited for their whole deadline and then got 503, although the edge process had known for up to two seconds that there is no leader; a client that comes at that moment is answered at once.

Cause: a call that a deposed leader had given back waited for the next leader until its deadline.

A call that a leader possibly carried out still waits for the next one.

--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -328,6 +328,8 @@
 			mark_uncertain(call);
 		if (now_us >= call->deadline_us)
 			finish_without_reply(link, call, cause_at_deadline(call));
+		else if (call->sent_to == 0 && !call->uncertain && !has_leader)
+			finish_without_reply(link, call, CAUSE_NO_LEADER);
 		else if (call->sent_to == 0 && now_us >= call->ask_again_us)
 			send_call(link, call, now_us);
 	}
--- a/tests/test_edge_link.c
+++ b/tests/test_edge_link.c
@@ -308,7 +308,7 @@
 	leaders[0].answer = LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER;
 	leaders[0].serving = false;
 	make_calls(CALL_COUNT);
-	run_event_loop_ms(900);
+	run_event_loop_ms(600);
 	assert_int_equal(leaders[0].call_count, CALL_COUNT);
 	leaders[0].answer = LP__BATCH_ANSWER__BATCH_ANSWER_OK;
 	leaders[0].serving = true;
@@ -329,6 +329,22 @@
 	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE], CALL_COUNT);
 }
 
+/* Guards against clients that wait for their whole deadline although no leader is left. */
+static void test_unsent_calls_end_with_the_last_leader(void **state)
+{
+	uint64_t started_us;
+
+	start_leader(0, 1);
+	wait_for_leader();
+	leaders[0].answer = LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER;
+	leaders[0].serving = false;
+	started_us = clock_now_us();
+	make_calls_with_timeout(CALL_COUNT, 10000);
+	wait_for_answers(CALL_COUNT);
+	assert_int_equal(answers.by_answer[LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE], CALL_COUNT);
+	assert_in_range(answers.last_us - started_us, 0, 2 * US_PER_S);
+}
+
 /* Guards against "unknown" for calls that can still be asked about at the next leader. */
 static void test_lost_replies_are_asked_for_again(void **state)
 {
@@ -444,6 +460,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_unsent_calls_are_answered_as_not_run, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_unsent_calls_end_with_the_last_leader, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_replies_are_asked_for_again, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_calls_of_a_dead_leader_are_unknown, set_up,
