batch_orders: ask the VM for its runs before stopping a run of unknown start

Cause: when three attempts of a start request got no answer, the run was stopped at once. It possibly runs and is at work by then, 0.9 to 1.4 s after its start, and another task of its step can be away for any cause.

Change: the VM is asked for its runs first, over another connection if a hold request waits there. A run that it lists is confirmed and goes on; one that it does not list is stopped as before, so that a late start request is refused. This also saves the work of the runs that were stopped.

Evidence: the simulation checks AVAIL for stop requests and has requests that are lost.

--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -74,8 +74,8 @@
 	leader_mark_run_lost(vm->leader, task, vm_reply_name(code));
 }
 
-/* Handles a start request whose result is unknown: stops the run, and sends a hold request to
- * learn whether the VM had started it. */
+/* Handles a start request whose result is unknown: asks the VM for its runs. A run that it does not
+ * list is stopped (handle_unlisted_run()), so that the request cannot be carried out any more. */
 static void handle_start_unknown(leader_vm_t *vm, batch_task_t *task)
 {
 	uint64_t now_us = leader_now_us(vm->leader);
@@ -84,7 +84,7 @@
 	task->local.phase = RUN_UNSURE;
 	task->local.phase_since_us = now_us;
 	vm->hold_due_us = now_us;
-	leader_request_stop(vm, task);
+	vm->probe_due_us = now_us; /* a hold request in flight can wait for the end of a run */
 }
 
 static bool may_retry_start(const leader_vm_t *vm, const batch_task_t *task)
@@ -276,8 +276,9 @@
 			continue;
 		if (must_stop(task))
 			leader_request_stop(vm, task);
-		else if (task->local.phase == RUN_UNSURE && !task->local.stop_acked)
-			leader_request_stop(vm, task);
+		else if (task->local.phase == RUN_UNSURE && task->local.stop_due_us != 0 &&
+			 !task->local.stop_acked)
+			leader_request_stop(vm, task); /* the first stop request has failed */
 	}
 }
 
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -22,6 +22,10 @@
 #define VM_CPU_MILLI 64000
 #define VM_MEM_MIB 262144
 #define CANCEL_GRACE_MS 3000
+/* Time from its start until a long-running task is at work. */
+#define STARTUP_MS 900
+/* A long-running task counts as away when it was not at work for this long. */
+#define NOTICE_MS 4500
 /* Time after which the outcome of a proposal that is not committed is reported as unknown. */
 #define PROPOSE_TIMEOUT_MS 3000
 /* Time for which only one leader may send platform requests for a machine. */
@@ -83,6 +87,12 @@
 	bool acknowledged;  /* the leader has acknowledged it, and the VM's lease had not expired */
 } completion_t;
 
+/* End of the latest run of a long-running task. */
+typedef struct {
+	uint64_t time_us;
+	bool by_order; /* a stop request has ended the run */
+} absence_t;
+
 struct vm_sim {
 	vm_sim_config_t config;
 	GRand *rand;
@@ -98,6 +108,7 @@
 	GPtrArray *vms;	       /* of sim_vm_t, one for each machine */
 	GHashTable *completed; /* task -> completion_t of its first completed run */
 	GHashTable *failed;    /* task -> number of its failed runs */
+	GHashTable *absences;  /* task -> absence_t */
 	GHashTable *cancelled; /* job -> time in us when its cancellation was committed */
 	GString *violations;
 	uint32_t platform_delay_ms;
@@ -180,6 +191,20 @@
 	g_hash_table_replace(vm->highest_runs, key, GUINT_TO_POINTER(MAX(known, run)));
 }
 
+static void note_absence(vm_sim_t *sim, const task_id_t *id, bool by_order)
+{
+	absence_t *absence = g_new(absence_t, 1);
+
+	*absence = (absence_t){.time_us = sim->now_us, .by_order = by_order};
+	g_hash_table_replace(sim->absences, task_key(id), absence);
+}
+
+static void note_absences(sim_vm_t *vm)
+{
+	for (guint i = 0; i < vm->runs->len; i++)
+		note_absence(vm->sim, &g_array_index(vm->runs, sim_run_t, i).task, false);
+}
+
 static void end_run(sim_vm_t *vm, guint i, Lp__BatchEndKind kind)
 {
 	sim_run_t run = g_array_index(vm->runs, sim_run_t, i);
@@ -188,6 +213,7 @@
 	char *key;
 
 	g_array_append_val(vm->finished, finished);
+	note_absence(vm->sim, &run.task, kind == LP__BATCH_END_KIND__BATCH_END_STOPPED);
 	raise_highest_run(vm, &run.task, run.run);
 	g_array_remove_index(vm->runs, i);
 	key = task_key(&run.task);
@@ -324,6 +350,57 @@
 		MAX(vm->lease_end_us, vm->sim->now_us + MIN(left_ms, LEASE_MAX_MS) * US_PER_MS);
 }
 
+static bool is_at_work(vm_sim_t *sim, const task_id_t *id)
+{
+	for (guint i = 0; i < sim->vms->len; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		for (guint j = 0; vm->up && j < vm->runs->len; j++) {
+			const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, j);
+
+			if (same_task(&run->task, id) && vm->lease_end_us > sim->now_us &&
+			    sim->now_us >= run->start_us + STARTUP_MS * US_PER_MS)
+				return true;
+		}
+	}
+	return false;
+}
+
+static bool is_away(vm_sim_t *sim, const task_id_t *id, const batch_job_t *job)
+{
+	g_autofree char *key = task_key(id);
+	const absence_t *absence = g_hash_table_lookup(sim->absences, key);
+	uint64_t since_us = absence != NULL ? absence->time_us
+					    : (job->accepted_ms - WALL_OFFSET_MS) * US_PER_MS;
+
+	if (is_at_work(sim, id))
+		return false;
+	return (absence != NULL && absence->by_order) ||
+	       sim->now_us >= since_us + NOTICE_MS * US_PER_MS;
+}
+
+/* Records a violation if a stop request ends a task at work while too many others of its step are
+ * away. */
+static void check_availability(vm_sim_t *sim, const task_id_t *id)
+{
+	const Lp__BatchStep *spec = find_step_spec(sim, id);
+	const batch_job_t *job = batch_state_job(&sim->state, id->job);
+	g_autofree char *key = task_key(id);
+	uint32_t away = 0;
+
+	if (spec == NULL || spec->max_unavailable == 0 || batch_job_ended(job) ||
+	    !is_at_work(sim, id))
+		return;
+	for (uint32_t i = 0; i < spec->count; i++) {
+		task_id_t other = *id;
+
+		other.index = i;
+		away += i != id->index && is_away(sim, &other, job);
+	}
+	if (away >= spec->max_unavailable)
+		add_violation(sim, "AVAIL", key);
+}
+
 /* --- VM requests --- */
 
 typedef enum {
@@ -345,6 +422,7 @@
 	vm_reply_fn done;
 	void *arg;
 	bool no_reply; /* the request is carried out, but its response is dropped */
+	bool held_up;  /* the request is carried out seconds late */
 	vm_reply_t reply;
 	GArray *running;
 	GArray *finished;
@@ -435,6 +513,8 @@
 		const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
 
 		if (same_task(&run->task, &stop->task) && run->run <= stop->run) {
+			if (!call->held_up)
+				check_availability(vm->sim, &stop->task);
 			end_run(vm, i, LP__BATCH_END_KIND__BATCH_END_STOPPED);
 			break;
 		}
@@ -492,7 +572,7 @@
 			.run = run->run,
 			.percent = run->end_us != 0 ? (uint32_t)(age_us * 100 /
 								 (run->end_us - run->start_us))
-						    : (age_us > 900 * US_PER_MS ? 100 : 50),
+						    : (age_us >= STARTUP_MS * US_PER_MS ? 100 : 50),
 		};
 
 		g_array_append_val(call->running, running);
@@ -602,10 +682,16 @@
 {
 	bool delayed = fault_occurs(sim, sim->config.late_request_share);
 	bool reply_lost = !delayed && fault_occurs(sim, sim->config.lost_reply_share);
+	bool lost = !delayed && !reply_lost && fault_occurs(sim, sim->config.lost_request_share);
 
 	call->sim = sim;
+	call->held_up = delayed;
 	g_strlcpy(call->address, vm->address, sizeof(call->address));
 	g_strlcpy(call->id, vm->id, sizeof(call->id));
+	if (lost) {
+		schedule(sim, sim->now_us + timeout_ms(call) * US_PER_MS, deliver_timeout, call);
+		return;
+	}
 	if (delayed || reply_lost) {
 		call_t *timeout_call = g_memdup2(call, sizeof(*call));
 
@@ -739,6 +825,7 @@
 	vm->up = false;
 	vm->powered_off = false;
 	vm->busy = true;
+	note_absences(vm);
 	g_array_set_size(vm->runs, 0);
 	schedule(vm->sim, vm->sim->now_us + for_ms * US_PER_MS, boot_vm, vm);
 }
@@ -1011,6 +1098,7 @@
 	if (fault_due(sim, sim->config.mean_crash_interval_ms) && vm->up) {
 		vm->up = false;
 		vm->busy = true;
+		note_absences(vm);
 		g_array_set_size(vm->runs, 0);
 		schedule(sim, random_time_us(sim, 500, 5000), boot_vm, vm);
 	}
@@ -1153,6 +1241,7 @@
 	sim->vms = g_ptr_array_new();
 	sim->completed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sim->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->violations = g_string_new(NULL);
 	sim->platform_delay_ms = 5;
@@ -1206,6 +1295,7 @@
 	g_sequence_free(sim->events);
 	g_hash_table_destroy(sim->completed);
 	g_hash_table_destroy(sim->failed);
+	g_hash_table_destroy(sim->absences);
 	g_hash_table_destroy(sim->cancelled);
 	g_string_free(sim->violations, TRUE);
 	g_rand_free(sim->rand);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -23,6 +23,8 @@
 	double late_request_share; /**< share of VM requests that get no response and are carried
 				      out 2 to 12 s later */
 	double lost_reply_share;   /**< share of VM and platform requests whose response is lost */
+	double lost_request_share; /**< share of VM requests that do not reach the VM, because the
+				      edge process that passes them on ends */
 	double failed_end_share;   /**< share of runs that fail */
 	uint32_t mean_crash_interval_ms;  /**< mean time between crashes in the fleet, each of one
 					     VM; 0: no crashes */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -619,6 +619,26 @@
 		run_load_with_commit_stalls(failed[i]);
 }
 
+/* Guards against stopping a long-running task that is at work, while another one of its step is
+ * away, only because the responses to its start request were lost. */
+static void test_guarantees_with_lost_start_replies(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + 2 * seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 6,
+			.standby_vms = 2,
+			.lost_reply_share = 0.5,
+			.lost_request_share = 0.1,
+			.failed_end_share = 0.02,
+			.mean_crash_interval_ms = 4000,
+			.seed = seed,
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Prints the leader's CPU time for a large fleet, which shows whether its work grows with the
  * square of the number of VMs. */
 static void test_leader_cpu_time_on_large_fleet(void **state)
@@ -670,6 +690,7 @@
 		cmocka_unit_test(test_guarantees_with_short_terms),
 		cmocka_unit_test(test_maintenance_with_commit_stalls),
 		cmocka_unit_test(test_guarantees_with_commit_stalls),
+		cmocka_unit_test(test_guarantees_with_lost_start_replies),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
