batch_orders: repeat the stop of a moving task only while its step allows it

Cause: a task is selected to move when its step allows one more unavailable task. When the stop request is lost, as when the edge process that passes it on ends, or the VM is cut off, it was repeated without another look, and another task of the step can have become unavailable meanwhile.

Change: a stop request for a task that moves is sent or repeated only while its step allows as many unavailable tasks as there are; the task stays selected, so that no other is chosen instead.

--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -288,6 +288,11 @@
  * them up again afterwards.
  */
 void leader_pace_tick(leader_vm_t *vm, uint64_t now_us);
+/**
+ * True when the stop request of a task that was selected to move to another VM can be sent, or
+ * repeated: its step allows as many unavailable tasks as there are now.
+ */
+bool leader_may_stop_evacuated(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us);
 /** Selects tasks on a draining or cordoned VM that must move to other VMs. */
 void leader_evacuate_tick(leader_vm_t *vm, uint64_t now_us);
 
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -254,10 +254,11 @@
 	send_stop(vm, &stop, on_orphan_stopped, handle);
 }
 
-static bool must_stop(const batch_task_t *task)
+static bool must_stop(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
 {
-	return batch_job_ended(task->step->job) || task->status == BATCH_TASK_DONE ||
-	       task->local.evacuate;
+	if (batch_job_ended(task->step->job) || task->status == BATCH_TASK_DONE)
+		return true;
+	return task->local.evacuate && leader_may_stop_evacuated(vm, task, now_us);
 }
 
 void leader_stop_tick(leader_vm_t *vm, uint64_t now_us)
@@ -274,7 +275,7 @@
 		if (task->status == BATCH_TASK_DONE && task->step->spec->gang &&
 		    now_us < task->local.phase_since_us + STOP_RETRY_US)
 			continue;
-		if (must_stop(task))
+		if (must_stop(vm, task, now_us))
 			leader_request_stop(vm, task);
 		else if (task->local.phase == RUN_UNSURE && task->local.stop_due_us != 0 &&
 			 !task->local.stop_acked)
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -129,6 +129,15 @@
 	return count_unavailable(task->step, now_us) < spec->max_unavailable;
 }
 
+bool leader_may_stop_evacuated(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
+{
+	const Lp__BatchStep *spec = task->step->spec;
+
+	/* The task itself counts as unavailable since it was selected. */
+	return vm->draining || spec->max_unavailable == 0 ||
+	       count_unavailable(task->step, now_us) <= spec->max_unavailable;
+}
+
 static bool needs_evacuation(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
 {
 	const Lp__BatchStep *spec = task->step->spec;
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -639,6 +639,29 @@
 	}
 }
 
+/* Guards against repeating the stop request of a long-running task that moves, although another
+ * task of its step has become unavailable since the move was decided. */
+static void test_guarantees_with_lost_stop_requests(void **state)
+{
+	static const uint64_t failed[] = {61, 76, 115, 241, 268, 343, 506, 865};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 6,
+			.standby_vms = 2,
+			.lost_reply_share = 0.1,
+			.lost_request_share = 0.1,
+			.failed_end_share = 0.02,
+			.mean_crash_interval_ms = 4000,
+			.mean_cutoff_interval_ms = 3000,
+			.seed = failed[i],
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Prints the leader's CPU time for a large fleet, which shows whether its work grows with the
  * square of the number of VMs. */
 static void test_leader_cpu_time_on_large_fleet(void **state)
@@ -691,6 +714,7 @@
 		cmocka_unit_test(test_maintenance_with_commit_stalls),
 		cmocka_unit_test(test_guarantees_with_commit_stalls),
 		cmocka_unit_test(test_guarantees_with_lost_start_replies),
+		cmocka_unit_test(test_guarantees_with_lost_stop_requests),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
