--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -2445,7 +2445,7 @@
   (ProtobufCMessageInit) lp__batch_starts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_end__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lp__batch_end__field_descriptors[4] =
 {
   {
     "task",
@@ -2483,16 +2483,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crash",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchEnd, crash),
+    &lp__batch_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_end__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
+  3,   /* field[3] = crash */
   1,   /* field[1] = kind */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange lp__batch_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lp__batch_end__descriptor =
 {
@@ -2502,7 +2515,7 @@
   "Lp__BatchEnd",
   "lp",
   sizeof(Lp__BatchEnd),
-  3,
+  4,
   lp__batch_end__field_descriptors,
   lp__batch_end__field_indices_by_name,
   1,  lp__batch_end__number_ranges,
@@ -2946,7 +2959,7 @@
   (ProtobufCMessageInit) lp__batch_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_task_state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor lp__batch_task_state__field_descriptors[7] =
 {
   {
     "status",
@@ -3008,18 +3021,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchTaskState, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seen_crashes",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchTaskState, seen_crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_task_state__field_indices_by_name[] = {
   4,   /* field[4] = checkpoint */
+  5,   /* field[5] = crashes */
   2,   /* field[2] = failures */
   1,   /* field[1] = run */
+  6,   /* field[6] = seen_crashes */
   0,   /* field[0] = status */
   3,   /* field[3] = vm */
 };
 static const ProtobufCIntRange lp__batch_task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor lp__batch_task_state__descriptor =
 {
@@ -3029,7 +3068,7 @@
   "Lp__BatchTaskState",
   "lp",
   sizeof(Lp__BatchTaskState),
-  5,
+  7,
   lp__batch_task_state__field_descriptors,
   lp__batch_task_state__field_indices_by_name,
   1,  lp__batch_task_state__number_ranges,
@@ -4735,6 +4774,38 @@
   lp__batch_end_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
+static const ProtobufCEnumValue lp__batch_crash__enum_values_by_number[4] =
+{
+  { "BATCH_CRASH_NONE", "LP__BATCH_CRASH__BATCH_CRASH_NONE", 0 },
+  { "BATCH_CRASH_UNSURE", "LP__BATCH_CRASH__BATCH_CRASH_UNSURE", 1 },
+  { "BATCH_CRASH_SUSPECT", "LP__BATCH_CRASH__BATCH_CRASH_SUSPECT", 2 },
+  { "BATCH_CRASH_CAUSE", "LP__BATCH_CRASH__BATCH_CRASH_CAUSE", 3 },
+};
+static const ProtobufCIntRange lp__batch_crash__value_ranges[] = {
+{0, 0},{0, 4}
+};
+static const ProtobufCEnumValueIndex lp__batch_crash__enum_values_by_name[4] =
+{
+  { "BATCH_CRASH_CAUSE", 3 },
+  { "BATCH_CRASH_NONE", 0 },
+  { "BATCH_CRASH_SUSPECT", 2 },
+  { "BATCH_CRASH_UNSURE", 1 },
+};
+const ProtobufCEnumDescriptor lp__batch_crash__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "lp.BatchCrash",
+  "BatchCrash",
+  "Lp__BatchCrash",
+  "lp",
+  4,
+  lp__batch_crash__enum_values_by_number,
+  4,
+  lp__batch_crash__enum_values_by_name,
+  1,
+  lp__batch_crash__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
 static const ProtobufCEnumValue lp__batch_order_state__enum_values_by_number[5] =
 {
   { "BATCH_ORDER_NONE", "LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE", 0 },
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -65,6 +65,28 @@
   LP__BATCH_END_KIND__BATCH_END_ALONE = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__BATCH_END_KIND)
 } Lp__BatchEndKind;
+/*
+ * Relation of a lost run to the crash of its VM.
+ */
+typedef enum _Lp__BatchCrash {
+  /*
+   * the VM did not crash, or the run had been running for some time
+   */
+  LP__BATCH_CRASH__BATCH_CRASH_NONE = 0,
+  /*
+   * the VM crashed soon after the run was possibly started
+   */
+  LP__BATCH_CRASH__BATCH_CRASH_UNSURE = 1,
+  /*
+   * the VM crashed soon after the run was started
+   */
+  LP__BATCH_CRASH__BATCH_CRASH_SUSPECT = 2,
+  /*
+   * and nothing else is known that can have caused it
+   */
+  LP__BATCH_CRASH__BATCH_CRASH_CAUSE = 3
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__BATCH_CRASH)
+} Lp__BatchCrash;
 /*
  * State of a platform request, which moves a machine or starts its maintenance.
  */
@@ -396,10 +418,11 @@
   Lp__BatchTask *task;
   Lp__BatchEndKind kind;
   char *checkpoint;
+  Lp__BatchCrash crash;
 };
 #define LP__BATCH_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_end__descriptor) \
-    , NULL, LP__BATCH_END_KIND__BATCH_END_DONE, (char *)protobuf_c_empty_string }
+    , NULL, LP__BATCH_END_KIND__BATCH_END_DONE, (char *)protobuf_c_empty_string, LP__BATCH_CRASH__BATCH_CRASH_NONE }
 
 
 /*
@@ -531,10 +554,15 @@
    */
   uint32_t vm;
   char *checkpoint;
+  /*
+   * Number of VMs that crashed soon after a run of the task was possibly started, and was started.
+   */
+  uint32_t crashes;
+  uint32_t seen_crashes;
 };
 #define LP__BATCH_TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_task_state__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Lp__BatchStepState
@@ -1592,6 +1620,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCEnumDescriptor    lp__batch_end_kind__descriptor;
+extern const ProtobufCEnumDescriptor    lp__batch_crash__descriptor;
 extern const ProtobufCEnumDescriptor    lp__batch_order_state__descriptor;
 extern const ProtobufCEnumDescriptor    lp__batch_call_kind__descriptor;
 extern const ProtobufCEnumDescriptor    lp__batch_answer__descriptor;
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -276,17 +276,36 @@
 		vm->acknowledged = MAX(vm->acknowledged, ends->noted);
 }
 
+/* Counts the crash of a VM soon after the start of the run, and gives up the job if its tasks cause
+ * such crashes. */
+static void count_crash(const batch_state_t *state, const Lp__BatchEnd *end, uint64_t wall_ms)
+{
+	batch_task_t *task = batch_state_task(state, end->task);
+
+	if (end->crash == LP__BATCH_CRASH__BATCH_CRASH_NONE || task == NULL ||
+	    task->run != end->task->run || task->status != BATCH_TASK_ASSIGNED)
+		return;
+	task->crashes++;
+	task->seen_crashes += end->crash != LP__BATCH_CRASH__BATCH_CRASH_UNSURE;
+	if (task->crashes < BATCH_CRASHES_MAX && (task->seen_crashes < BATCH_SEEN_CRASHES_MAX ||
+						  end->crash != LP__BATCH_CRASH__BATCH_CRASH_CAUSE))
+		return;
+	task->step->job->given_up |= !batch_job_ended(task->step->job);
+	end_job(task->step->job, BATCH_JOB_FAILED, wall_ms);
+}
+
 static void apply_lost(batch_state_t *state, uint64_t wall_ms, const Lp__BatchLost *lost)
 {
 	for (size_t i = 0; i < lost->n_runs; i++) {
 		Lp__BatchEnd end = *lost->runs[i];
 
 		end.kind = LP__BATCH_END_KIND__BATCH_END_LAPSED;
+		count_crash(state, &end, wall_ms);
 		apply_end(state, &end, wall_ms);
 	}
 }
 
-static void assign_task(batch_task_t *task, batch_vm_t *vm, uint32_t run)
+static void assign_task(batch_state_t *state, batch_task_t *task, batch_vm_t *vm, uint32_t run)
 {
 	/* Ignore the start intent if the task was assigned or done, or its job ended, after the
 	 * leader proposed it. */
@@ -295,6 +314,7 @@
 		return;
 	set_status(task, BATCH_TASK_ASSIGNED);
 	task->run = run;
+	task->assigned_us = state->clock_us;
 	/* Keep intent_pending and intent_vm: the leader that proposed this command clears them
 	 * afterwards, when it is told that its proposal was committed. */
 	task->local = (run_local_state_t){
@@ -323,7 +343,7 @@
 			batch_task_t *task = batch_state_task(state, start->tasks[j]);
 
 			if (task != NULL)
-				assign_task(task, vm, start->tasks[j]->run);
+				assign_task(state, task, vm, start->tasks[j]->run);
 		}
 	}
 }
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -7,6 +7,7 @@
 #include "batch_leader_internal.h"
 #include "batch_order.h"
 #include "batch_place.h"
+#include "batch_suspect.h"
 #include "log.h"
 
 /* Shortest interval between placement passes: one pass then reuses the capacity of all tasks
@@ -22,6 +23,9 @@
 /* Most task sizes that a pool remembers as not placeable. */
 #define UNPLACEABLE_MAX 8
 
+/* Interval between placement passes while a suspected task waits for a VM of its own. */
+#define SUSPECT_INTERVAL_US (50 * US_PER_MS)
+
 /* Resources of a task. */
 typedef struct {
 	int64_t cpu_milli;
@@ -132,6 +136,7 @@
 		place_vm = make_place_vm(vm, pass->now_us);
 		if (!place_vm.usable)
 			continue;
+		suspect_scan_vm(vm);
 		vm->pass_number = pass->number;
 		vm->place_index = pool->vms->len;
 		g_array_append_val(pool->place_vms, place_vm);
@@ -203,8 +208,9 @@
  * each VM, and marks the VMs where its tasks have failed and those that the policy service
  * allows. */
 static void prepare_pool(const placement_pass_t *pass, pool_t *pool, const batch_step_t *step,
-			 const Lp__BatchQueue *queue)
+			 const Lp__BatchQueue *queue, bool suspect)
 {
+	bool isolate = suspect && suspect_isolates(step, pass->now_us);
 	place_vm_t *place_vms = (place_vm_t *)pool->place_vms->data;
 	bool advised = queue != NULL && queue->advice != NULL;
 	g_autoptr(GHashTable) failed = failed_vms(step);
@@ -215,6 +221,11 @@
 		place_vms[i].step_tasks = 0;
 		place_vms[i].job_tasks = 0;
 		place_vms[i].allowed = !advised || ticket_find(step, vm->id, pass->now_us) != NULL;
+		place_vms[i].for_suspect = suspect;
+		if (!suspect_vm_open(vm, step, isolate, pass->now_us)) {
+			place_vms[i].allowed = false;
+			pass->leader->suspect_due_us = pass->now_us + SUSPECT_INTERVAL_US;
+		}
 		place_vms[i].failed_here =
 			failed != NULL &&
 			g_hash_table_contains(failed, GUINT_TO_POINTER(leader_vm_hash(vm->id)));
@@ -261,6 +272,7 @@
 	vm->planned_cpu += place_reserved_cpu_milli(spec);
 	vm->planned_mem += spec->mem_mib;
 	vm->planned_gpu += spec->gpu;
+	suspect_run_planned(vm, task);
 	g_array_append_val(pass->planned, planned);
 }
 
@@ -313,18 +325,46 @@
 		  "placed tasks");
 }
 
+/* Updates the wait of a suspected step for a VM without recently started runs of other jobs. */
+static void update_isolation(const placement_pass_t *pass, const pool_t *pool,
+			     const batch_candidate_t *candidate, size_t placed, size_t wanted)
+{
+	const Lp__BatchQueue *queue = candidate->queue;
+	const Lp__BatchStep *spec = candidate->step->spec;
+	bool advised = queue != NULL && queue->advice != NULL;
+	double *used = talloc_zero_array(NULL, double, pool->vms->len);
+
+	for (guint i = 0; i < pool->vms->len; i++) {
+		const place_vm_t *place_vm = &g_array_index(pool->place_vms, place_vm_t, i);
+		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
+		bool eligible =
+			place_vm->usable && place_has_label(place_vm, spec->constraint) &&
+			(!advised || ticket_find(candidate->step, vm->id, pass->now_us) != NULL);
+
+		used[i] = eligible ? 1.0 - (double)place_vm->cpu_milli /
+						     MAX(1.0, (double)place_vm->cpu_total)
+				   : 2.0;
+	}
+	suspect_step_attempted(candidate->step, placed > 0, (leader_vm_t **)pool->vms->pdata, used,
+			       pool->vms->len, pass->now_us);
+	talloc_free(used);
+	if (placed < wanted)
+		pass->leader->suspect_due_us = pass->now_us + SUSPECT_INTERVAL_US;
+}
+
 static void place_candidate(placement_pass_t *pass, const batch_candidate_t *candidate)
 {
 	batch_step_t *step = candidate->step;
 	const Lp__BatchStep *spec = step->spec;
 	pool_t *pool = get_pool(pass, step->job->service);
+	bool suspect = suspect_step(step);
 	void *mem;
 	batch_task_t **tasks;
 	size_t *chosen;
 	size_t wanted = 0;
 	size_t placed;
 
-	if (pool->vms->len == 0 || pool_known_full(pool, spec))
+	if (pool->vms->len == 0 || (!suspect && pool_known_full(pool, spec)))
 		return;
 	mem = talloc_new(NULL);
 	tasks = talloc_zero_array(mem, batch_task_t *, spec->count);
@@ -336,13 +376,15 @@
 	if (wanted == 0 || (spec->gang && wanted < spec->count) ||
 	    !tickets_available(pass, pool, step, candidate->queue))
 		goto finish;
-	prepare_pool(pass, pool, step, candidate->queue);
+	prepare_pool(pass, pool, step, candidate->queue, suspect);
 	placed = place_step((place_vm_t *)pool->place_vms->data, pool->place_vms->len, spec, wanted,
 			    chosen);
-	if (placed < wanted)
+	if (placed < wanted && !suspect)
 		remember_unplaceable(pool, candidate);
 	for (size_t i = 0; i < placed; i++)
 		reserve_task(pass, tasks[i], g_ptr_array_index(pool->vms, chosen[i]));
+	if (suspect)
+		update_isolation(pass, pool, candidate, placed, wanted);
 	if (placed > 0)
 		log_placement(pass, step, placed, wanted);
 finish:
@@ -515,10 +557,12 @@
 	};
 	g_autoptr(GArray) candidates = NULL;
 
+	leader->placement_due |= leader->suspect_due_us != 0 && now_us >= leader->suspect_due_us;
 	if (!leader->placement_due || now_us < leader->last_placement_us + PLACE_MIN_INTERVAL_US)
 		return;
 	leader->placement_due = false;
 	leader->last_placement_us = now_us;
+	leader->suspect_due_us = 0;
 	candidates = batch_sorted_candidates(leader->state, now_us, pass.wall_ms);
 	if (candidates->len == 0)
 		return;
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -6,6 +6,7 @@
 #include <talloc.h>
 
 #include "batch_leader_internal.h"
+#include "batch_suspect.h"
 #include "log.h"
 
 /* Delay before repeating an unanswered hold request. It is short, so that a VM that responds again
@@ -53,6 +54,7 @@
 	vm_handle_t vm;
 	uint32_t seq;
 	uint64_t sent_us;
+	uint32_t wait_ms;
 	bool grants_lease;
 	uint64_t acked_end;
 } hold_t;
@@ -97,6 +99,22 @@
 	Lp__BatchTask refs[];
 } lost_runs_t;
 
+/* Logs the jobs that the committed loss of their runs has made fail. */
+static void log_given_up(const lost_runs_t *lost_runs)
+{
+	batch_leader_t *leader = lost_runs->leader;
+
+	for (size_t i = 0; i < lost_runs->count; i++) {
+		batch_job_t *job =
+			g_hash_table_lookup(leader->state->by_seq, &lost_runs->refs[i].job);
+
+		if (job == NULL || !job->given_up || job->given_up_logged)
+			continue;
+		job->given_up_logged = true;
+		suspect_log_given_up(leader, job);
+	}
+}
+
 static void on_lost_committed(void *arg, Lp__ResultCode code)
 {
 	g_autofree lost_runs_t *lost_runs = arg;
@@ -105,8 +123,10 @@
 	if (!leader->active || leader->generation != lost_runs->generation)
 		return;
 	leader->placement_due = true;
-	if (code == LP__RESULT_CODE__RESULT_OK)
+	if (code == LP__RESULT_CODE__RESULT_OK) {
+		log_given_up(lost_runs);
 		return;
+	}
 	for (size_t i = 0; i < lost_runs->count; i++) {
 		batch_task_t *task = batch_state_task(leader->state, &lost_runs->refs[i]);
 
@@ -115,7 +135,10 @@
 	}
 }
 
-static void propose_lost_runs(batch_leader_t *leader, batch_task_t **tasks, size_t count)
+/* @param vm VM that has ended or was silent until its lease expired, with all the runs; NULL: the
+ * runs are lost for another reason */
+static void propose_lost_runs(batch_leader_t *leader, batch_task_t **tasks, size_t count,
+			      leader_vm_t *vm)
 {
 	lost_runs_t *lost_runs = g_malloc0(sizeof(*lost_runs) + count * sizeof(lost_runs->refs[0]));
 	Lp__BatchEnd *ends = talloc_zero_array(NULL, Lp__BatchEnd, count);
@@ -132,6 +155,8 @@
 		ends[i].task = &lost_runs->refs[i];
 		ends[i].kind = LP__BATCH_END_KIND__BATCH_END_LAPSED;
 		ends[i].checkpoint = tasks[i]->local.reported_checkpoint;
+		if (vm != NULL)
+			ends[i].crash = suspect_judge(vm, tasks[i], vm->dead);
 		list[i] = &ends[i];
 	}
 	lost.runs = list;
@@ -154,7 +179,7 @@
 		  LOG_FIELDS("request", task->step->job->spec->id, "task", run, "vm", task->vm->id,
 			     "reason", reason),
 		  "run is lost");
-	propose_lost_runs(leader, &task, 1);
+	propose_lost_runs(leader, &task, 1, NULL);
 }
 
 void leader_mark_all_runs_lost(leader_vm_t *vm, const char *reason)
@@ -175,7 +200,7 @@
 	g_snprintf(count, sizeof(count), "%u", tasks->len);
 	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "runs", count, "reason", reason),
 		  "all runs of the VM are lost");
-	propose_lost_runs(vm->leader, (batch_task_t **)tasks->pdata, tasks->len);
+	propose_lost_runs(vm->leader, (batch_task_t **)tasks->pdata, tasks->len, vm);
 }
 
 /* --- finished runs --- */
@@ -347,6 +372,8 @@
 		local->phase_since_us = now_us;
 		local->progress_us = now_us;
 	}
+	if (local->confirmed_clock_ms == 0)
+		local->confirmed_clock_ms = leader_vm_clock_ms(vm, now_us);
 	if (local->progress_percent != running->percent || local->progress_us == 0)
 		local->progress_us = now_us;
 	local->progress_percent = running->percent;
@@ -446,6 +473,7 @@
 	vm->fence_acked = true;
 	vm->unresponsive = false;
 	vm->unresponsive_since_us = 0;
+	vm->broke_off = false;
 	vm->hold_answered_us = now_us;
 	vm->acked_end = MAX(vm->acked_end, hold->acked_end);
 	vm->hold_due_us = now_us + CLAMP(2 * vm->leader->tick_lag_us, HOLD_MIN_INTERVAL_US,
@@ -467,6 +495,7 @@
 	uint64_t now_us = leader_now_us(vm->leader);
 
 	vm->hold_due_us = vm->unresponsive ? now_us + HOLD_RETRY_US : now_us;
+	suspect_hold_failed(vm, reply->code, hold->sent_us, hold->wait_ms);
 	if (!vm->unresponsive) {
 		vm->unresponsive_since_us = now_us;
 		log_event(G_LOG_LEVEL_MESSAGE,
@@ -515,7 +544,7 @@
 	}
 	if (hold->grants_lease)
 		leader_update_lease(vm, reply, hold->sent_us);
-	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
+	leader_vm_read_clock(vm, reply);
 	if (reply->code == VM_REPLY_OTHER_INCARNATION)
 		leader_vm_mark_dead(vm, "its address has another VM");
 	else if (hold->seq == vm->hold_seq)
@@ -529,7 +558,7 @@
 
 	if (vm == NULL)
 		return;
-	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
+	leader_vm_read_clock(vm, reply);
 	/* If the probe has failed or no longer belongs to the pending hold request, wait for the
 	 * response or the timeout of the hold request. */
 	if (reply->code != VM_REPLY_OK || probe->seq != vm->hold_seq || !vm->hold_in_flight ||
@@ -577,6 +606,8 @@
 		double margin_ms = run_ms * WAIT_MARGIN_PERCENT / 100 + WAIT_MARGIN_MS;
 		double age_ms = 0;
 
+		if ((task->crashes > 0 || vm->reserved_job != 0) && !suspect_run_proven(vm, task))
+			next_ms = MIN(next_ms, SUSPECT_PROOF_MS);
 		if (task->local.phase == RUN_CONFIRMED)
 			age_ms = (double)(now_us - task->local.phase_since_us) / US_PER_MS;
 		if (spec->long_running) {
@@ -620,6 +651,7 @@
 		message.lease_until_ms = clock_ms + leader->config.lease_ms;
 	vm_handle_set(&hold->vm, vm);
 	hold->sent_us = now_us;
+	hold->wait_ms = message.wait_ms;
 	hold->acked_end = message.acknowledged;
 	vm->hold_in_flight = true;
 	hold->seq = ++vm->hold_seq;
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "batch_suspect.h"
 #include "log.h"
 
 /* Half-life of a VM's counts of completed and failed runs, from which its health is estimated.
@@ -78,9 +79,19 @@
 	if (clock_ms == 0)
 		return;
 	vm->vm_clock_ms = clock_ms;
+	vm->clock_seen_ms = MAX(vm->clock_seen_ms, clock_ms);
 	vm->vm_clock_read_us = now_us;
 }
 
+void leader_vm_read_clock(leader_vm_t *vm, const vm_reply_t *reply)
+{
+	/* Another incarnation has another clock. */
+	if (reply->code == VM_REPLY_OTHER_INCARNATION ||
+	    (reply->born_ms != 0 && reply->born_ms != vm->born_ms))
+		return;
+	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
+}
+
 bool leader_vm_is_empty(leader_vm_t *vm)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
@@ -163,6 +174,7 @@
 		.rack = copy_or_empty(""),
 		.born_ms = born_ms,
 		.slowness = 1.0,
+		.known_since_us = leader_now_us(leader),
 		.record_revision = UINT64_MAX,
 	};
 	LIST_INSERT_HEAD(&leader->vms, vm, link);
@@ -253,6 +265,7 @@
 	log_event(G_LOG_LEVEL_MESSAGE,
 		  LOG_FIELDS("vm", vm->id, "born", born, "machine", vm->machine, "reason", reason),
 		  "VM has ended");
+	suspect_log_crash(vm);
 	leader_mark_all_runs_lost(vm, reason);
 }
 
@@ -457,6 +470,9 @@
 	leader->stats.holds_overtaken = metrics_counter(metrics, "batch_holds_overtaken_total", "");
 	leader->stats.stops = metrics_counter(metrics, "batch_stops_total", "");
 	leader->stats.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
+	leader->stats.crashes = metrics_counter(metrics, "batch_vm_crashes_after_start_total", "");
+	leader->stats.suspects = metrics_counter(metrics, "batch_suspect_runs_total", "");
+	leader->stats.given_up = metrics_counter(metrics, "batch_jobs_given_up_total", "");
 	leader->stats.drains = metrics_counter(metrics, "batch_drains_total", "");
 	leader->stats.preemptions = metrics_counter(metrics, "batch_preemptions_total", "");
 	leader->stats.start_latency = metrics_histogram(metrics, "batch_start_latency_us", "");
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -33,9 +33,11 @@
 	uint32_t gpu;
 	uint64_t born_ms;
 	uint64_t seq;
+	uint64_t known_since_us; /**< time when this leader first learned of the incarnation */
 	uint64_t last_report_us; /**< arrival time of the latest report; 0: none since this process
 				    became leader */
 	uint64_t vm_clock_ms;	 /**< reading of the VM's clock at vm_clock_read_us */
+	uint64_t clock_seen_ms;	 /**< highest reading of the VM's clock */
 	uint64_t vm_clock_read_us; /**< leader's monotonic time of the reading vm_clock_ms; 0: never
 				      read */
 	bool draining;
@@ -44,7 +46,14 @@
 	bool drained_for_move; /**< the VM gets no new tasks, and its machine moves once the VM's
 				  tasks have ended */
 	bool dead;	       /**< the VM has ended and runs no tasks any more */
-	uint64_t shutdown_us;  /**< time when the VM announced its shutdown; 0: not announced */
+	bool planned_end;      /**< the VM ended because of a platform request */
+	bool broke_off;	  /**< the VM broke off or refused a connection since it last responded,
+			     so that unresponsive_since_us is close to the time of its end */
+	bool listed_down; /**< the platform's latest list has the VM's machine as down */
+	bool ended_with_fresh_run; /**< the VM crashed soon after the start of a run */
+	bool ended_with_suspect;   /**< that run was suspected of a crash already */
+	uint64_t shutdown_us;	   /**< time when the VM announced its shutdown; 0: not announced */
+	uint64_t ended_us;	   /**< time when the dead VM fell silent; 0: it is not dead */
 
 	batch_vm_t *record; /**< replicated record of this incarnation, or NULL; read it through
 			       leader_vm_record() */
@@ -54,6 +63,8 @@
 	bool commit_in_flight; /**< a command with finished runs of this VM is being committed */
 	bool fence_acked;      /**< the VM has answered a hold request of this leader */
 	bool unresponsive;     /**< the latest hold request was not answered */
+	bool planned_suspect;  /**< a suspected task is among the tasks of planned_job */
+	bool fresh_suspect;    /**< a run of a suspected task is among the runs of fresh_job */
 	uint32_t hold_seq;     /**< number of the latest hold request; responses to earlier ones are
 				  ignored */
 	unsigned probes_sent;  /**< number of probes sent for the latest hold request */
@@ -78,6 +89,12 @@
 				of a core */
 	int64_t planned_mem;
 	int64_t planned_gpu;
+	uint64_t planned_job;  /**< job of these start intents, see batch_suspect.c; 0: none */
+	uint64_t fresh_job;    /**< job of the VM's recently started and planned runs; valid in the
+				  placement pass */
+	uint64_t reserved_job; /**< job whose suspected tasks alone may start here until
+				  reserved_until_us; 0: none */
+	uint64_t reserved_until_us;
 
 	uint64_t backoff_until_us;	/**< time until which the VM gets no new tasks, because it
 					   refused a start request or could not be reached */
@@ -139,6 +156,8 @@
 	uint64_t pass_count;
 	bool placement_due;
 	uint64_t last_placement_us;
+	uint64_t
+		suspect_due_us; /**< time of the next placement pass for suspected tasks; 0: none */
 	uint64_t decay_due_us;
 	uint64_t adopt_due_us;
 	double mean_slowness;
@@ -168,7 +187,11 @@
 						       was answered first */
 		metrics_counter_t *stops;
 		metrics_counter_t *dead;
-		metrics_counter_t *drains;	/**< number of machines drained for another pool */
+		metrics_counter_t *crashes;  /**< number of VMs that crashed soon after the start of
+						a run */
+		metrics_counter_t *suspects; /**< number of such runs */
+		metrics_counter_t *given_up; /**< number of jobs that failed for that */
+		metrics_counter_t *drains;   /**< number of machines drained for another pool */
 		metrics_counter_t *preemptions; /**< number of late tasks stopped for that */
 		metrics_histogram_t *start_latency;
 	} stats;
@@ -200,6 +223,8 @@
 void leader_vm_mark_dead(leader_vm_t *vm, const char *reason);
 /** Stores a reading of the VM's clock that arrived in a message. A reading of 0 is ignored. */
 void leader_vm_set_clock(leader_vm_t *vm, uint64_t clock_ms, uint64_t now_us);
+/** Stores the reading of the VM's clock in a reply, unless it is from another incarnation. */
+void leader_vm_read_clock(leader_vm_t *vm, const vm_reply_t *reply);
 /**
  * True when no task is assigned to the VM, no start intent for it is pending, and it runs no task
  * that the log does not assign to it.
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -150,6 +150,12 @@
 	if (!leader->active || call->generation != leader->generation)
 		return;
 	leader->list_in_flight = false;
+	for (size_t i = 0; i < list->machine_count; i++) {
+		leader_vm_t *vm = leader_vm_of_machine(leader, list->machines[i].machine);
+
+		if (vm != NULL)
+			vm->listed_down = list->machines[i].down;
+	}
 	for (size_t i = 0; i < list->machine_count; i++)
 		update_machine(leader, &list->machines[i]);
 	if (list->answered && list->next_page != NULL)
@@ -278,8 +284,10 @@
 		propose_move_result(leader, machine, pool, LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
 		return;
 	}
-	if (vm != NULL)
+	if (vm != NULL) {
+		vm->planned_end = true;
 		leader_vm_mark_dead(vm, "its machine was moved to another pool");
+	}
 	set_pool(machine, pool);
 	/* A machine in the standby pool is switched off and does not report. It counts as up, so
 	 * that it can be moved again once this move is complete. */
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "batch_leader_internal.h"
+#include "batch_suspect.h"
 #include "log.h"
 
 /* Delay before repeating an unanswered stop request; a VM stops a run within 200 ms. */
@@ -140,6 +141,17 @@
 	}
 }
 
+static void stop_on_later_incarnation(leader_vm_t *vm, const vm_request_t *request)
+{
+	const batch_task_t *task = batch_state_task(vm->leader->state, &request->task);
+	task_id_t id;
+
+	if (task == NULL)
+		return;
+	task_id_set(&id, task);
+	leader_stop_orphan(vm, &id, request->task.run);
+}
+
 static void on_start_reply(void *arg, const vm_reply_t *reply)
 {
 	g_autofree vm_request_t *request = arg;
@@ -149,11 +161,19 @@
 	if (vm == NULL)
 		return;
 	vm->starts_in_flight--;
+	if (reply->born_ms > vm->born_ms) {
+		/* The VM was restarted under its id, and possibly carried out the request again. */
+		stop_on_later_incarnation(vm, request);
+		leader_vm_mark_dead(vm, "another life of the VM answers");
+		return;
+	}
 	metrics_record_us(vm->leader->stats.start_latency,
 			  leader_now_us(vm->leader) - request->sent_us);
 	leader_update_lease(vm, reply, request->sent_us);
-	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
+	leader_vm_read_clock(vm, reply);
 	task = find_requested_task(request, vm);
+	if (task != NULL)
+		suspect_start_replied(vm, task, reply, request->sent_us);
 	if (task != NULL && task->local.phase != RUN_CONFIRMED)
 		handle_start_reply(vm, task, reply, request->attempt);
 }
--- a/src/batch_place.c
+++ b/src/batch_place.c
@@ -32,6 +32,9 @@
 /* Cost of a VM where a task of the step has failed. The VM is possibly the cause, and a task has
  * only a few attempts. */
 #define COST_FAILED_HERE 3.0
+/* Cost of a fully loaded VM for a task that is suspected of crashing VMs. It outweighs what the
+ * load saves and the gain of sharing a VM with the job. */
+#define COST_LOAD_AT_RISK 5.0
 
 int64_t place_reserved_cpu_milli(const Lp__BatchStep *step)
 {
@@ -45,8 +48,10 @@
 	return vm->mem_mib >= (int64_t)step->mem_mib && vm->gpu >= (int64_t)step->gpu;
 }
 
-static bool has_label(const place_vm_t *vm, const char *label)
+bool place_has_label(const place_vm_t *vm, const char *label)
 {
+	if (label[0] == '\0')
+		return true;
 	for (size_t i = 0; i < vm->label_count; i++) {
 		if (strcmp(vm->labels[i], label) == 0)
 			return true;
@@ -60,7 +65,7 @@
 		return false;
 	if (step->max_per_vm > 0 && vm->step_tasks >= step->max_per_vm)
 		return false;
-	return step->constraint[0] == '\0' || has_label(vm, step->constraint);
+	return place_has_label(vm, step->constraint);
 }
 
 /* @return number of tasks of the step that fit on the VM, at most want */
@@ -131,6 +136,8 @@
 		sum += COST_MAINTENANCE_DUE;
 	if (vm->failed_here)
 		sum += COST_FAILED_HERE;
+	if (vm->for_suspect)
+		sum += COST_LOAD_AT_RISK * used_share;
 	return sum;
 }
 
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -35,6 +35,7 @@
 				 including those of the step */
 	bool maintenance_due; /**< the VM's machine is due for maintenance */
 	bool failed_here;     /**< a waiting task of the step has failed on the VM */
+	bool for_suspect;     /**< the step has tasks that are suspected of crashing VMs */
 	bool usable;	      /**< the VM accepts new tasks */
 	bool allowed; /**< the queue's policy service allows the VM; true for queues without such a
 			 service */
@@ -54,5 +55,7 @@
  * reservation
  */
 void place_adjust_reservation(place_vm_t *vm, const Lp__BatchStep *step, int sign);
+/** @return true when the VM has the label. @param label "": any VM has it */
+bool place_has_label(const place_vm_t *vm, const char *label);
 /** @return true when the VM has enough unreserved resources for one task of the step */
 bool place_fits(const place_vm_t *vm, const Lp__BatchStep *step);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -27,6 +27,8 @@
 		saved->status = task->status;
 		saved->run = task->run;
 		saved->failures = task->failures;
+		saved->crashes = task->crashes;
+		saved->seen_crashes = task->seen_crashes;
 		saved->vm = task->vm != NULL ? task->vm->snapshot_index : 0;
 		if (task->checkpoint != NULL)
 			saved->checkpoint = task->checkpoint;
@@ -202,14 +204,17 @@
 
 /* --- loading --- */
 
-static int load_task(batch_step_t *step, batch_task_t *task, const Lp__BatchTaskState *message,
-		     GPtrArray *vms)
+static int load_task(const batch_state_t *state, batch_step_t *step, batch_task_t *task,
+		     const Lp__BatchTaskState *message, GPtrArray *vms)
 {
 	if (message->status > BATCH_TASK_DONE || message->vm > vms->len)
 		return -1;
 	task->status = (batch_task_status_t)message->status;
 	task->run = message->run;
 	task->failures = message->failures;
+	task->crashes = message->crashes;
+	task->seen_crashes = message->seen_crashes;
+	task->assigned_us = state->clock_us;
 	task->local.pace_percent = 100;
 	if (message->checkpoint[0] != '\0')
 		task->checkpoint = g_strdup(message->checkpoint);
@@ -229,14 +234,15 @@
 	return 0;
 }
 
-static int load_step(batch_step_t *step, const Lp__BatchStepState *message, GPtrArray *vms)
+static int load_step(const batch_state_t *state, batch_step_t *step,
+		     const Lp__BatchStepState *message, GPtrArray *vms)
 {
 	if (message->n_tasks != step->spec->count)
 		return -1;
 	step->gang_failures = message->gang_failures;
 	step->waiting = 0;
 	for (uint32_t i = 0; i < step->spec->count; i++) {
-		if (load_task(step, &step->tasks[i], message->tasks[i], vms) != 0)
+		if (load_task(state, step, &step->tasks[i], message->tasks[i], vms) != 0)
 			return -1;
 	}
 	if (step->done == step->spec->count)
@@ -261,7 +267,7 @@
 	if (message->n_steps != 0 && message->n_steps != job->step_count)
 		goto malformed;
 	for (size_t i = 0; i < message->n_steps; i++) {
-		if (load_step(&job->steps[i], message->steps[i], vms) != 0)
+		if (load_step(state, &job->steps[i], message->steps[i], vms) != 0)
 			goto malformed;
 	}
 	batch_state_add_job(state, job);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -27,6 +27,18 @@
  */
 #define BATCH_RUNNING_CHECKPOINT_SIZE 32
 
+/**
+ * A job is given up once this many VMs have crashed soon after the start of one of its tasks and
+ * the latest of these crashes has no other known cause.
+ */
+#define BATCH_SEEN_CRASHES_MAX 2
+/**
+ * A job is also given up once this many VMs have crashed soon after the possible start of one of
+ * its tasks. Whether the start was seen depends on responses and on the same leader, and a task
+ * that crashes its VMs must not be started any longer.
+ */
+#define BATCH_CRASHES_MAX 4
+
 typedef enum {
 	BATCH_TASK_WAITING,
 	BATCH_TASK_ASSIGNED, /**< a start intent that assigns the task to a VM is committed */
@@ -81,6 +93,8 @@
 	uint64_t phase_since_us;
 	uint64_t stop_due_us;	/**< earliest time of the next stop request for the run */
 	uint64_t stop_acked_us; /**< time when a stop request for the run last succeeded */
+	bool start_broken;	/**< the connection of a start request for the run was broken off */
+	uint64_t confirmed_clock_ms; /**< reading of the VM's clock when the run was confirmed */
 	uint64_t progress_us; /**< time when the progress last changed or the run was confirmed; 0:
 				 not confirmed */
 	uint32_t progress_percent; /**< reported progress, 0 to 100; a long-running task is
@@ -104,11 +118,16 @@
 	batch_task_status_t status;
 	uint32_t run;	   /**< number of the latest run, from 1; 0: the task was never assigned */
 	uint32_t failures; /**< number of failed runs */
+	uint32_t crashes;  /**< number of VMs that crashed soon after a run of the task was possibly
+			      started */
+	uint32_t seen_crashes; /**< number of these VMs on which the run was certainly started */
 	batch_vm_t *vm; /**< VM that may be running the task, even after the task is done, until the
 			   end of its run is committed; NULL: none */
-	char *checkpoint;  /**< checkpoint from which the next run resumes; NULL: none */
-	uint64_t ended_ms; /**< wall clock time when a run of the task last ended; 0: no run has
-			      ended */
+	char *checkpoint;     /**< checkpoint from which the next run resumes; NULL: none */
+	uint64_t ended_ms;    /**< wall clock time when a run of the task last ended; 0: no run has
+				 ended */
+	uint64_t assigned_us; /**< batch_state_t.clock_us when the latest run was assigned; not
+				 replicated */
 	run_local_state_t local;
 } batch_task_t;
 
@@ -127,7 +146,10 @@
 	struct batch_ticket_cache *tickets; /**< tickets for the step; not replicated */
 	uint64_t retry_us; /**< time before which the step is not placed; never set at present; not
 			      replicated */
-	uint32_t pending_intents; /**< number of tasks with intent_pending set; not replicated */
+	uint32_t pending_intents;  /**< number of tasks with intent_pending set; not replicated */
+	uint64_t isolate_until_us; /**< time until which the step, whose tasks are suspected of
+				      crashing VMs, waits for a VM without recently started runs; 0:
+				      it does not wait; not replicated */
 } batch_step_t;
 
 typedef struct batch_job {
@@ -144,6 +166,8 @@
 				  so on */
 	uint32_t tasks_on_vms; /**< number of tasks whose vm is not NULL */
 	bool archived; /**< the job is in the list of ended jobs, and its steps were freed */
+	bool given_up; /**< the job failed because its tasks crashed VMs; not replicated */
+	bool given_up_logged;
 	char *service; /**< name of the service that runs the job; kept when the queue is removed */
 	const Lp__BatchQueue *queue; /**< queue of the job; NULL: removed from the configuration */
 	double work; /**< declared work of all tasks, in thousandths of a core times ms */
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -205,8 +205,10 @@
 		 * uncordoned. */
 		if (vm != NULL && call->resent)
 			vm->maintenance_resent_us = leader_now_us(leader);
-		else if (vm != NULL && vm->born_ms <= call->born_ms)
+		else if (vm != NULL && vm->born_ms <= call->born_ms) {
+			vm->planned_end = true;
 			leader_vm_mark_dead(vm, "its machine is down for maintenance");
+		}
 		break;
 	case VM_REPLY_INVALID:
 		state = LP__BATCH_ORDER_STATE__BATCH_ORDER_GONE;
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -56,7 +56,8 @@
 	GHashTable *highest_runs; /* task -> highest number of its runs that were stopped or have
 				     ended */
 	uint64_t last_wave;
-	bool busy; /* the machine is being moved, maintained or restarted */
+	bool crashed; /* the platform lists the machine as down */
+	bool busy;    /* the machine is being moved, maintained or restarted */
 } sim_vm_t;
 
 typedef struct {
@@ -76,6 +77,19 @@
 	bool started_again; /* the task was started again after this run had completed */
 } completion_t;
 
+/* VMs that crashed while a run of the task was on them, and later starts. */
+typedef struct {
+	unsigned vms;
+	unsigned starts; /* starts after DEADLY_VMS_MAX VMs had crashed */
+} crash_count_t;
+
+/* A task that crashes its VMs may be started at most DEADLY_STARTS_MAX times after DEADLY_VMS_MAX
+ * of them have crashed. Its job may be given up from GIVEN_UP_VMS_MIN on. */
+#define DEADLY_VMS_MAX 3
+#define DEADLY_STARTS_MAX 2
+#define GIVEN_UP_VMS_MIN 2
+#define CRASH_DELAY_MAX_MS 15
+
 struct vm_sim {
 	vm_sim_config_t config;
 	GRand *rand;
@@ -88,9 +102,14 @@
 	uint64_t term;
 	uint64_t commit_us;    /* commit time of the latest proposal; no later proposal is committed
 				  before this time */
+	GPtrArray *waiting;    /* of call_t, hold requests that wait at their VM */
 	GPtrArray *vms;	       /* of sim_vm_t, one for each machine */
 	GHashTable *completed; /* task -> completion_t of its first completed run */
 	GHashTable *failed;    /* task -> number of its failed runs */
+	GHashTable *crashed;   /* task -> crash_count_t */
+	GHashTable *failed_jobs; /* ids of failed jobs that check_given_up() has checked */
+	unsigned deadly_crashes;
+	unsigned lost_runs;
 	GHashTable *cancelled; /* job -> time in us when its cancellation was committed */
 	GString *violations;
 	uint32_t platform_delay_ms;
@@ -163,6 +182,78 @@
 	return job != NULL && id->step < job->spec->n_steps ? job->spec->steps[id->step] : NULL;
 }
 
+static bool is_deadly(const task_id_t *id)
+{
+	return g_str_has_prefix(id->job, VM_SIM_DEADLY_PREFIX) && id->step == 0 && id->index == 0;
+}
+
+static crash_count_t *crash_count(vm_sim_t *sim, const task_id_t *id)
+{
+	char *key = task_key(id);
+	crash_count_t *count = g_hash_table_lookup(sim->crashed, key);
+
+	if (count != NULL) {
+		g_free(key);
+		return count;
+	}
+	count = g_new0(crash_count_t, 1);
+	g_hash_table_insert(sim->crashed, key, count);
+	return count;
+}
+
+static void boot_vm(void *arg);
+static void break_off_holds(const sim_vm_t *vm);
+
+/* Ends the VM with all its runs, and starts the machine again after min_ms to max_ms. */
+static void crash_vm(sim_vm_t *vm, uint32_t min_ms, uint32_t max_ms)
+{
+	vm_sim_t *sim = vm->sim;
+
+	for (guint i = 0; i < vm->runs->len; i++)
+		crash_count(sim, &g_array_index(vm->runs, sim_run_t, i).task)->vms++;
+	sim->lost_runs += vm->runs->len;
+	vm->up = false;
+	vm->crashed = true;
+	vm->busy = true;
+	g_array_set_size(vm->runs, 0);
+	if (!sim->config.silent_crashes)
+		break_off_holds(vm);
+	schedule(sim, random_time_us(sim, min_ms, max_ms), boot_vm, vm);
+}
+
+typedef struct {
+	sim_vm_t *vm;
+	uint64_t born_ms;
+} deadly_run_t;
+
+static void crash_by_run(void *arg)
+{
+	g_autofree deadly_run_t *run = arg;
+
+	if (!run->vm->up || run->vm->born_ms != run->born_ms)
+		return;
+	run->vm->sim->deadly_crashes++;
+	crash_vm(run->vm, 3000, 3500);
+}
+
+static void schedule_crash(sim_vm_t *vm)
+{
+	deadly_run_t *run = g_new0(deadly_run_t, 1);
+
+	*run = (deadly_run_t){.vm = vm, .born_ms = vm->born_ms};
+	schedule(vm->sim, random_time_us(vm->sim, 0, CRASH_DELAY_MAX_MS), crash_by_run, run);
+}
+
+/* Records a violation if a task is started too often although VMs crash under it. */
+static void check_deadly_start(vm_sim_t *sim, const task_id_t *id)
+{
+	crash_count_t *count = crash_count(sim, id);
+	g_autofree char *key = task_key(id);
+
+	if (is_deadly(id) && count->vms >= DEADLY_VMS_MAX && ++count->starts > DEADLY_STARTS_MAX)
+		add_violation(sim, "BUDGET: started after VMs have crashed under it", key);
+}
+
 static void raise_highest_run(sim_vm_t *vm, const task_id_t *id, uint32_t run)
 {
 	char *key = task_key(id);
@@ -280,6 +371,7 @@
 		done->started_again = true;
 	}
 	check_step_order(sim, id);
+	check_deadly_start(sim, id);
 	if (cancelled_us != NULL && sim->now_us > *cancelled_us + CANCEL_GRACE_MS * US_PER_MS)
 		add_violation(sim, "UNASKED after its cancelling", key);
 	if (!find_step_spec(sim, id)->long_running && job->queue != NULL &&
@@ -362,6 +454,27 @@
 	call_free(call);
 }
 
+static void break_off_holds(const sim_vm_t *vm)
+{
+	vm_sim_t *sim = vm->sim;
+
+	for (guint i = 0; i < sim->waiting->len;) {
+		call_t *call = g_ptr_array_index(sim->waiting, i);
+		call_t *broken;
+
+		if (strcmp(call->address, vm->address) != 0) {
+			i++;
+			continue;
+		}
+		broken = g_memdup2(call, sizeof(*call));
+		broken->reply.code = VM_REPLY_NO_RESPONSE;
+		broken->reply.clock_ms = 0;
+		schedule(sim, random_time_us(sim, 1, 4), deliver_reply, broken);
+		call->no_reply = true;
+		g_ptr_array_remove_index_fast(sim->waiting, i);
+	}
+}
+
 static sim_vm_t *find_vm(vm_sim_t *sim, const char *address)
 {
 	for (guint i = 0; i < sim->vms->len; i++) {
@@ -409,6 +522,8 @@
 					g_rand_double_range(vm->sim->rand, 0.7, 1.4) * US_PER_MS);
 	g_array_append_val(vm->runs, run);
 	vm->sim->starts++;
+	if (is_deadly(&start->task))
+		schedule_crash(vm);
 	return VM_REPLY_OK;
 }
 
@@ -491,8 +606,14 @@
 	call_t *call = arg;
 	sim_vm_t *vm = find_vm(call->sim, call->address);
 
+	if (call->no_reply) {
+		call_free(call);
+		return;
+	}
+	g_ptr_array_remove_fast(call->sim->waiting, call);
 	if (vm == NULL || !vm->up || call->sim->now_us < vm->cut_off_until_us) {
 		call->reply.code = VM_REPLY_NO_RESPONSE;
+		call->reply.clock_ms = 0;
 		schedule(call->sim, random_time_us(call->sim, 800, 800), deliver_reply, call);
 		return;
 	}
@@ -514,9 +635,12 @@
 			call_free(call);
 			return;
 		}
-		call->reply.code = VM_REPLY_NO_RESPONSE;
-		schedule(sim, random_time_us(sim, REQUEST_TIMEOUT_MS, REQUEST_TIMEOUT_MS),
-			 deliver_reply, call);
+		bool refused = vm != NULL && !vm->up && sim->now_us >= vm->cut_off_until_us &&
+			       !sim->config.silent_crashes;
+		uint32_t after_ms = refused ? 1 : REQUEST_TIMEOUT_MS;
+
+		call->reply.code = refused ? VM_REPLY_NOT_SENT : VM_REPLY_NO_RESPONSE;
+		schedule(sim, random_time_us(sim, after_ms, after_ms), deliver_reply, call);
 		return;
 	}
 	end_due_runs(vm);
@@ -555,6 +679,7 @@
 			if (run->end_us != 0)
 				wait_ms = MIN(wait_ms, (uint32_t)(left_us / US_PER_MS + 1));
 		}
+		g_ptr_array_add(sim->waiting, call);
 		schedule(sim, sim->now_us + wait_ms * US_PER_MS, answer_hold, call);
 		return;
 	}
@@ -671,7 +796,7 @@
 		g_strlcpy(machines[i].vm, vm->id, VM_NAME_MAX);
 		machines[i].cpu_milli = VM_CPU_MILLI;
 		machines[i].up = !vm->busy && (vm->up || vm->powered_off);
-		machines[i].down = !vm->busy && !vm->up && !vm->powered_off;
+		machines[i].down = vm->crashed;
 	}
 	call->done(call->arg, &list);
 }
@@ -693,6 +818,7 @@
 	vm_sim_t *sim = vm->sim;
 
 	vm->busy = false;
+	vm->crashed = false;
 	vm->powered_off = strcmp(vm->service, "standby") == 0;
 	vm->up = !vm->powered_off;
 	vm->born_ms = sim->now_us / US_PER_MS + WALL_OFFSET_MS;
@@ -916,12 +1042,43 @@
 	}
 }
 
+static bool has_crashed_vms(vm_sim_t *sim, const char *id)
+{
+	g_autofree char *prefix = g_strdup_printf("%s.", id);
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	g_hash_table_iter_init(&iter, sim->crashed);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (g_str_has_prefix(key, prefix) &&
+		    ((const crash_count_t *)value)->vms >= GIVEN_UP_VMS_MIN)
+			return true;
+	}
+	return false;
+}
+
+/* Records a violation if a job has failed without a task whose attempts are used up, or under which
+ * two VMs have crashed. */
+static void check_given_up(vm_sim_t *sim)
+{
+	const batch_job_t *job;
+
+	TAILQ_FOREACH (job, &sim->state.ended, link) {
+		if (job->state == BATCH_JOB_FAILED && sim->config.failed_end_share == 0 &&
+		    !g_hash_table_contains(sim->failed_jobs, job->spec->id) &&
+		    g_hash_table_add(sim->failed_jobs, g_strdup(job->spec->id)) &&
+		    !has_crashed_vms(sim, job->spec->id))
+			add_violation(sim, "LOST: failed without cause", job->spec->id);
+	}
+}
+
 static void tick(void *arg)
 {
 	vm_sim_t *sim = arg;
 
 	check_waves(sim);
-
+	check_given_up(sim);
 	batch_leader_tick(sim->leader);
 	schedule(sim, sim->now_us + TICK_US, tick, sim);
 }
@@ -944,12 +1101,8 @@
 
 	if (sim->shutting_down)
 		return;
-	if (fault_due(sim, sim->config.mean_crash_interval_ms) && vm->up) {
-		vm->up = false;
-		vm->busy = true;
-		g_array_set_size(vm->runs, 0);
-		schedule(sim, random_time_us(sim, 500, 5000), boot_vm, vm);
-	}
+	if (fault_due(sim, sim->config.mean_crash_interval_ms) && vm->up)
+		crash_vm(vm, 500, 5000);
 	vm = random_vm(sim);
 	if (fault_due(sim, sim->config.mean_cutoff_interval_ms) && vm->up)
 		vm->cut_off_until_us = random_time_us(sim, 1000, 6000);
@@ -970,6 +1123,28 @@
 
 /* --- interface --- */
 
+void vm_sim_crash_vms(vm_sim_t *sim, unsigned first, unsigned count)
+{
+	for (guint i = first; i < sim->vms->len && count > 0; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		if (!vm->up)
+			continue;
+		crash_vm(vm, 3000, 3500);
+		count--;
+	}
+}
+
+unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim)
+{
+	return sim->deadly_crashes;
+}
+
+unsigned vm_sim_lost_run_count(const vm_sim_t *sim)
+{
+	return sim->lost_runs;
+}
+
 void vm_sim_change_leader(vm_sim_t *sim)
 {
 	batch_leader_deactivate(sim->leader);
@@ -1085,8 +1260,11 @@
 	sim->events = g_sequence_new(g_free);
 	sim->now_us = US_PER_S;
 	sim->vms = g_ptr_array_new();
+	sim->waiting = g_ptr_array_new();
 	sim->completed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sim->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sim->crashed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->violations = g_string_new(NULL);
 	sim->platform_delay_ms = 5;
@@ -1137,9 +1315,12 @@
 		g_free(vm);
 	}
 	g_ptr_array_unref(sim->vms);
+	g_ptr_array_unref(sim->waiting);
 	g_sequence_free(sim->events);
 	g_hash_table_destroy(sim->completed);
 	g_hash_table_destroy(sim->failed);
+	g_hash_table_destroy(sim->crashed);
+	g_hash_table_destroy(sim->failed_jobs);
 	g_hash_table_destroy(sim->cancelled);
 	g_string_free(sim->violations, TRUE);
 	g_rand_free(sim->rand);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -16,6 +16,9 @@
  * records violations of the guarantees, such as a task that runs twice.
  */
 
+/** Id prefix of jobs whose task 0 of step 0 crashes its VM up to 15 ms after it has started. */
+#define VM_SIM_DEADLY_PREFIX "deadly"
+
 typedef struct {
 	unsigned services;
 	unsigned vms_per_service;
@@ -31,6 +34,8 @@
 	uint32_t mean_leader_change_interval_ms; /**< mean time between leader changes; 0: no
 						    changes */
 	uint32_t platform_requests_per_s;	 /**< rate limit that the leader is told; 0: 64 */
+	bool silent_crashes; /**< requests to a crashed VM get no response; false: the VM's
+				connections are broken off and refused */
 	uint64_t seed;
 } vm_sim_config_t;
 
@@ -65,6 +70,15 @@
  * mark yet: marked runs finish as usual.
  */
 void vm_sim_stall_vm(vm_sim_t *sim, unsigned vm);
+/**
+ * Crashes the first count VMs that are up, from the machine with the index first on, at the same
+ * time. Their machines are back after 3 to 3.5 s.
+ */
+void vm_sim_crash_vms(vm_sim_t *sim, unsigned first, unsigned count);
+/** @return number of VMs that have crashed because of a task, see VM_SIM_DEADLY_PREFIX */
+unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim);
+/** @return number of runs that have ended with a crash of their VM */
+unsigned vm_sim_lost_run_count(const vm_sim_t *sim);
 void vm_sim_change_leader(vm_sim_t *sim);
 /** Restarts all processes: the state is loaded from a snapshot, and a new leader takes over. */
 void vm_sim_restart_processes(vm_sim_t *sim);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -379,9 +379,220 @@
 	vm_sim_destroy(sim);
 }
 
+/* Submits count jobs of tasks tasks, one every gap_ms; one in ten has a task that crashes VMs if
+ * deadly is set. */
+static void submit_jobs(vm_sim_t *sim, unsigned count, uint32_t tasks, uint32_t gap_ms, bool deadly)
+{
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, tasks, 4000, 800);
+	for (unsigned i = 0; i < count; i++) {
+		g_autofree char *id = g_strdup_printf(
+			"%s%u", deadly && i % 10 == 4 ? VM_SIM_DEADLY_PREFIX : "j", i);
+
+		vm_sim_submit(sim, id, 0, &fixture.job);
+		vm_sim_run(sim, vm_sim_now_ms(sim) + gap_ms);
+	}
+}
+
+/* Asserts that the deadly jobs of submit_jobs() have failed and all others are complete. */
+static void assert_only_deadly_fail(const vm_sim_t *sim, unsigned count, bool deadly)
+{
+	for (unsigned i = 0; i < count; i++) {
+		bool fails = deadly && i % 10 == 4;
+		g_autofree char *id =
+			g_strdup_printf("%s%u", fails ? VM_SIM_DEADLY_PREFIX : "j", i);
+
+		if (state_of(sim, id) != (fails ? BATCH_JOB_FAILED : BATCH_JOB_COMPLETE))
+			print_message("job %s is %s\n", id,
+				      batch_job_state_name(state_of(sim, id)));
+		assert_int_equal(state_of(sim, id), fails ? BATCH_JOB_FAILED : BATCH_JOB_COMPLETE);
+	}
+	assert_no_violations(sim);
+}
+
+/* Guards against a task that crashes the VMs that start it and is started again for ever, and
+ * against giving up the jobs that ran beside it. */
+static void test_task_that_crashes_vms_is_given_up(void **state)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		const vm_sim_config_t config = {.services = 1,
+						.vms_per_service = 6,
+						.silent_crashes = seed % 2 == 0,
+						.seed = seed};
+		vm_sim_t *sim = vm_sim_create(&config);
+
+		vm_sim_run(sim, 4000);
+		submit_jobs(sim, 10, 4, 20, true);
+		vm_sim_run(sim, 40000);
+		assert_only_deadly_fail(sim, 10, true);
+		assert_in_range(vm_sim_deadly_crash_count(sim), 2, 5);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Runs a job whose task crashes its VMs, and calls disturb() as soon as a VM has crashed. */
+static void disturb_each_crash(uint64_t seed, void (*disturb)(vm_sim_t *sim))
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = 8, .silent_crashes = seed % 2 == 0, .seed = seed};
+	vm_sim_t *sim = vm_sim_create(&config);
+	unsigned crashes = 0;
+
+	vm_sim_run(sim, 4000);
+	submit_jobs(sim, 10, 4, 20, true);
+	while (vm_sim_now_ms(sim) < 60000) {
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 10);
+		if (vm_sim_deadly_crash_count(sim) > crashes) {
+			crashes = vm_sim_deadly_crash_count(sim);
+			disturb(sim);
+		}
+	}
+	assert_only_deadly_fail(sim, 10, true);
+	assert_in_range(crashes, 2, 5);
+	vm_sim_destroy(sim);
+}
+
+/* Guards against crashes that are not counted when the leader ends at the moment of the crash. */
+static void test_crashes_are_counted_across_leader_changes(void **state)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++)
+		disturb_each_crash(seed, vm_sim_change_leader);
+}
+
+/* Guards against crashes that are forgotten when all processes restart while the VM is down. */
+static void test_crashes_are_counted_across_restarts(void **state)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++)
+		disturb_each_crash(seed, vm_sim_restart_processes);
+}
+
+/* Guards against giving up innocent jobs when all VMs of a service crash at the same time, again
+ * and again soon after the jobs were started. */
+static void test_service_crash_gives_up_no_job(void **state)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		const vm_sim_config_t config = {.services = 2,
+						.vms_per_service = 6,
+						.silent_crashes = seed % 2 == 0,
+						.seed = seed};
+		vm_sim_t *sim = vm_sim_create(&config);
+
+		vm_sim_run(sim, 4000);
+		submit_jobs(sim, 20, 4, 10, false);
+		for (unsigned i = 0; i < 3; i++) {
+			vm_sim_crash_vms(sim, 0, 6);
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 3700);
+		}
+		vm_sim_run(sim, 60000);
+		assert_only_deadly_fail(sim, 20, false);
+		vm_sim_destroy(sim);
+	}
+}
+
+static void crash_racks(vm_sim_t *sim)
+{
+	for (unsigned i = 0; i < 3; i++) {
+		vm_sim_crash_vms(sim, 8 * i, 4);
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 900);
+	}
+}
+
+/* Guards against giving up innocent jobs when VMs of a rack crash at the same time, again and
+ * again. */
+static void test_rack_crash_gives_up_no_job(void **state)
+{
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		const vm_sim_config_t config = {.services = 1,
+						.vms_per_service = 24,
+						.silent_crashes = seed % 2 == 0,
+						.seed = seed};
+		vm_sim_t *sim = vm_sim_create(&config);
+
+		vm_sim_run(sim, 4000);
+		submit_jobs(sim, 30, 4, 20, false);
+		crash_racks(sim);
+		vm_sim_run(sim, 60000);
+		assert_only_deadly_fail(sim, 30, false);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against giving up a job under which fewer than two VMs have crashed, when racks crash
+ * while tasks that crash VMs are about. */
+static void test_rack_crash_beside_deadly_tasks(void **state)
+{
+	enum {
+		JOBS = 30
+	};
+	unsigned given_up = 0;
+
+	for (uint64_t seed = 1; seed <= 10; seed++) {
+		const vm_sim_config_t config = {.services = 1,
+						.vms_per_service = 24,
+						.silent_crashes = seed % 2 == 0,
+						.seed = seed};
+		vm_sim_t *sim = vm_sim_create(&config);
+
+		vm_sim_run(sim, 4000);
+		submit_jobs(sim, JOBS, 4, 20, true);
+		crash_racks(sim);
+		vm_sim_run(sim, 60000);
+		for (unsigned i = 0; i < JOBS; i++) {
+			bool deadly = i % 10 == 4;
+			g_autofree char *id =
+				g_strdup_printf("%s%u", deadly ? VM_SIM_DEADLY_PREFIX : "j", i);
+
+			assert_true(batch_job_ended(batch_state_job(vm_sim_state(sim), id)));
+			assert_true(!deadly || state_of(sim, id) == BATCH_JOB_FAILED);
+			given_up += !deadly && state_of(sim, id) == BATCH_JOB_FAILED;
+		}
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+	print_message("%u of %d innocent jobs were given up after two crashes\n", given_up,
+		      10 * JOBS * 9 / 10);
+}
+
+/* Guards against many deadly tasks that take the work of the whole service down again and again:
+ * each costs few VMs, and the other jobs finish. */
+static void test_many_deadly_tasks_cost_few_vms(void **state)
+{
+	enum {
+		JOBS = 200,
+		DEADLY = JOBS / 10,
+		TASKS = 6
+	};
+	unsigned crashes = 0;
+	unsigned lost_runs = 0;
+
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		const vm_sim_config_t config = {.services = 1, .vms_per_service = 16, .seed = seed};
+		vm_sim_t *sim = vm_sim_create(&config);
+
+		vm_sim_run(sim, 4000);
+		submit_jobs(sim, JOBS, TASKS, 50, true);
+		vm_sim_run(sim, 60000);
+		assert_only_deadly_fail(sim, JOBS, true);
+		crashes += vm_sim_deadly_crash_count(sim);
+		lost_runs += vm_sim_lost_run_count(sim);
+		vm_sim_destroy(sim);
+	}
+	print_message("%.2f VMs and %.2f runs for each deadly task\n", crashes / 5.0 / DEADLY,
+		      lost_runs / 5.0 / DEADLY);
+	/* Two VMs have to crash before a task may be given up. */
+	assert_true(crashes <= 3 * 5 * DEADLY);
+}
+
+/* @return id of job n of a random load, which the caller frees; some jobs crash their VMs */
+static char *mixed_job_id(unsigned n)
+{
+	return g_strdup_printf(n % 25 == 12 ? VM_SIM_DEADLY_PREFIX "%010x" : "%016x", n);
+}
+
 static void submit_mixed_job(vm_sim_t *sim, GRand *rand, unsigned n, unsigned services)
 {
-	g_autofree char *id = g_strdup_printf("%016x", n);
+	g_autofree char *id = mixed_job_id(n);
 	job_fixture_t fixture;
 
 	if (n % 9 == 0)
@@ -401,7 +612,7 @@
  * as not long-running. */
 static bool is_long_running(const vm_sim_t *sim, unsigned n)
 {
-	g_autofree char *id = g_strdup_printf("%016x", n);
+	g_autofree char *id = mixed_job_id(n);
 	const batch_job_t *job = batch_state_job(vm_sim_state(sim), id);
 
 	return job->step_count > 0 && job->steps[0].spec->long_running;
@@ -425,7 +636,7 @@
 		if (n == 40)
 			vm_sim_start_wave(sim, 1, 2);
 		if (n % 10 == 5) {
-			g_autofree char *id = g_strdup_printf("%016x", n - 2);
+			g_autofree char *id = mixed_job_id(n - 2);
 
 			vm_sim_cancel(sim, id);
 			cancelled++;
@@ -434,7 +645,7 @@
 	vm_sim_stop_faults(sim);
 	vm_sim_run(sim, vm_sim_now_ms(sim) + 40000);
 	for (unsigned n = 0; n < JOBS; n++) {
-		g_autofree char *id = g_strdup_printf("%016x", n);
+		g_autofree char *id = mixed_job_id(n);
 		const batch_job_t *job = batch_state_job(vm_sim_state(sim), id);
 
 		/* The leader that proposed the job was deposed and the proposal was lost. That is
@@ -518,6 +729,7 @@
 			.late_request_share = 0.05,
 			.failed_end_share = 0.02,
 			.mean_crash_interval_ms = 9000,
+			.silent_crashes = seed % 2 == 0,
 			.mean_leader_change_interval_ms = 9000,
 			.seed = seed,
 		};
@@ -588,6 +800,13 @@
 		cmocka_unit_test(test_failing_jobs_do_not_block_a_pool),
 		cmocka_unit_test(test_cancelled_job_stops),
 		cmocka_unit_test(test_failing_job_fails),
+		cmocka_unit_test(test_task_that_crashes_vms_is_given_up),
+		cmocka_unit_test(test_crashes_are_counted_across_leader_changes),
+		cmocka_unit_test(test_crashes_are_counted_across_restarts),
+		cmocka_unit_test(test_service_crash_gives_up_no_job),
+		cmocka_unit_test(test_rack_crash_gives_up_no_job),
+		cmocka_unit_test(test_rack_crash_beside_deadly_tasks),
+		cmocka_unit_test(test_many_deadly_tasks_cost_few_vms),
 		cmocka_unit_test(test_guarantees_under_faults),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -338,6 +338,92 @@
 	assert_int_equal(request_age_ms(&batch, "open"), 3000);
 }
 
+static void apply_lost_run(const char *id, uint32_t index, uint32_t run, Lp__BatchCrash crash)
+{
+	Lp__BatchTask task = LP__BATCH_TASK__INIT;
+	Lp__BatchEnd entry = LP__BATCH_END__INIT;
+	Lp__BatchEnd *entries[] = {&entry};
+	Lp__BatchLost lost = LP__BATCH_LOST__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	task.job = batch_state_job(&batch, id)->seq;
+	task.index = index;
+	task.run = run;
+	entry.task = &task;
+	entry.crash = crash;
+	lost.runs = entries;
+	lost.n_runs = 1;
+	command.body_case = LP__BATCH_COMMAND__BODY_LOST;
+	command.lost = &lost;
+	apply(&command);
+}
+
+static void reload(void)
+{
+	size_t length;
+	uint8_t *snapshot = batch_state_save(&batch, &length);
+
+	assert_int_equal(batch_state_load(&batch, snapshot, length), 0);
+	free(snapshot);
+}
+
+static batch_job_state_t job_state(const char *id)
+{
+	return batch_state_job(&batch, id)->state;
+}
+
+/* Guards against crashes of VMs that are forgotten in a snapshot, and a job that is started again
+ * although two VMs have crashed because of it. */
+static void test_snapshot_keeps_crashes(void **state)
+{
+	submit("a", 2, false);
+	apply_start("a", 1, 1, "vm-1", 1);
+	apply_lost_run("a", 1, 1, LP__BATCH_CRASH__BATCH_CRASH_SUSPECT);
+	reload();
+	assert_int_equal(get_task("a", 1)->crashes, 1);
+	assert_int_equal(get_task("a", 1)->seen_crashes, 1);
+	assert_int_equal(get_task("a", 0)->crashes, 0);
+	apply_start("a", 1, 2, "vm-2", 1);
+	reload();
+	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
+	apply_lost_run("a", 1, 2, LP__BATCH_CRASH__BATCH_CRASH_CAUSE);
+	assert_int_equal(job_state("a"), BATCH_JOB_FAILED);
+}
+
+/* Guards against giving up a job under which fewer than two VMs have certainly crashed, and against
+ * starting a task for ever whose starts no leader has seen. */
+static void test_jobs_are_given_up_by_crashes(void **state)
+{
+	submit("a", 1, false);
+	apply_start("a", 0, 1, "vm-1", 1);
+	apply_lost_run("a", 0, 1, LP__BATCH_CRASH__BATCH_CRASH_UNSURE);
+	apply_start("a", 0, 2, "vm-2", 1);
+	apply_lost_run("a", 0, 2, LP__BATCH_CRASH__BATCH_CRASH_CAUSE);
+	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
+	apply_start("a", 0, 3, "vm-3", 1);
+	apply_lost_run("a", 0, 3, LP__BATCH_CRASH__BATCH_CRASH_NONE);
+	assert_int_equal(get_task("a", 0)->crashes, 2);
+	apply_start("a", 0, 4, "vm-4", 1);
+	apply_lost_run("a", 0, 4, LP__BATCH_CRASH__BATCH_CRASH_UNSURE);
+	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
+	apply_start("a", 0, 5, "vm-5", 1);
+	apply_lost_run("a", 0, 5, LP__BATCH_CRASH__BATCH_CRASH_UNSURE);
+	assert_int_equal(job_state("a"), BATCH_JOB_FAILED);
+}
+
+/* Guards against counting the crash of a VM twice, or for a later run. */
+static void test_lost_run_counts_one_crash(void **state)
+{
+	submit("a", 1, false);
+	apply_start("a", 0, 1, "vm-1", 1);
+	apply_lost_run("a", 0, 1, LP__BATCH_CRASH__BATCH_CRASH_SUSPECT);
+	apply_lost_run("a", 0, 1, LP__BATCH_CRASH__BATCH_CRASH_SUSPECT);
+	apply_start("a", 0, 2, "vm-2", 1);
+	apply_lost_run("a", 0, 1, LP__BATCH_CRASH__BATCH_CRASH_CAUSE);
+	assert_int_equal(get_task("a", 0)->crashes, 1);
+	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -361,6 +447,10 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_request_age_survives_restart, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_snapshot_keeps_crashes, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_jobs_are_given_up_by_crashes, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_lost_run_counts_one_crash, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
