batch_dispatch: check the room for a start again after its commit

A start brought a VM that does not guard its capacity to 64 cores of 20, 8 s after the VM had reported the 20.

Cause: the leader decides by the VM's latest report, commits the start intent and sends the request without another look. A commit takes 9 ms, but seconds while disks stall or a majority is missing; in that time the VM may have reported less room, may drain (DRAIN), or its report may have become older than the leader accepts for a placement. The class of fault is a decision that is carried out later than the data it rests on is valid.

Change: after the commit, and before a start request is repeated, the runs assigned to the VM, with those that are being stopped and without those that were refused, are summed again against the latest report, which must be recent. A start that does not fit, or whose VM drains, shuts down or lists unknown runs, is not sent: the run is lost as refused and its task is placed again.

What holds without a change: a VM that has shrunk below what runs there gets nothing, nothing is stopped, and it is filled again when it grows.

Open: a report that waits for seconds in a queue between members counts as received when it arrives; the time of the VM's clock in it is not compared.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -425,6 +425,30 @@
 	vm->planned_gpu -= intent->gpu;
 }
 
+bool leader_start_fits(leader_vm_t *vm, const batch_task_t *started, uint64_t now_us)
+{
+	const Lp__BatchStep *spec = started->step->spec;
+	const batch_vm_t *record = leader_vm_record(vm);
+	const batch_task_t *task;
+	place_vm_t room = {.cpu_milli = vm->cpu_milli, .mem_mib = vm->mem_mib, .gpu = vm->gpu};
+
+	if (record == NULL || !leader_vm_report_is_fresh(vm, now_us))
+		return false;
+	LIST_FOREACH (task, &record->tasks, vm_link) {
+		if (task->local.phase != RUN_REFUSED)
+			place_adjust_reservation(&room, task->step->spec, 1);
+	}
+	return (room.cpu_milli >= 0 || spec->best_effort) && room.mem_mib >= 0 && room.gpu >= 0;
+}
+
+/* True when the VM, as it has reported since the start was planned, can still take it. A commit can
+ * take long, for example while disks stall. */
+static bool may_still_start(leader_vm_t *vm, const batch_task_t *task)
+{
+	return !vm->draining && vm->shutdown_us == 0 && vm->orphan_count == 0 &&
+	       leader_start_fits(vm, task, leader_now_us(vm->leader));
+}
+
 static void finish_intent(batch_leader_t *leader, const intent_t *intent, bool committed)
 {
 	batch_task_t *task = batch_state_task(leader->state, &intent->ref);
@@ -449,6 +473,9 @@
 	} else if (batch_job_ended(task->step->job)) {
 		task->local.phase = RUN_REFUSED;
 		leader_mark_run_lost(leader, task, "the job has ended before the start");
+	} else if (!may_still_start(vm, task)) {
+		task->local.phase = RUN_REFUSED;
+		leader_mark_run_lost(leader, task, "the VM cannot take it any more");
 	} else {
 		leader_request_start(vm, task);
 	}
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -117,12 +117,17 @@
 	return g_hash_table_lookup(leader->by_machine, machine);
 }
 
-bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us)
+bool leader_vm_report_is_fresh(const leader_vm_t *vm, uint64_t now_us)
 {
-	return !vm->dead && !vm->unresponsive && vm->last_report_us != 0 &&
+	return vm->last_report_us != 0 &&
 	       now_us < vm->last_report_us + vm->leader->config.report_timeout_ms * US_PER_MS;
 }
 
+bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us)
+{
+	return !vm->dead && !vm->unresponsive && leader_vm_report_is_fresh(vm, now_us);
+}
+
 void task_id_set(task_id_t *id, const batch_task_t *task)
 {
 	g_strlcpy(id->job, task->step->job->spec->id, sizeof(id->job));
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -235,6 +235,8 @@
 /** @return hash of a VM id, never 0 */
 uint32_t leader_vm_hash(const char *vm_id);
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine);
+/** True when the VM's latest report is recent enough to place tasks by it. */
+bool leader_vm_report_is_fresh(const leader_vm_t *vm, uint64_t now_us);
 bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us);
 
 void task_id_set(task_id_t *id, const batch_task_t *task);
@@ -282,6 +284,11 @@
 /* batch_dispatch.c */
 void leader_place_tasks(batch_leader_t *leader, uint64_t now_us);
 void leader_clear_planned(batch_leader_t *leader);
+/**
+ * True when the runs assigned to the VM, of which one is the run to be started, fit the capacity in
+ * its latest report, and that report is not too old.
+ */
+bool leader_start_fits(leader_vm_t *vm, const batch_task_t *started, uint64_t now_us);
 
 /* batch_ticket.c */
 typedef struct batch_ticket_cache batch_ticket_cache_t;
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -88,10 +88,11 @@
 	leader_request_stop(vm, task);
 }
 
-static bool may_retry_start(const leader_vm_t *vm, const batch_task_t *task)
+static bool may_retry_start(leader_vm_t *vm, const batch_task_t *task)
 {
 	return task->local.phase == RUN_START_SENT && task->status == BATCH_TASK_ASSIGNED &&
-	       !batch_job_ended(task->step->job) && !vm->dead && !vm->draining && !vm->cordoned;
+	       !batch_job_ended(task->step->job) && !vm->dead && !vm->draining && !vm->cordoned &&
+	       leader_start_fits(vm, task, leader_now_us(vm->leader));
 }
 
 static void send_start(leader_vm_t *vm, batch_task_t *task, unsigned attempt);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -22,6 +22,9 @@
 #define VM_CPU_MILLI 64000
 #define VM_MEM_MIB 262144
 #define CANCEL_GRACE_MS 3000
+/* Time for which the capacity before a change still counts: time until a VM is out of contact, and
+ * one report. */
+#define SHRINK_GRACE_MS (3000 + REPORT_INTERVAL_MS)
 
 typedef struct {
 	task_id_t task;
@@ -34,6 +37,15 @@
 	bool stalled;
 } sim_run_t;
 
+/* Changes of a VM's capacity that are kept. */
+#define PAST_CPU_COUNT 8
+
+/* An earlier capacity of a VM, which counts until until_us if it was higher. */
+typedef struct {
+	uint32_t cpu_milli;
+	uint64_t until_us;
+} past_cpu_t;
+
 typedef struct sim_vm {
 	struct vm_sim *sim;
 	char id[32];
@@ -42,6 +54,8 @@
 	char service[32];
 	uint64_t born_ms;
 	uint64_t seq;
+	uint32_t cpu_milli; /* capacity */
+	past_cpu_t past_cpu[PAST_CPU_COUNT];
 	bool up;
 	bool powered_off; /* the machine is in the standby pool */
 	uint64_t cut_off_until_us;
@@ -100,13 +114,14 @@
 	batch_leader_t *leader;
 	metrics_t *metrics;
 	uint64_t term;
-	uint64_t commit_us;    /* commit time of the latest proposal; no later proposal is committed
-				  before this time */
-	GPtrArray *waiting;    /* of call_t, hold requests that wait at their VM */
-	GPtrArray *vms;	       /* of sim_vm_t, one for each machine */
-	GHashTable *completed; /* task -> completion_t of its first completed run */
-	GHashTable *failed;    /* task -> number of its failed runs */
-	GHashTable *crashed;   /* task -> crash_count_t */
+	uint64_t commit_us; /* commit time of the latest proposal; no later proposal is committed
+			       before this time */
+	uint64_t commit_held_until_us;
+	GPtrArray *waiting;	 /* of call_t, hold requests that wait at their VM */
+	GPtrArray *vms;		 /* of sim_vm_t, one for each machine */
+	GHashTable *completed;	 /* task -> completion_t of its first completed run */
+	GHashTable *failed;	 /* task -> number of its failed runs */
+	GHashTable *crashed;	 /* task -> crash_count_t */
 	GHashTable *failed_jobs; /* ids of failed jobs that check_given_up() has checked */
 	unsigned deadly_crashes;
 	unsigned lost_runs;
@@ -379,16 +394,38 @@
 		add_violation(sim, "BUDGET", key);
 }
 
+static uint32_t used_cpu(const sim_vm_t *vm)
+{
+	uint32_t cpu = 0;
+
+	for (guint i = 0; i < vm->runs->len; i++)
+		cpu += g_array_index(vm->runs, sim_run_t, i).cpu;
+	return cpu;
+}
+
 static bool has_room(const sim_vm_t *vm, const Lp__BatchStep *spec)
 {
-	uint32_t cpu = spec->cpu_milli;
 	uint32_t mem = spec->mem_mib;
 
-	for (guint i = 0; i < vm->runs->len; i++) {
-		cpu += g_array_index(vm->runs, sim_run_t, i).cpu;
+	for (guint i = 0; i < vm->runs->len; i++)
 		mem += g_array_index(vm->runs, sim_run_t, i).mem;
+	return used_cpu(vm) + spec->cpu_milli <= vm->cpu_milli && mem <= VM_MEM_MIB;
+}
+
+/* Records a violation if a start exceeds the capacity. A lower capacity counts from SHRINK_GRACE_MS
+ * after the change on. */
+static void check_limit(const sim_vm_t *vm, const task_id_t *id, const Lp__BatchStep *spec)
+{
+	vm_sim_t *sim = vm->sim;
+	uint32_t limit = vm->cpu_milli;
+	g_autofree char *key = task_key(id);
+
+	for (unsigned i = 0; i < PAST_CPU_COUNT; i++) {
+		if (sim->now_us < vm->past_cpu[i].until_us)
+			limit = MAX(limit, vm->past_cpu[i].cpu_milli);
 	}
-	return cpu <= VM_CPU_MILLI && mem <= VM_MEM_MIB;
+	if (used_cpu(vm) + spec->cpu_milli > limit)
+		add_violation(sim, "LIMIT", key);
 }
 
 static uint64_t clock_ms(const sim_vm_t *vm)
@@ -507,8 +544,10 @@
 	}
 	if (start->run <= GPOINTER_TO_UINT(g_hash_table_lookup(vm->highest_runs, key)))
 		return VM_REPLY_STALE_RUN;
-	if (spec != NULL && !has_room(vm, spec))
+	if (spec != NULL && !vm->sim->config.unguarded && !has_room(vm, spec))
 		return VM_REPLY_NO_ROOM;
+	if (spec != NULL)
+		check_limit(vm, &start->task, spec);
 	check_start(vm, &start->task);
 	if (spec == NULL)
 		return VM_REPLY_INVALID;
@@ -824,6 +863,8 @@
 	vm->born_ms = sim->now_us / US_PER_MS + WALL_OFFSET_MS;
 	vm->seq = 0;
 	vm->fence = 0;
+	vm->cpu_milli = VM_CPU_MILLI;
+	memset(vm->past_cpu, 0, sizeof(vm->past_cpu));
 	vm->lease_end_us = 0;
 	vm->last_end_number = 0;
 	g_array_set_size(vm->runs, 0);
@@ -955,6 +996,10 @@
 	vm_sim_t *sim = proposal->sim;
 	Lp__Result result = LP__RESULT__INIT;
 
+	if (sim->now_us < sim->commit_held_until_us) {
+		schedule(sim, sim->commit_held_until_us, commit, g_steal_pointer(&proposal));
+		return;
+	}
 	/* A proposal of a deposed leader is either lost, or committed after proposals of its
 	 * successor. */
 	if (proposal->term != sim->term && g_rand_boolean(sim->rand)) {
@@ -1001,7 +1046,7 @@
 		.rack = "rack",
 		.labels = labels,
 		.label_count = 2,
-		.cpu_milli = VM_CPU_MILLI,
+		.cpu_milli = vm->cpu_milli,
 		.mem_mib = VM_MEM_MIB,
 		.born_ms = vm->born_ms,
 		.clock_ms = clock_ms(vm),
@@ -1135,6 +1180,29 @@
 	}
 }
 
+void vm_sim_set_cpu(vm_sim_t *sim, unsigned machine, uint32_t cpu_milli)
+{
+	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
+
+	memmove(&vm->past_cpu[1], &vm->past_cpu[0], sizeof(vm->past_cpu) - sizeof(vm->past_cpu[0]));
+	vm->past_cpu[0] = (past_cpu_t){
+		.cpu_milli = vm->cpu_milli,
+		.until_us = sim->now_us + SHRINK_GRACE_MS * US_PER_MS,
+	};
+	vm->cpu_milli = cpu_milli;
+}
+
+uint32_t vm_sim_used_cpu(const vm_sim_t *sim, unsigned machine)
+{
+	return used_cpu(g_ptr_array_index(sim->vms, machine));
+}
+
+void vm_sim_delay_commits(vm_sim_t *sim, uint32_t delay_ms)
+{
+	sim->commit_held_until_us = sim->now_us + delay_ms * US_PER_MS;
+	sim->commit_us = MAX(sim->commit_us, sim->commit_held_until_us);
+}
+
 unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim)
 {
 	return sim->deadly_crashes;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -36,6 +36,7 @@
 	uint32_t platform_requests_per_s;	 /**< rate limit that the leader is told; 0: 64 */
 	bool silent_crashes; /**< requests to a crashed VM get no response; false: the VM's
 				connections are broken off and refused */
+	bool unguarded;	     /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
 } vm_sim_config_t;
 
@@ -79,6 +80,13 @@
 unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim);
 /** @return number of runs that have ended with a crash of their VM */
 unsigned vm_sim_lost_run_count(const vm_sim_t *sim);
+/** Sets the CPU capacity that the VM on the machine with the index reports from its next report on.
+ */
+void vm_sim_set_cpu(vm_sim_t *sim, unsigned machine, uint32_t cpu_milli);
+/** @return CPU of the runs on the VM, in thousandths of a core */
+uint32_t vm_sim_used_cpu(const vm_sim_t *sim, unsigned machine);
+/** Holds up all commits, those in flight too, until delay_ms from now. */
+void vm_sim_delay_commits(vm_sim_t *sim, uint32_t delay_ms);
 void vm_sim_change_leader(vm_sim_t *sim);
 /** Restarts all processes: the state is loaded from a snapshot, and a new leader takes over. */
 void vm_sim_restart_processes(vm_sim_t *sim);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -584,6 +584,125 @@
 	assert_true(crashes <= 3 * 5 * DEADLY);
 }
 
+/* Seeds of the random tests: LAVENDERPASS_SEED sets the first one, LAVENDERPASS_SEEDS their
+ * number (default 12). */
+static uint64_t first_seed(void)
+{
+	const char *text = getenv("LAVENDERPASS_SEED");
+
+	return text != NULL ? g_ascii_strtoull(text, NULL, 10) : 1;
+}
+
+static uint64_t seed_count(void)
+{
+	const char *text = getenv("LAVENDERPASS_SEEDS");
+
+	return text != NULL ? g_ascii_strtoull(text, NULL, 10) : 12;
+}
+
+/* Guards against starts that exceed a capacity that has shrunk while their intents were being
+ * committed, for longer than a lower capacity may be unknown. */
+static void test_capacity_shrinks_during_commit(void **state)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		const vm_sim_config_t config = {
+			.services = 1, .vms_per_service = 2, .unguarded = true, .seed = seed};
+		vm_sim_t *sim = vm_sim_create(&config);
+
+		vm_sim_run(sim, 4000);
+		/* 32 tasks of 4 cores fill both VMs. */
+		submit_jobs(sim, 4, 8, 0, false);
+		vm_sim_run(sim, 4055);
+		vm_sim_delay_commits(sim, 8000);
+		vm_sim_set_cpu(sim, 0, 20000);
+		vm_sim_set_cpu(sim, 1, 20000);
+		vm_sim_run(sim, 30000);
+		assert_only_deadly_fail(sim, 4, false);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against starts on a VM whose capacity has shrunk below what runs there, against stopping
+ * these runs, and against not using the capacity once it grows again. */
+static void test_capacity_shrinks_below_what_runs(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = 1, .unguarded = true, .seed = 3};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 16, 4000, 6000);
+	vm_sim_run(sim, 4000);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	vm_sim_run(sim, 4500);
+	assert_int_equal(vm_sim_used_cpu(sim, 0), 64000);
+	vm_sim_set_cpu(sim, 0, 30000);
+	vm_sim_run(sim, 7000);
+	vm_sim_submit(sim, "b", 0, &fixture.job);
+	vm_sim_change_leader(sim);
+	/* The first tasks end 4.2 s after their start at the earliest. */
+	vm_sim_run(sim, 8000);
+	assert_int_equal(vm_sim_used_cpu(sim, 0), 64000);
+	vm_sim_run(sim, 14000);
+	assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+	assert_in_range(vm_sim_used_cpu(sim, 0), 24000, 30000);
+	vm_sim_set_cpu(sim, 0, 64000);
+	vm_sim_run(sim, 16500);
+	assert_in_range(vm_sim_used_cpu(sim, 0), 32000, 64000);
+	vm_sim_run(sim, 40000);
+	assert_int_equal(state_of(sim, "b"), BATCH_JOB_COMPLETE);
+	assert_int_equal(vm_sim_start_count(sim), 32);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
+static void run_load_with_changing_capacity(uint64_t seed)
+{
+	const vm_sim_config_t config = {
+		.services = 1,
+		.vms_per_service = 6,
+		.lost_reply_share = 0.03,
+		.late_request_share = seed % 2 == 0 ? 0.02 : 0,
+		.mean_crash_interval_ms = 9000,
+		.mean_cutoff_interval_ms = 6000,
+		.mean_leader_change_interval_ms = 7000,
+		.unguarded = true,
+		.seed = seed,
+	};
+	vm_sim_t *sim = vm_sim_create(&config);
+	GRand *rand = g_rand_new_with_seed((guint32)seed);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 8, 4000, 900);
+	vm_sim_run(sim, 4000);
+	for (unsigned n = 0; n < 150; n++) {
+		g_autofree char *id = g_strdup_printf("j%u", n);
+
+		vm_sim_submit(sim, id, 0, &fixture.job);
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 150);
+		if (n % 5 == 0)
+			vm_sim_set_cpu(sim, (unsigned)g_rand_int_range(rand, 0, 6),
+				       (uint32_t)g_rand_int_range(rand, 8, 64) * 1000);
+		if (n % 40 == 20)
+			vm_sim_delay_commits(sim, 4000);
+	}
+	vm_sim_stop_faults(sim);
+	vm_sim_run(sim, vm_sim_now_ms(sim) + 20000);
+	if (vm_sim_violations(sim)[0] != '\0')
+		print_message("seed %" PRIu64 "\n", seed);
+	assert_no_violations(sim);
+	g_rand_free(rand);
+	vm_sim_destroy(sim);
+}
+
+/* Guards against starts that exceed capacities that shrink and grow all the time, while responses
+ * are lost or late, VMs fall silent and crash, and the leader changes. */
+static void test_capacity_changes_under_faults(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++)
+		run_load_with_changing_capacity(seed);
+}
+
 /* @return id of job n of a random load, which the caller frees; some jobs crash their VMs */
 static char *mixed_job_id(unsigned n)
 {
@@ -665,22 +784,6 @@
 	vm_sim_destroy(sim);
 }
 
-/* Seeds of the random tests: LAVENDERPASS_SEED sets the first one, LAVENDERPASS_SEEDS their
- * number (default 12). */
-static uint64_t first_seed(void)
-{
-	const char *text = getenv("LAVENDERPASS_SEED");
-
-	return text != NULL ? g_ascii_strtoull(text, NULL, 10) : 1;
-}
-
-static uint64_t seed_count(void)
-{
-	const char *text = getenv("LAVENDERPASS_SEEDS");
-
-	return text != NULL ? g_ascii_strtoull(text, NULL, 10) : 12;
-}
-
 static void run_load_with_faults(uint64_t seed)
 {
 	const vm_sim_config_t config = {
@@ -807,6 +910,9 @@
 		cmocka_unit_test(test_rack_crash_gives_up_no_job),
 		cmocka_unit_test(test_rack_crash_beside_deadly_tasks),
 		cmocka_unit_test(test_many_deadly_tasks_cost_few_vms),
+		cmocka_unit_test(test_capacity_shrinks_during_commit),
+		cmocka_unit_test(test_capacity_shrinks_below_what_runs),
+		cmocka_unit_test(test_capacity_changes_under_faults),
 		cmocka_unit_test(test_guarantees_under_faults),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
