--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "batch_suspect.h"
 #include "log.h"
 
 /* Half-life of a VM's counts of completed and failed runs, from which its health is estimated.
@@ -103,9 +104,19 @@
 	if (clock_ms == 0)
 		return;
 	vm->vm_clock_ms = clock_ms;
+	vm->clock_seen_ms = MAX(vm->clock_seen_ms, clock_ms);
 	vm->vm_clock_read_us = now_us;
 }
 
+void leader_vm_read_clock(leader_vm_t *vm, const vm_reply_t *reply)
+{
+	/* Another incarnation has another clock. */
+	if (reply->code == VM_REPLY_OTHER_INCARNATION ||
+	    (reply->born_ms != 0 && reply->born_ms != vm->born_ms))
+		return;
+	leader_vm_set_clock(vm, reply->clock_ms, leader_now_us(vm->leader));
+}
+
 bool leader_vm_is_empty(leader_vm_t *vm)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
@@ -131,12 +142,17 @@
 	return g_hash_table_lookup(leader->by_machine, machine);
 }
 
-bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us)
+bool leader_vm_report_is_fresh(const leader_vm_t *vm, uint64_t now_us)
 {
-	return !vm->dead && !vm->unresponsive && vm->last_report_us != 0 &&
+	return vm->last_report_us != 0 &&
 	       now_us < vm->last_report_us + vm->leader->config.report_timeout_ms * US_PER_MS;
 }
 
+bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us)
+{
+	return !vm->dead && !vm->unresponsive && leader_vm_report_is_fresh(vm, now_us);
+}
+
 void task_id_set(task_id_t *id, const batch_task_t *task)
 {
 	g_strlcpy(id->job, task->step->job->spec->id, sizeof(id->job));
@@ -190,6 +206,7 @@
 		.rack = copy_or_empty(""),
 		.born_ms = born_ms,
 		.slowness = 1.0,
+		.known_since_us = leader_now_us(leader),
 	};
 	LIST_INSERT_HEAD(&leader->vms, vm, link);
 	g_hash_table_insert(leader->by_id, vm->id, vm);
@@ -320,6 +337,7 @@
 	log_event(G_LOG_LEVEL_MESSAGE,
 		  LOG_FIELDS("vm", vm->id, "born", born, "machine", vm->machine, "reason", reason),
 		  "VM has ended");
+	suspect_log_crash(vm);
 	leader_mark_all_runs_lost(vm, reason);
 }
 
@@ -546,6 +564,9 @@
 	leader->stats.holds_overtaken = metrics_counter(metrics, "batch_holds_overtaken_total", "");
 	leader->stats.stops = metrics_counter(metrics, "batch_stops_total", "");
 	leader->stats.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
+	leader->stats.crashes = metrics_counter(metrics, "batch_vm_crashes_after_start_total", "");
+	leader->stats.suspects = metrics_counter(metrics, "batch_suspect_runs_total", "");
+	leader->stats.given_up = metrics_counter(metrics, "batch_jobs_given_up_total", "");
 	leader->stats.drains = metrics_counter(metrics, "batch_drains_total", "");
 	leader->stats.preemptions = metrics_counter(metrics, "batch_preemptions_total", "");
 	leader->stats.candidates = metrics_counter(metrics, "batch_candidates_total", "");
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -38,9 +38,11 @@
 	uint32_t gpu;
 	uint64_t born_ms;
 	uint64_t seq;
+	uint64_t known_since_us; /**< time when this leader first learned of the incarnation */
 	uint64_t last_report_us; /**< arrival time of the latest report; 0: none since this process
 				    became leader */
 	uint64_t vm_clock_ms;	 /**< reading of the VM's clock at vm_clock_read_us */
+	uint64_t clock_seen_ms;	 /**< highest reading of the VM's clock */
 	uint64_t vm_clock_read_us; /**< leader's monotonic time of the reading vm_clock_ms; 0: never
 				      read */
 	bool draining;
@@ -51,7 +53,14 @@
 	unsigned readings_missed; /**< number of readings of the platform's list without the VM's
 				     machine since the VM is unresponsive */
 	bool dead;		  /**< the VM has ended and runs no tasks any more */
-	uint64_t shutdown_us;	  /**< time when the VM announced its shutdown; 0: not announced */
+	bool planned_end;	  /**< the VM ended because of a platform request */
+	bool broke_off;	  /**< the VM broke off or refused a connection since it last responded,
+			     so that unresponsive_since_us is close to the time of its end */
+	bool listed_down; /**< the platform's latest list has the VM's machine as down */
+	bool ended_with_fresh_run; /**< the VM crashed soon after the start of a run */
+	bool ended_with_suspect;   /**< that run was suspected of a crash already */
+	uint64_t shutdown_us;	   /**< time when the VM announced its shutdown; 0: not announced */
+	uint64_t ended_us;	   /**< time when the dead VM fell silent; 0: it is not dead */
 
 	batch_vm_t *record; /**< replicated record of this incarnation; NULL: it has none */
 
@@ -59,6 +68,8 @@
 	bool commit_in_flight; /**< a command with finished runs of this VM is being committed */
 	bool fence_acked;      /**< the VM has answered a hold request of this leader */
 	bool unresponsive;     /**< the latest hold request was not answered */
+	bool planned_suspect;  /**< a suspected task is among the tasks of planned_job */
+	bool fresh_suspect;    /**< a run of a suspected task is among the runs of fresh_job */
 	uint32_t hold_seq;     /**< number of the latest hold request; responses to earlier ones are
 				  ignored */
 	unsigned probes_sent;  /**< number of probes sent for the latest hold request */
@@ -83,6 +94,12 @@
 				of a core */
 	int64_t planned_mem;
 	int64_t planned_gpu;
+	uint64_t planned_job;  /**< job of these start intents, see batch_suspect.c; 0: none */
+	uint64_t fresh_job;    /**< job of the VM's recently started and planned runs; valid in the
+				  placement pass */
+	uint64_t reserved_job; /**< job whose suspected tasks alone may start here until
+				  reserved_until_us; 0: none */
+	uint64_t reserved_until_us;
 
 	uint64_t backoff_until_us;	/**< time until which the VM gets no new tasks, because it
 					   refused a start request or could not be reached */
@@ -165,6 +182,8 @@
 	start_window_t window;
 	uint64_t window_logged_us;
 	bool window_full; /**< the latest placement pass left out steps because of the window */
+	uint64_t
+		suspect_due_us; /**< time of the next placement pass for suspected tasks; 0: none */
 	uint64_t decay_due_us;
 	uint64_t adopt_due_us;
 	double mean_slowness;
@@ -196,7 +215,11 @@
 						       was answered first */
 		metrics_counter_t *stops;
 		metrics_counter_t *dead;
-		metrics_counter_t *drains;	/**< number of machines drained for another pool */
+		metrics_counter_t *crashes;  /**< number of VMs that crashed soon after the start of
+						a run */
+		metrics_counter_t *suspects; /**< number of such runs */
+		metrics_counter_t *given_up; /**< number of jobs that failed for that */
+		metrics_counter_t *drains;   /**< number of machines drained for another pool */
 		metrics_counter_t *preemptions; /**< number of late tasks stopped for that */
 		metrics_counter_t *candidates;	/**< number of steps examined for placement */
 		metrics_counter_t *place_vms;	/**< number of VMs examined for placement */
@@ -238,6 +261,8 @@
 void leader_vm_mark_dead(leader_vm_t *vm, const char *reason);
 /** Stores a reading of the VM's clock that arrived in a message. A reading of 0 is ignored. */
 void leader_vm_set_clock(leader_vm_t *vm, uint64_t clock_ms, uint64_t now_us);
+/** Stores the reading of the VM's clock in a reply, unless it is from another incarnation. */
+void leader_vm_read_clock(leader_vm_t *vm, const vm_reply_t *reply);
 /**
  * True when no task is assigned to the VM, no start intent for it is pending, and it runs no task
  * that the log does not assign to it.
@@ -248,6 +273,8 @@
 /** @return hash of a VM id, never 0 */
 uint32_t leader_vm_hash(const char *vm_id);
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine);
+/** True when the VM's latest report is recent enough to place tasks by it. */
+bool leader_vm_report_is_fresh(const leader_vm_t *vm, uint64_t now_us);
 bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us);
 
 void task_id_set(task_id_t *id, const batch_task_t *task);
@@ -297,6 +324,11 @@
 void leader_clear_planned(batch_leader_t *leader);
 /** Runs another placement pass if the window has kept the latest one from starting tasks. */
 void leader_window_changed(batch_leader_t *leader);
+/**
+ * True when the runs assigned to the VM, of which one is the run to be started, fit the capacity in
+ * its latest report, and that report is not too old.
+ */
+bool leader_start_fits(leader_vm_t *vm, const batch_task_t *started, uint64_t now_us);
 
 /* batch_ticket.c */
 typedef struct batch_ticket_cache batch_ticket_cache_t;
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -30,6 +30,9 @@
 #define PROPOSE_TIMEOUT_MS 3000
 /* Time for which only one leader may send platform requests for a machine. */
 #define HOLDER_LEASE_MS 3000
+/* Time for which the capacity before a change still counts: time until a VM is out of contact, and
+ * one report. */
+#define SHRINK_GRACE_MS (3000 + REPORT_INTERVAL_MS)
 
 typedef struct {
 	task_id_t task;
@@ -42,6 +45,15 @@
 	bool stalled;
 } sim_run_t;
 
+/* Changes of a VM's capacity that are kept. */
+#define PAST_CPU_COUNT 8
+
+/* An earlier capacity of a VM, which counts until until_us if it was higher. */
+typedef struct {
+	uint32_t cpu_milli;
+	uint64_t until_us;
+} past_cpu_t;
+
 typedef struct sim_vm {
 	struct vm_sim *sim;
 	char id[32];
@@ -50,6 +62,8 @@
 	char service[32];
 	uint64_t born_ms;
 	uint64_t seq;
+	uint32_t cpu_milli; /* capacity */
+	past_cpu_t past_cpu[PAST_CPU_COUNT];
 	bool up;
 	bool powered_off; /* the machine is in the standby pool */
 	bool removed;	  /* the machine has left the fleet */
@@ -67,7 +81,8 @@
 	GHashTable *highest_runs; /* task -> highest number of its runs that were stopped or have
 				     ended */
 	uint64_t last_wave;
-	bool busy; /* the machine is being moved, maintained or restarted */
+	bool crashed; /* the platform lists the machine as down */
+	bool busy;    /* the machine is being moved, maintained or restarted */
 } sim_vm_t;
 
 /* Where an event is handled. */
@@ -101,6 +116,18 @@
 	uint64_t time_us;
 	bool by_order; /* a stop request has ended the run */
 } absence_t;
+/* VMs that crashed while a run of the task was on them, and later starts. */
+typedef struct {
+	unsigned vms;
+	unsigned starts; /* starts after DEADLY_VMS_MAX VMs had crashed */
+} crash_count_t;
+
+/* A task that crashes its VMs may be started at most DEADLY_STARTS_MAX times after DEADLY_VMS_MAX
+ * of them have crashed. Its job may be given up from GIVEN_UP_VMS_MIN on. */
+#define DEADLY_VMS_MAX 3
+#define DEADLY_STARTS_MAX 2
+#define GIVEN_UP_VMS_MIN 2
+#define CRASH_DELAY_MAX_MS 15
 
 struct vm_sim {
 	vm_sim_config_t config;
@@ -120,12 +147,18 @@
 	batch_leader_t *leader;
 	metrics_t *metrics;
 	uint64_t term;
-	uint64_t commit_us;    /* commit time of the latest proposal; no later proposal is committed
-				  before this time */
-	GPtrArray *vms;	       /* of sim_vm_t, one for each machine */
-	GHashTable *completed; /* task -> completion_t of its first completed run */
-	GHashTable *failed;    /* task -> number of its failed runs */
-	GHashTable *absences;  /* task -> absence_t */
+	uint64_t commit_us; /* commit time of the latest proposal; no later proposal is committed
+			       before this time */
+	uint64_t commit_held_until_us;
+	GPtrArray *waiting;	 /* of call_t, hold requests that wait at their VM */
+	GPtrArray *vms;		 /* of sim_vm_t, one for each machine */
+	GHashTable *completed;	 /* task -> completion_t of its first completed run */
+	GHashTable *failed;	 /* task -> number of its failed runs */
+	GHashTable *absences;	 /* task -> absence_t */
+	GHashTable *crashed;	 /* task -> crash_count_t */
+	GHashTable *failed_jobs; /* ids of failed jobs that check_given_up() has checked */
+	unsigned deadly_crashes;
+	unsigned lost_runs;
 	GHashTable *cancelled; /* job -> time in us when its cancellation was committed */
 	GString *violations;
 	uint32_t platform_delay_ms;
@@ -295,6 +328,81 @@
 	return job != NULL && id->step < job->spec->n_steps ? job->spec->steps[id->step] : NULL;
 }
 
+static bool is_deadly(const task_id_t *id)
+{
+	return g_str_has_prefix(id->job, VM_SIM_DEADLY_PREFIX) && id->step == 0 && id->index == 0;
+}
+
+static crash_count_t *crash_count(vm_sim_t *sim, const task_id_t *id)
+{
+	char *key = task_key(id);
+	crash_count_t *count = g_hash_table_lookup(sim->crashed, key);
+
+	if (count != NULL) {
+		g_free(key);
+		return count;
+	}
+	count = g_new0(crash_count_t, 1);
+	g_hash_table_insert(sim->crashed, key, count);
+	return count;
+}
+
+static void boot_vm(void *arg);
+static void break_off_holds(const sim_vm_t *vm);
+
+/* Ends the VM with all its runs, and starts the machine again after min_ms to max_ms. */
+static void note_absences(sim_vm_t *vm);
+
+static void crash_vm(sim_vm_t *vm, uint32_t min_ms, uint32_t max_ms)
+{
+	vm_sim_t *sim = vm->sim;
+
+	for (guint i = 0; i < vm->runs->len; i++)
+		crash_count(sim, &g_array_index(vm->runs, sim_run_t, i).task)->vms++;
+	sim->lost_runs += vm->runs->len;
+	vm->up = false;
+	vm->crashed = true;
+	vm->busy = true;
+	note_absences(vm);
+	g_array_set_size(vm->runs, 0);
+	if (!sim->config.silent_crashes)
+		break_off_holds(vm);
+	schedule(sim, random_time_us(sim, min_ms, max_ms), boot_vm, vm);
+}
+
+typedef struct {
+	sim_vm_t *vm;
+	uint64_t born_ms;
+} deadly_run_t;
+
+static void crash_by_run(void *arg)
+{
+	g_autofree deadly_run_t *run = arg;
+
+	if (!run->vm->up || run->vm->born_ms != run->born_ms)
+		return;
+	run->vm->sim->deadly_crashes++;
+	crash_vm(run->vm, 3000, 3500);
+}
+
+static void schedule_crash(sim_vm_t *vm)
+{
+	deadly_run_t *run = g_new0(deadly_run_t, 1);
+
+	*run = (deadly_run_t){.vm = vm, .born_ms = vm->born_ms};
+	schedule(vm->sim, random_time_us(vm->sim, 0, CRASH_DELAY_MAX_MS), crash_by_run, run);
+}
+
+/* Records a violation if a task is started too often although VMs crash under it. */
+static void check_deadly_start(vm_sim_t *sim, const task_id_t *id)
+{
+	crash_count_t *count = crash_count(sim, id);
+	g_autofree char *key = task_key(id);
+
+	if (is_deadly(id) && count->vms >= DEADLY_VMS_MAX && ++count->starts > DEADLY_STARTS_MAX)
+		add_violation(sim, "BUDGET: started after VMs have crashed under it", key);
+}
+
 static void raise_highest_run(sim_vm_t *vm, const task_id_t *id, uint32_t run)
 {
 	char *key = task_key(id);
@@ -429,6 +537,7 @@
 			add_violation(sim, "TWICE after its acknowledged end", key);
 	}
 	check_step_order(sim, id);
+	check_deadly_start(sim, id);
 	if (cancelled_us != NULL && sim->now_us > *cancelled_us + CANCEL_GRACE_MS * US_PER_MS)
 		add_violation(sim, "UNASKED after its cancelling", key);
 	if (!find_step_spec(sim, id)->long_running && job->queue != NULL &&
@@ -436,16 +545,38 @@
 		add_violation(sim, "BUDGET", key);
 }
 
+static uint32_t used_cpu(const sim_vm_t *vm)
+{
+	uint32_t cpu = 0;
+
+	for (guint i = 0; i < vm->runs->len; i++)
+		cpu += g_array_index(vm->runs, sim_run_t, i).cpu;
+	return cpu;
+}
+
 static bool has_room(const sim_vm_t *vm, const Lp__BatchStep *spec)
 {
-	uint32_t cpu = spec->cpu_milli;
 	uint32_t mem = spec->mem_mib;
 
-	for (guint i = 0; i < vm->runs->len; i++) {
-		cpu += g_array_index(vm->runs, sim_run_t, i).cpu;
+	for (guint i = 0; i < vm->runs->len; i++)
 		mem += g_array_index(vm->runs, sim_run_t, i).mem;
+	return used_cpu(vm) + spec->cpu_milli <= vm->cpu_milli && mem <= VM_MEM_MIB;
+}
+
+/* Records a violation if a start exceeds the capacity. A lower capacity counts from SHRINK_GRACE_MS
+ * after the change on. */
+static void check_limit(const sim_vm_t *vm, const task_id_t *id, const Lp__BatchStep *spec)
+{
+	vm_sim_t *sim = vm->sim;
+	uint32_t limit = vm->cpu_milli;
+	g_autofree char *key = task_key(id);
+
+	for (unsigned i = 0; i < PAST_CPU_COUNT; i++) {
+		if (sim->now_us < vm->past_cpu[i].until_us)
+			limit = MAX(limit, vm->past_cpu[i].cpu_milli);
 	}
-	return cpu <= VM_CPU_MILLI && mem <= VM_MEM_MIB;
+	if (used_cpu(vm) + spec->cpu_milli > limit)
+		add_violation(sim, "LIMIT", key);
 }
 
 static uint64_t clock_ms(const sim_vm_t *vm)
@@ -537,7 +668,8 @@
 	bool has_timer; /* a timer for the response is scheduled, and frees the call if the response
 			   was handled before */
 	bool closed;	/* the caller has got a response, or the timer has fired */
-	bool held_up;	/* the request is carried out seconds late */
+	bool broken_off; /* a hold request whose VM has ended; its copy has told the caller */
+	bool held_up;	 /* the request is carried out seconds late */
 	vm_reply_t reply;
 	GArray *running;
 	GArray *finished;
@@ -576,6 +708,10 @@
 	call_t *call = arg;
 	const vm_reply_t reply = {.code = VM_REPLY_NO_RESPONSE};
 
+	if (call->broken_off) {
+		call->has_timer = false;
+		return;
+	}
 	if (call->closed) {
 		call_free(call);
 		return;
@@ -584,6 +720,29 @@
 	call->done(call->arg, &reply);
 }
 
+static void break_off_holds(const sim_vm_t *vm)
+{
+	vm_sim_t *sim = vm->sim;
+
+	for (guint i = 0; i < sim->waiting->len;) {
+		call_t *call = g_ptr_array_index(sim->waiting, i);
+		call_t *broken;
+
+		if (strcmp(call->address, vm->address) != 0) {
+			i++;
+			continue;
+		}
+		broken = g_memdup2(call, sizeof(*call));
+		broken->reply.code = VM_REPLY_NO_RESPONSE;
+		broken->reply.clock_ms = 0;
+		broken->has_timer = false;
+		schedule(sim, random_time_us(sim, 1, 4), deliver_reply, broken);
+		call->broken_off = true;
+		call->closed = true;
+		g_ptr_array_remove_index_fast(sim->waiting, i);
+	}
+}
+
 static sim_vm_t *find_vm(vm_sim_t *sim, const char *address)
 {
 	for (guint i = 0; i < sim->vms->len; i++) {
@@ -616,8 +775,10 @@
 	}
 	if (start->run <= GPOINTER_TO_UINT(g_hash_table_lookup(vm->highest_runs, key)))
 		return VM_REPLY_STALE_RUN;
-	if (spec != NULL && !has_room(vm, spec))
+	if (spec != NULL && !vm->sim->config.unguarded && !has_room(vm, spec))
 		return VM_REPLY_NO_ROOM;
+	if (spec != NULL)
+		check_limit(vm, &start->task, spec);
 	check_start(vm, &start->task);
 	if (spec == NULL)
 		return VM_REPLY_INVALID;
@@ -631,6 +792,8 @@
 					g_rand_double_range(vm->sim->rand, 0.7, 1.4) * US_PER_MS);
 	g_array_append_val(vm->runs, run);
 	vm->sim->starts++;
+	if (is_deadly(&start->task))
+		schedule_crash(vm);
 	return VM_REPLY_OK;
 }
 
@@ -718,8 +881,17 @@
 	call_t *call = arg;
 	sim_vm_t *vm = find_vm(call->sim, call->address);
 
+	if (call->broken_off) {
+		/* The timer or this event, whichever comes later, frees the call. */
+		call->broken_off = false;
+		if (!call->has_timer)
+			call_free(call);
+		return;
+	}
+	g_ptr_array_remove_fast(call->sim->waiting, call);
 	if (vm == NULL || !vm->up || call->sim->now_us < vm->cut_off_until_us) {
 		call->reply.code = VM_REPLY_NO_RESPONSE;
+		call->reply.clock_ms = 0;
 		schedule_at(call->sim, LEADER_MESSAGE, random_time_us(call->sim, 800, 800),
 			    deliver_reply, call);
 		return;
@@ -743,9 +915,12 @@
 			call_free(call);
 			return;
 		}
-		call->reply.code = VM_REPLY_NO_RESPONSE;
-		schedule_at(sim, LEADER_MESSAGE,
-			    random_time_us(sim, REQUEST_TIMEOUT_MS, REQUEST_TIMEOUT_MS),
+		bool refused = vm != NULL && !vm->up && sim->now_us >= vm->cut_off_until_us &&
+			       !sim->config.silent_crashes;
+		uint32_t after_ms = refused ? 1 : REQUEST_TIMEOUT_MS;
+
+		call->reply.code = refused ? VM_REPLY_NOT_SENT : VM_REPLY_NO_RESPONSE;
+		schedule_at(sim, LEADER_MESSAGE, random_time_us(sim, after_ms, after_ms),
 			    deliver_reply, call);
 		return;
 	}
@@ -785,6 +960,7 @@
 			if (run->end_us != 0)
 				wait_ms = MIN(wait_ms, (uint32_t)(left_us / US_PER_MS + 1));
 		}
+		g_ptr_array_add(sim->waiting, call);
 		schedule(sim, sim->now_us + wait_ms * US_PER_MS, answer_hold, call);
 		return;
 	}
@@ -914,7 +1090,7 @@
 		g_strlcpy(listed->vm, vm->id, VM_NAME_MAX);
 		listed->cpu_milli = VM_CPU_MILLI;
 		listed->up = !vm->busy && (vm->up || vm->powered_off);
-		listed->down = !vm->busy && !vm->up && !vm->powered_off;
+		listed->down = vm->crashed;
 		list.machine_count++;
 	}
 	call->done(call->arg, &list);
@@ -938,11 +1114,14 @@
 	vm_sim_t *sim = vm->sim;
 
 	vm->busy = false;
+	vm->crashed = false;
 	vm->powered_off = strcmp(vm->service, "standby") == 0;
 	vm->up = !vm->powered_off;
 	vm->born_ms = sim->now_us / US_PER_MS + WALL_OFFSET_MS;
 	vm->seq = 0;
 	vm->fence = 0;
+	vm->cpu_milli = VM_CPU_MILLI;
+	memset(vm->past_cpu, 0, sizeof(vm->past_cpu));
 	vm->lease_end_us = 0;
 	vm->last_end_number = 0;
 	g_array_set_size(vm->runs, 0);
@@ -1120,6 +1299,10 @@
 	vm_sim_t *sim = proposal->sim;
 	Lp__Result result = LP__RESULT__INIT;
 
+	if (sim->now_us < sim->commit_held_until_us) {
+		schedule(sim, sim->commit_held_until_us, commit, g_steal_pointer(&proposal));
+		return;
+	}
 	/* A proposal of a deposed leader is either lost, or committed after proposals of its
 	 * successor, possibly after it was passed on to the successor. */
 	if (proposal->term != sim->term && !proposal->requeued && g_rand_boolean(sim->rand)) {
@@ -1173,7 +1356,7 @@
 		.rack = "rack",
 		.labels = labels,
 		.label_count = 2,
-		.cpu_milli = VM_CPU_MILLI,
+		.cpu_milli = vm->cpu_milli,
 		.mem_mib = VM_MEM_MIB,
 		.born_ms = vm->born_ms,
 		.clock_ms = clock_ms(vm),
@@ -1218,12 +1401,43 @@
 	}
 }
 
+static bool has_crashed_vms(vm_sim_t *sim, const char *id)
+{
+	g_autofree char *prefix = g_strdup_printf("%s.", id);
+	GHashTableIter iter;
+	void *key;
+	void *value;
+
+	g_hash_table_iter_init(&iter, sim->crashed);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		if (g_str_has_prefix(key, prefix) &&
+		    ((const crash_count_t *)value)->vms >= GIVEN_UP_VMS_MIN)
+			return true;
+	}
+	return false;
+}
+
+/* Records a violation if a job has failed without a task whose attempts are used up, or under which
+ * two VMs have crashed. */
+static void check_given_up(vm_sim_t *sim)
+{
+	const batch_job_t *job;
+
+	TAILQ_FOREACH (job, &sim->state.ended, link) {
+		if (job->state == BATCH_JOB_FAILED && sim->config.failed_end_share == 0 &&
+		    !g_hash_table_contains(sim->failed_jobs, job->spec->id) &&
+		    g_hash_table_add(sim->failed_jobs, g_strdup(job->spec->id)) &&
+		    !has_crashed_vms(sim, job->spec->id))
+			add_violation(sim, "LOST: failed without cause", job->spec->id);
+	}
+}
+
 static void tick(void *arg)
 {
 	vm_sim_t *sim = arg;
 
 	check_waves(sim);
-
+	check_given_up(sim);
 	batch_leader_tick(sim->leader);
 	charge_candidates(sim);
 	schedule_at(sim, LEADER_TIMER, sim->now_us + TICK_US, tick, sim);
@@ -1240,15 +1454,6 @@
 				 (guint)g_rand_int_range(sim->rand, 0, (gint32)sim->vms->len));
 }
 
-static void crash(sim_vm_t *vm, uint32_t down_ms)
-{
-	vm->up = false;
-	vm->busy = true;
-	note_absences(vm);
-	g_array_set_size(vm->runs, 0);
-	schedule(vm->sim, vm->sim->now_us + down_ms * US_PER_MS, boot_vm, vm);
-}
-
 static void inject_faults(void *arg)
 {
 	vm_sim_t *sim = arg;
@@ -1256,9 +1461,8 @@
 
 	if (sim->shutting_down)
 		return;
-	if (fault_due(sim, sim->config.mean_crash_interval_ms) && vm->up) {
-		crash(vm, (uint32_t)g_rand_int_range(sim->rand, 500, 5001));
-	}
+	if (fault_due(sim, sim->config.mean_crash_interval_ms) && vm->up)
+		crash_vm(vm, 500, 5000);
 	vm = random_vm(sim);
 	if (fault_due(sim, sim->config.mean_cutoff_interval_ms) && vm->up)
 		vm->cut_off_until_us = random_time_us(sim, 1000, 6000);
@@ -1284,6 +1488,51 @@
 
 /* --- interface --- */
 
+void vm_sim_crash_vms(vm_sim_t *sim, unsigned first, unsigned count)
+{
+	for (guint i = first; i < sim->vms->len && count > 0; i++) {
+		sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		if (!vm->up)
+			continue;
+		crash_vm(vm, 3000, 3500);
+		count--;
+	}
+}
+
+void vm_sim_set_cpu(vm_sim_t *sim, unsigned machine, uint32_t cpu_milli)
+{
+	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
+
+	memmove(&vm->past_cpu[1], &vm->past_cpu[0], sizeof(vm->past_cpu) - sizeof(vm->past_cpu[0]));
+	vm->past_cpu[0] = (past_cpu_t){
+		.cpu_milli = vm->cpu_milli,
+		.until_us = sim->now_us + SHRINK_GRACE_MS * US_PER_MS,
+	};
+	vm->cpu_milli = cpu_milli;
+}
+
+uint32_t vm_sim_used_cpu(const vm_sim_t *sim, unsigned machine)
+{
+	return used_cpu(g_ptr_array_index(sim->vms, machine));
+}
+
+void vm_sim_delay_commits(vm_sim_t *sim, uint32_t delay_ms)
+{
+	sim->commit_held_until_us = sim->now_us + delay_ms * US_PER_MS;
+	sim->commit_us = MAX(sim->commit_us, sim->commit_held_until_us);
+}
+
+unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim)
+{
+	return sim->deadly_crashes;
+}
+
+unsigned vm_sim_lost_run_count(const vm_sim_t *sim)
+{
+	return sim->lost_runs;
+}
+
 void vm_sim_change_leader(vm_sim_t *sim)
 {
 	batch_leader_deactivate(sim->leader);
@@ -1399,9 +1648,12 @@
 	sim->events = g_sequence_new(NULL);
 	sim->now_us = US_PER_S;
 	sim->vms = g_ptr_array_new();
+	sim->waiting = g_ptr_array_new();
 	sim->completed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sim->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sim->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	sim->crashed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->cancelled = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->violations = g_string_new(NULL);
 	sim->platform_delay_ms = 5;
@@ -1459,11 +1711,14 @@
 		g_free(vm);
 	}
 	g_ptr_array_unref(sim->vms);
+	g_ptr_array_unref(sim->waiting);
 	g_sequence_foreach(sim->events, free_event, NULL);
 	g_sequence_free(sim->events);
 	g_hash_table_destroy(sim->completed);
 	g_hash_table_destroy(sim->failed);
 	g_hash_table_destroy(sim->absences);
+	g_hash_table_destroy(sim->crashed);
+	g_hash_table_destroy(sim->failed_jobs);
 	g_hash_table_destroy(sim->cancelled);
 	g_string_free(sim->violations, TRUE);
 	g_rand_free(sim->rand);
@@ -1664,7 +1919,7 @@
 
 		for (guint j = 0; vm->up && j < vm->runs->len; j++) {
 			if (strcmp(g_array_index(vm->runs, sim_run_t, j).task.job, id) == 0) {
-				crash(vm, down_ms);
+				crash_vm(vm, down_ms, down_ms);
 				return true;
 			}
 		}
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -27,6 +27,8 @@
 				that acknowledges it */
 	uint32_t candidate_ns; /**< for each candidate that a placement pass examines */
 } vm_sim_processor_t;
+/** Id prefix of jobs whose task 0 of step 0 crashes its VM up to 15 ms after it has started. */
+#define VM_SIM_DEADLY_PREFIX "deadly"
 
 typedef struct {
 	unsigned services;
@@ -49,6 +51,9 @@
 						    s; 0: no outages */
 	uint32_t platform_requests_per_s;	 /**< rate limit that the leader is told; 0: 64 */
 	vm_sim_processor_t processor;
+	bool silent_crashes; /**< requests to a crashed VM get no response; false: the VM's
+				connections are broken off and refused */
+	bool unguarded;	     /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
 } vm_sim_config_t;
 
@@ -94,6 +99,22 @@
 /** Removes a machine that runs a task of the job from the fleet: its VM ends without notice, and
  * the platform does not list the machine any more. */
 void vm_sim_remove_machine_of(vm_sim_t *sim, const char *job);
+/**
+ * Crashes the first count VMs that are up, from the machine with the index first on, at the same
+ * time. Their machines are back after 3 to 3.5 s.
+ */
+void vm_sim_crash_vms(vm_sim_t *sim, unsigned first, unsigned count);
+/** @return number of VMs that have crashed because of a task, see VM_SIM_DEADLY_PREFIX */
+unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim);
+/** @return number of runs that have ended with a crash of their VM */
+unsigned vm_sim_lost_run_count(const vm_sim_t *sim);
+/** Sets the CPU capacity that the VM on the machine with the index reports from its next report on.
+ */
+void vm_sim_set_cpu(vm_sim_t *sim, unsigned machine, uint32_t cpu_milli);
+/** @return CPU of the runs on the VM, in thousandths of a core */
+uint32_t vm_sim_used_cpu(const vm_sim_t *sim, unsigned machine);
+/** Holds up all commits, those in flight too, until delay_ms from now. */
+void vm_sim_delay_commits(vm_sim_t *sim, uint32_t delay_ms);
 void vm_sim_change_leader(vm_sim_t *sim);
 /** Restarts all processes: the state is loaded from a snapshot, and a new leader takes over. */
 void vm_sim_restart_processes(vm_sim_t *sim);
