batch_apply: a lost run keeps the pending start intent of its task

Cause: a step counts its start intents that are being committed, and is placed only while it has more waiting tasks than that. When the run of an earlier intent of the same task was committed as lost meanwhile, the state of the task was reset with its mark of a pending intent, so that the count was never taken back when the commit became known. From then on the step was not placed any more, also not under the same process's later terms, until the process started again. Two intents of one task are in flight after a change of the leader, or when a commit takes longer than the 3 s after which its outcome counts as unknown, as on a leader that is behind.

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -81,7 +81,8 @@
 }
 
 /* Detaches the task from its VM and resets the leader's state of the task, except for the VM of
- * the last failure. */
+ * the last failure and a pending start intent, which the leader counts until its commit is known.
+ */
 static void detach_vm(batch_task_t *task)
 {
 	if (task->vm == NULL)
@@ -90,7 +91,11 @@
 	task->vm->task_count--;
 	task->step->job->tasks_on_vms--;
 	task->vm = NULL;
-	task->local = (run_local_state_t){.failed_vm_hash = task->local.failed_vm_hash};
+	task->local = (run_local_state_t){
+		.intent_pending = task->local.intent_pending,
+		.intent_vm = task->local.intent_vm,
+		.failed_vm_hash = task->local.failed_vm_hash,
+	};
 }
 
 /* --- jobs --- */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -943,7 +943,7 @@
  * leader, and got the tasks, while the request was being committed. */
 static void test_maintenance_with_commit_stalls(void **state)
 {
-	static const uint64_t failed[] = {4, 25, 48, 59, 107, 120, 150, 186};
+	static const uint64_t failed[] = {4, 25, 48, 51, 59, 107, 120, 150, 186};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++)
 		run_load_with_commit_stalls(failed[i]);
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -424,6 +424,22 @@
 	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
 }
 
+/* Guards against a step that is never placed again, because it counts a start intent for ever: the
+ * run of an earlier intent was lost while the intent was being committed. */
+static void test_lost_run_keeps_the_pending_intent(void **state)
+{
+	batch_task_t *task;
+
+	submit("a", 1, false);
+	apply_start("a", 0, 1, "vm-1", 1);
+	task = batch_job_task(batch_state_job(&batch, "a"), 0, 0, 0);
+	task->local.intent_pending = true;
+	task->step->pending_intents = 1;
+	apply_lost_run("a", 0, 1, LP__BATCH_CRASH__BATCH_CRASH_NONE);
+	assert_int_equal(task->status, BATCH_TASK_WAITING);
+	assert_true(task->local.intent_pending);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -450,6 +466,8 @@
 		cmocka_unit_test_setup_teardown(test_snapshot_keeps_crashes, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_jobs_are_given_up_by_crashes, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_lost_run_keeps_the_pending_intent, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_run_counts_one_crash, set_up, tear_down),
 	};
 
