batch_machines: commit repeated move requests

Cause: resend_moves() repeated the request of a move without a command in the log. When the result of the move takes more than 3 s to commit, or is passed on to the next leader, a request is repeated after the result was proposed, and the next leader counts the holder's lease from the result.

Change: a repeated move request is committed like the first one.

--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -369,6 +369,16 @@
 	return vm == NULL || leader_vm_is_empty(vm);
 }
 
+/* Commits the intent to send a move request, and then sends it. A repeated request is committed
+ * again, so that the next leader knows when the holder's lease of this one ends. */
+static void propose_move(batch_leader_t *leader, leader_machine_t *machine, const char *pool)
+{
+	machine->request_in_flight = true;
+	machine->requested_by_this_leader = true;
+	machine_call_propose(machine_call_new(leader, machine->name, pool, 0),
+			     LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_move_committed);
+}
+
 /* Repeats the requests of moves that are committed without a result, including moves of earlier
  * leaders. */
 static void resend_moves(batch_leader_t *leader, uint64_t now_us)
@@ -393,7 +403,7 @@
 			propose_move_result(leader, machine, move->pool,
 					    LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
 		} else if (machine_is_empty(leader, machine)) {
-			send_move(leader, machine, move->pool);
+			propose_move(leader, machine, move->pool);
 		}
 	}
 }
@@ -402,15 +412,12 @@
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
 
-	machine->request_in_flight = true;
-	machine->requested_by_this_leader = true;
 	machine->busy_replies = 0;
 	if (vm != NULL) {
 		vm->cordoned = true;
 		vm->cordoned_since_us = leader_now_us(leader);
 	}
-	machine_call_propose(machine_call_new(leader, machine->name, pool, 0),
-			     LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT, on_move_committed);
+	propose_move(leader, machine, pool);
 }
 
 /* --- demand --- */
@@ -930,8 +937,8 @@
 	if (!leader->list_complete || now_us < leader->capacity_due_us)
 		return;
 	leader->capacity_due_us = now_us + CAPACITY_PERIOD_US;
-	/* An earlier leader possibly repeated the requests of unfinished moves until this leader
-	 * was activated. Repeated requests are not in the log, so wait for the end of its lease. */
+	/* An earlier leader possibly sent the requests of unfinished moves until this leader was
+	 * activated, so wait for the end of its lease. */
 	if (now_us >= leader->activated_us + leader->config.holder_lease_ms * US_PER_MS)
 		resend_moves(leader, now_us);
 	plan_capacity(leader, now_us);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -662,6 +662,32 @@
 	}
 }
 
+/* Guards against leaders that take turns on a machine: a leader repeated a move request while its
+ * result was being committed, and the next one counted the holder's lease from the result. */
+static void test_moves_with_commit_stalls(void **state)
+{
+	static const uint64_t failed[] = {41, 148, 161, 357};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 6,
+			.standby_vms = 2,
+			.late_request_share = 0.05,
+			.lost_reply_share = 0.1,
+			.lost_request_share = 0.1,
+			.failed_end_share = 0.02,
+			.mean_crash_interval_ms = 4000,
+			.mean_cutoff_interval_ms = 3000,
+			.mean_leader_change_interval_ms = 2000,
+			.mean_commit_stall_interval_ms = 4000,
+			.seed = failed[i],
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Prints the leader's CPU time for a large fleet, which shows whether its work grows with the
  * square of the number of VMs. */
 static void test_leader_cpu_time_on_large_fleet(void **state)
@@ -715,6 +741,7 @@
 		cmocka_unit_test(test_guarantees_with_commit_stalls),
 		cmocka_unit_test(test_guarantees_with_lost_start_replies),
 		cmocka_unit_test(test_guarantees_with_lost_stop_requests),
+		cmocka_unit_test(test_moves_with_commit_stalls),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
