batch_dispatch: do not start a run whose loss is being committed

Seen: by a storm test only. A VM ran a task that the log had as lost, beside the task's next run on the same or another VM: capacity exceeded (LIMIT), and two runs of one task are possible (TWICE).

Cause: a start intent of an earlier leader is committed while the present leader has its own intent for the same task, run number and VM in flight. The present leader finds the earlier one's run on no list and proposes its loss; then its own intent is committed, changes nothing, and the start request is sent since task, run and VM are as planned. The comparison of run and VM was meant to tell the two intents apart, but they can be equal.

Change: the start is not sent while the run's loss is being committed.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -460,8 +460,10 @@
 	if (task == NULL)
 		return;
 	clear_planned(task);
+	/* A loss is pending if an earlier leader's intent for the same run and VM was committed
+	 * first, and this leader has already found that the run was not started. */
 	if (!committed || task->status != BATCH_TASK_ASSIGNED || task->run != intent->ref.run ||
-	    task->local.phase != RUN_INHERITED)
+	    task->local.phase != RUN_INHERITED || task->local.loss_pending)
 		return;
 	/* A start intent of an earlier leader with the same run number was possibly committed
 	 * first, for another VM. */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -703,6 +703,14 @@
 		run_load_with_changing_capacity(seed);
 }
 
+/* Guards against starting a run whose loss is being committed. An earlier leader had assigned the
+ * task to the same VM with the same run number, and the run stayed on the VM beside its successor.
+ */
+static void test_run_is_not_started_while_its_loss_is_committed(void **state)
+{
+	run_load_with_changing_capacity(1116);
+}
+
 /* @return id of job n of a random load, which the caller frees; some jobs crash their VMs */
 static char *mixed_job_id(unsigned n)
 {
@@ -913,6 +921,7 @@
 		cmocka_unit_test(test_capacity_shrinks_during_commit),
 		cmocka_unit_test(test_capacity_shrinks_below_what_runs),
 		cmocka_unit_test(test_capacity_changes_under_faults),
+		cmocka_unit_test(test_run_is_not_started_while_its_loss_is_committed),
 		cmocka_unit_test(test_guarantees_under_faults),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
