--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -747,6 +747,14 @@
 		run_load_with_changing_capacity(seed);
 }
 
+/* Guards against starting a run whose loss is being committed. An earlier leader had assigned the
+ * task to the same VM with the same run number, and the run stayed on the VM beside its successor.
+ */
+static void test_run_is_not_started_while_its_loss_is_committed(void **state)
+{
+	run_load_with_changing_capacity(1116);
+}
+
 /* @return id of job n of a random load, which the caller frees; some jobs crash their VMs */
 static char *mixed_job_id(unsigned n)
 {
@@ -885,23 +893,34 @@
 	}
 }
 
+static void run_load_with_most_replies_lost(uint64_t seed)
+{
+	const vm_sim_config_t config = {
+		.services = 2,
+		.vms_per_service = 5,
+		.standby_vms = 6,
+		.lost_reply_share = 0.6,
+		.mean_crash_interval_ms = 3000,
+		.seed = seed,
+	};
+
+	run_random_load(&config);
+}
+
 /* Guards against treating the runs of a VM that has not responded yet as ended. An unanswered start
  * request granted a lease that the leader did not record, and the task was started a second time
  * elsewhere. */
 static void test_guarantees_with_most_replies_lost(void **state)
 {
-	for (uint64_t seed = first_seed(); seed < first_seed() + 2 * seed_count(); seed++) {
-		const vm_sim_config_t config = {
-			.services = 2,
-			.vms_per_service = 5,
-			.standby_vms = 6,
-			.lost_reply_share = 0.6,
-			.mean_crash_interval_ms = 3000,
-			.seed = seed,
-		};
+	for (uint64_t seed = first_seed(); seed < first_seed() + 2 * seed_count(); seed++)
+		run_load_with_most_replies_lost(seed);
+}
 
-		run_random_load(&config);
-	}
+/* Guards against giving up a job whose runs had ended unnoticed before their VM crashed: the
+ * responses that list their ends were lost. */
+static void test_runs_that_ended_unnoticed_count_no_crash(void **state)
+{
+	run_load_with_most_replies_lost(1557);
 }
 
 /* Guards against leaders that take turns on a machine: a leader repeated the unanswered maintenance
@@ -1083,6 +1102,7 @@
 		cmocka_unit_test(test_capacity_shrinks_during_commit),
 		cmocka_unit_test(test_capacity_shrinks_below_what_runs),
 		cmocka_unit_test(test_capacity_changes_under_faults),
+		cmocka_unit_test(test_run_is_not_started_while_its_loss_is_committed),
 		cmocka_unit_test(test_guarantees_under_faults),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
@@ -1093,6 +1113,7 @@
 		cmocka_unit_test(test_guarantees_with_lost_start_replies),
 		cmocka_unit_test(test_guarantees_with_lost_stop_requests),
 		cmocka_unit_test(test_moves_with_commit_stalls),
+		cmocka_unit_test(test_runs_that_ended_unnoticed_count_no_crash),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
