batch_queued: count the waiting jobs for many queries at once

Change: one walk counts the jobs of all queues, and the numbers are kept for 0.5 s; clients allow for 2 s.

test_waiting_jobs_are_counted_for_many_queries: 1 walk for 1,000 queries; the function that it replaces walked each time.

--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -207,7 +207,8 @@
 	reply.seq = call->seq;
 	if (job_id[0] == '\0') {
 		reply.is_pending = true;
-		reply.pending = batch_state_count_queued(&node->state, queue, clock_wall_ms());
+		reply.pending = batch_queued_count(&node->queued, &node->state, queue,
+						   clock_wall_ms(), clock_now_us());
 	} else if (job == NULL || !job_is_in_queue(job, queue)) {
 		reply.answer = LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB;
 	} else {
@@ -286,6 +287,7 @@
 
 void batch_calls_init(batch_node_t *node)
 {
+	batch_queued_init(&node->queued);
 	reply_queue_init(&node->replies, node->metrics, send_to_edge, node);
 	timer_subscribe(node->timers, &node->reply_timer, REPLY_RETRY_MS * US_PER_MS, flush_replies,
 			node);
@@ -295,6 +297,7 @@
 {
 	timer_unsubscribe(node->timers, &node->reply_timer);
 	reply_queue_finish(&node->replies);
+	batch_queued_finish(&node->queued);
 }
 
 void batch_node_handle_forwarded_call(batch_node_t *node, uint32_t from, const Lp__BatchCall *call)
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -4,6 +4,7 @@
 
 #include "batch_admit.h"
 #include "batch_node.h"
+#include "batch_queued.h"
 #include "duty_limit.h"
 #include "reply_queue.h"
 #include "vm_cache.h"
@@ -33,6 +34,7 @@
 	GHashTable *submitting; /* ids of submitted jobs that are not committed yet */
 	TAILQ_HEAD(pending_calls, pending_call) pending; /* calls being committed, oldest first */
 	batch_admit_t admit;
+	batch_queued_t queued;
 	vm_cache_t report_cache;
 	vm_relay_t *relay;
 	reply_queue_t replies; /* replies to edge processes that could not be sent yet */
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -357,22 +357,6 @@
 	return NULL;
 }
 
-uint32_t batch_state_count_queued(const batch_state_t *state, const Lp__BatchQueue *queue,
-				  uint64_t wall_ms)
-{
-	const batch_job_t *job;
-	uint32_t pending = 0;
-
-	TAILQ_FOREACH (job, &state->active, link) {
-		if (job->state != BATCH_JOB_QUEUED ||
-		    !queue_matches(job->spec->host, job->spec->prefix, queue))
-			continue;
-		if (job->spec->times == 0 || job->spec->first_due_ms <= wall_ms)
-			pending++;
-	}
-	return pending;
-}
-
 static bool has_service(const Lp__BatchConfig *config, const char *name)
 {
 	for (size_t i = 0; i < config->n_services; i++) {
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -297,12 +297,6 @@
 /** @return the record of the VM incarnation, or NULL when it has none */
 batch_vm_t *batch_state_vm(const batch_state_t *state, const char *id, uint64_t born_ms);
 batch_wave_t *batch_state_wave(const batch_state_t *state, uint64_t number);
-/**
- * @return number of the queue's accepted jobs of which no task was assigned yet; scheduled jobs
- * count from the time when they are due
- */
-uint32_t batch_state_count_queued(const batch_state_t *state, const Lp__BatchQueue *queue,
-				  uint64_t wall_ms);
 /** @return NULL when the job is valid, or a static string that describes the error */
 const char *batch_job_check(const Lp__BatchJob *job);
 bool batch_job_ended(const batch_job_t *job);
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "batch_queued.h"
 #include "batch_state.h"
 #include "clock.h"
 #include "lib_batch.h"
@@ -424,6 +425,25 @@
 	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
 }
 
+/* Guards against a walk over all jobs for each query of the number of waiting jobs. */
+static void test_waiting_jobs_are_counted_for_many_queries(void **state)
+{
+	const Lp__BatchQueue *queue = batch.config->queues[0];
+	batch_queued_t queued;
+
+	batch_queued_init(&queued);
+	submit("a", 1, false);
+	submit("b", 1, false);
+	apply_start("b", 0, 1, "vm-1", 1);
+	for (unsigned i = 0; i < 1000; i++)
+		assert_int_equal(batch_queued_count(&queued, &batch, queue, wall_ms, 1 + i), 1);
+	assert_int_equal(queued.walks, 1);
+	submit("c", 1, false);
+	assert_int_equal(
+		batch_queued_count(&queued, &batch, queue, wall_ms, 1 + BATCH_QUEUED_AGE_US), 2);
+	batch_queued_finish(&queued);
+}
+
 /* Guards against a step that is never placed again, because it counts a start intent for ever: the
  * run of an earlier intent was lost while the intent was being committed. */
 static void test_lost_run_keeps_the_pending_intent(void **state)
@@ -466,6 +486,8 @@
 		cmocka_unit_test_setup_teardown(test_snapshot_keeps_crashes, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_jobs_are_given_up_by_crashes, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_waiting_jobs_are_counted_for_many_queries,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_run_keeps_the_pending_intent, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_run_counts_one_crash, set_up, tear_down),
