batch_machines: few moves while the start window is full

Each move costs two commits, a platform request and the end and first report of a VM, which kept the leader behind. The class of fault is that of the window: work without a limit that follows from being behind, and adds to it.

While the window is full, the limit of moves is a sixteenth of the usual one. It is not 0, because a long-running task may need a machine of another pool.

The test: at twice the load that the leader can handle, 84 machines make at most 84 moves in 16 s.

--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -42,6 +42,8 @@
 #define RESERVE_LEAD_US (1000 * US_PER_MS)
 /* Share of all machines that a pool's surge takes, for the time needed to move them. */
 #define SURGE_MACHINES_SHARE 0.4
+/* The limit of moves is divided by this while the start window is full. */
+#define MOVES_DIVISOR_BEHIND 16
 /* Tasks that run for longer than declared are expected to end within this time. */
 #define OVERDUE_TASK_MS 200
 /* Expected time from the decision to stop a task until its VM has listed the end of its run. */
@@ -859,12 +861,16 @@
 }
 
 /* @return most moves per period: three quarters of the platform's rate limit, as the rest is for
- * maintenance and repeated requests */
+ * maintenance and repeated requests. While the start window is full, the leader is the bottleneck:
+ * it cannot use more room, idle machines would move to and fro, and each move costs it two commits.
+ */
 static size_t moves_allowed(const batch_leader_t *leader)
 {
 	uint64_t orders = leader->config.platform_requests_per_s * CAPACITY_PERIOD_US / US_PER_S;
 
-	return MAX(orders * 3 / 4, 1);
+	size_t limit = orders * 3 / 4;
+
+	return MAX(leader->window_full ? limit / MOVES_DIVISOR_BEHIND : limit, 1);
 }
 
 static void carry_out(batch_leader_t *leader, const capacity_move_t *move,
--- a/tests/test_leader_overload.c
+++ b/tests/test_leader_overload.c
@@ -45,10 +45,11 @@
 {
 	load_play(load, result);
 	print_message("%.0f jobs/s: %u jobs, %u in time, %u late, %u ended, share %.3f, busy %.3f, "
-		      "longest wait %.3f s, restart %.2f s, longest job %.1f s\n",
+		      "longest wait %.3f s, restart %.2f s, longest job %.1f s, moves %u\n",
 		      load->service[0].rate_per_s * load->services, result->jobs, result->in_time,
 		      result->late, result->ended, result->in_time_share, result->busy_share,
-		      result->longest_wait_s, result->restart_s, result->longest_late_s);
+		      result->longest_wait_s, result->restart_s, result->longest_late_s,
+		      (unsigned)result->moves);
 	for (guint i = 0; i < result->by_second->len; i++)
 		print_message("%.2f ", g_array_index(result->by_second, double, i));
 	print_message("\n");
@@ -83,16 +84,22 @@
 	return (1.0 - accepted_per_s * accept_s) / (job_s - accept_s) / accepted_per_s;
 }
 
-static void check_gradual_fall(double factor)
+static void play_load(double full_per_s, double factor, load_result_t *result)
 {
 	load_play_t load = base;
+
+	for (unsigned i = 0; i < SERVICES; i++)
+		load.service[i].rate_per_s = factor * full_per_s / SERVICES;
+	play(&load, result);
+}
+
+static void check_gradual_fall(double factor)
+{
 	load_result_t result;
 	double full_per_s = full_load();
 	double ideal = ideal_share(factor, full_per_s);
 
-	for (unsigned i = 0; i < SERVICES; i++)
-		load.service[i].rate_per_s = factor * full_per_s / SERVICES;
-	play(&load, &result);
+	play_load(full_per_s, factor, &result);
 	print_message("ideal leader: %.3f\n", ideal);
 	assert_true(result.in_time_share >= ideal / 2);
 	/* Late jobs end too. */
@@ -114,11 +121,23 @@
 	check_gradual_fall(2.0);
 }
 
+/* Guards against machines that move to and fro between pools whose waiting work the leader cannot
+ * start anyway: one move for each machine is enough for any distribution of an even load. */
+static void test_machines_stay_while_the_leader_is_behind(void **state)
+{
+	load_result_t result;
+
+	play_load(full_load(), 2.0, &result);
+	assert_in_range(result.moves, 0, SERVICES * base.vms_per_service + base.standby_vms);
+	load_result_finish(&result);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_fall_is_gradual_at_one_and_a_half_times_the_load),
 		cmocka_unit_test(test_fall_is_gradual_at_twice_the_load),
+		cmocka_unit_test(test_machines_stay_while_the_leader_is_behind),
 	};
 
 	return cmocka_run_group_tests(tests, vm_sim_set_up, NULL);
