--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -48,6 +48,8 @@
 #define RESERVE_LEAD_US (1000 * US_PER_MS)
 /* Share of all machines that a pool's surge takes, for the time needed to move them. */
 #define SURGE_MACHINES_SHARE 0.4
+/* The limit of moves is divided by this while the start window is full. */
+#define FULL_WINDOW_MOVES_DIVISOR 16
 /* Tasks that run for longer than declared are expected to end within this time. */
 #define OVERDUE_TASK_MS 200
 /* Expected time from the decision to stop a task until its VM has listed the end of its run. */
@@ -921,15 +923,20 @@
 }
 
 /* @return most moves per period: three quarters of the platform's rate limit, as the rest is for
- * maintenance and repeated requests, and fewer while this process is behind: each move costs it two
- * commits and an HTTP request, and more machines do not help while it cannot start tasks on them */
+ * maintenance and repeated requests. While this process is behind or the start window is full, the
+ * leader is the bottleneck: it cannot use more room, idle machines would move to and fro, and each
+ * move costs it two commits and an HTTP request. */
 static size_t moves_allowed(const batch_leader_t *leader)
 {
 	uint64_t orders = leader->config.platform_requests_per_s * CAPACITY_PERIOD_US / US_PER_S;
 
-	if (leader->tick_lag_us > MOVES_LAG_US)
-		orders /= BEHIND_MOVES_DIVISOR;
-	return MAX(orders * 3 / 4, 1);
+	size_t limit = orders * 3 / 4;
+
+	if (leader->window_full)
+		limit /= FULL_WINDOW_MOVES_DIVISOR;
+	else if (leader->tick_lag_us > MOVES_LAG_US)
+		limit /= BEHIND_MOVES_DIVISOR;
+	return MAX(limit, 1);
 }
 
 static void carry_out(batch_leader_t *leader, const capacity_move_t *move,
