batch_machines: a committed move request is not sent to a VM that has come since

The log shows i-cf9cdabd19 reporting for the first time at 9.0054 s, as the result of the first request, whose response was lost. The repeated request was sent after that, with the start time of the new VM as that of the VM that it ends; the platform answered at 9.0501 s that the move is done, and the leader took all runs of the VM for lost.

Change: a committed request is sent only if the machine still runs the VM for which it was proposed, or none, and that VM has no tasks. Otherwise resend_moves() decides again: it finds the move carried out, or waits until the VM's tasks have ended.

--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -393,6 +393,27 @@
 			   machine_call_new(leader, machine->name, pool, 0));
 }
 
+static bool machine_is_empty(batch_leader_t *leader, const leader_machine_t *machine)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
+
+	return vm == NULL || leader_vm_is_empty(vm);
+}
+
+/* Sends a committed move request, unless the machine's VM has changed since it was proposed: a VM
+ * of the destination pool shows that an earlier request was carried out, and another one has
+ * possibly got tasks. resend_moves() decides about these again. */
+static void send_committed_move(const machine_call_t *move, leader_machine_t *machine)
+{
+	const leader_vm_t *vm = leader_vm_of_machine(move->leader, machine->name);
+
+	if (machine_call_may_send(move) && machine_is_empty(move->leader, machine) &&
+	    (vm == NULL || vm->born_ms == move->born_ms))
+		send_move(move->leader, machine, move->pool);
+	else
+		machine->request_in_flight = false;
+}
+
 static void on_move_committed(void *arg, Lp__ResultCode code)
 {
 	g_autofree machine_call_t *move = arg;
@@ -400,21 +421,12 @@
 
 	if (machine == NULL)
 		return;
-	if (code != LP__RESULT_CODE__RESULT_OK) {
-		machine->request_in_flight = false;
-		uncordon(move->leader, machine);
-	} else if (machine_call_may_send(move)) {
-		send_move(move->leader, machine, move->pool);
-	} else {
-		machine->request_in_flight = false; /* resend_moves() sends the request */
+	if (code == LP__RESULT_CODE__RESULT_OK) {
+		send_committed_move(move, machine);
+		return;
 	}
-}
-
-static bool machine_is_empty(batch_leader_t *leader, const leader_machine_t *machine)
-{
-	leader_vm_t *vm = leader_vm_of_machine(leader, machine->name);
-
-	return vm == NULL || leader_vm_is_empty(vm);
+	machine->request_in_flight = false;
+	uncordon(move->leader, machine);
 }
 
 /* Commits the intent to send a move request, and then sends it. A repeated request is committed
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -1047,6 +1047,27 @@
 	}
 }
 
+/* Guards against runs that are given up on a VM that is up: the VM had come with an earlier request
+ * of the move, while the request was being committed again. */
+static void test_committed_move_keeps_the_new_vm(void **state)
+{
+	static const uint64_t failed[] = {4};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(failed); i++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 6,
+			.standby_vms = 4,
+			.lost_reply_share = 0.3,
+			.failed_end_share = 0.02,
+			.mean_commit_stall_interval_ms = 1500,
+			.seed = failed[i],
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Prints the leader's CPU time for a large fleet, which shows whether its work grows with the
  * square of the number of VMs. */
 static void test_leader_cpu_time_on_large_fleet(void **state)
@@ -1114,6 +1135,7 @@
 		cmocka_unit_test(test_guarantees_with_lost_stop_requests),
 		cmocka_unit_test(test_moves_with_commit_stalls),
 		cmocka_unit_test(test_runs_that_ended_unnoticed_count_no_crash),
+		cmocka_unit_test(test_committed_move_keeps_the_new_vm),
 		cmocka_unit_test(test_leader_cpu_time_on_large_fleet),
 	};
 
