batch_suspect: a start that was broken off is no certain start

Its job was given up after one crash.

Cause: the request of run 1 was broken off, because another task had crashed the VM just before; the request had not been carried out. The leader took it for a start that had crashed the VM, so that the crash under run 2 was the second.

Change: only a run whose start the VM has confirmed, and whose VM ended within 0.4 s after that, counts as certain. A request that was broken off counts as UNSURE: the task is suspected, and the job is given up by it only at the fourth crash.

Evidence: the simulated VMs break off a request in two after their crash now, instead of refusing all.

--- a/src/batch_suspect.c
+++ b/src/batch_suspect.c
@@ -18,8 +18,8 @@
 #define SAME_TIME_US (500 * US_PER_MS)
 #define SAME_MOMENT_US (50 * US_PER_MS)
 #define SAME_MOMENT_VMS 3
-/* Longest time from the start of a run, or the last attempt to start it, to the known end of its VM
- * for which the run was certainly on the VM. */
+/* Longest time from the confirmed start of a run to the known end of its VM for which the run was
+ * certainly on the VM. */
 #define CRASH_DELAY_MAX_US (400 * US_PER_MS)
 /* Longest wait of a suspected step for its reserved VM to have room and no recently started runs. A
  * hold request shows within 1.1 s that the runs are proven, and short tasks take up to some
@@ -168,6 +168,17 @@
 	return ended >= SAME_MOMENT_VMS && 2 * ended >= members;
 }
 
+/* True when the run was certainly on the VM when the VM ended: the VM has confirmed the start, and
+ * is known to have ended soon after that. A start request that was broken off has possibly not been
+ * carried out, and a run has possibly ended unnoticed on a VM that was silent for some time. */
+static bool certainly_on_vm(const leader_vm_t *vm, const batch_task_t *task)
+{
+	const run_local_state_t *local = &task->local;
+
+	return local->phase == RUN_CONFIRMED && vm->ended_us >= local->phase_since_us &&
+	       vm->ended_us <= local->phase_since_us + CRASH_DELAY_MAX_US;
+}
+
 Lp__BatchCrash suspect_judge(leader_vm_t *vm, const batch_task_t *task, bool crashed)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
@@ -180,8 +191,7 @@
 	if (!crashed)
 		return start_seen ? LP__BATCH_CRASH__BATCH_CRASH_UNSURE
 				  : LP__BATCH_CRASH__BATCH_CRASH_NONE;
-	/* A run has possibly ended unnoticed if the VM was silent for some time before its end. */
-	if (!start_seen || vm->ended_us > task->local.phase_since_us + CRASH_DELAY_MAX_US)
+	if (!certainly_on_vm(vm, task))
 		return LP__BATCH_CRASH__BATCH_CRASH_UNSURE;
 	/* Without the time of the end, a common cause cannot be ruled out. */
 	if (vm->broke_off && record != NULL && only_fresh_job(vm, record, task->step->job) &&
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -678,7 +678,10 @@
 			       !sim->config.silent_crashes;
 		uint32_t after_ms = refused ? 1 : REQUEST_TIMEOUT_MS;
 
-		call->reply.code = refused ? VM_REPLY_NOT_SENT : VM_REPLY_NO_RESPONSE;
+		/* A request on a connection from before the crash is broken off, others are
+		 * refused. */
+		call->reply.code = refused && g_rand_boolean(sim->rand) ? VM_REPLY_NOT_SENT
+									: VM_REPLY_NO_RESPONSE;
 		schedule(sim, random_time_us(sim, after_ms, after_ms), deliver_reply, call);
 		return;
 	}
