raft: an election waits for the votes of slow disks

Cause: a candidate gave its election up after 125 to 250 ms. The votes need two writes, of its own vote and of the voter's, so that no election succeeds while a write takes about 125 ms or more, and each round raises the term. Replies to pre-votes and refusals waited for the disk too, although they promise nothing.

Change: an election ends after the minimum election timeout at the earliest; a round of pre-votes is repeated as soon as before. Only a granted vote waits for the disk.

test_candidate_waits_for_votes_of_slow_disks fails on the code before: role 0x1 instead of leader when the vote arrives after 310 ms.

--- a/src/raft.c
+++ b/src/raft.c
@@ -90,16 +90,25 @@
 	raft->election_deadline_us = now_us + min_us + next_random(raft) % (min_us + 1);
 }
 
-/* Sets the time at which a candidate starts its next round of voting. It waits less than an
- * election timeout, because a round fails only when the votes were split or when a voter had heard
- * from the old leader shortly before. */
-static void reset_candidate_timeout(raft_t *raft, uint64_t now_us)
+/* Sets the time at which the next round of pre-votes starts. It is less than an election timeout,
+ * because a round fails only when a voter had heard from the old leader shortly before. */
+static void reset_pre_vote_timeout(raft_t *raft, uint64_t now_us)
 {
 	uint64_t quarter_us = raft->options.election_min_us / 4;
 
 	raft->election_deadline_us = now_us + quarter_us + next_random(raft) % (quarter_us + 1);
 }
 
+/* Sets the time at which a candidate gives its election up. The votes need two writes, of the
+ * candidate's own vote and of the voter's; a shorter time than this would end each election before
+ * the votes arrive while a write takes some 100 ms. */
+static void reset_candidate_timeout(raft_t *raft, uint64_t now_us)
+{
+	uint64_t min_us = raft->options.election_min_us;
+
+	raft->election_deadline_us = now_us + min_us + next_random(raft) % (min_us / 2 + 1);
+}
+
 void raft_start(raft_t *raft, uint64_t now_us)
 {
 	raft->leader_contact_us = now_us;
@@ -223,7 +232,7 @@
 {
 	raft->role = RAFT_PRE_CANDIDATE;
 	raft->leader = (raft_id_t){0};
-	reset_candidate_timeout(raft, now_us);
+	reset_pre_vote_timeout(raft, now_us);
 	request_votes(raft, true);
 	if (has_vote_majority(raft))
 		start_election(raft, now_us);
@@ -256,7 +265,8 @@
 
 static void reply_vote(raft_t *raft, raft_id_t to, uint64_t term, bool pre_vote, bool granted)
 {
-	Lp__RaftMessage *message = raft_queue_message(raft, to, true);
+	/* Only a vote that was granted is a promise, which must be durable first. */
+	Lp__RaftMessage *message = raft_queue_message(raft, to, granted && !pre_vote);
 	Lp__VoteReply *reply = talloc(message, Lp__VoteReply);
 
 	lp__vote_reply__init(reply);
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -293,9 +293,38 @@
 	talloc_free(raft);
 }
 
+/* Guards against elections that all end before the votes arrive, while a log write takes 150 ms:
+ * the candidate's vote and the voter's are written one after the other. */
+static void test_candidate_waits_for_votes_of_slow_disks(void **state)
+{
+	const raft_options_t options = {.self = {1, 1},
+					.has_disk = true,
+					.heartbeat_us = 120 * US_PER_MS,
+					.election_min_us = 500 * US_PER_MS,
+					.lease_us = 400 * US_PER_MS,
+					.seed = 1};
+	const raft_config_t config = {.members = {{{1, 1}, true}, {{2, 1}, true}, {{3, 1}, true}},
+				      .count = 3};
+	uint64_t elected_us = 2 * US_PER_S;
+	uint64_t votes_us = elected_us + 310 * US_PER_MS;
+	raft_t *raft = raft_create(NULL, &options);
+
+	raft_restore_base(raft, 0, 0, &config);
+	raft_start(raft, 0);
+	raft_tick(raft, elected_us);
+	receive_vote_grant(raft, 1, true, elected_us);
+	for (uint64_t now_us = elected_us; now_us < votes_us; now_us += 20 * US_PER_MS)
+		raft_tick(raft, now_us);
+	receive_vote_grant(raft, 1, false, votes_us);
+	assert_int_equal(raft_role(raft), RAFT_LEADER);
+	assert_int_equal(raft_term(raft), 1);
+	talloc_free(raft);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_candidate_waits_for_votes_of_slow_disks),
 		cmocka_unit_test(test_entry_of_earlier_term_is_not_committed_by_count),
 		cmocka_unit_test(test_heartbeat_is_acknowledged_while_the_disk_writes),
 		cmocka_unit_test(test_leader_keeps_its_term_when_no_heartbeat_is_unanswered),
