duty_limit: a pass delays the next one by 0.6 s at most

A process that leads again also inherited the wait of its earlier term.

Change: the wait is limited to 0.6 s, which is the rest after a pass of 0.2 s, and reset when the process begins to lead.

test_pass_of_a_frozen_process_does_not_delay_the_next_for_long fails on the code before.

--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -72,6 +72,8 @@
 	vm_cache_foreach(&node->report_cache, clock_now_us(), CACHED_REPORT_MAX_AGE_US,
 			 add_cached_report, node->leader);
 	node->active_term = term;
+	node->tick_limit = (duty_limit_t){0};
+	node->placement_limit = (duty_limit_t){0};
 }
 
 static void update_leadership(batch_node_t *node)
--- a/src/duty_limit.h
+++ b/src/duty_limit.h
@@ -12,6 +12,9 @@
 
 /** After a pass, the next one waits for this many times its duration. */
 #define DUTY_LIMIT_REST_FACTOR 3
+/** Longest such wait, in microseconds. A pass that took long because the process was not running
+ * must not delay the renewal of leases. */
+#define DUTY_LIMIT_REST_MAX_US 600000
 
 typedef struct {
 	uint64_t next_us; /**< earliest start of the next pass, in monotonic microseconds */
--- a/tests/test_duty_limit.c
+++ b/tests/test_duty_limit.c
@@ -44,11 +44,22 @@
 			US_PER_S);
 }
 
+/* Guards against leases that are not renewed because the process did not run during a pass. */
+static void test_pass_of_a_frozen_process_does_not_delay_the_next_for_long(void **state)
+{
+	duty_limit_t limit = {0};
+
+	duty_limit_record(&limit, US_PER_S, 8 * US_PER_S);
+	assert_false(duty_limit_may_start(&limit, 8 * US_PER_S));
+	assert_true(duty_limit_may_start(&limit, 9 * US_PER_S));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_long_passes_leave_three_quarters_of_the_time),
 		cmocka_unit_test(test_short_passes_are_not_delayed),
+		cmocka_unit_test(test_pass_of_a_frozen_process_does_not_delay_the_next_for_long),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
