batch_suspect: runs that worked before a change of the leader are no suspects

The count was never taken back.

Change: the clock of the log tells how long before the activation a run was assigned; from 3 s on it is no suspect. A run that ended on its VM clears the count of its task.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -2959,7 +2959,7 @@
   (ProtobufCMessageInit) lp__batch_command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_task_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lp__batch_task_state__field_descriptors[8] =
 {
   {
     "status",
@@ -3045,8 +3045,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "assigned_log_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchTaskState, assigned_log_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_task_state__field_indices_by_name[] = {
+  7,   /* field[7] = assigned_log_ms */
   4,   /* field[4] = checkpoint */
   5,   /* field[5] = crashes */
   2,   /* field[2] = failures */
@@ -3058,7 +3071,7 @@
 static const ProtobufCIntRange lp__batch_task_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lp__batch_task_state__descriptor =
 {
@@ -3068,7 +3081,7 @@
   "Lp__BatchTaskState",
   "lp",
   sizeof(Lp__BatchTaskState),
-  7,
+  8,
   lp__batch_task_state__field_descriptors,
   lp__batch_task_state__field_indices_by_name,
   1,  lp__batch_task_state__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -559,10 +559,14 @@
    */
   uint32_t crashes;
   uint32_t seen_crashes;
+  /*
+   * clock of the log when the latest run was assigned
+   */
+  uint64_t assigned_log_ms;
 };
 #define LP__BATCH_TASK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_task_state__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Lp__BatchStepState
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -270,6 +270,17 @@
 	archive_if_finished(state, job);
 }
 
+/* A run that ended on its VM has not crashed it, so the task is not suspected any more. */
+static void clear_crashes(const batch_state_t *state, const Lp__BatchEnd *end)
+{
+	batch_task_t *task = batch_state_task(state, end->task);
+
+	if (task == NULL || task->run != end->task->run)
+		return;
+	task->crashes = 0;
+	task->seen_crashes = 0;
+}
+
 static void apply_ends(batch_state_t *state, uint64_t wall_ms, const Lp__BatchEnds *ends)
 {
 	batch_vm_t *vm = batch_state_vm(state, ends->vm, ends->born_ms);
@@ -277,8 +288,10 @@
 	/* The VM has reported these finished runs before, and they are committed already. */
 	if (vm != NULL && ends->noted <= vm->acknowledged && ends->noted != 0)
 		return;
-	for (size_t i = 0; i < ends->n_ends; i++)
+	for (size_t i = 0; i < ends->n_ends; i++) {
+		clear_crashes(state, ends->ends[i]);
 		apply_end(state, ends->ends[i], wall_ms);
+	}
 	if (vm != NULL)
 		vm->acknowledged = MAX(vm->acknowledged, ends->noted);
 }
@@ -322,6 +335,7 @@
 	set_status(task, BATCH_TASK_ASSIGNED);
 	task->run = run;
 	task->assigned_us = state->clock_us;
+	task->assigned_log_ms = state->log_clock_ms;
 	/* Keep intent_pending and intent_vm: the leader that proposed this command clears them
 	 * afterwards, when it is told that its proposal was committed. */
 	task->local = (run_local_state_t){
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -660,6 +660,7 @@
 	leader->term = term;
 	leader->generation++;
 	leader->activated_us = leader_now_us(leader);
+	leader->activated_log_ms = leader->state->log_clock_ms;
 	leader->last_tick_us = 0;
 	leader->tick_lag_us = 0;
 	leader->placement_due = true;
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -165,6 +165,7 @@
 	uint64_t generation; /**< number of calls of batch_leader_activate(); responses to requests
 				sent before the latest call are ignored */
 	uint64_t activated_us;
+	uint64_t activated_log_ms; /**< batch_state_t.log_clock_ms at the activation */
 	uint64_t last_tick_us;
 	uint64_t tick_lag_us; /**< smoothed delay of ticks, a measure of the load of this process */
 	uint64_t input_delay_us; /**< time that messages wait before this process reads them */
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -29,6 +29,7 @@
 		saved->failures = task->failures;
 		saved->crashes = task->crashes;
 		saved->seen_crashes = task->seen_crashes;
+		saved->assigned_log_ms = task->assigned_log_ms;
 		saved->vm = task->vm != NULL ? task->vm->snapshot_index : 0;
 		if (task->checkpoint != NULL)
 			saved->checkpoint = task->checkpoint;
@@ -214,6 +215,7 @@
 	task->failures = message->failures;
 	task->crashes = message->crashes;
 	task->seen_crashes = message->seen_crashes;
+	task->assigned_log_ms = message->assigned_log_ms;
 	task->assigned_us = state->clock_us;
 	task->local.pace_percent = 100;
 	if (message->checkpoint[0] != '\0')
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -123,11 +123,13 @@
 	uint32_t seen_crashes; /**< number of these VMs on which the run was certainly started */
 	batch_vm_t *vm; /**< VM that may be running the task, even after the task is done, until the
 			   end of its run is committed; NULL: none */
-	char *checkpoint;     /**< checkpoint from which the next run resumes; NULL: none */
-	uint64_t ended_ms;    /**< wall clock time when a run of the task last ended; 0: no run has
-				 ended */
-	uint64_t assigned_us; /**< batch_state_t.clock_us when the latest run was assigned; not
-				 replicated */
+	char *checkpoint;  /**< checkpoint from which the next run resumes; NULL: none */
+	uint64_t ended_ms; /**< wall clock time when a run of the task last ended; 0: no run has
+			      ended */
+	uint64_t assigned_log_ms; /**< batch_state_t.log_clock_ms when the latest run was assigned
+				   */
+	uint64_t assigned_us;	  /**< batch_state_t.clock_us when the latest run was assigned; not
+				     replicated */
 	run_local_state_t local;
 } batch_task_t;
 
--- a/src/batch_suspect.c
+++ b/src/batch_suspect.c
@@ -8,6 +8,9 @@
 
 /* Longest time from the commit of a start intent until its run starts. */
 #define START_DELAY_MAX_US (1500 * US_PER_MS)
+/* Runs that were assigned longer before a leader's activation than this, by the clock of the log,
+ * are not suspected by it. The platform's list shows the end of a VM within 1 to 2 s. */
+#define INHERITED_FRESH_MS 3000
 /* A request without a response that ends earlier than this after its wait time was broken off by
  * the VM; a request to a VM that is cut off ends by its timeout, which is 300 ms for a start, 450
  * ms for a hold, and 500 ms for a connection. */
@@ -56,6 +59,9 @@
 		delay_us += vm->leader->config.late_request_ms * US_PER_MS;
 		break;
 	case RUN_INHERITED:
+		/* The leader at that time would have seen a crash soon after an earlier start. */
+		if (task->assigned_log_ms + INHERITED_FRESH_MS < vm->leader->activated_log_ms)
+			return true;
 		break;
 	}
 	return vm->vm_clock_read_us > task->assigned_us + delay_us;
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -16,6 +16,7 @@
 #include "lib_vm_sim.h"
 
 #define STEPS_MAX 3
+#define OLD_JOBS 100
 /* Most time from the end of a long-running task to its next run while there is room: what the
  * users' rules allow. */
 #define RERUN_MAX_MS 6000
@@ -140,6 +141,48 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against runs that had worked for long and count as the cause of a crash, because the
+ * leader has changed or all processes have restarted since: their tasks would wait for a VM of
+ * their own. */
+static void test_old_runs_are_no_suspects_of_a_new_leader(void **state)
+{
+	for (unsigned restart = 0; restart < 2; restart++) {
+		const vm_sim_config_t config = {.services = 1, .vms_per_service = 8, .seed = 1};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_long_running_job(&fixture, 1, 0);
+		fixture.steps[0].cpu_milli = 2500;
+		vm_sim_run(sim, 4000);
+		for (unsigned i = 0; i < OLD_JOBS; i++) {
+			g_autofree char *id = g_strdup_printf("old%u", i);
+
+			vm_sim_submit(sim, id, 0, &fixture.job);
+		}
+		for (unsigned i = 0; i < 20; i++) {
+			g_autofree char *id = g_strdup_printf("j%u", i);
+			job_fixture_t short_job;
+
+			make_job(&short_job, 1, 1, 1000, 300);
+			vm_sim_submit(sim, id, 0, &short_job.job);
+			vm_sim_run(sim, 4000 + 500 * (i + 1));
+		}
+		if (restart)
+			vm_sim_restart_processes(sim);
+		else
+			vm_sim_change_leader(sim);
+		vm_sim_crash_vms(sim, 0, 3);
+		vm_sim_run(sim, 14000 + RERUN_MAX_MS);
+		for (unsigned i = 0; i < OLD_JOBS; i++) {
+			g_autofree char *id = g_strdup_printf("old%u", i);
+
+			assert_int_equal(vm_sim_job_running_count(sim, id), 1);
+		}
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against a fleet that does not move for seconds after all processes were restarted, because
  * the new leader takes the replayed platform requests for recent ones. */
 static void test_machines_move_soon_after_restart(void **state)
@@ -1102,6 +1145,7 @@
 		cmocka_unit_test(test_steps_run_in_order),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
+		cmocka_unit_test(test_old_runs_are_no_suspects_of_a_new_leader),
 		cmocka_unit_test(test_machines_move_soon_after_restart),
 		cmocka_unit_test(test_lost_start_replies_cause_no_second_run),
 		cmocka_unit_test(test_lost_hold_replies_delay_few_jobs),
