--- a/src/peer.c
+++ b/src/peer.c
@@ -47,7 +47,7 @@
 	peer_conn_t *dialled; /* connection that this process dialled; NULL if there is none */
 	bool verified;	      /* the dialled process sent a Hello with the expected identity */
 	uint64_t dialled_us;  /* when the dialled connection was started, was established late, or
-				 brought its  Hello */
+				 brought its Hello */
 	uint64_t last_pong_us;
 	uint64_t ping_due_us;
 	uint64_t dial_due_us;
