--- a/review/standin/cases.c
+++ b/review/standin/cases.c
@@ -348,6 +348,87 @@
 	return true;
 }
 
+/* --- a wave while the other workers of the service are full --- */
+
+static bool is_lost(const char *task, uint64_t *room_since_us)
+{
+	uint64_t since_us = not_running_since_us(task);
+	uint64_t now_us = clock_now_us();
+	unsigned places = 0;
+
+	for (unsigned i = 0; i < worker_count; i++)
+		places += has_room(&workers[i], 2 * traits.cpu, 2 * traits.mem)	? 2
+			  : has_room(&workers[i], traits.cpu, traits.mem)	? 1
+										: 0;
+	if (since_us == 0 || places < 2 || now_us < since_us + 6 * US_PER_S) {
+		*room_since_us = 0;
+		return false;
+	}
+	if (*room_since_us == 0)
+		*room_since_us = now_us;
+	return now_us >= *room_since_us + 3 * US_PER_S;
+}
+
+static bool case_full_wave(void)
+{
+	static const char *const routes[] = {PREFIX_A};
+	const char *machines[2];
+	uint64_t *room_since_us;
+	bool *lost;
+	uint64_t end_us;
+	json_t *body;
+	char state[16];
+
+	/* Tasks that last, four on a worker; 30 of them on 8 workers. */
+	traits = (task_traits_t){
+		.cpu = 16000, .mem = 27000, .length_ms = 900, .how = "failed", .lasts = true};
+	task_count = 30;
+	add_workers(8);
+	if (!set_up(routes, 1, 4))
+		return false;
+	for (unsigned i = 0; i < worker_count; i++)
+		workers[i].log_runs = true;
+	body = json_pack("{s:s, s:[{s:i, s:I, s:I, s:i, s:b, s:i, s:s}]}", "spec", "a text", "steps",
+			 "count", (int)task_count, "cpu", (json_int_t)traits.cpu, "memMb",
+			 (json_int_t)traits.mem, "estimateMs", 900, "longRunning", 1,
+			 "maxUnavailable", 1, "image", "img-7");
+	if (!submit_job(PREFIX_A, JOB_A, body, 10000) || !run_until(all_run, NULL, 5000))
+		return false;
+	run_for(5000);
+	machines[0] = workers[0].machine;
+	machines[1] = workers[1].machine;
+	if (trouble && !start_wave(1, machines, 2, 27, 1))
+		return false;
+	lost = g_new0(bool, task_count);
+	room_since_us = g_new0(uint64_t, task_count);
+	end_us = clock_now_us() + 30 * US_PER_S;
+	while (clock_now_us() < end_us) {
+		for (unsigned i = 0; i < task_count; i++) {
+			char task[80];
+
+			g_snprintf(task, sizeof(task), JOB_A ".0.0.%u", i);
+			if (lost[i] || !is_lost(task, &room_since_us[i]))
+				continue;
+			lost[i] = true;
+			report_broken("LOST",
+				      "%s is to last and has not run for %.1f s, with room for it "
+				      "twice over",
+				      task,
+				      (double)(clock_now_us() - not_running_since_us(task)) / US_PER_S);
+		}
+		run_for(50);
+	}
+	if (trouble && wave_state(1, state) == 200)
+		record("the wave is %s", state);
+	record("%u of %u tasks run", count_active(NULL, JOB_A), task_count);
+	for (unsigned i = 0; i < worker_count; i++)
+		record("%s runs %u tasks", workers[i].id, count_active(&workers[i], JOB_A));
+	g_free(lost);
+	g_free(room_since_us);
+	judge_runs(1000);
+	return true;
+}
+
 /* --- not among the five: a worker whose checkpoints are longer --- */
 
 static bool case_long_checkpoint(void)
@@ -401,6 +482,7 @@
 		{"late-delete", case_late_delete},
 		{"removed-queue", case_removed_queue},
 		{"new-life", case_new_life},
+		{"full-wave", case_full_wave},
 		{"long-checkpoint", case_long_checkpoint},
 	};
 
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -394,6 +394,23 @@
 	return count;
 }
 
+/* @return when the last run of the task ended; 0: it runs, or has not run yet */
+uint64_t not_running_since_us(const char *task)
+{
+	uint64_t since_us = 0;
+
+	for (guint i = 0; i < run_records->len; i++) {
+		const run_record_t *known = g_ptr_array_index(run_records, i);
+
+		if (strcmp(known->task, task) != 0)
+			continue;
+		if (known->end_us == 0)
+			return 0;
+		since_us = MAX(since_us, known->end_us);
+	}
+	return since_us;
+}
+
 /* --- workers --- */
 
 typedef struct {
@@ -612,7 +629,7 @@
 	run.how = traits.how;
 	run.started_us = clock_now_us();
 	run.length_us = traits.length_ms * US_PER_MS;
-	run.end_us = run.started_us + run.length_us;
+	run.end_us = traits.lasts ? UINT64_MAX - US_PER_S : run.started_us + run.length_us;
 	g_array_append_val(worker->running, run);
 	if (worker->log_runs)
 		record("%s starts %s run %u, fence %d", worker->id, task, number,
@@ -695,6 +712,19 @@
 	json_decref(body);
 }
 
+bool has_room(const worker_t *worker, uint64_t cpu, uint64_t mem)
+{
+	uint64_t used_cpu = 0;
+	uint64_t used_mem = 0;
+
+	for (guint i = 0; i < worker->running->len; i++) {
+		used_cpu += g_array_index(worker->running, running_t, i).cpu;
+		used_mem += g_array_index(worker->running, running_t, i).mem;
+	}
+	return worker->up && !worker->draining && used_cpu + cpu <= worker->cpu &&
+	       used_mem + mem <= worker->mem;
+}
+
 void start_worker(worker_t *worker)
 {
 	const http_server_config_t config = {.address = worker->ip,
@@ -857,15 +887,51 @@
 
 /* --- platform --- */
 
+static void handle_upkeep(http_request_t *request)
+{
+	json_t *body = json_request_body(request);
+	const char *machine = json_string_value(json_object_get(body, "machine"));
+	const char *reason = "wave";
+
+	for (unsigned i = 0; i < worker_count; i++) {
+		worker_t *worker = &workers[i];
+
+		if (g_strcmp0(worker->machine, machine) != 0 || !worker->in_wave)
+			continue;
+		reason = worker->up ? NULL : "busy";
+		if (reason != NULL)
+			break;
+		end_worker(worker, "its machine goes down for upkeep");
+		g_strlcpy(listed_state[i], "upkeep", sizeof(listed_state[0]));
+		worker->upkeep_until_us = clock_now_us() + 2 * US_PER_S;
+	}
+	json_reply(request, reason == NULL ? 200 : 409,
+		   reason == NULL ? json_object() : json_pack("{s:s}", "reason", reason));
+	json_decref(body);
+}
+
+/* After the upkeep, a new worker joins the pool on the machine. */
+static void tick_upkeep(worker_t *worker)
+{
+	if (worker->upkeep_until_us == 0 || clock_now_us() < worker->upkeep_until_us)
+		return;
+	worker->upkeep_until_us = 0;
+	g_strlcat(worker->id, "b", sizeof(worker->id));
+	start_worker(worker);
+}
+
 static void on_platform_request(void *arg, http_request_t *request)
 {
 	const char *path = http_request_path(request);
 	json_t *machines;
 
+	if (strcmp(path, "/machine-upkeep") == 0) {
+		handle_upkeep(request);
+		return;
+	}
+	/* There is one pool only. */
 	if (strcmp(path, "/machines") != 0) {
-		/* No wave is under way, and there is one pool only. */
-		json_reply(request, strcmp(path, "/machine-upkeep") == 0 ? 409 : 400,
-			   json_pack("{s:s}", "reason", "wave"));
+		json_reply(request, 400, json_object());
 		return;
 	}
 	if (!platform_lists) {
@@ -1119,6 +1185,63 @@
 	char state[16];
 } answer_t;
 
+static void on_answer(void *arg, unsigned status, const json_t *body)
+{
+	answer_t *answer = arg;
+	const char *state = json_string_value(json_object_get(body, "state"));
+
+	answer->done = true;
+	answer->status = status;
+	g_strlcpy(answer->state, state != NULL ? state : "", sizeof(answer->state));
+}
+
+/* Calls the core processes in turn until one answers 200. */
+static unsigned operator_call(const char *method, const char *path, json_t *body, char state[16])
+{
+	answer_t answer = {0};
+
+	for (unsigned i = 0; i < 2 * CORES && answer.status != 200; i++) {
+		char address[32];
+
+		control_address(NULL, i % CORES, address);
+		answer = (answer_t){0};
+		send_call(method, address, path, NULL, json_incref(body), 1000, on_answer, &answer);
+		while (!answer.done)
+			run_for(5);
+	}
+	json_decref(body);
+	if (state != NULL)
+		g_strlcpy(state, answer.state, 16);
+	return answer.status;
+}
+
+bool start_wave(int number, const char *const *machines, size_t count, int duration_s, int max_count)
+{
+	json_t *list = json_array();
+	unsigned status;
+
+	for (size_t i = 0; i < count; i++) {
+		json_array_append_new(list, json_string(machines[i]));
+		for (unsigned j = 0; j < worker_count; j++)
+			workers[j].in_wave |= strcmp(workers[j].machine, machines[i]) == 0;
+		record("wave %d: %s", number, machines[i]);
+	}
+	status = operator_call("POST", "/wave-start",
+			       json_pack("{s:i, s:o, s:i, s:i}", "wave", number, "machines", list,
+					 "durationS", duration_s, "maxCount", max_count),
+			       NULL);
+	record("wave %d, of %zu machines, %d at once, in %d s: %u", number, count, max_count,
+	       duration_s, status);
+	return status == 200;
+}
+
+unsigned wave_state(int number, char state[16])
+{
+	g_autofree char *path = g_strdup_printf("/wave-get/%d", number);
+
+	return operator_call("GET", path, NULL, state);
+}
+
 static void on_leader_asked(void *arg, unsigned status, const json_t *body)
 {
 	answer_t *answer = arg;
@@ -1144,16 +1267,6 @@
 	return NULL;
 }
 
-static void on_answer(void *arg, unsigned status, const json_t *body)
-{
-	answer_t *answer = arg;
-	const char *state = json_string_value(json_object_get(body, "state"));
-
-	answer->done = true;
-	answer->status = status;
-	g_strlcpy(answer->state, state != NULL ? state : "", sizeof(answer->state));
-}
-
 static unsigned client_call(const char *method, const char *prefix, const char *id, json_t *body,
 			    char state[16])
 {
@@ -1215,6 +1328,7 @@
 static void on_tick(void *arg, uint64_t now_us)
 {
 	for (unsigned i = 0; i < worker_count; i++) {
+		tick_upkeep(&workers[i]);
 		if (!workers[i].up)
 			continue;
 		tick_runs(&workers[i]);
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -57,6 +57,8 @@
 	uint64_t beat_due_us;
 	uint64_t first_beat_after_ms;
 	bool beat_in_flight;
+	bool in_wave;
+	uint64_t upkeep_until_us; /* its machine is down for upkeep until then */
 	bool proxied; /* its calls to the core go through the proxy */
 	unsigned acked_beats;
 	unsigned acked_life;
@@ -87,8 +89,9 @@
 typedef struct {
 	uint32_t cpu;
 	uint32_t mem;
-	uint64_t length_ms;
+	uint64_t length_ms; /* of a run, or of the startup of a task that lasts */
 	const char *how;
+	bool lasts;
 } task_traits_t;
 
 typedef bool (*case_fn)(void); /* returns false when the case could not run */
@@ -125,6 +128,10 @@
 void proxy_address(unsigned core, char out[32]);
 void start_proxy(void);
 void set_proxy_cut(bool cut);
+bool start_wave(int number, const char *const *machines, size_t count, int duration_s, int max_count);
+unsigned wave_state(int number, char state[16]);
+bool has_room(const worker_t *worker, uint64_t cpu, uint64_t mem);
+uint64_t not_running_since_us(const char *task);
 bool put_config(json_t *config, unsigned timeout_ms);
 json_t *make_config(int version, const char *const *routes, size_t route_count, const char *service,
 		    int attempts);
