--- a/review/standin/cases.c
+++ b/review/standin/cases.c
@@ -173,7 +173,7 @@
 	return true;
 }
 
-/* --- 5: a late DELETE of a worker's earlier life --- */
+/* --- not among the five: a late DELETE of a worker's earlier life --- */
 
 static bool drain_is_acked(void *arg)
 {
@@ -258,7 +258,7 @@
 	return true;
 }
 
-/* --- 4: the queue of a job is removed --- */
+/* --- not among the five: the queue of a job that can't be done is removed --- */
 
 static bool has_failed(void *arg)
 {
@@ -348,7 +348,87 @@
 	return true;
 }
 
-/* --- a wave while the other workers of the service are full --- */
+/* --- 5: jobs that are accepted while their queue is being removed --- */
+
+#define STREAM_JOBS 1200
+
+static unsigned stream_status[STREAM_JOBS];
+static unsigned stream_open;
+static uint64_t stream_answered_us[STREAM_JOBS];
+
+static void stream_id(unsigned n, char id[32])
+{
+	g_snprintf(id, 32, "%08x%08x", 0x5c0e7a21 + n, 0xd94b36f8 - n);
+}
+
+static void on_stream_answer(void *arg, unsigned status, const json_t *body)
+{
+	stream_status[GPOINTER_TO_UINT(arg)] = status;
+	stream_answered_us[GPOINTER_TO_UINT(arg)] = clock_now_us();
+	stream_open--;
+}
+
+static void send_stream_job(unsigned n)
+{
+	char id[32];
+
+	stream_id(n, id);
+	stream_open++;
+	send_client_job(PREFIX_A, id, job_of_one_step(1, NULL), on_stream_answer,
+			GUINT_TO_POINTER(n));
+}
+
+static void on_version_answered(void *arg, unsigned status, const json_t *body)
+{
+	*(unsigned *)arg = status;
+	record("version 2: %u", status);
+}
+
+static bool case_vanishing_queue(void)
+{
+	static const char *const routes[] = {PREFIX_A, PREFIX_B};
+	static const char *const fewer[] = {PREFIX_B};
+	unsigned version_status = 0;
+	unsigned accepted = 0;
+	unsigned waiting = 0;
+	char id[32];
+
+	traits = (task_traits_t){.cpu = 1000, .mem = 100, .length_ms = 200, .how = "done"};
+	task_count = 1;
+	add_workers(8);
+	if (!set_up(routes, 2, 3))
+		return false;
+	for (unsigned n = 0; n < STREAM_JOBS; n++) {
+		if (n == STREAM_JOBS / 2) {
+			record("version 2%s is sent", trouble ? ", without the route," : "");
+			send_config(trouble ? make_config(2, fewer, 1, SERVICE, 3)
+					    : make_config(2, routes, 2, SERVICE, 3),
+				    on_version_answered, &version_status);
+		}
+		send_stream_job(n);
+		run_for(1);
+	}
+	while (stream_open > 0)
+		run_for(10);
+	if (version_status != 200)
+		return false;
+	run_for(15000);
+	for (unsigned n = 0; n < STREAM_JOBS; n++) {
+		stream_id(n, id);
+		accepted += stream_status[n] == 200;
+		if (stream_status[n] != 200 || count_runs(id, NULL) > 0)
+			continue;
+		waiting++;
+		report_broken("LOST", "job %s was accepted (200) at %.3f s and has nothing running, "
+				      "with all workers idle",
+			      id, (double)(stream_answered_us[n] - case_start_us()) / US_PER_S);
+	}
+	record("%u jobs sent, %u accepted, %u of these never started", STREAM_JOBS, accepted, waiting);
+	judge_runs(3);
+	return true;
+}
+
+/* --- 4: a wave while the other workers of the service are full --- */
 
 static bool is_lost(const char *task, uint64_t *room_since_us)
 {
@@ -482,6 +562,7 @@
 		{"late-delete", case_late_delete},
 		{"removed-queue", case_removed_queue},
 		{"new-life", case_new_life},
+		{"vanishing-queue", case_vanishing_queue},
 		{"full-wave", case_full_wave},
 		{"long-checkpoint", case_long_checkpoint},
 	};
--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -1284,6 +1284,29 @@
 	return answer.status;
 }
 
+uint64_t case_start_us(void)
+{
+	return start_us;
+}
+
+void send_config(json_t *config, reply_fn fn, void *arg)
+{
+	char address[32];
+
+	control_address(NULL, 0, address);
+	send_call("PUT", address, "/config", NULL, config, 1500, fn, arg);
+}
+
+void send_client_job(const char *prefix, const char *id, json_t *body, reply_fn fn, void *arg)
+{
+	static unsigned edge;
+	process_t *process = &processes[CORES + edge++ % EDGES];
+	g_autofree char *path = g_strconcat(prefix, id, NULL);
+	g_autofree char *address = g_strdup_printf("%s:%u", process->ip, front_port());
+
+	send_call_on("POST", address, path, "pule25.example", body, 3000, true, fn, arg);
+}
+
 bool submit_job(const char *prefix, const char *id, json_t *body, unsigned timeout_ms)
 {
 	uint64_t end_us = clock_now_us() + timeout_ms * US_PER_MS;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -135,6 +135,9 @@
 bool put_config(json_t *config, unsigned timeout_ms);
 json_t *make_config(int version, const char *const *routes, size_t route_count, const char *service,
 		    int attempts);
+uint64_t case_start_us(void);
+void send_config(json_t *config, reply_fn fn, void *arg);
+void send_client_job(const char *prefix, const char *id, json_t *body, reply_fn fn, void *arg);
 bool submit_job(const char *prefix, const char *id, json_t *body, unsigned timeout_ms);
 unsigned job_state(const char *prefix, const char *id, char state[16]);
 void run_for(uint64_t ms);
