--- a/review/standin/standin.c
+++ b/review/standin/standin.c
@@ -16,6 +16,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -155,6 +156,8 @@
 	process->started = true;
 	process->pid = fork();
 	if (process->pid == 0) {
+		/* It ends with this program, however that ends. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 		dup2(fd, STDOUT_FILENO);
