--- a/review/build.sh
+++ b/review/build.sh
@@ -7,5 +7,5 @@
 mkdir -p target/review
 # shellcheck disable=SC2046,SC2086
 gcc -std=gnu11 -O2 -g -Wall -Wextra -Wno-unused-parameter -D_GNU_SOURCE -Isrc -pthread \
-	$(pkg-config --cflags $packages) review/standin/*.c target/liblavenderpass.a \
+	$(pkg-config --cflags $packages) review/*.c target/liblavenderpass.a \
 	-o target/review/standin $(pkg-config --libs $packages) -lcyaml -lyaml -lm -pthread
