batch_handover: runs that a restarted VM has started are not started again

Cause: the leader keeps runs by incarnation, but a start request names a VM by its id only, so that the next incarnation carries it out. Once that became known, by the born of a hold response or by a report, all runs of the earlier incarnation counted as ended with it. Nothing stopped the first runs, because the log assigned nothing to the new incarnation and no hold request was sent to it.

Ruled out: that the answer of the start carries what tells the two apart (it has no born).

Change: runs that the earlier incarnation has listed, with every start request answered, are lost with it. The others are handed over in the log to the next incarnation, as unsure: its hold response confirms them, or they are stopped there and lost after that. The same on the related paths: a report, a start response with a born, and a new leader that finds runs of an earlier incarnation. The lease of the next incarnation counts as the longest that a VM accepts, since the start named its end by another clock. Crashes that the runs may have caused are still counted.

The simulated fleet can restart a VM under its id, with a clock that starts anew; requests that a VM holds up end with its incarnation.

Members of different versions must not share a group across this change: a member that does not know the command ignores it.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -592,6 +592,51 @@
   assert(message->base.descriptor == &lp__batch_lost__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__batch_handover__init
+                     (Lp__BatchHandover         *message)
+{
+  static const Lp__BatchHandover init_value = LP__BATCH_HANDOVER__INIT;
+  *message = init_value;
+}
+size_t lp__batch_handover__get_packed_size
+                     (const Lp__BatchHandover *message)
+{
+  assert(message->base.descriptor == &lp__batch_handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__batch_handover__pack
+                     (const Lp__BatchHandover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__batch_handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__batch_handover__pack_to_buffer
+                     (const Lp__BatchHandover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__batch_handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__BatchHandover *
+       lp__batch_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__BatchHandover *)
+     protobuf_c_message_unpack (&lp__batch_handover__descriptor,
+                                allocator, len, data);
+}
+void   lp__batch_handover__free_unpacked
+                     (Lp__BatchHandover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__batch_handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lp__batch_wave__init
                      (Lp__BatchWave         *message)
 {
@@ -2637,6 +2682,109 @@
   (ProtobufCMessageInit) lp__batch_lost__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor lp__batch_handover__field_descriptors[6] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchHandover, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchHandover, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_born_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchHandover, next_born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchHandover, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "machine",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchHandover, machine),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tasks",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__BatchHandover, n_tasks),
+    offsetof(Lp__BatchHandover, tasks),
+    &lp__batch_task__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__batch_handover__field_indices_by_name[] = {
+  3,   /* field[3] = address */
+  1,   /* field[1] = born_ms */
+  4,   /* field[4] = machine */
+  2,   /* field[2] = next_born_ms */
+  5,   /* field[5] = tasks */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange lp__batch_handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor lp__batch_handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.BatchHandover",
+  "BatchHandover",
+  "Lp__BatchHandover",
+  "lp",
+  sizeof(Lp__BatchHandover),
+  6,
+  lp__batch_handover__field_descriptors,
+  lp__batch_handover__field_indices_by_name,
+  1,  lp__batch_handover__number_ranges,
+  (ProtobufCMessageInit) lp__batch_handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor lp__batch_wave__field_descriptors[4] =
 {
   {
@@ -2804,7 +2952,7 @@
   (ProtobufCMessageInit) lp__batch_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_command__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lp__batch_command__field_descriptors[11] =
 {
   {
     "config",
@@ -2926,11 +3074,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__BatchCommand, body_case),
+    offsetof(Lp__BatchCommand, handover),
+    &lp__batch_handover__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_command__field_indices_by_name[] = {
   2,   /* field[2] = cancel */
   0,   /* field[0] = config */
   4,   /* field[4] = ends */
+  10,   /* field[10] = handover */
   9,   /* field[9] = leader_ms */
   5,   /* field[5] = lost */
   7,   /* field[7] = order */
@@ -2942,7 +3103,7 @@
 static const ProtobufCIntRange lp__batch_command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lp__batch_command__descriptor =
 {
@@ -2952,7 +3113,7 @@
   "Lp__BatchCommand",
   "lp",
   sizeof(Lp__BatchCommand),
-  10,
+  11,
   lp__batch_command__field_descriptors,
   lp__batch_command__field_indices_by_name,
   1,  lp__batch_command__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -28,6 +28,7 @@
 typedef struct Lp__BatchEnd Lp__BatchEnd;
 typedef struct Lp__BatchEnds Lp__BatchEnds;
 typedef struct Lp__BatchLost Lp__BatchLost;
+typedef struct Lp__BatchHandover Lp__BatchHandover;
 typedef struct Lp__BatchWave Lp__BatchWave;
 typedef struct Lp__BatchOrder Lp__BatchOrder;
 typedef struct Lp__BatchCommand Lp__BatchCommand;
@@ -457,6 +458,35 @@
     , 0,NULL }
 
 
+/*
+ * Runs that were sent to an incarnation of a VM that has ended, and that the next incarnation under
+ * the same id has possibly started.
+ */
+struct  Lp__BatchHandover
+{
+  ProtobufCMessage base;
+  char *vm;
+  /*
+   * start time of the incarnation that has ended
+   */
+  uint64_t born_ms;
+  /*
+   * start time of the next one
+   */
+  uint64_t next_born_ms;
+  /*
+   * of the next one
+   */
+  char *address;
+  char *machine;
+  size_t n_tasks;
+  Lp__BatchTask **tasks;
+};
+#define LP__BATCH_HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__batch_handover__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL }
+
+
 /*
  * Maintenance wave over machines of the platform.
  */
@@ -512,7 +542,8 @@
   LP__BATCH_COMMAND__BODY_ENDS = 5,
   LP__BATCH_COMMAND__BODY_LOST = 6,
   LP__BATCH_COMMAND__BODY_WAVE = 7,
-  LP__BATCH_COMMAND__BODY_ORDER = 8
+  LP__BATCH_COMMAND__BODY_ORDER = 8,
+  LP__BATCH_COMMAND__BODY_HANDOVER = 11
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__BATCH_COMMAND__BODY__CASE)
 } Lp__BatchCommand__BodyCase;
 
@@ -536,6 +567,7 @@
     Lp__BatchLost *lost;
     Lp__BatchWave *wave;
     Lp__BatchOrder *order;
+    Lp__BatchHandover *handover;
   };
 };
 #define LP__BATCH_COMMAND__INIT \
@@ -1197,6 +1229,25 @@
 void   lp__batch_lost__free_unpacked
                      (Lp__BatchLost *message,
                       ProtobufCAllocator *allocator);
+/* Lp__BatchHandover methods */
+void   lp__batch_handover__init
+                     (Lp__BatchHandover         *message);
+size_t lp__batch_handover__get_packed_size
+                     (const Lp__BatchHandover   *message);
+size_t lp__batch_handover__pack
+                     (const Lp__BatchHandover   *message,
+                      uint8_t             *out);
+size_t lp__batch_handover__pack_to_buffer
+                     (const Lp__BatchHandover   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__BatchHandover *
+       lp__batch_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__batch_handover__free_unpacked
+                     (Lp__BatchHandover *message,
+                      ProtobufCAllocator *allocator);
 /* Lp__BatchWave methods */
 void   lp__batch_wave__init
                      (Lp__BatchWave         *message);
@@ -1580,6 +1631,9 @@
 typedef void (*Lp__BatchLost_Closure)
                  (const Lp__BatchLost *message,
                   void *closure_data);
+typedef void (*Lp__BatchHandover_Closure)
+                 (const Lp__BatchHandover *message,
+                  void *closure_data);
 typedef void (*Lp__BatchWave_Closure)
                  (const Lp__BatchWave *message,
                   void *closure_data);
@@ -1659,6 +1713,7 @@
 extern const ProtobufCMessageDescriptor lp__batch_end__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_ends__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_lost__descriptor;
+extern const ProtobufCMessageDescriptor lp__batch_handover__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_wave__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_order__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_command__descriptor;
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -80,6 +80,14 @@
 	task->step->job->tasks_on_vms++;
 }
 
+static void unlink_vm(batch_task_t *task)
+{
+	LIST_REMOVE(task, vm_link);
+	task->vm->task_count--;
+	task->step->job->tasks_on_vms--;
+	task->vm = NULL;
+}
+
 /* Detaches the task from its VM and resets the leader's state of the task, except for the VM of
  * the last failure and a pending start intent, which the leader counts until its commit is known.
  */
@@ -87,10 +95,7 @@
 {
 	if (task->vm == NULL)
 		return;
-	LIST_REMOVE(task, vm_link);
-	task->vm->task_count--;
-	task->step->job->tasks_on_vms--;
-	task->vm = NULL;
+	unlink_vm(task);
 	task->local = (run_local_state_t){
 		.intent_pending = task->local.intent_pending,
 		.intent_vm = task->local.intent_vm,
@@ -369,6 +374,44 @@
 	}
 }
 
+static void hand_over_task(batch_task_t *task, batch_vm_t *vm)
+{
+	run_local_state_t local = {
+		.phase = RUN_UNSURE,
+		.pace_percent = 100,
+		.failed_vm_hash = task->local.failed_vm_hash,
+		.crash = task->local.crash,
+	};
+
+	g_strlcpy(local.reported_checkpoint, task->local.reported_checkpoint,
+		  sizeof(local.reported_checkpoint));
+	unlink_vm(task);
+	task->local = local;
+	batch_task_attach_vm(task, vm);
+}
+
+static void apply_handover(batch_state_t *state, const Lp__BatchHandover *handover)
+{
+	const Lp__BatchStart next = {
+		.vm = handover->vm,
+		.born_ms = handover->next_born_ms,
+		.address = handover->address,
+		.machine = handover->machine,
+	};
+	const batch_vm_t *from = batch_state_vm(state, handover->vm, handover->born_ms);
+	batch_vm_t *to;
+
+	if (from == NULL || from->task_count == 0)
+		return;
+	to = find_or_add_vm(state, &next);
+	for (size_t i = 0; i < handover->n_tasks; i++) {
+		batch_task_t *task = batch_state_task(state, handover->tasks[i]);
+
+		if (task != NULL && task->run == handover->tasks[i]->run && task->vm == from)
+			hand_over_task(task, to);
+	}
+}
+
 /* --- configuration, maintenance waves and moves --- */
 
 static void apply_config(batch_state_t *state, const Lp__BatchConfig *config)
@@ -531,6 +574,9 @@
 	case LP__BATCH_COMMAND__BODY_ORDER:
 		apply_order(state, wall_ms, command->order);
 		break;
+	case LP__BATCH_COMMAND__BODY_HANDOVER:
+		apply_handover(state, command->handover);
+		break;
 	case LP__BATCH_COMMAND__BODY__NOT_SET:
 	case _LP__BATCH_COMMAND__BODY__CASE_IS_INT_SIZE:
 		set_result(result, LP__RESULT_CODE__RESULT_INVALID, "empty command");
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -155,8 +155,8 @@
 		ends[i].task = &lost_runs->refs[i];
 		ends[i].kind = LP__BATCH_END_KIND__BATCH_END_LAPSED;
 		ends[i].checkpoint = tasks[i]->local.reported_checkpoint;
-		if (vm != NULL)
-			ends[i].crash = suspect_judge(vm, tasks[i], vm->dead);
+		ends[i].crash =
+			vm != NULL ? suspect_judge(vm, tasks[i], vm->dead) : tasks[i]->local.crash;
 		list[i] = &ends[i];
 	}
 	lost.runs = list;
@@ -192,7 +192,7 @@
 	if (record == NULL)
 		return;
 	LIST_FOREACH (task, &record->tasks, vm_link) {
-		if (!task->local.loss_pending)
+		if (!task->local.loss_pending && !task->local.handover_pending)
 			g_ptr_array_add(tasks, task);
 	}
 	if (tasks->len == 0)
@@ -372,6 +372,7 @@
 		local->phase_since_us = now_us;
 		local->progress_us = now_us;
 	}
+	local->listed = true;
 	if (local->confirmed_clock_ms == 0)
 		local->confirmed_clock_ms = leader_vm_clock_ms(vm, now_us);
 	if (local->progress_percent != running->percent || local->progress_us == 0)
@@ -401,6 +402,9 @@
 			g_hash_table_add(listed, task);
 			continue;
 		}
+		/* The VM has started a run that was sent to its previous incarnation. */
+		if (task != NULL && task->run == running->run && task->local.handover_pending)
+			continue;
 		orphan_count++;
 		leader_stop_orphan(vm, &running->task, running->run);
 	}
@@ -537,9 +541,9 @@
 	if (vm == NULL)
 		return;
 	if (reply->born_ms != 0 && reply->born_ms != vm->born_ms) {
-		if (reply->born_ms > vm->born_ms)
-			leader_vm_mark_dead(vm, "another life of the VM answers");
 		vm->hold_in_flight &= hold->seq != vm->hold_seq;
+		if (reply->born_ms > vm->born_ms)
+			leader_vm_read_restart(vm, reply);
 		return;
 	}
 	if (hold->grants_lease)
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -338,9 +338,16 @@
 		  LOG_FIELDS("vm", vm->id, "born", born, "machine", vm->machine, "reason", reason),
 		  "VM has ended");
 	suspect_log_crash(vm);
+	leader_hand_over_runs(vm);
 	leader_mark_all_runs_lost(vm, reason);
 }
 
+void leader_vm_mark_restarted(leader_vm_t *vm, uint64_t next_born_ms, const char *reason)
+{
+	vm->next_born_ms = next_born_ms;
+	leader_vm_mark_dead(vm, reason);
+}
+
 /* @return whether the field has changed. @param value NULL: the field keeps its value */
 static bool replace_string(char **field, const char *value)
 {
@@ -351,6 +358,18 @@
 	return true;
 }
 
+void leader_vm_read_restart(leader_vm_t *vm, const vm_reply_t *reply)
+{
+	batch_leader_t *leader = vm->leader;
+	leader_vm_t *next;
+
+	leader_vm_mark_restarted(vm, reply->born_ms, "another life of the VM answers");
+	next = new_vm(leader, vm->id, reply->born_ms, vm->address);
+	replace_string(&next->machine, vm->machine);
+	index_vm(next);
+	leader_vm_set_clock(next, reply->clock_ms, leader_now_us(leader));
+}
+
 leader_vm_t *leader_vm_from_record(batch_leader_t *leader, batch_vm_t *record)
 {
 	batch_lease_limits_t limits = leader_lease_limits(leader);
@@ -362,7 +381,7 @@
 		 * new_vm() has put it into by_id nevertheless; put the later one back. */
 		added = new_vm(leader, record->id, record->born_ms, record->address);
 		g_hash_table_insert(leader->by_id, vm->id, vm);
-		leader_vm_mark_dead(added, "a later life of the VM has reported");
+		leader_vm_mark_restarted(added, vm->born_ms, "a later life of the VM has reported");
 		return added;
 	}
 	added = new_vm(leader, record->id, record->born_ms, record->address);
@@ -491,7 +510,8 @@
 	    (vm != NULL && vm->born_ms > report->born_ms))
 		return false;
 	if (vm != NULL && vm->born_ms < report->born_ms) {
-		leader_vm_mark_dead(vm, "a later life of the VM has reported");
+		leader_vm_mark_restarted(vm, report->born_ms,
+					 "a later life of the VM has reported");
 		vm = NULL;
 	}
 	if (vm != NULL && vm->last_report_us != 0 && report->seq <= vm->seq)
@@ -560,6 +580,7 @@
 	leader->stats.start_unsure = metrics_counter(metrics, "batch_starts_unsure_total", "");
 	leader->stats.ends = metrics_counter(metrics, "batch_ends_total", "");
 	leader->stats.lost = metrics_counter(metrics, "batch_runs_lost_total", "");
+	leader->stats.handed_over = metrics_counter(metrics, "batch_runs_handed_over_total", "");
 	leader->stats.holds = metrics_counter(metrics, "batch_holds_total", "");
 	leader->stats.holds_overtaken = metrics_counter(metrics, "batch_holds_overtaken_total", "");
 	leader->stats.stops = metrics_counter(metrics, "batch_stops_total", "");
@@ -749,6 +770,7 @@
 	if (!vm->dead && vm->shutdown_us != 0 && now_us > vm->shutdown_us + SHUTDOWN_GRACE_US)
 		leader_vm_mark_dead(vm, "it has left");
 	if (vm->dead) {
+		leader_hand_over_runs(vm);
 		leader_mark_all_runs_lost(vm, "the VM has ended");
 		free_dead_vm(vm);
 		return;
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -26,9 +26,10 @@
 				 void *done_arg);
 
 typedef struct {
-	uint32_t lease_ms;	     /**< duration of the lease granted to the tasks on a VM */
-	uint32_t late_request_ms;    /**< longest time from sending a request that stays unanswered
-					until the VM carries it out */
+	uint32_t lease_ms;	  /**< duration of the lease granted to the tasks on a VM */
+	uint32_t lease_max_ms;	  /**< longest lease that a VM accepts; it shortens longer ones */
+	uint32_t late_request_ms; /**< longest time from sending a request that stays unanswered
+				     until the VM carries it out */
 	uint32_t clock_skew_percent; /**< most by which a VM's clock can run slow, in percent */
 	uint32_t hold_wait_ms; /**< longest time that a VM delays the response to a hold request */
 	uint32_t report_timeout_ms; /**< a VM gets no new tasks when its latest report is older than
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -11,7 +11,8 @@
 /**
  * @file
  * Declarations shared by the source files of the batch leader: batch_leader.c (VMs and activation),
- * batch_hold.c (leases, hold requests, finished and lost runs), batch_dispatch.c (placement),
+ * batch_hold.c (leases, hold requests, finished and lost runs), batch_handover.c (runs of a
+ * restarted VM), batch_dispatch.c (placement),
  * batch_orders.c (start, stop and pace requests), batch_ticket.c (tickets of the policy service),
  * batch_upkeep.c (maintenance waves, evacuation, throttling) and batch_machines.c (the platform's
  * machines and their moves between pools).
@@ -37,6 +38,8 @@
 	uint32_t mem_mib;
 	uint32_t gpu;
 	uint64_t born_ms;
+	uint64_t next_born_ms; /**< start time of the next known incarnation with the same id, which
+				  has ended this one; 0: none */
 	uint64_t seq;
 	uint64_t known_since_us; /**< time when this leader first learned of the incarnation */
 	uint64_t last_report_us; /**< arrival time of the latest report; 0: none since this process
@@ -211,6 +214,8 @@
 		metrics_counter_t *start_unsure;
 		metrics_counter_t *ends;
 		metrics_counter_t *lost;
+		metrics_counter_t *handed_over; /**< number of runs handed over to the next
+						   incarnation of their VM */
 		metrics_counter_t *holds;
 		metrics_counter_t *holds_overtaken; /**< number of hold requests for which a probe
 						       was answered first */
@@ -260,6 +265,16 @@
 /** Adds a VM that has a replicated record but has not reported to this leader yet. */
 leader_vm_t *leader_vm_from_record(batch_leader_t *leader, batch_vm_t *record);
 void leader_vm_mark_dead(leader_vm_t *vm, const char *reason);
+/**
+ * Marks the VM as dead because a later incarnation has the same id. Its runs that the later one has
+ * possibly started are handed over to that.
+ */
+void leader_vm_mark_restarted(leader_vm_t *vm, uint64_t next_born_ms, const char *reason);
+/**
+ * Does the same after a reply has shown the later incarnation, which has not reported yet, and adds
+ * that to the known VMs.
+ */
+void leader_vm_read_restart(leader_vm_t *vm, const vm_reply_t *reply);
 /** Stores a reading of the VM's clock that arrived in a message. A reading of 0 is ignored. */
 void leader_vm_set_clock(leader_vm_t *vm, uint64_t clock_ms, uint64_t now_us);
 /** Stores the reading of the VM's clock in a reply, unless it is from another incarnation. */
@@ -303,11 +318,20 @@
 void leader_update_lease(leader_vm_t *vm, const vm_reply_t *reply, uint64_t sent_us);
 /** Proposes to commit the latest run of the task as lost, so that the task is placed again. */
 void leader_mark_run_lost(batch_leader_t *leader, batch_task_t *task, const char *reason);
+/** Marks all runs of the VM as lost, except those that are being handed over. */
 void leader_mark_all_runs_lost(leader_vm_t *vm, const char *reason);
 /** Updates the estimates of the VM's speed and health after a run of the task has ended. */
 void leader_update_vm_stats(leader_vm_t *vm, const batch_task_t *task, Lp__BatchEndKind kind,
 			    uint64_t now_us);
 
+/* batch_handover.c */
+/**
+ * Proposes to hand over the runs of a dead VM that its next incarnation has possibly started: a
+ * start request names the VM by its id, so that the next incarnation carries it out as well.
+ * Does nothing when no next incarnation is known.
+ */
+void leader_hand_over_runs(leader_vm_t *vm);
+
 /* batch_orders.c */
 void leader_request_start(leader_vm_t *vm, batch_task_t *task);
 /**
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -475,6 +475,7 @@
 		.config =
 			{
 				.lease_ms = MIN(VM_LEASE_MS, settings->vm_lease_max_ms),
+				.lease_max_ms = settings->vm_lease_max_ms,
 				.late_request_ms = LATE_REQUEST_MS,
 				.clock_skew_percent = CLOCK_SKEW_PERCENT,
 				.hold_wait_ms = HOLD_WAIT_MS,
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -82,6 +82,7 @@
 	uint64_t now_us = leader_now_us(vm->leader);
 
 	metrics_add(vm->leader->stats.start_unsure, 1);
+	task->local.start_unanswered = true;
 	task->local.phase = RUN_UNSURE;
 	task->local.phase_since_us = now_us;
 	vm->hold_due_us = now_us;
@@ -134,6 +135,7 @@
 		handle_start_unknown(vm, task);
 		break;
 	case VM_REPLY_NO_RESPONSE:
+		task->local.start_unanswered = true;
 		if (attempt < START_ATTEMPTS_MAX && may_retry_start(vm, task)) {
 			start_window_add(&vm->leader->window);
 			send_start(vm, task, attempt + 1);
@@ -144,17 +146,6 @@
 	}
 }
 
-static void stop_on_later_incarnation(leader_vm_t *vm, const vm_request_t *request)
-{
-	const batch_task_t *task = batch_state_task(vm->leader->state, &request->task);
-	task_id_t id;
-
-	if (task == NULL)
-		return;
-	task_id_set(&id, task);
-	leader_stop_orphan(vm, &id, request->task.run);
-}
-
 static void on_start_reply(void *arg, const vm_reply_t *reply)
 {
 	g_autofree vm_request_t *request = arg;
@@ -171,9 +162,7 @@
 		return;
 	vm->starts_in_flight--;
 	if (reply->born_ms > vm->born_ms) {
-		/* The VM was restarted under its id, and possibly carried out the request again. */
-		stop_on_later_incarnation(vm, request);
-		leader_vm_mark_dead(vm, "another life of the VM answers");
+		leader_vm_read_restart(vm, reply);
 		return;
 	}
 	metrics_record_us(leader->stats.start_latency, latency_us);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -88,8 +88,12 @@
 	bool stop_in_flight;
 	bool stop_acked; /**< a stop request for the run has succeeded */
 	bool pace_in_flight;
-	bool loss_pending; /**< the run is being committed as lost */
-	bool evacuate;	   /**< the run must be stopped, so that the task can run on another VM */
+	bool listed;	       /**< the VM has listed the run as running */
+	bool start_unanswered; /**< a start request for the run got no response */
+	bool loss_pending;     /**< the run is being committed as lost */
+	bool handover_pending; /**< the handover of the run to the VM's next incarnation is being
+				  committed */
+	bool evacuate; /**< the run must be stopped, so that the task can run on another VM */
 	uint64_t phase_since_us;
 	uint64_t stop_due_us;	/**< earliest time of the next stop request for the run */
 	uint64_t stop_acked_us; /**< time when a stop request for the run last succeeded */
@@ -107,6 +111,8 @@
 	struct leader_vm *intent_vm; /**< VM of the pending start intent */
 	uint32_t failed_vm_hash;     /**< leader_vm_hash() of the VM where a run of the task last
 					failed; 0: none */
+	Lp__BatchCrash crash; /**< relation to the crash of the incarnation from which the run was
+				 handed over */
 	char reported_checkpoint[BATCH_RUNNING_CHECKPOINT_SIZE]; /**< latest reported checkpoint of
 								    the run; "": none */
 } run_local_state_t;
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -61,6 +61,8 @@
 	char address[32];
 	char service[32];
 	uint64_t born_ms;
+	uint64_t booted_us;
+	uint64_t first_report_us; /* the VM sends no report before this time */
 	uint64_t seq;
 	uint32_t cpu_milli; /* capacity */
 	past_cpu_t past_cpu[PAST_CPU_COUNT];
@@ -105,6 +107,7 @@
  * lost. */
 typedef struct {
 	char vm[32];
+	uint64_t born_ms;
 	uint64_t number;
 	uint64_t time_us;
 	bool started_again; /* the task was started again after this run had completed */
@@ -440,7 +443,9 @@
 	if (kind == LP__BATCH_END_KIND__BATCH_END_DONE) {
 		completion_t *done = g_new0(completion_t, 1);
 
-		*done = (completion_t){.number = finished.number, .time_us = vm->sim->now_us};
+		*done = (completion_t){.born_ms = vm->born_ms,
+				       .number = finished.number,
+				       .time_us = vm->sim->now_us};
 		g_strlcpy(done->vm, vm->id, sizeof(done->vm));
 		if (g_hash_table_contains(vm->sim->completed, key)) {
 			g_free(done);
@@ -524,7 +529,7 @@
 	const uint64_t *cancelled_us = g_hash_table_lookup(sim->cancelled, id->job);
 	const batch_job_t *job = batch_state_job(&sim->state, id->job);
 
-	if (job == NULL) {
+	if (job == NULL || find_step_spec(sim, id) == NULL) {
 		add_violation(sim, "UNASKED", key);
 		return;
 	}
@@ -581,7 +586,7 @@
 
 static uint64_t clock_ms(const sim_vm_t *vm)
 {
-	return vm->sim->now_us / US_PER_MS + 1000;
+	return (vm->sim->now_us - vm->booted_us) / US_PER_MS + 1;
 }
 
 static void extend_lease(sim_vm_t *vm, uint64_t until_ms)
@@ -668,8 +673,10 @@
 	bool has_timer; /* a timer for the response is scheduled, and frees the call if the response
 			   was handled before */
 	bool closed;	/* the caller has got a response, or the timer has fired */
-	bool broken_off; /* a hold request whose VM has ended; its copy has told the caller */
-	bool held_up;	 /* the request is carried out seconds late */
+	bool broken_off;     /* a hold request whose VM has ended; its copy has told the caller */
+	bool held_up;	     /* the request is carried out seconds late */
+	uint64_t held_by_ms; /* start time of the incarnation that holds it up, and whose end drops
+				it */
 	vm_reply_t reply;
 	GArray *running;
 	GArray *finished;
@@ -826,8 +833,8 @@
 	completion_t *done = g_hash_table_lookup(vm->sim->completed, key);
 
 	if (done == NULL || finished->kind != LP__BATCH_END_KIND__BATCH_END_DONE ||
-	    strcmp(done->vm, vm->id) != 0 || done->number != finished->number ||
-	    vm->lease_lapsed_us >= done->time_us)
+	    strcmp(done->vm, vm->id) != 0 || done->born_ms != vm->born_ms ||
+	    done->number != finished->number || vm->lease_lapsed_us >= done->time_us)
 		return;
 	done->acknowledged = true;
 	if (done->started_again)
@@ -910,6 +917,10 @@
 	vm_sim_t *sim = call->sim;
 	sim_vm_t *vm = find_vm(sim, call->address);
 
+	if (vm != NULL && call->held_up && vm->born_ms != call->held_by_ms) {
+		call_free(call);
+		return;
+	}
 	if (vm == NULL || !vm->up || sim->now_us < vm->cut_off_until_us) {
 		if (call->no_reply) {
 			call_free(call);
@@ -999,9 +1010,13 @@
 	bool reply_lost = !delayed && fault_occurs(sim, sim->config.lost_reply_share);
 	bool lost = !delayed && !reply_lost && fault_occurs(sim, sim->config.lost_request_share);
 
+	const sim_vm_t *target;
+
 	charge_message(sim);
 	call->sim = sim;
 	call->held_up = delayed;
+	target = find_vm(sim, vm->address);
+	call->held_by_ms = target != NULL ? target->born_ms : 0;
 	g_strlcpy(call->address, vm->address, sizeof(call->address));
 	g_strlcpy(call->id, vm->id, sizeof(call->id));
 	if (lost) {
@@ -1111,16 +1126,12 @@
 
 static void send_report(sim_vm_t *vm);
 
-static void boot_vm(void *arg)
+/* Begins an incarnation that knows nothing of the earlier ones. */
+static void begin_incarnation(sim_vm_t *vm)
 {
-	sim_vm_t *vm = arg;
-	vm_sim_t *sim = vm->sim;
-
-	vm->busy = false;
-	vm->crashed = false;
-	vm->powered_off = strcmp(vm->service, "standby") == 0;
-	vm->up = !vm->powered_off;
-	vm->born_ms = sim->now_us / US_PER_MS + WALL_OFFSET_MS;
+	vm->born_ms = MAX(vm->born_ms + 1, vm->sim->now_us / US_PER_MS + WALL_OFFSET_MS);
+	vm->booted_us = vm->sim->now_us;
+	vm->first_report_us = 0;
 	vm->seq = 0;
 	vm->fence = 0;
 	vm->cpu_milli = VM_CPU_MILLI;
@@ -1130,7 +1141,20 @@
 	g_array_set_size(vm->runs, 0);
 	g_array_set_size(vm->finished, 0);
 	g_hash_table_remove_all(vm->highest_runs);
-	g_snprintf(vm->id, sizeof(vm->id), "vm-%u", sim->next_vm++);
+}
+
+static void boot_vm(void *arg)
+{
+	sim_vm_t *vm = arg;
+	vm_sim_t *sim = vm->sim;
+
+	vm->busy = false;
+	vm->crashed = false;
+	vm->powered_off = strcmp(vm->service, "standby") == 0;
+	vm->up = !vm->powered_off;
+	begin_incarnation(vm);
+	if (!sim->config.keep_ids || vm->id[0] == '\0')
+		g_snprintf(vm->id, sizeof(vm->id), "vm-%u", sim->next_vm++);
 	if (vm->up)
 		send_report(vm);
 }
@@ -1372,7 +1396,7 @@
 
 static void send_report(sim_vm_t *vm)
 {
-	if (vm->up && vm->sim->now_us >= vm->cut_off_until_us)
+	if (vm->up && vm->sim->now_us >= MAX(vm->cut_off_until_us, vm->first_report_us))
 		handle_now(vm->sim, LEADER_MESSAGE, deliver_report, vm);
 }
 
@@ -1457,6 +1481,18 @@
 				 (guint)g_rand_int_range(sim->rand, 0, (gint32)sim->vms->len));
 }
 
+/* Ends the VM with all its runs, and starts it again at once under the same id. */
+static void restart_vm(sim_vm_t *vm, uint32_t report_delay_ms)
+{
+	end_due_runs(vm);
+	vm->sim->lost_runs += vm->runs->len;
+	note_absences(vm);
+	if (!vm->sim->config.silent_crashes)
+		break_off_holds(vm);
+	begin_incarnation(vm);
+	vm->first_report_us = vm->sim->now_us + report_delay_ms * US_PER_MS;
+}
+
 static void inject_faults(void *arg)
 {
 	vm_sim_t *sim = arg;
@@ -1469,6 +1505,12 @@
 	vm = random_vm(sim);
 	if (fault_due(sim, sim->config.mean_cutoff_interval_ms) && vm->up)
 		vm->cut_off_until_us = random_time_us(sim, 1000, 6000);
+	if (fault_due(sim, sim->config.mean_restart_interval_ms)) {
+		vm = random_vm(sim);
+		if (vm->up)
+			restart_vm(vm,
+				   (uint32_t)g_rand_int_range(sim->rand, 0, REPORT_INTERVAL_MS));
+	}
 	if (fault_due(sim, sim->config.mean_leader_change_interval_ms))
 		vm_sim_change_leader(sim);
 	if (fault_due(sim, sim->config.mean_commit_stall_interval_ms))
@@ -1503,6 +1545,11 @@
 	}
 }
 
+void vm_sim_restart_vm(vm_sim_t *sim, unsigned machine, uint32_t report_delay_ms)
+{
+	restart_vm(g_ptr_array_index(sim->vms, machine), report_delay_ms);
+}
+
 void vm_sim_set_cpu(vm_sim_t *sim, unsigned machine, uint32_t cpu_milli)
 {
 	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
@@ -1628,6 +1675,7 @@
 		.config =
 			{
 				.lease_ms = 5000,
+				.lease_max_ms = LEASE_MAX_MS,
 				.late_request_ms = 12000,
 				.clock_skew_percent = 3,
 				.hold_wait_ms = 1000,
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -40,10 +40,13 @@
 	double lost_request_share; /**< share of VM requests that do not reach the VM, because the
 				      edge process that passes them on ends */
 	double failed_end_share;   /**< share of runs that fail */
-	uint32_t mean_crash_interval_ms;  /**< mean time between crashes in the fleet, each of one
-					     VM; 0: no crashes */
-	uint32_t mean_cutoff_interval_ms; /**< mean time between network outages in the fleet, each
-					     of one VM for 1 to 6 s; 0: no outages */
+	uint32_t mean_crash_interval_ms;   /**< mean time between crashes in the fleet, each of one
+					      VM; 0: no crashes */
+	uint32_t mean_restart_interval_ms; /**< mean time between restarts in the fleet, each of one
+					      VM under its id, whose first report comes up to 1.5 s
+					      later; 0: no restarts */
+	uint32_t mean_cutoff_interval_ms;  /**< mean time between network outages in the fleet, each
+					      of one VM for 1 to 6 s; 0: no outages */
 	uint32_t mean_leader_change_interval_ms; /**< mean time between leader changes; 0: no
 						    changes */
 	uint32_t mean_commit_stall_interval_ms;	 /**< mean time between outages of the replicated
@@ -53,7 +56,8 @@
 	vm_sim_processor_t processor;
 	bool silent_crashes; /**< requests to a crashed VM get no response; false: the VM's
 				connections are broken off and refused */
-	bool unguarded;	     /**< VMs carry out start requests that exceed their capacity */
+	bool keep_ids; /**< a VM that has crashed starts again under its id; false: under another */
+	bool unguarded; /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
 } vm_sim_config_t;
 
@@ -104,6 +108,11 @@
  * time. Their machines are back after 3 to 3.5 s.
  */
 void vm_sim_crash_vms(vm_sim_t *sim, unsigned first, unsigned count);
+/**
+ * Crashes the VM on the machine with the index, and starts it again at once under its id. Its first
+ * report comes after report_delay_ms at the earliest.
+ */
+void vm_sim_restart_vm(vm_sim_t *sim, unsigned machine, uint32_t report_delay_ms);
 /** @return number of VMs that have crashed because of a task, see VM_SIM_DEADLY_PREFIX */
 unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim);
 /** @return number of runs that have ended with a crash of their VM */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -141,6 +141,55 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against a second run of tasks that a VM has started, because it had restarted under its id
+ * and the leader learned of that only after the starts (review/3). */
+static void test_runs_on_a_restarted_vm_stay_there(void **state)
+{
+	for (uint32_t delay_ms = 50; delay_ms <= 1450; delay_ms += 200) {
+		const vm_sim_config_t config = {
+			.services = 1, .vms_per_service = 8, .seed = 7 + delay_ms};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 1, 64, 8000, 2000);
+		vm_sim_run(sim, 6000);
+		for (unsigned i = 0; i < 3; i++)
+			vm_sim_restart_vm(sim, i, delay_ms);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		vm_sim_run(sim, 14000);
+		assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+		assert_int_equal(vm_sim_start_count(sim), 64);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against runs that stay on a restarted VM in the leader's view, although the restart has
+ * ended them. */
+static void test_runs_that_a_restart_ended_run_again(void **state)
+{
+	for (unsigned change = 0; change < 2; change++) {
+		const vm_sim_config_t config = {.services = 1, .vms_per_service = 4, .seed = 5};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_long_running_job(&fixture, 4, 0);
+		vm_sim_run(sim, 4000);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		while (vm_sim_running_count(sim) < 4)
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		vm_sim_restart_vm(sim, 1, 300);
+		vm_sim_restart_vm(sim, 2, 300);
+		if (change)
+			vm_sim_change_leader(sim);
+		assert_int_equal(vm_sim_running_count(sim), 2);
+		vm_sim_run(sim, vm_sim_now_ms(sim) + RERUN_MAX_MS);
+		assert_int_equal(vm_sim_running_count(sim), 4);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against runs that had worked for long and count as the cause of a crash, because the
  * leader has changed or all processes have restarted since: their tasks would wait for a VM of
  * their own. */
@@ -502,10 +551,11 @@
  * against giving up the jobs that ran beside it. */
 static void test_task_that_crashes_vms_is_given_up(void **state)
 {
-	for (uint64_t seed = 1; seed <= 10; seed++) {
+	for (uint64_t seed = 1; seed <= 20; seed++) {
 		const vm_sim_config_t config = {.services = 1,
 						.vms_per_service = 6,
 						.silent_crashes = seed % 2 == 0,
+						.keep_ids = seed > 10,
 						.seed = seed};
 		vm_sim_t *sim = vm_sim_create(&config);
 
@@ -1145,6 +1195,8 @@
 		cmocka_unit_test(test_steps_run_in_order),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
+		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
+		cmocka_unit_test(test_runs_that_a_restart_ended_run_again),
 		cmocka_unit_test(test_old_runs_are_no_suspects_of_a_new_leader),
 		cmocka_unit_test(test_machines_move_soon_after_restart),
 		cmocka_unit_test(test_lost_start_replies_cause_no_second_run),
