batch_hold: a hold request acknowledges no ends of an earlier incarnation

What callers would see (rule TWICE): tasks that a restarted VM had completed run again.

Cause: a VM that restarts under its id numbers its finished runs from 1 again. The number of the earlier incarnation was sent with each hold request, so that the new one forgot ends up to it that nobody had read. It takes a hold request without a response at the earlier incarnation, and a task that the new one completes before the next.

Change: ends are acknowledged only when some are not yet, and within 0.3 s of the VM's latest answer. Probes acknowledge none.

--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -46,6 +46,9 @@
 /* A run whose progress has not changed for this long counts as stalled. Hold requests report
  * progress every second, and a run advances by 1% within some ms. */
 #define STALL_TIMEOUT_US (2500 * US_PER_MS)
+/* Time since the latest answer of a VM for which a hold request may acknowledge finished runs.
+ * Shorter than a restart and a run of a task take together. */
+#define ACKNOWLEDGE_FRESH_US (300 * US_PER_MS)
 /* Weight of one run in the moving average of a VM's slowness. */
 #define SLOWNESS_WEIGHT 0.25
 #define SLOWNESS_MAX 10.0
@@ -581,6 +584,18 @@
 	return record != NULL ? record->acknowledged : vm->unassigned_last_end;
 }
 
+/* @return number of the latest finished run that a hold request may acknowledge; 0: none. A VM that
+ * has restarted under its id numbers its finished runs from 1 again, and would forget them unread
+ * if it were sent a number of its earlier incarnation. */
+static uint64_t end_to_acknowledge(leader_vm_t *vm, uint64_t now_us)
+{
+	uint64_t end = last_committed_end(vm);
+	bool is_fresh =
+		vm->hold_answered_us != 0 && now_us <= vm->hold_answered_us + ACKNOWLEDGE_FRESH_US;
+
+	return end > vm->acked_end && is_fresh ? end : 0;
+}
+
 static bool hold_needed(leader_vm_t *vm)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
@@ -644,7 +659,7 @@
 	uint64_t clock_ms = leader_vm_clock_ms(vm, now_us);
 	vm_hold_t message = {
 		.fence = leader->term,
-		.acknowledged = last_committed_end(vm),
+		.acknowledged = end_to_acknowledge(vm, now_us),
 		.wait_ms = hold_wait_ms(vm, now_us),
 	};
 
@@ -672,7 +687,7 @@
 {
 	batch_leader_t *leader = vm->leader;
 	vm_ref_t ref = leader_vm_ref(vm);
-	vm_hold_t message = {.fence = leader->term, .acknowledged = last_committed_end(vm)};
+	vm_hold_t message = {.fence = leader->term};
 	hold_t *probe;
 
 	if (vm->unresponsive || now_us < vm->probe_due_us || vm->probes_sent >= PROBES_MAX)
@@ -681,7 +696,6 @@
 	vm_handle_set(&probe->vm, vm);
 	probe->seq = vm->hold_seq;
 	probe->sent_us = now_us;
-	probe->acked_end = message.acknowledged;
 	vm->probes_sent++;
 	vm->probe_due_us = now_us + PROBE_INTERVAL_US;
 	metrics_add(leader->stats.holds, 1);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -954,6 +954,32 @@
 		run_load_with_faults(seed);
 }
 
+/* Guards against a run that is started twice or is never started again because its VM has restarted
+ * under the same id, while responses are lost, requests are late and the leader changes. */
+static void test_guarantees_with_restarted_vms(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 5,
+			.standby_vms = 3,
+			.lost_reply_share = 0.04,
+			.lost_request_share = seed % 3 == 0 ? 0.05 : 0,
+			.late_request_share = seed % 3 == 1 ? 0.02 : 0,
+			.failed_end_share = 0.02,
+			.mean_restart_interval_ms = 1500,
+			.mean_crash_interval_ms = 9000,
+			.mean_cutoff_interval_ms = 9000,
+			.mean_leader_change_interval_ms = 7000,
+			.silent_crashes = seed % 2 == 0,
+			.keep_ids = true,
+			.seed = seed,
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Repeats test_guarantees_under_faults() with the seeds that have failed before. */
 static void test_guarantees_with_regression_seeds(void **state)
 {
@@ -1221,6 +1247,7 @@
 		cmocka_unit_test(test_capacity_changes_under_faults),
 		cmocka_unit_test(test_run_is_not_started_while_its_loss_is_committed),
 		cmocka_unit_test(test_guarantees_under_faults),
+		cmocka_unit_test(test_guarantees_with_restarted_vms),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
 		cmocka_unit_test(test_guarantees_with_most_replies_lost),
