batch_hold: a partial list of finished runs is not taken as whole

Cause: a VM lists 500 finished runs in one response and keeps the others for the next one. A run that the response listed neither as running nor as finished was taken as lost.

Ruled out: a response that is cut or decoded in part (500 ends of 619 arrive, as the VM sent them).

Change: the adapter marks a list of 500 finished runs as partial, also in results that an edge process passes on. Runs that a partial list leaves out keep their state, whatever their phase, until a whole one comes; the next hold request acknowledges the listed ends and gets the rest.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -4848,7 +4848,7 @@
   (ProtobufCMessageInit) lp__vm_ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__vm_result__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lp__vm_result__field_descriptors[8] =
 {
   {
     "seq",
@@ -4934,6 +4934,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "more_ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmResult, more_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__vm_result__field_indices_by_name[] = {
   3,   /* field[3] = born_ms */
@@ -4941,13 +4953,14 @@
   1,   /* field[1] = code */
   6,   /* field[6] = elapsed_us */
   5,   /* field[5] = ended */
+  7,   /* field[7] = more_ended */
   4,   /* field[4] = running */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange lp__vm_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lp__vm_result__descriptor =
 {
@@ -4957,7 +4970,7 @@
   "Lp__VmResult",
   "lp",
   sizeof(Lp__VmResult),
-  7,
+  8,
   lp__vm_result__field_descriptors,
   lp__vm_result__field_indices_by_name,
   1,  lp__vm_result__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -972,6 +972,10 @@
   Lp__VmRunning **running;
   size_t n_ended;
   Lp__VmEnded **ended;
+  /*
+   * the VM possibly keeps more finished runs than it has listed
+   */
+  protobuf_c_boolean more_ended;
   /*
    * time that the edge process took from the request to this result; 0: unknown
    */
@@ -979,7 +983,7 @@
 };
 #define LP__VM_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__vm_result__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /* Lp__BatchStep methods */
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -493,7 +493,9 @@
 		return;
 	}
 	match_finished(vm, reply, listed);
-	handle_unlisted_runs(vm, record, listed, hold->sent_us);
+	/* A run that is missing from a partial list has possibly finished. */
+	if (!reply->more_finished)
+		handle_unlisted_runs(vm, record, listed, hold->sent_us);
 	propose_finished_runs(vm, record, reply);
 }
 
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -112,6 +112,7 @@
 	size_t running_count;
 	const vm_finished_run_t *finished;
 	size_t finished_count;
+	bool more_finished; /**< the VM possibly keeps more finished runs than it has listed */
 } vm_reply_t;
 
 typedef void (*vm_reply_fn)(void *arg, const vm_reply_t *reply);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -13,6 +13,7 @@
 #define TICK_US (25 * US_PER_MS)
 #define REPORT_INTERVAL_MS 1500
 #define LEASE_MAX_MS 10000
+#define FINISHED_PER_RESPONSE 500
 #define REQUEST_TIMEOUT_MS 700
 /* Timeout of a hold request, in addition to its wait time. */
 #define HOLD_TIMEOUT_MARGIN_MS 450
@@ -880,7 +881,9 @@
 
 		g_array_append_val(call->running, running);
 	}
-	g_array_append_vals(call->finished, vm->finished->data, vm->finished->len);
+	g_array_append_vals(call->finished, vm->finished->data,
+			    MIN(vm->finished->len, FINISHED_PER_RESPONSE));
+	call->reply.more_finished = call->finished->len >= FINISHED_PER_RESPONSE;
 }
 
 static void answer_hold(void *arg)
@@ -1550,6 +1553,13 @@
 	restart_vm(g_ptr_array_index(sim->vms, machine), report_delay_ms);
 }
 
+void vm_sim_cut_off(vm_sim_t *sim, unsigned machine, uint32_t for_ms)
+{
+	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
+
+	vm->cut_off_until_us = sim->now_us + for_ms * US_PER_MS;
+}
+
 void vm_sim_set_cpu(vm_sim_t *sim, unsigned machine, uint32_t cpu_milli)
 {
 	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -113,6 +113,8 @@
  * report comes after report_delay_ms at the earliest.
  */
 void vm_sim_restart_vm(vm_sim_t *sim, unsigned machine, uint32_t report_delay_ms);
+/** Cuts the VM on the machine with the index off from the network for for_ms. */
+void vm_sim_cut_off(vm_sim_t *sim, unsigned machine, uint32_t for_ms);
 /** @return number of VMs that have crashed because of a task, see VM_SIM_DEADLY_PREFIX */
 unsigned vm_sim_deadly_crash_count(const vm_sim_t *sim);
 /** @return number of runs that have ended with a crash of their VM */
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -228,6 +228,26 @@
 	talloc_free(mem);
 }
 
+/* Guards against taking a list of 500 finished runs, the most in one response, for a whole one. */
+static void test_partial_list_of_finished_runs_is_marked(void **state)
+{
+	for (unsigned count = 499; count <= 501; count++) {
+		void *mem = talloc_new(NULL);
+		vm_reply_t reply = {0};
+		json_t *body = parse("{\"running\":[],\"finishedRuns\":[]}");
+		json_t *rows = json_object_get(body, "finishedRuns");
+
+		for (unsigned i = 0; i < count; i++)
+			json_array_append_new(rows, json_pack("[i, s, i, s, s]", (int)i + 1,
+							      "5c0e.0.1.9", 1, "done", ""));
+		assert_int_equal(adapter_decode_run_lists(mem, body, &reply), 0);
+		assert_int_equal(reply.finished_count, count);
+		assert_int_equal(reply.more_finished, count >= 500);
+		json_decref(body);
+		talloc_free(mem);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -238,6 +258,7 @@
 		cmocka_unit_test(test_malformed_reports_are_rejected),
 		cmocka_unit_test(test_invalid_configurations_are_rejected),
 		cmocka_unit_test(test_run_lists_are_decoded),
+		cmocka_unit_test(test_partial_list_of_finished_runs_is_marked),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -190,6 +190,31 @@
 	}
 }
 
+/* Guards against a second run of tasks whose ends a VM has left out of its response, because it
+ * lists 500 finished runs at a time (review/1). */
+static void test_unlisted_ends_are_awaited(void **state)
+{
+	const vm_sim_config_t config = {.services = 1, .vms_per_service = 1, .seed = 9};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 620, 100, 4000);
+	fixture.steps[0].mem_mib = 100;
+	vm_sim_run(sim, 6000);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	while (vm_sim_running_count(sim) < 620)
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+	vm_sim_run(sim, vm_sim_now_ms(sim) + 1500);
+	assert_int_equal(vm_sim_running_count(sim), 620);
+	/* All tasks end in this time, and the lease of 5 s does not expire. */
+	vm_sim_cut_off(sim, 0, 4200);
+	vm_sim_run(sim, vm_sim_now_ms(sim) + 6200);
+	assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+	assert_int_equal(vm_sim_start_count(sim), 620);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against runs that had worked for long and count as the cause of a crash, because the
  * leader has changed or all processes have restarted since: their tasks would wait for a VM of
  * their own. */
@@ -1223,6 +1248,7 @@
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
 		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
 		cmocka_unit_test(test_runs_that_a_restart_ended_run_again),
+		cmocka_unit_test(test_unlisted_ends_are_awaited),
 		cmocka_unit_test(test_old_runs_are_no_suspects_of_a_new_leader),
 		cmocka_unit_test(test_machines_move_soon_after_restart),
 		cmocka_unit_test(test_lost_start_replies_cause_no_second_run),
