batch_apply: the log keeps the limits of overlapping waves

Cause: each wave counted its own requests only, so that a machine of two waves that was down for one took no slot of the other; and a request that was committed after its proposal had timed out took no slot at the time when another machine got it.

Change: the state machine refuses a machine's first request while it is in maintenance for another wave, or while a wave that includes it, and is not complete, has as many machines in maintenance as it allows. Only the order of the log decides, so that a change of the leader makes no difference. The leader checks the same before it proposes.

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -518,6 +518,46 @@
 	state->log_term = command->term;
 }
 
+bool batch_order_in_progress(Lp__BatchOrderState state)
+{
+	return state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT ||
+	       state == LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN;
+}
+
+void batch_state_machines_in_maintenance(const batch_state_t *state, GHashTable *names)
+{
+	const batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &state->waves, link) {
+		for (size_t i = 0; i < wave->machine_count; i++) {
+			if (batch_order_in_progress(wave->machines[i].state))
+				g_hash_table_add(names, wave->machines[i].machine);
+		}
+	}
+}
+
+static bool limit_reached(const batch_wave_t *wave, GHashTable *in_maintenance)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < wave->machine_count; i++)
+		count += g_hash_table_contains(in_maintenance, wave->machines[i].machine);
+	return count >= wave->max_down;
+}
+
+void batch_state_blocked_machines(const batch_state_t *state, GHashTable *in_maintenance,
+				  GHashTable *names)
+{
+	const batch_wave_t *wave;
+
+	LIST_FOREACH (wave, &state->waves, link) {
+		if (batch_wave_complete(wave) || !limit_reached(wave, in_maintenance))
+			continue;
+		for (size_t i = 0; i < wave->machine_count; i++)
+			g_hash_table_add(names, wave->machines[i].machine);
+	}
+}
+
 static batch_wave_machine_t *find_wave_machine(const batch_wave_t *wave, const char *name)
 {
 	for (size_t i = 0; i < wave->machine_count; i++) {
@@ -527,6 +567,18 @@
 	return NULL;
 }
 
+/* True when the maintenance of the machine may not begin now. The commands of the log decide this,
+ * because a leader does not know which of its proposals are still committed after a timeout. */
+static bool maintenance_blocked(const batch_state_t *state, const char *machine)
+{
+	g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
+	g_autoptr(GHashTable) blocked = g_hash_table_new(g_str_hash, g_str_equal);
+
+	batch_state_machines_in_maintenance(state, names);
+	batch_state_blocked_machines(state, names, blocked);
+	return g_hash_table_contains(names, machine) || g_hash_table_contains(blocked, machine);
+}
+
 static void apply_maintenance(batch_state_t *state, uint64_t wall_ms, const Lp__BatchOrder *order,
 			      batch_wave_machine_t *machine)
 {
@@ -542,12 +594,20 @@
 	machine->since_ms = wall_ms;
 }
 
-static void apply_order(batch_state_t *state, uint64_t wall_ms, const Lp__BatchOrder *order)
+static void apply_order(batch_state_t *state, uint64_t wall_ms, const Lp__BatchOrder *order,
+			Lp__Result *result)
 {
 	const batch_wave_t *wave = batch_state_wave(state, order->wave);
 	batch_wave_machine_t *machine =
 		wave != NULL ? find_wave_machine(wave, order->machine) : NULL;
 
+	if (machine != NULL && machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE &&
+	    order->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
+	    maintenance_blocked(state, order->machine)) {
+		set_result(result, LP__RESULT_CODE__RESULT_CONFLICT,
+			   "too many machines of the wave are in maintenance");
+		return;
+	}
 	batch_record_request(
 		state, order->machine,
 		order->state > LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT ? state->log_clock_ms : 0);
@@ -589,7 +649,7 @@
 		apply_wave(state, wall_ms, command->wave);
 		break;
 	case LP__BATCH_COMMAND__BODY_ORDER:
-		apply_order(state, wall_ms, command->order);
+		apply_order(state, wall_ms, command->order, result);
 		break;
 	case LP__BATCH_COMMAND__BODY_HANDOVER:
 		apply_handover(state, command->handover);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -328,6 +328,20 @@
  * longer knows the machine
  */
 bool batch_wave_complete(const batch_wave_t *wave);
+/** True while maintenance is requested or in progress in this state. */
+bool batch_order_in_progress(Lp__BatchOrderState state);
+/**
+ * Adds the names of the machines whose maintenance is requested or in progress, in any wave, to the
+ * set. The names belong to the waves.
+ */
+void batch_state_machines_in_maintenance(const batch_state_t *state, GHashTable *names);
+/**
+ * Adds the names of the machines whose maintenance may not begin now, because a wave that includes
+ * them has as many machines in maintenance as its limit allows.
+ * @param in_maintenance set filled by batch_state_machines_in_maintenance()
+ */
+void batch_state_blocked_machines(const batch_state_t *state, GHashTable *in_maintenance,
+				  GHashTable *names);
 /**
  * @return lower bound of the time since the platform request was last sent, in microseconds
  * @param now_us time on the clock of batch_state_t.clock_us
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -309,12 +309,6 @@
 		machine->request_in_flight = false;
 }
 
-static bool is_in_progress(Lp__BatchOrderState state)
-{
-	return state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT ||
-	       state == LP__BATCH_ORDER_STATE__BATCH_ORDER_BEGUN;
-}
-
 static bool is_final(Lp__BatchOrderState state)
 {
 	return state == LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE ||
@@ -346,7 +340,7 @@
 {
 	Lp__BatchOrderState state;
 
-	return latest_wave_state(leader, machine, &state) && is_in_progress(state);
+	return latest_wave_state(leader, machine, &state) && batch_order_in_progress(state);
 }
 
 bool batch_wave_complete(const batch_wave_t *wave)
@@ -477,10 +471,17 @@
 	return platform_machine != NULL && platform_machine->request_in_flight;
 }
 
+/* What the waves have in common in one update. */
+typedef struct {
+	uint64_t now_us;
+	GHashTable *in_maintenance; /* names of the machines in maintenance, in any wave */
+	GHashTable *blocked;	    /* names of those whose waves have reached their limit */
+} wave_tick_t;
+
 /* Prepares up to slots machines of the wave with the given load, and requests the maintenance of
  * those that are ready. @return number of machines prepared */
 static uint32_t start_machines(batch_leader_t *leader, const batch_wave_t *wave,
-			       machine_load_t load, uint32_t slots, uint64_t now_us)
+			       const wave_tick_t *tick, machine_load_t load, uint32_t slots)
 {
 	uint32_t prepared = 0;
 
@@ -488,11 +489,13 @@
 		const batch_wave_machine_t *machine = &wave->machines[i];
 
 		if (machine->state != LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE ||
+		    g_hash_table_contains(tick->in_maintenance, machine->machine) ||
+		    g_hash_table_contains(tick->blocked, machine->machine) ||
 		    is_requested(leader, machine->machine) ||
 		    machine_load(leader, machine->machine) != load)
 			continue;
 		prepared++;
-		if (prepare_machine(leader, machine->machine, now_us) &&
+		if (prepare_machine(leader, machine->machine, tick->now_us) &&
 		    leader->maintenance_requests_left > 0)
 			request_maintenance(leader, wave, machine->machine, false);
 	}
@@ -502,19 +505,19 @@
 /* Machines with long-running tasks get a share of the slots from the beginning: their tasks can
  * only move one after the other, which takes longest. The other slots go to idle machines first,
  * because no task has to move. */
-static void start_maintenance(batch_leader_t *leader, const batch_wave_t *wave, uint32_t slots,
-			      uint64_t now_us)
+static void start_maintenance(batch_leader_t *leader, const batch_wave_t *wave,
+			      const wave_tick_t *tick, uint32_t slots)
 {
 	uint32_t lasting_slots = (slots + LASTING_SLOTS_DIVISOR - 1) / LASTING_SLOTS_DIVISOR;
 
-	slots -= start_machines(leader, wave, MACHINE_LASTING, lasting_slots, now_us);
-	slots -= start_machines(leader, wave, MACHINE_IDLE, slots, now_us);
-	slots -= start_machines(leader, wave, MACHINE_BUSY, slots, now_us);
+	slots -= start_machines(leader, wave, tick, MACHINE_LASTING, lasting_slots);
+	slots -= start_machines(leader, wave, tick, MACHINE_IDLE, slots);
+	slots -= start_machines(leader, wave, tick, MACHINE_BUSY, slots);
 	if (slots > 0)
-		start_machines(leader, wave, MACHINE_LASTING, slots + lasting_slots, now_us);
+		start_machines(leader, wave, tick, MACHINE_LASTING, slots + lasting_slots);
 }
 
-static void tick_wave(batch_leader_t *leader, batch_wave_t *wave, uint64_t now_us)
+static void tick_wave(batch_leader_t *leader, batch_wave_t *wave, const wave_tick_t *tick)
 {
 	uint32_t in_progress = 0;
 
@@ -522,35 +525,45 @@
 		batch_wave_machine_t *machine = &wave->machines[i];
 
 		/* A request that is not committed yet takes a slot too. */
-		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE)
+		if (g_hash_table_contains(tick->in_maintenance, machine->machine))
+			in_progress++;
+		else if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE)
 			in_progress += is_requested(leader, machine->machine);
-		if (!is_in_progress(machine->state))
+		if (!batch_order_in_progress(machine->state))
 			continue;
-		in_progress++;
-		end_maintenance(leader, wave, machine, now_us);
+		end_maintenance(leader, wave, machine, tick->now_us);
 		/* The request was committed by an earlier leader or is unanswered. Send it again
 		 * once the tasks that were started on the machine in the meantime have ended. */
 		if (machine->state == LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT &&
-		    prepare_machine(leader, machine->machine, now_us) &&
+		    prepare_machine(leader, machine->machine, tick->now_us) &&
 		    leader->maintenance_requests_left > 0)
 			request_maintenance(leader, wave, machine->machine, true);
 	}
 	if (in_progress < wave->max_down)
-		start_maintenance(leader, wave, wave->max_down - in_progress, now_us);
+		start_maintenance(leader, wave, tick, wave->max_down - in_progress);
 }
 
 void leader_maintenance_tick(batch_leader_t *leader, uint64_t now_us)
 {
+	g_autoptr(GHashTable) in_maintenance = NULL;
+	g_autoptr(GHashTable) blocked = NULL;
+	wave_tick_t tick;
 	batch_wave_t *wave;
 
 	if (now_us < leader->maintenance_due_us)
 		return;
+	in_maintenance = g_hash_table_new(g_str_hash, g_str_equal);
+	blocked = g_hash_table_new(g_str_hash, g_str_equal);
+	batch_state_machines_in_maintenance(leader->state, in_maintenance);
+	batch_state_blocked_machines(leader->state, in_maintenance, blocked);
+	tick = (wave_tick_t){
+		.now_us = now_us, .in_maintenance = in_maintenance, .blocked = blocked};
 	leader->maintenance_due_us = now_us + WAVE_PERIOD_US;
 	/* Maintenance gets a quarter of the platform's rate limit; the rest is for moves. */
 	leader->maintenance_requests_left = (unsigned)MAX(
 		1, leader->config.platform_requests_per_s * WAVE_PERIOD_US / US_PER_S / 4);
 	LIST_FOREACH (wave, &leader->state->waves, link) {
 		if (!batch_wave_complete(wave))
-			tick_wave(leader, wave, now_us);
+			tick_wave(leader, wave, &tick);
 	}
 }
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -474,6 +474,25 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against more machines in maintenance than the limit of a wave, because other waves with
+ * some of the same machines are under way. */
+static void test_overlapping_waves_keep_their_limits(void **state)
+{
+	const vm_sim_config_t config = {.services = 2, .vms_per_service = 6, .seed = 4};
+	vm_sim_t *sim = vm_sim_create(&config);
+
+	vm_sim_run(sim, 4000);
+	vm_sim_start_part_wave(sim, 1, 0, 8, 2);
+	vm_sim_run(sim, 5000);
+	vm_sim_start_part_wave(sim, 2, 4, 8, 1);
+	vm_sim_start_part_wave(sim, 3, 0, 12, 2);
+	vm_sim_run(sim, 90000);
+	for (uint64_t number = 1; number <= 3; number++)
+		assert_true(wave_complete(sim, number));
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against a platform request that is sent long after its commit by a leader that is behind:
  * the next leader counts the holder's lease from the commit. */
 static void test_slow_commits_send_no_maintenance_requests(void **state)
@@ -1038,6 +1057,58 @@
 	}
 }
 
+static void print_wave(const batch_wave_t *wave, uint64_t seed)
+{
+	print_message("seed %" PRIu64 ", wave %" PRIu64 ":", seed, wave->number);
+	for (size_t i = 0; i < wave->machine_count; i++)
+		print_message(" %s=%d", wave->machines[i].machine, wave->machines[i].state);
+	print_message("\n");
+}
+
+/* Guards against more machines in maintenance than the limits of their waves, while the leader
+ * changes, commits stall, and platform requests are carried out late or their responses are lost.
+ */
+static void test_wave_limits_under_faults(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 6,
+			.lost_reply_share = 0.05,
+			.late_platform_share = seed % 2 == 0 ? 0.2 : 0,
+			.mean_cutoff_interval_ms = 8000,
+			.mean_restart_interval_ms = seed % 3 == 0 ? 3000 : 0,
+			.mean_leader_change_interval_ms = 5000,
+			.mean_commit_stall_interval_ms = 4000,
+			.keep_ids = true,
+			.seed = seed,
+		};
+		vm_sim_t *sim = vm_sim_create(&config);
+
+		vm_sim_run(sim, 4000);
+		for (uint64_t number = 1; number <= 6; number++) {
+			vm_sim_start_part_wave(sim, number, number % 3 * 2, 8, 1 + number % 2);
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 7000);
+		}
+		vm_sim_stop_faults(sim);
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 240000);
+		if (vm_sim_violations(sim)[0] != '\0')
+			print_message("seed %" PRIu64 "\n", seed);
+		assert_no_violations(sim);
+		for (uint64_t number = 1; number <= 6; number++) {
+			const batch_wave_t *wave = batch_state_wave(vm_sim_state(sim), number);
+
+			/* The proposal of a deposed leader can be lost. */
+			if (wave == NULL)
+				continue;
+			if (!batch_wave_complete(wave))
+				print_wave(wave, seed);
+			assert_true(batch_wave_complete(wave));
+		}
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Repeats test_guarantees_under_faults() with the seeds that have failed before. */
 static void test_guarantees_with_regression_seeds(void **state)
 {
@@ -1289,6 +1360,7 @@
 		cmocka_unit_test(test_late_move_reply_keeps_the_new_vm),
 		cmocka_unit_test(test_wave_reaches_all_machines),
 		cmocka_unit_test(test_later_waves_keep_their_limit),
+		cmocka_unit_test(test_overlapping_waves_keep_their_limits),
 		cmocka_unit_test(test_wave_moves_long_running_tasks_first),
 		cmocka_unit_test(test_slow_commits_send_no_maintenance_requests),
 		cmocka_unit_test(test_tasks_move_off_a_stalled_vm),
@@ -1308,6 +1380,7 @@
 		cmocka_unit_test(test_run_is_not_started_while_its_loss_is_committed),
 		cmocka_unit_test(test_guarantees_under_faults),
 		cmocka_unit_test(test_guarantees_with_restarted_vms),
+		cmocka_unit_test(test_wave_limits_under_faults),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
 		cmocka_unit_test(test_guarantees_with_most_replies_lost),
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -339,6 +339,69 @@
 	assert_int_equal(request_age_ms(&batch, "open"), 3000);
 }
 
+static void start_wave(uint64_t number, char **machines, size_t count, uint32_t max_down)
+{
+	Lp__BatchWave wave = LP__BATCH_WAVE__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	wave.wave = number;
+	wave.machines = machines;
+	wave.n_machines = count;
+	wave.max_down = max_down;
+	command.body_case = LP__BATCH_COMMAND__BODY_WAVE;
+	command.wave = &wave;
+	batch_test_apply(&batch, 1000, &command);
+}
+
+/* @return state of the machine in the wave after the command */
+static Lp__BatchOrderState maintain(uint64_t number, const char *name, Lp__BatchOrderState state)
+{
+	const batch_wave_t *wave = batch_state_wave(&batch, number);
+	Lp__BatchOrder order = LP__BATCH_ORDER__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	order.machine = (char *)name;
+	order.wave = number;
+	order.state = state;
+	command.body_case = LP__BATCH_COMMAND__BODY_ORDER;
+	command.order = &order;
+	batch_test_apply(&batch, 1000, &command);
+	for (size_t i = 0; i < wave->machine_count; i++) {
+		if (strcmp(wave->machines[i].machine, name) == 0)
+			return wave->machines[i].state;
+	}
+	return LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE;
+}
+
+/* Guards against more machines in maintenance than a wave allows, because the log commits a request
+ * after its proposal has timed out, or because another wave has some of the same machines. */
+static void test_log_keeps_the_limits_of_waves(void **state)
+{
+	char *first[] = {(char *)"a", (char *)"b", (char *)"c"};
+	char *second[] = {(char *)"b", (char *)"c", (char *)"d"};
+	const Lp__BatchOrderState sent = LP__BATCH_ORDER_STATE__BATCH_ORDER_SENT;
+	const Lp__BatchOrderState none = LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE;
+	const Lp__BatchOrderState done = LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE;
+
+	start_wave(1, first, G_N_ELEMENTS(first), 1);
+	start_wave(2, second, G_N_ELEMENTS(second), 2);
+	assert_int_equal(maintain(1, "a", sent), sent);
+	assert_int_equal(maintain(1, "b", sent), none);
+	/* A repeated request keeps its slot. */
+	assert_int_equal(maintain(1, "a", sent), sent);
+	/* The first wave includes the machine too, and has reached its limit. */
+	assert_int_equal(maintain(2, "b", sent), none);
+	assert_int_equal(maintain(2, "d", sent), sent);
+	assert_int_equal(maintain(1, "a", done), done);
+	assert_int_equal(maintain(1, "b", sent), sent);
+	/* In maintenance for the other wave, and both waves have reached their limits. */
+	assert_int_equal(maintain(2, "b", sent), none);
+	assert_int_equal(maintain(2, "c", sent), none);
+	assert_int_equal(maintain(2, "d", done), done);
+	assert_int_equal(maintain(1, "b", done), done);
+	assert_int_equal(maintain(2, "c", sent), sent);
+}
+
 static void apply_lost_run(const char *id, uint32_t index, uint32_t run, Lp__BatchCrash crash)
 {
 	Lp__BatchTask task = LP__BATCH_TASK__INIT;
@@ -483,6 +546,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_request_age_survives_restart, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_log_keeps_the_limits_of_waves, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_snapshot_keeps_crashes, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_jobs_are_given_up_by_crashes, set_up,
 						tear_down),
