--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -4935,12 +4935,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "more_ended",
+    "partial",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Lp__VmResult, more_ended),
+    offsetof(Lp__VmResult, partial),
     NULL,
     NULL,
     0,             /* flags */
@@ -4953,7 +4953,7 @@
   1,   /* field[1] = code */
   6,   /* field[6] = elapsed_us */
   5,   /* field[5] = ended */
-  7,   /* field[7] = more_ended */
+  7,   /* field[7] = partial */
   4,   /* field[4] = running */
   0,   /* field[0] = seq */
 };
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -973,9 +973,9 @@
   size_t n_ended;
   Lp__VmEnded **ended;
   /*
-   * the VM possibly keeps more finished runs than it has listed
+   * the lists possibly leave out runs
    */
-  protobuf_c_boolean more_ended;
+  protobuf_c_boolean partial;
   /*
    * time that the edge process took from the request to this result; 0: unknown
    */
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -494,7 +494,7 @@
 	}
 	match_finished(vm, reply, listed);
 	/* A run that is missing from a partial list has possibly finished. */
-	if (!reply->more_finished)
+	if (!reply->partial)
 		handle_unlisted_runs(vm, record, listed, hold->sent_us);
 	propose_finished_runs(vm, record, reply);
 }
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -138,6 +138,8 @@
 	uint64_t now_us = leader_now_us(leader);
 
 	machine->listed_reading = leader->list_reading;
+	if (listed->name_only)
+		return;
 	check_unresponsive_vm(leader, listed);
 	/* The list is possibly older than a move of the machine that is in progress or just
 	 * complete. */
@@ -188,7 +190,7 @@
 	for (size_t i = 0; i < list->machine_count; i++) {
 		leader_vm_t *vm = leader_vm_of_machine(leader, list->machines[i].machine);
 
-		if (vm != NULL)
+		if (vm != NULL && !list->machines[i].name_only)
 			vm->listed_down = list->machines[i].down;
 	}
 	for (size_t i = 0; i < list->machine_count; i++)
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -112,7 +112,8 @@
 	size_t running_count;
 	const vm_finished_run_t *finished;
 	size_t finished_count;
-	bool more_finished; /**< the VM possibly keeps more finished runs than it has listed */
+	bool partial; /**< the lists possibly leave out runs: the VM has more finished ones than fit
+			 in a response, or an entry cannot be read */
 } vm_reply_t;
 
 typedef void (*vm_reply_fn)(void *arg, const vm_reply_t *reply);
@@ -139,6 +140,7 @@
 	uint32_t cpu_milli;
 	bool up;
 	bool down;
+	bool name_only; /**< the other members cannot be read */
 } machine_info_t;
 
 typedef struct {
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -313,7 +313,7 @@
 	reply->running_count = result->n_running;
 	reply->finished = finished;
 	reply->finished_count = result->n_ended;
-	reply->more_finished = result->more_ended;
+	reply->partial = result->partial;
 }
 
 /* Measures how long the result waited before this process read it: the time since the request was
@@ -476,7 +476,7 @@
 
 static void encode_finished_runs(void *mem, const vm_reply_t *reply, Lp__VmResult *result)
 {
-	result->more_ended = reply->more_finished;
+	result->partial = reply->partial;
 	result->ended = talloc_array(mem, Lp__VmEnded *, reply->finished_count + 1);
 	for (size_t i = 0; i < reply->finished_count; i++) {
 		const vm_finished_run_t *from = &reply->finished[i];
