test_cluster_batch: VMs restart under their ids, and list odd entries

In a fifth of the ticks of 100 ms a VM now restarts under its id, with a clock that starts anew and a first report up to 1.5 s later. Each hold response has entries that the JSON parser refuses.

--- a/tests/test_cluster_batch.c
+++ b/tests/test_cluster_batch.c
@@ -45,6 +45,12 @@
 #define TASK_MS 300
 #define REPORT_MS 500
 #define RECOVERY_MAX_S 30
+/* Longest time from the start of a VM under its earlier id to its first report. */
+#define REPORT_DELAY_MAX_MS 1500
+/* Share of the ticks of 100 ms in which a VM restarts under its id. */
+#define RESTART_SHARE 0.2
+/* Deeper than the parser accepts. */
+#define ODD_ENTRY_DEPTH 5000
 
 typedef struct {
 	pid_t pid; /* process id; 0: not running */
@@ -76,6 +82,8 @@
 	char ip[32];
 	char id[32];
 	uint64_t born_ms;
+	uint64_t started_us;	  /* begin of its clock */
+	uint64_t first_report_us; /* the VM sends no report before this time */
 	uint64_t seq;
 	uint64_t fence;
 	uint64_t lease_us; /* time when the task lease ends */
@@ -304,15 +312,15 @@
 	}
 }
 
-static uint64_t vm_clock_ms(void)
+static uint64_t vm_clock_ms(const vm_t *vm)
 {
-	return clock_now_us() / US_PER_MS;
+	return (clock_now_us() - vm->started_us) / US_PER_MS + 1;
 }
 
 static void extend_lease(vm_t *vm, const json_t *body)
 {
 	uint64_t until_ms = (uint64_t)json_integer_value(json_object_get(body, "deadlineMs"));
-	uint64_t now_ms = vm_clock_ms();
+	uint64_t now_ms = vm_clock_ms(vm);
 
 	if (until_ms > now_ms)
 		vm->lease_us = MAX(vm->lease_us,
@@ -367,7 +375,7 @@
 	uint64_t until_ms = (uint64_t)json_integer_value(json_object_get(body, "deadlineMs"));
 	running_task_t run = {.run = number};
 
-	if (until_ms <= vm_clock_ms())
+	if (until_ms <= vm_clock_ms(vm))
 		return "late";
 	extend_lease(vm, body);
 	for (guint i = 0; i < vm->runs->len; i++) {
@@ -434,6 +442,25 @@
 	return json_pack("{s:o, s:o}", "running", running, "finishedRuns", ended);
 }
 
+/* Replies with the response and, in its list of running runs, entries of another writer that the
+ * parser refuses: a number out of range, deep nesting, and bytes that are not UTF-8. */
+static void reply_with_odd_entries(http_request_t *request, json_t *response)
+{
+	const http_header_t header = {.name = "Content-Type", .value = "application/json"};
+	static const char list[] = "\"running\":[";
+	g_autofree char *deep = g_strnfill(ODD_ENTRY_DEPTH, '[');
+	g_autofree char *closing = g_strnfill(ODD_ENTRY_DEPTH, ']');
+	char *text = json_dumps(response, JSON_COMPACT);
+	char *rows = strstr(text, list) + strlen(list);
+	g_autofree char *odd = g_strdup_printf("[\"agent\",1,\"\",1e999,0],%s%s,\"\xff\"%s", deep,
+					       closing, *rows == ']' ? "" : ",");
+	g_autofree char *body = g_strdup_printf("%.*s%s%s", (int)(rows - text), text, odd, rows);
+
+	http_request_reply(request, 200, &header, 1, body, strlen(body));
+	free(text);
+	json_decref(response);
+}
+
 static bool is_fenced(vm_t *vm, const json_t *body)
 {
 	uint64_t fence = (uint64_t)json_integer_value(json_object_get(body, "fence"));
@@ -475,23 +502,36 @@
 	if (reason != NULL)
 		status = 409;
 	response = response != NULL ? response : json_object();
-	json_object_set_new(response, "clockMs", json_integer((json_int_t)vm_clock_ms()));
-	json_object_set_new(response, "born", json_integer((json_int_t)vm->born_ms));
+	json_object_set_new(response, "clockMs", json_integer((json_int_t)vm_clock_ms(vm)));
+	if (strcmp(path, "/hold") == 0)
+		json_object_set_new(response, "born", json_integer((json_int_t)vm->born_ms));
 	if (reason != NULL)
 		json_object_set_new(response, "reason", json_string(reason));
 	/* The request was carried out, but its response is lost. */
 	if (faults_on && random_chance(vm->response_loss))
 		status = 500;
-	json_reply(request, status, response);
+	if (json_object_get(response, "running") != NULL && status == 200)
+		reply_with_odd_entries(request, response);
+	else
+		json_reply(request, status, response);
 	json_decref(body);
 }
 
-static void start_incarnation(vm_t *vm, unsigned n)
+/* Begins an incarnation that knows nothing of the earlier one. @param keeps_id it has the id of the
+ * earlier one, and its first report can take up to REPORT_DELAY_MAX_MS */
+static void start_incarnation(vm_t *vm, unsigned n, bool keeps_id)
 {
 	static unsigned incarnations;
 
-	g_snprintf(vm->id, sizeof(vm->id), "i-%u-%u", n, incarnations++);
-	vm->born_ms = clock_wall_ms();
+	if (!keeps_id)
+		g_snprintf(vm->id, sizeof(vm->id), "i-%u-%u", n, incarnations++);
+	vm->first_report_us = 0;
+	if (keeps_id)
+		vm->first_report_us =
+			clock_now_us() +
+			(uint64_t)g_rand_int_range(rng, 0, REPORT_DELAY_MAX_MS) * US_PER_MS;
+	vm->born_ms = MAX(vm->born_ms + 1, clock_wall_ms());
+	vm->started_us = clock_now_us();
 	vm->seq = 0;
 	vm->fence = 0;
 	vm->lease_us = 0;
@@ -541,12 +581,17 @@
 {
 	vm_t *vm = &vms[n];
 	g_autofree char *path = g_strdup_printf("/instances/%s", vm->id);
-	report_call_t *report_call = g_new0(report_call_t, 1);
-	json_t *body = json_pack(
+	report_call_t *report_call;
+	json_t *body;
+
+	if (clock_now_us() < vm->first_report_us)
+		return;
+	report_call = g_new0(report_call_t, 1);
+	body = json_pack(
 		"{s:s, s:s, s:s, s:s, s:s, s:s, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
 		"service", "svc", "addr", "", "zone", "z", "version", "v1", "state", "ready",
 		"machine", vm->ip, "capacity", "cpu", 64000, "memMb", 64000, "gpu", 0, "labels",
-		"a", "r1", "clockMs", (json_int_t)vm_clock_ms(), "seq", (json_int_t)++vm->seq,
+		"a", "r1", "clockMs", (json_int_t)vm_clock_ms(vm), "seq", (json_int_t)++vm->seq,
 		"born", (json_int_t)vm->born_ms);
 
 	report_call->vm = n;
@@ -567,11 +612,19 @@
 		vms[n].response_loss = random_chance(0.5) ? 0.1 : 0;
 		break;
 	default:
-		start_incarnation(&vms[n], n);
+		start_incarnation(&vms[n], n, false);
 		break;
 	}
 }
 
+/* Restarts a VM under its id. */
+static void restart_random_vm(void)
+{
+	unsigned n = (unsigned)g_rand_int_range(rng, 0, VMS);
+
+	start_incarnation(&vms[n], n, true);
+}
+
 /* --- clients --- */
 
 typedef struct {
@@ -723,6 +776,8 @@
 		inject_process_fault();
 	if (faults_on && random_chance(0.05))
 		inject_vm_fault();
+	if (faults_on && random_chance(RESTART_SHARE))
+		restart_random_vm();
 }
 
 static void run_for(uint64_t ms)
@@ -781,7 +836,7 @@
 		vms[i].runs = g_array_new(FALSE, TRUE, sizeof(running_task_t));
 		vms[i].finished_runs = g_array_new(FALSE, TRUE, sizeof(finished_run_t));
 		vms[i].highest_runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-		start_incarnation(&vms[i], i);
+		start_incarnation(&vms[i], i, false);
 		assert_int_equal(
 			http_server_init(&vms[i].server, ev, &config, on_vm_request, &vms[i]), 0);
 	}
