batch_machines: a list says nothing about VMs that fell silent after its request

Cause: a VM that does not respond counts as dead when the platform's list has its machine as down, or with another VM. The list can be read before the present VM started and arrive up to 2.5 s later.

Change: the list counts only for VMs that fell silent before it was requested, the rule that holds for machines missing from the list already.

Evidence: test_old_list_does_not_end_a_new_vm on the code before: three tasks run on two VMs at once; after: none. The other tests of test_batch_leader pass; test_overload, which has the goals for served load, passes.

--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -119,12 +119,14 @@
 } list_call_t;
 
 /* Marks the machine's VM as dead if it is unresponsive and the platform lists the machine as
- * down or with another VM. */
+ * down or with another VM. A list that was requested before the VM fell silent is possibly of the
+ * time before this VM. */
 static void check_unresponsive_vm(batch_leader_t *leader, const machine_info_t *listed)
 {
 	leader_vm_t *vm = leader_vm_of_machine(leader, listed->machine);
 
-	if (vm == NULL || !vm->unresponsive)
+	if (vm == NULL || !vm->unresponsive ||
+	    vm->unresponsive_since_us > leader->list_requested_us)
 		return;
 	if (listed->down)
 		leader_vm_mark_dead(vm, "the platform says that its machine is down");
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -177,6 +177,7 @@
 	GHashTable *cancelled; /* job -> time in us when its cancellation was committed */
 	GString *violations;
 	uint32_t platform_delay_ms;
+	uint32_t list_delay_ms;
 	uint32_t commit_delay_ms; /* added to the delay of each commit */
 	unsigned next_vm;
 	uint64_t starts;
@@ -1102,18 +1103,34 @@
 	vm_sim_t *sim;
 	machine_list_fn done;
 	void *arg;
+	machine_info_t *machines;
+	size_t machine_count;
 } list_call_t;
 
 static void deliver_list(void *arg)
 {
 	g_autofree list_call_t *call = arg;
+	const machine_list_t list = {
+		.answered = true,
+		.machines = call->machines,
+		.machine_count = call->machine_count,
+	};
+
+	call->done(call->arg, &list);
+	g_free(call->machines);
+}
+
+/* Reads the list, and responds after the platform's delay. */
+static void execute_list_call(void *arg)
+{
+	list_call_t *call = arg;
 	vm_sim_t *sim = call->sim;
-	g_autofree machine_info_t *machines = g_new0(machine_info_t, sim->vms->len);
-	machine_list_t list = {.answered = true, .machines = machines};
+
+	call->machines = g_new0(machine_info_t, sim->vms->len);
 
 	for (guint i = 0; i < sim->vms->len; i++) {
 		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
-		machine_info_t *listed = &machines[list.machine_count];
+		machine_info_t *listed = &call->machines[call->machine_count];
 
 		if (vm->removed)
 			continue;
@@ -1123,9 +1140,10 @@
 		listed->cpu_milli = VM_CPU_MILLI;
 		listed->up = !vm->busy && (vm->up || vm->powered_off);
 		listed->down = vm->crashed;
-		list.machine_count++;
+		call->machine_count++;
 	}
-	call->done(call->arg, &list);
+	schedule_at(sim, LEADER_MESSAGE, sim->now_us + sim->list_delay_ms * US_PER_MS, deliver_list,
+		    call);
 }
 
 static void port_machines(void *arg, const char *page, machine_list_fn done, void *done_arg)
@@ -1135,7 +1153,7 @@
 
 	*call = (list_call_t){.sim = sim, .done = done, .arg = done_arg};
 	charge_message(sim);
-	schedule_at(sim, LEADER_MESSAGE, random_time_us(sim, 2, 10), deliver_list, call);
+	schedule(sim, random_time_us(sim, 2, 10), execute_list_call, call);
 }
 
 static void send_report(sim_vm_t *vm);
@@ -2015,6 +2033,11 @@
 	sim->platform_delay_ms = platform_delay_ms;
 }
 
+void vm_sim_set_list_delay(vm_sim_t *sim, uint32_t list_delay_ms)
+{
+	sim->list_delay_ms = list_delay_ms;
+}
+
 void vm_sim_set_commit_delay(vm_sim_t *sim, uint32_t commit_delay_ms)
 {
 	sim->commit_delay_ms = commit_delay_ms;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -98,6 +98,8 @@
 			    uint32_t max_down);
 /** Sets the time between carrying out a platform request and responding to it. */
 void vm_sim_set_platform_delay(vm_sim_t *sim, uint32_t platform_delay_ms);
+/** Sets the time between reading the list of machines and responding with it. */
+void vm_sim_set_list_delay(vm_sim_t *sim, uint32_t list_delay_ms);
 /** Sets a time that passes before each commit, in addition to the usual 8 to 30 ms. */
 void vm_sim_set_commit_delay(vm_sim_t *sim, uint32_t commit_delay_ms);
 /**
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -190,6 +190,37 @@
 	}
 }
 
+/* Guards against runs that are started a second time because a slow list of machines, read before
+ * the machine's present VM started, says that the machine is down while this VM is cut off for a
+ * moment.
+ */
+static void test_old_list_does_not_end_a_new_vm(void **state)
+{
+	for (uint32_t cut_ms = 600; cut_ms <= 2000; cut_ms += 50) {
+		const vm_sim_config_t config = {
+			.services = 1, .vms_per_service = 3, .seed = 3 + cut_ms};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+		uint64_t crash_ms;
+
+		make_job(&fixture, 1, 24, 8000, 6000);
+		vm_sim_run(sim, 4000);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		while (vm_sim_running_count(sim) < 24)
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		vm_sim_set_list_delay(sim, 2000);
+		crash_ms = vm_sim_now_ms(sim);
+		assert_true(vm_sim_crash_vm_of_job(sim, "a", 600));
+		vm_sim_run(sim, crash_ms + cut_ms);
+		for (unsigned i = 0; i < 3; i++)
+			vm_sim_cut_off(sim, i, 2500);
+		vm_sim_run(sim, crash_ms + 30000);
+		assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against a second run of tasks whose ends a VM has left out of its response, because it
  * lists 500 finished runs at a time (review/1). */
 static void test_unlisted_ends_are_awaited(void **state)
@@ -1352,6 +1383,7 @@
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
 		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
 		cmocka_unit_test(test_runs_that_a_restart_ended_run_again),
+		cmocka_unit_test(test_old_list_does_not_end_a_new_vm),
 		cmocka_unit_test(test_unlisted_ends_are_awaited),
 		cmocka_unit_test(test_old_runs_are_no_suspects_of_a_new_leader),
 		cmocka_unit_test(test_machines_move_soon_after_restart),
