--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -316,7 +316,8 @@
 		if (load_job(state, snapshot->jobs[i], vms) != 0)
 			return -1;
 	}
-	for (size_t i = 0; i < snapshot->n_waves; i++) {
+	/* The latest wave comes first, and must be added last. */
+	for (size_t i = snapshot->n_waves; i-- > 0;) {
 		if (load_wave(state, snapshot->waves[i]) != 0)
 			return -1;
 	}
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -402,6 +402,28 @@
 	assert_int_equal(maintain(2, "c", sent), sent);
 }
 
+/* Guards against a machine that counts as maintained after a restart, because the entry of an
+ * earlier wave is taken for the latest one. */
+static void test_snapshot_keeps_the_latest_wave(void **state)
+{
+	char *machines[] = {(char *)"a"};
+	const batch_wave_machine_t *machine;
+
+	start_wave(1, machines, 1, 1);
+	assert_int_equal(maintain(1, "a", LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE),
+			 LP__BATCH_ORDER_STATE__BATCH_ORDER_DONE);
+	start_wave(2, machines, 1, 1);
+	for (unsigned i = 0; i < 2; i++) {
+		size_t length;
+		uint8_t *snapshot = batch_state_save(&batch, &length);
+
+		assert_int_equal(batch_state_load(&batch, snapshot, length), 0);
+		free(snapshot);
+		machine = g_hash_table_lookup(batch.wave_machines, "a");
+		assert_int_equal(machine->state, LP__BATCH_ORDER_STATE__BATCH_ORDER_NONE);
+	}
+}
+
 static void apply_lost_run(const char *id, uint32_t index, uint32_t run, Lp__BatchCrash crash)
 {
 	Lp__BatchTask task = LP__BATCH_TASK__INIT;
@@ -548,6 +570,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_log_keeps_the_limits_of_waves, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_snapshot_keeps_the_latest_wave, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_snapshot_keeps_crashes, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_jobs_are_given_up_by_crashes, set_up,
 						tear_down),
