batch_hold: no wait before an acknowledgement, no crash after a listed run

A hold request that may not acknowledge ends yet asked the VM to wait for another end; whether a VM with unread ends waits is not said, so it asks for none. A run that was handed over to a restarted VM and is listed there kept its possible part in the earlier crash, which would have counted if it was lost later.

--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -376,6 +376,7 @@
 		local->progress_us = now_us;
 	}
 	local->listed = true;
+	local->crash = LP__BATCH_CRASH__BATCH_CRASH_NONE;
 	if (local->confirmed_clock_ms == 0)
 		local->confirmed_clock_ms = leader_vm_clock_ms(vm, now_us);
 	if (local->progress_percent != running->percent || local->progress_us == 0)
@@ -646,10 +647,12 @@
 	const batch_vm_t *record = leader_vm_record(vm);
 
 	/* The VM must respond at once to a hold request that only acknowledges finished runs,
-	 * checks for unassigned tasks, or tests whether the VM responds. */
+	 * precedes one that does, checks for unassigned tasks, or tests whether the VM responds. */
 	if (record == NULL || record->task_count == 0 || vm->orphan_count > 0 || !vm->fence_acked ||
 	    vm->unresponsive)
 		return 0;
+	if (vm->acked_end < last_committed_end(vm) && end_to_acknowledge(vm, now_us) == 0)
+		return 0;
 	return MIN(expected_end_ms(vm, record, now_us), vm->leader->config.hold_wait_ms);
 }
 
