--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -232,7 +232,7 @@
 /* Guards against a hold response that is lost for one entry of another writer. An entry that names
  * no task is left out, or only acknowledged; one that names a task, but not its run, makes the list
  * partial, so that the run is not taken as lost. */
-static void test_odd_entries_of_run_lists_cost_themselves_only(void **state)
+static void test_malformed_entries_of_run_lists_cost_themselves_only(void **state)
 {
 	static const struct {
 		const char *running;
@@ -303,7 +303,7 @@
 
 /* Guards against a list of machines, or of permitted VMs, that is lost for one entry of another
  * writer, and against taking a machine as gone whose entry cannot be read. */
-static void test_odd_entries_of_lists_cost_themselves_only(void **state)
+static void test_malformed_entries_of_lists_cost_themselves_only(void **state)
 {
 	void *mem = talloc_new(NULL);
 	const char *next_page = NULL;
@@ -362,9 +362,9 @@
 		cmocka_unit_test(test_malformed_reports_are_rejected),
 		cmocka_unit_test(test_invalid_configurations_are_rejected),
 		cmocka_unit_test(test_run_lists_are_decoded),
-		cmocka_unit_test(test_odd_entries_of_run_lists_cost_themselves_only),
+		cmocka_unit_test(test_malformed_entries_of_run_lists_cost_themselves_only),
 		cmocka_unit_test(test_unusual_runs_are_kept),
-		cmocka_unit_test(test_odd_entries_of_lists_cost_themselves_only),
+		cmocka_unit_test(test_malformed_entries_of_lists_cost_themselves_only),
 		cmocka_unit_test(test_partial_list_of_finished_runs_is_marked),
 	};
 
--- a/tests/test_cluster_batch.c
+++ b/tests/test_cluster_batch.c
@@ -50,7 +50,7 @@
 /* Share of the ticks of 100 ms in which a VM restarts under its id. */
 #define RESTART_SHARE 0.2
 /* Deeper than the parser accepts. */
-#define ODD_ENTRY_DEPTH 5000
+#define MALFORMED_ENTRY_DEPTH 5000
 
 typedef struct {
 	pid_t pid; /* process id; 0: not running */
@@ -444,17 +444,18 @@
 
 /* Replies with the response and, in its list of running runs, entries of another writer that the
  * parser refuses: a number out of range, deep nesting, and bytes that are not UTF-8. */
-static void reply_with_odd_entries(http_request_t *request, json_t *response)
+static void reply_with_malformed_entries(http_request_t *request, json_t *response)
 {
 	const http_header_t header = {.name = "Content-Type", .value = "application/json"};
 	static const char list[] = "\"running\":[";
-	g_autofree char *deep = g_strnfill(ODD_ENTRY_DEPTH, '[');
-	g_autofree char *closing = g_strnfill(ODD_ENTRY_DEPTH, ']');
+	g_autofree char *deep = g_strnfill(MALFORMED_ENTRY_DEPTH, '[');
+	g_autofree char *closing = g_strnfill(MALFORMED_ENTRY_DEPTH, ']');
 	char *text = json_dumps(response, JSON_COMPACT);
 	char *rows = strstr(text, list) + strlen(list);
-	g_autofree char *odd = g_strdup_printf("[\"agent\",1,\"\",1e999,0],%s%s,\"\xff\"%s", deep,
-					       closing, *rows == ']' ? "" : ",");
-	g_autofree char *body = g_strdup_printf("%.*s%s%s", (int)(rows - text), text, odd, rows);
+	g_autofree char *malformed = g_strdup_printf("[\"agent\",1,\"\",1e999,0],%s%s,\"\xff\"%s",
+						     deep, closing, *rows == ']' ? "" : ",");
+	g_autofree char *body =
+		g_strdup_printf("%.*s%s%s", (int)(rows - text), text, malformed, rows);
 
 	http_request_reply(request, 200, &header, 1, body, strlen(body));
 	free(text);
@@ -511,7 +512,7 @@
 	if (faults_on && random_chance(vm->response_loss))
 		status = 500;
 	if (json_object_get(response, "running") != NULL && status == 200)
-		reply_with_odd_entries(request, response);
+		reply_with_malformed_entries(request, response);
 	else
 		json_reply(request, status, response);
 	json_decref(body);
