batch_leader: a report of another system ends no VM

Cause: each report counted as that of a VM, and a VM ends the earlier ones with its machine or address (mark_predecessors_dead()). On related paths: a report under the VM's id with a later start ended it too, and one with its own start and a higher number moved it to another service and address.

Ruled out: that the report counted as a restart of the VM (the log has no "a later life of the VM has reported").

Change: vm_evidence decides what a report shows about a known VM. A VM whose service neither a configuration nor an accepted job has named is kept, unconfirmed: it ends no VM, stands for no machine and gets no task, until a configuration names its service, which confirms it at once. A service that was named stays known when it is removed. An unconfirmed VM never blocks one with a known service. A report under a VM's id that names another machine or address, or an unknown service other than its own, is ignored and counted (batch_reports_foreign_total).

--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -7,6 +7,7 @@
 
 #include "batch_suspect.h"
 #include "log.h"
+#include "vm_evidence.h"
 
 /* Half-life of a VM's counts of completed and failed runs, from which its health is estimated.
  * Several of the shortest tasks (0.6 s) finish in this time. */
@@ -24,6 +25,11 @@
  * committed by a start intent of an earlier leader. This leader starts to manage its VM at most
  * this long after the commit. */
 #define ADOPT_PERIOD_US (1 * US_PER_S)
+/* Time without a report after which a VM that was never confirmed is forgotten; several report
+ * intervals. */
+#define UNCONFIRMED_KEEP_US (10 * US_PER_S)
+/* Shortest interval between two log lines about foreign reports, which can come all the time. */
+#define FOREIGN_LOG_PERIOD_US (10 * US_PER_S)
 
 static void free_dead_vm(leader_vm_t *vm);
 
@@ -81,6 +87,7 @@
 static void link_record(leader_vm_t *vm, batch_vm_t *record)
 {
 	vm->record = record;
+	vm->confirmed = true;
 	record->leader = vm;
 }
 
@@ -365,6 +372,7 @@
 
 	leader_vm_mark_restarted(vm, reply->born_ms, "another life of the VM answers");
 	next = new_vm(leader, vm->id, reply->born_ms, vm->address);
+	next->confirmed = true;
 	replace_string(&next->machine, vm->machine);
 	index_vm(next);
 	leader_vm_set_clock(next, reply->clock_ms, leader_now_us(leader));
@@ -380,11 +388,13 @@
 		/* A later incarnation has reported, so the incarnation of this record has ended.
 		 * new_vm() has put it into by_id nevertheless; put the later one back. */
 		added = new_vm(leader, record->id, record->born_ms, record->address);
+		added->confirmed = true;
 		g_hash_table_insert(leader->by_id, vm->id, vm);
 		leader_vm_mark_restarted(added, vm->born_ms, "a later life of the VM has reported");
 		return added;
 	}
 	added = new_vm(leader, record->id, record->born_ms, record->address);
+	added->confirmed = true;
 	replace_string(&added->machine, record->machine);
 	index_vm(added);
 	/* A lease grant of an earlier leader can still reach the VM, so assume the latest
@@ -396,9 +406,12 @@
 
 static void apply_report(leader_vm_t *vm, const vm_report_t *report, uint64_t now_us)
 {
+	bool service_changed;
+
 	unindex_vm(vm);
 	replace_string(&vm->machine, report->machine);
-	if (replace_string(&vm->service, report->service) || vm->pool == NULL) {
+	service_changed = replace_string(&vm->service, report->service);
+	if (vm->confirmed && (service_changed || vm->pool == NULL)) {
 		leave_service(vm);
 		join_service(vm);
 	}
@@ -490,42 +503,167 @@
 	}
 }
 
-static leader_vm_t *add_reported_vm(batch_leader_t *leader, const vm_report_t *report)
+static leader_vm_t *add_reported_vm(batch_leader_t *leader, const vm_report_t *report,
+				    bool confirmed)
 {
 	leader_vm_t *vm = new_vm(leader, report->id, report->born_ms, report->address);
 
+	vm->confirmed |= confirmed;
 	log_event(G_LOG_LEVEL_MESSAGE,
 		  LOG_FIELDS("vm", report->id, "service", report->service, "machine",
 			     report->machine, "rack", report->rack),
-		  "VM has reported for the first time");
+		  vm->confirmed ? "VM has reported for the first time"
+				: "VM of an unknown service has reported; it is not used until a "
+				  "configuration names the service");
 	return vm;
 }
 
+/* Adds a confirmed VM to the fleet. It ends earlier VMs with its machine or address. */
+static void join_fleet(leader_vm_t *vm)
+{
+	batch_leader_t *leader = vm->leader;
+
+	mark_predecessors_dead(leader, vm);
+	leader_machine_reported(leader, vm);
+	index_vm(vm);
+}
+
+/* Confirms a VM whose service has become known, unless it has ended since its report. */
+static void confirm_vm(leader_vm_t *vm)
+{
+	batch_leader_t *leader = vm->leader;
+
+	if (is_superseded(leader, vm->id, vm->address, vm->machine, vm->born_ms)) {
+		free_vm(vm);
+		return;
+	}
+	vm->confirmed = true;
+	join_service(vm);
+	join_fleet(vm);
+	leader_maintenance_cordon(leader, vm);
+	leader->placement_due = true;
+}
+
+/* Adds the services of a new configuration to the known ones, and confirms their VMs. */
+static void note_services(batch_leader_t *leader)
+{
+	const Lp__BatchConfig *config = leader->state->config;
+	leader_vm_t *vm;
+	leader_vm_t *next;
+
+	if (config == NULL || config->version == leader->services_version)
+		return;
+	leader->services_version = config->version;
+	for (size_t i = 0; i < config->n_services; i++)
+		g_hash_table_add(leader->known_services, g_strdup(config->services[i]->name));
+	for (vm = LIST_FIRST(&leader->vms); vm != NULL; vm = next) {
+		next = LIST_NEXT(vm, link);
+		if (!vm->confirmed && !vm->dead &&
+		    g_hash_table_contains(leader->known_services, vm->service))
+			confirm_vm(vm);
+	}
+}
+
+/* True when a configuration has named the service since this process started, or an accepted job
+ * runs in it. */
+static bool service_known(batch_leader_t *leader, const char *service)
+{
+	const batch_job_t *job;
+
+	note_services(leader);
+	if (g_hash_table_contains(leader->known_services, service))
+		return true;
+	TAILQ_FOREACH (job, &leader->state->active, link) {
+		if (strcmp(job->service, service) == 0)
+			return true;
+	}
+	return false;
+}
+
+static vm_identity_t identity_of(const leader_vm_t *vm)
+{
+	return (vm_identity_t){
+		.machine = vm->machine,
+		.address = vm->address,
+		.service = vm->service,
+		.born_ms = vm->born_ms,
+		.seq = vm->seq,
+		.reported = vm->last_report_us != 0,
+		.confirmed = vm->confirmed,
+	};
+}
+
+static void log_foreign_report(batch_leader_t *leader, const leader_vm_t *vm,
+			       const vm_report_t *report)
+{
+	uint64_t now_us = leader_now_us(leader);
+
+	metrics_add(leader->stats.foreign_reports, 1);
+	if (leader->foreign_logged_us != 0 &&
+	    now_us < leader->foreign_logged_us + FOREIGN_LOG_PERIOD_US)
+		return;
+	leader->foreign_logged_us = now_us;
+	log_event(G_LOG_LEVEL_MESSAGE,
+		  LOG_FIELDS("vm", report->id, "service", report->service, "address",
+			     report->address, "machine", report->machine, "known_service",
+			     vm->service, "known_address", vm->address, "known_machine",
+			     vm->machine),
+		  "ignoring a report that contradicts what is known about its VM");
+}
+
+/* Handles what a report says about the known VM with its id. @return the VM to which the report
+ * applies, NULL when that has to be added
+ * @param ignored set to true when the report must be ignored */
+static leader_vm_t *handle_known_vm(batch_leader_t *leader, leader_vm_t *vm,
+				    const vm_report_t *report, bool known_service, bool *ignored)
+{
+	vm_identity_t known = identity_of(vm);
+
+	switch (vm_evidence_of_report(&known, report, known_service)) {
+	case VM_REPORT_UPDATE:
+		return vm;
+	case VM_REPORT_RESTART:
+		leader_vm_mark_restarted(vm, report->born_ms,
+					 "a later life of the VM has reported");
+		return NULL;
+	case VM_REPORT_REPLACES:
+		free_vm(vm);
+		return NULL;
+	case VM_REPORT_OUTDATED:
+		*ignored = true;
+		return NULL;
+	case VM_REPORT_FOREIGN:
+		log_foreign_report(leader, vm, report);
+		*ignored = true;
+		return NULL;
+	}
+	return NULL;
+}
+
 bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t received_us)
 {
+	bool known_service = service_known(leader, report->service);
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, report->id);
+	bool ignored = false;
 	bool is_new;
 
-	if (is_superseded(leader, report->id, report->address, report->machine, report->born_ms) ||
-	    (vm != NULL && vm->born_ms > report->born_ms))
+	if (is_superseded(leader, report->id, report->address, report->machine, report->born_ms))
 		return false;
-	if (vm != NULL && vm->born_ms < report->born_ms) {
-		leader_vm_mark_restarted(vm, report->born_ms,
-					 "a later life of the VM has reported");
-		vm = NULL;
-	}
-	if (vm != NULL && vm->last_report_us != 0 && report->seq <= vm->seq)
+	if (vm != NULL)
+		vm = handle_known_vm(leader, vm, report, known_service, &ignored);
+	if (ignored)
 		return false;
 	is_new = vm == NULL || vm->last_report_us == 0;
 	if (vm == NULL)
-		vm = add_reported_vm(leader, report);
+		vm = add_reported_vm(leader, report, known_service);
+	vm->confirmed |= known_service;
 	apply_report(vm, report, received_us);
-	mark_predecessors_dead(leader, vm);
-	leader_machine_reported(leader, vm);
-	index_vm(vm);
+	vm->shutdown_us = 0;
+	if (!vm->confirmed)
+		return true;
+	join_fleet(vm);
 	if (is_new)
 		leader_maintenance_cordon(leader, vm);
-	vm->shutdown_us = 0;
 	leader->placement_due = true;
 	return true;
 }
@@ -583,6 +721,7 @@
 	leader->stats.holds_overtaken = metrics_counter(metrics, "batch_holds_overtaken_total", "");
 	leader->stats.stops = metrics_counter(metrics, "batch_stops_total", "");
 	leader->stats.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
+	leader->stats.foreign_reports = metrics_counter(metrics, "batch_reports_foreign_total", "");
 	leader->stats.crashes = metrics_counter(metrics, "batch_vm_crashes_after_start_total", "");
 	leader->stats.suspects = metrics_counter(metrics, "batch_suspect_runs_total", "");
 	leader->stats.given_up = metrics_counter(metrics, "batch_jobs_given_up_total", "");
@@ -621,6 +760,7 @@
 	leader->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	leader->by_machine = g_hash_table_new(g_str_hash, g_str_equal);
 	leader->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	leader->known_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	leader->ended_incarnations = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	LIST_INIT(&leader->vms);
 	leader->machines =
@@ -639,6 +779,7 @@
 	g_hash_table_destroy(leader->by_id);
 	g_hash_table_destroy(leader->by_machine);
 	g_hash_table_destroy(leader->by_address);
+	g_hash_table_destroy(leader->known_services);
 	g_hash_table_destroy(leader->ended_incarnations);
 	g_hash_table_destroy(leader->machines);
 	g_hash_table_destroy(leader->smoothed_need);
@@ -767,6 +908,11 @@
 {
 	if (!vm->dead && vm->shutdown_us != 0 && now_us > vm->shutdown_us + SHUTDOWN_GRACE_US)
 		leader_vm_mark_dead(vm, "it has left");
+	if (!vm->confirmed) {
+		if (now_us > vm->last_report_us + UNCONFIRMED_KEEP_US)
+			free_vm(vm);
+		return;
+	}
 	if (vm->dead) {
 		leader_hand_over_runs(vm);
 		leader_mark_all_runs_lost(vm, "the VM has ended");
@@ -800,6 +946,7 @@
 
 void batch_leader_observe(batch_leader_t *leader)
 {
+	note_services(leader);
 	leader_observe_demand(leader, leader_now_us(leader));
 }
 
@@ -812,6 +959,7 @@
 	if (!leader->active)
 		return;
 	measure_lag(leader, now_us);
+	note_services(leader);
 	decay_health(leader, now_us);
 	vm = LIST_FIRST(&leader->vms);
 	while (vm != NULL) {
@@ -836,6 +984,7 @@
 
 	if (!leader->active)
 		return;
+	note_services(leader);
 	leader_place_tasks(leader, now_us);
 	end_part(leader, LEADER_PART_PLACEMENT, now_us);
 }
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -55,8 +55,10 @@
 				     tasks have ended */
 	unsigned readings_missed; /**< number of readings of the platform's list without the VM's
 				     machine since the VM is unresponsive */
-	bool dead;		  /**< the VM has ended and runs no tasks any more */
-	bool planned_end;	  /**< the VM ended because of a platform request */
+	bool confirmed; /**< its service was known, or the log assigns runs to it; until then it is
+			   no VM of any service, and is not in by_machine or by_address */
+	bool dead;	/**< the VM has ended and runs no tasks any more */
+	bool planned_end; /**< the VM ended because of a platform request */
 	bool broke_off;	  /**< the VM broke off or refused a connection since it last responded,
 			     so that unresponsive_since_us is close to the time of its end */
 	bool listed_down; /**< the platform's latest list has the VM's machine as down */
@@ -174,8 +176,15 @@
 	uint64_t vm_count;	/**< number of VMs that became known so far */
 	GHashTable *services;	/**< service name, interned -> leader_service_t */
 	GHashTable *by_id;	/**< VM id -> leader_vm_t of the latest incarnation; no dead VMs */
-	GHashTable *by_machine; /**< machine -> leader_vm_t of the latest VM on it; no dead VMs */
-	GHashTable *by_address; /**< address -> leader_vm_t of the latest VM with it; no dead VMs */
+	GHashTable *by_machine; /**< machine -> leader_vm_t of the latest VM on it; no dead or
+				   unconfirmed VMs */
+	GHashTable *by_address; /**< address -> leader_vm_t of the latest VM with it; no dead or
+				   unconfirmed VMs */
+	GHashTable *known_services; /**< set of the names of all services that a configuration has
+				       named since this process started */
+	uint64_t services_version;  /**< version of the latest configuration whose services are in
+				       known_services; 0: none */
+	uint64_t foreign_logged_us; /**< time of the latest log line about a foreign report */
 	GHashTable *ended_incarnations; /**< VM id -> uint64_t, the born_ms of the latest
 					   incarnation that has ended */
 	uint64_t pass_count;
@@ -219,6 +228,8 @@
 						       was answered first */
 		metrics_counter_t *stops;
 		metrics_counter_t *dead;
+		metrics_counter_t *foreign_reports; /**< number of reports that contradict what is
+						       known about their VM */
 		metrics_counter_t *crashes;  /**< number of VMs that crashed soon after the start of
 						a run */
 		metrics_counter_t *suspects; /**< number of such runs */
--- /dev/null
+++ b/src/vm_evidence.c
@@ -0,0 +1,54 @@
+#include "vm_evidence.h"
+
+#include <string.h>
+
+static bool agree(const char *known, const char *reported)
+{
+	return known[0] == '\0' || reported[0] == '\0' || strcmp(known, reported) == 0;
+}
+
+/* A VM keeps its machine and its address for its whole life. */
+static bool is_same_place(const vm_identity_t *known, const vm_report_t *report)
+{
+	return agree(known->machine, report->machine) && agree(known->address, report->address);
+}
+
+static vm_report_verdict_t judge_order(const vm_identity_t *known, const vm_report_t *report)
+{
+	return known->reported && report->seq <= known->seq ? VM_REPORT_OUTDATED : VM_REPORT_UPDATE;
+}
+
+static vm_report_verdict_t judge_unconfirmed(const vm_identity_t *known, const vm_report_t *report,
+					     bool service_known)
+{
+	if (service_known && strcmp(known->service, report->service) != 0)
+		return VM_REPORT_REPLACES;
+	if (report->born_ms != known->born_ms)
+		return report->born_ms > known->born_ms ? VM_REPORT_REPLACES : VM_REPORT_OUTDATED;
+	return judge_order(known, report);
+}
+
+/* A VM whose service was removed goes on reporting it. One that is known from the log alone has not
+ * named its service yet. */
+static bool is_own_service(const vm_identity_t *known, const vm_report_t *report)
+{
+	if (known->service[0] != '\0')
+		return strcmp(known->service, report->service) == 0;
+	return report->born_ms == known->born_ms && is_same_place(known, report);
+}
+
+vm_report_verdict_t vm_evidence_of_report(const vm_identity_t *known, const vm_report_t *report,
+					  bool service_known)
+{
+	if (!known->confirmed)
+		return judge_unconfirmed(known, report, service_known);
+	if (report->born_ms < known->born_ms)
+		return VM_REPORT_OUTDATED;
+	if (!service_known && !is_own_service(known, report))
+		return VM_REPORT_FOREIGN;
+	if (report->born_ms > known->born_ms)
+		return VM_REPORT_RESTART;
+	if (!is_same_place(known, report))
+		return VM_REPORT_FOREIGN;
+	return judge_order(known, report);
+}
--- /dev/null
+++ b/src/vm_evidence.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "vm_port.h"
+
+/**
+ * @file
+ * Decides what a message says about the life of a VM. A VM that still works must not count as
+ * ended, because its tasks would then run a second time. Reports come from the VMs, but also from
+ * other systems that announce themselves on the same machines, and late ones from VMs that have
+ * ended since.
+ *
+ * | evidence | condition | what it shows |
+ * |---|---|---|
+ * | report | its service is known, same id, later start | the earlier life of the VM has ended |
+ * | report | its service is known, same machine or address, later start | the earlier VM there has
+ * ended |
+ * | report | its service is unknown | nothing about another VM or life |
+ * | response of the VM's address | it names another VM, or a later start | the VM has ended |
+ * | lease | it has expired without being renewed | the VM runs no task any more |
+ * | platform's response to a move or maintenance | the VM started before the request | the VM has
+ * ended |
+ *
+ * A service is known when a configuration has named it since this process started, or when an
+ * accepted job runs in it. A VM of any other service possibly belongs to a configuration that is
+ * still on its way, so that it is kept, unconfirmed, until a configuration names its service.
+ */
+
+/** What is known about the latest life of a VM id. */
+typedef struct {
+	const char *machine; /**< "": unknown */
+	const char *address; /**< "": unknown */
+	const char *service; /**< "": it has not reported to this process */
+	uint64_t born_ms;
+	uint64_t seq;
+	bool reported;
+	bool confirmed; /**< its service was known, or the log assigns runs to it */
+} vm_identity_t;
+
+/** What a report shows. */
+typedef enum {
+	VM_REPORT_UPDATE,   /**< it is the next report of the known life */
+	VM_REPORT_RESTART,  /**< the VM has started again: the known life has ended */
+	VM_REPORT_REPLACES, /**< the known life was never confirmed, and is forgotten for this one
+			     */
+	VM_REPORT_OUTDATED, /**< it was overtaken by a later one */
+	VM_REPORT_FOREIGN,  /**< it contradicts what is known, and is from another sender */
+} vm_report_verdict_t;
+
+/**
+ * @param known the latest known life with the id of the report
+ * @param service_known the service that the report names is known
+ */
+vm_report_verdict_t vm_evidence_of_report(const vm_identity_t *known, const vm_report_t *report,
+					  bool service_known);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -180,6 +180,7 @@
 	uint32_t list_delay_ms;
 	uint32_t commit_delay_ms; /* added to the delay of each commit */
 	unsigned next_vm;
+	uint64_t config_version;
 	uint64_t starts;
 	uint64_t moves;
 	uint64_t maintenance_requests;
@@ -1640,6 +1641,29 @@
 	restart_vm(g_ptr_array_index(sim->vms, machine), report_delay_ms);
 }
 
+void vm_sim_foreign_report(vm_sim_t *sim, unsigned machine, const vm_sim_foreign_t *shared)
+{
+	const sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
+	const char *labels[] = {"agent", "rack"};
+	const vm_report_t report = {
+		.id = shared->id ? vm->id : "agent-1",
+		.machine = shared->machine ? vm->machine : "",
+		.service = "node-agent",
+		.address = shared->address ? vm->address : "10.9.9.9:9",
+		.data_centre = "dc",
+		.rack = "rack",
+		.labels = labels,
+		.label_count = 2,
+		.cpu_milli = VM_CPU_MILLI,
+		.mem_mib = VM_MEM_MIB,
+		.born_ms = shared->born ? vm->born_ms : wall_ms(sim),
+		.clock_ms = 90000,
+		.seq = vm->seq + 1000,
+	};
+
+	batch_leader_report(sim->leader, &report, sim->now_us);
+}
+
 void vm_sim_cut_off(vm_sim_t *sim, unsigned machine, uint32_t for_ms)
 {
 	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
@@ -1717,9 +1741,8 @@
 	schedule(sim, random_time_us(sim, 0, REPORT_INTERVAL_MS), report_periodically, vm);
 }
 
-static void configure(vm_sim_t *sim)
+void vm_sim_configure(vm_sim_t *sim, unsigned count)
 {
-	unsigned count = sim->config.services;
 	Lp__BatchConfig config = LP__BATCH_CONFIG__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	Lp__BatchQueue queues[16];
@@ -1748,7 +1771,7 @@
 		queues[i].stretch_percent = 160;
 		queue_list[i] = &queues[i];
 	}
-	config.version = 1;
+	config.version = ++sim->config_version;
 	config.queues = queue_list;
 	config.n_queues = count;
 	config.services = service_list;
@@ -1810,7 +1833,7 @@
 	sim->metrics = metrics_create();
 	sim->candidates = metrics_counter(sim->metrics, "batch_candidates_total", "");
 	batch_state_init(&sim->state);
-	configure(sim);
+	vm_sim_configure(sim, config->services);
 	options.state = &sim->state;
 	options.metrics = sim->metrics;
 	options.port = (vm_port_t){.start = port_start,
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -120,6 +120,20 @@
  * report comes after report_delay_ms at the earliest.
  */
 void vm_sim_restart_vm(vm_sim_t *sim, unsigned machine, uint32_t report_delay_ms);
+/**
+ * Replaces the configuration by one that names the first count services and the standby pool, which
+ * removes the other services with their queues, or brings them back.
+ */
+void vm_sim_configure(vm_sim_t *sim, unsigned count);
+/** What the report of another system has in common with the VM of a machine. */
+typedef struct {
+	bool id;      /**< otherwise it has an id of its own */
+	bool machine; /**< otherwise it names no machine */
+	bool address; /**< otherwise it has an address of its own, where nothing answers */
+	bool born;    /**< otherwise its start is later than that of the VM */
+} vm_sim_foreign_t;
+/** Sends a report for a service that no configuration names. */
+void vm_sim_foreign_report(vm_sim_t *sim, unsigned machine, const vm_sim_foreign_t *shared);
 /** Cuts the VM on the machine with the index off from the network for for_ms. */
 void vm_sim_cut_off(vm_sim_t *sim, unsigned machine, uint32_t for_ms);
 /** @return number of VMs that have crashed because of a task, see VM_SIM_DEADLY_PREFIX */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -221,6 +221,126 @@
 	}
 }
 
+/* Guards against a VM that counts as ended, or is not used any more, because another system has
+ * sent a report with its id, its machine or its address: its tasks would run twice (review/2). */
+static void test_foreign_reports_end_no_vm(void **state)
+{
+	static const vm_sim_foreign_t shared[] = {
+		{.machine = true},
+		{.address = true},
+		{.machine = true, .address = true},
+		{.id = true},
+		{.id = true, .machine = true},
+		{.id = true, .address = true},
+		{.id = true, .born = true},
+		{.id = true, .machine = true, .born = true},
+	};
+
+	for (unsigned i = 0; i < 2 * G_N_ELEMENTS(shared); i++) {
+		const vm_sim_config_t config = {
+			.services = 1, .vms_per_service = 4, .seed = 20 + i};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		/* 32 of these tasks fill the four VMs. */
+		make_job(&fixture, 1, 32, 8000, 3000);
+		vm_sim_run(sim, 4000);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		while (vm_sim_running_count(sim) < 32)
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		for (unsigned machine = 0; machine < 4; machine++)
+			vm_sim_foreign_report(sim, machine, &shared[i / 2]);
+		if (i % 2 == 1)
+			vm_sim_change_leader(sim);
+		for (unsigned machine = 0; machine < 4; machine++)
+			vm_sim_foreign_report(sim, machine, &shared[i / 2]);
+		vm_sim_run(sim, 12000);
+		assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+		assert_int_equal(vm_sim_start_count(sim), 32);
+		make_job(&fixture, 1, 32, 8000, 30000);
+		vm_sim_submit(sim, "b", 0, &fixture.job);
+		vm_sim_run(sim, 16000);
+		assert_int_equal(vm_sim_running_count(sim), 32);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against VMs that are not used, because they have reported before the configuration that
+ * names their service arrived, and against one of another system that is taken for one of them. */
+static void test_vms_wait_for_their_configuration(void **state)
+{
+	const vm_sim_config_t config = {.services = 2, .vms_per_service = 4, .seed = 30};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 32, 8000, 3000);
+	vm_sim_configure(sim, 1);
+	vm_sim_run(sim, 3000);
+	for (unsigned machine = 4; machine < 8; machine++)
+		vm_sim_foreign_report(sim, machine,
+				      &(vm_sim_foreign_t){.id = true, .machine = true});
+	vm_sim_run(sim, 6000);
+	vm_sim_configure(sim, 2);
+	/* The VMs whose ids the foreign reports have taken are back with their next reports. */
+	vm_sim_run(sim, 7600);
+	vm_sim_submit(sim, "a", 1, &fixture.job);
+	vm_sim_run(sim, 8100);
+	assert_int_equal(vm_sim_running_count(sim), 32);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
+/* Guards against a wait for the next reports of the VMs after the configuration that names their
+ * service has arrived. */
+static void test_vms_are_used_at_once_with_their_configuration(void **state)
+{
+	const vm_sim_config_t config = {.services = 2, .vms_per_service = 4, .seed = 31};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 32, 8000, 3000);
+	vm_sim_configure(sim, 1);
+	vm_sim_run(sim, 6000);
+	vm_sim_configure(sim, 2);
+	vm_sim_submit(sim, "a", 1, &fixture.job);
+	vm_sim_run(sim, 6200);
+	assert_int_equal(vm_sim_running_count(sim), 32);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
+/* Guards against accepted jobs that stand still, or tasks that run twice, because the VMs of their
+ * service count as foreign after a configuration has removed it. */
+static void test_vms_of_a_removed_service_finish_its_jobs(void **state)
+{
+	for (unsigned fault = 0; fault < 4; fault++) {
+		const vm_sim_config_t config = {.services = 2,
+						.vms_per_service = 4,
+						.keep_ids = fault == 3,
+						.seed = 40 + fault};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 3, 16, 8000, 2000);
+		vm_sim_run(sim, 4000);
+		vm_sim_submit(sim, "a", 1, &fixture.job);
+		while (vm_sim_running_count(sim) < 16)
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		vm_sim_configure(sim, 1);
+		if (fault == 1)
+			vm_sim_restart_processes(sim);
+		if (fault >= 2)
+			assert_true(vm_sim_crash_vm_of_job(sim, "a", 400));
+		if (fault == 3)
+			vm_sim_restart_vm(sim, 5, 700);
+		vm_sim_run(sim, 18000);
+		assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against a second run of tasks whose ends a VM has left out of its response, because it
  * lists 500 finished runs at a time (review/1). */
 static void test_unlisted_ends_are_awaited(void **state)
@@ -1384,6 +1504,10 @@
 		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
 		cmocka_unit_test(test_runs_that_a_restart_ended_run_again),
 		cmocka_unit_test(test_old_list_does_not_end_a_new_vm),
+		cmocka_unit_test(test_foreign_reports_end_no_vm),
+		cmocka_unit_test(test_vms_wait_for_their_configuration),
+		cmocka_unit_test(test_vms_are_used_at_once_with_their_configuration),
+		cmocka_unit_test(test_vms_of_a_removed_service_finish_its_jobs),
 		cmocka_unit_test(test_unlisted_ends_are_awaited),
 		cmocka_unit_test(test_old_runs_are_no_suspects_of_a_new_leader),
 		cmocka_unit_test(test_machines_move_soon_after_restart),
--- /dev/null
+++ b/tests/test_vm_evidence.c
@@ -0,0 +1,116 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "vm_evidence.h"
+
+static const vm_identity_t known = {
+	.machine = "m-1",
+	.address = "10.0.0.1:80",
+	.service = "orders",
+	.born_ms = 1000,
+	.seq = 5,
+	.reported = true,
+	.confirmed = true,
+};
+
+static vm_report_t report_of(const char *service, uint64_t born_ms, uint64_t seq)
+{
+	return (vm_report_t){
+		.id = "vm-1",
+		.machine = "m-1",
+		.service = service,
+		.address = "10.0.0.1:80",
+		.born_ms = born_ms,
+		.seq = seq,
+	};
+}
+
+/* Guards against a report that is overtaken by a later one, or by a later life of the VM, and is
+ * taken as new. */
+static void test_order_of_reports(void **state)
+{
+	vm_report_t report = report_of("orders", 1000, 6);
+
+	assert_int_equal(vm_evidence_of_report(&known, &report, true), VM_REPORT_UPDATE);
+	report = report_of("orders", 1000, 5);
+	assert_int_equal(vm_evidence_of_report(&known, &report, true), VM_REPORT_OUTDATED);
+	report = report_of("orders", 999, 9);
+	assert_int_equal(vm_evidence_of_report(&known, &report, true), VM_REPORT_OUTDATED);
+	report = report_of("orders", 1001, 1);
+	assert_int_equal(vm_evidence_of_report(&known, &report, true), VM_REPORT_RESTART);
+	/* A life may begin in another service. */
+	report = report_of("stock", 1001, 1);
+	assert_int_equal(vm_evidence_of_report(&known, &report, true), VM_REPORT_RESTART);
+}
+
+/* Guards against a VM that is ended, or reached at another address, by a report of another system
+ * under its id. */
+static void test_reports_of_another_system(void **state)
+{
+	vm_report_t report = report_of("node-agent", 2000, 1);
+
+	assert_int_equal(vm_evidence_of_report(&known, &report, false), VM_REPORT_FOREIGN);
+	report = report_of("node-agent", 1000, 9);
+	assert_int_equal(vm_evidence_of_report(&known, &report, false), VM_REPORT_FOREIGN);
+	report = report_of("orders", 1000, 9);
+	report.address = "10.0.0.9:80";
+	assert_int_equal(vm_evidence_of_report(&known, &report, true), VM_REPORT_FOREIGN);
+	report = report_of("orders", 1000, 9);
+	report.machine = "m-9";
+	assert_int_equal(vm_evidence_of_report(&known, &report, true), VM_REPORT_FOREIGN);
+}
+
+/* Guards against a VM that counts as foreign after a configuration has removed its service. */
+static void test_vm_of_a_removed_service(void **state)
+{
+	vm_identity_t from_log = known;
+	vm_report_t report = report_of("orders", 1000, 6);
+
+	assert_int_equal(vm_evidence_of_report(&known, &report, false), VM_REPORT_UPDATE);
+	report = report_of("orders", 1001, 1);
+	assert_int_equal(vm_evidence_of_report(&known, &report, false), VM_REPORT_RESTART);
+	/* A new leader knows the VM from its runs alone. */
+	from_log.service = "";
+	from_log.reported = false;
+	from_log.seq = 0;
+	report = report_of("orders", 1000, 6);
+	assert_int_equal(vm_evidence_of_report(&from_log, &report, false), VM_REPORT_UPDATE);
+	report.address = "10.0.0.9:80";
+	assert_int_equal(vm_evidence_of_report(&from_log, &report, false), VM_REPORT_FOREIGN);
+}
+
+/* Guards against a VM that cannot join, because another system has reported under its id before. */
+static void test_unconfirmed_vms_bind_nothing(void **state)
+{
+	vm_identity_t agent = known;
+	vm_report_t report = report_of("orders", 500, 1);
+
+	agent.service = "node-agent";
+	agent.confirmed = false;
+	assert_int_equal(vm_evidence_of_report(&agent, &report, true), VM_REPORT_REPLACES);
+	report = report_of("orders", 1000, 1);
+	assert_int_equal(vm_evidence_of_report(&agent, &report, true), VM_REPORT_REPLACES);
+	/* As long as no configuration names either service, the later start counts. */
+	report = report_of("orders", 500, 1);
+	assert_int_equal(vm_evidence_of_report(&agent, &report, false), VM_REPORT_OUTDATED);
+	report = report_of("orders", 1001, 1);
+	assert_int_equal(vm_evidence_of_report(&agent, &report, false), VM_REPORT_REPLACES);
+	report = report_of("node-agent", 1000, 6);
+	assert_int_equal(vm_evidence_of_report(&agent, &report, false), VM_REPORT_UPDATE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_order_of_reports),
+		cmocka_unit_test(test_reports_of_another_system),
+		cmocka_unit_test(test_vm_of_a_removed_service),
+		cmocka_unit_test(test_unconfirmed_vms_bind_nothing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
