--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -136,8 +136,8 @@
 static void test_malformed_reports_are_rejected(void **state)
 {
 	static const char good[] =
-		"{\"service\":\"s\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"z\",\"state\":"
-		"\"ready\","
+		"{\"service\":\"s\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"z\","
+		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"warmupLeftMs\":0,"
 		"\"capacity\":{\"cpu\":16000,\"memMb\":32768},\"labels\":[\"a\",\"r1-3\"],"
 		"\"born\":5,\"clockMs\":7,\"seq\":4}";
 	static const char *const replacements[][2] = {
@@ -149,6 +149,16 @@
 		{"\"s\"", "\"\""},
 		{"\"r1-3\"", "3"},
 		{"\"born\":5", "\"born\":-5"},
+		{"\"born\":5", "\"born\":\"5\""},
+		{"\"version\":\"v1\",", ""},
+		{"\"v1\"", "7"},
+		{"\"slots\":8,", ""},
+		{"\"slots\":8", "\"slots\":\"8\""},
+		{"\"warmupLeftMs\":0", "\"warmupLeftMs\":false"},
+		{"\"zone\":\"z\",", ""},
+		{"\"seq\":4", "\"seq\":4,\"machine\":17"},
+		{"\"cpu\":16000,", ""},
+		{"\"memMb\":32768", "\"memMb\":null"},
 	};
 	void *mem = talloc_new(NULL);
 	json_t *body = parse(good);
--- a/tests/test_cluster_batch.c
+++ b/tests/test_cluster_batch.c
@@ -589,11 +589,12 @@
 		return;
 	report_call = g_new0(report_call_t, 1);
 	body = json_pack(
-		"{s:s, s:s, s:s, s:s, s:s, s:s, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I, s:I}",
-		"service", "svc", "addr", "", "zone", "z", "version", "v1", "state", "ready",
-		"machine", vm->ip, "capacity", "cpu", 64000, "memMb", 64000, "gpu", 0, "labels",
-		"a", "r1", "clockMs", (json_int_t)vm_clock_ms(vm), "seq", (json_int_t)++vm->seq,
-		"born", (json_int_t)vm->born_ms);
+		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:s, s:{s:i, s:i, s:i}, s:[s, s], s:I, s:I, "
+		"s:I}",
+		"service", "svc", "addr", "", "zone", "z", "version", "v1", "slots", 8, "state",
+		"ready", "warmupLeftMs", 0, "machine", vm->ip, "capacity", "cpu", 64000, "memMb",
+		64000, "gpu", 0, "labels", "a", "r1", "clockMs", (json_int_t)vm_clock_ms(vm), "seq",
+		(json_int_t)++vm->seq, "born", (json_int_t)vm->born_ms);
 
 	report_call->vm = n;
 	json_object_set_new(body, "addr", json_sprintf("%s:%u", vm->ip, port_base + 13));
