batch_machines: entries of another system in the list of machines end no VM

Change: vm_evidence_of_listing() decides what an entry shows. An entry whose pool is neither known nor the machine's own shows nothing, changes nothing of a known machine, and only keeps it listed.

--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -564,9 +564,7 @@
 	}
 }
 
-/* True when a configuration has named the service since this process started, or an accepted job
- * runs in it. */
-static bool service_known(batch_leader_t *leader, const char *service)
+bool leader_service_known(batch_leader_t *leader, const char *service)
 {
 	const batch_job_t *job;
 
@@ -642,7 +640,7 @@
 
 bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t received_us)
 {
-	bool known_service = service_known(leader, report->service);
+	bool known_service = leader_service_known(leader, report->service);
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, report->id);
 	bool ignored = false;
 	bool is_new;
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -298,6 +298,11 @@
 /** @return hash of a VM id, never 0 */
 uint32_t leader_vm_hash(const char *vm_id);
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine);
+/**
+ * True when a configuration has named the service since this process started, or an accepted job
+ * runs in it.
+ */
+bool leader_service_known(batch_leader_t *leader, const char *service);
 /** True when the VM's latest report is recent enough to place tasks by it. */
 bool leader_vm_report_is_fresh(const leader_vm_t *vm, uint64_t now_us);
 bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us);
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -9,6 +9,7 @@
 #include "batch_leader_internal.h"
 #include "batch_order.h"
 #include "log.h"
+#include "vm_evidence.h"
 
 /* Interval between requests for the platform's list of machines; each request has a cost.
  * LIST_URGENT_PERIOD_US applies while a VM with tasks is unresponsive, because the list shows
@@ -118,6 +119,35 @@
 	uint64_t generation;
 } list_call_t;
 
+/* An entry for a pool that is neither known nor the machine's own is possibly from another system.
+ */
+static bool is_pool_known(batch_leader_t *leader, const leader_machine_t *machine,
+			  const machine_info_t *listed)
+{
+	return (machine != NULL && strcmp(machine->pool, listed->pool) == 0) ||
+	       leader_service_known(leader, listed->pool);
+}
+
+static vm_listing_verdict_t judge_listed(batch_leader_t *leader, const leader_vm_t *vm,
+					 const machine_info_t *listed)
+{
+	const leader_machine_t *machine = leader_find_machine(leader, listed->machine);
+
+	return vm_evidence_of_listing(vm->id, listed, is_pool_known(leader, machine, listed));
+}
+
+static void note_listed_state(batch_leader_t *leader, const machine_info_t *listed)
+{
+	leader_vm_t *vm = leader_vm_of_machine(leader, listed->machine);
+	vm_listing_verdict_t verdict;
+
+	if (vm == NULL)
+		return;
+	verdict = judge_listed(leader, vm, listed);
+	if (verdict != VM_LISTED_NOTHING)
+		vm->listed_down = verdict == VM_LISTED_DOWN;
+}
+
 /* Marks the machine's VM as dead if it is unresponsive and the platform lists the machine as
  * down or with another VM. A list that was requested before the VM fell silent is possibly of the
  * time before this VM. */
@@ -128,19 +158,29 @@
 	if (vm == NULL || !vm->unresponsive ||
 	    vm->unresponsive_since_us > leader->list_requested_us)
 		return;
-	if (listed->down)
+	switch (judge_listed(leader, vm, listed)) {
+	case VM_LISTED_NOTHING:
+	case VM_LISTED_PRESENT:
+		break;
+	case VM_LISTED_DOWN:
 		leader_vm_mark_dead(vm, "the platform says that its machine is down");
-	else if (listed->up && listed->vm[0] != '\0' && strcmp(listed->vm, vm->id) != 0)
+		break;
+	case VM_LISTED_GONE:
 		leader_vm_mark_dead(vm, "the platform says that its machine runs another VM");
+		break;
+	}
 }
 
 static void update_machine(batch_leader_t *leader, const machine_info_t *listed)
 {
-	leader_machine_t *machine = leader_machine_add(leader, listed->machine);
+	leader_machine_t *machine = leader_find_machine(leader, listed->machine);
+	bool usable =
+		!listed->name_only && (machine == NULL || is_pool_known(leader, machine, listed));
 	uint64_t now_us = leader_now_us(leader);
 
+	machine = leader_machine_add(leader, listed->machine);
 	machine->listed_reading = leader->list_reading;
-	if (listed->name_only)
+	if (!usable)
 		return;
 	check_unresponsive_vm(leader, listed);
 	/* The list is possibly older than a move of the machine that is in progress or just
@@ -189,12 +229,8 @@
 	if (!leader->active || call->generation != leader->generation)
 		return;
 	leader->list_in_flight = false;
-	for (size_t i = 0; i < list->machine_count; i++) {
-		leader_vm_t *vm = leader_vm_of_machine(leader, list->machines[i].machine);
-
-		if (vm != NULL && !list->machines[i].name_only)
-			vm->listed_down = list->machines[i].down;
-	}
+	for (size_t i = 0; i < list->machine_count; i++)
+		note_listed_state(leader, &list->machines[i]);
 	for (size_t i = 0; i < list->machine_count; i++)
 		update_machine(leader, &list->machines[i]);
 	leader->listed_count += list->machine_count;
--- a/src/vm_evidence.c
+++ b/src/vm_evidence.c
@@ -52,3 +52,15 @@
 		return VM_REPORT_FOREIGN;
 	return judge_order(known, report);
 }
+
+vm_listing_verdict_t vm_evidence_of_listing(const char *vm, const machine_info_t *listed,
+					    bool pool_known)
+{
+	if (listed->name_only || !pool_known)
+		return VM_LISTED_NOTHING;
+	if (listed->down)
+		return VM_LISTED_DOWN;
+	if (listed->up && listed->vm[0] != '\0' && strcmp(listed->vm, vm) != 0)
+		return VM_LISTED_GONE;
+	return VM_LISTED_PRESENT;
+}
--- a/src/vm_evidence.h
+++ b/src/vm_evidence.h
@@ -19,9 +19,11 @@
  * ended |
  * | report | its service is unknown | nothing about another VM or life |
  * | response of the VM's address | it names another VM, or a later start | the VM has ended |
- * | lease | it has expired without being renewed | the VM runs no task any more |
- * | platform's response to a move or maintenance | the VM started before the request | the VM has
- * ended |
+ * | entry of the platform's list | its pool is known, it was requested after the VM fell silent,
+ * and it has the VM's machine as down or with another VM | the VM has ended | | platform's list |
+ * two complete readings in a row lack the machine of a silent VM | the VM has ended | | lease | it
+ * has expired without being renewed | the VM runs no task any more | | platform's response to a
+ * move or maintenance | the VM started before the request | the VM has ended |
  *
  * A service is known when a configuration has named it since this process started, or when an
  * accepted job runs in it. A VM of any other service possibly belongs to a configuration that is
@@ -55,3 +57,18 @@
  */
 vm_report_verdict_t vm_evidence_of_report(const vm_identity_t *known, const vm_report_t *report,
 					  bool service_known);
+
+/** What the entry of a machine in the platform's list shows about the VM known there. */
+typedef enum {
+	VM_LISTED_NOTHING, /**< nothing: it cannot be read, or is from another system */
+	VM_LISTED_PRESENT, /**< the machine is there, and does not run another VM */
+	VM_LISTED_DOWN,	   /**< the machine is down */
+	VM_LISTED_GONE,	   /**< the machine runs another VM */
+} vm_listing_verdict_t;
+
+/**
+ * @param vm id of the VM that is known on the machine
+ * @param pool_known the pool that the entry names is known, or is the machine's own
+ */
+vm_listing_verdict_t vm_evidence_of_listing(const char *vm, const machine_info_t *listed,
+					    bool pool_known);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -180,6 +180,8 @@
 	uint32_t list_delay_ms;
 	uint32_t commit_delay_ms; /* added to the delay of each commit */
 	unsigned next_vm;
+	bool foreign_listings;
+	bool foreign_listings_down;
 	uint64_t config_version;
 	uint64_t starts;
 	uint64_t moves;
@@ -1121,13 +1123,24 @@
 	g_free(call->machines);
 }
 
+static void list_foreign(list_call_t *call, const sim_vm_t *vm)
+{
+	machine_info_t *listed = &call->machines[call->machine_count++];
+
+	listed->down = call->sim->foreign_listings_down;
+	listed->up = !listed->down;
+	g_strlcpy(listed->machine, vm->machine, VM_NAME_MAX);
+	g_strlcpy(listed->pool, "node-agent", VM_NAME_MAX);
+	g_strlcpy(listed->vm, "agent-1", VM_NAME_MAX);
+}
+
 /* Reads the list, and responds after the platform's delay. */
 static void execute_list_call(void *arg)
 {
 	list_call_t *call = arg;
 	vm_sim_t *sim = call->sim;
 
-	call->machines = g_new0(machine_info_t, sim->vms->len);
+	call->machines = g_new0(machine_info_t, 2 * sim->vms->len);
 
 	for (guint i = 0; i < sim->vms->len; i++) {
 		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
@@ -1142,6 +1155,8 @@
 		listed->up = !vm->busy && (vm->up || vm->powered_off);
 		listed->down = vm->crashed;
 		call->machine_count++;
+		if (sim->foreign_listings)
+			list_foreign(call, vm);
 	}
 	schedule_at(sim, LEADER_MESSAGE, sim->now_us + sim->list_delay_ms * US_PER_MS, deliver_list,
 		    call);
@@ -1664,6 +1679,12 @@
 	batch_leader_report(sim->leader, &report, sim->now_us);
 }
 
+void vm_sim_add_foreign_listings(vm_sim_t *sim, bool down)
+{
+	sim->foreign_listings = true;
+	sim->foreign_listings_down = down;
+}
+
 void vm_sim_cut_off(vm_sim_t *sim, unsigned machine, uint32_t for_ms)
 {
 	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -134,6 +134,11 @@
 } vm_sim_foreign_t;
 /** Sends a report for a service that no configuration names. */
 void vm_sim_foreign_report(vm_sim_t *sim, unsigned machine, const vm_sim_foreign_t *shared);
+/**
+ * Adds an entry of another system to the platform's list for each machine: with a pool that no
+ * configuration names, the machine is up and runs another VM, or, if down, it is down.
+ */
+void vm_sim_add_foreign_listings(vm_sim_t *sim, bool down);
 /** Cuts the VM on the machine with the index off from the network for for_ms. */
 void vm_sim_cut_off(vm_sim_t *sim, unsigned machine, uint32_t for_ms);
 /** @return number of VMs that have crashed because of a task, see VM_SIM_DEADLY_PREFIX */
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -323,16 +323,26 @@
 	json_t *body = parse("{\"machines\":[null,5,[],{\"state\":\"up\"},{\"machine\":\"m-1\"},"
 			     "{\"machine\":\"m-2\",\"pool\":\"p\",\"state\":\"up\",\"id\":\"i-2\","
 			     "\"capacity\":{\"cpu\":1e300}},"
-			     "{\"machine\":\"m-3\",\"pool\":\"p\",\"state\":\"down\"}]}");
+			     "{\"machine\":\"m-3\",\"pool\":\"p\",\"state\":\"down\"},"
+			     "{\"machine\":\"m-4\",\"pool\":\"p\",\"state\":\"lost\"},"
+			     "{\"machine\":\"m-5\",\"pool\":\"p\",\"state\":\"up\",\"id\":7},"
+			     "{\"machine\":\"m-6\",\"pool\":\"p\",\"state\":\"down\",\"capacity\":"
+			     "3},{\"machine\":\"m-7\",\"pool\":\"p\",\"state\":\"upkeep\",\"id\":"
+			     "null}]}");
 
 	machines = adapter_decode_machines(mem, body, &count, &next_page);
-	assert_int_equal(count, 3);
+	assert_int_equal(count, 7);
 	assert_string_equal(machines[0].machine, "m-1");
 	assert_true(machines[0].name_only);
 	assert_false(machines[0].up || machines[0].down);
 	assert_true(machines[1].up);
 	assert_false(machines[1].name_only);
 	assert_true(machines[2].down);
+	for (size_t i = 3; i < 6; i++) {
+		assert_true(machines[i].name_only);
+		assert_false(machines[i].up || machines[i].down);
+	}
+	assert_false(machines[6].name_only);
 	json_decref(body);
 	body = parse("{\"allowed\":[null,[\"i-1\"],[\"i-2\",\"t\"],{}]}");
 	tickets = adapter_decode_tickets(mem, body, &count);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -266,6 +266,36 @@
 	}
 }
 
+/* Guards against tasks that run twice, because an entry of another system in the platform's list
+ * says that the machine of a VM is down or runs another VM, while this VM is cut off for a moment.
+ */
+static void test_foreign_listings_end_no_vm(void **state)
+{
+	for (unsigned i = 0; i < 4; i++) {
+		const vm_sim_config_t config = {
+			.services = 1, .vms_per_service = 4, .seed = 50 + i};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 1, 32, 8000, 6000);
+		vm_sim_run(sim, 4000);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		while (vm_sim_running_count(sim) < 32)
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		vm_sim_add_foreign_listings(sim, i % 2 == 0);
+		/* A new leader reads the list before the first reports of the VMs. */
+		if (i >= 2)
+			vm_sim_change_leader(sim);
+		for (unsigned machine = 0; machine < 4; machine++)
+			vm_sim_cut_off(sim, machine, 3000);
+		vm_sim_run(sim, 18000);
+		assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+		assert_int_equal(vm_sim_start_count(sim), 32);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against VMs that are not used, because they have reported before the configuration that
  * names their service arrived, and against one of another system that is taken for one of them. */
 static void test_vms_wait_for_their_configuration(void **state)
@@ -1505,6 +1535,7 @@
 		cmocka_unit_test(test_runs_that_a_restart_ended_run_again),
 		cmocka_unit_test(test_old_list_does_not_end_a_new_vm),
 		cmocka_unit_test(test_foreign_reports_end_no_vm),
+		cmocka_unit_test(test_foreign_listings_end_no_vm),
 		cmocka_unit_test(test_vms_wait_for_their_configuration),
 		cmocka_unit_test(test_vms_are_used_at_once_with_their_configuration),
 		cmocka_unit_test(test_vms_of_a_removed_service_finish_its_jobs),
--- a/tests/test_vm_evidence.c
+++ b/tests/test_vm_evidence.c
@@ -103,6 +103,24 @@
 	assert_int_equal(vm_evidence_of_report(&agent, &report, false), VM_REPORT_UPDATE);
 }
 
+/* Guards against a VM that is ended by an entry of another system in the platform's list. */
+static void test_listings(void **state)
+{
+	machine_info_t listed = {.machine = "m-1", .pool = "orders", .vm = "vm-1", .up = true};
+
+	assert_int_equal(vm_evidence_of_listing("vm-1", &listed, true), VM_LISTED_PRESENT);
+	assert_int_equal(vm_evidence_of_listing("vm-2", &listed, true), VM_LISTED_GONE);
+	assert_int_equal(vm_evidence_of_listing("vm-2", &listed, false), VM_LISTED_NOTHING);
+	/* A machine that is being moved or maintained: the response of the request counts. */
+	listed.up = false;
+	assert_int_equal(vm_evidence_of_listing("vm-2", &listed, true), VM_LISTED_PRESENT);
+	listed.down = true;
+	assert_int_equal(vm_evidence_of_listing("vm-1", &listed, true), VM_LISTED_DOWN);
+	assert_int_equal(vm_evidence_of_listing("vm-1", &listed, false), VM_LISTED_NOTHING);
+	listed.name_only = true;
+	assert_int_equal(vm_evidence_of_listing("vm-1", &listed, true), VM_LISTED_NOTHING);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -110,6 +128,7 @@
 		cmocka_unit_test(test_reports_of_another_system),
 		cmocka_unit_test(test_vm_of_a_removed_service),
 		cmocka_unit_test(test_unconfirmed_vms_bind_nothing),
+		cmocka_unit_test(test_listings),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
