batch_leader: a notice of a shutdown ends a VM only if it does not answer

Cause: a notice names the id only, and ended whatever life had it; only a report that happened to arrive within 0.5 s took it back.

Ruled out: that the new life was unknown when the notice came (its report had been acknowledged).

Change: the VM is asked 0.3 s after the notice, by a probe if a hold request waits there. If it answers, the notice is ignored and counted (batch_shutdowns_refuted_total). If not, it counts as ended after 0.5 s when it had reported that it was about to end, or when its address refuses connections; else its lease decides. A report does not take the notice back any more, as it can be older. A VM that reports and has not answered is asked even without tasks. vm_evidence_of_shutdown() holds the rule.

--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -8,6 +8,7 @@
 #include "batch_leader_internal.h"
 #include "batch_suspect.h"
 #include "log.h"
+#include "vm_evidence.h"
 
 /* Delay before repeating an unanswered hold request. It is short, so that a VM that responds again
  * is noticed soon. The first unanswered request is repeated without delay, because possibly only
@@ -483,6 +484,7 @@
 	vm->unresponsive_since_us = 0;
 	vm->broke_off = false;
 	vm->hold_answered_us = now_us;
+	vm->answered_sent_us = MAX(vm->answered_sent_us, hold->sent_us);
 	vm->acked_end = MAX(vm->acked_end, hold->acked_end);
 	vm->hold_due_us = now_us + CLAMP(2 * vm->leader->tick_lag_us, HOLD_MIN_INTERVAL_US,
 					 HOLD_MAX_INTERVAL_US);
@@ -599,10 +601,21 @@
 	return end > vm->acked_end && is_fresh ? end : 0;
 }
 
-static bool hold_needed(leader_vm_t *vm)
+/* True when a hold request must show whether the VM still runs: a notice of its shutdown has
+ * arrived, or it reports although it has not answered. */
+static bool awaits_answer(const leader_vm_t *vm, uint64_t now_us)
+{
+	if (vm->shutdown_us != 0 && now_us >= vm->shutdown_us + VM_SHUTDOWN_SETTLE_US)
+		return true;
+	return vm->unresponsive && leader_vm_report_is_fresh(vm, now_us);
+}
+
+static bool hold_needed(leader_vm_t *vm, uint64_t now_us)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
 
+	if (awaits_answer(vm, now_us))
+		return true;
 	if (vm->orphan_count > 0 || vm->acked_end < last_committed_end(vm))
 		return true;
 	return record != NULL && (record->task_count > 0 || !vm->fence_acked);
@@ -642,6 +655,17 @@
 	return (uint32_t)next_ms;
 }
 
+/* @return longest wait of a hold request, in ms: after a notice of the VM's shutdown, a request
+ * must soon be sent that shows whether the VM still runs */
+static uint32_t wait_limit_ms(const leader_vm_t *vm, uint64_t now_us)
+{
+	uint64_t settled_us = vm->shutdown_us + VM_SHUTDOWN_SETTLE_US;
+
+	if (vm->shutdown_us == 0)
+		return vm->leader->config.hold_wait_ms;
+	return settled_us > now_us ? (uint32_t)((settled_us - now_us) / US_PER_MS) : 0;
+}
+
 static uint32_t hold_wait_ms(leader_vm_t *vm, uint64_t now_us)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
@@ -653,7 +677,7 @@
 		return 0;
 	if (vm->acked_end < last_committed_end(vm) && end_to_acknowledge(vm, now_us) == 0)
 		return 0;
-	return MIN(expected_end_ms(vm, record, now_us), vm->leader->config.hold_wait_ms);
+	return MIN(expected_end_ms(vm, record, now_us), wait_limit_ms(vm, now_us));
 }
 
 static void send_hold(leader_vm_t *vm, uint64_t now_us)
@@ -721,7 +745,7 @@
 		 * expires. */
 		leader_mark_all_runs_lost(vm, "the lease of the silent VM has expired");
 	}
-	if (now_us < vm->hold_due_us || !hold_needed(vm))
+	if (now_us < vm->hold_due_us || !hold_needed(vm, now_us))
 		return;
 	send_hold(vm, now_us);
 }
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -18,9 +18,6 @@
  * ms of work in this process and the edge process. */
 #define INPUT_DELAY_NORMAL_US (25 * US_PER_MS)
 #define SLOW_PART_US (30 * US_PER_MS)
-/* A VM that announced its shutdown counts as ended after this time. VMs stop their tasks within
- * 200 ms (bounds.stopMs). */
-#define SHUTDOWN_GRACE_US (500 * US_PER_MS)
 /* Interval between searches for replicated VM records that have no leader_vm_t. Such a record was
  * committed by a start intent of an earlier leader. This leader starts to manage its VM at most
  * this long after the commit. */
@@ -656,7 +653,6 @@
 		vm = add_reported_vm(leader, report, known_service);
 	vm->confirmed |= known_service;
 	apply_report(vm, report, received_us);
-	vm->shutdown_us = 0;
 	if (!vm->confirmed)
 		return true;
 	join_fleet(vm);
@@ -682,8 +678,37 @@
 {
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, vm_id);
 
-	if (vm != NULL && vm->shutdown_us == 0)
-		vm->shutdown_us = leader_now_us(leader);
+	if (vm == NULL || !vm->confirmed || vm->shutdown_us != 0)
+		return;
+	vm->shutdown_us = leader_now_us(leader);
+	/* Asks the VM even while a hold request waits there. */
+	vm->probe_due_us = vm->shutdown_us + VM_SHUTDOWN_SETTLE_US;
+	vm->probes_sent = 0;
+}
+
+static void check_shutdown(leader_vm_t *vm, uint64_t now_us)
+{
+	const vm_shutdown_t shutdown = {
+		.notice_us = vm->shutdown_us,
+		.answered_us = vm->answered_sent_us,
+		.draining = vm->draining,
+		.refused = vm->unresponsive && vm->broke_off,
+	};
+
+	switch (vm_evidence_of_shutdown(&shutdown, now_us)) {
+	case VM_SHUTDOWN_OPEN:
+		break;
+	case VM_SHUTDOWN_ENDED:
+		leader_vm_mark_dead(vm, "it has left");
+		break;
+	case VM_SHUTDOWN_REFUTED:
+		vm->shutdown_us = 0;
+		vm->leader->placement_due = true;
+		metrics_add(vm->leader->stats.shutdowns_refuted, 1);
+		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id),
+			  "VM still runs after a notice of its shutdown, which is ignored");
+		break;
+	}
 }
 
 /* --- activation --- */
@@ -719,6 +744,8 @@
 	leader->stats.holds_overtaken = metrics_counter(metrics, "batch_holds_overtaken_total", "");
 	leader->stats.stops = metrics_counter(metrics, "batch_stops_total", "");
 	leader->stats.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
+	leader->stats.shutdowns_refuted =
+		metrics_counter(metrics, "batch_shutdowns_refuted_total", "");
 	leader->stats.foreign_reports = metrics_counter(metrics, "batch_reports_foreign_total", "");
 	leader->stats.crashes = metrics_counter(metrics, "batch_vm_crashes_after_start_total", "");
 	leader->stats.suspects = metrics_counter(metrics, "batch_suspect_runs_total", "");
@@ -904,8 +931,8 @@
 
 static void tick_vm(leader_vm_t *vm, uint64_t now_us)
 {
-	if (!vm->dead && vm->shutdown_us != 0 && now_us > vm->shutdown_us + SHUTDOWN_GRACE_US)
-		leader_vm_mark_dead(vm, "it has left");
+	if (!vm->dead && vm->shutdown_us != 0)
+		check_shutdown(vm, now_us);
 	if (!vm->confirmed) {
 		if (now_us > vm->last_report_us + UNCONFIRMED_KEEP_US)
 			free_vm(vm);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -64,7 +64,8 @@
 	bool listed_down; /**< the platform's latest list has the VM's machine as down */
 	bool ended_with_fresh_run; /**< the VM crashed soon after the start of a run */
 	bool ended_with_suspect;   /**< that run was suspected of a crash already */
-	uint64_t shutdown_us;	   /**< time when the VM announced its shutdown; 0: not announced */
+	uint64_t shutdown_us;	   /**< arrival time of a notice of the VM's shutdown; 0: none, or
+				      it was refuted */
 	uint64_t ended_us;	   /**< time when the dead VM fell silent; 0: it is not dead */
 
 	batch_vm_t *record; /**< replicated record of this incarnation; NULL: it has none */
@@ -83,6 +84,8 @@
 	uint64_t unresponsive_since_us; /**< time since which the VM is unresponsive; 0: it is
 					   responsive */
 	uint64_t hold_answered_us;	/**< time when a hold request was last answered; 0: never */
+	uint64_t answered_sent_us;	/**< time when the latest answered hold request was sent; 0:
+					   none */
 	batch_lease_t lease;
 	uint64_t
 		acked_end; /**< number of the latest finished run that was acknowledged to the VM */
@@ -228,8 +231,10 @@
 						       was answered first */
 		metrics_counter_t *stops;
 		metrics_counter_t *dead;
-		metrics_counter_t *foreign_reports; /**< number of reports that contradict what is
-						       known about their VM */
+		metrics_counter_t *shutdowns_refuted; /**< number of notices of a shutdown after
+							 which the VM still ran */
+		metrics_counter_t *foreign_reports;   /**< number of reports that contradict what is
+							 known about their VM */
 		metrics_counter_t *crashes;  /**< number of VMs that crashed soon after the start of
 						a run */
 		metrics_counter_t *suspects; /**< number of such runs */
--- a/src/vm_evidence.c
+++ b/src/vm_evidence.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* A VM that has announced its end, and is not heard of any more, counts as ended after this time.
+ * VMs stop their tasks within 200 ms (bounds.stopMs). */
+#define SHUTDOWN_GRACE_US 500000ULL
+
 static bool agree(const char *known, const char *reported)
 {
 	return known[0] == '\0' || reported[0] == '\0' || strcmp(known, reported) == 0;
@@ -64,3 +68,13 @@
 		return VM_LISTED_GONE;
 	return VM_LISTED_PRESENT;
 }
+
+vm_shutdown_verdict_t vm_evidence_of_shutdown(const vm_shutdown_t *shutdown, uint64_t now_us)
+{
+	if (shutdown->answered_us >= shutdown->notice_us + VM_SHUTDOWN_SETTLE_US)
+		return VM_SHUTDOWN_REFUTED;
+	if (now_us > shutdown->notice_us + SHUTDOWN_GRACE_US &&
+	    (shutdown->draining || shutdown->refused))
+		return VM_SHUTDOWN_ENDED;
+	return VM_SHUTDOWN_OPEN;
+}
--- a/src/vm_evidence.h
+++ b/src/vm_evidence.h
@@ -18,12 +18,14 @@
  * | report | its service is known, same machine or address, later start | the earlier VM there has
  * ended |
  * | report | its service is unknown | nothing about another VM or life |
- * | response of the VM's address | it names another VM, or a later start | the VM has ended |
- * | entry of the platform's list | its pool is known, it was requested after the VM fell silent,
- * and it has the VM's machine as down or with another VM | the VM has ended | | platform's list |
- * two complete readings in a row lack the machine of a silent VM | the VM has ended | | lease | it
- * has expired without being renewed | the VM runs no task any more | | platform's response to a
- * move or maintenance | the VM started before the request | the VM has ended |
+ * | notice of a shutdown, which names the VM's id only | the VM has announced its end, or its
+ * address refuses connections; it answers no request sent later | the VM has ended | | response of
+ * the VM's address | it names another VM, or a later start | the VM has ended | | entry of the
+ * platform's list | its pool is known, it was requested after the VM fell silent, and it has the
+ * VM's machine as down or with another VM | the VM has ended | | platform's list | two complete
+ * readings in a row lack the machine of a silent VM | the VM has ended | | lease | it has expired
+ * without being renewed | the VM runs no task any more | | platform's response to a move or
+ * maintenance | the VM started before the request | the VM has ended |
  *
  * A service is known when a configuration has named it since this process started, or when an
  * accepted job runs in it. A VM of any other service possibly belongs to a configuration that is
@@ -72,3 +74,24 @@
  */
 vm_listing_verdict_t vm_evidence_of_listing(const char *vm, const machine_info_t *listed,
 					    bool pool_known);
+
+/** What is known about a VM since a notice of its shutdown arrived. */
+typedef struct {
+	uint64_t notice_us;   /**< arrival time of the notice */
+	uint64_t answered_us; /**< time when the latest request was sent that the VM has answered;
+				 0: none */
+	bool draining;	      /**< the VM has reported that it is about to end */
+	bool refused;	      /**< its address has broken off or refused the latest requests */
+} vm_shutdown_t;
+
+typedef enum {
+	VM_SHUTDOWN_OPEN,    /**< not known yet */
+	VM_SHUTDOWN_ENDED,   /**< the VM has ended */
+	VM_SHUTDOWN_REFUTED, /**< the VM still runs: the notice is late, from its earlier life, or
+				from another sender */
+} vm_shutdown_verdict_t;
+
+/** Time from a notice until a request is sent that the VM cannot answer if it has ended, in us. */
+#define VM_SHUTDOWN_SETTLE_US 300000ULL
+
+vm_shutdown_verdict_t vm_evidence_of_shutdown(const vm_shutdown_t *shutdown, uint64_t now_us);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -72,6 +72,7 @@
 	bool powered_off; /* the machine is in the standby pool */
 	bool removed;	  /* the machine has left the fleet */
 	uint64_t cut_off_until_us;
+	bool draining;
 	bool stalled; /* runs started from now on are marked as stalled */
 	uint64_t lease_end_us;
 	uint64_t lease_lapsed_us; /* end of the latest lease that has expired */
@@ -1180,6 +1181,7 @@
 	vm->born_ms = MAX(vm->born_ms + 1, vm->sim->now_us / US_PER_MS + WALL_OFFSET_MS);
 	vm->booted_us = vm->sim->now_us;
 	vm->first_report_us = 0;
+	vm->draining = false;
 	vm->seq = 0;
 	vm->fence = 0;
 	vm->cpu_milli = VM_CPU_MILLI;
@@ -1478,6 +1480,7 @@
 		.cpu_milli = vm->cpu_milli,
 		.mem_mib = VM_MEM_MIB,
 		.born_ms = vm->born_ms,
+		.draining = vm->draining,
 		.clock_ms = clock_ms(vm),
 		.seq = ++vm->seq,
 	};
@@ -1679,6 +1682,21 @@
 	batch_leader_report(sim->leader, &report, sim->now_us);
 }
 
+void vm_sim_send_shutdown_notice(vm_sim_t *sim, unsigned machine)
+{
+	const sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
+
+	batch_leader_vm_shutdown(sim->leader, vm->id);
+}
+
+void vm_sim_drain_vm(vm_sim_t *sim, unsigned machine)
+{
+	sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
+
+	vm->draining = true;
+	send_report(vm);
+}
+
 void vm_sim_add_foreign_listings(vm_sim_t *sim, bool down)
 {
 	sim->foreign_listings = true;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -134,6 +134,10 @@
 } vm_sim_foreign_t;
 /** Sends a report for a service that no configuration names. */
 void vm_sim_foreign_report(vm_sim_t *sim, unsigned machine, const vm_sim_foreign_t *shared);
+/** Delivers a notice of the shutdown of the VM on the machine, which has the VM's id only. */
+void vm_sim_send_shutdown_notice(vm_sim_t *sim, unsigned machine);
+/** The VM on the machine reports from now on that it is about to end. */
+void vm_sim_drain_vm(vm_sim_t *sim, unsigned machine);
 /**
  * Adds an entry of another system to the platform's list for each machine: with a pool that no
  * configuration names, the machine is up and runs another VM, or, if down, it is down.
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -296,6 +296,74 @@
 	}
 }
 
+/* Guards against tasks that run twice, and a VM that gets no task any more, because a late notice
+ * of the shutdown of a VM's earlier life counts for its present one, also while that is cut off. */
+static void test_late_shutdown_notice_ends_no_vm(void **state)
+{
+	for (unsigned cut = 0; cut < 2; cut++) {
+		const vm_sim_config_t config = {
+			.services = 1, .vms_per_service = 4, .seed = 70 + cut};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 1, 32, 8000, 4000);
+		vm_sim_run(sim, 4000);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		while (vm_sim_running_count(sim) < 32)
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		for (unsigned machine = 0; machine < 4; machine++) {
+			if (cut)
+				vm_sim_cut_off(sim, machine, 3000);
+			vm_sim_send_shutdown_notice(sim, machine);
+		}
+		vm_sim_run(sim, 14000);
+		assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+		assert_int_equal(vm_sim_start_count(sim), 32);
+		/* An idle VM is asked too. */
+		for (unsigned machine = 0; machine < 4; machine++)
+			vm_sim_send_shutdown_notice(sim, machine);
+		vm_sim_run(sim, 14400);
+		make_job(&fixture, 1, 32, 8000, 30000);
+		vm_sim_submit(sim, "b", 0, &fixture.job);
+		vm_sim_run(sim, 18000);
+		assert_int_equal(vm_sim_running_count(sim), 32);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against tasks of a VM that has left which wait for the end of its lease: the VM has said
+ * that it would, and is silent, or its address refuses connections. */
+static void test_tasks_of_a_vm_that_has_left_run_soon(void **state)
+{
+	for (unsigned announced = 0; announced < 2; announced++) {
+		const vm_sim_config_t config = {.services = 1,
+						.vms_per_service = 4,
+						.silent_crashes = announced,
+						.seed = 80 + announced};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+		uint64_t left_ms;
+
+		make_job(&fixture, 1, 16, 8000, 30000);
+		vm_sim_run(sim, 4000);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		while (vm_sim_running_count(sim) < 16)
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		for (unsigned machine = 0; machine < 4 && announced; machine++)
+			vm_sim_drain_vm(sim, machine);
+		left_ms = vm_sim_now_ms(sim);
+		vm_sim_crash_vms(sim, 0, 4);
+		for (unsigned machine = 0; machine < 4; machine++)
+			vm_sim_send_shutdown_notice(sim, machine);
+		/* The VMs are back, under other ids, after 3.5 s at most. */
+		vm_sim_run(sim, left_ms + 4000);
+		assert_int_equal(vm_sim_running_count(sim), 16);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against VMs that are not used, because they have reported before the configuration that
  * names their service arrived, and against one of another system that is taken for one of them. */
 static void test_vms_wait_for_their_configuration(void **state)
@@ -1536,6 +1604,8 @@
 		cmocka_unit_test(test_old_list_does_not_end_a_new_vm),
 		cmocka_unit_test(test_foreign_reports_end_no_vm),
 		cmocka_unit_test(test_foreign_listings_end_no_vm),
+		cmocka_unit_test(test_late_shutdown_notice_ends_no_vm),
+		cmocka_unit_test(test_tasks_of_a_vm_that_has_left_run_soon),
 		cmocka_unit_test(test_vms_wait_for_their_configuration),
 		cmocka_unit_test(test_vms_are_used_at_once_with_their_configuration),
 		cmocka_unit_test(test_vms_of_a_removed_service_finish_its_jobs),
--- a/tests/test_vm_evidence.c
+++ b/tests/test_vm_evidence.c
@@ -121,6 +121,27 @@
 	assert_int_equal(vm_evidence_of_listing("vm-1", &listed, true), VM_LISTED_NOTHING);
 }
 
+/* Guards against a VM that is ended by a notice of its shutdown, though it still runs, and against
+ * one that has left and counts as running. */
+static void test_shutdown_notices(void **state)
+{
+	vm_shutdown_t shutdown = {.notice_us = 1000000, .answered_us = 900000};
+
+	/* A VM that has announced nothing, and is silent, is possibly cut off. */
+	assert_int_equal(vm_evidence_of_shutdown(&shutdown, 9000000), VM_SHUTDOWN_OPEN);
+	shutdown.refused = true;
+	assert_int_equal(vm_evidence_of_shutdown(&shutdown, 1200000), VM_SHUTDOWN_OPEN);
+	assert_int_equal(vm_evidence_of_shutdown(&shutdown, 1600000), VM_SHUTDOWN_ENDED);
+	shutdown.refused = false;
+	shutdown.draining = true;
+	assert_int_equal(vm_evidence_of_shutdown(&shutdown, 1600000), VM_SHUTDOWN_ENDED);
+	/* A VM that is about to end can still answer. */
+	shutdown.answered_us = 1200000;
+	assert_int_equal(vm_evidence_of_shutdown(&shutdown, 1600000), VM_SHUTDOWN_ENDED);
+	shutdown.answered_us = shutdown.notice_us + VM_SHUTDOWN_SETTLE_US;
+	assert_int_equal(vm_evidence_of_shutdown(&shutdown, 1600000), VM_SHUTDOWN_REFUTED);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -129,6 +150,7 @@
 		cmocka_unit_test(test_vm_of_a_removed_service),
 		cmocka_unit_test(test_unconfirmed_vms_bind_nothing),
 		cmocka_unit_test(test_listings),
+		cmocka_unit_test(test_shutdown_notices),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
