batch_apply: a submission whose queue has just been removed is refused

Cause: the leader looks for the queue when it receives the job, and the configuration stands before the submission in the log. Applied behind it, the job found no queue and got the service "", which has no VMs.

Ruled out: an edge process that accepts by an old configuration (it passes the call on).

Change: the submission adds no job then, and is answered 404, which is true. A copy that an edge process sends again is answered 200 if the first copy was accepted before the queue was removed.

Members of different versions must not share a group across this change: one without it adds the job.

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -144,8 +144,12 @@
 		set_result(result, LP__RESULT_CODE__RESULT_INVALID, batch_job_check(spec));
 		return;
 	}
+	/* A configuration without the queue was committed after the leader received the job. */
+	if (batch_state_find_queue(state, spec->host, spec->prefix) == NULL) {
+		set_result(result, LP__RESULT_CODE__RESULT_NOT_FOUND, "the queue was removed");
+		return;
+	}
 	job = batch_job_new(message_copy(&spec->base), state->next_seq++, wall_ms);
-	job->service = g_intern_static_string("");
 	batch_job_resolve_queue(state, job);
 	batch_state_add_job(state, job);
 }
--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -64,8 +64,12 @@
 {
 	g_autofree pending_call_t *call = arg;
 
+	Lp__BatchAnswer answer = answer_for_result(code);
+
 	TAILQ_REMOVE(&call->node->pending, call, link);
 	if (call->job_id != NULL) {
+		if (code == LP__RESULT_CODE__RESULT_NOT_FOUND)
+			answer = LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE;
 		g_hash_table_remove(call->node->submitting, call->job_id);
 		log_event(G_LOG_LEVEL_INFO,
 			  LOG_FIELDS("request", call->job_id, "outcome",
@@ -74,7 +78,7 @@
 		g_free(call->job_id);
 		batch_leader_request_placement(call->node->leader);
 	}
-	reply_with_answer(call->seq, answer_for_result(code), 1, call->done, call->arg);
+	reply_with_answer(call->seq, answer, 1, call->done, call->arg);
 }
 
 static pending_call_t *pending_call_new(batch_node_t *node, const Lp__BatchCall *call,
@@ -217,6 +221,21 @@
 	done(arg, &reply);
 }
 
+/* True for a repeated submission whose first copy was accepted before the queue was removed. */
+static bool was_accepted(const batch_node_t *node, const Lp__BatchCall *call)
+{
+	const char *slash = strrchr(call->path, '/');
+	const batch_job_t *job = slash != NULL ? batch_state_job(&node->state, slash + 1) : NULL;
+	size_t prefix_length;
+
+	if (call->kind != LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT || !call->resent || job == NULL)
+		return false;
+	prefix_length = strlen(job->spec->prefix);
+	return g_ascii_strcasecmp(job->spec->host, call->host) == 0 &&
+	       strncmp(call->path, job->spec->prefix, prefix_length) == 0 &&
+	       strcmp(call->path + prefix_length, job->spec->id) == 0;
+}
+
 void batch_node_handle_call(batch_node_t *node, const Lp__BatchCall *call, batch_reply_fn done,
 			    void *arg)
 {
@@ -235,7 +254,11 @@
 	}
 	queue = batch_state_match_queue(&node->state, call->host, call->path);
 	if (queue == NULL) {
-		reply_with_answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE, 0, done, arg);
+		reply_with_answer(call->seq,
+				  was_accepted(node, call)
+					  ? LP__BATCH_ANSWER__BATCH_ANSWER_OK
+					  : LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE,
+				  0, done, arg);
 		return;
 	}
 	job_id = call->path + strlen(queue->prefix);
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -189,6 +189,20 @@
 	assert_int_equal(batch.config->version, 3);
 }
 
+/* Guards against a job without a service, accepted while the configuration that removes its queue
+ * was being committed: it would never run (review/5). */
+static void test_submission_without_a_queue_is_refused(void **state)
+{
+	set_config(2, false);
+	assert_int_equal(submit("a", 1, false), LP__RESULT_CODE__RESULT_NOT_FOUND);
+	assert_null(batch_state_job(&batch, "a"));
+	set_config(3, true);
+	assert_int_equal(submit("a", 1, false), LP__RESULT_CODE__RESULT_OK);
+	/* A copy of an accepted submission. */
+	set_config(4, false);
+	assert_int_equal(submit("a", 1, false), LP__RESULT_CODE__RESULT_OK);
+}
+
 /* Guards against keeping ended jobs for ever, and against removing them before their retention
  * ends. */
 static void test_ended_jobs_are_removed_after_retention(void **state)
@@ -560,6 +574,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_job_keeps_its_service_when_its_queue_is_removed, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_submission_without_a_queue_is_refused, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_ended_jobs_are_removed_after_retention, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_snapshot_length_survives_loading, set_up,
