batch_state: a job keeps the settings of its queue from its acceptance

Cause: each new configuration looked the job's queue up again. Without the queue, attempts counted as 0, which means no limit; priority, objective and policy service were lost too.

Only the service follows the queue, while a configuration has it: the VMs of the earlier service may leave. The numbers of waiting jobs are summed over the settings of a queue.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -3300,7 +3300,7 @@
   (ProtobufCMessageInit) lp__batch_step_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_job_state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lp__batch_job_state__field_descriptors[8] =
 {
   {
     "seq",
@@ -3386,11 +3386,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchJobState, queue),
+    &lp__batch_queue__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_job_state__field_indices_by_name[] = {
   3,   /* field[3] = accepted_ms */
   4,   /* field[4] = ended_ms */
   1,   /* field[1] = job */
+  7,   /* field[7] = queue */
   0,   /* field[0] = seq */
   6,   /* field[6] = service */
   2,   /* field[2] = state */
@@ -3399,7 +3412,7 @@
 static const ProtobufCIntRange lp__batch_job_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lp__batch_job_state__descriptor =
 {
@@ -3409,7 +3422,7 @@
   "Lp__BatchJobState",
   "lp",
   sizeof(Lp__BatchJobState),
-  7,
+  8,
   lp__batch_job_state__field_descriptors,
   lp__batch_job_state__field_indices_by_name,
   1,  lp__batch_job_state__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -627,10 +627,14 @@
   size_t n_steps;
   Lp__BatchStepState **steps;
   char *service;
+  /*
+   * settings of the job's queue when the job was accepted
+   */
+  Lp__BatchQueue *queue;
 };
 #define LP__BATCH_JOB_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_job_state__descriptor) \
-    , 0, NULL, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , 0, NULL, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, NULL }
 
 
 struct  Lp__BatchVmState
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -135,6 +135,7 @@
 static void apply_submit(batch_state_t *state, uint64_t wall_ms, const Lp__BatchJob *spec,
 			 Lp__Result *result)
 {
+	const Lp__BatchQueue *queue;
 	batch_job_t *job;
 
 	remove_expired_jobs(state, wall_ms);
@@ -145,12 +146,13 @@
 		return;
 	}
 	/* A configuration without the queue was committed after the leader received the job. */
-	if (batch_state_find_queue(state, spec->host, spec->prefix) == NULL) {
+	queue = batch_state_find_queue(state, spec->host, spec->prefix);
+	if (queue == NULL) {
 		set_result(result, LP__RESULT_CODE__RESULT_NOT_FOUND, "the queue was removed");
 		return;
 	}
 	job = batch_job_new(message_copy(&spec->base), state->next_seq++, wall_ms);
-	batch_job_resolve_queue(state, job);
+	batch_job_accept_queue(state, job, queue);
 	batch_state_add_job(state, job);
 }
 
@@ -427,10 +429,8 @@
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
 	state->config = message_copy(&config->base);
-	TAILQ_FOREACH (job, &state->ended, link)
-		job->queue = NULL;
 	TAILQ_FOREACH (job, &state->active, link)
-		batch_job_resolve_queue(state, job);
+		batch_job_follow_service(state, job);
 }
 
 batch_wave_t *batch_wave_new(batch_state_t *state, const Lp__BatchWave *message, uint64_t since_ms)
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -14,10 +14,12 @@
 /** Frees the steps, tasks and specification of an ended job. Its state can still be queried. */
 void batch_job_archive(batch_job_t *job);
 /**
- * Sets the queue of the job from the present configuration. If the configuration has the queue,
- * also sets the service of the job to that of the queue.
+ * Lets the job keep the settings of the queue, and run on its service, whatever later
+ * configurations do with the queue.
  */
-void batch_job_resolve_queue(const batch_state_t *state, batch_job_t *job);
+void batch_job_accept_queue(batch_state_t *state, batch_job_t *job, const Lp__BatchQueue *queue);
+/** Sets the job's service to that of its queue, if the present configuration has the queue. */
+void batch_job_follow_service(const batch_state_t *state, batch_job_t *job);
 /**
  * Adds the job to the lookup tables and to the list of active jobs. A job that has ended and has no
  * tasks on VMs is archived instead and added to the list of ended jobs.
--- a/src/batch_queued.h
+++ b/src/batch_queued.h
@@ -13,11 +13,8 @@
 #define BATCH_QUEUED_AGE_US (500 * 1000ULL)
 
 typedef struct {
-	GHashTable *counts;	       /**< const Lp__BatchQueue * -> number of its waiting jobs */
-	const Lp__BatchConfig *config; /**< configuration that the queues belong to */
-	uint64_t version;	       /**< its version */
-	uint64_t counted_us;	       /**< time of the latest walk; 0: none */
-	unsigned walks;		       /**< number of walks so far */
+	uint64_t counted_us; /**< time of the latest walk; 0: none */
+	unsigned walks;	     /**< number of walks so far */
 } batch_queued_t;
 
 void batch_queued_init(batch_queued_t *queued);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -52,6 +52,7 @@
 	/* The steps of an archived job were freed. */
 	if (job->archived)
 		return message;
+	message->queue = (Lp__BatchQueue *)job->queue;
 	message->n_steps = job->step_count;
 	message->steps = talloc_array(mem, Lp__BatchStepState *, job->step_count);
 	for (uint32_t i = 0; i < job->step_count; i++)
@@ -264,8 +265,9 @@
 	job = batch_job_new(message_copy(&message->job->base), message->seq, message->accepted_ms);
 	job->state = (batch_job_state_t)message->state;
 	job->ended_ms = message->ended_ms;
+	if (message->queue != NULL)
+		batch_job_accept_queue(state, job, message->queue);
 	job->service = g_intern_string(message->service);
-	batch_job_resolve_queue(state, job);
 	if (message->n_steps != 0 && message->n_steps != job->step_count)
 		goto malformed;
 	for (size_t i = 0; i < message->n_steps; i++) {
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "message.h"
+
 void batch_state_init(batch_state_t *state)
 {
 	*state = (batch_state_t){.next_seq = 1};
@@ -16,6 +18,7 @@
 	state->last_requests = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&state->active);
 	TAILQ_INIT(&state->ended);
+	LIST_INIT(&state->accepted_queues);
 	LIST_INIT(&state->vms);
 	LIST_INIT(&state->waves);
 	LIST_INIT(&state->moves);
@@ -147,12 +150,15 @@
 	job->occurrences = 0;
 }
 
+static void release_queue(batch_job_t *job);
+
 void batch_job_archive(batch_job_t *job)
 {
 	Lp__BatchJob *spec = job->spec;
 
 	job->archived = true;
 	free_steps(job);
+	release_queue(job);
 	for (size_t i = 0; i < spec->n_steps; i++)
 		lp__batch_step__free_unpacked(spec->steps[i], NULL);
 	free(spec->steps);
@@ -166,6 +172,7 @@
 void batch_job_free(batch_job_t *job)
 {
 	free_steps(job);
+	release_queue(job);
 	lp__batch_job__free_unpacked(job->spec, NULL);
 	g_free(job);
 }
@@ -317,13 +324,61 @@
 	return NULL;
 }
 
-void batch_job_resolve_queue(const batch_state_t *state, batch_job_t *job)
+static bool same_settings(const Lp__BatchQueue *a, const Lp__BatchQueue *b)
 {
-	job->queue = batch_state_find_queue(state, job->spec->host, job->spec->prefix);
-	/* Keep the last service of a job whose queue was removed, because its tasks still need
-	 * VMs of that service. */
-	if (job->queue != NULL)
-		job->service = g_intern_string(job->queue->service);
+	size_t length = lp__batch_queue__get_packed_size(a);
+	g_autofree uint8_t *packed_a = NULL;
+	g_autofree uint8_t *packed_b = NULL;
+
+	if (!queue_matches(a->host, a->prefix, b) || lp__batch_queue__get_packed_size(b) != length)
+		return false;
+	packed_a = g_malloc(length);
+	packed_b = g_malloc(length);
+	lp__batch_queue__pack(a, packed_a);
+	lp__batch_queue__pack(b, packed_b);
+	return memcmp(packed_a, packed_b, length) == 0;
+}
+
+void batch_job_accept_queue(batch_state_t *state, batch_job_t *job, const Lp__BatchQueue *queue)
+{
+	batch_accepted_queue_t *accepted;
+
+	LIST_FOREACH (accepted, &state->accepted_queues, link) {
+		if (same_settings(accepted->queue, queue))
+			break;
+	}
+	if (accepted == NULL) {
+		accepted = g_new0(batch_accepted_queue_t, 1);
+		accepted->queue = message_copy(&queue->base);
+		LIST_INSERT_HEAD(&state->accepted_queues, accepted, link);
+	}
+	accepted->jobs++;
+	job->accepted_queue = accepted;
+	job->queue = accepted->queue;
+	job->service = g_intern_string(queue->service);
+}
+
+static void release_queue(batch_job_t *job)
+{
+	batch_accepted_queue_t *accepted = job->accepted_queue;
+
+	job->accepted_queue = NULL;
+	job->queue = NULL;
+	if (accepted == NULL || --accepted->jobs > 0)
+		return;
+	LIST_REMOVE(accepted, link);
+	lp__batch_queue__free_unpacked(accepted->queue, NULL);
+	g_free(accepted);
+}
+
+void batch_job_follow_service(const batch_state_t *state, batch_job_t *job)
+{
+	const Lp__BatchQueue *queue =
+		batch_state_find_queue(state, job->spec->host, job->spec->prefix);
+
+	/* The tasks of a job whose queue was removed still need VMs of its last service. */
+	if (queue != NULL)
+		job->service = g_intern_string(queue->service);
 }
 
 const Lp__BatchQueue *batch_state_match_queue(const batch_state_t *state, const char *host,
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -176,10 +176,12 @@
 	bool archived; /**< the job is in the list of ended jobs, and its steps were freed */
 	bool given_up; /**< the job failed because its tasks crashed VMs; not replicated */
 	bool given_up_logged;
-	const char *service; /**< name of the service that runs the job, interned; kept when the
-				queue is removed */
+	const char *service; /**< name of the service that runs the job, interned; that of the
+				queue in the latest configuration that has it */
 	const char *prefix;  /**< path prefix of the job's queue, interned */
-	const Lp__BatchQueue *queue; /**< queue of the job; NULL: removed from the configuration */
+	const Lp__BatchQueue *queue; /**< settings of the job's queue when the job was accepted;
+					NULL: the job is archived */
+	struct batch_accepted_queue *accepted_queue; /**< owner of queue */
 	double work; /**< declared work of all tasks, in thousandths of a core times ms */
 	uint64_t accepted_mono_us; /**< time of acceptance on this leader's monotonic clock, set by
 				      batch_job_age_ms(); 0: not set; not replicated */
@@ -236,6 +238,14 @@
 
 TAILQ_HEAD(batch_job_list, batch_job);
 
+/** Settings of a queue when jobs were accepted. Jobs with the same settings share them. */
+typedef struct batch_accepted_queue {
+	LIST_ENTRY(batch_accepted_queue) link;
+	Lp__BatchQueue *queue;
+	unsigned jobs;	  /**< number of active jobs that use the settings */
+	uint32_t waiting; /**< number of these that wait, see batch_queued.h; not replicated */
+} batch_accepted_queue_t;
+
 /** Is told about the records of VM incarnations. Unset functions are not called. */
 typedef struct {
 	void (*added)(void *arg, batch_vm_t *vm);
@@ -251,6 +261,7 @@
 	GHashTable *by_seq;  /**< address of batch_job_t.seq -> batch_job_t */
 	struct batch_job_list active; /**< jobs that have not ended or have tasks with a VM */
 	struct batch_job_list ended;  /**< archived jobs, oldest first */
+	LIST_HEAD(batch_accepted_queues, batch_accepted_queue) accepted_queues;
 	LIST_HEAD(batch_vms, batch_vm) vms;
 	GHashTable *vms_by_incarnation;	 /**< batch_vm_key() of the incarnation -> batch_vm_t */
 	batch_vm_listener_t vm_listener; /**< not replicated; kept when a snapshot is loaded */
