batch_leader: a VM that left before its configuration arrived is forgotten

A notice of a shutdown was ignored for a VM that is not confirmed yet. A configuration that named its service within a few seconds confirmed it, and starts were sent to it, which nothing answered. Found by reading the change again.

Change: such a VM is forgotten; it has no tasks, and its next report adds it if it still runs.

Replaced set-up: the tests of VMs that come before their configuration removed a service again that the simulated fleet's first configuration had named, so that it was known already and no VM was unconfirmed. The first configuration can now leave services out (unnamed_services); the checks of these tests are unchanged.

--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -678,8 +678,13 @@
 {
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, vm_id);
 
-	if (vm == NULL || !vm->confirmed || vm->shutdown_us != 0)
+	if (vm == NULL || vm->shutdown_us != 0)
 		return;
+	/* It has no tasks. If it still runs, its next report adds it again. */
+	if (!vm->confirmed) {
+		free_vm(vm);
+		return;
+	}
 	vm->shutdown_us = leader_now_us(leader);
 	/* Asks the VM even while a hold request waits there. */
 	vm->probe_due_us = vm->shutdown_us + VM_SHUTDOWN_SETTLE_US;
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -338,6 +338,7 @@
 	if (!vm->cordoned) {
 		vm->cordoned = true;
 		vm->cordoned_since_us = now_us;
+		vm->room_missing_since_us = 0;
 		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "machine", machine),
 			  "VM is cordoned for maintenance");
 	}
--- a/src/vm_evidence.h
+++ b/src/vm_evidence.h
@@ -12,20 +12,18 @@
  * other systems that announce themselves on the same machines, and late ones from VMs that have
  * ended since.
  *
- * | evidence | condition | what it shows |
- * |---|---|---|
- * | report | its service is known, same id, later start | the earlier life of the VM has ended |
- * | report | its service is known, same machine or address, later start | the earlier VM there has
- * ended |
- * | report | its service is unknown | nothing about another VM or life |
- * | notice of a shutdown, which names the VM's id only | the VM has announced its end, or its
- * address refuses connections; it answers no request sent later | the VM has ended | | response of
- * the VM's address | it names another VM, or a later start | the VM has ended | | entry of the
- * platform's list | its pool is known, it was requested after the VM fell silent, and it has the
- * VM's machine as down or with another VM | the VM has ended | | platform's list | two complete
- * readings in a row lack the machine of a silent VM | the VM has ended | | lease | it has expired
- * without being renewed | the VM runs no task any more | | platform's response to a move or
- * maintenance | the VM started before the request | the VM has ended |
+ * What ends a life, or all runs of a VM:
+ * - A report with the VM's id and a later start, if its service is known: the earlier life.
+ * - A report of another VM with the machine or address and a later start, if its service is known:
+ *   the earlier VM there. A report of an unknown service says nothing about another VM or life.
+ * - A notice of a shutdown, which names the VM's id only, if the VM answers no request that is sent
+ *   later, and has reported that it is about to end, or its address refuses connections.
+ * - A response of the VM's address that names another VM, or a later start.
+ * - An entry of the platform's list that has the VM's machine as down or with another VM, if its
+ *   pool is known and the list was requested after the VM fell silent.
+ * - Two complete readings of that list in a row without the machine of a silent VM.
+ * - The platform's response to a move or maintenance request, if the VM started before the request.
+ * - The end of the lease of a silent VM: its runs have ended, the VM possibly not.
  *
  * A service is known when a configuration has named it since this process started, or when an
  * accepted job runs in it. A VM of any other service possibly belongs to a configuration that is
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -1872,7 +1872,7 @@
 	sim->metrics = metrics_create();
 	sim->candidates = metrics_counter(sim->metrics, "batch_candidates_total", "");
 	batch_state_init(&sim->state);
-	vm_sim_configure(sim, config->services);
+	vm_sim_configure(sim, config->services - config->unnamed_services);
 	options.state = &sim->state;
 	options.metrics = sim->metrics;
 	options.port = (vm_port_t){.start = port_start,
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -33,6 +33,8 @@
 typedef struct {
 	unsigned services;
 	unsigned vms_per_service;
+	unsigned unnamed_services; /**< number of the last services that the first configuration
+				      does not name yet */
 	unsigned standby_vms; /**< number of machines in the standby pool, which are switched off */
 	double late_request_share; /**< share of VM requests that get no response and are carried
 				      out 2 to 12 s later */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -412,12 +412,12 @@
  * names their service arrived, and against one of another system that is taken for one of them. */
 static void test_vms_wait_for_their_configuration(void **state)
 {
-	const vm_sim_config_t config = {.services = 2, .vms_per_service = 4, .seed = 30};
+	const vm_sim_config_t config = {
+		.services = 2, .vms_per_service = 4, .unnamed_services = 1, .seed = 30};
 	vm_sim_t *sim = vm_sim_create(&config);
 	job_fixture_t fixture;
 
 	make_job(&fixture, 1, 32, 8000, 3000);
-	vm_sim_configure(sim, 1);
 	vm_sim_run(sim, 3000);
 	for (unsigned machine = 4; machine < 8; machine++)
 		vm_sim_foreign_report(sim, machine,
@@ -437,12 +437,12 @@
  * service has arrived. */
 static void test_vms_are_used_at_once_with_their_configuration(void **state)
 {
-	const vm_sim_config_t config = {.services = 2, .vms_per_service = 4, .seed = 31};
+	const vm_sim_config_t config = {
+		.services = 2, .vms_per_service = 4, .unnamed_services = 1, .seed = 31};
 	vm_sim_t *sim = vm_sim_create(&config);
 	job_fixture_t fixture;
 
 	make_job(&fixture, 1, 32, 8000, 3000);
-	vm_sim_configure(sim, 1);
 	vm_sim_run(sim, 6000);
 	vm_sim_configure(sim, 2);
 	vm_sim_submit(sim, "a", 1, &fixture.job);
@@ -452,6 +452,35 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against starts that are sent to a VM which has left before the configuration that names
+ * its service arrived. */
+static void test_vms_that_left_before_their_configuration_are_forgotten(void **state)
+{
+	const vm_sim_config_t config = {.services = 2,
+					.vms_per_service = 4,
+					.unnamed_services = 1,
+					.silent_crashes = true,
+					.seed = 32};
+	vm_sim_t *sim = vm_sim_create(&config);
+	const metrics_counter_t *starts =
+		metrics_counter(vm_sim_metrics(sim), "batch_starts_total", "");
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 32, 8000, 3000);
+	vm_sim_run(sim, 6000);
+	vm_sim_crash_vms(sim, 4, 4);
+	for (unsigned machine = 4; machine < 8; machine++)
+		vm_sim_send_shutdown_notice(sim, machine);
+	vm_sim_configure(sim, 2);
+	vm_sim_submit(sim, "a", 1, &fixture.job);
+	vm_sim_run(sim, 6400);
+	assert_int_equal(metrics_get(starts), 0);
+	vm_sim_run(sim, 18000);
+	assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against accepted jobs that stand still, or tasks that run twice, because the VMs of their
  * service count as foreign after a configuration has removed it. */
 static void test_vms_of_a_removed_service_finish_its_jobs(void **state)
@@ -1653,6 +1682,7 @@
 		cmocka_unit_test(test_wave_stops_no_task_without_room),
 		cmocka_unit_test(test_vms_wait_for_their_configuration),
 		cmocka_unit_test(test_vms_are_used_at_once_with_their_configuration),
+		cmocka_unit_test(test_vms_that_left_before_their_configuration_are_forgotten),
 		cmocka_unit_test(test_vms_of_a_removed_service_finish_its_jobs),
 		cmocka_unit_test(test_unlisted_ends_are_awaited),
 		cmocka_unit_test(test_old_runs_are_no_suspects_of_a_new_leader),
