Revert "batch_upkeep: a wave stops no long-running task without room elsewhere"

What is likely: all long-running tasks of a machine must fit elsewhere at once, and a machine whose check fails waits 5 s cordoned and 5 s not. Next try: tasks without a limit of unavailable ones need no room, the others one place at a time; and a look at the cost of the check.

--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -756,8 +756,6 @@
 	leader->stats.suspects = metrics_counter(metrics, "batch_suspect_runs_total", "");
 	leader->stats.given_up = metrics_counter(metrics, "batch_jobs_given_up_total", "");
 	leader->stats.drains = metrics_counter(metrics, "batch_drains_total", "");
-	leader->stats.cordons_given_up =
-		metrics_counter(metrics, "batch_cordons_given_up_total", "");
 	leader->stats.preemptions = metrics_counter(metrics, "batch_preemptions_total", "");
 	leader->stats.candidates = metrics_counter(metrics, "batch_candidates_total", "");
 	leader->stats.place_vms = metrics_counter(metrics, "batch_place_vms_total", "");
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -14,8 +14,7 @@
  * batch_hold.c (leases, hold requests, finished and lost runs), batch_handover.c (runs of a
  * restarted VM), batch_dispatch.c (placement),
  * batch_orders.c (start, stop and pace requests), batch_ticket.c (tickets of the policy service),
- * batch_upkeep.c (maintenance waves, evacuation, throttling), batch_room.c (room for evacuated
- * tasks) and batch_machines.c (the platform's
+ * batch_upkeep.c (maintenance waves, evacuation, throttling) and batch_machines.c (the platform's
  * machines and their moves between pools).
  */
 
@@ -115,9 +114,6 @@
 	uint64_t maintenance_resent_us; /**< time when the platform accepted a repeated maintenance
 					   request, which possibly does not end this VM; 0: none */
 	uint64_t cordoned_since_us;
-	uint64_t room_checked_us; /**< time of the latest check that other VMs have room for the
-				     cordoned VM's long-running tasks */
-	uint64_t room_missing_since_us; /**< time since which they have none; 0: they have */
 	uint64_t pace_due_us;
 	double recent_successes; /**< number of completed runs, halved every HEALTH_HALF_LIFE_US */
 	double recent_failures;
@@ -147,9 +143,6 @@
 					 move, or it has reported */
 	uint64_t listed_reading; /**< number of the latest reading of the platform's list with it */
 	uint64_t idle_since_us;	 /**< time when it was first seen without tasks; 0: it runs tasks */
-	uint64_t
-		maintenance_retry_us; /**< time before which the machine is not prepared for
-					 maintenance, because other VMs had no room for its tasks */
 	char *drain_to; /**< pool to which the machine moves once its tasks have ended; NULL: no
 			   such move is planned */
 } leader_machine_t;
@@ -247,12 +240,10 @@
 		metrics_counter_t *suspects; /**< number of such runs */
 		metrics_counter_t *given_up; /**< number of jobs that failed for that */
 		metrics_counter_t *drains;   /**< number of machines drained for another pool */
-		metrics_counter_t *cordons_given_up; /**< number of VMs that were uncordoned because
-							other VMs had no room for their tasks */
-		metrics_counter_t *preemptions;	     /**< number of late tasks stopped for that */
-		metrics_counter_t *candidates;	     /**< number of steps examined for placement */
-		metrics_counter_t *place_vms;	     /**< number of VMs examined for placement */
-		metrics_counter_t *passes;	     /**< number of placement passes */
+		metrics_counter_t *preemptions; /**< number of late tasks stopped for that */
+		metrics_counter_t *candidates;	/**< number of steps examined for placement */
+		metrics_counter_t *place_vms;	/**< number of VMs examined for placement */
+		metrics_counter_t *passes;	/**< number of placement passes */
 		metrics_counter_t *window_full; /**< number of passes that the window has ended */
 		metrics_counter_t *window;	/**< number of starts allowed at the same time */
 		metrics_counter_t *in_flight;	/**< number of starts in flight */
@@ -416,20 +407,6 @@
 /** Selects tasks on a draining or cordoned VM that must move to other VMs. */
 void leader_evacuate_tick(leader_vm_t *vm, uint64_t now_us);
 
-/* batch_room.c */
-/** Whether other VMs of the service have room for the long-running tasks of a VM. */
-typedef enum {
-	EVACUATION_FITS,
-	EVACUATION_NO_ROOM,
-	EVACUATION_OTHERS_WAIT, /**< even tasks without a VM have no room */
-} evacuation_room_t;
-/**
- * Checks whether all long-running tasks of the VM fit on other VMs of its service together, after
- * those that wait for a VM. Tasks that end by themselves do not count: long-running tasks take
- * their place.
- */
-evacuation_room_t leader_evacuation_room(const leader_vm_t *vm, uint64_t now_us);
-
 /* batch_machines.c */
 leader_machine_t *leader_machine_add(batch_leader_t *leader, const char *name);
 leader_machine_t *leader_find_machine(const batch_leader_t *leader, const char *name);
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -9,13 +9,6 @@
 /* How long a cordoned machine waits for its short tasks to finish before they are stopped and
  * restarted on other machines. Longer than most tasks take. */
 #define CORDON_WAIT_US (2500 * US_PER_MS)
-/* Interval between checks that other VMs have room for the tasks of a cordoned VM. */
-#define ROOM_CHECK_US (250 * US_PER_MS)
-/* How long a cordoned machine waits for room for its long-running tasks, such as on a machine that
- * moves to its pool, which takes 1.5 s and the time to order it. */
-#define CORDON_PATIENCE_US (5 * US_PER_S)
-/* Time after which maintenance of a machine is tried again whose cordon was given up. */
-#define CORDON_RETRY_US (5 * US_PER_S)
 /* Delay before repeating a maintenance request that was unanswered, or refused because the
  * machine is busy. */
 #define MAINTENANCE_RETRY_US (500 * US_PER_MS)
@@ -174,49 +167,6 @@
 		  "moving a task to another VM");
 }
 
-static void give_up_cordon(leader_vm_t *vm, uint64_t now_us)
-{
-	vm->cordoned = false;
-	vm->room_missing_since_us = 0;
-	leader_machine_add(vm->leader, vm->machine)->maintenance_retry_us =
-		now_us + CORDON_RETRY_US;
-	vm->leader->placement_due = true;
-	metrics_add(vm->leader->stats.cordons_given_up, 1);
-	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "machine", vm->machine),
-		  "cordon is given up: no other VM has room for the VM's long-running tasks; "
-		  "maintenance is tried again in %d s",
-		  (int)(CORDON_RETRY_US / US_PER_S));
-}
-
-/* False while other VMs have no room for the cordoned VM's long-running tasks: a stopped task would
- * not run at all. Gives the cordon up when that lasts, or when other tasks need the VM's room. */
-static bool has_room_elsewhere(leader_vm_t *vm, uint64_t now_us)
-{
-	evacuation_room_t room;
-	uint64_t patience_us;
-
-	/* The VM ends in any case. */
-	if (vm->draining)
-		return true;
-	if (vm->room_missing_since_us != 0 && now_us < vm->room_checked_us + ROOM_CHECK_US)
-		return false;
-	vm->room_checked_us = now_us;
-	room = leader_evacuation_room(vm, now_us);
-	if (room == EVACUATION_FITS) {
-		vm->room_missing_since_us = 0;
-		return true;
-	}
-	if (vm->room_missing_since_us == 0)
-		vm->room_missing_since_us = now_us;
-	patience_us = room == EVACUATION_OTHERS_WAIT ? ROOM_CHECK_US : CORDON_PATIENCE_US;
-	/* The platform can still carry out a request that was sent. */
-	if (now_us >= vm->room_missing_since_us + patience_us &&
-	    !leader_in_maintenance(vm->leader, vm->machine) &&
-	    !leader_move_pending(vm->leader, vm->machine))
-		give_up_cordon(vm, now_us);
-	return false;
-}
-
 void leader_evacuate_tick(leader_vm_t *vm, uint64_t now_us)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
@@ -227,8 +177,6 @@
 	LIST_FOREACH (task, &record->tasks, vm_link) {
 		if (!needs_evacuation(vm, task, now_us) || !may_evacuate(vm, task, now_us))
 			continue;
-		if (task->step->spec->long_running && !has_room_elsewhere(vm, now_us))
-			return;
 		log_evacuation(vm, task, now_us);
 		task->local.evacuate = true;
 	}
@@ -338,7 +286,6 @@
 	if (!vm->cordoned) {
 		vm->cordoned = true;
 		vm->cordoned_since_us = now_us;
-		vm->room_missing_since_us = 0;
 		log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", vm->id, "machine", machine),
 			  "VM is cordoned for maintenance");
 	}
@@ -531,14 +478,6 @@
 	GHashTable *blocked;	    /* names of those whose waves have reached their limit */
 } wave_tick_t;
 
-/* True while maintenance of the machine waits for room for its tasks. */
-static bool is_deferred(const batch_leader_t *leader, const char *machine, uint64_t now_us)
-{
-	const leader_machine_t *platform_machine = leader_find_machine(leader, machine);
-
-	return platform_machine != NULL && now_us < platform_machine->maintenance_retry_us;
-}
-
 /* Prepares up to slots machines of the wave with the given load, and requests the maintenance of
  * those that are ready. @return number of machines prepared */
 static uint32_t start_machines(batch_leader_t *leader, const batch_wave_t *wave,
@@ -553,7 +492,6 @@
 		    g_hash_table_contains(tick->in_maintenance, machine->machine) ||
 		    g_hash_table_contains(tick->blocked, machine->machine) ||
 		    is_requested(leader, machine->machine) ||
-		    is_deferred(leader, machine->machine, tick->now_us) ||
 		    machine_load(leader, machine->machine) != load)
 			continue;
 		prepared++;
