batch_leader: part the VMs and their reports into files of their own

What the leader knows of VMs is now in batch_vms.c, what reports and notices of VMs show in batch_reports.c; activation and ticks stay. Functions that are called across files are named leader_*; no behaviour changes.

--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -10,7 +10,8 @@
 
 /**
  * @file
- * Declarations shared by the source files of the batch leader: batch_leader.c (VMs and activation),
+ * Declarations shared by the source files of the batch leader: batch_leader.c (activation and
+ * ticks), batch_vms.c (VMs), batch_reports.c (reports and notices of VMs),
  * batch_hold.c (leases, hold requests, finished and lost runs), batch_handover.c (runs of a
  * restarted VM), batch_dispatch.c (placement),
  * batch_orders.c (start, stop and pace requests), batch_ticket.c (tickets of the policy service),
@@ -276,6 +277,23 @@
 {
 	return vm->record;
 }
+
+/* batch_vms.c */
+void leader_vms_init(batch_leader_t *leader);
+/** Forgets all VMs. */
+void leader_vms_clear(batch_leader_t *leader);
+void leader_vms_finish(batch_leader_t *leader);
+/** Adds an incarnation of a VM, which is the latest one with its id from then on. */
+leader_vm_t *leader_vm_new(batch_leader_t *leader, const char *id, uint64_t born_ms,
+			   const char *address);
+void leader_vm_free(leader_vm_t *vm);
+/** Frees a dead VM that has no tasks left, once no late report of it can arrive. */
+void leader_vm_free_if_done(leader_vm_t *vm);
+/** Adds the VM to the tables by_address and by_machine. An entry of a later incarnation is kept. */
+void leader_vm_index(leader_vm_t *vm);
+/** Adds the VM to the VMs of the service that it has reported. */
+void leader_vm_join_service(leader_vm_t *vm);
+void leader_vm_apply_report(leader_vm_t *vm, const vm_report_t *report, uint64_t now_us);
 /** Adds a VM that has a replicated record but has not reported to this leader yet. */
 leader_vm_t *leader_vm_from_record(batch_leader_t *leader, batch_vm_t *record);
 void leader_vm_mark_dead(leader_vm_t *vm, const char *reason);
@@ -303,6 +321,24 @@
 /** @return hash of a VM id, never 0 */
 uint32_t leader_vm_hash(const char *vm_id);
 leader_vm_t *leader_vm_of_machine(const batch_leader_t *leader, const char *machine);
+/* batch_reports.c */
+/** Adds the services of a new configuration to the known ones, and confirms their VMs. */
+void leader_note_services(batch_leader_t *leader);
+/**
+ * Interval between searches for replicated VM records that have no leader_vm_t. Such a record was
+ * committed by a start intent of an earlier leader. This leader starts to manage its VM at most
+ * this long after the commit.
+ */
+#define LEADER_ADOPT_PERIOD_US (1 * US_PER_S)
+/**
+ * Adds the VMs of replicated records that were committed after this leader was activated, by start
+ * intents of an earlier leader. Does nothing when called again too soon.
+ */
+void leader_adopt_vm_records(batch_leader_t *leader, uint64_t now_us);
+/** Forgets a VM that was never confirmed and does not report any more. */
+void leader_forget_silent_reporter(leader_vm_t *vm, uint64_t now_us);
+/** Decides about a notice of the VM's shutdown that has arrived. */
+void leader_check_shutdown(leader_vm_t *vm, uint64_t now_us);
 /**
  * True when a configuration has named the service since this process started, or an accepted job
  * runs in it.
