--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -22,6 +22,10 @@
 #define MOVE_MS 1500
 #define MAINTENANCE_MS 2000
 #define VM_CPU_MILLI 64000
+/* Tasks of vm_sim_fill() on each VM. */
+#define FILL_TASKS_PER_VM 8
+/* Time in which vm_sim_fill() fails unless all its tasks run. */
+#define FILL_MAX_MS 5000
 #define VM_MEM_MIB 262144
 #define CANCEL_GRACE_MS 3000
 /* Time from its start until a long-running task is at work. */
@@ -181,8 +185,7 @@
 	uint32_t list_delay_ms;
 	uint32_t commit_delay_ms; /* added to the delay of each commit */
 	unsigned next_vm;
-	bool foreign_listings;
-	bool foreign_listings_down;
+	GArray *foreign_listings; /* machine_info_t, entries of other systems in the list */
 	uint64_t config_version;
 	uint64_t starts;
 	uint64_t moves;
@@ -1124,15 +1127,17 @@
 	g_free(call->machines);
 }
 
+/* Appends the entries of other systems that name the machine of the VM. */
 static void list_foreign(list_call_t *call, const sim_vm_t *vm)
 {
-	machine_info_t *listed = &call->machines[call->machine_count++];
+	const GArray *foreign = call->sim->foreign_listings;
 
-	listed->down = call->sim->foreign_listings_down;
-	listed->up = !listed->down;
-	g_strlcpy(listed->machine, vm->machine, VM_NAME_MAX);
-	g_strlcpy(listed->pool, "node-agent", VM_NAME_MAX);
-	g_strlcpy(listed->vm, "agent-1", VM_NAME_MAX);
+	for (guint i = 0; i < foreign->len; i++) {
+		const machine_info_t *entry = &g_array_index(foreign, machine_info_t, i);
+
+		if (strcmp(entry->machine, vm->machine) == 0)
+			call->machines[call->machine_count++] = *entry;
+	}
 }
 
 /* Reads the list, and responds after the platform's delay. */
@@ -1141,7 +1146,7 @@
 	list_call_t *call = arg;
 	vm_sim_t *sim = call->sim;
 
-	call->machines = g_new0(machine_info_t, 2 * sim->vms->len);
+	call->machines = g_new0(machine_info_t, sim->vms->len + sim->foreign_listings->len);
 
 	for (guint i = 0; i < sim->vms->len; i++) {
 		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
@@ -1156,8 +1161,7 @@
 		listed->up = !vm->busy && (vm->up || vm->powered_off);
 		listed->down = vm->crashed;
 		call->machine_count++;
-		if (sim->foreign_listings)
-			list_foreign(call, vm);
+		list_foreign(call, vm);
 	}
 	schedule_at(sim, LEADER_MESSAGE, sim->now_us + sim->list_delay_ms * US_PER_MS, deliver_list,
 		    call);
@@ -1463,12 +1467,11 @@
 
 /* --- periodic events and faults --- */
 
-static void deliver_report(void *arg)
+static void fill_report(const sim_vm_t *vm, vm_report_t *report)
 {
-	sim_vm_t *vm = arg;
-	vm_sim_t *sim = vm->sim;
-	const char *labels[] = {"a", "rack"};
-	const vm_report_t message = {
+	static const char *const labels[] = {"a", "rack"};
+
+	*report = (vm_report_t){
 		.id = vm->id,
 		.machine = vm->machine,
 		.service = vm->service,
@@ -1482,11 +1485,20 @@
 		.born_ms = vm->born_ms,
 		.draining = vm->draining,
 		.clock_ms = clock_ms(vm),
-		.seq = ++vm->seq,
+		.seq = vm->seq + 1,
 	};
+}
 
+static void deliver_report(void *arg)
+{
+	sim_vm_t *vm = arg;
+	vm_sim_t *sim = vm->sim;
+	vm_report_t report;
+
+	fill_report(vm, &report);
+	vm->seq++;
 	if (vm->up && batch_leader_active(sim->leader))
-		batch_leader_report(sim->leader, &message, sim->now_us);
+		batch_leader_report(sim->leader, &report, sim->now_us);
 }
 
 static void send_report(sim_vm_t *vm)
@@ -1659,27 +1671,30 @@
 	restart_vm(g_ptr_array_index(sim->vms, machine), report_delay_ms);
 }
 
+void vm_sim_get_report(const vm_sim_t *sim, unsigned machine, vm_report_t *report)
+{
+	fill_report(g_ptr_array_index(sim->vms, machine), report);
+}
+
+void vm_sim_deliver_report(vm_sim_t *sim, const vm_report_t *report)
+{
+	batch_leader_report(sim->leader, report, sim->now_us);
+}
+
 void vm_sim_foreign_report(vm_sim_t *sim, unsigned machine, const vm_sim_foreign_t *shared)
 {
-	const sim_vm_t *vm = g_ptr_array_index(sim->vms, machine);
-	const char *labels[] = {"agent", "rack"};
-	const vm_report_t report = {
-		.id = shared->id ? vm->id : "agent-1",
-		.machine = shared->machine ? vm->machine : "",
-		.service = "node-agent",
-		.address = shared->address ? vm->address : "10.9.9.9:9",
-		.data_centre = "dc",
-		.rack = "rack",
-		.labels = labels,
-		.label_count = 2,
-		.cpu_milli = VM_CPU_MILLI,
-		.mem_mib = VM_MEM_MIB,
-		.born_ms = shared->born ? vm->born_ms : wall_ms(sim),
-		.clock_ms = 90000,
-		.seq = vm->seq + 1000,
-	};
+	vm_report_t report;
 
-	batch_leader_report(sim->leader, &report, sim->now_us);
+	vm_sim_get_report(sim, machine, &report);
+	report.id = shared->id ? report.id : "agent-1";
+	report.machine = shared->machine ? report.machine : "";
+	report.service = shared->service ? report.service : "node-agent";
+	report.address = shared->address ? report.address : "10.9.9.9:9";
+	report.born_ms = shared->born ? report.born_ms : wall_ms(sim);
+	report.draining = shared->draining;
+	report.clock_ms = 90000;
+	report.seq += 1000;
+	vm_sim_deliver_report(sim, &report);
 }
 
 void vm_sim_send_shutdown_notice(vm_sim_t *sim, unsigned machine)
@@ -1697,10 +1712,21 @@
 	send_report(vm);
 }
 
+void vm_sim_add_listing(vm_sim_t *sim, const machine_info_t *entry)
+{
+	g_array_append_vals(sim->foreign_listings, entry, 1);
+}
+
 void vm_sim_add_foreign_listings(vm_sim_t *sim, bool down)
 {
-	sim->foreign_listings = true;
-	sim->foreign_listings_down = down;
+	for (guint i = 0; i < sim->vms->len; i++) {
+		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+		machine_info_t entry = {
+			.pool = "node-agent", .vm = "agent-1", .up = !down, .down = down};
+
+		g_strlcpy(entry.machine, vm->machine, VM_NAME_MAX);
+		vm_sim_add_listing(sim, &entry);
+	}
 }
 
 void vm_sim_cut_off(vm_sim_t *sim, unsigned machine, uint32_t for_ms)
@@ -1859,6 +1885,7 @@
 	sim->events = g_sequence_new(NULL);
 	sim->now_us = US_PER_S;
 	sim->vms = g_ptr_array_new();
+	sim->foreign_listings = g_array_new(FALSE, FALSE, sizeof(machine_info_t));
 	sim->waves = g_array_new(FALSE, FALSE, sizeof(sim_wave_t));
 	sim->waiting = g_ptr_array_new();
 	sim->completed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -1924,6 +1951,7 @@
 		g_free(vm);
 	}
 	g_ptr_array_unref(sim->vms);
+	g_array_unref(sim->foreign_listings);
 	g_array_unref(sim->waves);
 	g_ptr_array_unref(sim->waiting);
 	g_sequence_foreach(sim->events, free_event, NULL);
@@ -2015,6 +2043,26 @@
 	g_free(cancel);
 }
 
+void vm_sim_fill(vm_sim_t *sim, const char *id, uint32_t estimate_ms)
+{
+	Lp__BatchStep step = LP__BATCH_STEP__INIT;
+	Lp__BatchStep *steps[] = {&step};
+	Lp__BatchJob job = LP__BATCH_JOB__INIT;
+	uint64_t until_ms = vm_sim_now_ms(sim) + FILL_MAX_MS;
+
+	step.count = sim->config.vms_per_service * FILL_TASKS_PER_VM;
+	step.cpu_milli = VM_CPU_MILLI / FILL_TASKS_PER_VM;
+	step.mem_mib = VM_MEM_MIB / FILL_TASKS_PER_VM;
+	step.estimate_ms = estimate_ms;
+	job.spec = (char *)"spec";
+	job.steps = steps;
+	job.n_steps = 1;
+	vm_sim_submit(sim, id, 0, &job);
+	while (vm_sim_running_count(sim) < step.count && vm_sim_now_ms(sim) < until_ms)
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+	g_assert_cmpuint(vm_sim_running_count(sim), ==, step.count);
+}
+
 void vm_sim_cancel(vm_sim_t *sim, const char *id)
 {
 	const batch_job_t *job = batch_state_job(&sim->state, id);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -92,6 +92,11 @@
  * copy
  */
 void vm_sim_submit(vm_sim_t *sim, const char *id, unsigned service, const Lp__BatchJob *job);
+/**
+ * Submits a job to service 0 whose tasks, eight for each VM, fill all its VMs, and runs the
+ * simulation until all of them run. Ends the program if they do not within 5 s.
+ */
+void vm_sim_fill(vm_sim_t *sim, const char *id, uint32_t estimate_ms);
 void vm_sim_cancel(vm_sim_t *sim, const char *id);
 /** Starts a maintenance wave over all machines. */
 void vm_sim_start_wave(vm_sim_t *sim, uint64_t number, uint32_t max_down);
@@ -129,17 +134,25 @@
 void vm_sim_configure(vm_sim_t *sim, unsigned count);
 /** What the report of another system has in common with the VM of a machine. */
 typedef struct {
-	bool id;      /**< otherwise it has an id of its own */
-	bool machine; /**< otherwise it names no machine */
-	bool address; /**< otherwise it has an address of its own, where nothing answers */
-	bool born;    /**< otherwise its start is later than that of the VM */
+	bool id;       /**< otherwise it has an id of its own */
+	bool machine;  /**< otherwise it names no machine */
+	bool address;  /**< otherwise it has an address of its own, where nothing answers */
+	bool born;     /**< otherwise its start is later than that of the VM */
+	bool service;  /**< otherwise it names a service that no configuration names */
+	bool draining; /**< it says that it is about to end */
 } vm_sim_foreign_t;
-/** Sends a report for a service that no configuration names. */
+/** Gets the next report of the VM on the machine. Its strings belong to the simulation. */
+void vm_sim_get_report(const vm_sim_t *sim, unsigned machine, vm_report_t *report);
+/** Delivers a report of another system to the leader. */
+void vm_sim_deliver_report(vm_sim_t *sim, const vm_report_t *report);
+/** Delivers a report of another system that is all right in itself. */
 void vm_sim_foreign_report(vm_sim_t *sim, unsigned machine, const vm_sim_foreign_t *shared);
 /** Delivers a notice of the shutdown of the VM on the machine, which has the VM's id only. */
 void vm_sim_send_shutdown_notice(vm_sim_t *sim, unsigned machine);
 /** The VM on the machine reports from now on that it is about to end. */
 void vm_sim_drain_vm(vm_sim_t *sim, unsigned machine);
+/** Adds an entry of another system to the platform's list, after that of its machine. */
+void vm_sim_add_listing(vm_sim_t *sim, const machine_info_t *entry);
 /**
  * Adds an entry of another system to the platform's list for each machine: with a pool that no
  * configuration names, the machine is up and runs another VM, or, if down, it is down.
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -132,50 +132,104 @@
 	talloc_free(mem);
 }
 
-/* Guards against a malformed report, as from a foreign sender, that adds a VM to the fleet. */
+static const char sound_report[] =
+	"{\"service\":\"s\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"z\",\"machine\":\"m-1\","
+	"\"version\":\"v1\",\"slots\":8,\"state\":\"draining\",\"warmupLeftMs\":0,"
+	"\"remainingMs\":2000,\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":0},"
+	"\"labels\":[\"a\",\"r1-3\"],\"born\":5,\"clockMs\":7,\"seq\":4}";
+
+/* One value of each type. */
+static const char *const values_of_types[] = {"null", "true", "\"x\"", "7",
+					      "-7",   "[]",   "[3]",   "{}"};
+
+static bool same_type(const json_t *value, const json_t *other)
+{
+	if (json_is_number(value) && json_is_number(other))
+		return json_number_value(other) >= 0;
+	if (json_is_string(value) && json_is_string(other))
+		return true;
+	return false;
+}
+
+/* Calls check with copies of the object, or of its member named part if that is not NULL, that lack
+ * one member each, or have one of another type. */
+static void for_each_malformed(const char *text, const char *part,
+			       void (*check)(const json_t *object, const char *key))
+{
+	json_t *sound = parse(text);
+	const json_t *members = part != NULL ? json_object_get(sound, part) : sound;
+	const char *key;
+	json_t *value;
+
+	json_object_foreach ((json_t *)members, key, value) {
+		json_t *object = json_deep_copy(sound);
+		json_t *changed = part != NULL ? json_object_get(object, part) : object;
+
+		json_object_del(changed, key);
+		check(object, key);
+		for (size_t i = 0; i < G_N_ELEMENTS(values_of_types); i++) {
+			json_t *other = json_loads(values_of_types[i], JSON_DECODE_ANY, NULL);
+
+			if (!same_type(value, other)) {
+				json_object_set(changed, key, other);
+				check(object, key);
+			}
+			json_decref(other);
+		}
+		json_decref(object);
+	}
+	json_decref(sound);
+}
+
+static void assert_no_report(const json_t *body, const char *key)
+{
+	void *mem = talloc_new(NULL);
+
+	if (adapter_decode_report(mem, "i-1", body) != NULL)
+		fail_msg("a report with a malformed member \"%s\" is accepted", key);
+	talloc_free(mem);
+}
+
+/* Guards against a report of another system, with a member missing or of another type, that names a
+ * VM. */
 static void test_malformed_reports_are_rejected(void **state)
 {
-	static const char good[] =
-		"{\"service\":\"s\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"z\","
-		"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"warmupLeftMs\":0,"
-		"\"capacity\":{\"cpu\":16000,\"memMb\":32768},\"labels\":[\"a\",\"r1-3\"],"
-		"\"born\":5,\"clockMs\":7,\"seq\":4}";
 	static const char *const replacements[][2] = {
-		{"\"ready\"", "\"lost\""},
-		{"\"ready\"", "7"},
+		{"\"draining\"", "\"lost\""},
+		{"\"draining\"", "\"\""},
 		{"\"10.128.0.9:8080\"", "\"here\""},
-		{"16000", "\"many\""},
-		{"\"seq\":4", "\"sequence\":4"},
+		{"\"seq\":4", "\"seq\":0"},
+		{"\"seq\":4", "\"seq\":4.5"},
 		{"\"s\"", "\"\""},
+		{"\"m-1\"", "\"\""},
 		{"\"r1-3\"", "3"},
-		{"\"born\":5", "\"born\":-5"},
-		{"\"born\":5", "\"born\":\"5\""},
-		{"\"version\":\"v1\",", ""},
-		{"\"v1\"", "7"},
-		{"\"slots\":8,", ""},
-		{"\"slots\":8", "\"slots\":\"8\""},
-		{"\"warmupLeftMs\":0", "\"warmupLeftMs\":false"},
-		{"\"zone\":\"z\",", ""},
-		{"\"seq\":4", "\"seq\":4,\"machine\":17"},
-		{"\"cpu\":16000,", ""},
-		{"\"memMb\":32768", "\"memMb\":null"},
+		{"\"born\":5", "\"born\":0"},
+		{"\"born\":5", "\"born\":5.5"},
+		{"\"v1\"", "\"\""},
 	};
 	void *mem = talloc_new(NULL);
-	json_t *body = parse(good);
+	json_t *body = parse(sound_report);
 	vm_report_t *report = adapter_decode_report(mem, "i-1", body);
 
 	assert_non_null(report);
 	assert_string_equal(report->rack, "r1-3");
+	assert_true(report->draining);
+	json_object_set_new(body, "state", json_string("ready"));
+	json_object_del(body, "remainingMs");
+	report = adapter_decode_report(mem, "i-1", body);
+	assert_non_null(report);
 	assert_false(report->draining);
 	json_decref(body);
 	for (size_t i = 0; i < G_N_ELEMENTS(replacements); i++) {
-		g_auto(GStrv) parts = g_strsplit(good, replacements[i][0], 2);
+		g_auto(GStrv) parts = g_strsplit(sound_report, replacements[i][0], 2);
 		g_autofree char *text = g_strjoinv(replacements[i][1], parts);
 
 		body = parse(text);
-		assert_null(adapter_decode_report(mem, "i-1", body));
+		assert_no_report(body, replacements[i][1]);
 		json_decref(body);
 	}
+	for_each_malformed(sound_report, NULL, assert_no_report);
+	for_each_malformed(sound_report, "capacity", assert_no_report);
 	talloc_free(mem);
 }
 
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -240,14 +240,9 @@
 		const vm_sim_config_t config = {
 			.services = 1, .vms_per_service = 4, .seed = 20 + i};
 		vm_sim_t *sim = vm_sim_create(&config);
-		job_fixture_t fixture;
 
-		/* 32 of these tasks fill the four VMs. */
-		make_job(&fixture, 1, 32, 8000, 3000);
 		vm_sim_run(sim, 4000);
-		vm_sim_submit(sim, "a", 0, &fixture.job);
-		while (vm_sim_running_count(sim) < 32)
-			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		vm_sim_fill(sim, "a", 3000);
 		for (unsigned machine = 0; machine < 4; machine++)
 			vm_sim_foreign_report(sim, machine, &shared[i / 2]);
 		if (i % 2 == 1)
@@ -257,10 +252,8 @@
 		vm_sim_run(sim, 12000);
 		assert_int_equal(state_of(sim, "a"), BATCH_JOB_COMPLETE);
 		assert_int_equal(vm_sim_start_count(sim), 32);
-		make_job(&fixture, 1, 32, 8000, 30000);
-		vm_sim_submit(sim, "b", 0, &fixture.job);
-		vm_sim_run(sim, 16000);
-		assert_int_equal(vm_sim_running_count(sim), 32);
+		vm_sim_fill(sim, "b", 30000);
+		assert_true(vm_sim_now_ms(sim) < 16000);
 		assert_no_violations(sim);
 		vm_sim_destroy(sim);
 	}
@@ -275,13 +268,9 @@
 		const vm_sim_config_t config = {
 			.services = 1, .vms_per_service = 4, .seed = 50 + i};
 		vm_sim_t *sim = vm_sim_create(&config);
-		job_fixture_t fixture;
 
-		make_job(&fixture, 1, 32, 8000, 6000);
 		vm_sim_run(sim, 4000);
-		vm_sim_submit(sim, "a", 0, &fixture.job);
-		while (vm_sim_running_count(sim) < 32)
-			vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+		vm_sim_fill(sim, "a", 6000);
 		vm_sim_add_foreign_listings(sim, i % 2 == 0);
 		/* A new leader reads the list before the first reports of the VMs. */
 		if (i >= 2)
