--- a/tests/test_foreign_senders.c
+++ b/tests/test_foreign_senders.c
@@ -17,6 +17,8 @@
 
 #define VMS 4
 #define TASKS (8 * VMS)
+/* Longest time for which a VM is cut off here without its lease's end, in ms. */
+#define CUT_OFF_MS 3000
 
 /* One value of each type. */
 static const char *const values_of_types[] = {"null", "true", "\"x\"", "7",
@@ -27,6 +29,10 @@
 	"cpu",	   "memMb", "gpu",     "capacity", "labels",  "clockMs", "born",  "seq",
 };
 
+static const char *const machine_members[] = {
+	"pool", "state", "zone", "labels", "capacity", "cpu", "memMb", "gpu", "id",
+};
+
 static void assert_no_violations(const vm_sim_t *sim)
 {
 	if (vm_sim_violations(sim)[0] != '\0')
@@ -148,10 +154,58 @@
 	}
 }
 
+static void add_listing(void *arg, const json_t *message)
+{
+	void *mem = talloc_new(NULL);
+	json_t *body = json_pack("{s:[O]}", "machines", message);
+	const char *next_page;
+	size_t malformed;
+	size_t count;
+	const machine_info_t *entries =
+		adapter_decode_machines(mem, body, &count, &next_page, &malformed);
+
+	for (size_t i = 0; i < count; i++)
+		vm_sim_add_listing(arg, &entries[i]);
+	json_decref(body);
+	talloc_free(mem);
+}
+
+/* Guards against tasks that run twice, because an entry of another system in the platform's list
+ * lacks a member, or has one of another type, and says that the machine of a VM is down or runs
+ * another VM, while this VM is cut off for a moment. */
+static void test_malformed_listings_end_no_vm(void **state)
+{
+	for (unsigned i = 0; i < 4; i++) {
+		vm_sim_t *sim = create_full_fleet(50 + i);
+
+		for (unsigned machine = 0; machine < VMS; machine++) {
+			vm_report_t report;
+			json_t *sound;
+
+			vm_sim_get_report(sim, machine, &report);
+			sound = json_pack("{s:s, s:s, s:s, s:s, s:[s, s], s:{s:I, s:I, s:i}, s:s}",
+					  "machine", report.machine, "pool", report.service,
+					  "state", i % 2 == 0 ? "down" : "up", "zone", "dc",
+					  "labels", "a", "rack", "capacity", "cpu",
+					  (json_int_t)report.cpu_milli, "memMb",
+					  (json_int_t)report.mem_mib, "gpu", 0, "id", "agent-1");
+			for (size_t k = 0; k < G_N_ELEMENTS(machine_members); k++)
+				for_each_malformed(sound, machine_members[k], add_listing, sim);
+			json_decref(sound);
+		}
+		if (i >= 2)
+			vm_sim_change_leader(sim);
+		for (unsigned machine = 0; machine < VMS; machine++)
+			vm_sim_cut_off(sim, machine, CUT_OFF_MS);
+		finish_full_fleet(sim);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_malformed_reports_end_no_vm),
+		cmocka_unit_test(test_malformed_listings_end_no_vm),
 	};
 
 	return cmocka_run_group_tests(tests, vm_sim_set_up, NULL);
