--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -114,6 +114,7 @@
 	size_t finished_count;
 	bool partial; /**< the lists possibly leave out runs: the VM has more finished ones than fit
 			 in a response, or an entry cannot be read */
+	size_t malformed; /**< number of entries of the lists that cannot be read */
 } vm_reply_t;
 
 typedef void (*vm_reply_fn)(void *arg, const vm_reply_t *reply);
