batch_challenge: a report ends no VM that still answers

Seen (users' measurement on, real processes): a heartbeat with all members, the worker's own service and machine, a later start, and another id or address, or under the worker's id, ended the worker for the leader; its tasks ran twice, 3 of 3 and 1 of 1 each.

Cause: a report of a known service with a later start ended the VM that was known on its machine or address, and the earlier life under its id. Nothing but the sender's word showed it.

Change: such a report challenges the known VM. That VM is asked at its own address, over another connection if a hold request waits there. If it answers, the report is dropped; if another VM or life answers, it has ended at once; if nothing answers, its lease decides. A VM that counts as ended by its silence alone is used again once it reports and answers. A VM that a response shows to have started earlier than a report said takes its place back. The same holds for runs of an earlier leader whose VM's machine has another one since, and for a VM whose configuration comes after another VM has reported from its machine.

Ruled out by a trial: to count an address that refuses connections as an end. A new leader reads its cached reports from the latest start on, so that they challenge no VM whose report follows.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -79,7 +79,7 @@
 static bool vm_usable(const leader_vm_t *vm, uint64_t now_us)
 {
 	return leader_vm_is_responsive(vm, now_us) && !vm->draining && !vm->cordoned &&
-	       !vm->drained_for_move && vm->shutdown_us == 0 && vm->orphan_count == 0 &&
+	       !vm->drained_for_move && !leader_vm_is_in_doubt(vm) && vm->orphan_count == 0 &&
 	       vm->vm_clock_read_us != 0 && now_us >= vm->backoff_until_us;
 }
 
@@ -534,7 +534,7 @@
  * take long, for example while disks stall. */
 static bool may_still_start(leader_vm_t *vm, const batch_task_t *task)
 {
-	return !vm->draining && vm->shutdown_us == 0 && vm->orphan_count == 0 &&
+	return !vm->draining && !leader_vm_is_in_doubt(vm) && vm->orphan_count == 0 &&
 	       leader_start_fits(vm, task, leader_now_us(vm->leader));
 }
 
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -87,11 +87,11 @@
 		batch_lease_grant_answered(&vm->lease, &limits, now_us);
 }
 
-static bool lease_expired(const leader_vm_t *vm, uint64_t now_us)
+bool leader_lease_has_ended(const leader_vm_t *vm, uint64_t now_us)
 {
 	batch_lease_limits_t limits = leader_lease_limits(vm->leader);
 
-	return now_us > batch_lease_end_us(&vm->lease, &limits);
+	return vm->starts_in_flight == 0 && now_us > batch_lease_end_us(&vm->lease, &limits);
 }
 
 /* --- lost runs --- */
@@ -485,6 +485,7 @@
 	vm->broke_off = false;
 	vm->hold_answered_us = now_us;
 	vm->answered_sent_us = MAX(vm->answered_sent_us, hold->sent_us);
+	leader_settle_challenge(vm, now_us);
 	vm->acked_end = MAX(vm->acked_end, hold->acked_end);
 	vm->hold_due_us = now_us + CLAMP(2 * vm->leader->tick_lag_us, HOLD_MIN_INTERVAL_US,
 					 HOLD_MAX_INTERVAL_US);
@@ -516,6 +517,7 @@
 			  "VM does not respond to hold requests");
 	}
 	vm->unresponsive = true;
+	leader_challenge_failed(vm, hold->sent_us);
 }
 
 static void handle_hold_reply(leader_vm_t *vm, const hold_t *hold, const vm_reply_t *reply)
@@ -549,9 +551,7 @@
 	if (vm == NULL)
 		return;
 	if (reply->born_ms != 0 && reply->born_ms != vm->born_ms) {
-		vm->hold_in_flight &= hold->seq != vm->hold_seq;
-		if (reply->born_ms > vm->born_ms)
-			leader_vm_read_restart(vm, reply);
+		leader_vm_read_other_life(vm, reply);
 		return;
 	}
 	if (hold->grants_lease)
@@ -570,11 +570,20 @@
 
 	if (vm == NULL)
 		return;
+	if (reply->born_ms != 0 && reply->born_ms != vm->born_ms) {
+		leader_vm_read_other_life(vm, reply);
+		return;
+	}
+	if (reply->code == VM_REPLY_OTHER_INCARNATION) {
+		leader_vm_mark_dead(vm, "its address has another VM");
+		return;
+	}
 	leader_vm_read_clock(vm, reply);
+	if (reply->code != VM_REPLY_OK)
+		leader_challenge_failed(vm, probe->sent_us);
 	/* If the probe has failed or no longer belongs to the pending hold request, wait for the
 	 * response or the timeout of the hold request. */
-	if (reply->code != VM_REPLY_OK || probe->seq != vm->hold_seq || !vm->hold_in_flight ||
-	    (reply->born_ms != 0 && reply->born_ms != vm->born_ms))
+	if (reply->code != VM_REPLY_OK || probe->seq != vm->hold_seq || !vm->hold_in_flight)
 		return;
 	metrics_add(vm->leader->stats.holds_overtaken, 1);
 	vm->hold_seq++;
@@ -601,10 +610,12 @@
 	return end > vm->acked_end && is_fresh ? end : 0;
 }
 
-/* True when a hold request must show whether the VM still runs: a notice of its shutdown has
- * arrived, or it reports although it has not answered. */
+/* True when a hold request must show whether the VM still runs: a report challenges it, a notice of
+ * its shutdown has arrived, or it reports although it has not answered. */
 static bool awaits_answer(const leader_vm_t *vm, uint64_t now_us)
 {
+	if (vm->challenged_us != 0)
+		return true;
 	if (vm->shutdown_us != 0 && now_us >= vm->shutdown_us + VM_SHUTDOWN_SETTLE_US)
 		return true;
 	return vm->unresponsive && leader_vm_report_is_fresh(vm, now_us);
@@ -655,12 +666,14 @@
 	return (uint32_t)next_ms;
 }
 
-/* @return longest wait of a hold request, in ms: after a notice of the VM's shutdown, a request
- * must soon be sent that shows whether the VM still runs */
+/* @return longest wait of a hold request, in ms: after a challenge or a notice of the VM's
+ * shutdown, a request must soon be sent that shows whether the VM still runs */
 static uint32_t wait_limit_ms(const leader_vm_t *vm, uint64_t now_us)
 {
 	uint64_t settled_us = vm->shutdown_us + VM_SHUTDOWN_SETTLE_US;
 
+	if (vm->challenged_us != 0)
+		return 0;
 	if (vm->shutdown_us == 0)
 		return vm->leader->config.hold_wait_ms;
 	return settled_us > now_us ? (uint32_t)((settled_us - now_us) / US_PER_MS) : 0;
@@ -719,7 +732,8 @@
 	vm_hold_t message = {.fence = leader->term};
 	hold_t *probe;
 
-	if (vm->unresponsive || now_us < vm->probe_due_us || vm->probes_sent >= PROBES_MAX)
+	if ((vm->unresponsive && vm->challenged_us == 0) || now_us < vm->probe_due_us ||
+	    vm->probes_sent >= PROBES_MAX)
 		return;
 	probe = g_new0(hold_t, 1);
 	vm_handle_set(&probe->vm, vm);
@@ -739,8 +753,8 @@
 		probe_late_hold(vm, now_us);
 	if (vm->hold_in_flight || vm->commit_in_flight)
 		return;
-	if (vm->unresponsive && vm->starts_in_flight == 0 && lease_expired(vm, now_us) &&
-	    record != NULL && record->task_count > 0) {
+	if (vm->unresponsive && leader_lease_has_ended(vm, now_us) && record != NULL &&
+	    record->task_count > 0) {
 		/* No run is left on the VM, because a VM stops its runs itself when its lease
 		 * expires. */
 		leader_mark_all_runs_lost(vm, "the lease of the silent VM has expired");
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -129,6 +129,9 @@
 	leader->stats.shutdowns_refuted =
 		metrics_counter(metrics, "batch_shutdowns_refuted_total", "");
 	leader->stats.foreign_reports = metrics_counter(metrics, "batch_reports_foreign_total", "");
+	leader->stats.challenges = metrics_counter(metrics, "batch_challenges_total", "");
+	leader->stats.challenges_refuted =
+		metrics_counter(metrics, "batch_challenges_refuted_total", "");
 	leader->stats.crashes = metrics_counter(metrics, "batch_vm_crashes_after_start_total", "");
 	leader->stats.suspects = metrics_counter(metrics, "batch_suspect_runs_total", "");
 	leader->stats.given_up = metrics_counter(metrics, "batch_jobs_given_up_total", "");
@@ -162,6 +165,7 @@
 	leader->metrics = options->metrics;
 	leader->mean_slowness = 1.0;
 	leader_vms_init(leader);
+	leader_challenges_init(leader);
 	leader->known_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	leader->machines =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, leader_machine_free);
@@ -175,6 +179,7 @@
 {
 	batch_leader_deactivate(leader);
 	leader_vms_finish(leader);
+	leader_challenges_finish(leader);
 	g_hash_table_destroy(leader->known_services);
 	g_hash_table_destroy(leader->machines);
 	g_hash_table_destroy(leader->smoothed_need);
@@ -238,6 +243,7 @@
 	leader->active = false;
 	leader_clear_planned(leader);
 	leader_vms_clear(leader);
+	g_hash_table_remove_all(leader->challenges);
 	start_window_finish(&leader->window);
 	g_hash_table_remove_all(leader->machines);
 	g_hash_table_remove_all(leader->smoothed_need);
@@ -286,6 +292,7 @@
 {
 	if (!vm->dead && vm->shutdown_us != 0)
 		leader_check_shutdown(vm, now_us);
+	leader_settle_challenge(vm, now_us);
 	if (!vm->confirmed) {
 		leader_forget_silent_reporter(vm, now_us);
 		return;
@@ -345,6 +352,7 @@
 		tick_vm(vm, now_us);
 		vm = next;
 	}
+	leader_challenges_tick(leader, now_us);
 	leader_adopt_vm_records(leader, now_us);
 	part_start_us = end_part(leader, LEADER_PART_VMS, now_us);
 	leader_machines_tick(leader, now_us);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -11,7 +11,8 @@
 /**
  * @file
  * Declarations shared by the source files of the batch leader: batch_leader.c (activation and
- * ticks), batch_vms.c (VMs), batch_reports.c (reports and notices of VMs),
+ * ticks), batch_vms.c (VMs), batch_reports.c (reports and notices of VMs), batch_challenge.c
+ * (reports that contradict a known VM),
  * batch_hold.c (leases, hold requests, finished and lost runs), batch_handover.c (runs of a
  * restarted VM), batch_dispatch.c (placement),
  * batch_orders.c (start, stop and pace requests), batch_ticket.c (tickets of the policy service),
@@ -65,9 +66,17 @@
 	bool listed_down; /**< the platform's latest list has the VM's machine as down */
 	bool ended_with_fresh_run; /**< the VM crashed soon after the start of a run */
 	bool ended_with_suspect;   /**< that run was suspected of a crash already */
-	uint64_t shutdown_us;	   /**< arrival time of a notice of the VM's shutdown; 0: none, or
-				      it was refuted */
-	uint64_t ended_us;	   /**< time when the dead VM fell silent; 0: it is not dead */
+	bool end_unproven; /**< only its silence shows that it has ended, so that its later reports
+			      count */
+	uint64_t challenged_us; /**< arrival time of the earliest report that challenges it and is
+				   not settled; 0: none */
+	uint64_t challenge_born_ms; /**< latest start that such a report names for another life with
+				       its id; 0: none */
+	uint64_t ask_due_us;	    /**< earliest time of the next question for a challenge */
+	bool challenge_unanswered;  /**< a request sent since challenged_us was not answered */
+	uint64_t shutdown_us;	    /**< arrival time of a notice of the VM's shutdown; 0: none, or
+				       it was refuted */
+	uint64_t ended_us;	    /**< time when the dead VM fell silent; 0: it is not dead */
 
 	batch_vm_t *record; /**< replicated record of this incarnation; NULL: it has none */
 
@@ -189,6 +198,9 @@
 	uint64_t services_version;  /**< version of the latest configuration whose services are in
 				       known_services; 0: none */
 	uint64_t foreign_logged_us; /**< time of the latest log line about a foreign report */
+	GHashTable *challenges;	    /**< reports that wait for the VMs that they challenge, see
+				       batch_challenge.c */
+	uint64_t refuted_logged_us; /**< time of the latest log line about a refuted report */
 	GHashTable *ended_incarnations; /**< VM id -> uint64_t, the born_ms of the latest
 					   incarnation that has ended */
 	uint64_t pass_count;
@@ -236,6 +248,8 @@
 							 which the VM still ran */
 		metrics_counter_t *foreign_reports;   /**< number of reports that contradict what is
 							 known about their VM */
+		metrics_counter_t *challenges;	      /**< number of reports that challenge a VM */
+		metrics_counter_t *challenges_refuted; /**< number of those whose VM has answered */
 		metrics_counter_t *crashes;  /**< number of VMs that crashed soon after the start of
 						a run */
 		metrics_counter_t *suspects; /**< number of such runs */
@@ -303,10 +317,10 @@
  */
 void leader_vm_mark_restarted(leader_vm_t *vm, uint64_t next_born_ms, const char *reason);
 /**
- * Does the same after a reply has shown the later incarnation, which has not reported yet, and adds
- * that to the known VMs.
+ * Does the same after a reply has shown the other incarnation, which has not reported yet, and adds
+ * that to the known VMs. If it started earlier than the VM, a false report has named the VM.
  */
-void leader_vm_read_restart(leader_vm_t *vm, const vm_reply_t *reply);
+void leader_vm_read_other_life(leader_vm_t *vm, const vm_reply_t *reply);
 /** Stores a reading of the VM's clock that arrived in a message. A reading of 0 is ignored. */
 void leader_vm_set_clock(leader_vm_t *vm, uint64_t clock_ms, uint64_t now_us);
 /** Stores the reading of the VM's clock in a reply, unless it is from another incarnation. */
@@ -347,6 +361,11 @@
 /** True when the VM's latest report is recent enough to place tasks by it. */
 bool leader_vm_report_is_fresh(const leader_vm_t *vm, uint64_t now_us);
 bool leader_vm_is_responsive(const leader_vm_t *vm, uint64_t now_us);
+/** True while a challenge or a notice of its shutdown is not settled. It gets no tasks then. */
+static inline bool leader_vm_is_in_doubt(const leader_vm_t *vm)
+{
+	return vm->shutdown_us != 0 || vm->challenged_us != 0;
+}
 
 void task_id_set(task_id_t *id, const batch_task_t *task);
 /** Size of the buffer of run_label_format(), in bytes: four numbers and the terminating null. */
@@ -358,6 +377,30 @@
 /** @return the task that the id in a VM request identifies, or NULL when it does not exist */
 batch_task_t *leader_find_task(const batch_leader_t *leader, const task_id_t *id);
 
+/* batch_challenge.c */
+void leader_challenges_init(batch_leader_t *leader);
+void leader_challenges_finish(batch_leader_t *leader);
+/** What the known VMs say of a report. The later values go before the earlier ones. */
+typedef enum {
+	REPORT_UNCONTESTED, /**< it names the machine, address and id of no other known VM */
+	REPORT_WAITS,	    /**< it challenges a VM, which is being asked */
+	REPORT_REFUTED,	    /**< a VM that it has challenged has answered since */
+	REPORT_OUTDATED,    /**< a later VM has taken the place of its sender */
+} report_challenge_t;
+/** Looks for the VMs that the report challenges, and asks them. */
+report_challenge_t leader_challenge(batch_leader_t *leader, const vm_report_t *report,
+				    uint64_t received_us);
+/** Keeps a report that waits. It is applied once the VMs that it challenges have ended. */
+void leader_challenge_keep(batch_leader_t *leader, const vm_report_t *report, uint64_t received_us);
+/** Challenges the VM: asks it whether it still runs, soon and while a hold request waits there. */
+void leader_ask_vm(leader_vm_t *vm, uint64_t now_us);
+/** Applies or drops the reports that have waited for VMs which are settled now. */
+void leader_challenges_tick(batch_leader_t *leader, uint64_t now_us);
+/** Ends the VM, or refutes the challenge, if its answers so far show which is true. */
+void leader_settle_challenge(leader_vm_t *vm, uint64_t now_us);
+/** Notes that a hold request which was sent at sent_us has failed. It can end the VM. */
+void leader_challenge_failed(leader_vm_t *vm, uint64_t sent_us);
+
 /* batch_hold.c */
 batch_lease_limits_t leader_lease_limits(const batch_leader_t *leader);
 /**
@@ -371,6 +414,8 @@
  * @param sent_us time when the request was sent
  */
 void leader_update_lease(leader_vm_t *vm, const vm_reply_t *reply, uint64_t sent_us);
+/** True when no run is left on a silent VM, because its lease has ended, or it never had one. */
+bool leader_lease_has_ended(const leader_vm_t *vm, uint64_t now_us);
 /** Proposes to commit the latest run of the task as lost, so that the task is placed again. */
 void leader_mark_run_lost(batch_leader_t *leader, batch_task_t *task, const char *reason);
 /** Marks all runs of the VM as lost, except those that are being handed over. */
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -769,7 +769,7 @@
 	    now_us < machine->retry_us)
 		return true;
 	if (vm != NULL &&
-	    (vm->cordoned || vm->draining || vm->unresponsive || vm->shutdown_us != 0))
+	    (vm->cordoned || vm->draining || vm->unresponsive || leader_vm_is_in_doubt(vm)))
 		return true;
 	return leader_in_maintenance(leader, machine->name) ||
 	       leader_move_pending(leader, machine->name) ||
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -161,8 +161,8 @@
 	if (vm == NULL)
 		return;
 	vm->starts_in_flight--;
-	if (reply->born_ms > vm->born_ms) {
-		leader_vm_read_restart(vm, reply);
+	if (reply->born_ms != 0 && reply->born_ms != vm->born_ms) {
+		leader_vm_read_other_life(vm, reply);
 		return;
 	}
 	metrics_record_us(leader->stats.start_latency, latency_us);
--- a/src/batch_reports.c
+++ b/src/batch_reports.c
@@ -14,52 +14,35 @@
 /* Shortest interval between two log lines about foreign reports, which can come all the time. */
 #define FOREIGN_LOG_PERIOD_US (10 * US_PER_S)
 
-static void mark_predecessor_dead(const leader_vm_t *latest, leader_vm_t *vm)
-{
-	if (vm != NULL && vm != latest && !vm->dead && vm->born_ms < latest->born_ms)
-		leader_vm_mark_dead(vm, "its machine or address has a later VM");
-}
-
-/* Marks earlier VMs with the same machine or address as dead. */
-static void mark_predecessors_dead(batch_leader_t *leader, const leader_vm_t *latest)
-{
-	mark_predecessor_dead(latest, g_hash_table_lookup(leader->by_address, latest->address));
-	mark_predecessor_dead(latest, leader_vm_of_machine(leader, latest->machine));
-}
-
-static bool has_later_report(const leader_vm_t *vm, uint64_t born_ms)
-{
-	return vm != NULL && vm->last_report_us != 0 && vm->born_ms > born_ms;
-}
-
-/* True when this incarnation is known to have ended, or a later VM has reported the same address
- * or machine. */
-static bool is_superseded(const batch_leader_t *leader, const char *vm, const char *address,
-			  const char *machine, uint64_t born_ms)
+/* True when this incarnation, or a later one with its id, is known to have ended. */
+static bool has_ended(const batch_leader_t *leader, const char *vm, uint64_t born_ms)
 {
 	const uint64_t *ended_ms = g_hash_table_lookup(leader->ended_incarnations, vm);
 
-	return (ended_ms != NULL && *ended_ms >= born_ms) ||
-	       has_later_report(g_hash_table_lookup(leader->by_address, address), born_ms) ||
-	       has_later_report(leader_vm_of_machine(leader, machine), born_ms);
+	return ended_ms != NULL && *ended_ms >= born_ms;
 }
 
 /* Adds the VM of a replicated record that was committed after this leader was activated, by a start
- * intent of an earlier leader. If the VM has already ended, it is marked as dead at once. */
+ * intent of an earlier leader. If the VM has already ended, it is marked as dead at once; if
+ * another one has reported from its machine or address, it is asked. */
 static void adopt_vm_record(batch_leader_t *leader, batch_vm_t *record)
 {
-	bool ended = is_superseded(leader, record->id, record->address, record->machine,
-				   record->born_ms);
+	bool ended = has_ended(leader, record->id, record->born_ms);
+	bool has_rival = g_hash_table_contains(leader->by_address, record->address) ||
+			 leader_vm_of_machine(leader, record->machine) != NULL;
 	leader_vm_t *vm = leader_vm_from_record(leader, record);
 	char count[16];
 
 	g_snprintf(count, sizeof(count), "%u", record->task_count);
 	log_event(G_LOG_LEVEL_MESSAGE, LOG_FIELDS("vm", record->id, "runs", count),
 		  "found runs of an earlier leader on an unknown VM");
-	if (ended)
-		leader_vm_mark_dead(vm, "its machine or address has a later VM");
-	else
-		leader_maintenance_cordon(leader, vm);
+	if (ended) {
+		leader_vm_mark_dead(vm, "it had ended before its runs were committed");
+		return;
+	}
+	if (has_rival)
+		leader_ask_vm(vm, leader_now_us(leader));
+	leader_maintenance_cordon(leader, vm);
 }
 
 void leader_adopt_vm_records(batch_leader_t *leader, uint64_t now_us)
@@ -90,22 +73,21 @@
 	return vm;
 }
 
-/* Adds a confirmed VM to the fleet. It ends earlier VMs with its machine or address. */
+/* Adds a confirmed VM to the fleet. */
 static void join_fleet(leader_vm_t *vm)
 {
-	batch_leader_t *leader = vm->leader;
-
-	mark_predecessors_dead(leader, vm);
-	leader_machine_reported(leader, vm);
+	leader_machine_reported(vm->leader, vm);
 	leader_vm_index(vm);
 }
 
-/* Confirms a VM whose service has become known, unless it has ended since its report. */
+/* Confirms a VM whose service has become known. If another VM is known on its machine or address,
+ * it is forgotten instead: its next report challenges that one. */
 static void confirm_vm(leader_vm_t *vm)
 {
 	batch_leader_t *leader = vm->leader;
 
-	if (is_superseded(leader, vm->id, vm->address, vm->machine, vm->born_ms)) {
+	if (g_hash_table_contains(leader->by_address, vm->address) ||
+	    leader_vm_of_machine(leader, vm->machine) != NULL) {
 		leader_vm_free(vm);
 		return;
 	}
@@ -180,59 +162,90 @@
 		  "ignoring a report that contradicts what is known about its VM");
 }
 
-/* Handles what a report says about the known VM with its id. @return the VM to which the report
- * applies, NULL when that has to be added
- * @param ignored set to true when the report must be ignored */
-static leader_vm_t *handle_known_vm(batch_leader_t *leader, leader_vm_t *vm,
-				    const vm_report_t *report, bool known_service, bool *ignored)
+/* What a report is to be used for. */
+typedef enum {
+	REPORT_UPDATES, /* it is from the known VM with its id */
+	REPORT_ADDS,	/* it is from an unknown VM or life */
+	REPORT_IGNORED,
+} report_use_t;
+
+/* Judges a report by what is known about the VM with its id. */
+static report_use_t judge_report(batch_leader_t *leader, const vm_report_t *report,
+				 bool known_service)
 {
-	vm_identity_t known = identity_of(vm);
+	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, report->id);
+	vm_identity_t known;
 
+	if (has_ended(leader, report->id, report->born_ms))
+		return REPORT_IGNORED;
+	if (vm == NULL)
+		return REPORT_ADDS;
+	known = identity_of(vm);
 	switch (vm_evidence_of_report(&known, report, known_service)) {
 	case VM_REPORT_UPDATE:
-		return vm;
-	case VM_REPORT_RESTART:
-		leader_vm_mark_restarted(vm, report->born_ms,
-					 "a later life of the VM has reported");
-		return NULL;
+		return REPORT_UPDATES;
+	case VM_REPORT_OTHER_LIFE:
+		return REPORT_ADDS;
 	case VM_REPORT_REPLACES:
 		leader_vm_free(vm);
-		return NULL;
+		return REPORT_ADDS;
 	case VM_REPORT_OUTDATED:
-		*ignored = true;
-		return NULL;
+		return REPORT_IGNORED;
 	case VM_REPORT_FOREIGN:
 		log_foreign_report(leader, vm, report);
-		*ignored = true;
-		return NULL;
+		return REPORT_IGNORED;
 	}
-	return NULL;
+	return REPORT_IGNORED;
 }
 
-bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t received_us)
+/* True when the report counts, whatever it says of other VMs: it is from a VM that has answered, or
+ * from one that is kept aside because its service is not known. */
+static bool is_uncontested(const leader_vm_t *vm, bool known_service)
 {
-	bool known_service = leader_service_known(leader, report->service);
-	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, report->id);
-	bool ignored = false;
-	bool is_new;
+	return vm != NULL ? vm->answered_sent_us != 0 || !(vm->confirmed || known_service)
+			  : !known_service;
+}
+
+static void use_report(batch_leader_t *leader, leader_vm_t *vm, const vm_report_t *report,
+		       bool known_service, uint64_t received_us)
+{
+	bool is_new = vm == NULL || vm->last_report_us == 0;
 
-	if (is_superseded(leader, report->id, report->address, report->machine, report->born_ms))
-		return false;
-	if (vm != NULL)
-		vm = handle_known_vm(leader, vm, report, known_service, &ignored);
-	if (ignored)
-		return false;
-	is_new = vm == NULL || vm->last_report_us == 0;
 	if (vm == NULL)
 		vm = add_reported_vm(leader, report, known_service);
 	vm->confirmed |= known_service;
 	leader_vm_apply_report(vm, report, received_us);
 	if (!vm->confirmed)
-		return true;
+		return;
 	join_fleet(vm);
 	if (is_new)
 		leader_maintenance_cordon(leader, vm);
 	leader->placement_due = true;
+}
+
+bool batch_leader_report(batch_leader_t *leader, const vm_report_t *report, uint64_t received_us)
+{
+	bool known_service = leader_service_known(leader, report->service);
+	report_use_t use = judge_report(leader, report, known_service);
+	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, report->id);
+	leader_vm_t *updated = use == REPORT_UPDATES ? vm : NULL;
+
+	if (use == REPORT_IGNORED)
+		return false;
+	/* A life of a known VM challenges that one also when its service is not known any more. */
+	if (!is_uncontested(updated, known_service || (vm != NULL && updated == NULL))) {
+		switch (leader_challenge(leader, report, received_us)) {
+		case REPORT_UNCONTESTED:
+			break;
+		case REPORT_WAITS:
+			leader_challenge_keep(leader, report, received_us);
+			return false;
+		case REPORT_REFUTED:
+		case REPORT_OUTDATED:
+			return false;
+		}
+	}
+	use_report(leader, updated, report, known_service, received_us);
 	return true;
 }
 
--- a/src/batch_vms.c
+++ b/src/batch_vms.c
@@ -24,6 +24,9 @@
 
 static void link_record(leader_vm_t *vm, batch_vm_t *record)
 {
+	/* A VM that is back after it counted as ended has the runs from now on. */
+	if (record->leader != NULL)
+		record->leader->record = NULL;
 	vm->record = record;
 	vm->confirmed = true;
 	record->leader = vm;
@@ -243,7 +246,8 @@
 	leave_service(vm);
 	remove_from_index(vm->leader->by_id, vm->id, vm);
 	unindex_vm(vm);
-	remember_ended_incarnation(vm);
+	if (!vm->end_unproven)
+		remember_ended_incarnation(vm);
 	metrics_add(vm->leader->stats.dead, 1);
 	g_snprintf(born, sizeof(born), "%" PRIu64, vm->born_ms);
 	log_event(G_LOG_LEVEL_MESSAGE,
@@ -270,11 +274,16 @@
 	return true;
 }
 
-void leader_vm_read_restart(leader_vm_t *vm, const vm_reply_t *reply)
+void leader_vm_read_other_life(leader_vm_t *vm, const vm_reply_t *reply)
 {
 	batch_leader_t *leader = vm->leader;
 	leader_vm_t *next;
 
+	/* The VM became known by a report, before the request was sent. If an earlier life answers,
+	 * the report was false, and the earlier one has not ended. */
+	vm->end_unproven = reply->born_ms < vm->born_ms;
+	if (vm->end_unproven)
+		g_hash_table_remove(leader->ended_incarnations, vm->id);
 	leader_vm_mark_restarted(vm, reply->born_ms, "another life of the VM answers");
 	next = leader_vm_new(leader, vm->id, reply->born_ms, vm->address);
 	next->confirmed = true;
@@ -289,6 +298,12 @@
 	leader_vm_t *vm = g_hash_table_lookup(leader->by_id, record->id);
 	leader_vm_t *added;
 
+	if (vm != NULL && vm->born_ms > record->born_ms && vm->answered_sent_us == 0 &&
+	    leader_vm_is_empty(vm)) {
+		/* Only a report shows the later incarnation. Its next one challenges this VM. */
+		leader_vm_free(vm);
+		vm = NULL;
+	}
 	if (vm != NULL && vm->born_ms > record->born_ms) {
 		/* A later incarnation has reported, so the incarnation of this record has ended.
 		 * leader_vm_new() has put it into by_id nevertheless; put the later one back. */
--- a/src/vm_cache.c
+++ b/src/vm_cache.c
@@ -112,10 +112,9 @@
 	g_ptr_array_set_size(cache->unsent, 0);
 }
 
-static void call_with_report(const Lp__VmReportCopy *copy, uint64_t received_us, vm_report_fn fn,
-			     void *arg)
+void vm_report_from_message(const Lp__VmReportCopy *copy, vm_report_t *report)
 {
-	const vm_report_t report = {
+	*report = (vm_report_t){
 		.id = copy->id,
 		.machine = copy->machine,
 		.service = copy->service,
@@ -134,13 +133,30 @@
 		.clock_ms = copy->clock_ms,
 		.seq = copy->seq,
 	};
+}
+
+static void call_with_report(const Lp__VmReportCopy *copy, uint64_t received_us, vm_report_fn fn,
+			     void *arg)
+{
+	vm_report_t report;
 
+	vm_report_from_message(copy, &report);
 	fn(arg, &report, received_us);
 }
 
+static int compare_starts(const void *a, const void *b)
+{
+	const cached_report_t *first = *(const cached_report_t *const *)a;
+	const cached_report_t *second = *(const cached_report_t *const *)b;
+
+	return (first->copy->born_ms < second->copy->born_ms) -
+	       (first->copy->born_ms > second->copy->born_ms);
+}
+
 void vm_cache_foreach(const vm_cache_t *cache, uint64_t now_us, uint64_t age_max_us,
 		      vm_report_fn fn, void *arg)
 {
+	g_autoptr(GPtrArray) recent = g_ptr_array_new();
 	GHashTableIter iter;
 	void *value;
 
@@ -149,7 +165,13 @@
 		const cached_report_t *cached = value;
 
 		if (now_us <= cached->received_us + age_max_us)
-			call_with_report(cached->copy, cached->received_us, fn, arg);
+			g_ptr_array_add(recent, value);
+	}
+	g_ptr_array_sort(recent, compare_starts);
+	for (guint i = 0; i < recent->len; i++) {
+		const cached_report_t *cached = g_ptr_array_index(recent, i);
+
+		call_with_report(cached->copy, cached->received_us, fn, arg);
 	}
 }
 
--- a/src/vm_cache.h
+++ b/src/vm_cache.h
@@ -44,12 +44,14 @@
 void vm_cache_get_unsent(vm_cache_t *cache, Lp__VmReportCopies *message);
 /** Marks all reports as sent, which invalidates the message of vm_cache_get_unsent(). */
 void vm_cache_mark_sent(vm_cache_t *cache);
-/** Calls fn for each report received at most age_max_us ago. */
+/** Calls fn for each report received at most age_max_us ago, that of the latest start first. */
 void vm_cache_foreach(const vm_cache_t *cache, uint64_t now_us, uint64_t age_max_us,
 		      vm_report_fn fn, void *arg);
 
 /** Fills copy from report. The strings are not copied: copy points to those of report. */
 void vm_report_to_message(Lp__VmReportCopy *copy, const vm_report_t *report);
+/** Fills report from copy. The strings are not copied: report points to those of copy. */
+void vm_report_from_message(const Lp__VmReportCopy *copy, vm_report_t *report);
 /** Calls fn for each report of a message, with now_us as the time of arrival. */
 void vm_report_message_foreach(const Lp__VmReportCopies *copies, uint64_t now_us, vm_report_fn fn,
 			       void *arg);
--- a/src/vm_evidence.c
+++ b/src/vm_evidence.c
@@ -46,17 +46,30 @@
 {
 	if (!known->confirmed)
 		return judge_unconfirmed(known, report, service_known);
-	if (report->born_ms < known->born_ms)
-		return VM_REPORT_OUTDATED;
 	if (!service_known && !is_own_service(known, report))
 		return VM_REPORT_FOREIGN;
-	if (report->born_ms > known->born_ms)
-		return VM_REPORT_RESTART;
+	if (report->born_ms != known->born_ms)
+		return VM_REPORT_OTHER_LIFE;
 	if (!is_same_place(known, report))
 		return VM_REPORT_FOREIGN;
 	return judge_order(known, report);
 }
 
+vm_rival_verdict_t vm_evidence_of_rival(const vm_rival_t *rival, uint64_t report_born_ms,
+					uint64_t received_us)
+{
+	if (rival->born_ms > report_born_ms && (rival->answered_us != 0 || rival->has_runs))
+		return VM_RIVAL_LATER;
+	return rival->answered_us >= received_us ? VM_RIVAL_LIVES : VM_RIVAL_CHALLENGED;
+}
+
+vm_challenge_verdict_t vm_evidence_of_challenge(const vm_challenge_t *challenge)
+{
+	if (challenge->answered_us >= challenge->challenged_us)
+		return VM_CHALLENGE_REFUTED;
+	return challenge->lapsed ? VM_CHALLENGE_LAPSED : VM_CHALLENGE_OPEN;
+}
+
 vm_listing_verdict_t vm_evidence_of_listing(const char *vm, const machine_info_t *listed,
 					    bool pool_known)
 {
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -60,6 +60,8 @@
 	vm_sim_processor_t processor;
 	bool silent_crashes; /**< requests to a crashed VM get no response; false: the VM's
 				connections are broken off and refused */
+	bool cuts_refuse;    /**< connections to a VM that is cut off are refused at once; false:
+				requests to it get no response */
 	bool keep_ids; /**< a VM that has crashed starts again under its id; false: under another */
 	bool unguarded; /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
@@ -92,9 +94,11 @@
  * copy
  */
 void vm_sim_submit(vm_sim_t *sim, const char *id, unsigned service, const Lp__BatchJob *job);
+/** Submits a job to service 0 whose tasks, eight for each VM, fill all its VMs. */
+void vm_sim_submit_filling(vm_sim_t *sim, const char *id, uint32_t estimate_ms);
 /**
- * Submits a job to service 0 whose tasks, eight for each VM, fill all its VMs, and runs the
- * simulation until all of them run. Ends the program if they do not within 5 s.
+ * Submits such a job, and runs the simulation until all its tasks run. Ends the program if they do
+ * not within 5 s.
  */
 void vm_sim_fill(vm_sim_t *sim, const char *id, uint32_t estimate_ms);
 void vm_sim_cancel(vm_sim_t *sim, const char *id);
