--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -237,20 +237,28 @@
 	talloc_free(mem);
 }
 
-static void assert_says_nothing(const json_t *entry, const char *key)
+/* Decodes a list of machines that has the entry only. */
+static machine_info_t *decode_machine(void *mem, const json_t *entry, size_t *count,
+				      size_t *malformed)
 {
-	void *mem = talloc_new(NULL);
 	json_t *body = json_pack("{s:[O]}", "machines", entry);
 	const char *next_page;
+	machine_info_t *machines = adapter_decode_machines(mem, body, count, &next_page, malformed);
+
+	json_decref(body);
+	return machines;
+}
+
+static void assert_says_nothing(const json_t *entry, const char *key)
+{
+	void *mem = talloc_new(NULL);
 	size_t malformed;
 	size_t count;
-	machine_info_t *machines =
-		adapter_decode_machines(mem, body, &count, &next_page, &malformed);
+	const machine_info_t *machines = decode_machine(mem, entry, &count, &malformed);
 
 	assert_int_equal(malformed, 1);
 	if (count > 0 && (!machines[0].name_only || machines[0].up || machines[0].down))
 		fail_msg("an entry with a malformed member \"%s\" is used", key);
-	json_decref(body);
 	talloc_free(mem);
 }
 
@@ -259,12 +267,10 @@
 static void test_malformed_machines_say_nothing(void **state)
 {
 	void *mem = talloc_new(NULL);
-	json_t *body = json_pack("{s:[o]}", "machines", parse(sound_machine));
-	const char *next_page;
+	json_t *entry = parse(sound_machine);
 	size_t malformed;
 	size_t count;
-	machine_info_t *machines =
-		adapter_decode_machines(mem, body, &count, &next_page, &malformed);
+	const machine_info_t *machines = decode_machine(mem, entry, &count, &malformed);
 
 	assert_int_equal(count, 1);
 	assert_int_equal(malformed, 0);
@@ -272,7 +278,7 @@
 	assert_false(machines[0].name_only);
 	for_each_malformed(sound_machine, NULL, assert_says_nothing);
 	for_each_malformed(sound_machine, "capacity", assert_says_nothing);
-	json_decref(body);
+	json_decref(entry);
 	talloc_free(mem);
 }
 
--- a/tests/test_cluster_batch.c
+++ b/tests/test_cluster_batch.c
@@ -3,7 +3,7 @@
  * addresses, simulates a fleet of VMs, and acts as the clients that submit, query and cancel jobs.
  * Injected faults: SIGKILL with and without loss of the disk, SIGSTOP, SIGTERM, and VMs that fall
  * silent, lose responses or restart, and reports of another system on their machines. Checks all
- *the time, from what clients and VMs see, that no accepted job is lost and no task runs twice.
+ * the time, from what clients and VMs see, that no accepted job is lost and no task runs twice.
  *
  *	LAVENDERPASS_SEED=N	first random seed (default 1)
  *	LAVENDERPASS_SEEDS=N	number of consecutive seeds to run (default 1)
