--- a/review/standins-2/cases.c
+++ b/review/standins-2/cases.c
@@ -44,8 +44,8 @@
 	return strcmp(job->spec, worker->rack) == 0;
 }
 
-/* One job for each rack. LOST: finish_s after the last of them, one has had nothing running for 3 s,
- * although its turn has come and all allowed workers are idle. */
+/* One job for each rack. LOST: finish_s after the last of them, one has had nothing running for 3
+ * s, although its turn has come and all allowed workers are idle. */
 play_result_t case_advice(bool trouble)
 {
 	const worker_spec_t spec = {.cpu = 16000, .mem_mb = 65536, .rack_size = RACK_SIZE};
@@ -96,8 +96,8 @@
 #define PENDING_WORKERS 8
 #define PENDING_JOBS 6
 
-/* MIXED: the queue's count is less than half of the jobs that were accepted more than visible_ms + 2
- * s before and have not begun. */
+/* MIXED: the queue's count is less than half of the jobs that were accepted more than visible_ms +
+ * 2 s before and have not begun. */
 play_result_t case_pending(bool trouble)
 {
 	const worker_spec_t spec = {.cpu = 16000, .mem_mb = 65536, .rack_size = 4};
@@ -194,7 +194,7 @@
 #define FROZEN_JOBS 90
 #define FROZEN_NODE (CORES + 1) /* the edge process in z2 */
 #define FROZEN_ZONE 1
-#define FREEZES 5
+#define FREEZES 6
 #define FREEZE_MS 4000
 #define CRASH_SHARE_PERCENT 14
 
@@ -207,7 +207,8 @@
 			const run_t *run = &g_array_index(play.workers[w].runs, run_t, i);
 			guint known = GPOINTER_TO_UINT(g_hash_table_lookup(runs, run->task));
 
-			g_hash_table_replace(runs, g_strdup(run->task), GUINT_TO_POINTER(known + 1));
+			g_hash_table_replace(runs, g_strdup(run->task),
+					     GUINT_TO_POINTER(known + 1));
 		}
 	}
 }
@@ -299,8 +300,143 @@
 			return PLAY_BROKEN;
 		if (!all_accepted())
 			return PLAY_FAILED;
-		/* Not a multiple of the interval at which the processes ping each other. */
-		run_for(7170);
+		run_for(6750 + (uint64_t)g_random_int_range(0, 500));
+	}
+	return PLAY_HELD;
+}
+
+/* --- removed-route: a job whose queue was removed cannot be cancelled --- */
+
+#define CONFIG_APPLY_MS 2000
+#define ACK_TIMEOUT_MS 4000
+#define CANCEL_MS 3000
+#define STOP_MS 200
+
+static unsigned running_tasks(const job_t *job)
+{
+	unsigned count = 0;
+
+	for (unsigned w = 0; w < play.worker_count; w++) {
+		for (guint i = 0; i < play.workers[w].runs->len; i++)
+			count += g_array_index(play.workers[w].runs, run_t, i).job == job;
+	}
+	return count;
+}
+
+/* UNASKED: a task runs on stopMs after cancel_ms, after the cancelling of its job had waited for
+ * ackTimeoutMs of steady state. */
+play_result_t case_removed_route(bool trouble)
+{
+	const worker_spec_t spec = {.cpu = 16000, .mem_mb = 65536, .rack_size = 4};
+	unsigned answer = 0;
+	uint64_t cancelled_ms;
+	job_t *job;
+
+	if (!start_all(make_config(1, SERVICE, 4, NULL), 4, &spec))
+		return PLAY_FAILED;
+	job = submit(json_pack("{s:i, s:i, s:i, s:i, s:b}", "count", 2, "cpu", 2000, "memMb", 512,
+			       "estimateMs", 900, "longRunning", 1),
+		     1000000, "lasts");
+	run_for(2000);
+	if (!job->accepted || running_tasks(job) != 2)
+		return PLAY_FAILED;
+	if (trouble) {
+		json_t *config = make_config(2, SERVICE, 4, NULL);
+
+		/* The same service, with another route. */
+		json_object_set_new(json_array_get(json_object_get(config, "routes"), 0), "prefix",
+				    json_string("/other3/"));
+		record("operator: version 2 removes the route of the job");
+		if (!configure(config, 5000))
+			return PLAY_FAILED;
+	}
+	run_for(CONFIG_APPLY_MS + 3000);
+	cancelled_ms = play_ms();
+	while (play_ms() < cancelled_ms + ACK_TIMEOUT_MS + 1000) {
+		unsigned status = cancel(job);
+
+		if (status / 100 == 2 || status == 410) {
+			answer = status;
+			break;
+		}
+		run_for(500);
+	}
+	run_for(CANCEL_MS + STOP_MS + 500);
+	record("the job was cancelled %d ms ago, answer %u; %u of its tasks run",
+	       (int)(play_ms() - cancelled_ms), answer, running_tasks(job));
+	if (running_tasks(job) > 0) {
+		record("UNASKED: tasks of a cancelled job run on");
+		return PLAY_BROKEN;
+	}
+	return PLAY_HELD;
+}
+
+/* --- full-service: a worker with tasks that last is lost for good while the service is full --- */
+
+#define FULL_WORKERS 8
+#define FULL_BATCH_MS 25000
+#define LASTING_GRACE_MS 6000
+#define CALM_MS 4000
+#define IDLE_MS 3000
+
+/* LOST: a task that lasts has not run for 3 s, from 6 s after its last run, and these 3 s and the 4
+ * s before them were calm. However full the service is. */
+play_result_t case_full_service(bool trouble)
+{
+	const worker_spec_t spec = {.cpu = 16000, .mem_mb = 65536, .rack_size = 4};
+	json_t *config = make_config(1, SERVICE, 3, NULL);
+	json_t *batch_route = json_deep_copy(json_array_get(json_object_get(config, "routes"), 0));
+	uint64_t lost_ms;
+	uint64_t idle_since_ms = 0;
+	worker_t *lost = NULL;
+	job_t *lasting;
+
+	json_object_set_new(batch_route, "name", json_string("r-2"));
+	json_object_set_new(batch_route, "prefix", json_string(BATCH_PREFIX));
+	json_object_set_new(batch_route, "priority", json_integer(1));
+	json_array_append_new(json_object_get(config, "routes"), batch_route);
+	if (!start_all(config, FULL_WORKERS, &spec))
+		return PLAY_FAILED;
+	lasting = submit(json_pack("{s:i, s:i, s:i, s:i, s:b}", "count", 2, "cpu", 2000, "memMb",
+				   512, "estimateMs", 900, "longRunning", 1),
+			 1000000, "lasts");
+	run_for(2000);
+	for (unsigned w = 0; w < FULL_WORKERS; w++) {
+		for (guint i = 0; i < play.workers[w].runs->len; i++) {
+			if (g_array_index(play.workers[w].runs, run_t, i).job == lasting)
+				lost = &play.workers[w];
+		}
+	}
+	if (!lasting->accepted || running_tasks(lasting) != 2 || lost == NULL)
+		return PLAY_FAILED;
+	/* Batch work of a queue that comes after the one of the lasting job fills the others. */
+	for (unsigned i = 0; i + 1 < FULL_WORKERS; i++)
+		submit_to(BATCH_PREFIX,
+			  json_pack("{s:i, s:i, s:i, s:i}", "count", 1, "cpu", 16000, "memMb", 512,
+				    "estimateMs", FULL_BATCH_MS),
+			  FULL_BATCH_MS, "batch");
+	run_for(2000);
+	if (!all_accepted() || busy_workers() != FULL_WORKERS)
+		return PLAY_FAILED;
+	lost_ms = play_ms();
+	if (trouble)
+		darken(lost);
+	while (play_ms() < lost_ms + LASTING_GRACE_MS + CALM_MS + IDLE_MS + 1000) {
+		if (running_tasks(lasting) > 0)
+			idle_since_ms = 0;
+		else if (idle_since_ms == 0)
+			idle_since_ms = play_ms();
+		run_for(10);
+	}
+	record("%u of the 2 lasting tasks run, %d ms after the loss of the worker; none has run "
+	       "for "
+	       "%d ms",
+	       running_tasks(lasting), (int)(play_ms() - lost_ms),
+	       idle_since_ms == 0 ? 0 : (int)(play_ms() - idle_since_ms));
+	if (idle_since_ms != 0 &&
+	    play_ms() >= MAX(idle_since_ms, lost_ms + LASTING_GRACE_MS) + IDLE_MS) {
+		record("LOST: tasks that last are not run again");
+		return PLAY_BROKEN;
 	}
 	return PLAY_HELD;
 }
--- a/review/standins-2/play.c
+++ b/review/standins-2/play.c
@@ -78,7 +78,8 @@
 static void write_settings(unsigned node, const char *path, bool bootstrap)
 {
 	static const char common[] =
-		"region=r\nzones.z1=r\nzones.z2=r\nzones.z3=r\nlimits.cpuShare=0.35\nlimits.cores=1\n"
+		"region=r\nzones.z1=r\nzones.z2=r\nzones.z3=r\nlimits.cpuShare=0.35\nlimits.cores="
+		"1\n"
 		"limits.memoryMb=256\nlimits.maxFds=4096\nlimits.linkMbps=1000.0\n"
 		"discovery=registry\nentry=vip\nheartbeatMs=1500\n"
 		"contracts=base,drain,config,cost,recover,sched,advice,upkeep,sharing\n"
@@ -183,7 +184,8 @@
 	g_autofree char *url = g_strdup_printf("http://%s%s", address, path);
 	char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
 	g_autofree char *deadline = g_strdup_printf("%u", timeout_ms);
-	http_header_t headers[3] = {{"Content-Type", "application/json"}, {"Deadline-Ms", deadline}};
+	http_header_t headers[3] = {{"Content-Type", "application/json"},
+				    {"Deadline-Ms", deadline}};
 	call_t *state = g_new0(call_t, 1);
 	http_call_request_t request = {
 		.method = method,
@@ -286,8 +288,8 @@
 {
 	json_t *route = json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:f}", "name",
 				  "r-1", "host", HOST, "prefix", PREFIX, "kind", "mutating",
-				  "timeoutMs", 3000, "sloMs", 600, "priority", 0, "service", service,
-				  "attempts", (int)attempts, "stretch", 1.6);
+				  "timeoutMs", 3000, "sloMs", 600, "priority", 0, "service",
+				  service, "attempts", (int)attempts, "stretch", 1.6);
 
 	if (advice != NULL)
 		json_object_set_new(route, "advice", advice);
@@ -295,8 +297,8 @@
 		"{s:i, s:[o], s:[{s:s, s:s, s:i, s:s, s:b, s:b, s:b}], s:{s:i, s:i, s:i, s:i}}",
 		"version", (int)version, "routes", route, "services", "name", service, "healthPath",
 		"/healthz", "maxConns", 64, "proto", "h1", "tls", 0, "admissionCheck", 1, "standby",
-		0, "limits", "maxHeaderBytes", 16384, "maxBodyBytes", 262144, "headerTimeoutMs", 3000,
-		"idleTimeoutMs", 15000);
+		0, "limits", "maxHeaderBytes", 16384, "maxBodyBytes", 262144, "headerTimeoutMs",
+		3000, "idleTimeoutMs", 15000);
 }
 
 /* --- clients --- */
@@ -329,7 +331,7 @@
 static void submit_next(void *arg)
 {
 	job_t *job = arg;
-	g_autofree char *path = g_strconcat(PREFIX, job->id, NULL);
+	g_autofree char *path = g_strconcat(job->prefix, job->id, NULL);
 	char address[64];
 
 	job->tries++;
@@ -337,10 +339,12 @@
 	call("POST", address, path, HOST, json_incref(job->body), 3000, on_submitted, job);
 }
 
-job_t *submit(json_t *step, unsigned dur_ms, const char *spec)
+job_t *submit_to(const char *prefix, json_t *step, unsigned dur_ms, const char *spec)
 {
 	job_t *job = g_new0(job_t, 1);
 
+	job->prefix = prefix;
+	job->lasts = json_is_true(json_object_get(step, "longRunning"));
 	g_snprintf(job->id, sizeof(job->id), "%08x%08x", g_random_int(), play.jobs->len + 1);
 	job->dur_ms = dur_ms;
 	job->count = (unsigned)json_integer_value(json_object_get(step, "count"));
@@ -352,6 +356,11 @@
 	return job;
 }
 
+job_t *submit(json_t *step, unsigned dur_ms, const char *spec)
+{
+	return submit_to(PREFIX, step, dur_ms, spec);
+}
+
 job_t *find_job(const char *task)
 {
 	for (guint i = 0; i < play.jobs->len; i++) {
@@ -383,7 +392,7 @@
 	front_address(address);
 	for (guint i = 0; i < play.jobs->len; i++) {
 		job_t *job = g_ptr_array_index(play.jobs, i);
-		g_autofree char *path = g_strconcat(PREFIX, job->id, NULL);
+		g_autofree char *path = g_strconcat(job->prefix, job->id, NULL);
 
 		job->asked = false;
 		call("GET", address, path, HOST, NULL, 3000, on_state, job);
@@ -408,7 +417,8 @@
 	const json_t *pending = json_object_get(body, "pending");
 
 	count->answered = true;
-	count->pending = status == 200 && json_is_integer(pending) ? json_integer_value(pending) : -1;
+	count->pending =
+		status == 200 && json_is_integer(pending) ? json_integer_value(pending) : -1;
 	record("client: GET %s answered %u, pending %" PRId64, PREFIX, status, count->pending);
 }
 
@@ -425,6 +435,27 @@
 	return count.pending;
 }
 
+static void on_cancelled(void *arg, unsigned status, const json_t *body,
+			 const http_call_result_t *result)
+{
+	*(int *)arg = (int)status;
+}
+
+/* Cancels the job once. @return the status of the answer; 0: none came */
+unsigned cancel(job_t *job)
+{
+	g_autofree char *path = g_strconcat(job->prefix, job->id, NULL);
+	char address[64];
+	int status = -1;
+
+	front_address(address);
+	call("DELETE", address, path, HOST, NULL, 3000, on_cancelled, &status);
+	while (status < 0)
+		run_for(10);
+	record("client: DELETE %s answered %d", job->id, status);
+	return (unsigned)status;
+}
+
 /* --- start and end --- */
 
 static bool address_is_free(const char *ip, unsigned port)
@@ -528,6 +559,8 @@
 	{"pending", case_pending},
 	{"gang", case_gang},
 	{"frozen-edge", case_frozen_edge},
+	{"removed-route", case_removed_route},
+	{"full-service", case_full_service},
 };
 
 static void remove_dir(const char *path)
--- a/review/standins-2/play.h
+++ b/review/standins-2/play.h
@@ -20,16 +20,23 @@
 #define WORKERS_MAX 160
 #define HOST "app.example"
 #define PREFIX "/work7/"
+#define BATCH_PREFIX "/batch3/"
 #define SERVICE "siteplan4"
 
-typedef enum { PLAY_HELD, PLAY_BROKEN, PLAY_FAILED } play_result_t;
+typedef enum {
+	PLAY_HELD,
+	PLAY_BROKEN,
+	PLAY_FAILED
+} play_result_t;
 
 typedef struct {
 	char id[20];
+	const char *prefix;
 	char spec[64];
 	unsigned dur_ms; /* how long a task works */
 	unsigned count;	 /* tasks of its one step */
 	bool gang;
+	bool lasts;
 	json_t *body;
 	unsigned tries;
 	unsigned answer;
@@ -49,7 +56,7 @@
 	char task[80];
 	uint32_t run;
 	uint64_t started_us;
-	uint64_t work_us; /* since when it works; 0: a gang that waits for its members */
+	uint64_t work_us;   /* since when it works; 0: a gang that waits for its members */
 	uint64_t broken_us; /* when it ends because another member has ended; 0: never */
 	job_t *job;
 } run_t;
@@ -76,7 +83,7 @@
 	char ip[32];
 	char rack[16];
 	unsigned zone;
-	bool dark;    /* has no power: it answers nothing */
+	bool dark; /* has no power: it answers nothing */
 	bool grey; /* fails all that it starts */
 	http_server_t server;
 	uint64_t born_ms;
@@ -89,7 +96,7 @@
 	GArray *ends;	  /* end_t that were not acknowledged */
 	GHashTable *over; /* task -> highest run that was stopped or has ended there */
 	GPtrArray *waits; /* wait_t */
-	bool beating; /* a heartbeat is in flight */
+	bool beating;	  /* a heartbeat is in flight */
 	unsigned beats_acked;
 	char beat_addr[64];
 	unsigned beat_core;
@@ -143,9 +150,11 @@
 bool configure(json_t *config, uint64_t ms);
 json_t *make_config(unsigned version, const char *service, unsigned attempts, json_t *advice);
 job_t *submit(json_t *step, unsigned dur_ms, const char *spec);
+job_t *submit_to(const char *prefix, json_t *step, unsigned dur_ms, const char *spec);
 job_t *find_job(const char *task);
 void ask_states(void);
 int64_t ask_pending(void);
+unsigned cancel(job_t *job);
 bool start_all(json_t *config, unsigned workers, const worker_spec_t *spec);
 
 /* workers.c */
@@ -163,3 +172,5 @@
 play_result_t case_pending(bool trouble);
 play_result_t case_gang(bool trouble);
 play_result_t case_frozen_edge(bool trouble);
+play_result_t case_removed_route(bool trouble);
+play_result_t case_full_service(bool trouble);
--- a/review/standins-2/services.c
+++ b/review/standins-2/services.c
@@ -11,8 +11,8 @@
 
 	return json_pack("{s:s, s:s, s:s, s:s, s:[s, s], s:{s:i, s:i, s:i}, s:s}", "machine",
 			 worker->machine, "pool", SERVICE, "state", worker->dark ? "down" : "up",
-			 "zone", zones[worker->zone], "labels", "a", worker->rack, "capacity", "cpu",
-			 (int)play.spec.cpu, "memMb", (int)play.spec.mem_mb, "gpu", 0, "id",
+			 "zone", zones[worker->zone], "labels", "a", worker->rack, "capacity",
+			 "cpu", (int)play.spec.cpu, "memMb", (int)play.spec.mem_mb, "gpu", 0, "id",
 			 worker->dark ? "" : worker->id);
 }
 
@@ -58,8 +58,8 @@
 		const worker_t *worker = id != NULL ? find_worker(id) : NULL;
 
 		if (worker != NULL && (play.allows == NULL || play.allows(job, worker)))
-			json_array_append_new(allowed,
-					      json_pack("[s, o]", id, json_sprintf("%s/%s", id, step)));
+			json_array_append_new(
+				allowed, json_pack("[s, o]", id, json_sprintf("%s/%s", id, step)));
 	}
 	record("policy: step %s, %zu workers named, %zu of them allowed", step != NULL ? step : "?",
 	       json_array_size(ids), json_array_size(allowed));
--- a/review/standins-2/workers.c
+++ b/review/standins-2/workers.c
@@ -32,17 +32,19 @@
 	for (guint i = 0; i < worker->runs->len; i++) {
 		const run_t *run = &g_array_index(worker->runs, run_t, i);
 		uint64_t worked_ms = run->work_us != 0 ? (now_us - run->work_us) / US_PER_MS : 0;
-		uint64_t percent = MIN(99, worked_ms * 100 / MAX(1, run->job->dur_ms));
+		uint64_t percent =
+			run->job->lasts ? 100 : MIN(99, worked_ms * 100 / MAX(1, run->job->dur_ms));
 
-		json_array_append_new(running, json_pack("[s, I, s, I, i]", run->task,
-							 (json_int_t)run->run, "",
-							 (json_int_t)percent, 0));
+		json_array_append_new(running,
+				      json_pack("[s, I, s, I, i]", run->task, (json_int_t)run->run,
+						"", (json_int_t)percent, 0));
 	}
 	for (guint i = 0; i < worker->ends->len && i < 500; i++) {
 		const end_t *end = &g_array_index(worker->ends, end_t, i);
 
-		json_array_append_new(ends, json_pack("[I, s, I, s, s]", (json_int_t)end->number,
-						      end->task, (json_int_t)end->run, end->how, ""));
+		json_array_append_new(ends,
+				      json_pack("[I, s, I, s, s]", (json_int_t)end->number,
+						end->task, (json_int_t)end->run, end->how, ""));
 	}
 	return json_pack("{s:I, s:I, s:o, s:o}", "clockMs", (json_int_t)worker_clock_ms(worker),
 			 "born", (json_int_t)worker->born_ms, "running", running, "finishedRuns",
@@ -195,8 +197,8 @@
 	if (deadline_ms > (json_int_t)now_ms)
 		worker->lease_until_us =
 			MAX(worker->lease_until_us,
-			    clock_now_us() + MIN((uint64_t)deadline_ms - now_ms, HOLD_MAX_MS) *
-						     US_PER_MS);
+			    clock_now_us() +
+				    MIN((uint64_t)deadline_ms - now_ms, HOLD_MAX_MS) * US_PER_MS);
 }
 
 static bool has_room(const worker_t *worker, const job_t *job)
@@ -205,9 +207,8 @@
 	uint64_t mem = 0;
 
 	for (guint i = 0; i <= worker->runs->len; i++) {
-		const job_t *of = i < worker->runs->len
-					  ? g_array_index(worker->runs, run_t, i).job
-					  : job;
+		const job_t *of =
+			i < worker->runs->len ? g_array_index(worker->runs, run_t, i).job : job;
 		const json_t *step = json_array_get(json_object_get(of->body, "steps"), 0);
 
 		cpu += (uint64_t)json_integer_value(json_object_get(step, "cpu"));
@@ -220,8 +221,7 @@
 {
 	const char *ticket = json_string_value(json_object_get(body, "ticket"));
 	const char *dot = strrchr(task, '.');
-	g_autofree char *expected =
-		g_strdup_printf("%s/%.*s", worker->id, (int)(dot - task), task);
+	g_autofree char *expected = g_strdup_printf("%s/%.*s", worker->id, (int)(dot - task), task);
 
 	return ticket != NULL && strcmp(ticket, expected) == 0;
 }
@@ -346,7 +346,8 @@
 
 static void beat(void *arg);
 
-static void on_beat(void *arg, unsigned status, const json_t *body, const http_call_result_t *result)
+static void on_beat(void *arg, unsigned status, const json_t *body,
+		    const http_call_result_t *result)
 {
 	worker_t *worker = arg;
 	const char *address = json_string_value(json_object_get(body, "heartbeatAddr"));
