vm_relay: expire forwarded requests before they are given up

An edge process was frozen for 4 s while the leader let it start tasks; VMs restarted under their ids before it woke.

Cause: an edge process carries out each forwarded request that it reads, however old it is. A VM that has restarted does not know of the stop. Ruled out: that libcurl sends the request after its timeout, but for time in suspend, which its clock does not count.

Change: Hello and Pong carry the sender's clock. The leader derives from it until when the edge process may send a request (peer_clock.c); the estimate lags, so requests expire early rather than late. Expired requests are dropped, counted, logged and answered as not sent. The leader gives up no request before it has expired, also when the edge process has disconnected.

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -4357,7 +4357,7 @@
   (ProtobufCMessageInit) lp__vm_report_copies__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__vm_order__field_descriptors[17] =
+static const ProtobufCFieldDescriptor lp__vm_order__field_descriptors[18] =
 {
   {
     "seq",
@@ -4563,10 +4563,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "expires_us",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__VmOrder, expires_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__vm_order__field_indices_by_name[] = {
   2,   /* field[2] = address */
   12,   /* field[12] = checkpoint */
+  17,   /* field[17] = expires_us */
   9,   /* field[9] = fence */
   7,   /* field[7] = index */
   4,   /* field[4] = job */
@@ -4586,7 +4599,7 @@
 static const ProtobufCIntRange lp__vm_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor lp__vm_order__descriptor =
 {
@@ -4596,7 +4609,7 @@
   "Lp__VmOrder",
   "lp",
   sizeof(Lp__VmOrder),
-  17,
+  18,
   lp__vm_order__field_descriptors,
   lp__vm_order__field_indices_by_name,
   1,  lp__vm_order__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -894,10 +894,15 @@
    * maximum time that the VM waits for a further finished run
    */
   uint32_t wait_ms;
+  /*
+   * Reading of the edge process's monotonic clock from which on it must not send the request: the
+   * leader then treats the request as failed. 0: no limit.
+   */
+  uint64_t expires_us;
 };
 #define LP__VM_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__vm_order__descriptor) \
-    , 0, LP__VM_ORDER_KIND__VM_ORDER_START, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, LP__VM_ORDER_KIND__VM_ORDER_START, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -313,8 +313,6 @@
 	if (info->up && info->has_disk)
 		replica_peer_up(node->replica, info->node_id, info->replica_id, info->has_disk);
 	vm_relay_peers_changed(node->relay);
-	if (!info->up)
-		vm_relay_peer_down(node->relay, info->node_id);
 }
 
 static void on_member_waited(void *arg, uint64_t us)
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -379,7 +379,7 @@
 		g_free(link);
 		return NULL;
 	}
-	link->vm_agent = (vm_agent_t){.port = options->port, .peers = link->peers};
+	vm_agent_init(&link->vm_agent, &options->port, link->peers, options->metrics);
 	edge_link_set_seeds(link, settings);
 	timer_subscribe(link->timers, &link->call_check, CALL_CHECK_MS * US_PER_MS, check_calls,
 			link);
--- a/src/peer.c
+++ b/src/peer.c
@@ -14,6 +14,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "peer_clock.h"
 #include "peer_conn.h"
 
 #define TICK_MS 50
@@ -60,6 +61,7 @@
 	uint64_t superseded_incarnation; /* earlier incarnation of the peer, which a newer one has
 					    replaced; its Hellos are refused */
 	uint64_t added_us;
+	peer_clock_t clock; /* readings that came on the dialled connection */
 	bool permanent;
 } peer_t;
 
@@ -157,6 +159,7 @@
 	hello.http_address = (char *)set->config.http_address;
 	hello.disk = set->config.has_disk;
 	hello.connection = connection_number;
+	hello.clock_us = clock_now_us();
 	envelope.body_case = LP__ENVELOPE__BODY_HELLO;
 	envelope.hello = &hello;
 	peer_conn_send(conn, &envelope);
@@ -190,6 +193,7 @@
 
 	pong.seq = seq;
 	pong.applied_index = applied_index(set);
+	pong.clock_us = clock_now_us();
 	envelope.body_case = LP__ENVELOPE__BODY_PONG;
 	envelope.pong = &pong;
 	peer_conn_send(conn, &envelope);
@@ -283,6 +287,8 @@
 	}
 	peer->verified = true;
 	peer->dialled_us = clock_now_us();
+	peer_clock_init(&peer->clock);
+	peer_clock_add(&peer->clock, hello->clock_us, peer->dialled_us);
 	if (update_peer_info(peer, hello))
 		report_change(peer);
 	send_ping(peer, clock_now_us());
@@ -295,6 +301,7 @@
 	peer->last_pong_us = now_us;
 	peer->info.last_heard_us = now_us;
 	peer->info.applied_index = pong->applied_index;
+	peer_clock_add(&peer->clock, pong->clock_us, now_us);
 	peer->backoff_ms = BACKOFF_MIN_MS;
 	if (!peer->info.up) {
 		peer->info.up = true;
@@ -785,6 +792,13 @@
 	return 0;
 }
 
+uint64_t peer_clock_reading_us(const peer_set_t *set, uint32_t node_id, uint64_t now_us)
+{
+	const peer_t *peer = find_peer(set, node_id);
+
+	return peer != NULL ? peer_clock_now_us(&peer->clock, now_us) : 0;
+}
+
 const peer_info_t *peer_info(const peer_set_t *set, uint32_t node_id)
 {
 	const peer_t *peer = find_peer(set, node_id);
--- a/src/peer.h
+++ b/src/peer.h
@@ -113,6 +113,13 @@
  */
 void peer_set_serve_members(peer_set_t *set);
 
+/**
+ * @param now_us present monotonic time in microseconds
+ * @return lower bound of the present reading of the peer's monotonic clock in microseconds, see
+ * peer_clock.h; 0: unknown
+ */
+uint64_t peer_clock_reading_us(const peer_set_t *set, uint32_t node_id, uint64_t now_us);
+
 /** @return the state of a peer, valid until the peer is forgotten, or NULL for an unknown node */
 const peer_info_t *peer_info(const peer_set_t *set, uint32_t node_id);
 /** Returns the number of known peers, connected or not. */
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1537,7 +1537,7 @@
   assert(message->base.descriptor == &lp__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor lp__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lp__hello__field_descriptors[9] =
 {
   {
     "cluster",
@@ -1635,8 +1635,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__Hello, clock_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__hello__field_indices_by_name[] = {
+  8,   /* field[8] = clock_us */
   0,   /* field[0] = cluster */
   7,   /* field[7] = connection */
   4,   /* field[4] = data_centre */
@@ -1649,7 +1662,7 @@
 static const ProtobufCIntRange lp__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lp__hello__descriptor =
 {
@@ -1659,7 +1672,7 @@
   "Lp__Hello",
   "lp",
   sizeof(Lp__Hello),
-  8,
+  9,
   lp__hello__field_descriptors,
   lp__hello__field_indices_by_name,
   1,  lp__hello__number_ranges,
@@ -1717,7 +1730,7 @@
   (ProtobufCMessageInit) lp__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__pong__field_descriptors[2] =
+static const ProtobufCFieldDescriptor lp__pong__field_descriptors[3] =
 {
   {
     "seq",
@@ -1743,15 +1756,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__Pong, clock_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__pong__field_indices_by_name[] = {
   1,   /* field[1] = applied_index */
+  2,   /* field[2] = clock_us */
   0,   /* field[0] = seq */
 };
 static const ProtobufCIntRange lp__pong__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor lp__pong__descriptor =
 {
@@ -1761,7 +1787,7 @@
   "Lp__Pong",
   "lp",
   sizeof(Lp__Pong),
-  2,
+  3,
   lp__pong__field_descriptors,
   lp__pong__field_indices_by_name,
   1,  lp__pong__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -109,10 +109,14 @@
    * answers another one.
    */
   uint64_t connection;
+  /*
+   * reading of the sender's monotonic clock; 0: not sent
+   */
+  uint64_t clock_us;
 };
 #define LP__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Lp__Ping
@@ -137,10 +141,14 @@
    */
   uint64_t seq;
   uint64_t applied_index;
+  /*
+   * reading of the sender's monotonic clock; 0: not sent
+   */
+  uint64_t clock_us;
 };
 #define LP__PONG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__pong__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Lp__ReplicaId
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -51,6 +51,9 @@
 typedef struct {
 	const char *address; /**< IP:port */
 	const char *id;	     /**< VM id; a VM with another id refuses the request */
+	/** Monotonic time in microseconds from which on the request is not sent any more and gets
+	 * VM_REPLY_NOT_SENT; 0: the request's own timeout. */
+	uint64_t expires_us;
 } vm_ref_t;
 
 typedef struct {
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -2,6 +2,7 @@
 
 #include "vm_relay.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <sys/queue.h>
 
@@ -9,6 +10,7 @@
 #include <talloc.h>
 
 #include "clock.h"
+#include "log.h"
 #include "rendezvous.h"
 
 /* Number of VMs up to which the leader sends all VM requests itself. With so few VMs, the requests
@@ -38,7 +40,8 @@
 	uint32_t edge_node;
 	uint64_t sent_us;
 	uint64_t deadline_us;
-	bool overdue; /* the deadline had passed at the latest check */
+	uint64_t expires_us; /* time until which the edge process may send the request */
+	bool overdue;	     /* the deadline had passed at the latest check */
 	vm_reply_fn done;
 	void *arg;
 } relay_call_t;
@@ -125,9 +128,11 @@
 	g_free(call);
 }
 
-/* Sends the request to the first of the chosen edge processes whose queue takes it. @return its
- * node id; 0: none takes it */
-static uint32_t send_to_edge(vm_relay_t *relay, const vm_ref_t *vm, Lp__VmOrder *order)
+/* Sends the request to the first of the chosen edge processes whose queue takes it.
+ * @param valid_us time after now_us until which the edge process may send the request
+ * @return node id of the edge process; 0: none takes the request */
+static uint32_t send_to_edge(vm_relay_t *relay, const vm_ref_t *vm, Lp__VmOrder *order,
+			     uint64_t now_us, uint64_t valid_us)
 {
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 	uint32_t chosen[EDGES_TRIED_MAX];
@@ -136,6 +141,9 @@
 	envelope.body_case = LP__ENVELOPE__BODY_VM_ORDER;
 	envelope.vm_order = order;
 	for (size_t i = 0; i < count; i++) {
+		uint64_t edge_us = peer_clock_reading_us(relay->peers, chosen[i], now_us);
+
+		order->expires_us = edge_us != 0 ? edge_us + valid_us : 0;
 		if (peer_send(relay->peers, chosen[i], &envelope) == 0)
 			return chosen[i];
 	}
@@ -147,25 +155,28 @@
 static bool forward_request(vm_relay_t *relay, const vm_ref_t *vm, Lp__VmOrder *order,
 			    uint32_t timeout_ms, vm_reply_fn done, void *arg)
 {
+	uint64_t now_us = clock_now_us();
+	uint64_t timeout_us = timeout_ms * US_PER_MS;
+	/* The estimate of the edge process's clock lags by as long as its readings waited here. */
+	uint64_t valid_us = timeout_us + relay->input_delay_us;
 	uint32_t edge_node;
-	uint64_t now_us;
 	relay_call_t *call;
 
 	order->seq = ++relay->next_seq;
 	order->address = (char *)vm->address;
 	order->vm = (char *)vm->id;
-	edge_node = send_to_edge(relay, vm, order);
+	edge_node = send_to_edge(relay, vm, order, now_us, valid_us);
 	if (edge_node == 0) {
 		metrics_add(relay->direct_requests, 1);
 		return false;
 	}
-	now_us = clock_now_us();
 	call = g_new0(relay_call_t, 1);
 	*call = (relay_call_t){
 		.seq = order->seq,
 		.edge_node = edge_node,
 		.sent_us = now_us,
-		.deadline_us = now_us + timeout_ms * US_PER_MS,
+		.deadline_us = now_us + timeout_us,
+		.expires_us = now_us + valid_us,
 		.done = done,
 		.arg = arg,
 	};
@@ -357,40 +368,12 @@
 	talloc_free(mem);
 }
 
-static void fail_matching_calls(vm_relay_t *relay,
-				bool (*matches)(const relay_call_t *call, uint64_t value),
-				uint64_t value)
-{
-	const vm_reply_t no_response = {.code = VM_REPLY_NO_RESPONSE};
-	relay_call_t *call;
-	relay_call_t *next;
-
-	for (call = TAILQ_FIRST(&relay->calls); call != NULL; call = next) {
-		next = TAILQ_NEXT(call, link);
-		if (matches(call, value))
-			complete_call(relay, call, &no_response);
-	}
-}
-
-static bool was_sent_to(const relay_call_t *call, uint64_t node_id)
-{
-	return call->edge_node == node_id;
-}
-
-static bool is_any_call(const relay_call_t *call, uint64_t unused_value)
-{
-	return true;
-}
-
-void vm_relay_peer_down(vm_relay_t *relay, uint32_t node_id)
-{
-	fail_matching_calls(relay, was_sent_to, node_id);
-}
-
-/* Fails the calls that have timed out. A result that has arrived may still wait to be read, so a
- * call fails only if the deadline has passed by the time that results presently wait, and at two
- * checks in a row, between which this process has read messages. Otherwise the requests of a leader
- * that is behind would fail and be repeated, which makes it fall further behind. */
+/* Fails the calls that have timed out, but none that the edge process may still carry out: when it
+ * wakes from a pause, or its connection recovers, it reads requests that were sent long before. A
+ * result that has arrived may still wait to be read, so a call fails only if the deadline has
+ * passed by the time that results presently wait, and at two checks in a row, between which this
+ * process has read messages. Otherwise the requests of a leader that is behind would fail and be
+ * repeated, which makes it fall further behind. */
 static void check_timeouts(void *arg, uint64_t now_us)
 {
 	vm_relay_t *relay = arg;
@@ -402,7 +385,7 @@
 		relay->input_delay_us = 0;
 	for (call = TAILQ_FIRST(&relay->calls); call != NULL; call = next) {
 		next = TAILQ_NEXT(call, link);
-		if (now_us < call->deadline_us + relay->input_delay_us)
+		if (now_us < MAX(call->deadline_us + relay->input_delay_us, call->expires_us))
 			continue;
 		if (call->overdue)
 			complete_call(relay, call, &no_response);
@@ -438,8 +421,12 @@
 
 void vm_relay_destroy(vm_relay_t *relay)
 {
+	const vm_reply_t no_response = {.code = VM_REPLY_NO_RESPONSE};
+	relay_call_t *call;
+
 	timer_unsubscribe(relay->timers, &relay->timeout_check);
-	fail_matching_calls(relay, is_any_call, 0);
+	while ((call = TAILQ_FIRST(&relay->calls)) != NULL)
+		complete_call(relay, call, &no_response);
 	g_hash_table_destroy(relay->calls_by_seq);
 	g_hash_table_destroy(relay->edge_nodes);
 	g_free(relay);
@@ -541,9 +528,44 @@
 	agent->port.start(agent->port.arg, vm, &start, on_vm_reply, call);
 }
 
+static void log_expired(const Lp__VmOrder *order, uint64_t late_ms)
+{
+	char run[16];
+	char ms[24];
+
+	g_snprintf(run, sizeof(run), "%u", order->run);
+	g_snprintf(ms, sizeof(ms), "%" PRIu64, late_ms);
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", order->job, "run", run, "vm", order->vm, "late_ms", ms),
+		  "dropping an expired VM request");
+}
+
+/* Drops the request if the leader may have given it up. @return whether it was dropped */
+static bool drop_expired(vm_agent_t *agent, const Lp__VmOrder *order, forwarded_request_t *call)
+{
+	const vm_reply_t not_sent = {.code = VM_REPLY_NOT_SENT};
+
+	if (order->expires_us == 0 || call->received_us < order->expires_us)
+		return false;
+	metrics_add(agent->expired, 1);
+	log_expired(order, (call->received_us - order->expires_us) / US_PER_MS);
+	on_vm_reply(call, &not_sent);
+	return true;
+}
+
+void vm_agent_init(vm_agent_t *agent, const vm_port_t *port, peer_set_t *peers, metrics_t *metrics)
+{
+	*agent = (vm_agent_t){
+		.port = *port,
+		.peers = peers,
+		.expired = metrics_counter(metrics, "edge_expired_vm_requests_total", ""),
+	};
+}
+
 void vm_agent_handle_request(vm_agent_t *agent, uint32_t from, const Lp__VmOrder *order)
 {
-	const vm_ref_t vm = {.address = order->address, .id = order->vm};
+	const vm_ref_t vm = {
+		.address = order->address, .id = order->vm, .expires_us = order->expires_us};
 	const vm_stop_t stop = {
 		.task = task_id_of(order), .run = order->run, .fence = order->fence};
 	const vm_pace_t pace = {.task = task_id_of(order),
@@ -558,6 +580,8 @@
 
 	*call = (forwarded_request_t){
 		.agent = agent, .from = from, .seq = order->seq, .received_us = clock_now_us()};
+	if (drop_expired(agent, order, call))
+		return;
 	switch (order->kind) {
 	case LP__VM_ORDER_KIND__VM_ORDER_START:
 		send_start(agent, &vm, order, call);
--- a/src/vm_relay.h
+++ b/src/vm_relay.h
@@ -11,6 +11,8 @@
  * thousand HTTP requests a second, more than the leader's CPU can make. The leader decides, and
  * edge processes in the VM's data centre make the HTTP requests. When an edge process ends, the
  * requests forwarded to it get no response; the leader handles them as if the VM did not respond.
+ * A forwarded request expires before the leader gives it up: an edge process that was paused or cut
+ * off would otherwise start runs that the leader has started elsewhere meanwhile.
  */
 
 /** The leader's side: implements vm_port_t by forwarding requests to edge processes. */
@@ -42,9 +44,6 @@
  * @param from node id of the edge process that sent the result
  */
 void vm_relay_handle_result(vm_relay_t *relay, uint32_t from, const Lp__VmResult *result);
-/** Completes the requests that were forwarded to a disconnected peer with VM_REPLY_NO_RESPONSE. */
-void vm_relay_peer_down(vm_relay_t *relay, uint32_t node_id);
-
 /** Must be called when a peer has come up, gone down or restarted. */
 void vm_relay_peers_changed(vm_relay_t *relay);
 /**
@@ -57,10 +56,14 @@
 typedef struct {
 	vm_port_t port;
 	peer_set_t *peers;
+	metrics_counter_t *expired; /**< number of requests dropped because they had expired */
 } vm_agent_t;
 
+/** @param port, peers, metrics must outlive the agent */
+void vm_agent_init(vm_agent_t *agent, const vm_port_t *port, peer_set_t *peers, metrics_t *metrics);
 /**
- * Sends a forwarded request to its VM, and the result back to the leader.
+ * Sends a forwarded request to its VM, and the result back to the leader. A request that has
+ * expired is not sent; its result is VM_REPLY_NOT_SENT.
  * @param from node id of the leader
  */
 void vm_agent_handle_request(vm_agent_t *agent, uint32_t from, const Lp__VmOrder *order);
--- a/tests/test_vm_relay.c
+++ b/tests/test_vm_relay.c
@@ -155,6 +155,7 @@
 	vm_relay_options_t options = {.direct = {.start = count_direct_start},
 				      .data_centre = data_centre_of_vm,
 				      .vm_count = vm_count};
+	const vm_port_t edge_port = {.start = answer_start};
 
 	direct_starts = 0;
 	edge_starts = 0;
@@ -169,7 +170,7 @@
 	start_process(&core, CORE_ID, "a", core_address, &edge_peer, &core_callbacks);
 	relay = vm_relay_create(&core.timers, &options);
 	vm_relay_set_peers(relay, core.peers);
-	agent = (vm_agent_t){.port = {.start = answer_start}, .peers = edge.peers};
+	vm_agent_init(&agent, &edge_port, edge.peers, metrics);
 	for (unsigned i = 0; i < 500 && !peer_info(core.peers, EDGE_ID)->up; i++)
 		run_both_ms(10);
 	assert_true(peer_info(core.peers, EDGE_ID)->up);
@@ -236,6 +237,24 @@
 	assert_int_equal(reply_code, VM_REPLY_NO_RESPONSE);
 }
 
+/* Guards against an edge process that starts, when it wakes from a pause, a run that the leader has
+ * given up and started elsewhere meanwhile. */
+static void test_paused_edge_process_drops_expired_requests(void **state)
+{
+	send_start();
+	for (unsigned i = 0; i < 300 && replies == 0; i++)
+		run_process_ms(&core, 10);
+	assert_int_equal(replies, 1);
+	assert_int_equal(reply_code, VM_REPLY_NO_RESPONSE);
+	run_both_ms(200);
+	assert_int_equal(edge_starts, 0);
+	send_start();
+	run_both_ms(100);
+	assert_int_equal(edge_starts, 1);
+	assert_int_equal(replies, 2);
+	assert_int_equal(reply_code, VM_REPLY_OK);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -244,6 +263,8 @@
 		cmocka_unit_test_setup_teardown(test_arrived_results_do_not_time_out, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_missing_result_times_out, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_paused_edge_process_drops_expired_requests,
+						set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
