batch: a job waits until a VM has begun a task of it

Cause: a job became BATCH_JOB_RUNNING when a start intent was committed, and pending and state were derived from that. Ruled out: a number that is kept for too long (500 ms), an answer by a process that is not the leader.

Change: a job has begun when a VM has acknowledged a start of it or listed a run or an end of it; lost runs say in the log whether their job had begun. pending counts jobs that have not begun, state shows them as queued. Runs of an earlier leader count as begun until their VM answers, unless it is silent.

Tests: test_assigned_jobs_wait_until_they_begin fails on the code before (0 instead of 1).

--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -2490,7 +2490,7 @@
   (ProtobufCMessageInit) lp__batch_starts__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_end__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lp__batch_end__field_descriptors[5] =
 {
   {
     "task",
@@ -2540,8 +2540,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchEnd, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_end__field_indices_by_name[] = {
+  4,   /* field[4] = begun */
   2,   /* field[2] = checkpoint */
   3,   /* field[3] = crash */
   1,   /* field[1] = kind */
@@ -2550,7 +2563,7 @@
 static const ProtobufCIntRange lp__batch_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor lp__batch_end__descriptor =
 {
@@ -2560,7 +2573,7 @@
   "Lp__BatchEnd",
   "lp",
   sizeof(Lp__BatchEnd),
-  4,
+  5,
   lp__batch_end__field_descriptors,
   lp__batch_end__field_indices_by_name,
   1,  lp__batch_end__number_ranges,
@@ -3300,7 +3313,7 @@
   (ProtobufCMessageInit) lp__batch_step_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_job_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lp__batch_job_state__field_descriptors[9] =
 {
   {
     "seq",
@@ -3398,9 +3411,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchJobState, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_job_state__field_indices_by_name[] = {
   3,   /* field[3] = accepted_ms */
+  8,   /* field[8] = begun */
   4,   /* field[4] = ended_ms */
   1,   /* field[1] = job */
   7,   /* field[7] = queue */
@@ -3412,7 +3438,7 @@
 static const ProtobufCIntRange lp__batch_job_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lp__batch_job_state__descriptor =
 {
@@ -3422,7 +3448,7 @@
   "Lp__BatchJobState",
   "lp",
   sizeof(Lp__BatchJobState),
-  8,
+  9,
   lp__batch_job_state__field_descriptors,
   lp__batch_job_state__field_indices_by_name,
   1,  lp__batch_job_state__number_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -420,10 +420,14 @@
   Lp__BatchEndKind kind;
   char *checkpoint;
   Lp__BatchCrash crash;
+  /*
+   * for a lost run: a VM had begun a run of the job
+   */
+  protobuf_c_boolean begun;
 };
 #define LP__BATCH_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_end__descriptor) \
-    , NULL, LP__BATCH_END_KIND__BATCH_END_DONE, (char *)protobuf_c_empty_string, LP__BATCH_CRASH__BATCH_CRASH_NONE }
+    , NULL, LP__BATCH_END_KIND__BATCH_END_DONE, (char *)protobuf_c_empty_string, LP__BATCH_CRASH__BATCH_CRASH_NONE, 0 }
 
 
 /*
@@ -631,10 +635,14 @@
    * settings of the job's queue when the job was accepted
    */
   Lp__BatchQueue *queue;
+  /*
+   * a run of the job has ended, or had begun when it was lost
+   */
+  protobuf_c_boolean begun;
 };
 #define LP__BATCH_JOB_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_job_state__descriptor) \
-    , 0, NULL, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, NULL }
+    , 0, NULL, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, NULL, 0 }
 
 
 struct  Lp__BatchVmState
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -292,6 +292,14 @@
 	task->seen_crashes = 0;
 }
 
+static void mark_begun(const batch_state_t *state, const Lp__BatchEnd *end)
+{
+	batch_task_t *task = batch_state_task(state, end->task);
+
+	if (task != NULL)
+		task->step->job->begun = true;
+}
+
 static void apply_ends(batch_state_t *state, uint64_t wall_ms, const Lp__BatchEnds *ends)
 {
 	batch_vm_t *vm = batch_state_vm(state, ends->vm, ends->born_ms);
@@ -301,6 +309,9 @@
 		return;
 	for (size_t i = 0; i < ends->n_ends; i++) {
 		clear_crashes(state, ends->ends[i]);
+		/* A member of a gang that ended alone has waited for the others only. */
+		if (ends->ends[i]->kind != LP__BATCH_END_KIND__BATCH_END_ALONE)
+			mark_begun(state, ends->ends[i]);
 		apply_end(state, ends->ends[i], wall_ms);
 	}
 	if (vm != NULL)
@@ -331,6 +342,8 @@
 		Lp__BatchEnd end = *lost->runs[i];
 
 		end.kind = LP__BATCH_END_KIND__BATCH_END_LAPSED;
+		if (end.begun)
+			mark_begun(state, &end);
 		count_crash(state, &end, wall_ms);
 		apply_end(state, &end, wall_ms);
 	}
--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -201,6 +201,21 @@
 			   pending_call_new(node, call, NULL, done, arg));
 }
 
+static bool job_begun(void *arg, const batch_job_t *job)
+{
+	const batch_node_t *node = arg;
+
+	return batch_leader_job_begun(node->leader, job);
+}
+
+/* @return state of the job for clients, for whom it runs once a task of it has begun */
+static const char *job_state_name(batch_node_t *node, const batch_job_t *job)
+{
+	bool waits = job->state == BATCH_JOB_RUNNING && !job_begun(node, job);
+
+	return batch_job_state_name(waits ? BATCH_JOB_QUEUED : job->state);
+}
+
 static void reply_with_state(batch_node_t *node, const Lp__BatchCall *call,
 			     const Lp__BatchQueue *queue, const char *job_id, batch_reply_fn done,
 			     void *arg)
@@ -216,7 +231,7 @@
 	} else if (job == NULL || !job_is_in_queue(job, queue)) {
 		reply.answer = LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB;
 	} else {
-		reply.state = (char *)batch_job_state_name(job->state);
+		reply.state = (char *)job_state_name(node, job);
 	}
 	done(arg, &reply);
 }
@@ -310,7 +325,7 @@
 
 void batch_calls_init(batch_node_t *node)
 {
-	batch_queued_init(&node->queued);
+	batch_queued_init(&node->queued, job_begun, node);
 	reply_queue_init(&node->replies, node->metrics, send_to_edge, node);
 	timer_subscribe(node->timers, &node->reply_timer, REPLY_RETRY_MS * US_PER_MS, flush_replies,
 			node);
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -159,6 +159,7 @@
 		ends[i].task = &lost_runs->refs[i];
 		ends[i].kind = LP__BATCH_END_KIND__BATCH_END_LAPSED;
 		ends[i].checkpoint = tasks[i]->local.reported_checkpoint;
+		ends[i].begun = tasks[i]->step->job->begun_seen;
 		ends[i].crash =
 			vm != NULL ? suspect_judge(vm, tasks[i], vm->dead) : tasks[i]->local.crash;
 		list[i] = &ends[i];
@@ -377,6 +378,7 @@
 		local->progress_us = now_us;
 	}
 	local->listed = true;
+	task->step->job->begun_seen = true;
 	local->crash = LP__BATCH_CRASH__BATCH_CRASH_NONE;
 	if (local->confirmed_clock_ms == 0)
 		local->confirmed_clock_ms = leader_vm_clock_ms(vm, now_us);
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -95,6 +95,36 @@
 	return g_hash_table_size(leader->machines);
 }
 
+/* True for a run that an earlier leader has assigned to a VM that has not told yet whether it has
+ * begun, but is not silent, as far as is known: after a restart, the VMs have yet to report. */
+static bool is_probably_begun(const batch_leader_t *leader, const batch_task_t *task,
+			      uint64_t now_us)
+{
+	const leader_vm_t *vm = task->vm != NULL ? task->vm->leader : NULL;
+
+	if (task->status != BATCH_TASK_ASSIGNED || task->local.phase != RUN_INHERITED)
+		return false;
+	return now_us < leader->activated_us + leader->config.report_timeout_ms * US_PER_MS ||
+	       (vm != NULL && leader_vm_is_responsive(vm, now_us));
+}
+
+bool batch_leader_job_begun(const batch_leader_t *leader, const batch_job_t *job)
+{
+	uint64_t now_us = leader_now_us(leader);
+
+	if (job->begun || job->begun_seen)
+		return true;
+	for (uint32_t i = 0; !job->archived && i < job->step_count; i++) {
+		const batch_step_t *step = &job->steps[i];
+
+		for (uint32_t j = 0; step->assigned > 0 && j < step->spec->count; j++) {
+			if (is_probably_begun(leader, &step->tasks[j], now_us))
+				return true;
+		}
+	}
+	return false;
+}
+
 static const char *part_name(leader_part_t part)
 {
 	switch (part) {
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -76,6 +76,12 @@
 /** @return data centre of a VM, or NULL when unknown */
 const char *batch_leader_data_centre(const batch_leader_t *leader, const char *vm_id);
 size_t batch_leader_machine_count(const batch_leader_t *leader);
+/**
+ * Returns whether a task of the job has begun on a VM, as far as is known. A run that an earlier
+ * leader has assigned counts as begun until its VM has answered, unless the VM is silent for longer
+ * than the interval of its reports.
+ */
+bool batch_leader_job_begun(const batch_leader_t *leader, const batch_job_t *job);
 /** Handles a VM's announcement that it shuts down. */
 void batch_leader_vm_shutdown(batch_leader_t *leader, const char *vm_id);
 /**
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -107,6 +107,7 @@
 		log_failed_start(vm, task, reply->code, attempt);
 	switch (reply->code) {
 	case VM_REPLY_OK:
+		task->step->job->begun_seen = true;
 		if (task->local.phase != RUN_CONFIRMED) {
 			task->local.phase = RUN_CONFIRMED;
 			task->local.phase_since_us = now_us;
--- a/src/batch_queued.c
+++ b/src/batch_queued.c
@@ -2,9 +2,9 @@
 
 #include <string.h>
 
-void batch_queued_init(batch_queued_t *queued)
+void batch_queued_init(batch_queued_t *queued, batch_job_begun_fn job_begun, void *arg)
 {
-	*queued = (batch_queued_t){0};
+	*queued = (batch_queued_t){.job_begun = job_begun, .arg = arg};
 }
 
 void batch_queued_finish(batch_queued_t *queued)
@@ -12,6 +12,12 @@
 	*queued = (batch_queued_t){0};
 }
 
+static bool job_waits(const batch_queued_t *queued, const batch_job_t *job)
+{
+	return job->state == BATCH_JOB_QUEUED ||
+	       (job->state == BATCH_JOB_RUNNING && !queued->job_begun(queued->arg, job));
+}
+
 static void count_jobs(batch_queued_t *queued, const batch_state_t *state, uint64_t wall_ms)
 {
 	batch_accepted_queue_t *accepted;
@@ -20,7 +26,7 @@
 	LIST_FOREACH (accepted, &state->accepted_queues, link)
 		accepted->waiting = 0;
 	TAILQ_FOREACH (job, &state->active, link) {
-		if (job->state != BATCH_JOB_QUEUED || job->accepted_queue == NULL ||
+		if (job->accepted_queue == NULL || !job_waits(queued, job) ||
 		    (job->spec->times > 0 && job->spec->first_due_ms > wall_ms))
 			continue;
 		job->accepted_queue->waiting++;
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -49,6 +49,7 @@
 	message->accepted_ms = job->accepted_ms;
 	message->ended_ms = job->ended_ms;
 	message->service = (char *)job->service;
+	message->begun = job->begun;
 	/* The steps of an archived job were freed. */
 	if (job->archived)
 		return message;
@@ -265,6 +266,7 @@
 	job = batch_job_new(message_copy(&message->job->base), message->seq, message->accepted_ms);
 	job->state = (batch_job_state_t)message->state;
 	job->ended_ms = message->ended_ms;
+	job->begun = message->begun;
 	if (message->queue != NULL)
 		batch_job_accept_queue(state, job, message->queue);
 	job->service = g_intern_string(message->service);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -46,8 +46,8 @@
 } batch_task_status_t;
 
 typedef enum {
-	BATCH_JOB_QUEUED, /**< no task of the job was assigned to a VM yet */
-	BATCH_JOB_RUNNING,
+	BATCH_JOB_QUEUED,  /**< no task of the job was assigned to a VM yet */
+	BATCH_JOB_RUNNING, /**< a task was assigned; the job has not necessarily begun */
 	BATCH_JOB_COMPLETE,
 	BATCH_JOB_FAILED,
 	BATCH_JOB_CANCELLED,
@@ -174,7 +174,11 @@
 				  so on */
 	uint32_t tasks_on_vms; /**< number of tasks whose vm is not NULL */
 	bool archived; /**< the job is in the list of ended jobs, and its steps were freed */
-	bool given_up; /**< the job failed because its tasks crashed VMs; not replicated */
+	bool begun; /**< a run of the job has ended on its VM, or had begun there when it was lost
+		     */
+	bool begun_seen; /**< a VM has acknowledged or listed a run of the job; set by the leader,
+			    not replicated */
+	bool given_up;	 /**< the job failed because its tasks crashed VMs; not replicated */
 	bool given_up_logged;
 	const char *service; /**< name of the service that runs the job, interned; that of the
 				queue in the latest configuration that has it */
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -2161,6 +2161,13 @@
 	sim->commit_delay_ms = commit_delay_ms;
 }
 
+bool vm_sim_job_begun(const vm_sim_t *sim, const char *id)
+{
+	const batch_job_t *job = batch_state_job(vm_sim_state(sim), id);
+
+	return job != NULL && batch_leader_job_begun(sim->leader, job);
+}
+
 const batch_state_t *vm_sim_state(const vm_sim_t *sim)
 {
 	return &sim->state;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -180,6 +180,8 @@
 void vm_sim_restart_processes(vm_sim_t *sim);
 
 const batch_state_t *vm_sim_state(const vm_sim_t *sim);
+/** @return whether the leader knows that a task of the job has begun */
+bool vm_sim_job_begun(const vm_sim_t *sim, const char *id);
 /** @return all violations recorded so far, one line each; "": none */
 const char *vm_sim_violations(const vm_sim_t *sim);
 /** @return number of runs that are running now on all VMs */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -89,6 +89,51 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against jobs that count as begun because they were assigned to VMs that are lost, so that
+ * the number of waiting jobs leaves them out. */
+static void test_jobs_on_lost_vms_have_not_begun(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = 3, .silent_crashes = true, .seed = 5};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 1, 5000, 3000);
+	vm_sim_run(sim, 4000);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	while (batch_state_job(vm_sim_state(sim), "a") == NULL ||
+	       state_of(sim, "a") == BATCH_JOB_QUEUED)
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+	vm_sim_crash_vms(sim, 0, 3);
+	for (; vm_sim_job_running_count(sim, "a") == 0; vm_sim_run(sim, vm_sim_now_ms(sim) + 10)) {
+		assert_false(vm_sim_job_begun(sim, "a"));
+		assert_true(vm_sim_now_ms(sim) < 30000);
+	}
+	vm_sim_run(sim, vm_sim_now_ms(sim) + 500);
+	assert_true(vm_sim_job_begun(sim, "a"));
+	vm_sim_destroy(sim);
+}
+
+/* Guards against running jobs that count as waiting again after a change of the leader. */
+static void test_begun_jobs_are_known_to_the_next_leader(void **state)
+{
+	const vm_sim_config_t config = {.services = 1, .vms_per_service = 3, .seed = 6};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 1, 5000, 8000);
+	vm_sim_run(sim, 4000);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	vm_sim_run(sim, 6000);
+	assert_true(vm_sim_job_begun(sim, "a"));
+	vm_sim_restart_processes(sim);
+	for (uint64_t ms = 6010; ms <= 8000; ms += 10) {
+		vm_sim_run(sim, ms);
+		assert_true(vm_sim_job_begun(sim, "a"));
+	}
+	vm_sim_destroy(sim);
+}
+
 /* Guards against a surge in one pool that waits while machines of other pools are idle: the pool's
  * 4 machines hold 64 tasks of 4 cores, the whole fleet 256. */
 static void test_idle_machines_move_to_a_busy_pool(void **state)
@@ -1615,6 +1660,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_steps_run_in_order),
+		cmocka_unit_test(test_jobs_on_lost_vms_have_not_begun),
+		cmocka_unit_test(test_begun_jobs_are_known_to_the_next_leader),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
 		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -476,7 +476,8 @@
 	}
 }
 
-static void apply_lost_run(const char *id, uint32_t index, uint32_t run, Lp__BatchCrash crash)
+static void apply_lost(const char *id, uint32_t index, uint32_t run, Lp__BatchCrash crash,
+		       bool begun)
 {
 	Lp__BatchTask task = LP__BATCH_TASK__INIT;
 	Lp__BatchEnd entry = LP__BATCH_END__INIT;
@@ -489,6 +490,7 @@
 	task.run = run;
 	entry.task = &task;
 	entry.crash = crash;
+	entry.begun = begun;
 	lost.runs = entries;
 	lost.n_runs = 1;
 	command.body_case = LP__BATCH_COMMAND__BODY_LOST;
@@ -496,6 +498,11 @@
 	apply(&command);
 }
 
+static void apply_lost_run(const char *id, uint32_t index, uint32_t run, Lp__BatchCrash crash)
+{
+	apply_lost(id, index, run, crash, false);
+}
+
 /* Guards against crashes of VMs that are forgotten in a snapshot, and a job that is started again
  * although two VMs have crashed because of it. */
 static void test_snapshot_keeps_crashes(void **state)
@@ -548,16 +555,63 @@
 	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
 }
 
+static bool job_begun(void *arg, const batch_job_t *job)
+{
+	return job->begun || job->begun_seen;
+}
+
+static uint32_t count_waiting(void)
+{
+	batch_queued_t queued;
+	uint32_t count;
+
+	batch_queued_init(&queued, job_begun, NULL);
+	count = batch_queued_count(&queued, &batch, batch.config->queues[0], wall_ms, 1);
+	batch_queued_finish(&queued);
+	return count;
+}
+
+/* Guards against a job that is left out of the waiting ones because a task was assigned to a VM
+ * that has never begun it. */
+static void test_assigned_jobs_wait_until_they_begin(void **state)
+{
+	submit("a", 1, false);
+	apply_start("a", 0, 1, "vm-1", 1);
+	assert_int_equal(count_waiting(), 1);
+	apply_lost_run("a", 0, 1, LP__BATCH_CRASH__BATCH_CRASH_NONE);
+	assert_int_equal(count_waiting(), 1);
+	apply_start("a", 0, 2, "vm-2", 1);
+	apply_finished_run("a", 0, 2, "vm-2", 1, LP__BATCH_END_KIND__BATCH_END_ALONE);
+	reload();
+	assert_int_equal(count_waiting(), 1);
+	apply_start("a", 0, 3, "vm-3", 1);
+	apply_finished_run("a", 0, 3, "vm-3", 1, LP__BATCH_END_KIND__BATCH_END_FAILED);
+	reload();
+	assert_int_equal(job_state("a"), BATCH_JOB_RUNNING);
+	assert_int_equal(count_waiting(), 0);
+}
+
+/* Guards against a job that waits again when the VM that had begun it is lost. */
+static void test_begun_jobs_do_not_wait_again(void **state)
+{
+	submit("a", 1, false);
+	apply_start("a", 0, 1, "vm-1", 1);
+	apply_lost("a", 0, 1, LP__BATCH_CRASH__BATCH_CRASH_NONE, true);
+	reload();
+	assert_int_equal(count_waiting(), 0);
+}
+
 /* Guards against a walk over all jobs for each query of the number of waiting jobs. */
 static void test_waiting_jobs_are_counted_for_many_queries(void **state)
 {
 	const Lp__BatchQueue *queue = batch.config->queues[0];
 	batch_queued_t queued;
 
-	batch_queued_init(&queued);
+	batch_queued_init(&queued, job_begun, NULL);
 	submit("a", 1, false);
 	submit("b", 1, false);
 	apply_start("b", 0, 1, "vm-1", 1);
+	apply_finished_run("b", 0, 1, "vm-1", 1, LP__BATCH_END_KIND__BATCH_END_FAILED);
 	for (unsigned i = 0; i < 1000; i++)
 		assert_int_equal(batch_queued_count(&queued, &batch, queue, wall_ms, 1 + i), 1);
 	assert_int_equal(queued.walks, 1);
@@ -617,6 +671,10 @@
 		cmocka_unit_test_setup_teardown(test_snapshot_keeps_crashes, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_jobs_are_given_up_by_crashes, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_assigned_jobs_wait_until_they_begin, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_begun_jobs_do_not_wait_again, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_waiting_jobs_are_counted_for_many_queries,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_lost_run_keeps_the_pending_intent, set_up,
