batch: ask the policy service about all VMs in turn

Cause: each request to the policy service listed the first 30 VMs of the pool that fit, and an answer without a ticket led to the same request. Only the tickets of the latest answer were kept. On the same path: with a ticket for some VMs no others were asked about, so that a gang for over 30 VMs never started, and VMs without the step's label took places in the list. Ruled out: lost answers; the log has an answer for each request.

Change: the leader keeps the latest answer about each VM for each step, and lists VMs with an expired ticket first, then those never asked about, then those refused 3 s ago or earlier. Tickets of several answers add up.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -21,10 +21,6 @@
 /* Size limit of the task list in a log line, enough for about ten tasks of a step. For the other
  * tasks, later log lines about their runs name the VM. */
 #define LOG_TASKS_BYTES 160
-/* Most VMs listed in one request to the policy service. Job objectives leave time for about 30
- * decisions of the service. */
-#define ADVICE_VMS_MAX 30
-
 #define WINDOW_LOG_PERIOD_US (1 * US_PER_S)
 
 /* Most task sizes that a pool remembers as not placeable. */
@@ -258,6 +254,13 @@
 	}
 }
 
+/* Lets a placement pass run at due_us at the latest. */
+static void wait_until(batch_leader_t *leader, uint64_t due_us)
+{
+	if (leader->waiting_due_us == 0 || due_us < leader->waiting_due_us)
+		leader->waiting_due_us = due_us;
+}
+
 /* Updates place_vms for the placement of the step: counts the tasks of the step and its job on
  * each VM, and marks the VMs where its tasks have failed and those that the policy service
  * allows. */
@@ -278,7 +281,7 @@
 		place_vms[i].for_suspect = suspect;
 		if (!suspect_vm_open(vm, step, isolate, pass->now_us)) {
 			place_vms[i].allowed = false;
-			pass->leader->suspect_due_us = pass->now_us + SUSPECT_INTERVAL_US;
+			wait_until(pass->leader, pass->now_us + SUSPECT_INTERVAL_US);
 		}
 		place_vms[i].failed_here =
 			failed != NULL &&
@@ -287,21 +290,28 @@
 	count_job_tasks(pass, place_vms, step);
 }
 
-static bool tickets_available(placement_pass_t *pass, pool_t *pool, batch_step_t *step,
-			      const Lp__BatchQueue *queue)
+/* Requests tickets for VMs that can take a task of the step now and for which it has none. The pool
+ * must be prepared for the step. */
+static void request_tickets(placement_pass_t *pass, const pool_t *pool, batch_step_t *step,
+			    const Lp__BatchQueue *queue)
 {
-	const char *ids[ADVICE_VMS_MAX];
+	g_autofree const char **ids = NULL;
+	uint64_t due_us;
 	size_t count = 0;
 
-	if (queue == NULL || queue->advice == NULL)
-		return true;
-	for (guint i = 0; i < pool->vms->len && count < ADVICE_VMS_MAX; i++) {
+	if (!ticket_may_request(step, pass->now_us))
+		return;
+	ids = g_new(const char *, pool->vms->len);
+	for (guint i = 0; i < pool->vms->len; i++) {
 		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
 
-		if (place_fits(&g_array_index(pool->place_vms, place_vm_t, i), step->spec))
+		if (place_suits(&g_array_index(pool->place_vms, place_vm_t, i), step->spec) &&
+		    ticket_find(step, vm->id, pass->now_us) == NULL)
 			ids[count++] = vm->id;
 	}
-	return ticket_ensure(pass->leader, step, queue, ids, count, pass->now_us);
+	due_us = ticket_request(pass->leader, step, queue, ids, count, pass->now_us);
+	if (due_us != 0)
+		wait_until(pass->leader, due_us);
 }
 
 static uint32_t next_run(const batch_step_t *step, const batch_task_t *task)
@@ -432,7 +442,7 @@
 			       pool->vms->len, pass->now_us);
 	talloc_free(used);
 	if (placed < wanted)
-		pass->leader->suspect_due_us = pass->now_us + SUSPECT_INTERVAL_US;
+		wait_until(pass->leader, pass->now_us + SUSPECT_INTERVAL_US);
 }
 
 static void place_candidate(placement_pass_t *pass, const batch_candidate_t *candidate)
@@ -441,6 +451,7 @@
 	const Lp__BatchStep *spec = step->spec;
 	pool_t *pool = get_pool(pass, step->job->service);
 	bool suspect = suspect_step(step);
+	bool advised = candidate->queue != NULL && candidate->queue->advice != NULL;
 	void *mem;
 	batch_task_t **tasks;
 	size_t *chosen;
@@ -460,12 +471,16 @@
 			tasks[wanted++] = &step->tasks[i];
 	}
 	pass->leader->window_full |= wanted == room && room < spec->count;
-	if (wanted == 0 || (spec->gang && wanted < spec->count) ||
-	    !tickets_available(pass, pool, step, candidate->queue))
+	if (wanted == 0 || (spec->gang && wanted < spec->count))
+		goto finish;
+	if (advised && !ticket_any_valid(step, pass->now_us) &&
+	    !ticket_may_request(step, pass->now_us))
 		goto finish;
 	prepare_pool(pass, pool, step, candidate->queue, suspect);
 	placed = place_step((place_vm_t *)pool->place_vms->data, pool->place_vms->len, spec, wanted,
 			    chosen);
+	if (placed < wanted && advised)
+		request_tickets(pass, pool, step, candidate->queue);
 	if (placed < wanted && !suspect)
 		remember_unplaceable(pool, candidate);
 	for (size_t i = 0; i < placed; i++)
@@ -694,12 +709,12 @@
 	batch_candidates_t candidates;
 	const batch_candidate_t *candidate;
 
-	leader->placement_due |= leader->suspect_due_us != 0 && now_us >= leader->suspect_due_us;
+	leader->placement_due |= leader->waiting_due_us != 0 && now_us >= leader->waiting_due_us;
 	if (!leader->placement_due || now_us < leader->next_placement_us)
 		return;
 	leader->placement_due = false;
 	leader->window_full = false;
-	leader->suspect_due_us = 0;
+	leader->waiting_due_us = 0;
 	pass.pools = g_hash_table_new_full(NULL, NULL, NULL, pool_free);
 	pass.planned = g_array_new(FALSE, FALSE, sizeof(planned_t));
 	batch_candidates_init(&candidates, leader->state, &room, now_us, pass.wall_ms);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -209,8 +209,8 @@
 	start_window_t window;
 	uint64_t window_logged_us;
 	bool window_full; /**< the latest placement pass left out steps because of the window */
-	uint64_t
-		suspect_due_us; /**< time of the next placement pass for suspected tasks; 0: none */
+	uint64_t waiting_due_us; /**< time of the next placement pass for steps that wait for a VM
+				    of their own or for a ticket; 0: none */
 	uint64_t decay_due_us;
 	uint64_t adopt_due_us;
 	double mean_slowness;
@@ -459,13 +459,21 @@
 typedef struct batch_ticket_cache batch_ticket_cache_t;
 /** @return valid ticket to run the step on the VM, or NULL */
 const char *ticket_find(const batch_step_t *step, const char *vm, uint64_t now_us);
+/** Returns whether the step has tickets that are valid, unless a VM has refused them since. */
+bool ticket_any_valid(const batch_step_t *step, uint64_t now_us);
+/** False while a request for the step is in flight, or the next one has to wait. */
+bool ticket_may_request(const batch_step_t *step, uint64_t now_us);
 /**
- * Requests tickets for the step from the policy service, unless it has valid tickets or a request
- * is in flight.
- * @return true when the step has valid tickets
+ * Requests tickets for the step from the policy service. A request lists few of the VMs: first
+ * those that the service has allowed before, then those that it was never asked about, so that
+ * repeated requests come to all of them. Does nothing unless ticket_may_request().
+ * @param vms ids of VMs that can take a task of the step and for which it has no valid ticket; they
+ * are reordered
+ * @return time from which on the call is to be repeated; 0: a request is in flight
  */
-bool ticket_ensure(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-		   const char *const *vms, size_t count, uint64_t now_us);
+uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
+			const char **vms, size_t count, uint64_t now_us);
+/** Forgets a ticket that the VM has refused. */
 void ticket_remove(batch_step_t *step, const char *vm);
 
 /* batch_upkeep.c */
--- a/src/batch_place.c
+++ b/src/batch_place.c
@@ -59,15 +59,20 @@
 	return false;
 }
 
-static bool can_run(const place_vm_t *vm, const Lp__BatchStep *step)
+bool place_suits(const place_vm_t *vm, const Lp__BatchStep *step)
 {
-	if (!vm->usable || !vm->allowed || !place_fits(vm, step))
+	if (!vm->usable || !place_fits(vm, step))
 		return false;
 	if (step->max_per_vm > 0 && vm->step_tasks >= step->max_per_vm)
 		return false;
 	return place_has_label(vm, step->constraint);
 }
 
+static bool can_run(const place_vm_t *vm, const Lp__BatchStep *step)
+{
+	return vm->allowed && place_suits(vm, step);
+}
+
 /* @return number of tasks of the step that fit on the VM, at most want */
 static size_t task_capacity(const place_vm_t *vm, const Lp__BatchStep *step, size_t want)
 {
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -57,5 +57,7 @@
 void place_adjust_reservation(place_vm_t *vm, const Lp__BatchStep *step, int sign);
 /** @return true when the VM has the label. @param label "": any VM has it */
 bool place_has_label(const place_vm_t *vm, const char *label);
+/** @return true when the VM can take one more task of the step, if the policy service allows it */
+bool place_suits(const place_vm_t *vm, const Lp__BatchStep *step);
 /** @return true when the VM has enough unreserved resources for one task of the step */
 bool place_fits(const place_vm_t *vm, const Lp__BatchStep *step);
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -9,14 +9,32 @@
 /* A ticket that expires within this time is not used, because a used ticket must still be valid
  * when the start request arrives. Committing and sending a start intent takes tens of ms. */
 #define TICKET_MARGIN_US (300 * US_PER_MS)
-/* Delay before asking the policy service again when it did not respond or gave no tickets. */
+/* Delay before asking the policy service again when it did not respond, and between requests about
+ * few VMs while the step has tickets: VMs get free one by one, and each request takes the time of a
+ * decision. */
 #define TICKET_RETRY_US (300 * US_PER_MS)
+/* Time after which the policy service is asked again about a VM that it did not allow. Its policy
+ * for a step does not change, but the VM can have started again as one of another kind. */
+#define TICKET_RECHECK_US (3 * US_PER_S)
+/* Most VMs listed in one request to the policy service. Job objectives leave time for about 30
+ * decisions of the service. */
+#define ADVICE_VMS_MAX 30
+
+/* Latest answer of the policy service about a VM. */
+typedef struct {
+	uint64_t answered_us;
+	uint64_t valid_until_us; /* end of the validity of the ticket; 0: there is none */
+	bool allowed;
+	char ticket[VM_NAME_MAX];
+} advice_t;
 
 struct batch_ticket_cache {
 	bool request_in_flight;
-	uint64_t valid_until_us;
-	uint64_t retry_us;
-	GArray *tickets; /* of vm_ticket_t */
+	uint64_t valid_until_us; /* latest end of the validity of a ticket */
+	uint64_t retry_us;	 /* earliest time of the next request */
+	uint64_t few_due_us; /* earliest time of the next request about few VMs, with valid tickets
+			      */
+	GHashTable *vms;     /* VM id -> advice_t */
 };
 
 typedef struct {
@@ -24,43 +42,84 @@
 	uint64_t generation;
 	Lp__BatchTask first_task; /* first task of the step, which identifies the step */
 	uint64_t valid_us;
+	size_t vm_count;
+	char vms[][VM_NAME_MAX]; /* VMs that the request lists */
 } advice_call_t;
 
+/* Order in which VMs are asked about. */
+typedef enum {
+	ASK_ALLOWED, /* the VM is allowed, and its ticket has expired or was refused */
+	ASK_FIRST,   /* the policy service was never asked about it */
+	ASK_AGAIN,   /* it was not allowed TICKET_RECHECK_US ago or earlier */
+	ASK_NOT,
+} ask_rank_t;
+
+static bool is_valid_until(uint64_t until_us, uint64_t now_us)
+{
+	return now_us + TICKET_MARGIN_US < until_us;
+}
+
 const char *ticket_find(const batch_step_t *step, const char *vm, uint64_t now_us)
 {
 	const batch_ticket_cache_t *cache = step->tickets;
+	const advice_t *advice = cache != NULL ? g_hash_table_lookup(cache->vms, vm) : NULL;
 
-	if (cache == NULL || now_us + TICKET_MARGIN_US >= cache->valid_until_us)
-		return NULL;
-	for (guint i = 0; i < cache->tickets->len; i++) {
-		const vm_ticket_t *ticket = &g_array_index(cache->tickets, vm_ticket_t, i);
-
-		if (strcmp(ticket->vm, vm) == 0)
-			return ticket->ticket;
-	}
-	return NULL;
+	return advice != NULL && is_valid_until(advice->valid_until_us, now_us) ? advice->ticket
+										: NULL;
 }
 
 void ticket_remove(batch_step_t *step, const char *vm)
 {
 	batch_ticket_cache_t *cache = step->tickets;
+	advice_t *advice = cache != NULL ? g_hash_table_lookup(cache->vms, vm) : NULL;
 
-	for (guint i = 0; cache != NULL && i < cache->tickets->len; i++) {
-		if (strcmp(g_array_index(cache->tickets, vm_ticket_t, i).vm, vm) != 0)
-			continue;
-		g_array_remove_index_fast(cache->tickets, i);
-		return;
-	}
+	if (advice != NULL)
+		advice->valid_until_us = 0;
+}
+
+bool ticket_any_valid(const batch_step_t *step, uint64_t now_us)
+{
+	return step->tickets != NULL && is_valid_until(step->tickets->valid_until_us, now_us);
+}
+
+bool ticket_may_request(const batch_step_t *step, uint64_t now_us)
+{
+	const batch_ticket_cache_t *cache = step->tickets;
+
+	return cache == NULL || (!cache->request_in_flight && now_us >= cache->retry_us);
 }
 
 void ticket_cache_free(batch_ticket_cache_t *cache)
 {
 	if (cache == NULL)
 		return;
-	g_array_unref(cache->tickets);
+	g_hash_table_destroy(cache->vms);
 	g_free(cache);
 }
 
+/* Notes for each VM that the request listed whether the policy service allows it. */
+static void store_advice(batch_ticket_cache_t *cache, const advice_call_t *call,
+			 const advice_reply_t *reply, uint64_t now_us)
+{
+	for (size_t i = 0; i < call->vm_count; i++) {
+		advice_t *advice = g_new0(advice_t, 1);
+
+		advice->answered_us = now_us;
+		g_hash_table_replace(cache->vms, g_strdup(call->vms[i]), advice);
+	}
+	for (size_t i = 0; i < reply->ticket_count; i++) {
+		advice_t *advice = g_hash_table_lookup(cache->vms, reply->tickets[i].vm);
+
+		/* The service names a VM that it was never asked about. */
+		if (advice == NULL)
+			continue;
+		advice->allowed = true;
+		advice->valid_until_us = now_us + call->valid_us;
+		g_strlcpy(advice->ticket, reply->tickets[i].ticket, sizeof(advice->ticket));
+		cache->valid_until_us = advice->valid_until_us;
+	}
+}
+
 static void on_advice(void *arg, const advice_reply_t *reply)
 {
 	g_autofree advice_call_t *call = arg;
@@ -77,50 +136,96 @@
 	now_us = leader_now_us(leader);
 	cache = task->step->tickets;
 	cache->request_in_flight = false;
-	g_array_set_size(cache->tickets, 0);
-	if (reply->answered) {
-		g_array_append_vals(cache->tickets, reply->tickets, (guint)reply->ticket_count);
-		cache->valid_until_us = now_us + call->valid_us;
-	}
-	if (cache->tickets->len == 0) {
+	cache->few_due_us = now_us + TICKET_RETRY_US;
+	if (reply->answered)
+		store_advice(cache, call, reply, now_us);
+	else
 		cache->retry_us = now_us + TICKET_RETRY_US;
+	if (!reply->answered || reply->ticket_count == 0) {
+		char asked[16];
+
+		g_snprintf(asked, sizeof(asked), "%zu", call->vm_count);
 		log_event(G_LOG_LEVEL_INFO,
 			  LOG_FIELDS("request", task->step->job->spec->id, "answered",
-				     reply->answered ? "yes" : "no"),
+				     reply->answered ? "yes" : "no", "vms", asked),
 			  "policy service allowed no VM for a step");
 	}
 	leader->placement_due = true;
 }
 
-static void request_tickets(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-			    const char *const *vms, size_t count)
+static ask_rank_t ask_rank(const batch_ticket_cache_t *cache, const char *vm, uint64_t now_us)
 {
-	advice_call_t *call = g_new0(advice_call_t, 1);
+	const advice_t *advice = g_hash_table_lookup(cache->vms, vm);
+
+	if (advice == NULL)
+		return ASK_FIRST;
+	if (advice->allowed)
+		return is_valid_until(advice->valid_until_us, now_us) ? ASK_NOT : ASK_ALLOWED;
+	return now_us >= advice->answered_us + TICKET_RECHECK_US ? ASK_AGAIN : ASK_NOT;
+}
+
+/* Puts the VMs to ask about at the beginning of the list, in the order of their ranks. @return
+ * their number, at most ADVICE_VMS_MAX */
+static size_t choose_vms(const batch_ticket_cache_t *cache, const char **vms, size_t count,
+			 uint64_t now_us)
+{
+	g_autofree ask_rank_t *ranks = g_new(ask_rank_t, count);
+	g_autofree const char **chosen = g_new(const char *, ADVICE_VMS_MAX);
+	size_t chosen_count = 0;
+
+	for (size_t i = 0; i < count; i++)
+		ranks[i] = ask_rank(cache, vms[i], now_us);
+	for (ask_rank_t rank = ASK_ALLOWED; rank < ASK_NOT; rank++) {
+		for (size_t i = 0; i < count && chosen_count < ADVICE_VMS_MAX; i++) {
+			if (ranks[i] == rank)
+				chosen[chosen_count++] = vms[i];
+		}
+	}
+	for (size_t i = 0; i < chosen_count; i++)
+		vms[i] = chosen[i];
+	return chosen_count;
+}
+
+static void send_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
+			 const char *const *vms, size_t count)
+{
+	advice_call_t *call = g_malloc0(sizeof(*call) + count * sizeof(call->vms[0]));
 	task_id_t id;
 
 	call->leader = leader;
 	call->generation = leader->generation;
 	call->valid_us = queue->advice->valid_ms * US_PER_MS;
+	call->vm_count = count;
+	for (size_t i = 0; i < count; i++)
+		g_strlcpy(call->vms[i], vms[i], VM_NAME_MAX);
 	batch_task_ref(&step->tasks[0], &call->first_task);
 	task_id_set(&id, &step->tasks[0]);
 	step->tickets->request_in_flight = true;
 	leader->port.advise(leader->port.arg, &id, vms, count, on_advice, call);
 }
 
-bool ticket_ensure(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-		   const char *const *vms, size_t count, uint64_t now_us)
+uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
+			const char **vms, size_t count, uint64_t now_us)
 {
 	batch_ticket_cache_t *cache = step->tickets;
 
+	if (!ticket_may_request(step, now_us))
+		return 0;
 	if (cache == NULL) {
 		cache = g_new0(batch_ticket_cache_t, 1);
-		cache->tickets = g_array_new(FALSE, FALSE, sizeof(vm_ticket_t));
+		cache->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 		step->tickets = cache;
 	}
-	if (now_us + TICKET_MARGIN_US < cache->valid_until_us && cache->tickets->len > 0)
-		return true;
-	if (cache->request_in_flight || now_us < cache->retry_us || count == 0)
-		return false;
-	request_tickets(leader, step, queue, vms, count);
-	return false;
+	count = choose_vms(cache, vms, count, now_us);
+	if (count == 0) {
+		cache->retry_us = now_us + TICKET_RETRY_US;
+		return cache->retry_us;
+	}
+	if (count < ADVICE_VMS_MAX && ticket_any_valid(step, now_us) &&
+	    now_us < cache->few_due_us) {
+		cache->retry_us = cache->few_due_us;
+		return cache->retry_us;
+	}
+	send_request(leader, step, queue, vms, count);
+	return 0;
 }
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -148,6 +148,10 @@
 #define GIVEN_UP_VMS_MIN 2
 #define CRASH_DELAY_MAX_MS 15
 
+/* Most VMs that a request to the policy service may list, and the validity of its tickets. */
+#define POLICY_VMS_MAX 100
+#define POLICY_VALID_MS 3000
+
 struct vm_sim {
 	vm_sim_config_t config;
 	GRand *rand;
@@ -192,6 +196,10 @@
 	uint64_t maintenance_requests;
 	bool faults_stopped;
 	bool wave_violation_reported;
+	unsigned allowed_first; /* see vm_sim_set_policy() */
+	unsigned allowed_count;
+	uint32_t policy_answer_ms;
+	unsigned policy_requests;
 	bool shutting_down; /* no further periodic events are scheduled */
 };
 
@@ -687,6 +695,7 @@
 	vm_stop_t stop;
 	vm_hold_t hold;
 	char spec[64];
+	char ticket[VM_NAME_MAX];
 	vm_reply_fn done;
 	void *arg;
 	bool no_reply;	/* the request is carried out, but its response is dropped */
@@ -781,6 +790,20 @@
 	return NULL;
 }
 
+/* @param ticket receives the ticket that the policy service issues for the VM */
+static void make_ticket(char ticket[VM_NAME_MAX], const char *vm)
+{
+	g_snprintf(ticket, VM_NAME_MAX, "ticket-%s", vm);
+}
+
+static bool has_ticket(const sim_vm_t *vm, const call_t *call)
+{
+	char ticket[VM_NAME_MAX];
+
+	make_ticket(ticket, vm->id);
+	return !vm->sim->config.advised || strcmp(call->ticket, ticket) == 0;
+}
+
 static vm_reply_code_t execute_start(sim_vm_t *vm, const call_t *call)
 {
 	const vm_start_t *start = &call->start;
@@ -967,7 +990,8 @@
 	} else {
 		switch (call->kind) {
 		case CALL_START:
-			call->reply.code = execute_start(vm, call);
+			call->reply.code = has_ticket(vm, call) ? execute_start(vm, call)
+								: VM_REPLY_BAD_TICKET;
 			break;
 		case CALL_STOP:
 			call->reply.code = execute_stop(vm, call);
@@ -1067,6 +1091,7 @@
 	call_t *call = g_new0(call_t, 1);
 
 	*call = (call_t){.kind = CALL_START, .start = *start, .done = done, .arg = done_arg};
+	g_strlcpy(call->ticket, start->ticket != NULL ? start->ticket : "", sizeof(call->ticket));
 	send_call(arg, call, vm);
 }
 
@@ -1097,12 +1122,69 @@
 	send_call(arg, call, vm);
 }
 
+typedef struct {
+	vm_sim_t *sim;
+	advice_done_fn done;
+	void *arg;
+	GArray *tickets; /* of vm_ticket_t */
+} advise_call_t;
+
+static void deliver_advice(void *arg)
+{
+	g_autofree advise_call_t *call = arg;
+	const advice_reply_t reply = {.answered = true,
+				      .tickets = (const vm_ticket_t *)call->tickets->data,
+				      .ticket_count = call->tickets->len};
+
+	call->done(call->arg, &reply);
+	g_array_unref(call->tickets);
+}
+
+static bool policy_allows(const vm_sim_t *sim, const char *job, const char *id)
+{
+	unsigned first = sim->allowed_first;
+	unsigned count = sim->allowed_count;
+
+	if (g_str_has_prefix(job, VM_SIM_RACK_PREFIX)) {
+		first = (unsigned)strtoul(job + strlen(VM_SIM_RACK_PREFIX), NULL, 10) *
+			VM_SIM_RACK_SIZE;
+		count = VM_SIM_RACK_SIZE;
+	}
+	for (guint i = 0; i < sim->vms->len; i++) {
+		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		if (strcmp(vm->id, id) == 0)
+			return i >= first && i < first + count;
+	}
+	return false;
+}
+
 static void port_advise(void *arg, const task_id_t *step, const char *const *vms, size_t count,
 			advice_done_fn done, void *done_arg)
 {
-	const advice_reply_t reply = {0};
+	vm_sim_t *sim = arg;
+	advise_call_t *call = g_new(advise_call_t, 1);
 
-	done(done_arg, &reply);
+	*call = (advise_call_t){
+		.sim = sim,
+		.done = done,
+		.arg = done_arg,
+		.tickets = g_array_new(FALSE, TRUE, sizeof(vm_ticket_t)),
+	};
+	if (count > POLICY_VMS_MAX)
+		add_violation(sim, "too many VMs in a request to the policy service", step->job);
+	for (size_t i = 0; i < count; i++) {
+		vm_ticket_t ticket = {.ticket = ""};
+
+		if (!policy_allows(sim, step->job, vms[i]))
+			continue;
+		g_strlcpy(ticket.vm, vms[i], sizeof(ticket.vm));
+		make_ticket(ticket.ticket, vms[i]);
+		g_array_append_val(call->tickets, ticket);
+	}
+	sim->policy_requests++;
+	schedule_at(sim, LEADER_MESSAGE, sim->now_us + sim->policy_answer_ms * US_PER_MS,
+		    deliver_advice, call);
 }
 
 /* --- platform --- */
@@ -1811,6 +1893,7 @@
 {
 	Lp__BatchConfig config = LP__BATCH_CONFIG__INIT;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	Lp__BatchAdvice advice = LP__BATCH_ADVICE__INIT;
 	Lp__BatchQueue queues[16];
 	Lp__BatchService services[17];
 	Lp__BatchQueue *queue_list[16];
@@ -1818,6 +1901,7 @@
 	char names[17][32];
 	Lp__Result result = LP__RESULT__INIT;
 
+	advice.valid_ms = POLICY_VALID_MS;
 	for (unsigned i = 0; i <= count; i++) {
 		g_snprintf(names[i], sizeof(names[i]), "s%u", i);
 		lp__batch_service__init(&services[i]);
@@ -1835,6 +1919,7 @@
 		queues[i].timeout_ms = 3000;
 		queues[i].objective_ms = 600;
 		queues[i].stretch_percent = 160;
+		queues[i].advice = sim->config.advised ? &advice : NULL;
 		queue_list[i] = &queues[i];
 	}
 	config.version = ++sim->config_version;
@@ -2161,6 +2246,18 @@
 	sim->commit_delay_ms = commit_delay_ms;
 }
 
+void vm_sim_set_policy(vm_sim_t *sim, unsigned first, unsigned count, uint32_t answer_ms)
+{
+	sim->allowed_first = first;
+	sim->allowed_count = count;
+	sim->policy_answer_ms = answer_ms;
+}
+
+unsigned vm_sim_policy_request_count(const vm_sim_t *sim)
+{
+	return sim->policy_requests;
+}
+
 bool vm_sim_job_begun(const vm_sim_t *sim, const char *id)
 {
 	const batch_job_t *job = batch_state_job(vm_sim_state(sim), id);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -30,6 +30,11 @@
 /** Id prefix of jobs whose task 0 of step 0 crashes its VM up to 15 ms after it has started. */
 #define VM_SIM_DEADLY_PREFIX "deadly"
 
+/** Id prefix of jobs that the policy service allows on one rack only, followed by its number. */
+#define VM_SIM_RACK_PREFIX "rack-"
+/** Number of VMs in a rack, for these jobs. */
+#define VM_SIM_RACK_SIZE 4
+
 typedef struct {
 	unsigned services;
 	unsigned vms_per_service;
@@ -63,6 +68,7 @@
 	bool cuts_refuse;    /**< connections to a VM that is cut off are refused at once; false:
 				requests to it get no response */
 	bool keep_ids; /**< a VM that has crashed starts again under its id; false: under another */
+	bool advised;  /**< a policy service allows some VMs only, see vm_sim_set_policy() */
 	bool unguarded; /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
 } vm_sim_config_t;
@@ -94,6 +100,14 @@
  * copy
  */
 void vm_sim_submit(vm_sim_t *sim, const char *id, unsigned service, const Lp__BatchJob *job);
+/**
+ * Sets which VMs the policy service allows for steps of jobs without VM_SIM_RACK_PREFIX: those on
+ * count machines from the index first on. At the beginning it allows none.
+ * @param answer_ms time after which it answers
+ */
+void vm_sim_set_policy(vm_sim_t *sim, unsigned first, unsigned count, uint32_t answer_ms);
+/** @return number of requests to the policy service */
+unsigned vm_sim_policy_request_count(const vm_sim_t *sim);
 /** Submits a job to service 0 whose tasks, eight for each VM, fill all its VMs. */
 void vm_sim_submit_filling(vm_sim_t *sim, const char *id, uint32_t estimate_ms);
 /**
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -134,6 +134,90 @@
 	vm_sim_destroy(sim);
 }
 
+#define ADVISED_VMS 40
+/* All VMs have reported by then. Idle VMs are moved to the standby pool from about 1 s later on, which
+ * would change which VMs the policy service is asked about. */
+#define ADVISED_SUBMIT_MS 1800
+
+/* Runs until the job is complete, at most until the time. */
+static void run_until_complete(vm_sim_t *sim, const char *id, uint64_t until_ms)
+{
+	while (vm_sim_now_ms(sim) < until_ms && state_of(sim, id) != BATCH_JOB_COMPLETE)
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 50);
+	assert_int_equal(state_of(sim, id), BATCH_JOB_COMPLETE);
+}
+
+/* Guards against a policy service that is asked about the same VMs for ever, so that a job which
+ * only others may run never starts. */
+static void test_policy_service_is_asked_about_all_vms(void **state)
+{
+	const unsigned racks = ADVISED_VMS / VM_SIM_RACK_SIZE;
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 7};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 2, 500, 500);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS);
+	for (unsigned i = 0; i < racks; i++) {
+		g_autofree char *id = g_strdup_printf(VM_SIM_RACK_PREFIX "%u", i);
+
+		vm_sim_submit(sim, id, 0, &fixture.job);
+	}
+	vm_sim_run(sim, ADVISED_SUBMIT_MS + 100);
+	for (unsigned i = 0; i < racks; i++) {
+		g_autofree char *id = g_strdup_printf(VM_SIM_RACK_PREFIX "%u", i);
+
+		run_until_complete(sim, id, ADVISED_SUBMIT_MS + 1000);
+	}
+	assert_in_range(vm_sim_policy_request_count(sim), racks, 2 * racks);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
+/* Guards against a gang, or a step with more tasks than its first tickets allow, that waits for
+ * ever because no tickets for further VMs are requested. */
+static void test_tickets_for_many_vms_add_up(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 8};
+
+	for (unsigned gang = 0; gang <= 1; gang++) {
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 1, ADVISED_VMS - 2, 5000, 3000);
+		fixture.steps[0].gang = gang == 1;
+		fixture.steps[0].max_per_vm = 1;
+		vm_sim_set_policy(sim, 0, ADVISED_VMS, 20);
+		vm_sim_run(sim, ADVISED_SUBMIT_MS);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		vm_sim_run(sim, ADVISED_SUBMIT_MS + 1000);
+		assert_int_equal(vm_sim_running_count(sim), ADVISED_VMS - 2);
+		run_until_complete(sim, "a", 15000);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against a policy service that has to refuse the same VMs again in every placement pass. */
+static void test_refused_vms_are_asked_about_seldom(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 9};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 2, 5000, 500);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS + 30000);
+	assert_in_range(vm_sim_policy_request_count(sim), 2, 2 * (30 / 3 + 1));
+	vm_sim_set_policy(sim, 0, ADVISED_VMS, 20);
+	run_until_complete(sim, "a", ADVISED_SUBMIT_MS + 36000);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against a surge in one pool that waits while machines of other pools are idle: the pool's
  * 4 machines hold 64 tasks of 4 cores, the whole fleet 256. */
 static void test_idle_machines_move_to_a_busy_pool(void **state)
@@ -1662,6 +1746,9 @@
 		cmocka_unit_test(test_steps_run_in_order),
 		cmocka_unit_test(test_jobs_on_lost_vms_have_not_begun),
 		cmocka_unit_test(test_begun_jobs_are_known_to_the_next_leader),
+		cmocka_unit_test(test_policy_service_is_asked_about_all_vms),
+		cmocka_unit_test(test_tickets_for_many_vms_add_up),
+		cmocka_unit_test(test_refused_vms_are_asked_about_seldom),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
 		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
