batch: repeat policy requests whose answers were dropped

Cause: the answer of the policy service to a request of an earlier term is ignored, but the note that a request for the step is in flight was kept with the step. On a process that lost the lead in between and leads again, the step never started (LOST).

Change: the note names the generation of the leader that made the request.

Test: test_policy_request_of_an_earlier_term_is_repeated fails on the code before: no second request is made.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -299,7 +299,7 @@
 	uint64_t due_us;
 	size_t count = 0;
 
-	if (!ticket_may_request(step, pass->now_us))
+	if (!ticket_may_request(pass->leader, step, pass->now_us))
 		return;
 	ids = g_new(const char *, pool->vms->len);
 	for (guint i = 0; i < pool->vms->len; i++) {
@@ -474,7 +474,7 @@
 	if (wanted == 0 || (spec->gang && wanted < spec->count))
 		goto finish;
 	if (advised && !ticket_any_valid(step, pass->now_us) &&
-	    !ticket_may_request(step, pass->now_us))
+	    !ticket_may_request(pass->leader, step, pass->now_us))
 		goto finish;
 	prepare_pool(pass, pool, step, candidate->queue, suspect);
 	placed = place_step((place_vm_t *)pool->place_vms->data, pool->place_vms->len, spec, wanted,
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -462,7 +462,7 @@
 /** Returns whether the step has tickets that are valid, unless a VM has refused them since. */
 bool ticket_any_valid(const batch_step_t *step, uint64_t now_us);
 /** False while a request for the step is in flight, or the next one has to wait. */
-bool ticket_may_request(const batch_step_t *step, uint64_t now_us);
+bool ticket_may_request(const batch_leader_t *leader, const batch_step_t *step, uint64_t now_us);
 /**
  * Requests tickets for the step from the policy service. A request lists few of the VMs: first
  * those that the service has allowed before, then those that it was never asked about, so that
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -29,9 +29,9 @@
 } advice_t;
 
 struct batch_ticket_cache {
-	bool request_in_flight;
-	uint64_t valid_until_us; /* latest end of the validity of a ticket */
-	uint64_t retry_us;	 /* earliest time of the next request */
+	uint64_t request_generation; /* leader generation of the request in flight; 0: none */
+	uint64_t valid_until_us;     /* latest end of the validity of a ticket */
+	uint64_t retry_us;	     /* earliest time of the next request */
 	uint64_t few_due_us; /* earliest time of the next request about few VMs, with valid tickets
 			      */
 	GHashTable *vms;     /* VM id -> advice_t */
@@ -82,11 +82,13 @@
 	return step->tickets != NULL && is_valid_until(step->tickets->valid_until_us, now_us);
 }
 
-bool ticket_may_request(const batch_step_t *step, uint64_t now_us)
+bool ticket_may_request(const batch_leader_t *leader, const batch_step_t *step, uint64_t now_us)
 {
 	const batch_ticket_cache_t *cache = step->tickets;
 
-	return cache == NULL || (!cache->request_in_flight && now_us >= cache->retry_us);
+	/* The answer to a request of an earlier generation is ignored. */
+	return cache == NULL ||
+	       (cache->request_generation != leader->generation && now_us >= cache->retry_us);
 }
 
 void ticket_cache_free(batch_ticket_cache_t *cache)
@@ -135,7 +137,7 @@
 		return;
 	now_us = leader_now_us(leader);
 	cache = task->step->tickets;
-	cache->request_in_flight = false;
+	cache->request_generation = 0;
 	cache->few_due_us = now_us + TICKET_RETRY_US;
 	if (reply->answered)
 		store_advice(cache, call, reply, now_us);
@@ -200,7 +202,7 @@
 		g_strlcpy(call->vms[i], vms[i], VM_NAME_MAX);
 	batch_task_ref(&step->tasks[0], &call->first_task);
 	task_id_set(&id, &step->tasks[0]);
-	step->tickets->request_in_flight = true;
+	step->tickets->request_generation = leader->generation;
 	leader->port.advise(leader->port.arg, &id, vms, count, on_advice, call);
 }
 
@@ -209,7 +211,7 @@
 {
 	batch_ticket_cache_t *cache = step->tickets;
 
-	if (!ticket_may_request(step, now_us))
+	if (!ticket_may_request(leader, step, now_us))
 		return 0;
 	if (cache == NULL) {
 		cache = g_new0(batch_ticket_cache_t, 1);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -135,8 +135,8 @@
 }
 
 #define ADVISED_VMS 40
-/* All VMs have reported by then. Idle VMs are moved to the standby pool from about 1 s later on, which
- * would change which VMs the policy service is asked about. */
+/* All VMs have reported by then. Idle VMs are moved to the standby pool from about 1 s later on,
+ * which would change which VMs the policy service is asked about. */
 #define ADVISED_SUBMIT_MS 1800
 
 /* Runs until the job is complete, at most until the time. */
@@ -200,6 +200,26 @@
 	}
 }
 
+/* Guards against a process that waits for ever for an answer of the policy service that it has
+ * dropped: it was no longer the leader when the answer came, and is the leader again. */
+static void test_policy_request_of_an_earlier_term_is_repeated(void **state)
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 10};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	make_job(&fixture, 1, 2, 5000, 500);
+	vm_sim_set_policy(sim, 0, ADVISED_VMS, 500);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	while (vm_sim_policy_request_count(sim) == 0)
+		vm_sim_run(sim, vm_sim_now_ms(sim) + 1);
+	vm_sim_change_leader(sim);
+	run_until_complete(sim, "a", ADVISED_SUBMIT_MS + 5000);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against a policy service that has to refuse the same VMs again in every placement pass. */
 static void test_refused_vms_are_asked_about_seldom(void **state)
 {
@@ -1749,6 +1769,7 @@
 		cmocka_unit_test(test_policy_service_is_asked_about_all_vms),
 		cmocka_unit_test(test_tickets_for_many_vms_add_up),
 		cmocka_unit_test(test_refused_vms_are_asked_about_seldom),
+		cmocka_unit_test(test_policy_request_of_an_earlier_term_is_repeated),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
 		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
