vm_relay: a leader without its lease sends no starts and platform requests

Cause: placement and ticks check the leader's lease, the callbacks of commits and responses did not. A leader that is paused while a start intent is being committed sends the start on waking, when another leader may have started the task elsewhere (TWICE); the same for platform requests.

Change: the relay sends starts and platform requests only while no other member can have become the leader (raft_is_sole_leader()). Holds, stops and paces still pass: they begin nothing, and the lease may lapse for a moment on a busy core.

Test: test_paused_leader_sends_no_orders fails with the check taken out (one start and one platform request are sent).

--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -455,11 +455,19 @@
 	return batch_leader_machine_count(node->leader);
 }
 
+static bool is_sole_leader(void *arg)
+{
+	const batch_node_t *node = arg;
+
+	return replica_is_sole_leader(node->replica);
+}
+
 static void create_relay(batch_node_t *node, const vm_port_t *direct)
 {
 	const vm_relay_options_t options = {.direct = *direct,
 					    .data_centre = data_centre_of_vm,
 					    .vm_count = vm_count,
+					    .is_leader = is_sole_leader,
 					    .arg = node,
 					    .metrics = node->metrics};
 
--- a/src/raft.h
+++ b/src/raft.h
@@ -187,6 +187,11 @@
 /** Returns the term of the entry before the first log entry. */
 uint64_t raft_base_term(const raft_t *raft);
 const raft_snapshot_t *raft_snapshot(const raft_t *raft);
+/**
+ * True while no other member can have become the leader: a majority has acknowledged a recent
+ * heartbeat. Unlike raft_has_lease(), also while committed entries are being applied.
+ */
+bool raft_is_sole_leader(const raft_t *raft, uint64_t now_us);
 /**
  * True when this replica leads, no other leader can have been elected, and this replica knows of
  * all committed entries and has applied them.
--- a/src/raft_leader.c
+++ b/src/raft_leader.c
@@ -87,17 +87,22 @@
 	return majority_value(raft, values, now_us);
 }
 
-bool raft_has_lease(const raft_t *raft, uint64_t now_us)
+bool raft_is_sole_leader(const raft_t *raft, uint64_t now_us)
 {
 	uint64_t acked_us;
 
-	if (raft->role != RAFT_LEADER || raft->commit_index < raft->term_first_index ||
-	    raft->applied_index < raft->commit_index)
+	if (raft->role != RAFT_LEADER)
 		return false;
 	acked_us = majority_acked_round_us(raft, now_us);
 	return acked_us > 0 && now_us < acked_us + raft->options.lease_us;
 }
 
+bool raft_has_lease(const raft_t *raft, uint64_t now_us)
+{
+	return raft->commit_index >= raft->term_first_index &&
+	       raft->applied_index >= raft->commit_index && raft_is_sole_leader(raft, now_us);
+}
+
 int raft_peer_info(const raft_t *raft, raft_id_t id, raft_peer_info_t *info)
 {
 	if (raft->role != RAFT_LEADER)
--- a/src/replica.c
+++ b/src/replica.c
@@ -553,6 +553,11 @@
 	return raft_role(replica->raft) == RAFT_LEADER;
 }
 
+bool replica_is_sole_leader(const replica_t *replica)
+{
+	return raft_is_sole_leader(replica->raft, clock_now_us());
+}
+
 bool replica_has_lease(const replica_t *replica)
 {
 	return raft_has_lease(replica->raft, clock_now_us());
--- a/src/replica.h
+++ b/src/replica.h
@@ -117,6 +117,8 @@
 		     replica_done_fn done, void *arg);
 
 bool replica_is_leader(const replica_t *replica);
+/** See raft_is_sole_leader(). */
+bool replica_is_sole_leader(const replica_t *replica);
 /** True while this replica leads and holds the leader lease, so that its state is up to date. */
 bool replica_has_lease(const replica_t *replica);
 /** Returns the node id of the leader, or 0 when it is unknown. */
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -40,8 +40,9 @@
 	uint32_t edge_node;
 	uint64_t sent_us;
 	uint64_t deadline_us;
-	uint64_t expires_us; /* time until which the edge process may send the request */
-	bool overdue;	     /* the deadline had passed at the latest check */
+	uint64_t expires_us;  /* time until which the edge process may send the request */
+	bool overdue;	      /* the deadline had passed at the latest check */
+	vm_reply_code_t code; /* result of the call when it is given up */
 	vm_reply_fn done;
 	void *arg;
 } relay_call_t;
@@ -60,6 +61,7 @@
 	GHashTable *edge_nodes;	 /* data centre -> GArray of rendezvous_node_t: the edge processes
 				    that are up */
 	metrics_counter_t *direct_requests;
+	metrics_counter_t *refused_requests;
 	bool edge_nodes_valid; /* false after a peer has come up or gone down */
 };
 
@@ -128,6 +130,13 @@
 	g_free(call);
 }
 
+static void give_up_call(vm_relay_t *relay, relay_call_t *call)
+{
+	const vm_reply_t reply = {.code = call->code};
+
+	complete_call(relay, call, &reply);
+}
+
 /* Sends the request to the first of the chosen edge processes whose queue takes it.
  * @param valid_us time after now_us until which the edge process may send the request
  * @return node id of the edge process; 0: none takes the request */
@@ -177,6 +186,29 @@
 		.sent_us = now_us,
 		.deadline_us = now_us + timeout_us,
 		.expires_us = now_us + valid_us,
+		.code = VM_REPLY_NO_RESPONSE,
+		.done = done,
+		.arg = arg,
+	};
+	TAILQ_INSERT_TAIL(&relay->calls, call, link);
+	g_hash_table_insert(relay->calls_by_seq, &call->seq, call);
+	return true;
+}
+
+/* Refuses a request that was decided on before this process was possibly replaced as the leader.
+ * The result comes with the next check of the timeouts. @return whether the request was refused */
+static bool refuse_if_replaced(vm_relay_t *relay, vm_reply_fn done, void *arg)
+{
+	relay_call_t *call;
+
+	if (relay->options.is_leader(relay->options.arg))
+		return false;
+	metrics_add(relay->refused_requests, 1);
+	call = g_new0(relay_call_t, 1);
+	*call = (relay_call_t){
+		.seq = ++relay->next_seq,
+		.overdue = true,
+		.code = VM_REPLY_NOT_SENT,
 		.done = done,
 		.arg = arg,
 	};
@@ -201,6 +233,8 @@
 	vm_relay_t *relay = arg;
 	Lp__VmOrder order = LP__VM_ORDER__INIT;
 
+	if (refuse_if_replaced(relay, done, done_arg))
+		return;
 	set_task_run(&order, &start->task, start->run, start->fence);
 	order.kind = LP__VM_ORDER_KIND__VM_ORDER_START;
 	order.lease_until_ms = start->lease_until_ms;
@@ -271,9 +305,11 @@
 static void relay_platform_request(void *arg, const platform_request_t *request, vm_reply_fn done,
 				   void *done_arg)
 {
-	const vm_port_t *direct = &((vm_relay_t *)arg)->options.direct;
+	vm_relay_t *relay = arg;
+	const vm_port_t *direct = &relay->options.direct;
 
-	direct->order(direct->arg, request, done, done_arg);
+	if (!refuse_if_replaced(relay, done, done_arg))
+		direct->order(direct->arg, request, done, done_arg);
 }
 
 vm_port_t vm_relay_port(vm_relay_t *relay)
@@ -377,7 +413,6 @@
 static void check_timeouts(void *arg, uint64_t now_us)
 {
 	vm_relay_t *relay = arg;
-	const vm_reply_t no_response = {.code = VM_REPLY_NO_RESPONSE};
 	relay_call_t *call;
 	relay_call_t *next;
 
@@ -388,7 +423,7 @@
 		if (now_us < MAX(call->deadline_us + relay->input_delay_us, call->expires_us))
 			continue;
 		if (call->overdue)
-			complete_call(relay, call, &no_response);
+			give_up_call(relay, call);
 		else
 			call->overdue = true;
 	}
@@ -406,6 +441,8 @@
 						  (GDestroyNotify)g_array_unref);
 	relay->direct_requests =
 		metrics_counter(options->metrics, "batch_direct_requests_total", "");
+	relay->refused_requests =
+		metrics_counter(options->metrics, "batch_requests_after_lease_total", "");
 	/* Request numbers start at a random value, so that a late result of a request that an
 	 * earlier process on this machine made does not match a request of this process. */
 	relay->next_seq = (uint64_t)g_random_int() << 32;
@@ -421,12 +458,11 @@
 
 void vm_relay_destroy(vm_relay_t *relay)
 {
-	const vm_reply_t no_response = {.code = VM_REPLY_NO_RESPONSE};
 	relay_call_t *call;
 
 	timer_unsubscribe(relay->timers, &relay->timeout_check);
 	while ((call = TAILQ_FIRST(&relay->calls)) != NULL)
-		complete_call(relay, call, &no_response);
+		give_up_call(relay, call);
 	g_hash_table_destroy(relay->calls_by_seq);
 	g_hash_table_destroy(relay->edge_nodes);
 	g_free(relay);
--- a/src/vm_relay.h
+++ b/src/vm_relay.h
@@ -24,7 +24,10 @@
 	/** Returns the data centre of a VM; NULL: unknown. */
 	const char *(*data_centre)(void *arg, const char *vm);
 	size_t (*vm_count)(void *arg); /**< returns the number of known VMs */
-	void *arg;		       /**< first argument of data_centre and vm_count */
+	/** Returns whether this process is certainly the leader now. If not, for example after a
+	 * pause, starts and platform requests are not sent and get VM_REPLY_NOT_SENT. */
+	bool (*is_leader)(void *arg);
+	void *arg; /**< first argument of the other functions */
 	metrics_t *metrics;
 } vm_relay_options_t;
 
--- a/tests/test_raft_rules.c
+++ b/tests/test_raft_rules.c
@@ -92,6 +92,8 @@
 	receive_append_success(raft, 2, 1, 2 * US_PER_S);
 	assert_int_equal(raft_committed(raft), 0);
 	assert_false(raft_has_lease(raft, 2 * US_PER_S));
+	assert_true(raft_is_sole_leader(raft, 2 * US_PER_S));
+	assert_false(raft_is_sole_leader(raft, 2 * US_PER_S + options.lease_us));
 	receive_append_success(raft, 2, 2, 2 * US_PER_S);
 	assert_int_equal(raft_committed(raft), 2);
 	raft_mark_applied(raft, 2);
--- a/tests/test_vm_relay.c
+++ b/tests/test_vm_relay.c
@@ -40,6 +40,8 @@
 static unsigned direct_starts;
 static unsigned edge_starts;
 static unsigned replies;
+static unsigned platform_requests;
+static bool leads;
 static vm_reply_code_t reply_code;
 
 static void count_direct_start(void *arg, const vm_ref_t *vm, const vm_start_t *start,
@@ -71,6 +73,17 @@
 	return vm_data_centre;
 }
 
+static bool is_leader(void *arg)
+{
+	return leads;
+}
+
+static void count_platform_request(void *arg, const platform_request_t *request, vm_reply_fn done,
+				   void *done_arg)
+{
+	platform_requests++;
+}
+
 static size_t vm_count(void *arg)
 {
 	return VM_COUNT;
@@ -152,14 +165,18 @@
 	char edge_address[32];
 	const peer_address_t core_peer = {CORE_ID, core_address, true};
 	const peer_address_t edge_peer = {EDGE_ID, edge_address, true};
-	vm_relay_options_t options = {.direct = {.start = count_direct_start},
-				      .data_centre = data_centre_of_vm,
-				      .vm_count = vm_count};
+	vm_relay_options_t options = {
+		.direct = {.start = count_direct_start, .order = count_platform_request},
+		.data_centre = data_centre_of_vm,
+		.vm_count = vm_count,
+		.is_leader = is_leader};
 	const vm_port_t edge_port = {.start = answer_start};
 
 	direct_starts = 0;
 	edge_starts = 0;
 	replies = 0;
+	platform_requests = 0;
+	leads = true;
 	vm_data_centre = "a";
 	metrics = metrics_create();
 	options.metrics = metrics;
@@ -255,6 +272,23 @@
 	assert_int_equal(reply_code, VM_REPLY_OK);
 }
 
+/* Guards against a leader that was paused after it had decided on a start or a platform request,
+ * and sends it on waking, when another leader has taken over. */
+static void test_paused_leader_sends_no_orders(void **state)
+{
+	const vm_port_t port = vm_relay_port(relay);
+	const platform_request_t request = {.machine = "m-1", .holder = "core"};
+
+	leads = false;
+	send_start();
+	assert_int_equal(replies, 0);
+	port.order(port.arg, &request, on_reply, NULL);
+	run_both_ms(400);
+	assert_int_equal(edge_starts + direct_starts + platform_requests, 0);
+	assert_int_equal(replies, 2);
+	assert_int_equal(reply_code, VM_REPLY_NOT_SENT);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -265,6 +299,8 @@
 		cmocka_unit_test_setup_teardown(test_missing_result_times_out, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_paused_edge_process_drops_expired_requests,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_paused_leader_sends_no_orders, set_up,
+						tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
