--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -459,10 +459,13 @@
 void vm_relay_destroy(vm_relay_t *relay)
 {
 	relay_call_t *call;
+	relay_call_t *next;
 
 	timer_unsubscribe(relay->timers, &relay->timeout_check);
-	while ((call = TAILQ_FIRST(&relay->calls)) != NULL)
+	for (call = TAILQ_FIRST(&relay->calls); call != NULL; call = next) {
+		next = TAILQ_NEXT(call, link);
 		give_up_call(relay, call);
+	}
 	g_hash_table_destroy(relay->calls_by_seq);
 	g_hash_table_destroy(relay->edge_nodes);
 	g_free(relay);
@@ -518,9 +521,8 @@
 	}
 }
 
-static void on_vm_reply(void *arg, const vm_reply_t *reply)
+static void send_result(const forwarded_request_t *call, const vm_reply_t *reply)
 {
-	g_autofree forwarded_request_t *call = arg;
 	Lp__Envelope envelope = LP__ENVELOPE__INIT;
 	Lp__VmResult result = LP__VM_RESULT__INIT;
 	void *mem = talloc_new(NULL);
@@ -539,6 +541,13 @@
 	talloc_free(mem);
 }
 
+static void on_vm_reply(void *arg, const vm_reply_t *reply)
+{
+	g_autofree forwarded_request_t *call = arg;
+
+	send_result(call, reply);
+}
+
 static task_id_t task_id_of(const Lp__VmOrder *order)
 {
 	task_id_t task = {
@@ -576,17 +585,15 @@
 		  "dropping an expired VM request");
 }
 
-/* Drops the request if the leader may have given it up. @return whether it was dropped */
-static bool drop_expired(vm_agent_t *agent, const Lp__VmOrder *order, forwarded_request_t *call)
+/* Answers a request that the leader may have given up, without sending it. */
+static void drop_expired(vm_agent_t *agent, const Lp__VmOrder *order,
+			 const forwarded_request_t *call)
 {
 	const vm_reply_t not_sent = {.code = VM_REPLY_NOT_SENT};
 
-	if (order->expires_us == 0 || call->received_us < order->expires_us)
-		return false;
 	metrics_add(agent->expired, 1);
 	log_expired(order, (call->received_us - order->expires_us) / US_PER_MS);
-	on_vm_reply(call, &not_sent);
-	return true;
+	send_result(call, &not_sent);
 }
 
 void vm_agent_init(vm_agent_t *agent, const vm_port_t *port, peer_set_t *peers, metrics_t *metrics)
@@ -612,12 +619,15 @@
 				.lease_until_ms = order->lease_until_ms,
 				.acknowledged = order->noted,
 				.wait_ms = order->wait_ms};
-	forwarded_request_t *call = g_new0(forwarded_request_t, 1);
-
-	*call = (forwarded_request_t){
+	const forwarded_request_t received = {
 		.agent = agent, .from = from, .seq = order->seq, .received_us = clock_now_us()};
-	if (drop_expired(agent, order, call))
+	forwarded_request_t *call;
+
+	if (order->expires_us != 0 && received.received_us >= order->expires_us) {
+		drop_expired(agent, order, &received);
 		return;
+	}
+	call = g_memdup2(&received, sizeof(received));
 	switch (order->kind) {
 	case LP__VM_ORDER_KIND__VM_ORDER_START:
 		send_start(agent, &vm, order, call);
