batch: look for VMs to ask about as soon as one has room

Cause: a step that waits for room had no VM to ask the policy service about, and then waited for 300 ms before it looked again, also when a VM got room meanwhile.

Change: without a VM that has room nothing is delayed; if there is none to ask about, the next search is after 50 ms.

--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -469,7 +469,8 @@
  * repeated requests come to all of them. Does nothing unless ticket_may_request().
  * @param vms ids of VMs that can take a task of the step and for which it has no valid ticket; they
  * are reordered
- * @return time from which on the call is to be repeated; 0: a request is in flight
+ * @return time from which on the call is to be repeated; 0: a request is in flight, or there is no
+ * VM
  */
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
 			const char **vms, size_t count, uint64_t now_us);
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -16,6 +16,8 @@
 /* Time after which the policy service is asked again about a VM that it did not allow. Its policy
  * for a step does not change, but the VM can have started again as one of another kind. */
 #define TICKET_RECHECK_US (3 * US_PER_S)
+/* Delay before the VMs are looked through again when there was none to ask about. */
+#define TICKET_SEARCH_US (50 * US_PER_MS)
 /* Most VMs listed in one request to the policy service. Job objectives leave time for about 30
  * decisions of the service. */
 #define ADVICE_VMS_MAX 30
@@ -211,7 +213,7 @@
 {
 	batch_ticket_cache_t *cache = step->tickets;
 
-	if (!ticket_may_request(leader, step, now_us))
+	if (count == 0 || !ticket_may_request(leader, step, now_us))
 		return 0;
 	if (cache == NULL) {
 		cache = g_new0(batch_ticket_cache_t, 1);
@@ -220,7 +222,7 @@
 	}
 	count = choose_vms(cache, vms, count, now_us);
 	if (count == 0) {
-		cache->retry_us = now_us + TICKET_RETRY_US;
+		cache->retry_us = now_us + TICKET_SEARCH_US;
 		return cache->retry_us;
 	}
 	if (count < ADVICE_VMS_MAX && ticket_any_valid(step, now_us) &&
