--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -34,8 +34,7 @@
 	uint64_t request_generation; /* leader generation of the request in flight; 0: none */
 	uint64_t valid_until_us;     /* latest end of the validity of a ticket */
 	uint64_t retry_us;	     /* earliest time of the next request */
-	uint64_t few_due_us; /* earliest time of the next request about few VMs, with valid tickets
-			      */
+	uint64_t few_due_us; /* earliest time of a request about few VMs while a ticket is valid */
 	GHashTable *vms;     /* VM id -> advice_t */
 };
 
--- a/tests/test_adapter_vm.c
+++ b/tests/test_adapter_vm.c
@@ -95,6 +95,7 @@
 	assert_int_equal(replies, 1);
 }
 
+/* Guards against requests that are dropped although they are in time. */
 static void test_start_without_limit_is_sent(void **state)
 {
 	send_start(0);
