vm_relay: one function adds a call

Forwarded and refused requests each inserted their call into the list and the table.

Behaviour is the same.

--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -122,6 +122,14 @@
 			       EDGES_TRIED_MAX, chosen);
 }
 
+static void add_call(vm_relay_t *relay, const relay_call_t *call)
+{
+	relay_call_t *added = g_memdup2(call, sizeof(*call));
+
+	TAILQ_INSERT_TAIL(&relay->calls, added, link);
+	g_hash_table_insert(relay->calls_by_seq, &added->seq, added);
+}
+
 static void complete_call(vm_relay_t *relay, relay_call_t *call, const vm_reply_t *reply)
 {
 	TAILQ_REMOVE(&relay->calls, call, link);
@@ -169,7 +177,7 @@
 	/* The estimate of the edge process's clock lags by as long as its readings waited here. */
 	uint64_t valid_us = timeout_us + relay->input_delay_us;
 	uint32_t edge_node;
-	relay_call_t *call;
+	relay_call_t call;
 
 	order->seq = ++relay->next_seq;
 	order->address = (char *)vm->address;
@@ -179,8 +187,7 @@
 		metrics_add(relay->direct_requests, 1);
 		return false;
 	}
-	call = g_new0(relay_call_t, 1);
-	*call = (relay_call_t){
+	call = (relay_call_t){
 		.seq = order->seq,
 		.edge_node = edge_node,
 		.sent_us = now_us,
@@ -190,8 +197,7 @@
 		.done = done,
 		.arg = arg,
 	};
-	TAILQ_INSERT_TAIL(&relay->calls, call, link);
-	g_hash_table_insert(relay->calls_by_seq, &call->seq, call);
+	add_call(relay, &call);
 	return true;
 }
 
@@ -199,21 +205,19 @@
  * The result comes with the next check of the timeouts. @return whether the request was refused */
 static bool refuse_if_replaced(vm_relay_t *relay, vm_reply_fn done, void *arg)
 {
-	relay_call_t *call;
+	relay_call_t call;
 
 	if (relay->options.is_leader(relay->options.arg))
 		return false;
 	metrics_add(relay->refused_requests, 1);
-	call = g_new0(relay_call_t, 1);
-	*call = (relay_call_t){
+	call = (relay_call_t){
 		.seq = ++relay->next_seq,
 		.overdue = true,
 		.code = VM_REPLY_NOT_SENT,
 		.done = done,
 		.arg = arg,
 	};
-	TAILQ_INSERT_TAIL(&relay->calls, call, link);
-	g_hash_table_insert(relay->calls_by_seq, &call->seq, call);
+	add_call(relay, &call);
 	return true;
 }
 
