batch_ticket: choose VMs without rewriting the caller's list

The chosen VMs went through a heap copy back into the list of the caller. The validity of a ticket and whether a request may be made were checked again, although the caller has checked both. The test whether a queue has a policy service stood in five places of batch_dispatch.c.

Behaviour is the same.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -261,6 +261,12 @@
 		leader->waiting_due_us = due_us;
 }
 
+/* True when VMs need tickets of the policy service to run the queue's steps. */
+static bool is_advised(const Lp__BatchQueue *queue)
+{
+	return queue != NULL && queue->advice != NULL;
+}
+
 /* Updates place_vms for the placement of the step: counts the tasks of the step and its job on
  * each VM, and marks the VMs where its tasks have failed and those that the policy service
  * allows. */
@@ -269,7 +275,7 @@
 {
 	bool isolate = suspect && suspect_isolates(step, pass->now_us);
 	place_vm_t *place_vms = (place_vm_t *)pool->place_vms->data;
-	bool advised = queue != NULL && queue->advice != NULL;
+	bool advised = is_advised(queue);
 	g_autoptr(GHashTable) failed = failed_vms(step);
 
 	for (guint i = 0; i < pool->vms->len; i++) {
@@ -369,13 +375,12 @@
 static bool step_has_room(void *arg, const batch_step_t *step)
 {
 	placement_pass_t *pass = arg;
-	const Lp__BatchQueue *queue = step->job->queue;
 
 	if (window_room(pass, step->spec) == 0) {
 		pass->leader->window_full = true;
 		return false;
 	}
-	if (queue != NULL && queue->advice != NULL)
+	if (is_advised(step->job->queue))
 		return true;
 	return place_fits(&get_pool(pass, step->job->service)->most, step->spec);
 }
@@ -388,7 +393,7 @@
 
 	if (spec->gang || spec->best_effort || spec->gpu > 0 || spec->max_per_vm > 0 ||
 	    spec->constraint[0] != '\0' || pool->unplaceable_count == UNPLACEABLE_MAX ||
-	    (candidate->queue != NULL && candidate->queue->advice != NULL))
+	    is_advised(candidate->queue))
 		return;
 	pool->unplaceable[pool->unplaceable_count++] =
 		(unplaceable_t){.cpu_milli = spec->cpu_milli, .mem_mib = spec->mem_mib};
@@ -422,9 +427,8 @@
 static void update_isolation(const placement_pass_t *pass, const pool_t *pool,
 			     const batch_candidate_t *candidate, size_t placed, size_t wanted)
 {
-	const Lp__BatchQueue *queue = candidate->queue;
 	const Lp__BatchStep *spec = candidate->step->spec;
-	bool advised = queue != NULL && queue->advice != NULL;
+	bool advised = is_advised(candidate->queue);
 	double *used = talloc_zero_array(NULL, double, pool->vms->len);
 
 	for (guint i = 0; i < pool->vms->len; i++) {
@@ -451,7 +455,7 @@
 	const Lp__BatchStep *spec = step->spec;
 	pool_t *pool = get_pool(pass, step->job->service);
 	bool suspect = suspect_step(step);
-	bool advised = candidate->queue != NULL && candidate->queue->advice != NULL;
+	bool advised = is_advised(candidate->queue);
 	void *mem;
 	batch_task_t **tasks;
 	size_t *chosen;
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -466,14 +466,13 @@
 /**
  * Requests tickets for the step from the policy service. A request lists few of the VMs: first
  * those that the service has allowed before, then those that it was never asked about, so that
- * repeated requests come to all of them. Does nothing unless ticket_may_request().
- * @param vms ids of VMs that can take a task of the step and for which it has no valid ticket; they
- * are reordered
+ * repeated requests come to all of them. May be called only while ticket_may_request().
+ * @param vms ids of VMs that can take a task of the step and for which it has no valid ticket
  * @return time from which on the call is to be repeated; 0: a request is in flight, or there is no
  * VM
  */
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-			const char **vms, size_t count, uint64_t now_us);
+			const char *const *vms, size_t count, uint64_t now_us);
 /** Forgets a ticket that the VM has refused. */
 void ticket_remove(batch_step_t *step, const char *vm);
 
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -52,7 +52,7 @@
 	ASK_ALLOWED, /* the VM is allowed, and its ticket has expired or was refused */
 	ASK_FIRST,   /* the policy service was never asked about it */
 	ASK_AGAIN,   /* it was not allowed TICKET_RECHECK_US ago or earlier */
-	ASK_NOT,
+	ASK_NOT,     /* it was not allowed since then */
 } ask_rank_t;
 
 static bool is_valid_until(uint64_t until_us, uint64_t now_us)
@@ -163,17 +163,15 @@
 	if (advice == NULL)
 		return ASK_FIRST;
 	if (advice->allowed)
-		return is_valid_until(advice->valid_until_us, now_us) ? ASK_NOT : ASK_ALLOWED;
+		return ASK_ALLOWED;
 	return now_us >= advice->answered_us + TICKET_RECHECK_US ? ASK_AGAIN : ASK_NOT;
 }
 
-/* Puts the VMs to ask about at the beginning of the list, in the order of their ranks. @return
- * their number, at most ADVICE_VMS_MAX */
-static size_t choose_vms(const batch_ticket_cache_t *cache, const char **vms, size_t count,
-			 uint64_t now_us)
+/* Chooses the VMs to ask about, in the order of their ranks. @return their number */
+static size_t choose_vms(const batch_ticket_cache_t *cache, const char *const *vms, size_t count,
+			 uint64_t now_us, const char *chosen[ADVICE_VMS_MAX])
 {
 	g_autofree ask_rank_t *ranks = g_new(ask_rank_t, count);
-	g_autofree const char **chosen = g_new(const char *, ADVICE_VMS_MAX);
 	size_t chosen_count = 0;
 
 	for (size_t i = 0; i < count; i++)
@@ -184,8 +182,6 @@
 				chosen[chosen_count++] = vms[i];
 		}
 	}
-	for (size_t i = 0; i < chosen_count; i++)
-		vms[i] = chosen[i];
 	return chosen_count;
 }
 
@@ -208,18 +204,19 @@
 }
 
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-			const char **vms, size_t count, uint64_t now_us)
+			const char *const *vms, size_t count, uint64_t now_us)
 {
 	batch_ticket_cache_t *cache = step->tickets;
+	const char *chosen[ADVICE_VMS_MAX];
 
-	if (count == 0 || !ticket_may_request(leader, step, now_us))
+	if (count == 0)
 		return 0;
 	if (cache == NULL) {
 		cache = g_new0(batch_ticket_cache_t, 1);
 		cache->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 		step->tickets = cache;
 	}
-	count = choose_vms(cache, vms, count, now_us);
+	count = choose_vms(cache, vms, count, now_us, chosen);
 	if (count == 0) {
 		cache->retry_us = now_us + TICKET_SEARCH_US;
 		return cache->retry_us;
@@ -229,6 +226,6 @@
 		cache->retry_us = cache->few_due_us;
 		return cache->retry_us;
 	}
-	send_request(leader, step, queue, vms, count);
+	send_request(leader, step, queue, chosen, count);
 	return 0;
 }
