batch: derive once whether a job waits

pending and state each derived it. Applying an end looked up its task once more to note that the job has begun.

Behaviour is the same.

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -252,7 +252,8 @@
 		set_status(task, BATCH_TASK_WAITING);
 }
 
-static void apply_end(batch_state_t *state, const Lp__BatchEnd *end, uint64_t wall_ms)
+/* @param begun whether a run of the job is known to have begun */
+static void apply_end(batch_state_t *state, const Lp__BatchEnd *end, bool begun, uint64_t wall_ms)
 {
 	batch_task_t *task = batch_state_task(state, end->task);
 	batch_job_t *job;
@@ -260,6 +261,7 @@
 	if (task == NULL)
 		return;
 	job = task->step->job;
+	job->begun |= begun;
 	store_checkpoint(task->step, task, end->checkpoint);
 	switch (end->kind) {
 	case LP__BATCH_END_KIND__BATCH_END_DONE:
@@ -292,14 +294,6 @@
 	task->seen_crashes = 0;
 }
 
-static void mark_begun(const batch_state_t *state, const Lp__BatchEnd *end)
-{
-	batch_task_t *task = batch_state_task(state, end->task);
-
-	if (task != NULL)
-		task->step->job->begun = true;
-}
-
 static void apply_ends(batch_state_t *state, uint64_t wall_ms, const Lp__BatchEnds *ends)
 {
 	batch_vm_t *vm = batch_state_vm(state, ends->vm, ends->born_ms);
@@ -308,11 +302,11 @@
 	if (vm != NULL && ends->noted <= vm->acknowledged && ends->noted != 0)
 		return;
 	for (size_t i = 0; i < ends->n_ends; i++) {
-		clear_crashes(state, ends->ends[i]);
 		/* A member of a gang that ended alone has waited for the others only. */
-		if (ends->ends[i]->kind != LP__BATCH_END_KIND__BATCH_END_ALONE)
-			mark_begun(state, ends->ends[i]);
-		apply_end(state, ends->ends[i], wall_ms);
+		bool begun = ends->ends[i]->kind != LP__BATCH_END_KIND__BATCH_END_ALONE;
+
+		clear_crashes(state, ends->ends[i]);
+		apply_end(state, ends->ends[i], begun, wall_ms);
 	}
 	if (vm != NULL)
 		vm->acknowledged = MAX(vm->acknowledged, ends->noted);
@@ -342,10 +336,8 @@
 		Lp__BatchEnd end = *lost->runs[i];
 
 		end.kind = LP__BATCH_END_KIND__BATCH_END_LAPSED;
-		if (end.begun)
-			mark_begun(state, &end);
 		count_crash(state, &end, wall_ms);
-		apply_end(state, &end, wall_ms);
+		apply_end(state, &end, end.begun, wall_ms);
 	}
 }
 
--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -209,11 +209,10 @@
 }
 
 /* @return state of the job for clients, for whom it runs once a task of it has begun */
-static const char *job_state_name(batch_node_t *node, const batch_job_t *job)
+static const char *job_state_name(const batch_node_t *node, const batch_job_t *job)
 {
-	bool waits = job->state == BATCH_JOB_RUNNING && !job_begun(node, job);
-
-	return batch_job_state_name(waits ? BATCH_JOB_QUEUED : job->state);
+	return batch_job_state_name(batch_queued_job_waits(&node->queued, job) ? BATCH_JOB_QUEUED
+									       : job->state);
 }
 
 static void reply_with_state(batch_node_t *node, const Lp__BatchCall *call,
--- a/src/batch_queued.c
+++ b/src/batch_queued.c
@@ -12,7 +12,7 @@
 	*queued = (batch_queued_t){0};
 }
 
-static bool job_waits(const batch_queued_t *queued, const batch_job_t *job)
+bool batch_queued_job_waits(const batch_queued_t *queued, const batch_job_t *job)
 {
 	return job->state == BATCH_JOB_QUEUED ||
 	       (job->state == BATCH_JOB_RUNNING && !queued->job_begun(queued->arg, job));
@@ -26,7 +26,7 @@
 	LIST_FOREACH (accepted, &state->accepted_queues, link)
 		accepted->waiting = 0;
 	TAILQ_FOREACH (job, &state->active, link) {
-		if (job->accepted_queue == NULL || !job_waits(queued, job) ||
+		if (job->accepted_queue == NULL || !batch_queued_job_waits(queued, job) ||
 		    (job->spec->times > 0 && job->spec->first_due_ms > wall_ms))
 			continue;
 		job->accepted_queue->waiting++;
--- a/src/batch_queued.h
+++ b/src/batch_queued.h
@@ -25,6 +25,8 @@
 /** @param job_begun is called with arg for jobs of which a task was assigned to a VM */
 void batch_queued_init(batch_queued_t *queued, batch_job_begun_fn job_begun, void *arg);
 void batch_queued_finish(batch_queued_t *queued);
+/** Returns whether the job has not ended, and no task of it has begun. */
+bool batch_queued_job_waits(const batch_queued_t *queued, const batch_job_t *job);
 /**
  * @param queue of the state's present configuration
  * @param now_us monotonic time in microseconds, above 0
