test_batch_leader: one function creates the fleet with a policy service

Four tests had the same configuration but for the seed. No assertion is changed.

Behaviour is the same.

--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -139,6 +139,14 @@
  * which would change which VMs the policy service is asked about. */
 #define ADVISED_SUBMIT_MS 1800
 
+static vm_sim_t *create_advised_sim(uint64_t seed)
+{
+	const vm_sim_config_t config = {
+		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = seed};
+
+	return vm_sim_create(&config);
+}
+
 /* Runs until the job is complete, at most until the time. */
 static void run_until_complete(vm_sim_t *sim, const char *id, uint64_t until_ms)
 {
@@ -152,9 +160,7 @@
 static void test_policy_service_is_asked_about_all_vms(void **state)
 {
 	const unsigned racks = ADVISED_VMS / VM_SIM_RACK_SIZE;
-	const vm_sim_config_t config = {
-		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 7};
-	vm_sim_t *sim = vm_sim_create(&config);
+	vm_sim_t *sim = create_advised_sim(7);
 	job_fixture_t fixture;
 
 	make_job(&fixture, 1, 2, 500, 500);
@@ -179,11 +185,8 @@
  * ever because no tickets for further VMs are requested. */
 static void test_tickets_for_many_vms_add_up(void **state)
 {
-	const vm_sim_config_t config = {
-		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 8};
-
 	for (unsigned gang = 0; gang <= 1; gang++) {
-		vm_sim_t *sim = vm_sim_create(&config);
+		vm_sim_t *sim = create_advised_sim(8);
 		job_fixture_t fixture;
 
 		make_job(&fixture, 1, ADVISED_VMS - 2, 5000, 3000);
@@ -204,9 +207,7 @@
  * dropped: it was no longer the leader when the answer came, and is the leader again. */
 static void test_policy_request_of_an_earlier_term_is_repeated(void **state)
 {
-	const vm_sim_config_t config = {
-		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 10};
-	vm_sim_t *sim = vm_sim_create(&config);
+	vm_sim_t *sim = create_advised_sim(10);
 	job_fixture_t fixture;
 
 	make_job(&fixture, 1, 2, 5000, 500);
@@ -223,9 +224,7 @@
 /* Guards against a policy service that has to refuse the same VMs again in every placement pass. */
 static void test_refused_vms_are_asked_about_seldom(void **state)
 {
-	const vm_sim_config_t config = {
-		.services = 1, .vms_per_service = ADVISED_VMS, .advised = true, .seed = 9};
-	vm_sim_t *sim = vm_sim_create(&config);
+	vm_sim_t *sim = create_advised_sim(9);
 	job_fixture_t fixture;
 
 	make_job(&fixture, 1, 2, 5000, 500);
