--- a/src/auth.c
+++ b/src/auth.c
@@ -145,6 +145,15 @@
 	return role;
 }
 
+const char *auth_bearer_token(const char *header)
+{
+	/* The name of the scheme is case-insensitive (RFC 9110, section 11.1). */
+	if (header == NULL ||
+	    g_ascii_strncasecmp(header, BEARER_PREFIX, strlen(BEARER_PREFIX)) != 0)
+		return NULL;
+	return header + strlen(BEARER_PREFIX);
+}
+
 bool auth_allows(const auth_t *auth, const char *header, auth_role_t needed)
 {
 	auth_role_t role;
@@ -153,9 +162,9 @@
 		return true;
 	if (!auth->has_file)
 		return auth->is_loopback;
-	if (header == NULL || !g_str_has_prefix(header, BEARER_PREFIX))
+	if (auth_bearer_token(header) == NULL)
 		return false;
-	role = find_role(auth, header + strlen(BEARER_PREFIX));
+	role = find_role(auth, auth_bearer_token(header));
 	switch (needed) {
 	case AUTH_NONE:
 		return true;
--- a/src/auth.h
+++ b/src/auth.h
@@ -31,6 +31,9 @@
 auth_t *auth_create(const char *file, bool is_loopback, char *error, size_t error_size);
 void auth_destroy(auth_t *auth);
 
+/** @return the bearer token in the value of an Authorization header, or NULL when it has none */
+const char *auth_bearer_token(const char *header);
+
 /**
  * Checks whether the sender of a request has the required role. Anyone may send announcements when
  * the token file has no target token.
--- a/src/batch.pb-c.c
+++ b/src/batch.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &lp__batch_service__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__batch_limits__init
+                     (Lp__BatchLimits         *message)
+{
+  static const Lp__BatchLimits init_value = LP__BATCH_LIMITS__INIT;
+  *message = init_value;
+}
+size_t lp__batch_limits__get_packed_size
+                     (const Lp__BatchLimits *message)
+{
+  assert(message->base.descriptor == &lp__batch_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__batch_limits__pack
+                     (const Lp__BatchLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__batch_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__batch_limits__pack_to_buffer
+                     (const Lp__BatchLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__batch_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__BatchLimits *
+       lp__batch_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__BatchLimits *)
+     protobuf_c_message_unpack (&lp__batch_limits__descriptor,
+                                allocator, len, data);
+}
+void   lp__batch_limits__free_unpacked
+                     (Lp__BatchLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__batch_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lp__batch_organisation__init
+                     (Lp__BatchOrganisation         *message)
+{
+  static const Lp__BatchOrganisation init_value = LP__BATCH_ORGANISATION__INIT;
+  *message = init_value;
+}
+size_t lp__batch_organisation__get_packed_size
+                     (const Lp__BatchOrganisation *message)
+{
+  assert(message->base.descriptor == &lp__batch_organisation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__batch_organisation__pack
+                     (const Lp__BatchOrganisation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__batch_organisation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__batch_organisation__pack_to_buffer
+                     (const Lp__BatchOrganisation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__batch_organisation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__BatchOrganisation *
+       lp__batch_organisation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__BatchOrganisation *)
+     protobuf_c_message_unpack (&lp__batch_organisation__descriptor,
+                                allocator, len, data);
+}
+void   lp__batch_organisation__free_unpacked
+                     (Lp__BatchOrganisation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__batch_organisation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lp__batch_config__init
                      (Lp__BatchConfig         *message)
 {
@@ -1706,7 +1796,7 @@
   (ProtobufCMessageInit) lp__batch_step__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_job__field_descriptors[8] =
+static const ProtobufCFieldDescriptor lp__batch_job__field_descriptors[9] =
 {
   {
     "id",
@@ -1804,12 +1894,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "organisation",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchJob, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_job__field_indices_by_name[] = {
   6,   /* field[6] = first_due_ms */
   1,   /* field[1] = host */
   0,   /* field[0] = id */
   7,   /* field[7] = interval_ms */
+  8,   /* field[8] = organisation */
   2,   /* field[2] = prefix */
   3,   /* field[3] = spec */
   4,   /* field[4] = steps */
@@ -1818,7 +1921,7 @@
 static const ProtobufCIntRange lp__batch_job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor lp__batch_job__descriptor =
 {
@@ -1828,7 +1931,7 @@
   "Lp__BatchJob",
   "lp",
   sizeof(Lp__BatchJob),
-  8,
+  9,
   lp__batch_job__field_descriptors,
   lp__batch_job__field_indices_by_name,
   1,  lp__batch_job__number_ranges,
@@ -1899,7 +2002,7 @@
   (ProtobufCMessageInit) lp__batch_advice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_queue__field_descriptors[10] =
+static const ProtobufCFieldDescriptor lp__batch_queue__field_descriptors[11] =
 {
   {
     "name",
@@ -2021,11 +2124,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_public",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchQueue, is_public),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_queue__field_indices_by_name[] = {
   9,   /* field[9] = advice */
   5,   /* field[5] = attempts */
   1,   /* field[1] = host */
+  10,   /* field[10] = is_public */
   0,   /* field[0] = name */
   6,   /* field[6] = objective_ms */
   2,   /* field[2] = prefix */
@@ -2037,7 +2153,7 @@
 static const ProtobufCIntRange lp__batch_queue__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor lp__batch_queue__descriptor =
 {
@@ -2047,7 +2163,7 @@
   "Lp__BatchQueue",
   "lp",
   sizeof(Lp__BatchQueue),
-  10,
+  11,
   lp__batch_queue__field_descriptors,
   lp__batch_queue__field_indices_by_name,
   1,  lp__batch_queue__number_ranges,
@@ -2118,7 +2234,148 @@
   (ProtobufCMessageInit) lp__batch_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_config__field_descriptors[4] =
+static const ProtobufCFieldDescriptor lp__batch_limits__field_descriptors[3] =
+{
+  {
+    "cpu_milli",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchLimits, cpu_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "mem_mib",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchLimits, mem_mib),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gpu",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchLimits, gpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__batch_limits__field_indices_by_name[] = {
+  0,   /* field[0] = cpu_milli */
+  2,   /* field[2] = gpu */
+  1,   /* field[1] = mem_mib */
+};
+static const ProtobufCIntRange lp__batch_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor lp__batch_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.BatchLimits",
+  "BatchLimits",
+  "Lp__BatchLimits",
+  "lp",
+  sizeof(Lp__BatchLimits),
+  3,
+  lp__batch_limits__field_descriptors,
+  lp__batch_limits__field_indices_by_name,
+  1,  lp__batch_limits__number_ranges,
+  (ProtobufCMessageInit) lp__batch_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__batch_organisation__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchOrganisation, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Lp__BatchOrganisation, n_keys),
+    offsetof(Lp__BatchOrganisation, keys),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight_milli",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchOrganisation, weight_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchOrganisation, limits),
+    &lp__batch_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__batch_organisation__field_indices_by_name[] = {
+  1,   /* field[1] = keys */
+  3,   /* field[3] = limits */
+  0,   /* field[0] = name */
+  2,   /* field[2] = weight_milli */
+};
+static const ProtobufCIntRange lp__batch_organisation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lp__batch_organisation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.BatchOrganisation",
+  "BatchOrganisation",
+  "Lp__BatchOrganisation",
+  "lp",
+  sizeof(Lp__BatchOrganisation),
+  4,
+  lp__batch_organisation__field_descriptors,
+  lp__batch_organisation__field_indices_by_name,
+  1,  lp__batch_organisation__number_ranges,
+  (ProtobufCMessageInit) lp__batch_organisation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__batch_config__field_descriptors[6] =
 {
   {
     "version",
@@ -2168,9 +2425,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "organisations",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__BatchConfig, n_organisations),
+    offsetof(Lp__BatchConfig, organisations),
+    &lp__batch_organisation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checks_keys",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchConfig, checks_keys),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_config__field_indices_by_name[] = {
+  5,   /* field[5] = checks_keys */
   3,   /* field[3] = document */
+  4,   /* field[4] = organisations */
   1,   /* field[1] = queues */
   2,   /* field[2] = services */
   0,   /* field[0] = version */
@@ -2178,7 +2461,7 @@
 static const ProtobufCIntRange lp__batch_config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor lp__batch_config__descriptor =
 {
@@ -2188,14 +2471,14 @@
   "Lp__BatchConfig",
   "lp",
   sizeof(Lp__BatchConfig),
-  4,
+  6,
   lp__batch_config__field_descriptors,
   lp__batch_config__field_indices_by_name,
   1,  lp__batch_config__number_ranges,
   (ProtobufCMessageInit) lp__batch_config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_cancel__field_descriptors[3] =
+static const ProtobufCFieldDescriptor lp__batch_cancel__field_descriptors[4] =
 {
   {
     "id",
@@ -2233,16 +2516,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "organisation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchCancel, organisation),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_cancel__field_indices_by_name[] = {
   1,   /* field[1] = host */
   0,   /* field[0] = id */
+  3,   /* field[3] = organisation */
   2,   /* field[2] = prefix */
 };
 static const ProtobufCIntRange lp__batch_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor lp__batch_cancel__descriptor =
 {
@@ -2252,7 +2548,7 @@
   "Lp__BatchCancel",
   "lp",
   sizeof(Lp__BatchCancel),
-  3,
+  4,
   lp__batch_cancel__field_descriptors,
   lp__batch_cancel__field_indices_by_name,
   1,  lp__batch_cancel__number_ranges,
@@ -3609,7 +3905,7 @@
   (ProtobufCMessageInit) lp__batch_wave_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[12] =
+static const ProtobufCFieldDescriptor lp__batch_snapshot__field_descriptors[13] =
 {
   {
     "config",
@@ -3755,6 +4051,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removed_organisations",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__BatchSnapshot, n_removed_organisations),
+    offsetof(Lp__BatchSnapshot, removed_organisations),
+    &lp__batch_organisation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_snapshot__field_indices_by_name[] = {
   0,   /* field[0] = config */
@@ -3766,6 +4074,7 @@
   1,   /* field[1] = next_seq */
   6,   /* field[6] = ordered */
   8,   /* field[8] = ordered_ms */
+  12,   /* field[12] = removed_organisations */
   7,   /* field[7] = start_term */
   3,   /* field[3] = vms */
   4,   /* field[4] = waves */
@@ -3773,7 +4082,7 @@
 static const ProtobufCIntRange lp__batch_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor lp__batch_snapshot__descriptor =
 {
@@ -3783,14 +4092,14 @@
   "Lp__BatchSnapshot",
   "lp",
   sizeof(Lp__BatchSnapshot),
-  12,
+  13,
   lp__batch_snapshot__field_descriptors,
   lp__batch_snapshot__field_indices_by_name,
   1,  lp__batch_snapshot__number_ranges,
   (ProtobufCMessageInit) lp__batch_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__batch_call__field_descriptors[7] =
+static const ProtobufCFieldDescriptor lp__batch_call__field_descriptors[8] =
 {
   {
     "seq",
@@ -3876,10 +4185,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_digest",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Lp__BatchCall, key_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__batch_call__field_indices_by_name[] = {
   2,   /* field[2] = host */
   4,   /* field[4] = job */
+  7,   /* field[7] = key_digest */
   1,   /* field[1] = kind */
   3,   /* field[3] = path */
   6,   /* field[6] = remaining_ms */
@@ -3889,7 +4211,7 @@
 static const ProtobufCIntRange lp__batch_call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor lp__batch_call__descriptor =
 {
@@ -3899,7 +4221,7 @@
   "Lp__BatchCall",
   "lp",
   sizeof(Lp__BatchCall),
-  7,
+  8,
   lp__batch_call__field_descriptors,
   lp__batch_call__field_indices_by_name,
   1,  lp__batch_call__number_ranges,
@@ -5161,7 +5483,7 @@
   lp__batch_call_kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue lp__batch_answer__enum_values_by_number[8] =
+static const ProtobufCEnumValue lp__batch_answer__enum_values_by_number[9] =
 {
   { "BATCH_ANSWER_OK", "LP__BATCH_ANSWER__BATCH_ANSWER_OK", 0 },
   { "BATCH_ANSWER_NOT_LEADER", "LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER", 1 },
@@ -5171,11 +5493,12 @@
   { "BATCH_ANSWER_UNAVAILABLE", "LP__BATCH_ANSWER__BATCH_ANSWER_UNAVAILABLE", 5 },
   { "BATCH_ANSWER_UNKNOWN", "LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN", 6 },
   { "BATCH_ANSWER_INVALID", "LP__BATCH_ANSWER__BATCH_ANSWER_INVALID", 7 },
+  { "BATCH_ANSWER_UNAUTHORISED", "LP__BATCH_ANSWER__BATCH_ANSWER_UNAUTHORISED", 8 },
 };
 static const ProtobufCIntRange lp__batch_answer__value_ranges[] = {
-{0, 0},{0, 8}
+{0, 0},{0, 9}
 };
-static const ProtobufCEnumValueIndex lp__batch_answer__enum_values_by_name[8] =
+static const ProtobufCEnumValueIndex lp__batch_answer__enum_values_by_name[9] =
 {
   { "BATCH_ANSWER_INVALID", 7 },
   { "BATCH_ANSWER_NOT_LEADER", 1 },
@@ -5183,6 +5506,7 @@
   { "BATCH_ANSWER_NO_QUEUE", 2 },
   { "BATCH_ANSWER_OK", 0 },
   { "BATCH_ANSWER_REFUSED", 4 },
+  { "BATCH_ANSWER_UNAUTHORISED", 8 },
   { "BATCH_ANSWER_UNAVAILABLE", 5 },
   { "BATCH_ANSWER_UNKNOWN", 6 },
 };
@@ -5193,9 +5517,9 @@
   "BatchAnswer",
   "Lp__BatchAnswer",
   "lp",
-  8,
+  9,
   lp__batch_answer__enum_values_by_number,
-  8,
+  9,
   lp__batch_answer__enum_values_by_name,
   1,
   lp__batch_answer__value_ranges,
--- a/src/batch.pb-c.h
+++ b/src/batch.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Lp__BatchAdvice Lp__BatchAdvice;
 typedef struct Lp__BatchQueue Lp__BatchQueue;
 typedef struct Lp__BatchService Lp__BatchService;
+typedef struct Lp__BatchLimits Lp__BatchLimits;
+typedef struct Lp__BatchOrganisation Lp__BatchOrganisation;
 typedef struct Lp__BatchConfig Lp__BatchConfig;
 typedef struct Lp__BatchCancel Lp__BatchCancel;
 typedef struct Lp__BatchTask Lp__BatchTask;
@@ -137,7 +139,11 @@
    * the call may have had an effect
    */
   LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN = 6,
-  LP__BATCH_ANSWER__BATCH_ANSWER_INVALID = 7
+  LP__BATCH_ANSWER__BATCH_ANSWER_INVALID = 7,
+  /*
+   * the caller's key is unknown; the call had no effect
+   */
+  LP__BATCH_ANSWER__BATCH_ANSWER_UNAUTHORISED = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__BATCH_ANSWER)
 } Lp__BatchAnswer;
 typedef enum _Lp__VmOrderKind {
@@ -244,10 +250,14 @@
    */
   uint64_t first_due_ms;
   uint64_t interval_ms;
+  /*
+   * organisation whose key submitted the job; empty: none
+   */
+  char *organisation;
 };
 #define LP__BATCH_JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -296,10 +306,14 @@
    * unset: every VM may run every step
    */
   Lp__BatchAdvice *advice;
+  /*
+   * calls need no key of an organisation
+   */
+  protobuf_c_boolean is_public;
 };
 #define LP__BATCH_QUEUE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_queue__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, NULL, 0 }
 
 
 struct  Lp__BatchService
@@ -320,6 +334,44 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * What the tasks of an organisation may use at the same time on all VMs; 0: no limit.
+ */
+struct  Lp__BatchLimits
+{
+  ProtobufCMessage base;
+  uint64_t cpu_milli;
+  uint64_t mem_mib;
+  uint64_t gpu;
+};
+#define LP__BATCH_LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__batch_limits__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * An organisation that submits jobs.
+ */
+struct  Lp__BatchOrganisation
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * digests of its keys, see org_keys.h
+   */
+  size_t n_keys;
+  ProtobufCBinaryData *keys;
+  /*
+   * share of a full service relative to other organisations, in thousandths
+   */
+  uint32_t weight_milli;
+  Lp__BatchLimits *limits;
+};
+#define LP__BATCH_ORGANISATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__batch_organisation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, NULL }
+
+
 struct  Lp__BatchConfig
 {
   ProtobufCMessage base;
@@ -332,10 +384,16 @@
    * JSON text of the configuration, as received
    */
   ProtobufCBinaryData document;
+  size_t n_organisations;
+  Lp__BatchOrganisation **organisations;
+  /*
+   * calls to queues that are not public need a key of an organisation
+   */
+  protobuf_c_boolean checks_keys;
 };
 #define LP__BATCH_CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_config__descriptor) \
-    , 0, 0,NULL, 0,NULL, {0,NULL} }
+    , 0, 0,NULL, 0,NULL, {0,NULL}, 0,NULL, 0 }
 
 
 /*
@@ -347,10 +405,14 @@
   char *id;
   char *host;
   char *prefix;
+  /*
+   * organisation of the caller; empty: its key was not looked at
+   */
+  char *organisation;
 };
 #define LP__BATCH_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_cancel__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Lp__BatchTask
@@ -712,10 +774,16 @@
    */
   uint64_t log_term;
   uint64_t log_leader_ms;
+  /*
+   * Accounts of organisations with active jobs that the configuration does not have any more;
+   * their keys are not saved.
+   */
+  size_t n_removed_organisations;
+  Lp__BatchOrganisation **removed_organisations;
 };
 #define LP__BATCH_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_snapshot__descriptor) \
-    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0 }
+    , NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -741,10 +809,14 @@
    * time that the client still waits when the call is sent; 0: unknown
    */
   uint32_t remaining_ms;
+  /*
+   * digest of the caller's key, see org_keys.h; empty: it has sent none
+   */
+  ProtobufCBinaryData key_digest;
 };
 #define LP__BATCH_CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&lp__batch_call__descriptor) \
-    , 0, LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0 }
+    , 0, LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0, 0, {0,NULL} }
 
 
 struct  Lp__BatchReply
@@ -1098,6 +1170,44 @@
 void   lp__batch_service__free_unpacked
                      (Lp__BatchService *message,
                       ProtobufCAllocator *allocator);
+/* Lp__BatchLimits methods */
+void   lp__batch_limits__init
+                     (Lp__BatchLimits         *message);
+size_t lp__batch_limits__get_packed_size
+                     (const Lp__BatchLimits   *message);
+size_t lp__batch_limits__pack
+                     (const Lp__BatchLimits   *message,
+                      uint8_t             *out);
+size_t lp__batch_limits__pack_to_buffer
+                     (const Lp__BatchLimits   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__BatchLimits *
+       lp__batch_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__batch_limits__free_unpacked
+                     (Lp__BatchLimits *message,
+                      ProtobufCAllocator *allocator);
+/* Lp__BatchOrganisation methods */
+void   lp__batch_organisation__init
+                     (Lp__BatchOrganisation         *message);
+size_t lp__batch_organisation__get_packed_size
+                     (const Lp__BatchOrganisation   *message);
+size_t lp__batch_organisation__pack
+                     (const Lp__BatchOrganisation   *message,
+                      uint8_t             *out);
+size_t lp__batch_organisation__pack_to_buffer
+                     (const Lp__BatchOrganisation   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__BatchOrganisation *
+       lp__batch_organisation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__batch_organisation__free_unpacked
+                     (Lp__BatchOrganisation *message,
+                      ProtobufCAllocator *allocator);
 /* Lp__BatchConfig methods */
 void   lp__batch_config__init
                      (Lp__BatchConfig         *message);
@@ -1628,6 +1738,12 @@
 typedef void (*Lp__BatchService_Closure)
                  (const Lp__BatchService *message,
                   void *closure_data);
+typedef void (*Lp__BatchLimits_Closure)
+                 (const Lp__BatchLimits *message,
+                  void *closure_data);
+typedef void (*Lp__BatchOrganisation_Closure)
+                 (const Lp__BatchOrganisation *message,
+                  void *closure_data);
 typedef void (*Lp__BatchConfig_Closure)
                  (const Lp__BatchConfig *message,
                   void *closure_data);
@@ -1726,6 +1842,8 @@
 extern const ProtobufCMessageDescriptor lp__batch_advice__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_queue__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_service__descriptor;
+extern const ProtobufCMessageDescriptor lp__batch_limits__descriptor;
+extern const ProtobufCMessageDescriptor lp__batch_organisation__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_config__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_cancel__descriptor;
 extern const ProtobufCMessageDescriptor lp__batch_task__descriptor;
--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -78,13 +78,17 @@
 	LIST_INSERT_HEAD(&vm->tasks, task, vm_link);
 	vm->task_count++;
 	task->step->job->tasks_on_vms++;
+	if (task->step->job->account != NULL)
+		org_use_add(&task->step->job->account->used, task->step->spec, 1);
 }
 
-static void unlink_vm(batch_task_t *task)
+void batch_task_detach_vm(batch_task_t *task)
 {
 	LIST_REMOVE(task, vm_link);
 	task->vm->task_count--;
 	task->step->job->tasks_on_vms--;
+	if (task->step->job->account != NULL)
+		org_use_subtract(&task->step->job->account->used, task->step->spec, 1);
 	task->vm = NULL;
 }
 
@@ -95,7 +99,7 @@
 {
 	if (task->vm == NULL)
 		return;
-	unlink_vm(task);
+	batch_task_detach_vm(task);
 	task->local = (run_local_state_t){
 		.intent_pending = task->local.intent_pending,
 		.intent_vm = task->local.intent_vm,
@@ -110,7 +114,7 @@
 {
 	if (job->archived || !batch_job_ended(job) || job->tasks_on_vms > 0)
 		return;
-	batch_job_archive(job);
+	batch_job_archive(state, job);
 	TAILQ_REMOVE(&state->active, job, link);
 	TAILQ_INSERT_TAIL(&state->ended, job, link);
 }
@@ -153,6 +157,7 @@
 	}
 	job = batch_job_new(message_copy(&spec->base), state->next_seq++, wall_ms);
 	batch_job_accept_queue(state, job, queue);
+	batch_job_accept_organisation(state, job);
 	batch_state_add_job(state, job);
 }
 
@@ -162,7 +167,8 @@
 	batch_job_t *job = batch_state_job(state, cancel->id);
 
 	if (job == NULL || strcmp(job->spec->host, cancel->host) != 0 ||
-	    strcmp(job->spec->prefix, cancel->prefix) != 0) {
+	    strcmp(job->spec->prefix, cancel->prefix) != 0 ||
+	    !batch_job_open_to(job, cancel->organisation)) {
 		set_result(result, LP__RESULT_CODE__RESULT_NOT_FOUND, "no such job");
 		return;
 	}
@@ -341,13 +347,16 @@
 	}
 }
 
+/* False when the task was assigned or done, or its job ended, after the leader proposed the start
+ * intent. */
+static bool can_assign(const batch_task_t *task, uint32_t run)
+{
+	return task->status == BATCH_TASK_WAITING && task->vm == NULL && run > task->run &&
+	       !batch_job_ended(task->step->job);
+}
+
 static void assign_task(batch_state_t *state, batch_task_t *task, batch_vm_t *vm, uint32_t run)
 {
-	/* Ignore the start intent if the task was assigned or done, or its job ended, after the
-	 * leader proposed it. */
-	if (task->status != BATCH_TASK_WAITING || task->vm != NULL || run <= task->run ||
-	    batch_job_ended(task->step->job))
-		return;
 	set_status(task, BATCH_TASK_ASSIGNED);
 	task->run = run;
 	task->assigned_us = state->clock_us;
@@ -365,13 +374,97 @@
 		task->step->job->state = BATCH_JOB_RUNNING;
 }
 
+/* A gang whose members are assigned by one command. */
+typedef struct {
+	batch_step_t *step;
+	uint32_t tasks; /* for which the account's room is reserved */
+} gang_start_t;
+
+static gang_start_t *find_gang(const GArray *gangs, const batch_step_t *step)
+{
+	for (guint i = 0; i < gangs->len; i++) {
+		gang_start_t *gang = &g_array_index(gangs, gang_start_t, i);
+
+		if (gang->step == step)
+			return gang;
+	}
+	return NULL;
+}
+
+/* Reserves the accounts' room for gangs in the order of the command, so that none is started in
+ * part. @return the gangs, as gang_start_t */
+static GArray *reserve_gangs(const batch_state_t *state, const Lp__BatchStarts *starts)
+{
+	GArray *gangs = g_array_new(FALSE, FALSE, sizeof(gang_start_t));
+
+	for (size_t i = 0; i < starts->n_starts; i++) {
+		for (size_t j = 0; j < starts->starts[i]->n_tasks; j++) {
+			const Lp__BatchTask *ref = starts->starts[i]->tasks[j];
+			const batch_task_t *task = batch_state_task(state, ref);
+			gang_start_t added = {0};
+
+			if (task == NULL || !task->step->spec->gang ||
+			    task->step->job->account == NULL || !can_assign(task, ref->run))
+				continue;
+			if (find_gang(gangs, task->step) == NULL) {
+				added.step = task->step;
+				g_array_append_val(gangs, added);
+			}
+			find_gang(gangs, task->step)->tasks++;
+		}
+	}
+	for (guint i = 0; i < gangs->len; i++) {
+		gang_start_t *gang = &g_array_index(gangs, gang_start_t, i);
+		org_account_t *account = gang->step->job->account;
+
+		if (org_account_room(account, NULL, gang->step->spec, gang->tasks) == 0)
+			gang->tasks = 0;
+		org_use_add(&account->reserved, gang->step->spec, gang->tasks);
+	}
+	return gangs;
+}
+
+static void release_gangs(GArray *gangs)
+{
+	for (guint i = 0; i < gangs->len; i++) {
+		const gang_start_t *gang = &g_array_index(gangs, gang_start_t, i);
+
+		org_use_subtract(&gang->step->job->account->reserved, gang->step->spec,
+				 gang->tasks);
+	}
+	g_array_unref(gangs);
+}
+
+/* Takes the account's room for a task that is about to be assigned. @return false when the limit of
+ * the organisation leaves none */
+static bool take_room(const GArray *gangs, const batch_task_t *task)
+{
+	const batch_step_t *step = task->step;
+	org_account_t *account = step->job->account;
+	gang_start_t *gang;
+
+	if (account == NULL)
+		return true;
+	if (!step->spec->gang)
+		return org_account_room(account, NULL, step->spec, 1) > 0;
+	gang = find_gang(gangs, step);
+	if (gang == NULL || gang->tasks == 0)
+		return false;
+	gang->tasks--;
+	org_use_subtract(&account->reserved, step->spec, 1);
+	return true;
+}
+
 static void apply_starts(batch_state_t *state, const Lp__BatchStarts *starts)
 {
+	GArray *gangs;
+
 	/* Ignore start intents of a former leader that were committed after start intents of a
 	 * later leader. */
 	if (starts->term < state->start_term)
 		return;
 	state->start_term = starts->term;
+	gangs = reserve_gangs(state, starts);
 	for (size_t i = 0; i < starts->n_starts; i++) {
 		const Lp__BatchStart *start = starts->starts[i];
 		batch_vm_t *vm = find_or_add_vm(state, start);
@@ -379,10 +472,12 @@
 		for (size_t j = 0; j < start->n_tasks; j++) {
 			batch_task_t *task = batch_state_task(state, start->tasks[j]);
 
-			if (task != NULL)
+			if (task != NULL && can_assign(task, start->tasks[j]->run) &&
+			    take_room(gangs, task))
 				assign_task(state, task, vm, start->tasks[j]->run);
 		}
 	}
+	release_gangs(gangs);
 }
 
 static void hand_over_task(batch_task_t *task, batch_vm_t *vm)
@@ -396,7 +491,7 @@
 
 	g_strlcpy(local.reported_checkpoint, task->local.reported_checkpoint,
 		  sizeof(local.reported_checkpoint));
-	unlink_vm(task);
+	batch_task_detach_vm(task);
 	task->local = local;
 	batch_task_attach_vm(task, vm);
 }
@@ -434,6 +529,7 @@
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
 	state->config = message_copy(&config->base);
+	org_accounts_configure(&state->organisations, state->config);
 	TAILQ_FOREACH (job, &state->active, link)
 		batch_job_follow_service(state, job);
 }
--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -146,9 +146,38 @@
 	return true;
 }
 
+/* Delay in ms after which a job that exceeds its organisation's limit may be submitted again: an
+ * operator has to change the limit first. */
+#define OVER_LIMIT_DELAY_MS 5000
+
+/* Replies to a submission that can never run within the limit of its organisation. @return false
+ * when it can */
+static bool refuse_if_over_limit(batch_node_t *node, const Lp__BatchCall *call,
+				 const char *organisation, const char *job_id, batch_reply_fn done,
+				 void *arg)
+{
+	const org_account_t *account = org_accounts_find(&node->state.organisations, organisation);
+	const char *reason = "the job exceeds what its organisation may have running";
+	bool fits = true;
+
+	for (size_t i = 0; account != NULL && i < call->job->n_steps; i++)
+		fits &= org_account_can_ever_run(account, call->job->steps[i]);
+	if (fits)
+		return false;
+	metrics_add(node->jobs_rejected, 1);
+	metrics_add(node->jobs_over_limit, 1);
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", job_id, "organisation", organisation, "reason", reason),
+		  "job rejected");
+	reply_with_reason(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED,
+			  batch_admit_retry_after_s(OVER_LIMIT_DELAY_MS, g_str_hash(job_id)),
+			  reason, done, arg);
+	return true;
+}
+
 static void handle_submit(batch_node_t *node, const Lp__BatchCall *call,
-			  const Lp__BatchQueue *queue, const char *job_id, batch_reply_fn done,
-			  void *arg)
+			  const Lp__BatchQueue *queue, const char *organisation, const char *job_id,
+			  batch_reply_fn done, void *arg)
 {
 	const batch_job_t *existing = batch_state_job(&node->state, job_id);
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
@@ -156,7 +185,8 @@
 
 	if (existing != NULL) {
 		reply_with_answer(call->seq,
-				  job_is_in_queue(existing, queue)
+				  job_is_in_queue(existing, queue) &&
+						  batch_job_open_to(existing, organisation)
 					  ? LP__BATCH_ANSWER__BATCH_ANSWER_OK
 					  : LP__BATCH_ANSWER__BATCH_ANSWER_INVALID,
 				  0, done, arg);
@@ -170,7 +200,8 @@
 	/* The admission check is skipped for a repeated submission: it must not be rejected,
 	 * because the first one could be committed already, or still be. */
 	if (!call->resent && !g_hash_table_contains(node->submitting, job_id) &&
-	    refuse_if_behind(node, call, queue, job_id, done, arg))
+	    (refuse_if_over_limit(node, call, organisation, job_id, done, arg) ||
+	     refuse_if_behind(node, call, queue, job_id, done, arg)))
 		return;
 	metrics_add(node->jobs_submitted, 1);
 	g_hash_table_add(node->submitting, g_strdup(job_id));
@@ -178,6 +209,7 @@
 	job.id = (char *)job_id;
 	job.host = queue->host;
 	job.prefix = queue->prefix;
+	job.organisation = (char *)organisation;
 	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
 	command.submit = &job;
 	batch_node_propose(node, &command, on_committed,
@@ -185,8 +217,8 @@
 }
 
 static void handle_cancel(batch_node_t *node, const Lp__BatchCall *call,
-			  const Lp__BatchQueue *queue, const char *job_id, batch_reply_fn done,
-			  void *arg)
+			  const Lp__BatchQueue *queue, const char *organisation, const char *job_id,
+			  batch_reply_fn done, void *arg)
 {
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	Lp__BatchCancel message = LP__BATCH_CANCEL__INIT;
@@ -194,6 +226,7 @@
 	message.id = (char *)job_id;
 	message.host = queue->host;
 	message.prefix = queue->prefix;
+	message.organisation = (char *)organisation;
 	command.body_case = LP__BATCH_COMMAND__BODY_CANCEL;
 	command.cancel = &message;
 	log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("request", job_id), "client cancels job");
@@ -216,8 +249,8 @@
 }
 
 static void reply_with_state(batch_node_t *node, const Lp__BatchCall *call,
-			     const Lp__BatchQueue *queue, const char *job_id, batch_reply_fn done,
-			     void *arg)
+			     const Lp__BatchQueue *queue, const char *organisation,
+			     const char *job_id, batch_reply_fn done, void *arg)
 {
 	Lp__BatchReply reply = LP__BATCH_REPLY__INIT;
 	const batch_job_t *job = batch_state_job(&node->state, job_id);
@@ -227,7 +260,8 @@
 		reply.is_pending = true;
 		reply.pending = batch_queued_count(&node->queued, &node->state, queue,
 						   clock_wall_ms(), clock_now_us());
-	} else if (job == NULL || !job_is_in_queue(job, queue)) {
+	} else if (job == NULL || !job_is_in_queue(job, queue) ||
+		   !batch_job_open_to(job, organisation)) {
 		reply.answer = LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB;
 	} else {
 		reply.state = (char *)job_state_name(node, job);
@@ -250,11 +284,20 @@
 	       strcmp(call->path + prefix_length, job->spec->id) == 0;
 }
 
+/* True when an earlier copy of the call may have been accepted with the key that is unknown now. */
+static bool maybe_accepted(const batch_node_t *node, const Lp__BatchCall *call, const char *job_id)
+{
+	return call->kind == LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT && call->resent &&
+	       (batch_state_job(&node->state, job_id) != NULL ||
+		g_hash_table_contains(node->submitting, job_id));
+}
+
 void batch_node_handle_call(batch_node_t *node, const Lp__BatchCall *call, batch_reply_fn done,
 			    void *arg)
 {
 	const Lp__BatchQueue *queue;
 	const char *job_id;
+	org_caller_t caller;
 
 	if (!batch_node_is_active_leader(node)) {
 		reply_with_answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_NOT_LEADER, 0, done,
@@ -276,16 +319,26 @@
 		return;
 	}
 	job_id = call->path + strlen(queue->prefix);
+	caller = org_access_identify(&node->access, node->state.config, queue, &call->key_digest,
+				     clock_now_us(), clock_wall_ms());
+	if (!caller.known) {
+		reply_with_reason(call->seq,
+				  maybe_accepted(node, call, job_id)
+					  ? LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN
+					  : LP__BATCH_ANSWER__BATCH_ANSWER_UNAUTHORISED,
+				  0, "the key is of no organisation", done, arg);
+		return;
+	}
 	switch (call->kind) {
 	case LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT:
-		handle_submit(node, call, queue, job_id, done, arg);
+		handle_submit(node, call, queue, caller.organisation, job_id, done, arg);
 		break;
 	case LP__BATCH_CALL_KIND__BATCH_CALL_CANCEL:
-		handle_cancel(node, call, queue, job_id, done, arg);
+		handle_cancel(node, call, queue, caller.organisation, job_id, done, arg);
 		break;
 	case LP__BATCH_CALL_KIND__BATCH_CALL_STATE:
 	case _LP__BATCH_CALL_KIND_IS_INT_SIZE:
-		reply_with_state(node, call, queue, job_id, done, arg);
+		reply_with_state(node, call, queue, caller.organisation, job_id, done, arg);
 		break;
 	}
 }
@@ -325,6 +378,7 @@
 void batch_calls_init(batch_node_t *node)
 {
 	batch_queued_init(&node->queued, job_begun, node);
+	org_access_init(&node->access, node->metrics);
 	reply_queue_init(&node->replies, node->metrics, send_to_edge, node);
 	timer_subscribe(node->timers, &node->reply_timer, REPLY_RETRY_MS * US_PER_MS, flush_replies,
 			node);
@@ -334,6 +388,7 @@
 {
 	timer_unsubscribe(node->timers, &node->reply_timer);
 	reply_queue_finish(&node->replies);
+	org_access_finish(&node->access);
 	batch_queued_finish(&node->queued);
 }
 
--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -55,6 +55,7 @@
 	const char *last_service; /* service of the latest look-up, and its pool */
 	pool_t *last_pool;
 	GArray *planned; /* of planned_t */
+	org_shares_t shares;
 } placement_pass_t;
 
 typedef struct {
@@ -344,6 +345,11 @@
 	vm->planned_mem += spec->mem_mib;
 	vm->planned_gpu += spec->gpu;
 	suspect_run_planned(vm, task);
+	if (task->step->job->account != NULL) {
+		org_use_add(&task->step->job->account->planned, spec, 1);
+		org_shares_add(&pass->shares, task->step->job->service, task->step->job->account,
+			       spec->cpu_milli);
+	}
 	g_array_append_val(pass->planned, planned);
 }
 
@@ -369,9 +375,20 @@
 	return MIN(room, spec->count);
 }
 
-/* False when the window has no room, or no VM of the step's service has enough unreserved resources
- * for a task of it. Steps that need tickets of a policy service do not need room on a VM, because
- * examining them requests the tickets. */
+/* @return number of tasks of the step, at most wanted, that the limit of its organisation lets
+ * start */
+static size_t account_room(const batch_step_t *step, size_t wanted)
+{
+	const org_account_t *account = step->job->account;
+
+	if (account == NULL)
+		return wanted;
+	return org_account_room(account, &account->planned, step->spec, (uint32_t)wanted);
+}
+
+/* False when the window or the organisation's limit has no room, or no VM of the step's service has
+ * enough unreserved resources for a task of it. Steps that need tickets of a policy service do not
+ * need room on a VM, because examining them requests the tickets. */
 static bool step_has_room(void *arg, const batch_step_t *step)
 {
 	placement_pass_t *pass = arg;
@@ -380,6 +397,8 @@
 		pass->leader->window_full = true;
 		return false;
 	}
+	if (account_room(step, step->spec->gang ? step->spec->count : 1) == 0)
+		return false;
 	if (is_advised(step->job->queue))
 		return true;
 	return place_fits(&get_pool(pass, step->job->service)->most, step->spec);
@@ -475,6 +494,7 @@
 			tasks[wanted++] = &step->tasks[i];
 	}
 	pass->leader->window_full |= wanted == room && room < spec->count;
+	wanted = account_room(step, wanted);
 	if (wanted == 0 || (spec->gang && wanted < spec->count))
 		goto finish;
 	if (advised && !ticket_any_valid(step, pass->now_us) &&
@@ -721,7 +741,10 @@
 	leader->waiting_due_us = 0;
 	pass.pools = g_hash_table_new_full(NULL, NULL, NULL, pool_free);
 	pass.planned = g_array_new(FALSE, FALSE, sizeof(planned_t));
-	batch_candidates_init(&candidates, leader->state, &room, now_us, pass.wall_ms);
+	org_shares_init(&pass.shares);
+	org_shares_collect(&pass.shares, leader->state);
+	batch_candidates_init(&candidates, leader->state, &room, &pass.shares, now_us,
+			      pass.wall_ms);
 	/* Long-running steps, which do not wait for the window, come first. */
 	while ((candidate = batch_candidates_next(&candidates)) != NULL) {
 		if (window_room(&pass, candidate->step->spec) == 0) {
@@ -742,6 +765,7 @@
 		now_us + CLAMP((leader_now_us(leader) - now_us) * (PLACE_INTERVAL_FACTOR + 1),
 			       PLACE_MIN_INTERVAL_US, PLACE_MAX_INTERVAL_US);
 	batch_candidates_finish(&candidates);
+	org_shares_finish(&pass.shares);
 	g_array_unref(pass.planned);
 	g_hash_table_destroy(pass.pools);
 }
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -10,14 +10,16 @@
 
 /** Creates a job whose tasks are all waiting. Takes ownership of spec. */
 batch_job_t *batch_job_new(Lp__BatchJob *spec, uint64_t seq, uint64_t accepted_ms);
-void batch_job_free(batch_job_t *job);
+void batch_job_free(batch_state_t *state, batch_job_t *job);
 /** Frees the steps, tasks and specification of an ended job. Its state can still be queried. */
-void batch_job_archive(batch_job_t *job);
+void batch_job_archive(batch_state_t *state, batch_job_t *job);
 /**
  * Lets the job keep the settings of the queue, and run on its service, whatever later
  * configurations do with the queue.
  */
 void batch_job_accept_queue(batch_state_t *state, batch_job_t *job, const Lp__BatchQueue *queue);
+/** Charges the job's tasks to the account of the organisation that submitted it, if any. */
+void batch_job_accept_organisation(batch_state_t *state, batch_job_t *job);
 /** Sets the job's service to that of its queue, if the present configuration has the queue. */
 void batch_job_follow_service(const batch_state_t *state, batch_job_t *job);
 /**
@@ -50,8 +52,13 @@
  * @param result_log_ms as in batch_request_t
  */
 void batch_record_request(batch_state_t *state, const char *machine, uint64_t result_log_ms);
-/** Assigns the task to the VM, and counts it among the tasks of the VM and of its job. */
+/**
+ * Assigns the task to the VM, counts it among the tasks of the VM and of its job, and charges it to
+ * the job's account.
+ */
 void batch_task_attach_vm(batch_task_t *task, batch_vm_t *vm);
+/** Reverses batch_task_attach_vm(). */
+void batch_task_detach_vm(batch_task_t *task);
 struct batch_ticket_cache;
 /** Frees the tickets of the policy service for a step. @param cache NULL: does nothing */
 void ticket_cache_free(struct batch_ticket_cache *cache);
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -553,7 +553,8 @@
 			  uint64_t wall_ms)
 {
 	double path_ms = (double)MAX(batch_critical_path_ms(job, 0, true), CRITICAL_PATH_MIN_MS);
-	double cores = batch_remaining_work(job) / 1000.0 / path_ms;
+	double cores =
+		org_account_add_demand(job->account, batch_remaining_work(job) / 1000.0 / path_ms);
 
 	switch (batch_job_timing(job, 0, now_us, wall_ms)) {
 	case JOB_ON_TIME:
@@ -711,6 +712,7 @@
 	double *lasting_cores = talloc_zero_array(NULL, double, config->n_services + 1);
 	batch_job_t *job;
 
+	org_accounts_clear_demand(&leader->state->organisations);
 	for (size_t i = 0; i < config->n_services; i++) {
 		capacity_pool_t pool = {.standby = config->services[i]->standby, .required_vms = 2};
 
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -614,6 +614,7 @@
 	TAILQ_INIT(&node->pending);
 	node->jobs_submitted = metrics_counter(node->metrics, "batch_jobs_submitted_total", "");
 	node->jobs_rejected = metrics_counter(node->metrics, "batch_jobs_refused_total", "");
+	node->jobs_over_limit = metrics_counter(node->metrics, "org_jobs_over_limit_total", "");
 	node->tick_gap = metrics_histogram(node->metrics, "node_tick_gap_us", "");
 	node->passes_deferred =
 		metrics_counter(node->metrics, "node_leader_passes_deferred_total", "");
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -6,6 +6,7 @@
 #include "batch_node.h"
 #include "batch_queued.h"
 #include "duty_limit.h"
+#include "org_access.h"
 #include "reply_queue.h"
 #include "vm_cache.h"
 #include "vm_relay.h"
@@ -35,6 +36,7 @@
 	TAILQ_HEAD(pending_calls, pending_call) pending; /* calls being committed, oldest first */
 	batch_admit_t admit;
 	batch_queued_t queued;
+	org_access_t access;
 	vm_cache_t report_cache;
 	vm_relay_t *relay;
 	reply_queue_t replies; /* replies to edge processes that could not be sent yet */
@@ -43,6 +45,7 @@
 	bool resigned;
 	metrics_counter_t *jobs_submitted;
 	metrics_counter_t *jobs_rejected;
+	metrics_counter_t *jobs_over_limit; /* refused because of an organisation's limit */
 	metrics_histogram_t *commit_latency;
 	metrics_histogram_t *tick_gap;
 	metrics_histogram_t *input_delay;
--- a/src/batch_order.c
+++ b/src/batch_order.c
@@ -188,6 +188,8 @@
 {
 	if (a->rank != b->rank)
 		return a->rank < b->rank;
+	if (a->over_share != b->over_share)
+		return b->over_share;
 	/* Only a job that has its turn is very late among jobs on time. */
 	if ((a->timing == JOB_VERY_LATE) != (b->timing == JOB_VERY_LATE))
 		return a->timing == JOB_VERY_LATE;
@@ -305,6 +307,7 @@
 	if (!placeable)
 		return;
 	candidate.rank = candidate_rank(step, candidate.timing);
+	candidate.over_share = org_shares_over(collection->candidates->shares, step->job);
 	g_array_append_val(collection->candidates->heap, candidate);
 }
 
@@ -356,7 +359,8 @@
 }
 
 void batch_candidates_init(batch_candidates_t *candidates, const batch_state_t *state,
-			   const batch_room_t *room, uint64_t now_us, uint64_t wall_ms)
+			   const batch_room_t *room, const org_shares_t *shares, uint64_t now_us,
+			   uint64_t wall_ms)
 {
 	uint64_t turn = now_us / STARVED_TURN_US;
 	g_autoptr(GHashTable) chosen = jobs_with_turn(state, turn);
@@ -367,8 +371,10 @@
 				   .now_us = now_us,
 				   .wall_ms = wall_ms};
 
-	*candidates =
-		(batch_candidates_t){.heap = g_array_new(FALSE, FALSE, sizeof(batch_candidate_t))};
+	*candidates = (batch_candidates_t){
+		.heap = g_array_new(FALSE, FALSE, sizeof(batch_candidate_t)),
+		.shares = shares,
+	};
 	collect_candidates(&collection, state);
 	begin_turns(chosen, turn);
 	if (candidates->heap->len == 0)
@@ -379,12 +385,27 @@
 		sift_down(candidates->heap, i);
 }
 
+/* Puts the first candidate back to where it belongs if its organisation has come over its share
+ * since it was last looked at. */
+static bool update_first(const batch_candidates_t *candidates)
+{
+	batch_candidate_t *first = &g_array_index(candidates->heap, batch_candidate_t, 0);
+
+	if (first->over_share || !org_shares_over(candidates->shares, first->step->job))
+		return false;
+	first->over_share = true;
+	sift_down(candidates->heap, 0);
+	return true;
+}
+
 const batch_candidate_t *batch_candidates_next(batch_candidates_t *candidates)
 {
 	GArray *heap = candidates->heap;
 
 	if (heap->len == 0)
 		return NULL;
+	while (update_first(candidates))
+		;
 	candidates->current = g_array_index(heap, batch_candidate_t, 0);
 	g_array_remove_index_fast(heap, 0);
 	if (heap->len > 0)
--- a/src/batch_order.h
+++ b/src/batch_order.h
@@ -3,14 +3,16 @@
 #include <glib.h>
 
 #include "batch_state.h"
+#include "org_shares.h"
 
 /**
  * @file
  * Order in which waiting steps are placed when demand exceeds the capacity of a pool: long-running
  * steps first, then the jobs that can still meet their objective, by value per remaining work, then
  * late jobs, and last the jobs that are worth nothing any more, the oldest first. Jobs that starve
- * at the end of this order take turns at its head. There is no I/O; the only state changed is the
- * job age cached by batch_job_age_ms().
+ * at the end of this order take turns at its head. Among steps of the same rank, those of
+ * organisations that use more than their share come last. There is no I/O; the only state changed
+ * is the job age cached by batch_job_age_ms().
  */
 
 /** Whether a job can still meet its objective, as far as its declared run times tell. */
@@ -25,9 +27,11 @@
 	batch_step_t *step;
 	const Lp__BatchQueue *queue; /**< queue of the job; NULL: removed from the configuration */
 	job_timing_t timing;
-	bool starved;  /**< the job is very late and waits for long; such jobs take turns to be
-			  placed like jobs on time */
-	unsigned rank; /**< steps with a lower rank are placed first */
+	bool starved;	 /**< the job is very late and waits for long; such jobs take turns to be
+			    placed like jobs on time */
+	unsigned rank;	 /**< steps with a lower rank are placed first */
+	bool over_share; /**< its organisation used more than its share when it was last looked at
+			  */
 	double value_density; /**< value of the job per remaining work; within a rank, higher is
 				 placed first */
 } batch_candidate_t;
@@ -40,7 +44,8 @@
 
 /** The steps that may be placed now. They are taken one by one, in placement order. */
 typedef struct {
-	GArray *heap;	   /**< of batch_candidate_t */
+	GArray *heap; /**< of batch_candidate_t */
+	const org_shares_t *shares;
 	uint64_t examined; /**< number of steps whose timing was determined */
 	batch_candidate_t current;
 } batch_candidates_t;
@@ -48,9 +53,11 @@
 /**
  * Collects the steps that may be placed now. batch_candidates_finish() frees them.
  * @param room steps for which it has none are left out; NULL: all have room
+ * @param shares must outlive the candidates; what is added to it counts for those that follow
  */
 void batch_candidates_init(batch_candidates_t *candidates, const batch_state_t *state,
-			   const batch_room_t *room, uint64_t now_us, uint64_t wall_ms);
+			   const batch_room_t *room, const org_shares_t *shares, uint64_t now_us,
+			   uint64_t wall_ms);
 /** @return the next step in placement order, valid until the next call; NULL: no more */
 const batch_candidate_t *batch_candidates_next(batch_candidates_t *candidates);
 void batch_candidates_finish(batch_candidates_t *candidates);
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -183,6 +183,35 @@
 					     : 0);
 }
 
+static void save_removed_organisations(void *mem, const batch_state_t *state,
+				       Lp__BatchSnapshot *snapshot)
+{
+	GHashTable *accounts = state->organisations.by_name;
+	GHashTableIter iter;
+	void *value;
+
+	snapshot->removed_organisations =
+		talloc_array(mem, Lp__BatchOrganisation *, g_hash_table_size(accounts) + 1);
+	g_hash_table_iter_init(&iter, accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const org_account_t *account = value;
+		Lp__BatchOrganisation *saved;
+
+		if (account->configured)
+			continue;
+		saved = talloc(mem, Lp__BatchOrganisation);
+		lp__batch_organisation__init(saved);
+		saved->name = account->name;
+		saved->weight_milli = account->weight_milli;
+		saved->limits = talloc(mem, Lp__BatchLimits);
+		lp__batch_limits__init(saved->limits);
+		saved->limits->cpu_milli = account->limit.cpu_milli;
+		saved->limits->mem_mib = account->limit.mem_mib;
+		saved->limits->gpu = account->limit.gpu;
+		snapshot->removed_organisations[snapshot->n_removed_organisations++] = saved;
+	}
+}
+
 uint8_t *batch_state_save(const batch_state_t *state, size_t *length)
 {
 	void *mem = talloc_new(NULL);
@@ -197,6 +226,7 @@
 	save_waves(mem, state, &snapshot);
 	save_moves(mem, state, &snapshot);
 	save_requests(mem, state, &snapshot);
+	save_removed_organisations(mem, state, &snapshot);
 	packed = malloc(lp__batch_snapshot__get_packed_size(&snapshot) + 1);
 	if (packed == NULL)
 		g_error("out of memory while saving a snapshot");
@@ -269,6 +299,7 @@
 	job->begun = message->begun;
 	if (message->queue != NULL)
 		batch_job_accept_queue(state, job, message->queue);
+	batch_job_accept_organisation(state, job);
 	job->service = g_intern_string(message->service);
 	if (message->n_steps != 0 && message->n_steps != job->step_count)
 		goto malformed;
@@ -280,7 +311,7 @@
 	return 0;
 
 malformed:
-	batch_job_free(job);
+	batch_job_free(state, job);
 	return -1;
 }
 
@@ -308,6 +339,10 @@
 	state->start_term = snapshot->start_term;
 	if (snapshot->config != NULL)
 		state->config = message_copy(&snapshot->config->base);
+	if (state->config != NULL)
+		org_accounts_configure(&state->organisations, state->config);
+	for (size_t i = 0; i < snapshot->n_removed_organisations; i++)
+		org_accounts_restore(&state->organisations, snapshot->removed_organisations[i]);
 	for (size_t i = 0; i < snapshot->n_vms; i++) {
 		const Lp__BatchVmState *message = snapshot->vms[i];
 		batch_vm_t *vm = batch_vm_new(state, message->id, message->born_ms,
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "message.h"
+#include "org_keys.h"
 
 void batch_state_init(batch_state_t *state)
 {
@@ -19,19 +20,20 @@
 	TAILQ_INIT(&state->active);
 	TAILQ_INIT(&state->ended);
 	LIST_INIT(&state->accepted_queues);
+	org_accounts_init(&state->organisations);
 	LIST_INIT(&state->vms);
 	LIST_INIT(&state->waves);
 	LIST_INIT(&state->moves);
 	state->wave_machines = g_hash_table_new(g_str_hash, g_str_equal);
 }
 
-static void free_jobs(struct batch_job_list *list)
+static void free_jobs(batch_state_t *state, struct batch_job_list *list)
 {
 	batch_job_t *job;
 
 	while ((job = TAILQ_FIRST(list)) != NULL) {
 		TAILQ_REMOVE(list, job, link);
-		batch_job_free(job);
+		batch_job_free(state, job);
 	}
 }
 
@@ -40,8 +42,8 @@
 	batch_vm_t *vm;
 	batch_wave_t *wave;
 
-	free_jobs(&state->active);
-	free_jobs(&state->ended);
+	free_jobs(state, &state->active);
+	free_jobs(state, &state->ended);
 	while ((vm = LIST_FIRST(&state->vms)) != NULL)
 		batch_vm_free(state, vm);
 	g_hash_table_remove_all(state->wave_machines);
@@ -51,6 +53,7 @@
 		batch_move_set(state, LIST_FIRST(&state->moves)->machine, NULL);
 	if (state->config != NULL)
 		lp__batch_config__free_unpacked(state->config, NULL);
+	org_accounts_finish(&state->organisations);
 	g_hash_table_destroy(state->vms_by_incarnation);
 	g_hash_table_destroy(state->last_requests);
 	g_hash_table_destroy(state->wave_machines);
@@ -138,7 +141,7 @@
 
 		for (uint32_t j = 0; j < step->spec->count; j++) {
 			if (step->tasks[j].vm != NULL)
-				LIST_REMOVE(&step->tasks[j], vm_link);
+				batch_task_detach_vm(&step->tasks[j]);
 			g_free(step->tasks[j].checkpoint);
 		}
 		g_free(step->tasks);
@@ -152,13 +155,21 @@
 
 static void release_queue(batch_job_t *job);
 
-void batch_job_archive(batch_job_t *job)
+static void release_account(batch_state_t *state, batch_job_t *job)
+{
+	if (job->account != NULL)
+		org_accounts_remove_job(&state->organisations, job->account);
+	job->account = NULL;
+}
+
+void batch_job_archive(batch_state_t *state, batch_job_t *job)
 {
 	Lp__BatchJob *spec = job->spec;
 
 	job->archived = true;
 	free_steps(job);
 	release_queue(job);
+	release_account(state, job);
 	for (size_t i = 0; i < spec->n_steps; i++)
 		lp__batch_step__free_unpacked(spec->steps[i], NULL);
 	free(spec->steps);
@@ -169,10 +180,11 @@
 	spec->spec = (char *)protobuf_c_empty_string;
 }
 
-void batch_job_free(batch_job_t *job)
+void batch_job_free(batch_state_t *state, batch_job_t *job)
 {
 	free_steps(job);
 	release_queue(job);
+	release_account(state, job);
 	lp__batch_job__free_unpacked(job->spec, NULL);
 	g_free(job);
 }
@@ -182,7 +194,7 @@
 	g_hash_table_insert(state->by_id, job->spec->id, job);
 	g_hash_table_insert(state->by_seq, &job->seq, job);
 	if (batch_job_ended(job) && job->tasks_on_vms == 0)
-		batch_job_archive(job);
+		batch_job_archive(state, job);
 	if (job->archived)
 		TAILQ_INSERT_TAIL(&state->ended, job, link);
 	else
@@ -194,7 +206,7 @@
 	g_hash_table_remove(state->by_id, job->spec->id);
 	g_hash_table_remove(state->by_seq, &job->seq);
 	TAILQ_REMOVE(list, job, link);
-	batch_job_free(job);
+	batch_job_free(state, job);
 }
 
 bool batch_job_ended(const batch_job_t *job)
@@ -211,6 +223,12 @@
 	return false;
 }
 
+bool batch_job_open_to(const batch_job_t *job, const char *organisation)
+{
+	return organisation[0] == '\0' || job->spec->organisation[0] == '\0' ||
+	       strcmp(job->spec->organisation, organisation) == 0;
+}
+
 const char *batch_job_state_name(batch_job_state_t state)
 {
 	switch (state) {
@@ -371,6 +389,12 @@
 	g_free(accepted);
 }
 
+void batch_job_accept_organisation(batch_state_t *state, batch_job_t *job)
+{
+	if (job->spec->organisation[0] != '\0')
+		job->account = org_accounts_add_job(&state->organisations, job->spec->organisation);
+}
+
 void batch_job_follow_service(const batch_state_t *state, batch_job_t *job)
 {
 	const Lp__BatchQueue *queue =
@@ -421,19 +445,30 @@
 	return false;
 }
 
-const char *batch_config_check(const Lp__BatchConfig *config)
+static const char *check_queue(const Lp__BatchConfig *config, const Lp__BatchQueue *queue,
+			       GHashTable *seen)
+{
+	if (!has_service(config, queue->service))
+		return "names a service that does not exist";
+	if (queue->timeout_ms == 0)
+		return "has a timeout of 0";
+	if (!g_hash_table_add(seen, g_strdup_printf("%s\n%s", queue->host, queue->prefix)))
+		return "has the host and prefix of another queue";
+	return NULL;
+}
+
+int batch_config_check(const Lp__BatchConfig *config, char *error, size_t error_size)
 {
 	g_autoptr(GHashTable) seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 
 	for (size_t i = 0; i < config->n_queues; i++) {
-		const Lp__BatchQueue *queue = config->queues[i];
+		const char *fault = check_queue(config, config->queues[i], seen);
 
-		if (!has_service(config, queue->service))
-			return "a queue names a service that does not exist";
-		if (queue->timeout_ms == 0)
-			return "the timeout of a queue is 0";
-		if (!g_hash_table_add(seen, g_strdup_printf("%s\n%s", queue->host, queue->prefix)))
-			return "two queues have the same host and prefix";
+		if (fault != NULL) {
+			g_snprintf(error, error_size, "queue \"%s\" %s", config->queues[i]->name,
+				   fault);
+			return -1;
+		}
 	}
-	return NULL;
+	return org_keys_check(config, error, error_size);
 }
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "command.pb-c.h"
+#include "org_account.h"
 
 /**
  * @file
@@ -186,6 +187,8 @@
 	const Lp__BatchQueue *queue; /**< settings of the job's queue when the job was accepted;
 					NULL: the job is archived */
 	struct batch_accepted_queue *accepted_queue; /**< owner of queue */
+	org_account_t *account; /**< of the organisation that submitted the job; NULL: none, or
+				   the job is archived */
 	double work; /**< declared work of all tasks, in thousandths of a core times ms */
 	uint64_t accepted_mono_us; /**< time of acceptance on this leader's monotonic clock, set by
 				      batch_job_age_ms(); 0: not set; not replicated */
@@ -266,6 +269,7 @@
 	struct batch_job_list active; /**< jobs that have not ended or have tasks with a VM */
 	struct batch_job_list ended;  /**< archived jobs, oldest first */
 	LIST_HEAD(batch_accepted_queues, batch_accepted_queue) accepted_queues;
+	org_accounts_t organisations;
 	LIST_HEAD(batch_vms, batch_vm) vms;
 	GHashTable *vms_by_incarnation;	 /**< batch_vm_key() of the incarnation -> batch_vm_t */
 	batch_vm_listener_t vm_listener; /**< not replicated; kept when a snapshot is loaded */
@@ -303,11 +307,12 @@
 int batch_state_load(batch_state_t *state, const uint8_t *data, size_t length);
 
 /**
- * Checks a configuration for unknown services, queues with the same host and prefix, and queue
- * timeouts of 0.
- * @return NULL when valid, or a static string that describes the error
+ * Checks a configuration for unknown services, queues with the same host and prefix, queue timeouts
+ * of 0, and organisations with the same name or key.
+ * @param error set to a message that names the entry when the configuration is invalid
+ * @return 0, or -1 when it is invalid
  */
-const char *batch_config_check(const Lp__BatchConfig *config);
+int batch_config_check(const Lp__BatchConfig *config, char *error, size_t error_size);
 /**
  * @return the queue of the host whose prefix is the longest that path starts with, or NULL when
  * none matches
@@ -329,6 +334,11 @@
 /** @return NULL when the job is valid, or a static string that describes the error */
 const char *batch_job_check(const Lp__BatchJob *job);
 bool batch_job_ended(const batch_job_t *job);
+/**
+ * True when the caller may read and cancel the job.
+ * @param organisation of the caller; "": its key was not looked at
+ */
+bool batch_job_open_to(const batch_job_t *job, const char *organisation);
 /** @return name of the state in the HTTP API */
 const char *batch_job_state_name(batch_job_state_t state);
 /** @return true when all steps on which the step depends are done */
--- a/tests/lib_batch.c
+++ b/tests/lib_batch.c
@@ -35,6 +35,12 @@
 
 Lp__ResultCode batch_test_submit(batch_state_t *state, uint64_t wall_ms, const char *id,
 				 Lp__BatchStep *step)
+{
+	return batch_test_submit_for(state, wall_ms, id, "", step);
+}
+
+Lp__ResultCode batch_test_submit_for(batch_state_t *state, uint64_t wall_ms, const char *id,
+				     const char *organisation, Lp__BatchStep *step)
 {
 	Lp__BatchStep *steps[] = {step};
 	Lp__BatchJob job = LP__BATCH_JOB__INIT;
@@ -43,6 +49,7 @@
 	job.id = (char *)id;
 	job.host = (char *)"h";
 	job.prefix = (char *)"/q/";
+	job.organisation = (char *)organisation;
 	job.steps = steps;
 	job.n_steps = 1;
 	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
--- a/tests/lib_batch.h
+++ b/tests/lib_batch.h
@@ -18,6 +18,9 @@
  */
 Lp__ResultCode batch_test_configure(batch_state_t *state, uint64_t wall_ms, uint64_t version,
 				    Lp__BatchQueue *queue);
+/** Submits a job with the given single step to the queue, for an organisation. */
+Lp__ResultCode batch_test_submit_for(batch_state_t *state, uint64_t wall_ms, const char *id,
+				     const char *organisation, Lp__BatchStep *step);
 /** Submits a job with the given single step to the queue. */
 Lp__ResultCode batch_test_submit(batch_state_t *state, uint64_t wall_ms, const char *id,
 				 Lp__BatchStep *step);
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -578,6 +578,36 @@
 		add_violation(sim, "BUDGET", key);
 }
 
+/* Records a violation if a start brings what an organisation has running above its limit. A limit
+ * that was lowered does not count before what runs has fallen below it. */
+static void check_quota(vm_sim_t *sim, const task_id_t *id)
+{
+	const batch_job_t *job = batch_state_job(&sim->state, id->job);
+	const Lp__BatchStep *spec = find_step_spec(sim, id);
+	g_autofree char *key = task_key(id);
+	uint64_t used = 0;
+	unsigned number;
+
+	if (job == NULL || spec == NULL || job->spec->organisation[0] == '\0')
+		return;
+	number = (unsigned)g_ascii_strtoull(job->spec->organisation + 1, NULL, 10);
+	for (guint i = 0; i < sim->vms->len; i++) {
+		const sim_vm_t *vm = g_ptr_array_index(sim->vms, i);
+
+		for (guint j = 0; vm->up && j < vm->runs->len; j++) {
+			const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, j);
+			const batch_job_t *other = batch_state_job(&sim->state, run->task.job);
+
+			if (other != NULL &&
+			    strcmp(other->spec->organisation, job->spec->organisation) == 0)
+				used += run->cpu;
+		}
+	}
+	if (sim->config.organisations[number].cpu_limit_milli > 0 &&
+	    used + spec->cpu_milli > sim->config.organisations[number].cpu_limit_milli)
+		add_violation(sim, "QUOTA", key);
+}
+
 static uint32_t used_cpu(const sim_vm_t *vm)
 {
 	uint32_t cpu = 0;
@@ -830,6 +860,7 @@
 	if (spec != NULL)
 		check_limit(vm, &start->task, spec);
 	check_start(vm, &start->task);
+	check_quota(vm->sim, &start->task);
 	if (spec == NULL)
 		return VM_REPLY_INVALID;
 	run.stalled = vm->stalled;
@@ -1899,6 +1930,10 @@
 	Lp__BatchQueue *queue_list[16];
 	Lp__BatchService *service_list[17];
 	char names[17][32];
+	Lp__BatchOrganisation organisations[VM_SIM_ORGANISATIONS_MAX];
+	Lp__BatchOrganisation *organisation_list[VM_SIM_ORGANISATIONS_MAX];
+	Lp__BatchLimits limits[VM_SIM_ORGANISATIONS_MAX];
+	char organisation_names[VM_SIM_ORGANISATIONS_MAX][8];
 	Lp__Result result = LP__RESULT__INIT;
 
 	advice.valid_ms = POLICY_VALID_MS;
@@ -1927,11 +1962,29 @@
 	config.n_queues = count;
 	config.services = service_list;
 	config.n_services = count + 1;
+	for (unsigned i = 0; i < sim->config.organisation_count; i++) {
+		g_snprintf(organisation_names[i], sizeof(organisation_names[i]), "o%u", i);
+		lp__batch_organisation__init(&organisations[i]);
+		lp__batch_limits__init(&limits[i]);
+		limits[i].cpu_milli = sim->config.organisations[i].cpu_limit_milli;
+		organisations[i].name = organisation_names[i];
+		organisations[i].weight_milli = sim->config.organisations[i].weight * 1000;
+		organisations[i].limits = &limits[i];
+		organisation_list[i] = &organisations[i];
+	}
+	config.organisations = organisation_list;
+	config.n_organisations = sim->config.organisation_count;
 	command.body_case = LP__BATCH_COMMAND__BODY_CONFIG;
 	command.config = &config;
 	batch_state_apply(&sim->state, wall_ms(sim), &command, &result);
 }
 
+void vm_sim_limit(vm_sim_t *sim, unsigned organisation, uint64_t cpu_limit_milli)
+{
+	sim->config.organisations[organisation].cpu_limit_milli = cpu_limit_milli;
+	vm_sim_configure(sim, sim->config.services);
+}
+
 int vm_sim_set_up(void **state)
 {
 	log_init(false, false, 0);
@@ -2099,7 +2152,15 @@
 	Lp__BatchJob copy = *job;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	g_autofree char *prefix = g_strdup_printf("s%u", service);
+	char organisation[8];
 
+	if (copy.organisation[0] == '\0' && sim->config.organisation_count > 0) {
+		unsigned count = sim->config.organisation_count;
+
+		g_snprintf(organisation, sizeof(organisation), "o%u",
+			   job->steps[0]->long_running ? count - 1 : g_str_hash(id) % count);
+		copy.organisation = organisation;
+	}
 	copy.id = (char *)id;
 	copy.host = (char *)"h";
 	copy.prefix = prefix;
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -35,9 +35,21 @@
 /** Number of VMs in a rack, for these jobs. */
 #define VM_SIM_RACK_SIZE 4
 
+/** Most organisations of a simulated fleet. */
+#define VM_SIM_ORGANISATIONS_MAX 32
+
+typedef struct {
+	uint32_t weight;
+	uint64_t cpu_limit_milli; /**< 0: no limit */
+} vm_sim_organisation_t;
+
 typedef struct {
 	unsigned services;
 	unsigned vms_per_service;
+	/** The organisations, named o0, o1 and so on, to which jobs without one are spread.
+	 * Long-running jobs, which would use up a limit for good, are the last one's. */
+	vm_sim_organisation_t organisations[VM_SIM_ORGANISATIONS_MAX];
+	unsigned organisation_count;
 	unsigned unnamed_services; /**< number of the last services that the first configuration
 				      does not name yet */
 	unsigned standby_vms; /**< number of machines in the standby pool, which are switched off */
@@ -108,6 +120,8 @@
 void vm_sim_set_policy(vm_sim_t *sim, unsigned first, unsigned count, uint32_t answer_ms);
 /** @return number of requests to the policy service */
 unsigned vm_sim_policy_request_count(const vm_sim_t *sim);
+/** Sets the limit of an organisation in a new configuration. */
+void vm_sim_limit(vm_sim_t *sim, unsigned organisation, uint64_t cpu_limit_milli);
 /** Submits a job to service 0 whose tasks, eight for each VM, fill all its VMs. */
 void vm_sim_submit_filling(vm_sim_t *sim, const char *id, uint32_t estimate_ms);
 /**
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -13,6 +13,7 @@
 #include <talloc.h>
 
 #include "adapter.h"
+#include "org_keys.h"
 
 static json_t *parse(const char *text)
 {
@@ -343,11 +344,88 @@
 			"{\"version\":7,\"routes\":[%s],\"services\":[{\"name\":\"s\"}]}",
 			cases[i].routes);
 		json_t *body = parse(text);
-		Lp__BatchConfig *config = adapter_decode_config(mem, body, text, strlen(text));
+		char error[128] = "";
+		Lp__BatchConfig *config =
+			adapter_decode_config(mem, body, text, strlen(text), error, sizeof(error));
 
 		assert_int_equal(config != NULL, cases[i].decodes);
 		if (config != NULL)
-			assert_int_equal(batch_config_check(config) == NULL, cases[i].valid);
+			assert_int_equal(batch_config_check(config, error, sizeof(error)) == 0,
+					 cases[i].valid);
+		json_decref(body);
+		talloc_free(mem);
+	}
+}
+
+/* Guards against misread keys, weights and limits of organisations. */
+static void test_organisations_are_decoded(void **state)
+{
+	void *mem = talloc_new(NULL);
+	const char *text =
+		"{\"version\":7,\"routes\":[{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\","
+		"\"timeoutMs\":1,\"public\":true}],\"services\":[{\"name\":\"s\"}],\"tenants\":[{"
+		"\"name\":\"a\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1,\"weight\":2.5,"
+		"\"maxCount\":"
+		"{\"cpu\":11136783,\"memMb\":30966189,\"gpu\":0}},{\"name\":\"b\"}]}";
+	json_t *body = parse(text);
+	char error[128];
+	const Lp__BatchConfig *config =
+		adapter_decode_config(mem, body, text, strlen(text), error, sizeof(error));
+	uint8_t digest[ORG_KEY_DIGEST_BYTES];
+
+	assert_non_null(config);
+	assert_true(config->checks_keys);
+	assert_true(config->queues[0]->is_public);
+	assert_int_equal(config->n_organisations, 2);
+	assert_string_equal(config->organisations[0]->name, "a");
+	assert_int_equal(config->organisations[0]->weight_milli, 2500);
+	assert_int_equal(config->organisations[0]->limits->cpu_milli, 11136783);
+	assert_int_equal(config->organisations[0]->limits->mem_mib, 30966189);
+	assert_int_equal(config->organisations[0]->n_keys, 2);
+	org_key_digest("k2", digest);
+	assert_memory_equal(config->organisations[0]->keys[1].data, digest, sizeof(digest));
+	assert_int_equal(config->organisations[1]->n_keys, 0);
+	json_decref(body);
+	talloc_free(mem);
+}
+
+/* Guards against malformed organisations that are accepted, and against an error that does not name
+ * the entry. */
+static void test_malformed_organisations_are_rejected(void **state)
+{
+	static const char *const keys[] = {"name", "apiKeys", "weight", "maxCount"};
+	static const struct {
+		const char *value;
+		bool sound[G_N_ELEMENTS(keys)];
+	} cases[] = {
+		{"\"x\"", {true}},
+		{"\"\"", {false}},
+		{"7", {false, false, true}},
+		{"-7", {false}},
+		{"true", {false}},
+		{"[]", {false, true}},
+		{"[\"\"]", {false}},
+		{"[7]", {false}},
+		{"{}", {false, false, false, true}},
+		{"{\"cpu\":-1}", {false}},
+		{"{\"cpu\":\"1\"}", {false}},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases) * G_N_ELEMENTS(keys); i++) {
+		size_t row = i / G_N_ELEMENTS(keys);
+		size_t key = i % G_N_ELEMENTS(keys);
+		void *mem = talloc_new(NULL);
+		json_t *body = parse("{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":["
+				     "{\"name\":\"a\"},{\"name\":\"b\"}]}");
+		char error[128] = "";
+		const Lp__BatchConfig *config;
+
+		json_object_set_new(json_array_get(json_object_get(body, "tenants"), 1), keys[key],
+				    json_loads(cases[row].value, JSON_DECODE_ANY, NULL));
+		config = adapter_decode_config(mem, body, "", 0, error, sizeof(error));
+		assert_int_equal(config != NULL, cases[row].sound[key]);
+		if (config == NULL)
+			assert_non_null(strstr(error, "organisation 2"));
 		json_decref(body);
 		talloc_free(mem);
 	}
@@ -530,6 +608,8 @@
 		cmocka_unit_test(test_malformed_machines_say_nothing),
 		cmocka_unit_test(test_malformed_hold_responses_are_rejected),
 		cmocka_unit_test(test_invalid_configurations_are_rejected),
+		cmocka_unit_test(test_organisations_are_decoded),
+		cmocka_unit_test(test_malformed_organisations_are_rejected),
 		cmocka_unit_test(test_run_lists_are_decoded),
 		cmocka_unit_test(test_malformed_entries_of_run_lists_cost_themselves_only),
 		cmocka_unit_test(test_long_checkpoints_cost_themselves_only),
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -1446,6 +1446,32 @@
 		run_load_with_faults(seed);
 }
 
+/* Guards against starts that bring an organisation above its limit, while VMs crash or lose their
+ * network, responses are lost, requests are late, limits change and the leader changes. */
+static void test_guarantees_with_limited_organisations(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 5,
+			.standby_vms = 3,
+			.organisations = {{.weight = 3, .cpu_limit_milli = 70000},
+					  {.weight = 1, .cpu_limit_milli = 60000},
+					  {.weight = 1}},
+			.organisation_count = 3,
+			.lost_reply_share = 0.03,
+			.late_request_share = seed % 2 == 1 ? 0.02 : 0,
+			.failed_end_share = 0.02,
+			.mean_crash_interval_ms = 6000,
+			.mean_cutoff_interval_ms = 6000,
+			.mean_leader_change_interval_ms = 4000,
+			.seed = seed,
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Guards against a run that is started twice or is never started again because its VM has restarted
  * under the same id, while responses are lost, requests are late and the leader changes. */
 static void test_guarantees_with_restarted_vms(void **state)
@@ -1809,6 +1835,7 @@
 		cmocka_unit_test(test_capacity_changes_under_faults),
 		cmocka_unit_test(test_run_is_not_started_while_its_loss_is_committed),
 		cmocka_unit_test(test_guarantees_under_faults),
+		cmocka_unit_test(test_guarantees_with_limited_organisations),
 		cmocka_unit_test(test_guarantees_with_restarted_vms),
 		cmocka_unit_test(test_wave_limits_under_faults),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
--- a/tests/test_batch_plan.c
+++ b/tests/test_batch_plan.c
@@ -656,8 +656,10 @@
 	GArray *sorted = g_array_new(FALSE, FALSE, sizeof(batch_candidate_t));
 	batch_candidates_t candidates;
 	const batch_candidate_t *candidate;
+	org_shares_t shares;
 
-	batch_candidates_init(&candidates, state, NULL, now_us, wall_ms);
+	org_shares_init(&shares);
+	batch_candidates_init(&candidates, state, NULL, &shares, now_us, wall_ms);
 	while ((candidate = batch_candidates_next(&candidates)) != NULL)
 		g_array_append_vals(sorted, candidate, 1);
 	batch_candidates_finish(&candidates);
