batch_upkeep: wait for stops of earlier leaders before evacuating tasks

Ruled out: stops of the earlier leader that are carried out later; the VM refuses them by their fencing token once it has answered the new leader.

Change: a task counts as available once its VM has answered a hold request later than bounds.stopMs after its first answer to this leader.

--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -481,6 +481,8 @@
 
 	if (!vm->fence_acked || vm->unresponsive)
 		vm->leader->placement_due = true;
+	if (!vm->fence_acked)
+		vm->fence_acked_us = now_us;
 	vm->fence_acked = true;
 	vm->unresponsive = false;
 	vm->unresponsive_since_us = 0;
--- a/src/batch_leader.h
+++ b/src/batch_leader.h
@@ -39,6 +39,7 @@
 	uint32_t maintenance_ms;    /**< expected downtime of a machine for maintenance */
 	uint32_t platform_requests_per_s; /**< rate limit of the platform's HTTP API */
 	uint32_t move_ms; /**< expected downtime of a machine for a move to another pool */
+	uint32_t stop_ms; /**< longest time that a VM takes to stop a run */
 	const char *name; /**< name that identifies this process in platform requests */
 } batch_leader_config_t;
 
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -81,14 +81,16 @@
 	batch_vm_t *record; /**< replicated record of this incarnation; NULL: it has none */
 
 	bool hold_in_flight;
-	bool commit_in_flight; /**< a command with finished runs of this VM is being committed */
-	bool fence_acked;      /**< the VM has answered a hold request of this leader */
-	bool unresponsive;     /**< the latest hold request was not answered */
-	bool planned_suspect;  /**< a suspected task is among the tasks of planned_job */
-	bool fresh_suspect;    /**< a run of a suspected task is among the runs of fresh_job */
-	uint32_t hold_seq;     /**< number of the latest hold request; responses to earlier ones are
-				  ignored */
-	unsigned probes_sent;  /**< number of probes sent for the latest hold request */
+	bool commit_in_flight;	 /**< a command with finished runs of this VM is being committed */
+	bool fence_acked;	 /**< the VM has answered a hold request of this leader */
+	uint64_t fence_acked_us; /**< time when it first did; from then on, it refuses requests of
+				    earlier leaders */
+	bool unresponsive;	 /**< the latest hold request was not answered */
+	bool planned_suspect;	 /**< a suspected task is among the tasks of planned_job */
+	bool fresh_suspect;	 /**< a run of a suspected task is among the runs of fresh_job */
+	uint32_t hold_seq;    /**< number of the latest hold request; responses to earlier ones are
+				 ignored */
+	unsigned probes_sent; /**< number of probes sent for the latest hold request */
 	uint64_t hold_due_us;
 	uint64_t probe_due_us; /**< time to send a probe if the hold request is still unanswered */
 	uint64_t unresponsive_since_us; /**< time since which the VM is unresponsive; 0: it is
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -490,6 +490,7 @@
 				.maintenance_ms = settings->maintenance_downtime_ms,
 				.platform_requests_per_s = settings->platform_requests_per_s,
 				.move_ms = settings->move_downtime_ms,
+				.stop_ms = settings->vm_stop_max_ms,
 				.name = settings->name,
 			},
 		.state = &node->state,
--- a/src/batch_upkeep.c
+++ b/src/batch_upkeep.c
@@ -99,12 +99,21 @@
  * responsive VM answers a hold request within a second. */
 #define PROGRESS_MAX_AGE_US (1500 * US_PER_MS)
 
+/* False while the VM may be stopping a run that it still lists as running, because an earlier
+ * leader has told it to. */
+static bool stops_are_visible(const leader_vm_t *vm)
+{
+	return vm->fence_acked &&
+	       vm->hold_answered_us > vm->fence_acked_us + vm->leader->config.stop_ms * US_PER_MS;
+}
+
 static bool is_available(const batch_task_t *task, uint64_t now_us)
 {
 	const run_local_state_t *local = &task->local;
 	const leader_vm_t *vm = task->vm != NULL ? task->vm->leader : NULL;
 
-	if (vm == NULL || vm->unresponsive || now_us > vm->hold_answered_us + PROGRESS_MAX_AGE_US)
+	if (vm == NULL || !stops_are_visible(vm) || vm->unresponsive ||
+	    now_us > vm->hold_answered_us + PROGRESS_MAX_AGE_US)
 		return false;
 	return !local->evacuate && local->phase == RUN_CONFIRMED && local->progress_percent >= 100;
 }
--- a/src/process.h
+++ b/src/process.h
@@ -37,6 +37,7 @@
 	char *platform_address; /**< IP:port of the API that manages the machines; NULL: none */
 	uint32_t report_interval_ms; /**< time between two reports of a VM */
 	uint32_t vm_lease_max_ms;    /**< upper limit of the lease for tasks on a VM */
+	uint32_t vm_stop_max_ms;     /**< longest time that a VM takes to stop a task */
 	/** Time within which the replacement of a lost machine must become a voter. */
 	uint32_t catch_up_max_ms;
 	uint32_t shutdown_grace_ms; /**< time from SIGTERM to SIGKILL */
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -46,7 +46,8 @@
 	uint32_t cpu;
 	uint32_t mem;
 	uint64_t start_us;
-	uint64_t end_us; /* time when the run finishes; 0: it runs until stopped */
+	uint64_t end_us;  /* time when the run finishes; 0: it runs until stopped */
+	uint64_t stop_us; /* time when a stop request takes effect; 0: there was none */
 	bool fails;
 	bool stalled;
 } sim_run_t;
@@ -498,7 +499,9 @@
 	for (guint i = 0; i < vm->runs->len;) {
 		const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
 
-		if (run->end_us != 0 && run->end_us <= MIN(vm->sim->now_us, vm->lease_end_us))
+		if (run->stop_us != 0 && run->stop_us <= vm->sim->now_us)
+			end_run(vm, i, LP__BATCH_END_KIND__BATCH_END_STOPPED);
+		else if (run->end_us != 0 && run->end_us <= MIN(vm->sim->now_us, vm->lease_end_us))
 			end_run(vm, i,
 				run->fails ? LP__BATCH_END_KIND__BATCH_END_FAILED
 					   : LP__BATCH_END_KIND__BATCH_END_DONE);
@@ -664,7 +667,8 @@
 		for (guint j = 0; vm->up && j < vm->runs->len; j++) {
 			const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, j);
 
-			if (same_task(&run->task, id) && vm->lease_end_us > sim->now_us &&
+			if (same_task(&run->task, id) && run->stop_us == 0 &&
+			    vm->lease_end_us > sim->now_us &&
 			    sim->now_us >= run->start_us + STARTUP_MS * US_PER_MS)
 				return true;
 		}
@@ -887,14 +891,21 @@
 	vm->fence = stop->fence;
 	raise_highest_run(vm, &stop->task, stop->run);
 	for (guint i = 0; i < vm->runs->len; i++) {
-		const sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
+		sim_run_t *run = &g_array_index(vm->runs, sim_run_t, i);
 
-		if (same_task(&run->task, &stop->task) && run->run <= stop->run) {
-			if (!call->held_up)
-				check_availability(vm->sim, &stop->task);
+		if (!same_task(&run->task, &stop->task) || run->run > stop->run)
+			continue;
+		if (!call->held_up)
+			check_availability(vm->sim, &stop->task);
+		if (vm->sim->config.stop_ms > 0) {
+			note_absence(vm->sim, &run->task, true);
+			if (run->stop_us == 0)
+				run->stop_us =
+					vm->sim->now_us + vm->sim->config.stop_ms * US_PER_MS;
+		} else {
 			end_run(vm, i, LP__BATCH_END_KIND__BATCH_END_STOPPED);
-			break;
 		}
+		break;
 	}
 	return VM_REPLY_OK;
 }
@@ -2008,6 +2019,7 @@
 				.holder_lease_ms = HOLDER_LEASE_MS,
 				.maintenance_ms = MAINTENANCE_MS,
 				.move_ms = MOVE_MS,
+				.stop_ms = config->stop_ms,
 				.platform_requests_per_s = config->platform_requests_per_s > 0
 								   ? config->platform_requests_per_s
 								   : 64,
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -56,6 +56,8 @@
 	double late_request_share; /**< share of VM requests that get no response and are carried
 				      out 2 to 12 s later */
 	double lost_reply_share;   /**< share of VM and platform requests whose response is lost */
+	uint32_t stop_ms; /**< time that a VM takes to stop a run; until then it lists it as
+			     before */
 	double lost_request_share; /**< share of VM requests that do not reach the VM, because the
 				      edge process that passes them on ends */
 	double failed_end_share;   /**< share of runs that fail */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -1550,6 +1550,39 @@
 	}
 }
 
+/* Guards against a new leader that stops a task while another of its step, which an earlier leader
+ * has told its VM to stop, still seems to run. */
+static void test_availability_across_leader_changes(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 1,
+			.vms_per_service = 12,
+			.stop_ms = 900,
+			.mean_leader_change_interval_ms = 1500,
+			.seed = seed,
+		};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_long_running_job(&fixture, 6, 1);
+		for (unsigned i = 0; i < 4; i++) {
+			g_autofree char *id = mixed_job_id(i);
+
+			vm_sim_submit(sim, id, 0, &fixture.job);
+		}
+		vm_sim_run(sim, 4000);
+		for (uint64_t number = 1; number <= 4; number++) {
+			vm_sim_start_part_wave(sim, number, 0, 12, 6);
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 12000);
+		}
+		if (vm_sim_violations(sim)[0] != '\0')
+			print_message("seed %" PRIu64 "\n", seed);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Repeats test_guarantees_under_faults() with the seeds that have failed before. */
 static void test_guarantees_with_regression_seeds(void **state)
 {
@@ -1838,6 +1871,7 @@
 		cmocka_unit_test(test_guarantees_with_limited_organisations),
 		cmocka_unit_test(test_guarantees_with_restarted_vms),
 		cmocka_unit_test(test_wave_limits_under_faults),
+		cmocka_unit_test(test_availability_across_leader_changes),
 		cmocka_unit_test(test_guarantees_with_regression_seeds),
 		cmocka_unit_test(test_guarantees_with_late_orders),
 		cmocka_unit_test(test_guarantees_with_most_replies_lost),
