batch: machines by shares of organisations; outcomes of jobs

Cause: with the order alone, the pools still got machines for all that one organisation sends.

Change: the demand of an organisation counts up to its share of the machines that are not reserved for a surge; what is beyond gets machines that nobody else needs, and arrivals beyond it raise no forecast. Each job's end is logged and counted by organisation and result, with a histogram of the times (batch_outcome, at most 64 organisations).

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -119,12 +119,15 @@
 	TAILQ_INSERT_TAIL(&state->ended, job, link);
 }
 
-static void end_job(batch_job_t *job, batch_job_state_t final_state, uint64_t wall_ms)
+static void end_job(const batch_state_t *state, batch_job_t *job, batch_job_state_t final_state,
+		    uint64_t wall_ms)
 {
 	if (batch_job_ended(job))
 		return;
 	job->state = final_state;
 	job->ended_ms = wall_ms;
+	if (state->job_listener.ended != NULL)
+		state->job_listener.ended(state->job_listener.arg, job);
 }
 
 static void remove_expired_jobs(batch_state_t *state, uint64_t wall_ms)
@@ -174,7 +177,7 @@
 	}
 	if (batch_job_ended(job))
 		return;
-	end_job(job, BATCH_JOB_CANCELLED, wall_ms);
+	end_job(state, job, BATCH_JOB_CANCELLED, wall_ms);
 	archive_if_finished(state, job);
 }
 
@@ -194,7 +197,7 @@
 	task->status = status;
 }
 
-static void mark_task_done(batch_task_t *task, uint64_t wall_ms)
+static void mark_task_done(const batch_state_t *state, batch_task_t *task, uint64_t wall_ms)
 {
 	batch_step_t *step = task->step;
 	batch_job_t *job = step->job;
@@ -203,10 +206,10 @@
 		return;
 	set_status(task, BATCH_TASK_DONE);
 	if (step->done == step->spec->count && ++job->steps_done == job->step_count)
-		end_job(job, BATCH_JOB_COMPLETE, wall_ms);
+		end_job(state, job, BATCH_JOB_COMPLETE, wall_ms);
 }
 
-static void complete_task(batch_task_t *task, uint64_t wall_ms)
+static void complete_task(const batch_state_t *state, batch_task_t *task, uint64_t wall_ms)
 {
 	batch_step_t *step = task->step;
 
@@ -214,13 +217,13 @@
 	 * them. */
 	if (step->spec->gang) {
 		for (uint32_t i = 0; i < step->spec->count; i++)
-			mark_task_done(&step->tasks[i], wall_ms);
+			mark_task_done(state, &step->tasks[i], wall_ms);
 		return;
 	}
-	mark_task_done(task, wall_ms);
+	mark_task_done(state, task, wall_ms);
 }
 
-static void count_failure(batch_task_t *task, uint64_t wall_ms)
+static void count_failure(const batch_state_t *state, batch_task_t *task, uint64_t wall_ms)
 {
 	batch_step_t *step = task->step;
 	const Lp__BatchQueue *queue = step->job->queue;
@@ -228,7 +231,7 @@
 	uint32_t failures = step->spec->gang ? ++step->gang_failures : ++task->failures;
 
 	if (!step->spec->long_running && attempts > 0 && failures >= attempts)
-		end_job(step->job, BATCH_JOB_FAILED, wall_ms);
+		end_job(state, step->job, BATCH_JOB_FAILED, wall_ms);
 }
 
 static void store_checkpoint(batch_step_t *step, batch_task_t *task, const char *checkpoint)
@@ -272,11 +275,11 @@
 	switch (end->kind) {
 	case LP__BATCH_END_KIND__BATCH_END_DONE:
 		if (!task->step->spec->long_running)
-			complete_task(task, wall_ms);
+			complete_task(state, task, wall_ms);
 		break;
 	case LP__BATCH_END_KIND__BATCH_END_FAILED:
 		if (task->status != BATCH_TASK_DONE)
-			count_failure(task, wall_ms);
+			count_failure(state, task, wall_ms);
 		break;
 	case LP__BATCH_END_KIND__BATCH_END_STOPPED:
 	case LP__BATCH_END_KIND__BATCH_END_LAPSED:
@@ -333,7 +336,7 @@
 						  end->crash != LP__BATCH_CRASH__BATCH_CRASH_CAUSE))
 		return;
 	task->step->job->given_up |= !batch_job_ended(task->step->job);
-	end_job(task->step->job, BATCH_JOB_FAILED, wall_ms);
+	end_job(state, task->step->job, BATCH_JOB_FAILED, wall_ms);
 }
 
 static void apply_lost(batch_state_t *state, uint64_t wall_ms, const Lp__BatchLost *lost)
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "batch_order.h"
 #include "log.h"
 
 /* Half-life of a VM's counts of completed and failed runs, from which its health is estimated.
@@ -181,6 +182,19 @@
 	leader->stats.start_latency = metrics_histogram(metrics, "batch_start_latency_us", "");
 }
 
+static void on_job_ended(void *arg, batch_job_t *job)
+{
+	batch_leader_t *leader = arg;
+	uint64_t age_ms;
+
+	/* The time of a scheduled job says nothing, nor does that of one which runs until it is
+	 * cancelled. */
+	if (!leader->active || job->spec->times > 0 || job->steps[0].spec->long_running)
+		return;
+	age_ms = batch_job_age_ms(job, leader_now_us(leader), leader->wall_ms(leader->arg));
+	batch_outcome_report(&leader->outcome, job, age_ms, batch_objective_ms(job, job->queue));
+}
+
 batch_leader_t *batch_leader_create(const batch_leader_options_t *options)
 {
 	batch_leader_t *leader = g_new0(batch_leader_t, 1);
@@ -201,6 +215,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, leader_machine_free);
 	leader->smoothed_need = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	forecast_init(&leader->forecast);
+	batch_outcome_init(&leader->outcome, leader->metrics);
+	leader->state->job_listener = (batch_job_listener_t){.ended = on_job_ended, .arg = leader};
 	init_metrics(leader);
 	return leader;
 }
@@ -214,6 +230,8 @@
 	g_hash_table_destroy(leader->machines);
 	g_hash_table_destroy(leader->smoothed_need);
 	forecast_finish(&leader->forecast);
+	leader->state->job_listener = (batch_job_listener_t){0};
+	batch_outcome_finish(&leader->outcome);
 	g_free(leader);
 }
 
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -5,6 +5,7 @@
 #include "batch_forecast.h"
 #include "batch_leader.h"
 #include "batch_lease.h"
+#include "batch_outcome.h"
 #include "clock.h"
 #include "start_window.h"
 
@@ -228,6 +229,7 @@
 					  became leader */
 	GHashTable *machines;	       /**< machine name -> leader_machine_t */
 	GHashTable *smoothed_need;     /**< pool name -> double, the smoothed CPU demand in cores */
+	batch_outcome_t outcome;       /**< how jobs have ended while this process led */
 	forecast_t forecast;	       /**< demand of the pools; kept up to date on followers too */
 	uint64_t forecast_seq; /**< number of the latest job that the forecast has counted */
 	uint64_t maintenance_due_us;
--- a/src/batch_machines.c
+++ b/src/batch_machines.c
@@ -553,12 +553,14 @@
 			  uint64_t wall_ms)
 {
 	double path_ms = (double)MAX(batch_critical_path_ms(job, 0, true), CRITICAL_PATH_MIN_MS);
-	double cores =
-		org_account_add_demand(job->account, batch_remaining_work(job) / 1000.0 / path_ms);
+	double cores = batch_remaining_work(job) / 1000.0 / path_ms;
+	org_demand_t demand;
 
 	switch (batch_job_timing(job, 0, now_us, wall_ms)) {
 	case JOB_ON_TIME:
-		pool->need_cores += cores;
+		demand = org_account_add_demand(job->account, cores);
+		pool->need_cores += demand.within;
+		pool->late_cores += LATE_JOB_WEIGHT * demand.excess;
 		break;
 	case JOB_LATE:
 		pool->late_cores += LATE_JOB_WEIGHT * cores;
@@ -589,6 +591,7 @@
 	uint64_t wall_ms = leader->wall_ms(leader->arg);
 	uint64_t latest_seq = leader->forecast_seq;
 	batch_job_t *job;
+	double work;
 
 	TAILQ_FOREACH_REVERSE (job, &leader->state->active, batch_job_list, link) {
 		if (job->seq <= leader->forecast_seq)
@@ -598,7 +601,12 @@
 		    batch_job_age_ms(job, now_us, wall_ms) > ARRIVAL_AGE_MAX_MS)
 			continue;
 		/* The declared work is in thousandths of a core times ms. */
-		forecast_add(&leader->forecast, job->service, job->work / 1e6);
+		work = job->work / 1e6;
+		if (job->account != NULL) {
+			job->account->arrived_core_s += work;
+			work *= job->account->within_share;
+		}
+		forecast_add(&leader->forecast, job->service, work);
 	}
 	leader->forecast_seq = latest_seq;
 	forecast_advance(&leader->forecast, now_us);
@@ -706,13 +714,26 @@
 	}
 }
 
+/* @return cores of the machines that are not kept for a surge which is due */
+static double unreserved_cores(const batch_leader_t *leader, const pools_t *pools)
+{
+	size_t machines = g_hash_table_size(leader->machines);
+	size_t reserved = 0;
+
+	for (guint i = 0; i < pools->pools->len; i++) {
+		const capacity_pool_t *pool = &g_array_index(pools->pools, capacity_pool_t, i);
+
+		reserved += pool->reserve_due ? pool->reserve_vms : 0;
+	}
+	return mean_machine_cores(leader) * (double)(machines - MIN(reserved, machines));
+}
+
 static void collect_pools(batch_leader_t *leader, pools_t *pools, uint64_t now_us, uint64_t wall_ms)
 {
 	const Lp__BatchConfig *config = leader->state->config;
 	double *lasting_cores = talloc_zero_array(NULL, double, config->n_services + 1);
 	batch_job_t *job;
 
-	org_accounts_clear_demand(&leader->state->organisations);
 	for (size_t i = 0; i < config->n_services; i++) {
 		capacity_pool_t pool = {.standby = config->services[i]->standby, .required_vms = 2};
 
@@ -722,10 +743,12 @@
 	TAILQ_FOREACH (job, &leader->state->active, link)
 		add_job(pools, job, true, now_us, wall_ms);
 	set_reserves(leader, pools, now_us);
+	org_accounts_begin_demand(&leader->state->organisations, unreserved_cores(leader, pools));
 	for (guint i = 0; i < pools->names->len; i++)
 		lasting_cores[i] = g_array_index(pools->pools, capacity_pool_t, i).need_cores;
 	TAILQ_FOREACH (job, &leader->state->active, link)
 		add_job(pools, job, false, now_us, wall_ms);
+	org_accounts_end_demand(&leader->state->organisations, CAPACITY_PERIOD_US);
 	for (guint i = 0; i < pools->names->len; i++) {
 		capacity_pool_t *pool = &g_array_index(pools->pools, capacity_pool_t, i);
 		forecast_outlook_t outlook = forecast_outlook(
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -371,6 +371,7 @@
 	Lp__BatchSnapshot *snapshot = lp__batch_snapshot__unpack(NULL, length, data);
 	uint64_t revision = state->revision;
 	batch_vm_listener_t vm_listener = state->vm_listener;
+	batch_job_listener_t job_listener = state->job_listener;
 	uint64_t clock_us = state->clock_us;
 	int result;
 
@@ -380,6 +381,7 @@
 	batch_state_init(state);
 	state->revision = revision + 1;
 	state->vm_listener = vm_listener;
+	state->job_listener = job_listener;
 	state->clock_us = clock_us;
 	result = load_snapshot_message(state, snapshot);
 	lp__batch_snapshot__free_unpacked(snapshot, NULL);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -260,6 +260,13 @@
 	void *arg;
 } batch_vm_listener_t;
 
+/** Is told about jobs. Unset functions are not called. */
+typedef struct {
+	/** Called when the job has ended, before anything of it is freed. */
+	void (*ended)(void *arg, batch_job_t *job);
+	void *arg;
+} batch_job_listener_t;
+
 typedef struct {
 	Lp__BatchConfig *config; /**< latest configuration; NULL: none yet */
 	uint64_t next_seq;
@@ -271,8 +278,9 @@
 	LIST_HEAD(batch_accepted_queues, batch_accepted_queue) accepted_queues;
 	org_accounts_t organisations;
 	LIST_HEAD(batch_vms, batch_vm) vms;
-	GHashTable *vms_by_incarnation;	 /**< batch_vm_key() of the incarnation -> batch_vm_t */
-	batch_vm_listener_t vm_listener; /**< not replicated; kept when a snapshot is loaded */
+	GHashTable *vms_by_incarnation;	   /**< batch_vm_key() of the incarnation -> batch_vm_t */
+	batch_vm_listener_t vm_listener;   /**< not replicated; kept when a snapshot is loaded */
+	batch_job_listener_t job_listener; /**< not replicated; kept when a snapshot is loaded */
 	LIST_HEAD(batch_waves, batch_wave) waves;
 	GHashTable *wave_machines; /**< machine -> batch_wave_machine_t of the latest wave that
 				      includes it */
--- a/src/org_account.c
+++ b/src/org_account.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Time constant with which the arriving work is smoothed. */
+#define ARRIVAL_SMOOTHING_S 0.5
+
 static void account_free(void *data)
 {
 	org_account_t *account = data;
@@ -10,6 +13,12 @@
 	g_free(account);
 }
 
+/* An organisation without a weight has the least possible one. */
+double org_account_weight(const org_account_t *account)
+{
+	return MAX(account->weight_milli, 1);
+}
+
 void org_accounts_init(org_accounts_t *accounts)
 {
 	accounts->by_name = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, account_free);
@@ -34,6 +43,7 @@
 		return account;
 	account = g_new0(org_account_t, 1);
 	account->name = g_strdup(name);
+	account->within_share = 1;
 	g_hash_table_insert(accounts->by_name, account->name, account);
 	return account;
 }
@@ -94,25 +104,65 @@
 		g_hash_table_remove(accounts->by_name, account->name);
 }
 
-void org_accounts_clear_demand(org_accounts_t *accounts)
+void org_accounts_begin_demand(org_accounts_t *accounts, double cores)
 {
 	GHashTableIter iter;
-	void *account;
+	void *value;
+	double weights = 0;
 
 	g_hash_table_iter_init(&iter, accounts->by_name);
-	while (g_hash_table_iter_next(&iter, NULL, &account))
-		((org_account_t *)account)->demand_cores = 0;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const org_account_t *account = value;
+
+		weights += account->jobs > 0 ? org_account_weight(account) : 0;
+	}
+	g_hash_table_iter_init(&iter, accounts->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		org_account_t *account = value;
+
+		account->demand_cores = 0;
+		account->entitled_cores = 0;
+		if (account->jobs > 0)
+			account->entitled_cores = cores * org_account_weight(account) / weights;
+	}
 }
 
-double org_account_add_demand(org_account_t *account, double cores)
+org_demand_t org_account_add_demand(org_account_t *account, double cores)
 {
+	org_demand_t demand = {.within = cores};
 	double left;
 
-	if (account == NULL || account->limit.cpu_milli == 0)
-		return cores;
-	left = MAX(0, (double)account->limit.cpu_milli / 1000.0 - account->demand_cores);
+	if (account == NULL)
+		return demand;
+	if (account->limit.cpu_milli > 0)
+		cores = MIN(cores, MAX(0, (double)account->limit.cpu_milli / 1000.0 -
+						  account->demand_cores));
+	left = MAX(0, account->entitled_cores - account->demand_cores);
 	account->demand_cores += cores;
-	return MIN(cores, left);
+	demand.within = MIN(cores, left);
+	demand.excess = cores - demand.within;
+	return demand;
+}
+
+void org_accounts_end_demand(org_accounts_t *accounts, uint64_t period_us)
+{
+	double period_s = (double)period_us / 1e6;
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, accounts->by_name);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		org_account_t *account = value;
+		double demand;
+
+		account->arriving_cores +=
+			(account->arrived_core_s / period_s - account->arriving_cores) *
+			MIN(1, period_s / ARRIVAL_SMOOTHING_S);
+		account->arrived_core_s = 0;
+		demand = MAX(account->demand_cores, account->arriving_cores);
+		account->within_share =
+			demand > account->entitled_cores ? account->entitled_cores / demand : 1;
+	}
 }
 
 void org_use_add(org_use_t *use, const Lp__BatchStep *step, uint64_t tasks)
--- a/src/org_account.h
+++ b/src/org_account.h
@@ -31,8 +31,12 @@
 	org_use_t reserved;    /**< for gangs whose start intent is being applied */
 	org_use_t planned;     /**< by start intents that the leader has proposed and that are not
 				  applied yet; valid in a placement pass, not replicated */
-	double demand_cores;   /**< of waiting and running jobs; valid while the leader sums up the
-				  demand of the pools, not replicated */
+	/* Demand for machines, in cores, as the leader last summed it up; not replicated. */
+	double demand_cores;   /**< of waiting and running jobs that can be in time */
+	double entitled_cores; /**< its share of the machines that are not reserved */
+	double arriving_cores; /**< arriving work per time, smoothed */
+	double arrived_core_s; /**< work that has arrived since the latest sum */
+	double within_share;   /**< the part of its latest demand that its share covers, 0 to 1 */
 	unsigned jobs;	       /**< number of active jobs */
 	bool configured;       /**< the present configuration has the organisation */
 } org_account_t;
@@ -42,6 +46,9 @@
 	GHashTable *by_name; /**< name -> org_account_t */
 } org_accounts_t;
 
+/** @return weight relative to other organisations, above 0 */
+double org_account_weight(const org_account_t *account);
+
 void org_accounts_init(org_accounts_t *accounts);
 void org_accounts_finish(org_accounts_t *accounts);
 /**
@@ -58,13 +65,22 @@
 /** Counts the end of an active job. Removes the account if nothing refers to it any more. */
 void org_accounts_remove_job(org_accounts_t *accounts, org_account_t *account);
 
-/** Sets demand_cores of all accounts to 0. */
-void org_accounts_clear_demand(org_accounts_t *accounts);
+/** Parts of the demand of a job, in cores. */
+typedef struct {
+	double within; /**< for which the pools get machines */
+	double excess; /**< beyond the share of its organisation: it gets machines that nobody else
+			  needs */
+} org_demand_t;
+
+/** Begins to sum up the demand of the organisations. @param cores to be shared */
+void org_accounts_begin_demand(org_accounts_t *accounts, double cores);
 /**
- * Adds the demand of a job. @param account NULL: the job has none
- * @return the part of the demand that the limit allows to run
+ * Adds the demand of a job. What its organisation's limit keeps from running is left out.
+ * @param account NULL: the job has none, and no share
  */
-double org_account_add_demand(org_account_t *account, double cores);
+org_demand_t org_account_add_demand(org_account_t *account, double cores);
+/** Ends the sum, and updates within_share. @param period_us time since the latest sum */
+void org_accounts_end_demand(org_accounts_t *accounts, uint64_t period_us);
 
 /** Adds the resources of tasks of the step. */
 void org_use_add(org_use_t *use, const Lp__BatchStep *step, uint64_t tasks);
--- a/src/org_shares.c
+++ b/src/org_shares.c
@@ -29,12 +29,6 @@
 	g_clear_pointer(&shares->services, g_hash_table_destroy);
 }
 
-/* An organisation without a weight has the least possible one. */
-static double weight_of(const org_account_t *account)
-{
-	return MAX(account->weight_milli, 1);
-}
-
 void org_shares_add(org_shares_t *shares, const char *service, const org_account_t *account,
 		    uint64_t cpu_milli)
 {
@@ -53,7 +47,7 @@
 	if (used == NULL) {
 		used = g_new0(double, 1);
 		g_hash_table_insert(use->used_by, (org_account_t *)account, used);
-		use->weight += weight_of(account);
+		use->weight += org_account_weight(account);
 	}
 	*used += (double)cpu_milli;
 	use->used += (double)cpu_milli;
@@ -104,6 +98,6 @@
 	used = use != NULL ? g_hash_table_lookup(use->used_by, job->account) : NULL;
 	if (used == NULL)
 		return false;
-	share = weight_of(job->account) / use->weight;
+	share = org_account_weight(job->account) / use->weight;
 	return *used > use->used * (share * SHARE_TOLERANCE + SHARE_ALLOWANCE);
 }
--- a/tests/lib_load_play.c
+++ b/tests/lib_load_play.c
@@ -15,12 +15,29 @@
 #define STRETCH 1.6
 #define OBJECTIVE_MS 600
 
+const load_play_t load_turns = {
+	.services = 4,
+	.vms_per_service = 35,
+	.standby_vms = 30,
+	.platform_requests_per_s = 108,
+	.service = {{23.1, 2, 6, 3500, 650},
+		    {2.7, 2, 8, 7700, 2100},
+		    {29, 2, 6, 3500, 650},
+		    {3.3, 2, 8, 7700, 2100}},
+	.turn_ms = 4000,
+	.surge = 4,
+	.between = 0.05,
+	.duration_ms = 40000,
+	.seed = 1,
+};
+
 typedef struct {
 	char id[24];
 	uint64_t submitted_ms;
 	uint64_t ended_ms; /* 0: not complete */
 	uint64_t objective_ms;
 	double work;
+	unsigned organisation;
 } played_job_t;
 
 typedef struct {
@@ -32,6 +49,22 @@
 	bool crashed; /* the crash of play->crash_ms has happened */
 } player_t;
 
+static bool is_hot(const load_play_t *play, double at_ms)
+{
+	return play->hot_ms > 0 && at_ms >= play->hot_ms && at_ms < play->hot_ms + play->hot_for_ms;
+}
+
+/* @return sum of the organisations' weights, in which that of a hot one counts as often as it sends
+ * more than usual */
+static double weight_sum(const load_play_t *play, bool hot)
+{
+	double sum = 0;
+
+	for (unsigned i = 0; i < play->organisations; i++)
+		sum += play->weights[i] * (i == 0 && hot ? play->hot : 1);
+	return sum;
+}
+
 static double rate_per_ms(const load_play_t *play, unsigned service, double at_ms)
 {
 	unsigned turn = (unsigned)(at_ms / play->turn_ms) % play->services;
@@ -41,6 +74,8 @@
 	if (play->burst_ms > 0 && at_ms >= play->burst_ms &&
 	    at_ms < play->burst_ms + play->burst_for_ms)
 		rate *= play->burst;
+	if (is_hot(play, at_ms))
+		rate *= weight_sum(play, true) / weight_sum(play, false);
 	return rate;
 }
 
@@ -49,7 +84,8 @@
 {
 	const load_play_t *play = player->play;
 	double peak = play->service[service].rate_per_s / 1000.0 * play->surge *
-		      MAX(1.0, play->burst_ms > 0 ? play->burst : 1.0);
+		      MAX(1.0, play->burst_ms > 0 ? play->burst : 1.0) *
+		      MAX(1.0, play->hot_ms > 0 ? play->hot : 1.0);
 	double at_ms = after_ms;
 
 	while (at_ms < play->duration_ms) {
@@ -60,6 +96,22 @@
 	return at_ms;
 }
 
+static unsigned draw_organisation(const player_t *player, double at_ms)
+{
+	const load_play_t *play = player->play;
+	bool hot = is_hot(play, at_ms);
+	double drawn = g_rand_double(player->rand) * weight_sum(play, hot);
+	unsigned i = 0;
+
+	while (i + 1 < play->organisations) {
+		drawn -= play->weights[i] * (i == 0 && hot ? play->hot : 1);
+		if (drawn < 0)
+			break;
+		i++;
+	}
+	return i;
+}
+
 static void submit(player_t *player, unsigned service)
 {
 	const load_service_t *shape = &player->play->service[service];
@@ -69,6 +121,7 @@
 	Lp__BatchJob job = LP__BATCH_JOB__INIT;
 	played_job_t played = {.submitted_ms = vm_sim_now_ms(player->sim)};
 	double size = exp(g_rand_double_range(player->rand, -0.5, 0.5));
+	char organisation[8] = "";
 
 	for (unsigned i = 0; i < shape->steps; i++) {
 		lp__batch_step__init(&steps[i]);
@@ -81,6 +134,12 @@
 		steps[i].after = &after[i];
 		list[i] = &steps[i];
 	}
+	if (player->play->organisations > 0) {
+		played.organisation =
+			draw_organisation(player, (double)(played.submitted_ms - LEAD_MS));
+		g_snprintf(organisation, sizeof(organisation), "o%u", played.organisation);
+		job.organisation = organisation;
+	}
 	job.spec = (char *)"spec";
 	job.steps = list;
 	job.n_steps = shape->steps;
@@ -183,12 +242,29 @@
 	}
 }
 
+/* Share of the work in time by second of submission. */
+typedef struct {
+	double *owed;
+	double *earned;
+} by_second_t;
+
+static void add_share(const by_second_t *seconds, GArray *shares, unsigned count)
+{
+	for (unsigned i = 0; i < count; i++) {
+		double share = seconds->owed[i] > 0 ? seconds->earned[i] / seconds->owed[i] : -1;
+
+		g_array_append_val(shares, share);
+	}
+}
+
 static void summarise(const player_t *player, load_result_t *result)
 {
 	unsigned seconds = player->play->duration_ms / 1000 + 1;
 	void *mem = talloc_new(NULL);
-	double *owed = talloc_zero_array(mem, double, seconds);
-	double *earned = talloc_zero_array(mem, double, seconds);
+	by_second_t all = {.owed = talloc_zero_array(mem, double, seconds),
+			   .earned = talloc_zero_array(mem, double, seconds)};
+	by_second_t others = {.owed = talloc_zero_array(mem, double, seconds),
+			      .earned = talloc_zero_array(mem, double, seconds)};
 	double all_owed = 0;
 	double all_earned = 0;
 
@@ -199,21 +275,24 @@
 		uint64_t took_ms = job->ended_ms - job->submitted_ms;
 		bool in_time = job->ended_ms != 0 && took_ms <= job->objective_ms;
 
-		owed[second] += job->work;
-		earned[second] += in_time ? job->work : 0;
+		all.owed[second] += job->work;
+		all.earned[second] += in_time ? job->work : 0;
+		others.owed[second] += job->organisation > 0 ? job->work : 0;
+		others.earned[second] += job->organisation > 0 && in_time ? job->work : 0;
 		result->in_time += in_time;
+		result->org_jobs[job->organisation]++;
+		result->org_in_time[job->organisation] += in_time;
 		result->ended += job->ended_ms != 0;
 		if (job->ended_ms == 0)
 			continue;
 		result->late += !in_time && took_ms <= 3 * job->objective_ms;
 		result->longest_late_s = MAX(result->longest_late_s, (double)took_ms / 1000.0);
 	}
+	add_share(&all, result->by_second, seconds);
+	add_share(&others, result->others_by_second, seconds);
 	for (unsigned i = 0; i < seconds; i++) {
-		double share = owed[i] > 0 ? earned[i] / owed[i] : -1;
-
-		g_array_append_val(result->by_second, share);
-		all_owed += owed[i];
-		all_earned += earned[i];
+		all_owed += all.owed[i];
+		all_earned += all.earned[i];
 	}
 	result->longest_wait_s = (double)vm_sim_stats(player->sim)->longest_wait_us / 1e6;
 	result->in_time_share = all_owed > 0 ? all_earned / all_owed : 0;
@@ -222,19 +301,23 @@
 
 void load_play(const load_play_t *play, load_result_t *result)
 {
-	const vm_sim_config_t config = {.services = play->services,
-					.vms_per_service = play->vms_per_service,
-					.standby_vms = play->standby_vms,
-					.platform_requests_per_s = play->platform_requests_per_s,
-					.processor = play->processor,
-					.seed = play->seed};
+	vm_sim_config_t config = {.services = play->services,
+				  .vms_per_service = play->vms_per_service,
+				  .standby_vms = play->standby_vms,
+				  .platform_requests_per_s = play->platform_requests_per_s,
+				  .processor = play->processor,
+				  .seed = play->seed};
 	player_t player = {.play = play,
-			   .sim = vm_sim_create(&config),
 			   .rand = g_rand_new_with_seed((guint32)play->seed),
 			   .jobs = g_array_new(FALSE, FALSE, sizeof(played_job_t))};
 
+	config.organisation_count = play->organisations;
+	for (unsigned i = 0; i < play->organisations; i++)
+		config.organisations[i].weight = play->weights[i];
+	player.sim = vm_sim_create(&config);
 	*result = (load_result_t){.restart_s = -1,
-				  .by_second = g_array_new(FALSE, FALSE, sizeof(double))};
+				  .by_second = g_array_new(FALSE, FALSE, sizeof(double)),
+				  .others_by_second = g_array_new(FALSE, FALSE, sizeof(double))};
 	run_load(&player, result);
 	summarise(&player, result);
 	result->violations = g_strdup(vm_sim_violations(player.sim));
@@ -246,6 +329,7 @@
 void load_result_finish(load_result_t *result)
 {
 	g_array_unref(result->by_second);
+	g_array_unref(result->others_by_second);
 	g_free(result->violations);
 }
 
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -22,23 +22,6 @@
 #define RECOVERY_S 5
 #define LAST_S 39
 
-/* 170 machines, whose four pools surge by turns to about a third of the fleet. */
-static const load_play_t turns = {
-	.services = 4,
-	.vms_per_service = 35,
-	.standby_vms = 30,
-	.platform_requests_per_s = 108,
-	.service = {{23.1, 2, 6, 3500, 650},
-		    {2.7, 2, 8, 7700, 2100},
-		    {29, 2, 6, 3500, 650},
-		    {3.3, 2, 8, 7700, 2100}},
-	.turn_ms = TURN_S * 1000,
-	.surge = 4,
-	.between = 0.05,
-	.duration_ms = (LAST_S + 1) * 1000,
-	.seed = 1,
-};
-
 static void play(const load_play_t *load, load_result_t *result)
 {
 	load_play(load, result);
@@ -63,7 +46,7 @@
 	double share = 0;
 	unsigned count = 0;
 
-	play(&turns, &result);
+	play(&load_turns, &result);
 	for (unsigned second = 4 * TURN_S; second < LAST_S; second += TURN_S) {
 		share += load_share_between(&result, second, second + 1);
 		count++;
@@ -93,7 +76,7 @@
  * the machines that the next surge needs. */
 static void test_recovery_from_burst_between_turns(void **state)
 {
-	load_play_t load = turns;
+	load_play_t load = load_turns;
 
 	check_recovery(&load);
 }
@@ -102,7 +85,7 @@
  * is even, half of the fleet's room, and three times the room for 5 s. */
 static void test_recovery_from_burst_of_even_demand(void **state)
 {
-	load_play_t load = turns;
+	load_play_t load = load_turns;
 
 	load.surge = 1;
 	load.between = 1;
