--- a/tests/lib_cluster.h
+++ b/tests/lib_cluster.h
@@ -119,7 +119,7 @@
 const char *cluster_url(const cluster_t *cluster, unsigned node);
 /**
  * Sends an HTTP request and waits at most 10 s for the response.
- * @param method "GET" or "POST"
+ * @param method such as "GET" or "POST"
  * @param body JSON body, or NULL for none
  * @param status set to the HTTP status, or to 0 without a complete response; may be NULL
  * @return the JSON of the response (new reference), or NULL
--- a/tests/lib_cluster_http.c
+++ b/tests/lib_cluster_http.c
@@ -44,9 +44,11 @@
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)REQUEST_TIMEOUT_MS);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_to_body);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, response);
-	if (strcmp(method, "POST") == 0)
+	if (strcmp(method, "GET") != 0) {
+		curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS,
 				 request_body == NULL ? "" : request_body);
+	}
 	if (curl_easy_perform(curl) == CURLE_OK)
 		curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &http_status);
 	result = http_status == 0 ? NULL
