http_server: a budget for the memory that clients hold

Cause: each connection could hold a whole body, and nothing bounded their sum: 1,024 connections of 1 MiB for serve, 3,000 of 256 KiB on an edge machine of 160 MB. A stranger could also make the peer port buffer frames of 1 MiB before its Hello.

Change: http_budget accounts connections, headers, bodies and replies as they arrive, chooses the stalled connection that gives way, and keeps a quarter for small requests; what does not fit is answered 503, not run.

Account zero after each kind of end in test_http. Seen: a client that closes before its connection is accepted is noticed at the idle timeout only.

--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -175,6 +175,39 @@
 	return true;
 }
 
+/* Tasks of active jobs for each MiB of the process's memory; a task takes some 400 bytes, so that
+ * they take two fifths of it at most. */
+#define TASKS_PER_MIB 1024
+/* Delay in ms after which a job may be submitted again that there was no memory for. */
+#define NO_MEMORY_DELAY_MS 3000
+
+static uint64_t count_tasks(const Lp__BatchJob *job)
+{
+	uint64_t tasks = 0;
+
+	for (size_t i = 0; i < job->n_steps; i++)
+		tasks += (uint64_t)job->steps[i]->count * MAX(job->times, 1);
+	return tasks;
+}
+
+/* Replies to a submission that would exceed the memory for tasks. @return false when it does not */
+static bool refuse_if_full(batch_node_t *node, const Lp__BatchCall *call, const char *job_id,
+			   batch_reply_fn done, void *arg)
+{
+	uint64_t limit = (uint64_t)node->settings->memory_mib * TASKS_PER_MIB;
+	const char *reason = "there are too many unfinished tasks";
+
+	if (node->state.active_tasks + count_tasks(call->job) <= limit)
+		return false;
+	metrics_add(node->jobs_rejected, 1);
+	log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("request", job_id, "reason", reason),
+		  "job rejected");
+	reply_with_reason(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_REFUSED,
+			  batch_admit_retry_after_s(NO_MEMORY_DELAY_MS, g_str_hash(job_id)), reason,
+			  done, arg);
+	return true;
+}
+
 static void handle_submit(batch_node_t *node, const Lp__BatchCall *call,
 			  const Lp__BatchQueue *queue, const char *organisation, const char *job_id,
 			  batch_reply_fn done, void *arg)
@@ -201,6 +234,7 @@
 	 * because the first one could be committed already, or still be. */
 	if (!call->resent && !g_hash_table_contains(node->submitting, job_id) &&
 	    (refuse_if_over_limit(node, call, organisation, job_id, done, arg) ||
+	     refuse_if_full(node, call, job_id, done, arg) ||
 	     refuse_if_behind(node, call, queue, job_id, done, arg)))
 		return;
 	metrics_add(node->jobs_submitted, 1);
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -129,6 +129,7 @@
 		const Lp__BatchStep *step = spec->steps[i % steps];
 
 		init_step(&job->steps[i], job, i / steps, i % steps);
+		job->task_count += step->count;
 		job->work += (double)step->count * step->cpu_milli * step->estimate_ms;
 	}
 	return job;
@@ -167,6 +168,9 @@
 	Lp__BatchJob *spec = job->spec;
 
 	job->archived = true;
+	if (job->counted)
+		state->active_tasks -= job->task_count;
+	job->counted = false;
 	free_steps(job);
 	release_queue(job);
 	release_account(state, job);
@@ -195,10 +199,13 @@
 	g_hash_table_insert(state->by_seq, &job->seq, job);
 	if (batch_job_ended(job) && job->tasks_on_vms == 0)
 		batch_job_archive(state, job);
-	if (job->archived)
+	if (job->archived) {
 		TAILQ_INSERT_TAIL(&state->ended, job, link);
-	else
-		TAILQ_INSERT_TAIL(&state->active, job, link);
+		return;
+	}
+	TAILQ_INSERT_TAIL(&state->active, job, link);
+	job->counted = true;
+	state->active_tasks += job->task_count;
 }
 
 void batch_state_remove_job(batch_state_t *state, struct batch_job_list *list, batch_job_t *job)
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -173,7 +173,9 @@
 	uint32_t step_count;   /**< number of steps in all occurrences */
 	batch_step_t *steps;   /**< all steps of the first occurrence, then those of the second, and
 				  so on */
+	uint32_t task_count;   /**< number of tasks of all occurrences */
 	uint32_t tasks_on_vms; /**< number of tasks whose vm is not NULL */
+	bool counted;	       /**< its tasks are counted in batch_state_t.active_tasks */
 	bool archived; /**< the job is in the list of ended jobs, and its steps were freed */
 	bool begun; /**< a run of the job has ended on its VM, or had begun there when it was lost
 		     */
@@ -270,9 +272,10 @@
 typedef struct {
 	Lp__BatchConfig *config; /**< latest configuration; NULL: none yet */
 	uint64_t next_seq;
-	uint64_t start_term; /**< highest leader term of the start intents applied so far */
-	GHashTable *by_id;   /**< job id -> batch_job_t */
-	GHashTable *by_seq;  /**< address of batch_job_t.seq -> batch_job_t */
+	uint64_t start_term;   /**< highest leader term of the start intents applied so far */
+	GHashTable *by_id;     /**< job id -> batch_job_t */
+	GHashTable *by_seq;    /**< address of batch_job_t.seq -> batch_job_t */
+	uint64_t active_tasks; /**< number of tasks of the active jobs */
 	struct batch_job_list active; /**< jobs that have not ended or have tasks with a VM */
 	struct batch_job_list ended;  /**< archived jobs, oldest first */
 	LIST_HEAD(batch_accepted_queues, batch_accepted_queue) accepted_queues;
--- a/src/frame.c
+++ b/src/frame.c
@@ -8,7 +8,8 @@
 void frame_decoder_init(frame_decoder_t *decoder)
 {
 	*decoder = (frame_decoder_t){.data = g_malloc(BUFFER_INITIAL_BYTES),
-				     .size = BUFFER_INITIAL_BYTES};
+				     .size = BUFFER_INITIAL_BYTES,
+				     .max_bytes = FRAME_MAX_BYTES};
 }
 
 void frame_decoder_finish(frame_decoder_t *decoder)
@@ -63,7 +64,7 @@
 	length = read_frame_length(header);
 	/* Reject length 0 too: a valid envelope is never empty, and corrupted data most often
 	 * consists of zeros. */
-	if (length == 0 || length > FRAME_MAX_BYTES)
+	if (length == 0 || length > decoder->max_bytes)
 		return mark_invalid(decoder);
 	if (buffered - FRAME_HEADER_BYTES < length)
 		return FRAME_INCOMPLETE;
--- a/src/frame.h
+++ b/src/frame.h
@@ -28,8 +28,9 @@
 typedef struct {
 	uint8_t *data;
 	size_t size;
-	size_t decode_pos; /**< offset of the first byte not decoded yet */
-	size_t write_pos;  /**< offset after the last received byte */
+	size_t decode_pos;  /**< offset of the first byte not decoded yet */
+	size_t write_pos;   /**< offset after the last received byte */
+	uint32_t max_bytes; /**< larger envelopes are invalid; FRAME_MAX_BYTES by default */
 	bool invalid; /**< true when frame_decoder_next() has returned FRAME_INVALID, which every
 			 further call returns too */
 } frame_decoder_t;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -18,6 +18,7 @@
 #include <tevent.h>
 
 #include "clock.h"
+#include "log.h"
 #include "mono_timer.h"
 
 #define LISTEN_BACKLOG 1024
@@ -25,6 +26,19 @@
  * this. */
 #define DAEMON_RUN_PERIOD_MAX_MS 1000
 
+/* Memory that libmicrohttpd allocates for a connection, and what is charged for one: that, its
+ * descriptor and the states that belong to it. */
+#define CONNECTION_POOL_BYTES ((size_t)32 * 1024)
+#define CONNECTION_BYTES (CONNECTION_POOL_BYTES + 2048)
+/* Memory of the copy of a header beside its name and value. */
+#define HEADER_BYTES 96
+/* Part of the allowed connections that is kept free, as a divisor: stalled ones are closed for
+ * that.
+ */
+#define FREE_CONNECTIONS_DIVISOR 16
+#define REFUSED_RETRY_AFTER_S "2"
+#define REFUSAL_LOG_PERIOD_US (1 * US_PER_S)
+
 /* State that a server shares with its requests. Reference-counted, because requests can outlive the
  * server. */
 typedef struct http_server_shared {
@@ -39,6 +53,13 @@
 	char *value;
 } header_copy_t;
 
+/* A connection and what it holds. */
+typedef struct {
+	http_holder_t holder; /* first member, so that a holder can be cast to its connection */
+	struct http_request *request; /* the request that is being received; NULL: none */
+	int fd;
+} server_connection_t;
+
 struct http_request {
 	LIST_ENTRY(http_request) suspended_link;
 	server_shared_t *shared;
@@ -46,7 +67,14 @@
 	 * outlive the server. */
 	http_server_t *server;
 	struct MHD_Connection *connection; /* NULL once the connection is closed */
-	pthread_t thread;		   /* thread that runs the server */
+	server_connection_t *holds;	   /* its account; NULL once the connection is closed */
+	size_t header_bytes;
+	size_t kept_bytes;     /* what its handler keeps of the body, see
+				  http_request_replace_body() */
+	size_t response_bytes; /* size of the reply's body */
+	size_t orphan_bytes;   /* what it holds since its connection was closed */
+	bool refused;	       /* there was no memory for it; what comes of it is dropped */
+	pthread_t thread;      /* thread that runs the server */
 	char *method;
 	char *path;
 	char *query;
@@ -176,6 +204,193 @@
 		server->malformed++;
 }
 
+/* --- memory of clients --- */
+
+static void count_refusal(http_server_t *server, http_refused_t cause)
+{
+	static const char *const texts[] = {
+		[HTTP_REFUSED_BODY] = "request refused, no memory for it",
+		[HTTP_REFUSED_CONNECTION] = "connection refused, no memory for it",
+		[HTTP_REFUSED_STALLED] = "stalled connection closed for others",
+	};
+	uint64_t now_us = clock_now_us();
+	char used[24];
+
+	server->refused[cause]++;
+	if (server->refused_total[cause] != NULL)
+		metrics_add(server->refused_total[cause], 1);
+	if (now_us < server->refusal_logged_us + REFUSAL_LOG_PERIOD_US)
+		return;
+	server->refusal_logged_us = now_us;
+	g_snprintf(used, sizeof(used), "%zu", server->budget.used / 1024);
+	log_event(G_LOG_LEVEL_MESSAGE,
+		  LOG_FIELDS("server", server->config.name != NULL ? server->config.name : "",
+			     "used_kib", used),
+		  "%s", texts[cause]);
+}
+
+static void set_held(http_server_t *server, server_connection_t *connection, size_t held)
+{
+	http_budget_set(&server->budget, &connection->holder, held);
+	if (server->memory_used != NULL)
+		metrics_set(server->memory_used, server->budget.used);
+}
+
+static void drop_body(http_request_t *request)
+{
+	g_byte_array_unref(request->body);
+	request->body = g_byte_array_new();
+}
+
+/* Closes a stalled connection. What it holds is given back at once; libmicrohttpd notices the end
+ * of the connection when it runs next. */
+static void close_stalled(http_server_t *server, server_connection_t *connection)
+{
+	count_refusal(server, HTTP_REFUSED_STALLED);
+	if (connection->request != NULL) {
+		connection->request->refused = true;
+		drop_body(connection->request);
+	}
+	connection->holder.may_give_way = false;
+	set_held(server, connection, 0);
+	shutdown(connection->fd, SHUT_RDWR);
+}
+
+/* Lets the connection hold that many bytes, for which stalled ones are closed if necessary. @return
+ * false: there is no room for them */
+static bool make_room(http_server_t *server, server_connection_t *connection, size_t held)
+{
+	while (!http_budget_fits(&server->budget, &connection->holder, held)) {
+		http_holder_t *stalled =
+			http_budget_choose(&server->budget, &connection->holder, clock_now_us());
+
+		if (stalled == NULL)
+			return false;
+		close_stalled(server, (server_connection_t *)stalled);
+	}
+	set_held(server, connection, held);
+	return true;
+}
+
+/* @return memory that a body of that length takes; a GByteArray grows by powers of two */
+static size_t body_bytes(size_t length)
+{
+	size_t bytes = 16;
+
+	while (bytes < length)
+		bytes *= 2;
+	return bytes;
+}
+
+/* @return what the request holds itself, without its connection */
+static size_t request_bytes(const http_request_t *request)
+{
+	size_t body = request->body->len > 0 ? body_bytes(request->body->len) : 0;
+
+	return request->header_bytes + body + request->kept_bytes;
+}
+
+/* Refuses the request, whose end is awaited before it is answered. */
+static void refuse_request(http_server_t *server, http_request_t *request)
+{
+	count_refusal(server, HTTP_REFUSED_BODY);
+	request->refused = true;
+	drop_body(request);
+	set_held(server, request->holds, CONNECTION_BYTES);
+}
+
+static void add_to_body(http_server_t *server, http_request_t *request, const char *data,
+			size_t length)
+{
+	size_t body = body_bytes(request->body->len + length);
+
+	http_budget_received(&server->budget, &request->holds->holder, length, clock_now_us());
+	if (request->refused || request->body_too_large)
+		return;
+	if (request->body->len + length > server->config.body_limit) {
+		request->body_too_large = true;
+		drop_body(request);
+		set_held(server, request->holds, CONNECTION_BYTES + request->header_bytes);
+	} else if (!make_room(server, request->holds,
+			      CONNECTION_BYTES + request->header_bytes + body)) {
+		refuse_request(server, request);
+	} else {
+		g_byte_array_append(request->body, (const guint8 *)data, (guint)length);
+	}
+}
+
+/* Keeps some of the allowed connections free, and asks for the memory of a further one. */
+static enum MHD_Result on_accept(void *cls, const struct sockaddr *address, socklen_t length)
+{
+	http_server_t *server = cls;
+	unsigned limit = server->config.connection_limit;
+	server_connection_t added = {0};
+	http_holder_t *stalled;
+
+	if (server->budget.limit == 0)
+		return MHD_YES;
+	if (server->connections >= limit - limit / FREE_CONNECTIONS_DIVISOR) {
+		stalled = http_budget_choose(&server->budget, NULL, clock_now_us());
+		if (stalled != NULL)
+			close_stalled(server, (server_connection_t *)stalled);
+	}
+	if (make_room(server, &added, CONNECTION_BYTES)) {
+		set_held(server, &added, 0);
+		return MHD_YES;
+	}
+	count_refusal(server, HTTP_REFUSED_CONNECTION);
+	return MHD_NO;
+}
+
+static void on_connection(void *cls, struct MHD_Connection *connection, void **socket_context,
+			  enum MHD_ConnectionNotificationCode code)
+{
+	http_server_t *server = cls;
+	server_connection_t *holds;
+
+	switch (code) {
+	case MHD_CONNECTION_NOTIFY_STARTED:
+		holds = g_new0(server_connection_t, 1);
+		holds->fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+				    ->connect_fd;
+		http_budget_add(&server->budget, &holds->holder, clock_now_us());
+		set_held(server, holds, CONNECTION_BYTES);
+		server->connections++;
+		*socket_context = holds;
+		break;
+	case MHD_CONNECTION_NOTIFY_CLOSED:
+		holds = *socket_context;
+		set_held(server, holds, 0);
+		http_budget_remove(&server->budget, &holds->holder);
+		server->connections--;
+		g_free(holds);
+		*socket_context = NULL;
+		break;
+	}
+}
+
+static void init_budget(http_server_t *server)
+{
+	static const char *const causes[] = {
+		[HTTP_REFUSED_BODY] = "request",
+		[HTTP_REFUSED_CONNECTION] = "connection",
+		[HTTP_REFUSED_STALLED] = "stalled",
+	};
+	const http_server_config_t *config = &server->config;
+	g_autofree char *label = g_strdup_printf("server=\"%s\"", config->name);
+
+	http_budget_init(&server->budget, config->memory_limit);
+	if (config->metrics == NULL)
+		return;
+	server->memory_used = metrics_counter(config->metrics, "http_memory_bytes", label);
+	for (size_t i = 0; i < HTTP_REFUSED_COUNT; i++) {
+		g_autofree char *labels = g_strdup_printf("%s,cause=\"%s\"", label, causes[i]);
+
+		server->refused_total[i] =
+			metrics_counter(config->metrics, "http_refused_total", labels);
+	}
+}
+
 /* --- requests --- */
 
 static enum MHD_Result reply_error(struct MHD_Connection *connection, unsigned status,
@@ -189,17 +404,29 @@
 		return MHD_NO;
 	MHD_add_response_header(response, "Lavenderpass-Outcome", "not-run");
 	MHD_add_response_header(response, "Connection", "close");
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		MHD_add_response_header(response, "Retry-After", REFUSED_RETRY_AFTER_S);
 	result = MHD_queue_response(connection, status, response);
 	MHD_destroy_response(response);
 	return result;
 }
 
+static enum MHD_Result reply_refused(struct MHD_Connection *connection)
+{
+	return reply_error(connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+			   "too many large requests at the same time\n");
+}
+
 static void watch_for_disconnect(http_server_t *server, http_request_t *request);
 
 static enum MHD_Result queue_reply(http_server_t *server, http_request_t *request)
 {
 	struct MHD_Response *response = request->response;
 
+	drop_body(request);
+	request->kept_bytes = 0;
+	set_held(server, request->holds,
+		 CONNECTION_BYTES + request->header_bytes + request->response_bytes);
 	if (server->draining && MHD_get_response_header(response, "Connection") == NULL)
 		MHD_add_response_header(response, "Connection", "close");
 	return MHD_queue_response(request->connection, request->status, response);
@@ -211,12 +438,25 @@
 	http_request_t *request = cls;
 	header_copy_t copy = {.name = g_strdup(name), .value = g_strdup(value ? value : "")};
 
+	request->header_bytes += HEADER_BYTES + strlen(name) + (value != NULL ? strlen(value) : 0);
 	g_array_append_val(request->headers, copy);
 	return MHD_YES;
 }
 
+/* True when more is held than the limit allows: replies are sent whatever they hold. */
+static bool is_over_budget(const http_server_t *server)
+{
+	return server->budget.limit > 0 && server->budget.used > server->budget.limit;
+}
+
 static enum MHD_Result call_handler(http_server_t *server, http_request_t *request)
 {
+	if (is_over_budget(server)) {
+		refuse_request(server, request);
+		return reply_refused(request->connection);
+	}
+	request->holds->holder.may_give_way = false;
+	http_budget_progress(&server->budget, &request->holds->holder, clock_now_us());
 	request->passed_to_handler = true;
 	request->in_handler = true;
 	server->handler(server->handler_arg, request);
@@ -246,6 +486,10 @@
 		MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
 
 	request->connection = connection;
+	request->holds = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+				 ->socket_context;
+	request->holds->request = request;
+	http_budget_progress(&server->budget, &request->holds->holder, clock_now_us());
 	request->method = g_strdup(method);
 	request->counted_as_open = true;
 	server->open_requests++;
@@ -256,7 +500,10 @@
 	if (length != NULL && g_ascii_strtoull(length, NULL, 10) > server->config.body_limit)
 		return reply_error(connection, 413, "the body is larger than the limit\n");
 	MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header, request);
-	return MHD_YES;
+	if (make_room(server, request->holds, CONNECTION_BYTES + request->header_bytes))
+		return MHD_YES;
+	refuse_request(server, request);
+	return reply_refused(connection);
 }
 
 static enum MHD_Result on_access(void *cls, struct MHD_Connection *connection, const char *url,
@@ -271,16 +518,14 @@
 	if (request->connection == NULL)
 		return start_request(server, request, connection, method);
 	if (*upload_data_size > 0) {
-		if (request->body->len + *upload_data_size > server->config.body_limit)
-			request->body_too_large = true;
-		else
-			g_byte_array_append(request->body, (const guint8 *)upload_data,
-					    (guint)*upload_data_size);
+		add_to_body(server, request, upload_data, *upload_data_size);
 		*upload_data_size = 0;
 		return MHD_YES;
 	}
 	if (request->response != NULL)
 		return queue_reply(server, request);
+	if (request->refused)
+		return reply_refused(connection);
 	if (request->body_too_large)
 		return reply_error(connection, 413, "the body is larger than the limit\n");
 	return call_handler(server, request);
@@ -302,6 +547,20 @@
 		fn(request->disconnect_arg);
 }
 
+static void set_orphaned(http_server_t *server, size_t bytes)
+{
+	http_budget_set(&server->budget, &server->orphans, bytes);
+}
+
+/* The connection may be used for another request, or is about to be closed. */
+static void release_request(http_server_t *server, server_connection_t *holds)
+{
+	holds->request = NULL;
+	holds->holder.may_give_way = true;
+	set_held(server, holds, CONNECTION_BYTES);
+	http_budget_progress(&server->budget, &holds->holder, clock_now_us());
+}
+
 static void on_request_completed(void *cls, struct MHD_Connection *connection, void **con_cls,
 				 enum MHD_RequestTerminationCode code)
 {
@@ -314,11 +573,16 @@
 	if (request->counted_as_open)
 		server->open_requests--;
 	TALLOC_FREE(request->disconnect_watch);
+	if (request->holds != NULL)
+		release_request(server, request->holds);
+	request->holds = NULL;
 	request->connection = NULL;
 	if (!request->passed_to_handler || request->response != NULL) {
 		request_free(request);
 		return;
 	}
+	request->orphan_bytes = request_bytes(request);
+	set_orphaned(server, server->orphans.held + request->orphan_bytes);
 	call_disconnect_fn(request);
 }
 
@@ -395,6 +659,19 @@
 	return request->body->data;
 }
 
+bool http_request_replace_body(http_request_t *request, size_t bytes)
+{
+	size_t others = CONNECTION_BYTES + request->header_bytes;
+
+	drop_body(request);
+	if (request->connection == NULL)
+		return true;
+	if (!make_room(request->server, request->holds, others + bytes))
+		return false;
+	request->kept_bytes = bytes;
+	return true;
+}
+
 void http_request_for_each_header(http_request_t *request,
 				  void (*fn)(void *arg, const char *name, const char *value),
 				  void *arg)
@@ -436,6 +713,8 @@
 	}
 	request->disconnect_fn = NULL;
 	if (request->connection == NULL) {
+		set_orphaned(request->server,
+			     request->server->orphans.held - request->orphan_bytes);
 		request_free(request);
 		return;
 	}
@@ -463,6 +742,7 @@
 	server_shared_t *shared = request->shared;
 
 	request->status = status;
+	request->response_bytes = length;
 	if (pthread_equal(pthread_self(), request->thread) && shared->server != NULL) {
 		request->response = response;
 		if (!request->in_handler)
@@ -551,14 +831,15 @@
 {
 	const http_server_config_t *config = &server->config;
 
-	return MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
-				config->port, NULL, NULL, on_access, server,
-				MHD_OPTION_EXTERNAL_LOGGER, on_library_log, server,
-				MHD_OPTION_LISTEN_SOCKET, listener, MHD_OPTION_CONNECTION_LIMIT,
-				config->connection_limit, MHD_OPTION_CONNECTION_TIMEOUT,
-				config->idle_timeout_s, MHD_OPTION_NOTIFY_COMPLETED,
-				on_request_completed, server, MHD_OPTION_URI_LOG_CALLBACK, on_uri,
-				server, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+	return MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, config->port,
+		on_accept, server, on_access, server, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		CONNECTION_POOL_BYTES, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
+		MHD_OPTION_EXTERNAL_LOGGER, on_library_log, server, MHD_OPTION_LISTEN_SOCKET,
+		listener, MHD_OPTION_CONNECTION_LIMIT, config->connection_limit,
+		MHD_OPTION_CONNECTION_TIMEOUT, config->idle_timeout_s, MHD_OPTION_NOTIFY_COMPLETED,
+		on_request_completed, server, MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
+		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 }
 
 int http_server_init(http_server_t *server, struct tevent_context *ev,
@@ -570,6 +851,7 @@
 
 	*server = (http_server_t){
 		.ev = ev, .handler = handler, .handler_arg = arg, .config = *config};
+	init_budget(server);
 	listener = open_listener(config, true);
 	if (listener < 0)
 		return -1;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -4,7 +4,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "http_budget.h"
 #include "mailbox.h"
+#include "metrics.h"
 
 /**
  * @file
@@ -30,8 +32,23 @@
 	size_t body_limit;
 	unsigned connection_limit;
 	unsigned idle_timeout_s; /**< time without activity after which a connection is closed */
+	/**
+	 * Limit of the memory that clients make the server hold, in bytes; 0: no limit. Requests
+	 * that exceed it are answered 503, and connections that have stalled are closed for others.
+	 */
+	size_t memory_limit;
+	metrics_t *metrics; /**< gets counters of what was refused and closed; NULL: none */
+	const char *name;   /**< value of the label "server" of these counters */
 } http_server_config_t;
 
+/** Why a server turned a client away. */
+typedef enum {
+	HTTP_REFUSED_BODY,	 /**< no memory for a request's headers or body: answered 503 */
+	HTTP_REFUSED_CONNECTION, /**< no memory for a further connection: closed at once */
+	HTTP_REFUSED_STALLED,	 /**< a stalled connection was closed to make room */
+	HTTP_REFUSED_COUNT,
+} http_refused_t;
+
 /** A header of a request or response. */
 typedef struct {
 	const char *name;
@@ -57,6 +74,13 @@
 	 */
 	struct http_server_shared *shared;
 	uint64_t malformed; /**< number of requests rejected as malformed */
+	http_budget_t budget;
+	http_holder_t orphans; /**< requests whose clients have disconnected before the reply */
+	unsigned connections;
+	uint64_t refused[HTTP_REFUSED_COUNT];
+	metrics_counter_t *refused_total[HTTP_REFUSED_COUNT]; /**< NULL without metrics */
+	metrics_counter_t *memory_used;
+	uint64_t refusal_logged_us; /**< time of the latest log line about clients turned away */
 } http_server_t;
 
 /** Starts listening. @return 0, or -1 with errno set, for example when the port is in use */
@@ -95,6 +119,12 @@
  * @param length set to the length of the body in bytes
  */
 const void *http_request_body(const http_request_t *request, size_t *length);
+/**
+ * Frees the body, for a handler that has decoded it and keeps bytes of that until the reply.
+ * @return false when there is no room for them; the handler then has to drop them and refuse the
+ * request
+ */
+bool http_request_replace_body(http_request_t *request, size_t bytes);
 /** Calls fn for each header, with its name as received. */
 void http_request_for_each_header(http_request_t *request,
 				  void (*fn)(void *arg, const char *name, const char *value),
--- a/src/peer.c
+++ b/src/peer.c
@@ -23,6 +23,8 @@
 /* Maximum number of accepted connections that have not sent a Hello yet. Further connections are
  * closed at once. */
 #define ACCEPTED_PENDING_MAX 128
+/* Maximum size of a Hello: a few names, addresses and numbers. */
+#define HELLO_MAX_BYTES 4096
 
 /* Interval at which the members' connections are checked ahead of other events. Far below the
  * leader lease, and long enough that the checks take little of a slow core. */
@@ -415,6 +417,7 @@
 	peer->accepted_connection_number = hello->connection;
 	peer->accepted = accepted;
 	accepted->peer = peer;
+	accepted->conn->decoder.max_bytes = FRAME_MAX_BYTES;
 	set->pending_count--;
 	set_dial_back_address(set, peer);
 	send_hello(set, accepted->conn, 0);
@@ -574,6 +577,8 @@
 		accepted->last_frame_us = clock_now_us();
 		accepted->conn = peer_conn_accepted(set, ev, fd, set->config.timeout_ms,
 						    &accepted_callbacks, &set->counters, accepted);
+		/* A stranger cannot make this process hold more than a Hello needs. */
+		accepted->conn->decoder.max_bytes = HELLO_MAX_BYTES;
 		set->pending_count++;
 		TAILQ_INSERT_TAIL(&set->accepted, accepted, link);
 	}
--- a/src/process.h
+++ b/src/process.h
@@ -30,7 +30,8 @@
 	uint32_t seeds[PROCESS_SEEDS_MAX]; /**< node ids of recent core processes that the process
 					      connects to */
 	size_t seed_count;
-	bool bootstrap; /**< true when the whole cluster starts for the first time */
+	bool bootstrap;	     /**< true when the whole cluster starts for the first time */
+	uint32_t memory_mib; /**< memory that the process may use */
 	/** Number of machines with a disk that can be lost at the same time. */
 	uint32_t tolerated_machine_losses;
 	char *policy_service_address; /**< IP:port of the queues' policy service; NULL: none */
--- a/src/serve.c
+++ b/src/serve.c
@@ -34,6 +34,8 @@
 /* Maximum age of a connection to a target. An older connection is replaced, because a connection
  * can stop responding without being closed. Also the idle timeout of the HTTP server. */
 #define CONNECTION_AGE_MAX_S 60
+/* Each I/O thread has memory for at least this many of the largest bodies. */
+#define BODIES_PER_THREAD_MIN ((size_t)4)
 /* Minimum time between two proposals of this process's member record. */
 #define MEMBER_PROPOSAL_INTERVAL_US (2 * US_PER_S)
 
@@ -185,17 +187,22 @@
 		.control_arg = node,
 	};
 	uint16_t port;
+	size_t memory;
 
 	if (settings_split_address(settings->listen_http, ip, sizeof(ip), &port) != 0)
 		return -1;
 	if (http_server_check_address(ip, port) != 0)
 		return -1;
+	memory = (size_t)settings->limits.client_memory_mib * 1024 * 1024 / settings->threads;
 	config.server = (http_server_config_t){
 		.address = ip,
 		.port = port,
 		.body_limit = settings->limits.body_bytes,
 		.connection_limit = settings->limits.connections,
 		.idle_timeout_s = CONNECTION_AGE_MAX_S,
+		.memory_limit = MAX(memory, BODIES_PER_THREAD_MIN * settings->limits.body_bytes),
+		.metrics = node->metrics,
+		.name = "http",
 	};
 	node->threads = talloc_zero_array(node->ev, io_thread_t *, settings->threads);
 	for (unsigned i = 0; i < settings->threads; i++) {
--- a/src/settings.c
+++ b/src/settings.c
@@ -29,6 +29,7 @@
 typedef struct {
 	uint32_t *body_bytes;
 	uint32_t *connections;
+	uint32_t *client_memory_mib;
 	uint32_t *snapshot_entries;
 	uint32_t *claim_retention_s;
 } raw_limits_t;
@@ -102,6 +103,7 @@
 	TIMING(drain_grace_ms, 0, MS_PER_HOUR, 30000),
 	LIMIT(body_bytes, 1024, 64 << 20, 1 << 20),
 	LIMIT(connections, 8, 65536, 1024),
+	LIMIT(client_memory_mib, 1, 65536, 64),
 	LIMIT(snapshot_entries, 10, 1000000, 2000),
 	LIMIT(claim_retention_s, 60, 30 * 86400, 86400),
 };
@@ -146,8 +148,9 @@
 
 #define LIMIT_FIELD(name) CYAML_FIELD_UINT_PTR(#name, CYAML_FLAG_OPTIONAL, raw_limits_t, name)
 static const cyaml_schema_field_t limits_fields[] = {
-	LIMIT_FIELD(body_bytes),	LIMIT_FIELD(connections), LIMIT_FIELD(snapshot_entries),
-	LIMIT_FIELD(claim_retention_s), CYAML_FIELD_END,
+	LIMIT_FIELD(body_bytes),	LIMIT_FIELD(connections),
+	LIMIT_FIELD(snapshot_entries),	LIMIT_FIELD(claim_retention_s),
+	LIMIT_FIELD(client_memory_mib), CYAML_FIELD_END,
 };
 
 static const cyaml_schema_field_t peer_fields[] = {
--- a/src/settings.h
+++ b/src/settings.h
@@ -36,6 +36,10 @@
 typedef struct {
 	uint32_t body_bytes;  /**< maximum size of a request body; default 1 MiB */
 	uint32_t connections; /**< maximum number of connections per I/O thread; default 1,024 */
+	uint32_t client_memory_mib; /**< memory that clients may make the process hold: open
+				       connections, requests and replies; default 64. Each I/O
+				       thread gets an equal part, but at least four times
+				       body_bytes */
 	uint32_t snapshot_entries;  /**< number of applied log entries between snapshots; default
 				       2,000 */
 	uint32_t claim_retention_s; /**< time for which idempotency keys are remembered; default
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -123,6 +123,25 @@
 	return 0;
 }
 
+/* Guards against a number of active tasks that does not follow the jobs: submissions are refused by
+ * it when the memory for tasks is used up. */
+static void test_active_tasks_are_counted(void **state)
+{
+	submit("a", 5, false);
+	submit("b", 7, false);
+	assert_int_equal(batch.active_tasks, 12);
+	reload();
+	assert_int_equal(batch.active_tasks, 12);
+	for (uint32_t i = 0; i < 5; i++) {
+		apply_start("a", i, 1, "vm", 1);
+		apply_finished_run("a", i, 1, "vm", i + 1, LP__BATCH_END_KIND__BATCH_END_DONE);
+	}
+	assert_int_equal(job_state("a"), BATCH_JOB_COMPLETE);
+	assert_int_equal(batch.active_tasks, 7);
+	reload();
+	assert_int_equal(batch.active_tasks, 7);
+}
+
 /* Guards against creating a second job from a repeated submission. */
 static void test_repeated_submission_creates_one_job(void **state)
 {
@@ -640,6 +659,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_active_tasks_are_counted, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_repeated_submission_creates_one_job, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_start_intents_of_former_leaders_are_ignored,
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -69,6 +69,7 @@
 		.body_limit = 1000,
 		.connection_limit = 50,
 		.idle_timeout_s = 10,
+		.memory_limit = 16 << 20,
 	};
 
 	f->ev = tevent_context_init(NULL);
@@ -377,6 +378,12 @@
 	assert_int_equal(http_call_verdict(&f->result), VERDICT_NOT_RUN);
 }
 
+static void set_flag(struct tevent_context *ev, struct tevent_timer *timer, struct timeval now,
+		     void *arg)
+{
+	*(bool *)arg = true;
+}
+
 static void exchange_raw(fixture_t *f, const char *text, char *response, size_t size)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(server_port)};
@@ -418,6 +425,110 @@
 	assert_null(f->held_request);
 }
 
+/* Runs the server until nothing has happened for 20 ms. */
+static void run_until_quiet(fixture_t *f)
+{
+	bool quiet = false;
+
+	while (!quiet) {
+		struct tevent_timer *timer = tevent_add_timer(
+			f->ev, f->ev, tevent_timeval_current_ofs(0, 20000), set_flag, &quiet);
+
+		tevent_loop_once(f->ev);
+		if (!quiet)
+			talloc_free(timer);
+	}
+}
+
+/* Runs the server until it has no connections, for 5 s at most. */
+static void wait_for_no_connections(fixture_t *f)
+{
+	for (unsigned i = 0; i < 250 && f->server.connections > 0; i++)
+		run_until_quiet(f);
+	assert_int_equal(f->server.connections, 0);
+}
+
+static int send_raw(const char *text)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons(server_port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+	return fd;
+}
+
+/* Guards against memory that stays charged after a request has ended: served, refused as too large,
+ * malformed, cut off by the client in its headers, its body, a chunk, or while it is handled. */
+static void test_what_requests_hold_is_given_back(void **state)
+{
+	static const char *const texts[] = {
+		"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: a\r\nX: ",
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\nbody",
+		"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n1",
+		"GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+	};
+	fixture_t *f = *state;
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(texts); i++) {
+		int fd;
+
+		f->hold_requests = i >= G_N_ELEMENTS(texts);
+		f->held_request = NULL;
+		fd = send_raw(texts[i % G_N_ELEMENTS(texts)]);
+		run_until_quiet(f);
+		if (f->server.connections > 0)
+			assert_true(f->server.budget.used > 0);
+		close(fd);
+		run_until_quiet(f);
+		/* The client has left, and what its requests hold is still charged. */
+		while (f->held_request != NULL) {
+			http_request_t *held = f->held_request;
+
+			assert_true(f->server.budget.used > 0);
+			f->held_request = NULL;
+			http_request_reply(held, 200, NULL, 0, NULL, 0);
+			run_until_quiet(f);
+		}
+		wait_for_no_connections(f);
+		if (f->server.budget.used != 0)
+			fail_msg("%zu bytes are still charged after request %zu",
+				 f->server.budget.used, i);
+	}
+}
+
+/* Guards against a budget that is exceeded, and against an ordinary request that is refused, while
+ * others have sent all but the end of their bodies. */
+static void test_stalled_bodies_do_not_exceed_the_budget(void **state)
+{
+	fixture_t *f = *state;
+	GString *text = g_string_new("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n");
+	int fds[40];
+
+	f->server.budget.limit = 20 * (34 * 1024 + 1200);
+	for (unsigned i = 0; i < 900; i++)
+		g_string_append_c(text, 'x');
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = send_raw(text->str);
+		run_until_quiet(f);
+		assert_true(f->server.budget.used <= f->server.budget.limit);
+	}
+	assert_true(f->server.refused[HTTP_REFUSED_CONNECTION] > 0);
+	g_usleep(HTTP_BUDGET_STALL_US + 100000);
+	exchange(f, server_port, "/", "body", true);
+	assert_int_equal(f->result.status, 200);
+	assert_true(f->server.refused[HTTP_REFUSED_STALLED] > 0);
+	assert_true(f->server.budget.used <= f->server.budget.limit);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	wait_for_no_connections(f);
+	g_string_free(text, TRUE);
+}
+
 #define CASE(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
 
 int main(void)
@@ -433,6 +544,8 @@
 		CASE(test_partial_response_is_not_complete),
 		CASE(test_progress_timeout_and_refused_connection),
 		CASE(test_malformed_input_is_answered_and_counted),
+		CASE(test_what_requests_hold_is_given_back),
+		CASE(test_stalled_bodies_do_not_exceed_the_budget),
 	};
 
 	server_port = lib_port_find_unused();
