--- a/review/standins-3/fleet.c
+++ b/review/standins-3/fleet.c
@@ -21,6 +21,9 @@
 
 /* A script ends after this time at the latest. */
 #define LONGEST_S 110
+#define TICK_MS 5
+/* The tail of a task that serves is a mean of the last half second. */
+#define TAIL_SAMPLES (500 / TICK_MS)
 #define CONTROL_PORT 8623
 #define FRONT_PORT 8624
 #define READY_PORT 8622
@@ -53,6 +56,11 @@
 	bool lasts;
 	bool gang;
 	bool reported_unasked;
+	bool fills;
+	double worked_ms; /**< work that is done, in ms at full pace */
+	unsigned pace;	  /**< in percent */
+	unsigned next_pace;
+	uint64_t next_pace_us; /**< time from which next_pace holds; 0: none */
 } run_t;
 
 typedef struct {
@@ -77,9 +85,12 @@
 	uint64_t beat_us;
 	bool is_down; /* it has crashed */
 	char control[64];
-	GPtrArray *runs;   /* of run_t */
-	GHashTable *ended; /* task -> highest run that was stopped or has ended */
-	GArray *ends;	   /* of end_t */
+	GPtrArray *runs;	    /* of run_t */
+	GHashTable *ended;	    /* task -> highest run that was stopped or has ended */
+	GArray *ends;		    /* of end_t */
+	double tails[TAIL_SAMPLES]; /* of the task that serves, at the latest ticks */
+	unsigned tail_at;
+	uint64_t over_us; /* time since which the tail is over the goal; 0: it is not */
 	unsigned lives;
 };
 
@@ -90,6 +101,7 @@
 static GCond changed;
 static FILE *record;
 static uint64_t started_us;
+static uint64_t ticked_us; /* time of the latest tick */
 static char subnet[24];
 static char *folder;
 static pid_t core_pids[CORES];
@@ -367,8 +379,11 @@
 		end_any(run, "stopped");
 		return true;
 	}
-	if (run->state == RUN_WORKS && !run->lasts &&
-	    at_us >= run->since_us + run->job->work_ms * 1000ULL) {
+	if (run->next_pace_us != 0 && at_us >= run->next_pace_us) {
+		run->pace = run->next_pace;
+		run->next_pace_us = 0;
+	}
+	if (run->state == RUN_WORKS && !run->lasts && run->worked_ms >= run->job->work_ms) {
 		end_any(run, "done");
 		return true;
 	}
@@ -394,6 +409,69 @@
 	record_line("the gang %s works, run %" PRId64, run->step, run->number);
 }
 
+static run_t *find_serving(const worker_t *worker)
+{
+	for (guint i = 0; i < worker->runs->len; i++) {
+		run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (step_number(run, "goalMs") > 0 && run->state == RUN_WORKS)
+			return run;
+	}
+	return NULL;
+}
+
+static double mean_tail_ms(const worker_t *worker)
+{
+	double sum = 0;
+
+	for (unsigned i = 0; i < TAIL_SAMPLES; i++)
+		sum += worker->tails[i];
+	return sum / TAIL_SAMPLES;
+}
+
+/* The tasks that fill disturb the one that serves, by as much as they work. */
+static void tick_tail(worker_t *worker, uint64_t at_us)
+{
+	const run_t *serving = find_serving(worker);
+	double tail_ms = config.tail_ms;
+	unsigned working = 0;
+
+	for (guint i = 0; i < worker->runs->len; i++) {
+		const run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (!run->fills || run->state != RUN_WORKS)
+			continue;
+		tail_ms += config.disturb_ms * run->pace / 100.0;
+		working += run->pace > 0;
+	}
+	worker->tails[worker->tail_at++ % TAIL_SAMPLES] = tail_ms;
+	if (serving == NULL || working == 0 ||
+	    mean_tail_ms(worker) <= (double)step_number(serving, "goalMs")) {
+		worker->over_us = 0;
+		return;
+	}
+	if (worker->over_us == 0)
+		worker->over_us = at_us;
+	if ((at_us - worker->over_us) / 1000 <= seen.harm_ms)
+		return;
+	seen.harm_ms = (at_us - worker->over_us) / 1000;
+	if (seen.harm_ms % 1000 < TICK_MS)
+		record_line("%s: %s is over its goal for %" PRIu64 " ms on end, the tail is %.0f "
+			    "ms, %u tasks that fill work beside it",
+			    worker->id, serving->task, seen.harm_ms, mean_tail_ms(worker), working);
+}
+
+static void tick_work(worker_t *worker, uint64_t at_us)
+{
+	for (guint i = 0; i < worker->runs->len; i++) {
+		run_t *run = g_ptr_array_index(worker->runs, i);
+
+		if (run->state == RUN_WORKS)
+			run->worked_ms += (double)(at_us - MAX(run->since_us, ticked_us)) / 1000 *
+					  run->pace / 100;
+	}
+}
+
 static void tick_worker(worker_t *worker)
 {
 	bool again;
@@ -402,6 +480,8 @@
 		while (worker->runs->len > 0)
 			end_any(g_ptr_array_index(worker->runs, 0), "lapsed");
 	}
+	tick_work(worker, now_us());
+	tick_tail(worker, now_us());
 	do {
 		again = false;
 		for (guint i = 0; i < worker->runs->len && !again; i++)
@@ -415,8 +495,9 @@
 		g_mutex_lock(&lock);
 		for (unsigned i = 0; i < config.workers; i++)
 			tick_worker(&workers[i]);
+		ticked_us = now_us();
 		g_mutex_unlock(&lock);
-		g_usleep(5000);
+		sleep_ms(TICK_MS);
 	}
 	return NULL;
 }
@@ -452,13 +533,13 @@
 
 static bool has_room(const worker_t *worker, const run_t *added)
 {
-	int64_t cpu = step_number(added, "cpu");
+	int64_t cpu = added->fills ? 0 : step_number(added, "cpu");
 	int64_t mem = step_number(added, "memMb");
 
 	for (guint i = 0; i < worker->runs->len; i++) {
 		const run_t *run = g_ptr_array_index(worker->runs, i);
 
-		cpu += step_number(run, "cpu");
+		cpu += run->fills ? 0 : step_number(run, "cpu");
 		mem += step_number(run, "memMb");
 	}
 	return cpu <= config.cpu_milli && mem <= config.mem_mib;
@@ -487,6 +568,8 @@
 	run->spec = json_array_get(run->job->steps, (size_t)atoi(parts[2]));
 	run->gang = json_is_true(json_object_get(run->spec, "gang"));
 	run->lasts = json_is_true(json_object_get(run->spec, "longRunning"));
+	run->fills = json_is_true(json_object_get(run->spec, "fills"));
+	run->pace = 100;
 	return run->spec != NULL;
 }
 
@@ -568,6 +651,30 @@
 	return accept_call(worker, reply);
 }
 
+static int answer_pace(worker_t *worker, const json_t *body, json_t **reply)
+{
+	const char *task = json_string_value(json_object_get(body, "task"));
+	run_t *run = task != NULL ? find_run(worker, task) : NULL;
+
+	if (field(body, "fence") < worker->fence)
+		return refuse(worker, "fence", reply);
+	worker->fence = field(body, "fence");
+	if (run != NULL && run->number == field(body, "runId")) {
+		run->next_pace = (unsigned)field(body, "percent");
+		run->next_pace_us = now_us() + PACE_MS * 1000;
+		seen.paces++;
+	}
+	return accept_call(worker, reply);
+}
+
+/* @return the rough figure of a row: the tail of a task that serves, else the CPU in use */
+static json_int_t load_figure(const run_t *run)
+{
+	if (step_number(run, "goalMs") > 0)
+		return (json_int_t)mean_tail_ms(run->worker);
+	return (json_int_t)(step_number(run, "cpu") * run->pace / 100);
+}
+
 static json_t *list_running(const worker_t *worker)
 {
 	json_t *rows = json_array();
@@ -576,12 +683,13 @@
 		const run_t *run = g_ptr_array_index(worker->runs, i);
 		uint64_t age_ms = (now_us() - run->since_us) / 1000;
 		uint64_t percent = run->lasts ? (age_ms > 500 ? 100 : 50)
-					      : MIN(99, age_ms * 100 / MAX(1, run->job->work_ms));
+					      : MIN(99, (uint64_t)(run->worked_ms * 100 /
+								   MAX(1, run->job->work_ms)));
 
 		json_array_append_new(
 			rows, json_pack("[s,I,s,I,I]", run->task, (json_int_t)run->number, "",
 					(json_int_t)(run->state == RUN_WAITS ? 0 : percent),
-					(json_int_t)step_number(run, "cpu")));
+					load_figure(run)));
 	}
 	return rows;
 }
@@ -644,7 +752,7 @@
 	else if (strcmp(path, "/hold") == 0)
 		status = answer_hold(worker, body, reply);
 	else if (strcmp(path, "/pace") == 0)
-		status = accept_call(worker, reply);
+		status = answer_pace(worker, body, reply);
 	g_mutex_unlock(&lock);
 	return status;
 }
@@ -1039,9 +1147,9 @@
 {
 	record_line("workers: %u starts, %u rejected; ends: %u done, %u stopped, %u alone, %u "
 		    "broken, %u lapsed; %u at the same time as another run; %u runs after the "
-		    "cancelling; %u calls for advice, %u of them refused",
+		    "cancelling; %u calls for advice; %u paces",
 		    seen.starts, seen.rejected, seen.done, seen.stopped, seen.alone, seen.broken,
-		    seen.lapsed, seen.twice, seen.unasked, seen.advise_calls, seen.advise_refused);
+		    seen.lapsed, seen.twice, seen.unasked, seen.advise_calls, seen.paces);
 	for (unsigned i = 0; i < CORES; i++)
 		end_process(core_pids[i]);
 	end_process(edge_pid);
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -28,6 +28,8 @@
 	unsigned decide_ms;	/**< policy service: time for a call */
 	unsigned per_worker_ms; /**< and for each worker named in it */
 	unsigned valid_ms;	/**< validity of a ticket */
+	double tail_ms;		/**< tail of a task that serves, alone on its worker */
+	double disturb_ms;	/**< what each task that fills adds to it at full pace */
 	unsigned ticket_length; /**< characters of a ticket */
 } fleet_config_t;
 
@@ -60,6 +62,8 @@
 	unsigned twice;	     /**< a task had two runs at the same time */
 	unsigned unasked;    /**< runs after the cancelling of their job, see RULES.md */
 	uint64_t unasked_ms; /**< latest such run, after the acknowledgement */
+	uint64_t harm_ms;    /**< longest time for which a task was over its goal on end */
+	unsigned paces;
 	unsigned advise_calls;
 	unsigned advise_refused;
 } fleet_seen_t;
@@ -73,6 +77,8 @@
 	CANCEL_MS = 3000,
 	STOP_MS = 200,
 	FINISH_MS = 14000,
+	PACE_MS = 100,
+	IMPACT_MS = 4000,
 };
 
 void record_line(const char *format, ...) G_GNUC_PRINTF(1, 2);
--- a/review/standins-3/play.c
+++ b/review/standins-3/play.c
@@ -132,6 +132,36 @@
 	return strcmp(job->state, "failed") == 0 ? 1 : job->running == 1 ? 0 : 2;
 }
 
+/* HARM: tasks that fill come all the time, on a service whose workers all run a task that serves.
+ */
+static int play_harm(void)
+{
+	json_t *steps = one_step(3, 8000, 60000);
+	json_t *step = json_array_get(steps, 0);
+	play_job_t *serving;
+
+	json_object_set_new(step, "longRunning", json_true());
+	json_object_set_new(step, "antiAffinity", json_integer(1));
+	json_object_set_new(step, "goalMs", json_integer(100));
+	json_object_set_new(step, "image", json_string("image-a"));
+	serving = client_submit(PREFIX, steps, 60000, false);
+	if (!wait_running(serving, 3, 8000))
+		return 2;
+	sleep_ms(3000);
+	for (unsigned i = 0; i < number("JOBS", 100); i++) {
+		json_t *filling = one_step(number("WIDTH", 6), 1000, 800);
+
+		json_object_set_new(json_array_get(filling, 0), "fills", json_true());
+		json_object_set_new(json_array_get(filling, 0), "image", json_string("image-b"));
+		if (has_trouble())
+			client_submit(PREFIX, filling, 800, false);
+		sleep_ms(number("EACH", 250));
+	}
+	record_line("the task that serves was over its goal for %" PRIu64 " ms on end",
+		    seen.harm_ms);
+	return seen.harm_ms > IMPACT_MS ? 1 : 0;
+}
+
 /* LOST: the policy service gives long tickets. */
 static int play_ticket(void)
 {
@@ -170,6 +200,10 @@
 		 play_cancel_gang,
 		 false,
 		 {.workers = 3, .answer_ms = 2, .stop_ms = 150, .stop_waits = true}},
+		{"harm",
+		 play_harm,
+		 false,
+		 {.workers = 3, .answer_ms = 2, .stop_ms = 50, .tail_ms = 40, .disturb_ms = 8}},
 		{"ticket",
 		 play_ticket,
 		 true,
