--- a/review/standins-3/play.c
+++ b/review/standins-3/play.c
@@ -27,8 +27,8 @@
 
 static json_t *one_step(unsigned count, unsigned cpu, unsigned estimate_ms)
 {
-	return json_pack("[{s:i,s:i,s:i,s:i}]", "count", (int)count, "cpu", (int)cpu, "memMb", 256,
-			 "estimateMs", (int)estimate_ms);
+	return json_pack("[{s:i,s:i,s:i,s:i}]", "count", (int)count, "cpu", (int)cpu, "memMb",
+			 cpu < 100 ? 8 : 256, "estimateMs", (int)estimate_ms);
 }
 
 static json_t *gang_step(unsigned count, unsigned cpu, unsigned estimate_ms)
@@ -162,6 +162,44 @@
 	return seen.harm_ms > IMPACT_MS ? 1 : 0;
 }
 
+/* @return number of accepted jobs that have had nothing running for 3 s and are not complete */
+static unsigned count_idle(GPtrArray *jobs)
+{
+	unsigned idle = 0;
+
+	for (guint i = 0; i < jobs->len; i++) {
+		play_job_t *job = g_ptr_array_index(jobs, i);
+
+		client_read(job);
+		idle += job->accepted_us != 0 && strcmp(job->state, "complete") != 0 &&
+			job->running == 0 && now_us() > job->idle_since_us + 3000000;
+	}
+	return idle;
+}
+
+/* LOST: some jobs come at once to a queue whose starts need tickets. */
+static int play_advice(void)
+{
+	unsigned count = number("JOBS", 12);
+	GPtrArray *list = g_ptr_array_new();
+	unsigned idle = 0;
+
+	for (unsigned i = 0; i < count; i++) {
+		g_ptr_array_add(list, client_submit(PREFIX, one_step(4, 2000, 800), 800, true));
+		sleep_ms(has_trouble() ? 20 : 2000);
+	}
+	record_line("the traffic has ended");
+	sleep_ms(FINISH_MS);
+	for (unsigned i = 0; i < number("LOOKS", 8); i++) {
+		idle = count_idle(list);
+		record_line("%u of %u jobs have had nothing running for 3 s", idle, count);
+		if (idle == 0)
+			break;
+		sleep_ms(5000);
+	}
+	return idle > 0 ? 1 : 0;
+}
+
 /* LOST: the policy service gives long tickets. */
 static int play_ticket(void)
 {
@@ -200,6 +238,15 @@
 		 play_cancel_gang,
 		 false,
 		 {.workers = 3, .answer_ms = 2, .stop_ms = 150, .stop_waits = true}},
+		{"advice",
+		 play_advice,
+		 true,
+		 {.workers = 12,
+		  .answer_ms = 2,
+		  .stop_ms = 50,
+		  .decide_ms = 600,
+		  .per_worker_ms = 50,
+		  .valid_ms = 3000}},
 		{"harm",
 		 play_harm,
 		 false,
@@ -227,6 +274,7 @@
 		config.racks = 2;
 		config.answer_ms = number("ANSWER", config.answer_ms);
 		config.stop_ms = number("STOP", config.stop_ms);
+		config.decide_ms = number("DECIDE", config.decide_ms);
 		config.ticket_length = has_trouble() ? number("TICKET", config.ticket_length) : 16;
 		config.stop_waits = number("STOP_WAITS", config.stop_waits) != 0;
 		if (fleet_start(&config, argv[2]) &&
