--- a/review/standins-3/fleet.c
+++ b/review/standins-3/fleet.c
@@ -265,6 +265,12 @@
 	return (int)status;
 }
 
+/* @return the worker's kind: the first worker is of another one than the others */
+static const char *worker_kind(const worker_t *worker)
+{
+	return worker == &workers[0] ? "b" : "a";
+}
+
 /* --- runs of a worker; the lock is held --- */
 
 static int64_t worker_clock_ms(const worker_t *worker)
@@ -770,14 +776,14 @@
 	}
 	rows = json_array();
 	for (unsigned i = 0; i < config.workers; i++)
-		json_array_append_new(rows,
-				      json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:I,s:I,s:i},s:s}",
-						"machine", workers[i].machine, "pool", SERVICE,
-						"state", workers[i].is_down ? "down" : "up", "zone",
-						"z1", "labels", "a", workers[i].rack, "capacity",
-						"cpu", (json_int_t)config.cpu_milli, "memMb",
-						(json_int_t)config.mem_mib, "gpu", 0, "id",
-						workers[i].is_down ? "" : workers[i].id));
+		json_array_append_new(
+			rows,
+			json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:I,s:I,s:i},s:s}", "machine",
+				  workers[i].machine, "pool", SERVICE, "state",
+				  workers[i].is_down ? "down" : "up", "zone", "z1", "labels",
+				  worker_kind(&workers[i]), workers[i].rack, "capacity", "cpu",
+				  (json_int_t)config.cpu_milli, "memMb", (json_int_t)config.mem_mib,
+				  "gpu", 0, "id", workers[i].is_down ? "" : workers[i].id));
 	*reply = json_pack("{s:o}", "machines", rows);
 	return 200;
 }
@@ -848,9 +854,10 @@
 			    "service", SERVICE, "addr", worker->address, "machine", worker->machine,
 			    "zone", "z1", "version", "v1", "slots", 8, "state", "ready",
 			    "warmupLeftMs", 0, "capacity", "cpu", (json_int_t)config.cpu_milli,
-			    "memMb", (json_int_t)config.mem_mib, "gpu", 0, "labels", "a",
-			    worker->rack, "clockMs", (json_int_t)worker_clock_ms(worker), "seq",
-			    (json_int_t)++worker->seq, "born", (json_int_t)worker->born_ms);
+			    "memMb", (json_int_t)config.mem_mib, "gpu", 0, "labels",
+			    worker_kind(worker), worker->rack, "clockMs",
+			    (json_int_t)worker_clock_ms(worker), "seq", (json_int_t)++worker->seq,
+			    "born", (json_int_t)worker->born_ms);
 	body = json_dumps(message, JSON_COMPACT);
 	json_decref(message);
 	for (unsigned attempt = 0; attempt < CORES; attempt++) {
--- a/review/standins-3/play.c
+++ b/review/standins-3/play.c
@@ -50,6 +50,30 @@
 	return false;
 }
 
+/* LOST: a job with a long task, for which one worker has the label. */
+static int play_long(void)
+{
+	unsigned work_ms = (has_trouble() ? number("WORK_S", 400) : 100) * 1000;
+	json_t *steps = one_step(1, 4000, work_ms);
+	uint64_t longest_us = 0;
+	play_job_t *job;
+
+	json_object_set_new(json_array_get(steps, 0), "constraints", json_string("b"));
+	job = client_submit(PREFIX, steps, work_ms, false);
+	sleep_ms(FINISH_MS);
+	record_line("finish_s is over, the job has been started %u times", job->starts);
+	for (unsigned i = 0; i < 300; i++) {
+		if (job->running == 0)
+			longest_us = MAX(longest_us, now_us() - job->idle_since_us);
+		sleep_ms(100);
+	}
+	client_read(job);
+	record_line("the job is %s after %u starts, and had nothing running for %" PRIu64
+		    " ms on end",
+		    job->state, job->starts, longest_us / 1000);
+	return longest_us > 3000000 ? 1 : job->starts > 0 ? 0 : 2;
+}
+
 /* GANG: a gang that is wider than a few workers' starts at a time. */
 static int play_wide_gang(void)
 {
@@ -225,6 +249,7 @@
 int main(int argc, char **argv)
 {
 	const case_t cases[] = {
+		{"long", play_long, false, {.workers = 3, .answer_ms = 2, .stop_ms = 50}},
 		{"wide-gang",
 		 play_wide_gang,
 		 false,
