--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 # run. TROUBLE=0: the same without the disruption. Build first: the deploy file, review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lavenderpass ] && [ -x target/review-3/play ] || exit 2
-exec target/review-3/play ticket review/15/record.txt
+exec target/review-3/play cancel review/15/record.txt
