--- a/review/standins-3/fleet.c
+++ b/review/standins-3/fleet.c
@@ -796,6 +796,15 @@
 	return config.ticket_length > 0 ? text : "ticket-1";
 }
 
+/* True when the caller has closed its connection. */
+static bool has_hung_up(struct MHD_Connection *connection)
+{
+	int fd = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 /* Handles one call at a time, in turn; with 32 that wait, it answers 429. */
 static int answer_policy(void *arg, struct MHD_Connection *connection, const char *method,
 			 const char *path, const json_t *body, json_t **reply)
@@ -821,6 +830,14 @@
 	record_line("advice about %s is asked, %u calls wait", step, policy_waiting);
 	while (policy_turn != turn && !stopping)
 		g_cond_wait_until(&changed, &lock, g_get_monotonic_time() + 20000);
+	if (config.drops_calls && has_hung_up(connection)) {
+		policy_waiting--;
+		policy_turn++;
+		g_cond_broadcast(&changed);
+		record_line("advice about %s: the caller has hung up", step);
+		g_mutex_unlock(&lock);
+		return NO_ANSWER;
+	}
 	g_mutex_unlock(&lock);
 	sleep_ms(config.decide_ms + config.per_worker_ms * (unsigned)count);
 	g_mutex_lock(&lock);
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -27,6 +27,7 @@
 	bool stop_waits;	/**< a stop is answered once it has taken place */
 	unsigned decide_ms;	/**< policy service: time for a call */
 	unsigned per_worker_ms; /**< and for each worker named in it */
+	bool drops_calls;	/**< it leaves out calls whose caller has hung up */
 	unsigned valid_ms;	/**< validity of a ticket */
 	double tail_ms;		/**< tail of a task that serves, alone on its worker */
 	double disturb_ms;	/**< what each task that fills adds to it at full pace */
--- a/review/standins-3/play.c
+++ b/review/standins-3/play.c
@@ -299,6 +299,7 @@
 		config.racks = 2;
 		config.answer_ms = number("ANSWER", config.answer_ms);
 		config.stop_ms = number("STOP", config.stop_ms);
+		config.drops_calls = number("DROPS", 1) != 0;
 		config.decide_ms = number("DECIDE", config.decide_ms);
 		config.ticket_length = has_trouble() ? number("TICKET", config.ticket_length) : 16;
 		config.stop_waits = number("STOP_WAITS", config.stop_waits) != 0;
