--- a/review/standins-4/play.c
+++ b/review/standins-4/play.c
@@ -2,11 +2,11 @@
  * Stand-ins of the fourth review: workers, the platform, the operator and clients on loopback, with
  * the project's own programs as separate processes between them. Started by the run.sh of a case:
  *
- *	play CASE	CASE: numbers, short-tickets, slow-advice, removed-route,
+ *	play CASE RECORD	CASE: numbers, short-tickets, slow-advice, removed-route,
  *			same-host, nested-route
  *
- * TROUBLE=0 leaves the disruption out. Writes record.txt into the present folder. Exits with 1 when
- * the rule was broken, 0 when it held, 2 when the case could not run.
+ * TROUBLE=0 leaves the disruption out. Writes what was sent, answered and run to the file RECORD. Exits
+ * with 1 when the rule was broken, 0 when it held, 2 when the case could not run.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -1346,10 +1346,10 @@
 	int status = 2;
 
 	signal(SIGPIPE, SIG_IGN);
-	if (argc != 2)
+	if (argc != 3)
 		return 2;
 	start_ms = now_ms();
-	record = fopen("record.txt", "w");
+	record = fopen(argv[2], "w");
 	if (record == NULL || readlink("/proc/self/exe", root_dir, sizeof(root_dir) - 1) < 0)
 		return 2;
 	/* The program is ROOT/target/review-4/play. */
