tests: lib_roles starts the platform roles

Cause: test_cluster_crowd had the only code that starts core and edge processes without VMs, as static functions; tests of routes need the same.

No check of test_cluster_crowd is changed.

--- a/tests/test_cluster_crowd.c
+++ b/tests/test_cluster_crowd.c
@@ -11,20 +11,13 @@
 
 #include <cmocka.h>
 
-#include <fcntl.h>
-#include <signal.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <sys/stat.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <glib.h>
-#include <glib/gstdio.h>
 
 #include "lib_cluster.h"
 #include "lib_crowd.h"
+#include "lib_roles.h"
 
 /* `serve` with its default settings. */
 #define SERVE_CLIENTS 200
@@ -39,8 +32,6 @@
 #define CORE_MEMORY_MIB 96
 /* Descriptors that a process needs beside those of the crowd. */
 #define OWN_DESCRIPTORS 100
-#define CORES 3
-#define START_MAX_MS 30000
 #define SAMPLE_US 50000
 #define STEADY_SAMPLES 16
 #define SETTLE_SAMPLES_MAX 400
@@ -115,161 +106,32 @@
 
 /* --- platform roles --- */
 
-typedef struct {
-	pid_t pid;
-	char ip[32];
-	char *settings;
-	char *data_dir;
-	char *url;
-} role_process_t;
-
-static char dir[64];
-static unsigned network;
-static unsigned port_base;
-static role_process_t cores[CORES];
-static role_process_t edge;
-
-static void write_settings(const role_process_t *process, bool core)
-{
-	g_autofree char *text = g_strdup_printf(
-		"nodeName=%s\nip=%s\nzone=z\nportRange=%u,%u\nseeds=127.%u.1.1:%u,127.%u.1.2:%u,"
-		"127.%u.1.3:%u\nbootstrap=true\nheartbeatMs=500\nfaultTolerance.machines=1\n"
-		"limits.memoryMb=%d\nlimits.maxFds=4096\n",
-		process->ip, process->ip, port_base, port_base + 9, network, port_base + 12,
-		network, port_base + 12, network, port_base + 12,
-		core ? CORE_MEMORY_MIB : EDGE_MEMORY_MIB);
-	g_autofree char *role =
-		core ? g_strdup_printf("dataDir=%s\nlisten.control=%s:%u\n", process->data_dir,
-				       process->ip, port_base + 12)
-		     : g_strdup_printf("listen.front=%s:%u\nlisten.ready=%s:%u\n", process->ip,
-				       port_base + 10, process->ip, port_base + 11);
-	g_autofree char *all = g_strconcat(text, role, NULL);
-
-	assert_true(g_file_set_contents(process->settings, all, -1, NULL));
-}
-
-static void start_role(role_process_t *process, const char *role)
-{
-	const char *build = getenv("LAVENDERPASS_BUILD");
-	g_autofree char *program =
-		g_strdup_printf("%s/lavenderpass", build != NULL ? build : "build/release");
-	g_autofree char *log = g_strconcat(process->settings, ".log", NULL);
-
-	process->pid = fork();
-	assert_true(process->pid >= 0);
-	if (process->pid == 0) {
-		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
-
-		dup2(fd, STDOUT_FILENO);
-		dup2(fd, STDERR_FILENO);
-		setenv("LAVENDERPASS_SETTINGS", process->settings, 1);
-		execl(program, "lavenderpass", role, (char *)NULL);
-		_exit(127);
-	}
-}
-
-static void init_role(role_process_t *process, bool core, unsigned number)
-{
-	g_snprintf(process->ip, sizeof(process->ip), "127.%u.%d.%u", network, core ? 1 : 2, number);
-	process->settings = g_strdup_printf("%s/%s", dir, process->ip);
-	process->data_dir = g_strdup_printf("%s/data-%s", dir, process->ip);
-	process->url = g_strdup_printf("http://%s:%u", process->ip, port_base + (core ? 12 : 10));
-	write_settings(process, core);
-	start_role(process, core ? "core" : "edge");
-}
-
-static json_t *make_config(void)
-{
-	return json_pack("{s:i, s:[{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f}], s:[{s:s, s:b, s:b}]}",
-			 "version", 1, "routes", "name", "q", "host", edge.ip, "prefix", "/q/",
-			 "service", "svc", "timeoutMs", 3000, "sloMs", 600, "attempts", 3,
-			 "stretch", 1.6, "services", "name", "svc", "admissionCheck", 1, "standby",
-			 0);
-}
-
-static bool put_config(void *arg)
-{
-	json_t *config = make_config();
-	long status = 0;
-
-	json_decref(cluster_http("PUT", cores[0].url, "/config", config, &status));
-	json_decref(config);
-	return status == 200;
-}
-
-static bool edge_answers(void *arg)
-{
-	long status = 0;
-
-	json_decref(cluster_http("GET", edge.url, "/q/", NULL, &status));
-	return status == 200;
-}
-
-/* @return the core process that leads */
-static const role_process_t *find_leader(void)
-{
-	for (unsigned i = 0; i < CORES; i++) {
-		long status = 0;
-
-		json_decref(cluster_http("GET", cores[i].url, "/config", NULL, &status));
-		if (status == 200)
-			return &cores[i];
-	}
-	return NULL;
-}
-
-static bool has_leader(void *arg)
-{
-	return find_leader() != NULL;
-}
+static roles_t roles;
 
 static int start_roles(void **state)
 {
-	network = 10 + (unsigned)getpid() % 200;
-	port_base = 20000 + (unsigned)(getpid() % 1000) * 20;
-	g_snprintf(dir, sizeof(dir), "/tmp/lp-crowd-XXXXXX");
-	if (g_mkdtemp(dir) == NULL)
-		return -1;
-	for (unsigned i = 0; i < CORES; i++)
-		init_role(&cores[i], true, i + 1);
-	init_role(&edge, false, 1);
-	return cluster_wait_until(put_config, NULL, START_MAX_MS) &&
-			       cluster_wait_until(edge_answers, NULL, START_MAX_MS) &&
-			       cluster_wait_until(has_leader, NULL, START_MAX_MS)
-		       ? 0
-		       : -1;
-}
+	const roles_config_t config = {.core_memory_mib = CORE_MEMORY_MIB,
+				       .edge_memory_mib = EDGE_MEMORY_MIB};
 
-static void stop_role(role_process_t *process)
-{
-	kill(process->pid, SIGKILL);
-	waitpid(process->pid, NULL, 0);
-	g_free(process->settings);
-	g_free(process->data_dir);
-	g_free(process->url);
+	return roles_start(&roles, &config);
 }
 
 static int stop_roles(void **state)
 {
-	g_autofree char *command = g_strdup_printf("rm -rf '%s'", dir);
-
-	for (unsigned i = 0; i < CORES; i++)
-		stop_role(&cores[i]);
-	stop_role(&edge);
-	return system(command) == 0 ? 0 : -1;
+	return roles_stop(&roles);
 }
 
 /* Guards against an edge process that needs more than its machine's memory for what clients send.
  */
 static void test_edge_bears_a_crowd(void **state)
 {
-	const subject_t subject = {.pid = edge.pid,
-				   .url = edge.url,
+	const subject_t subject = {.pid = roles.edge.pid,
+				   .url = roles.edge.url,
 				   .method = "GET",
 				   .path = "/q/",
 				   .memory_mib = EDGE_MEMORY_MIB};
-	crowd_config_t crowd = {.ip = edge.ip,
-				.port = (uint16_t)(port_base + 10),
+	crowd_config_t crowd = {.ip = roles.edge.ip,
+				.port = roles.front_port,
 				.method = "POST",
 				.path = "/q/0000000000000001",
 				.kind = *(const crowd_kind_t *)*state,
@@ -282,9 +144,9 @@
 /* Guards against the same of a core process, whose control port operators and VMs use. */
 static void test_core_bears_a_crowd(void **state)
 {
-	const role_process_t *leader = find_leader();
+	const role_process_t *leader = roles_find_leader(&roles);
 	subject_t subject = {.method = "GET", .path = "/config", .memory_mib = CORE_MEMORY_MIB};
-	crowd_config_t crowd = {.port = (uint16_t)(port_base + 12),
+	crowd_config_t crowd = {.port = roles.control_port,
 				.method = "PUT",
 				.path = "/config",
 				.kind = *(const crowd_kind_t *)*state,
