batch_lookup: a queue takes no calls for a removed queue below it

Cause: all that follows the prefix of the longest matching queue was taken as the job's id, of which only the length was checked, and an accepted job was looked up by this id instead of the path where it was accepted.

Change: batch_lookup finds the job that was accepted at exactly the host and path, else the queue of the configuration, if nothing or 16 hexadecimal digits follow its prefix. Other calls have no queue (404). A repeated submission of an accepted job is answered 200 when its queue is gone. Hosts of jobs and queues are matched without regard to letter case everywhere. A submission applied behind one with its id from another queue is refused.

--- a/src/batch_apply.c
+++ b/src/batch_apply.c
@@ -146,8 +146,14 @@
 	batch_job_t *job;
 
 	remove_expired_jobs(state, wall_ms);
-	if (batch_state_job(state, spec->id) != NULL)
+	job = batch_state_job(state, spec->id);
+	if (job != NULL) {
+		/* Two submissions with the same id were on their way at the same time. */
+		if (!batch_same_place(job->spec->host, job->spec->prefix, spec->host, spec->prefix))
+			set_result(result, LP__RESULT_CODE__RESULT_CONFLICT,
+				   "another queue has a job with this id");
 		return;
+	}
 	if (batch_job_check(spec) != NULL) {
 		set_result(result, LP__RESULT_CODE__RESULT_INVALID, batch_job_check(spec));
 		return;
@@ -169,8 +175,8 @@
 {
 	batch_job_t *job = batch_state_job(state, cancel->id);
 
-	if (job == NULL || strcmp(job->spec->host, cancel->host) != 0 ||
-	    strcmp(job->spec->prefix, cancel->prefix) != 0 ||
+	if (job == NULL ||
+	    !batch_same_place(job->spec->host, job->spec->prefix, cancel->host, cancel->prefix) ||
 	    !batch_job_open_to(job, cancel->organisation)) {
 		set_result(result, LP__RESULT_CODE__RESULT_NOT_FOUND, "no such job");
 		return;
--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <talloc.h>
 
+#include "batch_lookup.h"
 #include "batch_node_internal.h"
 #include "clock.h"
 #include "log.h"
@@ -96,12 +97,6 @@
 	return pending;
 }
 
-static bool job_is_in_queue(const batch_job_t *job, const Lp__BatchQueue *queue)
-{
-	return strcmp(job->spec->host, queue->host) == 0 &&
-	       strcmp(job->spec->prefix, queue->prefix) == 0;
-}
-
 static void log_refusal(const batch_node_t *node, const Lp__BatchQueue *queue, const char *job_id,
 			const batch_admit_input_t *input, const batch_admission_t *admission)
 {
@@ -209,24 +204,25 @@
 }
 
 static void handle_submit(batch_node_t *node, const Lp__BatchCall *call,
-			  const Lp__BatchQueue *queue, const char *organisation, const char *job_id,
+			  const batch_lookup_t *found, const char *organisation,
 			  batch_reply_fn done, void *arg)
 {
-	const batch_job_t *existing = batch_state_job(&node->state, job_id);
+	const Lp__BatchQueue *queue = found->queue;
+	const char *job_id = found->job_id;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	Lp__BatchJob job;
 
-	if (existing != NULL) {
+	if (found->job != NULL) {
 		reply_with_answer(call->seq,
-				  job_is_in_queue(existing, queue) &&
-						  batch_job_open_to(existing, organisation)
+				  batch_job_open_to(found->job, organisation)
 					  ? LP__BATCH_ANSWER__BATCH_ANSWER_OK
 					  : LP__BATCH_ANSWER__BATCH_ANSWER_INVALID,
 				  0, done, arg);
 		return;
 	}
-	if (call->job == NULL || strlen(job_id) >= VM_NAME_MAX ||
-	    batch_job_check(call->job) != NULL) {
+	/* A job with the id was accepted at another path. */
+	if (job_id[0] == '\0' || batch_state_job(&node->state, job_id) != NULL ||
+	    call->job == NULL || batch_job_check(call->job) != NULL) {
 		reply_with_answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_INVALID, 0, done, arg);
 		return;
 	}
@@ -251,15 +247,16 @@
 }
 
 static void handle_cancel(batch_node_t *node, const Lp__BatchCall *call,
-			  const Lp__BatchQueue *queue, const char *organisation, const char *job_id,
+			  const batch_lookup_t *found, const char *organisation,
 			  batch_reply_fn done, void *arg)
 {
+	const char *job_id = found->job_id;
 	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
 	Lp__BatchCancel message = LP__BATCH_CANCEL__INIT;
 
 	message.id = (char *)job_id;
-	message.host = queue->host;
-	message.prefix = queue->prefix;
+	message.host = found->queue->host;
+	message.prefix = found->queue->prefix;
 	message.organisation = (char *)organisation;
 	command.body_case = LP__BATCH_COMMAND__BODY_CANCEL;
 	command.cancel = &message;
@@ -283,41 +280,24 @@
 }
 
 static void reply_with_state(batch_node_t *node, const Lp__BatchCall *call,
-			     const Lp__BatchQueue *queue, const char *organisation,
-			     const char *job_id, batch_reply_fn done, void *arg)
+			     const batch_lookup_t *found, const char *organisation,
+			     batch_reply_fn done, void *arg)
 {
 	Lp__BatchReply reply = LP__BATCH_REPLY__INIT;
-	const batch_job_t *job = batch_state_job(&node->state, job_id);
 
 	reply.seq = call->seq;
-	if (job_id[0] == '\0') {
+	if (found->job_id[0] == '\0') {
 		reply.is_pending = true;
-		reply.pending = batch_queued_count(&node->queued, &node->state, queue,
+		reply.pending = batch_queued_count(&node->queued, &node->state, found->queue,
 						   clock_wall_ms(), clock_now_us());
-	} else if (job == NULL || !job_is_in_queue(job, queue) ||
-		   !batch_job_open_to(job, organisation)) {
+	} else if (found->job == NULL || !batch_job_open_to(found->job, organisation)) {
 		reply.answer = LP__BATCH_ANSWER__BATCH_ANSWER_NO_JOB;
 	} else {
-		reply.state = (char *)job_state_name(node, job);
+		reply.state = (char *)job_state_name(node, found->job);
 	}
 	done(arg, &reply);
 }
 
-/* True for a repeated submission whose first copy was accepted before the queue was removed. */
-static bool was_accepted(const batch_node_t *node, const Lp__BatchCall *call)
-{
-	const char *slash = strrchr(call->path, '/');
-	const batch_job_t *job = slash != NULL ? batch_state_job(&node->state, slash + 1) : NULL;
-	size_t prefix_length;
-
-	if (call->kind != LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT || !call->resent || job == NULL)
-		return false;
-	prefix_length = strlen(job->spec->prefix);
-	return g_ascii_strcasecmp(job->spec->host, call->host) == 0 &&
-	       strncmp(call->path, job->spec->prefix, prefix_length) == 0 &&
-	       strcmp(call->path + prefix_length, job->spec->id) == 0;
-}
-
 /* True when an earlier copy of the call may have been accepted with the key that is unknown now. */
 static bool maybe_accepted(const batch_node_t *node, const Lp__BatchCall *call, const char *job_id)
 {
@@ -326,11 +306,23 @@
 		g_hash_table_contains(node->submitting, job_id));
 }
 
+/* Replies to a call for which the configuration has no queue. A submission that is repeated is
+ * still answered as accepted: another answer would say that the job does not run. */
+static void reply_without_queue(const Lp__BatchCall *call, const batch_lookup_t *found,
+				batch_reply_fn done, void *arg)
+{
+	bool accepted = call->kind == LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT && found->job != NULL;
+
+	reply_with_answer(call->seq,
+			  accepted ? LP__BATCH_ANSWER__BATCH_ANSWER_OK
+				   : LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE,
+			  0, done, arg);
+}
+
 void batch_node_handle_call(batch_node_t *node, const Lp__BatchCall *call, batch_reply_fn done,
 			    void *arg)
 {
-	const Lp__BatchQueue *queue;
-	const char *job_id;
+	batch_lookup_t found;
 	org_caller_t caller;
 
 	if (!batch_node_is_active_leader(node)) {
@@ -343,21 +335,16 @@
 				  "the leader has no configuration yet", done, arg);
 		return;
 	}
-	queue = batch_state_match_queue(&node->state, call->host, call->path);
-	if (queue == NULL) {
-		reply_with_answer(call->seq,
-				  was_accepted(node, call)
-					  ? LP__BATCH_ANSWER__BATCH_ANSWER_OK
-					  : LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE,
-				  0, done, arg);
+	found = batch_lookup(&node->state, call->host, call->path);
+	if (found.queue == NULL) {
+		reply_without_queue(call, &found, done, arg);
 		return;
 	}
-	job_id = call->path + strlen(queue->prefix);
-	caller = org_access_identify(&node->access, node->state.config, queue, &call->key_digest,
-				     clock_now_us(), clock_wall_ms());
+	caller = org_access_identify(&node->access, node->state.config, found.queue,
+				     &call->key_digest, clock_now_us(), clock_wall_ms());
 	if (!caller.known) {
 		reply_with_reason(call->seq,
-				  maybe_accepted(node, call, job_id)
+				  maybe_accepted(node, call, found.job_id)
 					  ? LP__BATCH_ANSWER__BATCH_ANSWER_UNKNOWN
 					  : LP__BATCH_ANSWER__BATCH_ANSWER_UNAUTHORISED,
 				  0, "the key is of no organisation", done, arg);
@@ -365,14 +352,14 @@
 	}
 	switch (call->kind) {
 	case LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT:
-		handle_submit(node, call, queue, caller.organisation, job_id, done, arg);
+		handle_submit(node, call, &found, caller.organisation, done, arg);
 		break;
 	case LP__BATCH_CALL_KIND__BATCH_CALL_CANCEL:
-		handle_cancel(node, call, queue, caller.organisation, job_id, done, arg);
+		handle_cancel(node, call, &found, caller.organisation, done, arg);
 		break;
 	case LP__BATCH_CALL_KIND__BATCH_CALL_STATE:
 	case _LP__BATCH_CALL_KIND_IS_INT_SIZE:
-		reply_with_state(node, call, queue, caller.organisation, job_id, done, arg);
+		reply_with_state(node, call, &found, caller.organisation, done, arg);
 		break;
 	}
 }
--- a/src/batch_queued.c
+++ b/src/batch_queued.c
@@ -1,7 +1,5 @@
 #include "batch_queued.h"
 
-#include <string.h>
-
 void batch_queued_init(batch_queued_t *queued, batch_job_begun_fn job_begun, void *arg)
 {
 	*queued = (batch_queued_t){.job_begun = job_begun, .arg = arg};
@@ -45,8 +43,8 @@
 		queued->counted_us = now_us;
 	}
 	LIST_FOREACH (accepted, &state->accepted_queues, link) {
-		if (strcmp(accepted->queue->host, queue->host) == 0 &&
-		    strcmp(accepted->queue->prefix, queue->prefix) == 0)
+		if (batch_same_place(accepted->queue->host, accepted->queue->prefix, queue->host,
+				     queue->prefix))
 			count += accepted->waiting;
 	}
 	return count;
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -363,21 +363,28 @@
 	ref->run = task->run;
 }
 
-static bool queue_matches(const char *host, const char *prefix, const Lp__BatchQueue *queue)
+bool batch_same_place(const char *host_a, const char *prefix_a, const char *host_b,
+		      const char *prefix_b)
 {
-	return strcmp(queue->host, host) == 0 && strcmp(queue->prefix, prefix) == 0;
+	return strcmp(prefix_a, prefix_b) == 0 && g_ascii_strcasecmp(host_a, host_b) == 0;
 }
 
 const Lp__BatchQueue *batch_state_find_queue(const batch_state_t *state, const char *host,
 					     const char *prefix)
 {
 	const Lp__BatchConfig *config = state->config;
+	const Lp__BatchQueue *found = NULL;
 
 	for (size_t i = 0; config != NULL && i < config->n_queues; i++) {
-		if (queue_matches(host, prefix, config->queues[i]))
-			return config->queues[i];
+		const Lp__BatchQueue *queue = config->queues[i];
+
+		if (!batch_same_place(queue->host, queue->prefix, host, prefix))
+			continue;
+		if (strcmp(queue->host, host) == 0)
+			return queue;
+		found = queue;
 	}
-	return NULL;
+	return found;
 }
 
 static bool same_settings(const Lp__BatchQueue *a, const Lp__BatchQueue *b)
@@ -386,7 +393,8 @@
 	g_autofree uint8_t *packed_a = NULL;
 	g_autofree uint8_t *packed_b = NULL;
 
-	if (!queue_matches(a->host, a->prefix, b) || lp__batch_queue__get_packed_size(b) != length)
+	if (!batch_same_place(a->host, a->prefix, b->host, b->prefix) ||
+	    lp__batch_queue__get_packed_size(b) != length)
 		return false;
 	packed_a = g_malloc(length);
 	packed_b = g_malloc(length);
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -341,7 +341,14 @@
  */
 const Lp__BatchQueue *batch_state_match_queue(const batch_state_t *state, const char *host,
 					      const char *path);
-/** @return the queue with exactly the given host and prefix, or NULL */
+/** True when queues with these hosts and prefixes take the same calls. Names of hosts have no case.
+ */
+bool batch_same_place(const char *host_a, const char *prefix_a, const char *host_b,
+		      const char *prefix_b);
+/**
+ * @return the queue with the given host and prefix, or NULL; if there are two, that whose host is
+ * written in the same way
+ */
 const Lp__BatchQueue *batch_state_find_queue(const batch_state_t *state, const char *host,
 					     const char *prefix);
 const Lp__BatchService *batch_state_service(const batch_state_t *state, const char *name);
