batch: count the tasks of a job with checked arithmetic

No accepted job got an answer any more.

Cause: batch_job_check() added tasks times occurrences in 64 bits, which wraps to 0 here. It is the only check before the commit, and applying the job asks for some 240 GiB.

Ruled out: a decoder that cuts these numbers; each of them fits its field.

--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -176,15 +176,6 @@
 /* Delay in ms after which a job may be submitted again that there was no memory for. */
 #define NO_MEMORY_DELAY_MS 3000
 
-static uint64_t count_tasks(const Lp__BatchJob *job)
-{
-	uint64_t tasks = 0;
-
-	for (size_t i = 0; i < job->n_steps; i++)
-		tasks += (uint64_t)job->steps[i]->count * MAX(job->times, 1);
-	return tasks;
-}
-
 /* Replies to a submission that would exceed the memory for tasks. @return false when it does not */
 static bool refuse_if_full(batch_node_t *node, const Lp__BatchCall *call, const char *job_id,
 			   batch_reply_fn done, void *arg)
@@ -192,7 +183,7 @@
 	uint64_t limit = (uint64_t)node->settings->memory_mib * TASKS_PER_MIB;
 	const char *reason = "there are too many unfinished tasks";
 
-	if (node->state.active_tasks + count_tasks(call->job) <= limit)
+	if (node->state.active_tasks + batch_job_task_count(call->job) <= limit)
 		return false;
 	metrics_add(node->jobs_rejected, 1);
 	log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("request", job_id, "reason", reason),
--- a/src/batch_order.c
+++ b/src/batch_order.c
@@ -9,6 +9,8 @@
 /* A late job gets the last rank, RANK_VERY_LATE, once its expected completion time exceeds this
  * multiple of its objective. */
 #define VERY_LATE_FACTOR 3
+/* Upper limit of an objective, so that its multiple does not wrap. */
+#define OBJECTIVE_MAX_MS (UINT64_MAX / VERY_LATE_FACTOR)
 /* Part of a job's value that is the same for every job. The rest of the value is proportional to
  * the job's work. */
 #define VALUE_FIXED_SHARE 0.3
@@ -108,10 +110,14 @@
 
 uint64_t batch_objective_ms(batch_job_t *job, const Lp__BatchQueue *queue)
 {
+	uint64_t ms;
+
 	if (queue == NULL)
 		return 0;
-	return batch_critical_path_ms(job, 0, false) * queue->stretch_percent / 100 +
-	       queue->objective_ms;
+	if (!g_uint64_checked_mul(&ms, batch_critical_path_ms(job, 0, false),
+				  queue->stretch_percent))
+		return OBJECTIVE_MAX_MS;
+	return MIN(ms / 100 + queue->objective_ms, OBJECTIVE_MAX_MS);
 }
 
 /* True when the step has tasks to be placed now, if it is not blocked by other steps. */
--- a/src/batch_snapshot.c
+++ b/src/batch_snapshot.c
@@ -289,6 +289,9 @@
 {
 	batch_job_t *job;
 
+	/* Versions that let the number of tasks wrap have accepted such jobs. */
+	if (message->job != NULL && batch_job_task_count(message->job) > BATCH_TASKS_MAX)
+		return 0;
 	/* Do not check an archived job: it is saved without steps, so that batch_job_check() would
 	 * fail. */
 	if (message->job == NULL || message->state > BATCH_JOB_CANCELLED ||
--- a/src/batch_state.c
+++ b/src/batch_state.c
@@ -83,10 +83,19 @@
 	return NULL;
 }
 
-const char *batch_job_check(const Lp__BatchJob *job)
+uint64_t batch_job_task_count(const Lp__BatchJob *job)
 {
-	uint64_t tasks = 0;
+	uint64_t count = 0;
 
+	for (size_t i = 0; i < job->n_steps; i++) {
+		if (!g_uint64_checked_add(&count, count, job->steps[i]->count))
+			return UINT64_MAX;
+	}
+	return g_uint64_checked_mul(&count, count, occurrence_count(job)) ? count : UINT64_MAX;
+}
+
+const char *batch_job_check(const Lp__BatchJob *job)
+{
 	if (job->n_steps == 0)
 		return "the job has no steps";
 	for (size_t i = 0; i < job->n_steps; i++) {
@@ -94,9 +103,8 @@
 
 		if (error != NULL)
 			return error;
-		tasks += (uint64_t)job->steps[i]->count * occurrence_count(job);
 	}
-	return tasks > BATCH_TASKS_MAX ? "the job has too many tasks" : NULL;
+	return batch_job_task_count(job) > BATCH_TASKS_MAX ? "the job has too many tasks" : NULL;
 }
 
 static void init_step(batch_step_t *step, batch_job_t *job, uint32_t occurrence, uint32_t number)
@@ -300,10 +308,14 @@
 uint64_t batch_step_due_ms(const batch_step_t *step)
 {
 	const Lp__BatchJob *spec = step->job->spec;
+	uint64_t due_ms;
 
 	if (spec->times == 0)
 		return 0;
-	return spec->first_due_ms + step->occurrence * spec->interval_ms;
+	if (!g_uint64_checked_mul(&due_ms, step->occurrence, spec->interval_ms) ||
+	    !g_uint64_checked_add(&due_ms, due_ms, spec->first_due_ms))
+		return UINT64_MAX;
+	return due_ms;
 }
 
 /* --- lookups --- */
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -360,6 +360,8 @@
 /** @return the record of the VM incarnation, or NULL when it has none */
 batch_vm_t *batch_state_vm(const batch_state_t *state, const char *id, uint64_t born_ms);
 batch_wave_t *batch_state_wave(const batch_state_t *state, uint64_t number);
+/** @return number of tasks in all occurrences; UINT64_MAX: it does not fit */
+uint64_t batch_job_task_count(const Lp__BatchJob *job);
 /** @return NULL when the job is valid, or a static string that describes the error */
 const char *batch_job_check(const Lp__BatchJob *job);
 /** Updates the expected run times of the job's steps, and what follows from them. */
@@ -376,7 +378,7 @@
 bool batch_step_unblocked(const batch_step_t *step);
 /**
  * @return wall clock time in ms from which the occurrence of the step may run; 0: the job is not
- * scheduled
+ * scheduled; UINT64_MAX: never
  */
 uint64_t batch_step_due_ms(const batch_step_t *step);
 /**
--- a/tests/test_adapter.c
+++ b/tests/test_adapter.c
@@ -133,6 +133,31 @@
 	talloc_free(mem);
 }
 
+/* Guards against numbers that are cut to the width of their field, so that another job is accepted
+ * than the one that was sent. */
+static void test_numbers_out_of_range_are_rejected(void **state)
+{
+	static const char *const steps[] = {
+		"{\"count\":4294967296}",
+		"{\"count\":1,\"cpu\":4294967296}",
+		"{\"count\":1,\"memMb\":4294967297}",
+		"{\"count\":1},{\"count\":1,\"after\":[4294967296]}",
+		"{\"count\":1},{\"count\":1,\"after\":[-1]}",
+		"{\"count\":-1}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		g_autofree char *text =
+			g_strdup_printf("{\"spec\":\"x\",\"steps\":[%s]}", steps[i]);
+		void *mem = talloc_new(NULL);
+		json_t *body = parse(text);
+
+		assert_null(adapter_decode_job(mem, body));
+		json_decref(body);
+		talloc_free(mem);
+	}
+}
+
 static const char sound_report[] =
 	"{\"service\":\"s\",\"addr\":\"10.128.0.9:8080\",\"zone\":\"z\",\"machine\":\"m-1\","
 	"\"version\":\"v1\",\"slots\":8,\"state\":\"draining\",\"warmupLeftMs\":0,"
@@ -637,6 +662,7 @@
 		cmocka_unit_test(test_lost_voter_is_replaced_in_time),
 		cmocka_unit_test(test_invalid_settings_are_rejected),
 		cmocka_unit_test(test_job_is_decoded),
+		cmocka_unit_test(test_numbers_out_of_range_are_rejected),
 		cmocka_unit_test(test_malformed_reports_are_rejected),
 		cmocka_unit_test(test_malformed_machines_say_nothing),
 		cmocka_unit_test(test_malformed_hold_responses_are_rejected),
--- a/tests/test_batch_state.c
+++ b/tests/test_batch_state.c
@@ -142,6 +142,158 @@
 	assert_int_equal(batch.active_tasks, 7);
 }
 
+#define STEPS_MAX 5
+
+/* Submits a job with steps of the given numbers of tasks. */
+static Lp__ResultCode submit_counts(const char *id, const uint32_t *counts, unsigned n,
+				    uint32_t times)
+{
+	Lp__BatchStep steps[STEPS_MAX];
+	Lp__BatchStep *list[STEPS_MAX];
+	Lp__BatchJob job = LP__BATCH_JOB__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+
+	for (unsigned i = 0; i < n; i++) {
+		lp__batch_step__init(&steps[i]);
+		steps[i].count = counts[i];
+		list[i] = &steps[i];
+	}
+	job.id = (char *)id;
+	job.host = (char *)"h";
+	job.prefix = (char *)"/q/";
+	job.times = times;
+	job.steps = list;
+	job.n_steps = n;
+	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
+	command.submit = &job;
+	return apply(&command);
+}
+
+/* Guards against a job whose number of tasks wraps to a small one: it is accepted, and ends each
+ * replica that applies it. */
+static void test_jobs_whose_task_count_wraps_are_refused(void **state)
+{
+	static const struct {
+		uint32_t counts[STEPS_MAX];
+		unsigned n;
+		uint32_t times;
+	} cases[] = {
+		{{UINT32_MAX, UINT32_MAX, 2}, 3, 1U << 31},
+		{{UINT32_MAX, UINT32_MAX, 1, 1}, 4, 1U << 31},
+		{{UINT32_MAX, UINT32_MAX, 3}, 3, 1U << 31},
+		{{1U << 31, 1U << 31}, 2, 0},
+		{{UINT32_MAX, 1}, 2, UINT32_MAX},
+		{{1}, 1, UINT32_MAX},
+		{{UINT32_MAX}, 1, 0},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		assert_int_equal(submit_counts("a", cases[i].counts, cases[i].n, cases[i].times),
+				 LP__RESULT_CODE__RESULT_INVALID);
+	assert_null(batch_state_job(&batch, "a"));
+}
+
+/* Guards against numbers that are only refused in some combinations. */
+static void test_task_counts_are_checked_exactly(void **state)
+{
+	static const uint32_t numbers[] = {
+		1,     2,	 3,	   9999,     10000,	     19999,	     20000,
+		20001, 1U << 16, 1U << 30, 1U << 31, UINT32_MAX / 2, UINT32_MAX - 1, UINT32_MAX};
+	GRand *rand = g_rand_new_with_seed(17);
+
+	for (unsigned i = 0; i < 20000; i++) {
+		uint32_t counts[STEPS_MAX];
+		unsigned n = (unsigned)g_rand_int_range(rand, 1, STEPS_MAX + 1);
+		uint32_t times = numbers[g_rand_int_range(rand, 0, G_N_ELEMENTS(numbers))];
+		double tasks = 0; /* wide enough, and exact where it matters */
+		Lp__ResultCode code;
+
+		for (unsigned j = 0; j < n; j++) {
+			counts[j] = numbers[g_rand_int_range(rand, 0, G_N_ELEMENTS(numbers))];
+			tasks += (double)counts[j] * times;
+		}
+		code = submit_counts("a", counts, n, times);
+		if (tasks > BATCH_TASKS_MAX) {
+			assert_int_equal(code, LP__RESULT_CODE__RESULT_INVALID);
+			continue;
+		}
+		assert_int_equal(code, LP__RESULT_CODE__RESULT_OK);
+		assert_int_equal(batch_state_job(&batch, "a")->task_count, (int)tasks);
+		batch_state_finish(&batch);
+		assert_int_equal(set_up(NULL), 0);
+	}
+	g_rand_free(rand);
+}
+
+/* Guards against a snapshot with such a job, of a version that accepted it, which ends each replica
+ * that loads it. */
+static void test_wrapped_job_of_a_snapshot_is_dropped(void **state)
+{
+	Lp__BatchStep step = LP__BATCH_STEP__INIT;
+	Lp__BatchStep *steps[] = {&step, &step, &step, &step};
+	Lp__BatchJob jobs[] = {LP__BATCH_JOB__INIT, LP__BATCH_JOB__INIT};
+	Lp__BatchJobState states[] = {LP__BATCH_JOB_STATE__INIT, LP__BATCH_JOB_STATE__INIT};
+	Lp__BatchJobState *list[] = {&states[0], &states[1]};
+	Lp__BatchSnapshot snapshot = LP__BATCH_SNAPSHOT__INIT;
+	g_autofree uint8_t *packed = NULL;
+
+	step.count = 1U << 31;
+	jobs[0].id = (char *)"wrapped";
+	jobs[0].times = 1U << 31;
+	jobs[0].steps = steps;
+	jobs[0].n_steps = 4;
+	jobs[1].id = (char *)"ended";
+	for (unsigned i = 0; i < 2; i++) {
+		states[i].seq = i + 1;
+		states[i].job = &jobs[i];
+	}
+	states[1].state = BATCH_JOB_COMPLETE;
+	snapshot.jobs = list;
+	snapshot.n_jobs = 2;
+	packed = g_malloc(lp__batch_snapshot__get_packed_size(&snapshot));
+	assert_int_equal(
+		batch_state_load(&batch, packed, lp__batch_snapshot__pack(&snapshot, packed)), 0);
+	assert_null(batch_state_job(&batch, "wrapped"));
+	assert_non_null(batch_state_job(&batch, "ended"));
+}
+
+/* Guards against an occurrence that is due at once, as the time when it is due wraps. */
+static void test_due_times_do_not_wrap(void **state)
+{
+	static const uint64_t numbers[] = {1, 1700000000000, INT64_MAX, UINT64_MAX};
+	Lp__BatchStep step = LP__BATCH_STEP__INIT;
+	Lp__BatchStep *steps[] = {&step};
+
+	step.count = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		for (size_t j = 0; j < G_N_ELEMENTS(numbers); j++) {
+			Lp__BatchJob job = LP__BATCH_JOB__INIT;
+			Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+			const batch_job_t *accepted;
+
+			job.id = (char *)"a";
+			job.host = (char *)"h";
+			job.prefix = (char *)"/q/";
+			job.times = 4;
+			job.first_due_ms = numbers[i];
+			job.interval_ms = numbers[j];
+			job.steps = steps;
+			job.n_steps = 1;
+			command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
+			command.submit = &job;
+			assert_int_equal(apply(&command), LP__RESULT_CODE__RESULT_OK);
+			accepted = batch_state_job(&batch, "a");
+			assert_true(batch_step_due_ms(&accepted->steps[0]) == numbers[i]);
+			for (unsigned k = 1; k < 4; k++)
+				assert_true(batch_step_due_ms(&accepted->steps[k]) >=
+					    MAX(batch_step_due_ms(&accepted->steps[k - 1]),
+						numbers[j]));
+			batch_state_finish(&batch);
+			assert_int_equal(set_up(NULL), 0);
+		}
+	}
+}
+
 /* Guards against creating a second job from a repeated submission. */
 static void test_repeated_submission_creates_one_job(void **state)
 {
@@ -660,6 +812,13 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_active_tasks_are_counted, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_jobs_whose_task_count_wraps_are_refused,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_task_counts_are_checked_exactly, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_wrapped_job_of_a_snapshot_is_dropped, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_due_times_do_not_wrap, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_repeated_submission_creates_one_job, set_up,
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_start_intents_of_former_leaders_are_ignored,
