batch_ticket: renew tickets before the start instead of dropping them

Cause: a ticket was not used in its last 300 ms, which stood for the time of a commit. With a validity of 300 ms or less no ticket was ever valid.

Change: placement goes by which VMs the policy service has allowed, which does not change; only the ticket expires. When a start intent is committed, a ticket is used if it is valid for 300 ms more, or half of its validity. Otherwise the run waits (RUN_AWAITS_TICKET) for one request about all such VMs of the step, and is started when the answer arrives, or given up and placed again. The metric batch_tickets_awaited_total counts the waits. The simulated VMs check when a ticket expires.

Ruled out: answers that are lost (there is no log line of them) and tickets that VMs refuse (no start was sent). Weighed: a margin in proportion to the validity alone, which leaves out tickets that expire during a commit.

On the simulated fleet no start was refused for want of a ticket with 8 to 601 ms.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -262,12 +262,6 @@
 		leader->waiting_due_us = due_us;
 }
 
-/* True when VMs need tickets of the policy service to run the queue's steps. */
-static bool is_advised(const Lp__BatchQueue *queue)
-{
-	return queue != NULL && queue->advice != NULL;
-}
-
 /* Updates place_vms for the placement of the step: counts the tasks of the step and its job on
  * each VM, and marks the VMs where its tasks have failed and those that the policy service
  * allows. */
@@ -276,7 +270,7 @@
 {
 	bool isolate = suspect && suspect_isolates(step, pass->now_us);
 	place_vm_t *place_vms = (place_vm_t *)pool->place_vms->data;
-	bool advised = is_advised(queue);
+	bool advised = ticket_needed(queue);
 	g_autoptr(GHashTable) failed = failed_vms(step);
 
 	for (guint i = 0; i < pool->vms->len; i++) {
@@ -284,7 +278,7 @@
 
 		place_vms[i].step_tasks = 0;
 		place_vms[i].job_tasks = 0;
-		place_vms[i].allowed = !advised || ticket_find(step, vm->id, pass->now_us) != NULL;
+		place_vms[i].allowed = !advised || ticket_allows(step, vm->id);
 		place_vms[i].for_suspect = suspect;
 		if (!suspect_vm_open(vm, step, isolate, pass->now_us)) {
 			place_vms[i].allowed = false;
@@ -313,7 +307,7 @@
 		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
 
 		if (place_suits(&g_array_index(pool->place_vms, place_vm_t, i), step->spec) &&
-		    ticket_find(step, vm->id, pass->now_us) == NULL)
+		    !ticket_allows(step, vm->id))
 			ids[count++] = vm->id;
 	}
 	due_us = ticket_request(pass->leader, step, queue, ids, count, pass->now_us);
@@ -399,7 +393,7 @@
 	}
 	if (account_room(step, step->spec->gang ? step->spec->count : 1) == 0)
 		return false;
-	if (is_advised(step->job->queue))
+	if (ticket_needed(step->job->queue))
 		return true;
 	return place_fits(&get_pool(pass, step->job->service)->most, step->spec);
 }
@@ -412,7 +406,7 @@
 
 	if (spec->gang || spec->best_effort || spec->gpu > 0 || spec->max_per_vm > 0 ||
 	    spec->constraint[0] != '\0' || pool->unplaceable_count == UNPLACEABLE_MAX ||
-	    is_advised(candidate->queue))
+	    ticket_needed(candidate->queue))
 		return;
 	pool->unplaceable[pool->unplaceable_count++] =
 		(unplaceable_t){.cpu_milli = spec->cpu_milli, .mem_mib = spec->mem_mib};
@@ -447,15 +441,14 @@
 			     const batch_candidate_t *candidate, size_t placed, size_t wanted)
 {
 	const Lp__BatchStep *spec = candidate->step->spec;
-	bool advised = is_advised(candidate->queue);
+	bool advised = ticket_needed(candidate->queue);
 	double *used = talloc_zero_array(NULL, double, pool->vms->len);
 
 	for (guint i = 0; i < pool->vms->len; i++) {
 		const place_vm_t *place_vm = &g_array_index(pool->place_vms, place_vm_t, i);
 		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
-		bool eligible =
-			place_vm->usable && place_has_label(place_vm, spec->constraint) &&
-			(!advised || ticket_find(candidate->step, vm->id, pass->now_us) != NULL);
+		bool eligible = place_vm->usable && place_has_label(place_vm, spec->constraint) &&
+				(!advised || ticket_allows(candidate->step, vm->id));
 
 		used[i] = eligible ? 1.0 - (double)place_vm->cpu_milli /
 						     MAX(1.0, (double)place_vm->cpu_total)
@@ -474,7 +467,7 @@
 	const Lp__BatchStep *spec = step->spec;
 	pool_t *pool = get_pool(pass, step->job->service);
 	bool suspect = suspect_step(step);
-	bool advised = is_advised(candidate->queue);
+	bool advised = ticket_needed(candidate->queue);
 	void *mem;
 	batch_task_t **tasks;
 	size_t *chosen;
@@ -497,7 +490,7 @@
 	wanted = account_room(step, wanted);
 	if (wanted == 0 || (spec->gang && wanted < spec->count))
 		goto finish;
-	if (advised && !ticket_any_valid(step, pass->now_us) &&
+	if (advised && !ticket_allows_any(step) &&
 	    !ticket_may_request(pass->leader, step, pass->now_us))
 		goto finish;
 	prepare_pool(pass, pool, step, candidate->queue, suspect);
@@ -577,6 +570,21 @@
 	       leader_start_fits(vm, task, leader_now_us(vm->leader));
 }
 
+bool leader_may_start(leader_vm_t *vm, batch_task_t *task)
+{
+	const char *reason = NULL;
+
+	if (batch_job_ended(task->step->job))
+		reason = "the job has ended before the start";
+	else if (!may_still_start(vm, task))
+		reason = "the VM cannot take it any more";
+	if (reason == NULL)
+		return true;
+	task->local.phase = RUN_REFUSED;
+	leader_mark_run_lost(vm->leader, task, reason);
+	return false;
+}
+
 /* @return whether a start request was sent */
 static bool finish_intent(batch_leader_t *leader, const intent_t *intent, bool committed)
 {
@@ -602,16 +610,8 @@
 		leader_mark_run_lost(leader, task, "the VM has ended before the start");
 		return false;
 	}
-	if (batch_job_ended(task->step->job)) {
-		task->local.phase = RUN_REFUSED;
-		leader_mark_run_lost(leader, task, "the job has ended before the start");
-		return false;
-	}
-	if (!may_still_start(vm, task)) {
-		task->local.phase = RUN_REFUSED;
-		leader_mark_run_lost(leader, task, "the VM cannot take it any more");
+	if (!leader_may_start(vm, task) || !ticket_ready(vm, task))
 		return false;
-	}
 	leader_request_start(vm, task);
 	return true;
 }
@@ -629,6 +629,12 @@
 				   code == LP__RESULT_CODE__RESULT_OK))
 			start_window_remove(&leader->window);
 	}
+	for (size_t i = 0; i < intents->count; i++) {
+		batch_task_t *task = batch_state_task(leader->state, &intents->intents[i].ref);
+
+		if (task != NULL && task->local.phase == RUN_AWAITS_TICKET)
+			ticket_request_awaited(leader, task->step);
+	}
 }
 
 static void propose_intents(placement_pass_t *pass)
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -442,6 +442,7 @@
 			leader_mark_run_lost(vm->leader, task,
 					     "not started under an earlier leader");
 		break;
+	case RUN_AWAITS_TICKET:
 	case RUN_START_SENT:
 		break;
 	case RUN_CONFIRMED:
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -151,6 +151,7 @@
 	leader->stats.starts = metrics_counter(metrics, "batch_starts_total", "");
 	leader->stats.start_refused = metrics_counter(metrics, "batch_starts_refused_total", "");
 	leader->stats.start_unsure = metrics_counter(metrics, "batch_starts_unsure_total", "");
+	leader->stats.tickets_awaited = metrics_counter(metrics, "batch_tickets_awaited_total", "");
 	leader->stats.ends = metrics_counter(metrics, "batch_ends_total", "");
 	leader->stats.lost = metrics_counter(metrics, "batch_runs_lost_total", "");
 	leader->stats.handed_over = metrics_counter(metrics, "batch_runs_handed_over_total", "");
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -240,6 +240,8 @@
 		metrics_counter_t *starts;
 		metrics_counter_t *start_refused;
 		metrics_counter_t *start_unsure;
+		metrics_counter_t *tickets_awaited; /**< number of runs that waited for a ticket
+						       after their commit */
 		metrics_counter_t *ends;
 		metrics_counter_t *lost;
 		metrics_counter_t *handed_over; /**< number of runs handed over to the next
@@ -459,27 +461,51 @@
  * its latest report, and that report is not too old.
  */
 bool leader_start_fits(leader_vm_t *vm, const batch_task_t *started, uint64_t now_us);
+/**
+ * Returns whether the run, whose start intent is committed, may still be started on the VM. If not,
+ * it is given up as lost.
+ */
+bool leader_may_start(leader_vm_t *vm, batch_task_t *task);
 
 /* batch_ticket.c */
 typedef struct batch_ticket_cache batch_ticket_cache_t;
-/** @return valid ticket to run the step on the VM, or NULL */
-const char *ticket_find(const batch_step_t *step, const char *vm, uint64_t now_us);
-/** Returns whether the step has tickets that are valid, unless a VM has refused them since. */
-bool ticket_any_valid(const batch_step_t *step, uint64_t now_us);
+/** True when VMs need tickets of the policy service to run the queue's steps. */
+bool ticket_needed(const Lp__BatchQueue *queue);
+/**
+ * Returns whether a task of the step may be assigned to the VM: the policy service has allowed
+ * that, and the VM has not refused the ticket since. What the service allows does not change with
+ * time, so that a ticket that has expired only has to be renewed before the start.
+ */
+bool ticket_allows(const batch_step_t *step, const char *vm);
+/** Returns whether the policy service has allowed any VM for the step. */
+bool ticket_allows_any(const batch_step_t *step);
+/** @return the latest ticket to run the step on the VM, valid or not; NULL: none */
+const char *ticket_latest(const batch_step_t *step, const char *vm);
+/**
+ * Returns whether the run, which is assigned to the VM, can be started now. If it needs a ticket
+ * and has no valid one, it waits in RUN_AWAITS_TICKET for the answer to ticket_request_awaited().
+ */
+bool ticket_ready(leader_vm_t *vm, batch_task_t *task);
+/**
+ * Requests tickets for the runs of the step that wait for one, unless a request for the step is in
+ * flight. When the answer arrives, each is started or given up as lost.
+ */
+void ticket_request_awaited(batch_leader_t *leader, batch_step_t *step);
 /** False while a request for the step is in flight, or the next one has to wait. */
 bool ticket_may_request(const batch_leader_t *leader, const batch_step_t *step, uint64_t now_us);
 /**
  * Requests tickets for the step from the policy service. A request lists few of the VMs: first
  * those that the service has allowed before, then those that it was never asked about, so that
  * repeated requests come to all of them. May be called only while ticket_may_request().
- * @param vms ids of VMs that can take a task of the step and for which it has no valid ticket
+ * @param vms ids of VMs that can take a task of the step and that are not allowed as far as is
+ * known
  * @return time from which on the call is to be repeated; 0: a request is in flight, or there is no
  * VM
  */
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
 			const char *const *vms, size_t count, uint64_t now_us);
 /** Forgets a ticket that the VM has refused. */
-void ticket_remove(batch_step_t *step, const char *vm);
+void ticket_remove(batch_step_t *step, const char *vm, uint64_t now_us);
 
 /* batch_upkeep.c */
 void leader_maintenance_tick(batch_leader_t *leader, uint64_t now_us);
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -70,7 +70,7 @@
 	if (code == VM_REPLY_NO_ROOM || code == VM_REPLY_UNHEALTHY || code == VM_REPLY_NOT_SENT)
 		vm->backoff_until_us = now_us + REFUSED_BACKOFF_US;
 	if (code == VM_REPLY_BAD_TICKET)
-		ticket_remove(task->step, vm->id);
+		ticket_remove(task->step, vm->id, now_us);
 	task->local.phase = RUN_REFUSED;
 	leader_mark_run_lost(vm->leader, task, vm_reply_name(code));
 }
@@ -187,7 +187,7 @@
 		.lease_until_ms = leader_vm_clock_ms(vm, now_us) + leader->config.lease_ms,
 		.fence = leader->term,
 		.checkpoint = task->checkpoint,
-		.ticket = ticket_find(task->step, vm->id, now_us),
+		.ticket = ticket_latest(task->step, vm->id),
 	};
 	vm_request_t *request = new_request(vm, task);
 
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -75,12 +75,13 @@
 
 /** What the leader knows about the start of an assigned run. Not replicated. */
 typedef enum {
-	RUN_INHERITED,	/**< an earlier leader assigned the run, or its start request was not sent
-			   yet */
-	RUN_START_SENT, /**< the start request is in flight */
-	RUN_CONFIRMED,	/**< the VM has acknowledged the start or listed the run */
-	RUN_UNSURE,	/**< no conclusive response: unknown whether the VM has started the run */
-	RUN_REFUSED,	/**< the run was certainly not started and is being committed as lost */
+	RUN_INHERITED, /**< an earlier leader assigned the run, or its start request was not sent
+			  yet */
+	RUN_AWAITS_TICKET, /**< the start request waits for an answer of the policy service */
+	RUN_START_SENT,	   /**< the start request is in flight */
+	RUN_CONFIRMED,	   /**< the VM has acknowledged the start or listed the run */
+	RUN_UNSURE,  /**< no conclusive response: unknown whether the VM has started the run */
+	RUN_REFUSED, /**< the run was certainly not started and is being committed as lost */
 } run_phase_t;
 
 /** The leader's state of a task and its latest run. Not replicated; reset by a new leader. */
--- a/src/batch_suspect.c
+++ b/src/batch_suspect.c
@@ -45,6 +45,7 @@
 	uint64_t delay_us = START_DELAY_MAX_US;
 
 	switch (local->phase) {
+	case RUN_AWAITS_TICKET:
 	case RUN_REFUSED:
 		return true;
 	case RUN_CONFIRMED:
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -7,11 +7,11 @@
 #include "log.h"
 
 /* A ticket that expires within this time is not used, because a used ticket must still be valid
- * when the start request arrives. Committing and sending a start intent takes tens of ms. */
+ * when the start request arrives. Half of the validity, if that is less. */
 #define TICKET_MARGIN_US (300 * US_PER_MS)
-/* Delay before asking the policy service again when it did not respond, and between requests about
- * few VMs while the step has tickets: VMs get free one by one, and each request takes the time of a
- * decision. */
+/* Delay before asking the policy service again when it did not respond or a VM has refused a
+ * short-lived ticket, and between requests about few VMs once some are allowed: VMs get free one by
+ * one, and each request takes the time of a decision. */
 #define TICKET_RETRY_US (300 * US_PER_MS)
 /* Time after which the policy service is asked again about a VM that it did not allow. Its policy
  * for a step does not change, but the VM can have started again as one of another kind. */
@@ -25,16 +25,17 @@
 /* Latest answer of the policy service about a VM. */
 typedef struct {
 	uint64_t answered_us;
+	uint64_t valid_us;	 /* validity of the ticket from the answer on */
 	uint64_t valid_until_us; /* end of the validity of the ticket; 0: there is none */
 	bool allowed;
-	char ticket[VM_NAME_MAX];
+	char ticket[VM_NAME_MAX]; /* "": none, or the VM has refused it */
 } advice_t;
 
 struct batch_ticket_cache {
 	uint64_t request_generation; /* leader generation of the request in flight; 0: none */
-	uint64_t valid_until_us;     /* latest end of the validity of a ticket */
+	bool any_allowed;	     /* the service has allowed a VM */
 	uint64_t retry_us;	     /* earliest time of the next request */
-	uint64_t few_due_us; /* earliest time of a request about few VMs while a ticket is valid */
+	uint64_t few_due_us; /* earliest time of a request about few VMs once one is allowed */
 	GHashTable *vms;     /* VM id -> advice_t */
 };
 
@@ -49,38 +50,59 @@
 
 /* Order in which VMs are asked about. */
 typedef enum {
-	ASK_ALLOWED, /* the VM is allowed, and its ticket has expired or was refused */
+	ASK_ALLOWED, /* the VM was allowed, and has refused the ticket */
 	ASK_FIRST,   /* the policy service was never asked about it */
 	ASK_AGAIN,   /* it was not allowed TICKET_RECHECK_US ago or earlier */
 	ASK_NOT,     /* it was not allowed since then */
 } ask_rank_t;
 
-static bool is_valid_until(uint64_t until_us, uint64_t now_us)
+bool ticket_needed(const Lp__BatchQueue *queue)
 {
-	return now_us + TICKET_MARGIN_US < until_us;
+	return queue != NULL && queue->advice != NULL;
 }
 
-const char *ticket_find(const batch_step_t *step, const char *vm, uint64_t now_us)
+static const advice_t *find_advice(const batch_step_t *step, const char *vm)
 {
-	const batch_ticket_cache_t *cache = step->tickets;
-	const advice_t *advice = cache != NULL ? g_hash_table_lookup(cache->vms, vm) : NULL;
+	return step->tickets != NULL ? g_hash_table_lookup(step->tickets->vms, vm) : NULL;
+}
+
+static bool has_valid_ticket(const batch_step_t *step, const char *vm, uint64_t now_us)
+{
+	const advice_t *advice = find_advice(step, vm);
 
-	return advice != NULL && is_valid_until(advice->valid_until_us, now_us) ? advice->ticket
-										: NULL;
+	return advice != NULL &&
+	       now_us + MIN(TICKET_MARGIN_US, advice->valid_us / 2) < advice->valid_until_us;
 }
 
-void ticket_remove(batch_step_t *step, const char *vm)
+const char *ticket_latest(const batch_step_t *step, const char *vm)
 {
-	batch_ticket_cache_t *cache = step->tickets;
-	advice_t *advice = cache != NULL ? g_hash_table_lookup(cache->vms, vm) : NULL;
+	const advice_t *advice = find_advice(step, vm);
 
-	if (advice != NULL)
-		advice->valid_until_us = 0;
+	return advice != NULL && advice->ticket[0] != '\0' ? advice->ticket : NULL;
+}
+
+bool ticket_allows(const batch_step_t *step, const char *vm)
+{
+	return ticket_latest(step, vm) != NULL;
+}
+
+bool ticket_allows_any(const batch_step_t *step)
+{
+	return step->tickets != NULL && step->tickets->any_allowed;
 }
 
-bool ticket_any_valid(const batch_step_t *step, uint64_t now_us)
+void ticket_remove(batch_step_t *step, const char *vm, uint64_t now_us)
 {
-	return step->tickets != NULL && is_valid_until(step->tickets->valid_until_us, now_us);
+	batch_ticket_cache_t *cache = step->tickets;
+	advice_t *advice = cache != NULL ? g_hash_table_lookup(cache->vms, vm) : NULL;
+
+	if (advice == NULL)
+		return;
+	/* The ticket was possibly valid for less time than the start request takes. */
+	if (advice->valid_us < TICKET_MARGIN_US)
+		cache->retry_us = now_us + TICKET_RETRY_US;
+	advice->valid_until_us = 0;
+	advice->ticket[0] = '\0';
 }
 
 bool ticket_may_request(const batch_leader_t *leader, const batch_step_t *step, uint64_t now_us)
@@ -117,10 +139,65 @@
 		if (advice == NULL)
 			continue;
 		advice->allowed = true;
+		advice->valid_us = call->valid_us;
 		advice->valid_until_us = now_us + call->valid_us;
 		g_strlcpy(advice->ticket, reply->tickets[i].ticket, sizeof(advice->ticket));
-		cache->valid_until_us = advice->valid_until_us;
+		cache->any_allowed = true;
+	}
+}
+
+static bool call_lists(const advice_call_t *call, const char *vm)
+{
+	for (size_t i = 0; i < call->vm_count; i++) {
+		if (strcmp(call->vms[i], vm) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void give_up_run(batch_leader_t *leader, batch_task_t *task, const char *reason)
+{
+	task->local.phase = RUN_REFUSED;
+	leader_mark_run_lost(leader, task, reason);
+}
+
+/* Starts a run that waits for a ticket, or gives it up, after an answer of the policy service.
+ * @return false when it still waits, as the request was made without its VM */
+static bool settle_awaited(batch_leader_t *leader, batch_task_t *task, const advice_call_t *call,
+			   bool answered, uint64_t now_us)
+{
+	const char *id = task->vm->id;
+	leader_vm_t *vm = task->vm->leader;
+
+	if (vm == NULL) {
+		give_up_run(leader, task, "the VM has ended before the start");
+	} else if (!answered) {
+		give_up_run(leader, task, "no answer of the policy service");
+	} else if (!has_valid_ticket(task->step, id, now_us)) {
+		if (!call_lists(call, id))
+			return false;
+		give_up_run(leader, task, "the policy service does not allow it any more");
+	} else if (leader_may_start(vm, task)) {
+		start_window_add(&leader->window);
+		leader_request_start(vm, task);
+	}
+	return true;
+}
+
+static void settle_awaited_runs(batch_leader_t *leader, batch_step_t *step,
+				const advice_call_t *call, bool answered, uint64_t now_us)
+{
+	bool request = false;
+
+	for (uint32_t i = 0; i < step->spec->count; i++) {
+		batch_task_t *task = &step->tasks[i];
+
+		if (task->vm != NULL && task->local.phase == RUN_AWAITS_TICKET &&
+		    !task->local.loss_pending)
+			request |= !settle_awaited(leader, task, call, answered, now_us);
 	}
+	if (request)
+		ticket_request_awaited(leader, step);
 }
 
 static void on_advice(void *arg, const advice_reply_t *reply)
@@ -144,6 +221,7 @@
 		store_advice(cache, call, reply, now_us);
 	else
 		cache->retry_us = now_us + TICKET_RETRY_US;
+	settle_awaited_runs(leader, task->step, call, reply->answered, now_us);
 	if (!reply->answered || reply->ticket_count == 0) {
 		char asked[16];
 
@@ -193,7 +271,8 @@
 
 	call->leader = leader;
 	call->generation = leader->generation;
-	call->valid_us = queue->advice->valid_ms * US_PER_MS;
+	/* A ticket that is valid for no time can only be tried at once. */
+	call->valid_us = MAX(queue->advice->valid_ms, 1) * US_PER_MS;
 	call->vm_count = count;
 	for (size_t i = 0; i < count; i++)
 		g_strlcpy(call->vms[i], vms[i], VM_NAME_MAX);
@@ -221,11 +300,43 @@
 		cache->retry_us = now_us + TICKET_SEARCH_US;
 		return cache->retry_us;
 	}
-	if (count < ADVICE_VMS_MAX && ticket_any_valid(step, now_us) &&
-	    now_us < cache->few_due_us) {
+	if (count < ADVICE_VMS_MAX && ticket_allows_any(step) && now_us < cache->few_due_us) {
 		cache->retry_us = cache->few_due_us;
 		return cache->retry_us;
 	}
 	send_request(leader, step, queue, chosen, count);
 	return 0;
 }
+
+bool ticket_ready(leader_vm_t *vm, batch_task_t *task)
+{
+	uint64_t now_us = leader_now_us(vm->leader);
+
+	/* Without a cache, the policy service was never asked: the queue needs no tickets. */
+	if (!ticket_needed(task->step->job->queue) || task->step->tickets == NULL ||
+	    has_valid_ticket(task->step, vm->id, now_us))
+		return true;
+	task->local.phase = RUN_AWAITS_TICKET;
+	task->local.phase_since_us = now_us;
+	metrics_add(vm->leader->stats.tickets_awaited, 1);
+	return false;
+}
+
+void ticket_request_awaited(batch_leader_t *leader, batch_step_t *step)
+{
+	g_autoptr(GHashTable) listed = g_hash_table_new(g_str_hash, g_str_equal);
+	const char *vms[ADVICE_VMS_MAX];
+	size_t count = 0;
+
+	if (step->tickets->request_generation == leader->generation)
+		return;
+	for (uint32_t i = 0; i < step->spec->count && count < ADVICE_VMS_MAX; i++) {
+		const batch_task_t *task = &step->tasks[i];
+
+		if (task->vm != NULL && task->local.phase == RUN_AWAITS_TICKET &&
+		    g_hash_table_add(listed, task->vm->id))
+			vms[count++] = task->vm->id;
+	}
+	if (count > 0)
+		send_request(leader, step, step->job->queue, vms, count);
+}
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -149,7 +149,7 @@
 #define GIVEN_UP_VMS_MIN 2
 #define CRASH_DELAY_MAX_MS 15
 
-/* Most VMs that a request to the policy service may list, and the validity of its tickets. */
+/* Most VMs that a request to the policy service may list, and the usual validity of its tickets. */
 #define POLICY_VMS_MAX 100
 #define POLICY_VALID_MS 3000
 
@@ -201,7 +201,8 @@
 	unsigned allowed_count;
 	uint32_t policy_answer_ms;
 	unsigned policy_requests;
-	bool shutting_down; /* no further periodic events are scheduled */
+	unsigned bad_tickets; /* number of start requests refused for want of a valid ticket */
+	bool shutting_down;   /* no further periodic events are scheduled */
 };
 
 /* --- events --- */
@@ -824,18 +825,30 @@
 	return NULL;
 }
 
-/* @param ticket receives the ticket that the policy service issues for the VM */
-static void make_ticket(char ticket[VM_NAME_MAX], const char *vm)
+static uint32_t policy_valid_ms(const vm_sim_t *sim)
 {
-	g_snprintf(ticket, VM_NAME_MAX, "ticket-%s", vm);
+	return sim->config.policy_valid_ms != 0 ? sim->config.policy_valid_ms : POLICY_VALID_MS;
+}
+
+/* @param ticket receives the ticket that the policy service issues for the VM, which tells when it
+ * expires */
+static void make_ticket(const vm_sim_t *sim, char ticket[VM_NAME_MAX], const char *vm,
+			uint64_t issued_us)
+{
+	uint64_t valid_until_us = issued_us + policy_valid_ms(sim) * US_PER_MS;
+
+	g_snprintf(ticket, VM_NAME_MAX, "%s/%" PRIu64, vm, valid_until_us);
 }
 
 static bool has_ticket(const sim_vm_t *vm, const call_t *call)
 {
-	char ticket[VM_NAME_MAX];
+	const char *slash = strchr(call->ticket, '/');
 
-	make_ticket(ticket, vm->id);
-	return !vm->sim->config.advised || strcmp(call->ticket, ticket) == 0;
+	if (!vm->sim->config.advised)
+		return true;
+	return slash != NULL && (size_t)(slash - call->ticket) == strlen(vm->id) &&
+	       strncmp(call->ticket, vm->id, strlen(vm->id)) == 0 &&
+	       g_ascii_strtoull(slash + 1, NULL, 10) >= vm->sim->now_us;
 }
 
 static double usual_run_ms(const vm_sim_t *sim, const task_id_t *id, const Lp__BatchStep *spec)
@@ -1041,8 +1054,11 @@
 	} else {
 		switch (call->kind) {
 		case CALL_START:
-			call->reply.code = has_ticket(vm, call) ? execute_start(vm, call)
-								: VM_REPLY_BAD_TICKET;
+			call->reply.code = VM_REPLY_BAD_TICKET;
+			if (has_ticket(vm, call))
+				call->reply.code = execute_start(vm, call);
+			else
+				sim->bad_tickets++;
 			break;
 		case CALL_STOP:
 			call->reply.code = execute_stop(vm, call);
@@ -1230,7 +1246,8 @@
 		if (!policy_allows(sim, step->job, vms[i]))
 			continue;
 		g_strlcpy(ticket.vm, vms[i], sizeof(ticket.vm));
-		make_ticket(ticket.ticket, vms[i]);
+		make_ticket(sim, ticket.ticket, vms[i],
+			    sim->now_us + sim->policy_answer_ms * US_PER_MS);
 		g_array_append_val(call->tickets, ticket);
 	}
 	sim->policy_requests++;
@@ -1956,7 +1973,7 @@
 	char organisation_names[VM_SIM_ORGANISATIONS_MAX][8];
 	Lp__Result result = LP__RESULT__INIT;
 
-	advice.valid_ms = POLICY_VALID_MS;
+	advice.valid_ms = policy_valid_ms(sim);
 	for (unsigned i = 0; i <= count; i++) {
 		g_snprintf(names[i], sizeof(names[i]), "s%u", i);
 		lp__batch_service__init(&services[i]);
@@ -2341,6 +2358,11 @@
 	return sim->policy_requests;
 }
 
+unsigned vm_sim_bad_ticket_count(const vm_sim_t *sim)
+{
+	return sim->bad_tickets;
+}
+
 bool vm_sim_job_begun(const vm_sim_t *sim, const char *id)
 {
 	const batch_job_t *job = batch_state_job(vm_sim_state(sim), id);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -86,7 +86,8 @@
 	bool keep_ids; /**< a VM that has crashed starts again under its id; false: under another */
 	bool declared_times; /**< the leader takes run times as declared */
 	bool advised;	     /**< a policy service allows some VMs only, see vm_sim_set_policy() */
-	bool unguarded;	     /**< VMs carry out start requests that exceed their capacity */
+	uint32_t policy_valid_ms; /**< validity of its tickets; 0: 3000 */
+	bool unguarded;		  /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
 } vm_sim_config_t;
 
@@ -125,6 +126,8 @@
 void vm_sim_set_policy(vm_sim_t *sim, unsigned first, unsigned count, uint32_t answer_ms);
 /** @return number of requests to the policy service */
 unsigned vm_sim_policy_request_count(const vm_sim_t *sim);
+/** @return number of start requests that VMs have refused for want of a valid ticket */
+unsigned vm_sim_bad_ticket_count(const vm_sim_t *sim);
 /** Sets the limit of an organisation in a new configuration. */
 void vm_sim_limit(vm_sim_t *sim, unsigned organisation, uint64_t cpu_limit_milli);
 /** Submits a job to service 0 whose tasks, eight for each VM, fill all its VMs. */
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -237,6 +237,136 @@
 	vm_sim_destroy(sim);
 }
 
+/* Time that the policy service takes in these tests, about twelve VMs. */
+#define SHORT_ANSWER_MS 108
+
+static vm_sim_t *create_short_lived_sim(uint64_t seed, uint32_t valid_ms)
+{
+	const vm_sim_config_t config = {.services = 1,
+					.vms_per_service = ADVISED_VMS,
+					.advised = true,
+					.policy_valid_ms = valid_ms,
+					.seed = seed};
+	vm_sim_t *sim = vm_sim_create(&config);
+
+	vm_sim_set_policy(sim, 0, ADVISED_VMS, SHORT_ANSWER_MS);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS);
+	return sim;
+}
+
+/* Guards against tickets that are never used, as they are valid for less time than a fixed margin
+ * or than a commit takes: accepted jobs would never start. */
+static void test_jobs_start_with_short_lived_tickets(void **state)
+{
+	/* Requests take up to 4 ms here. */
+	static const uint32_t valid_ms[] = {8,	 10,  20,  30,	50,  75,  100, 150,
+					    200, 250, 299, 300, 301, 599, 600, 601};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(valid_ms); i++) {
+		vm_sim_t *sim = create_short_lived_sim(20 + i, valid_ms[i]);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 2, 12, 5000, 500);
+		fixture.steps[0].max_per_vm = 1;
+		for (unsigned j = 0; j < 4; j++) {
+			g_autofree char *id = g_strdup_printf("j%u", j);
+
+			vm_sim_submit(sim, id, 0, &fixture.job);
+		}
+		vm_sim_run(sim, ADVISED_SUBMIT_MS + 50);
+		for (unsigned j = 0; j < 4; j++) {
+			g_autofree char *id = g_strdup_printf("j%u", j);
+
+			run_until_complete(sim, id, ADVISED_SUBMIT_MS + 4000);
+		}
+		assert_int_equal(vm_sim_bad_ticket_count(sim), 0);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against members of a gang whose tickets expire while its other members are asked about. */
+static void test_gangs_start_with_short_lived_tickets(void **state)
+{
+	static const uint32_t valid_ms[] = {10, 50, 250, 300, 600};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(valid_ms); i++) {
+		vm_sim_t *sim = create_short_lived_sim(40 + i, valid_ms[i]);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 1, ADVISED_VMS - 2, 5000, 1000);
+		fixture.steps[0].gang = true;
+		fixture.steps[0].max_per_vm = 1;
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		vm_sim_run(sim, ADVISED_SUBMIT_MS + 50);
+		run_until_complete(sim, "a", ADVISED_SUBMIT_MS + 4000);
+		assert_int_equal(vm_sim_bad_ticket_count(sim), 0);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against start requests without a ticket, which the VM refuses, after a commit that took
+ * longer than the ticket was valid. */
+static void test_tickets_that_expire_during_the_commit_are_renewed(void **state)
+{
+	static const uint32_t valid_ms[] = {200, 700, 1500};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(valid_ms); i++) {
+		vm_sim_t *sim = create_short_lived_sim(50 + i, valid_ms[i]);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 1, 8, 5000, 500);
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		vm_sim_run(sim, vm_sim_now_ms(sim) + SHORT_ANSWER_MS);
+		vm_sim_delay_commits(sim, 2000);
+		run_until_complete(sim, "a", ADVISED_SUBMIT_MS + 5000);
+		assert_int_equal(vm_sim_bad_ticket_count(sim), 0);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
+/* Guards against a run that waits for a ticket for ever, or is started without one, because the
+ * policy service has changed its mind, its job is cancelled, its VM ends or the leader changes. */
+static void test_runs_that_wait_for_tickets_are_settled(void **state)
+{
+	for (unsigned event = 0; event < 4; event++) {
+		vm_sim_t *sim = create_short_lived_sim(60 + event, 20);
+		job_fixture_t fixture;
+
+		make_job(&fixture, 1, ADVISED_VMS, 5000, 500);
+		fixture.steps[0].max_per_vm = 1;
+		vm_sim_submit(sim, "a", 0, &fixture.job);
+		/* By then, the runs are committed, and the policy service is asked again. */
+		vm_sim_run(sim, vm_sim_now_ms(sim) + SHORT_ANSWER_MS * 3 / 2);
+		assert_int_equal(vm_sim_running_count(sim), 0);
+		switch (event) {
+		case 0:
+			vm_sim_set_policy(sim, ADVISED_VMS / 2, ADVISED_VMS / 2, SHORT_ANSWER_MS);
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 2000);
+			vm_sim_set_policy(sim, 0, ADVISED_VMS, SHORT_ANSWER_MS);
+			break;
+		case 1:
+			vm_sim_cancel(sim, "a");
+			vm_sim_run(sim, vm_sim_now_ms(sim) + 2000);
+			assert_int_equal(vm_sim_running_count(sim), 0);
+			break;
+		case 2:
+			for (unsigned i = 0; i < ADVISED_VMS; i += 2)
+				vm_sim_restart_vm(sim, i, 500);
+			break;
+		case 3:
+			vm_sim_change_leader(sim);
+			break;
+		}
+		if (event != 1)
+			run_until_complete(sim, "a", ADVISED_SUBMIT_MS + 15000);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against a surge in one pool that waits while machines of other pools are idle: the pool's
  * 4 machines hold 64 tasks of 4 cores, the whole fleet 256. */
 static void test_idle_machines_move_to_a_busy_pool(void **state)
@@ -1385,6 +1515,10 @@
 	GRand *rand = g_rand_new_with_seed((guint32)config->seed);
 	unsigned cancelled = 0;
 
+	if (config->advised)
+		vm_sim_set_policy(sim, 0,
+				  config->services * config->vms_per_service + config->standby_vms,
+				  40);
 	vm_sim_run(sim, 4000);
 	for (unsigned n = 0; n < JOBS; n++) {
 		submit_mixed_job(sim, rand, n, config->services);
@@ -1446,6 +1580,29 @@
 		run_load_with_faults(seed);
 }
 
+/* Guards against the same while most runs wait for a new ticket after their commit. */
+static void test_guarantees_with_short_lived_tickets(void **state)
+{
+	for (uint64_t seed = first_seed(); seed < first_seed() + seed_count(); seed++) {
+		const vm_sim_config_t config = {
+			.services = 2,
+			.vms_per_service = 5,
+			.standby_vms = 3,
+			.advised = true,
+			.policy_valid_ms = 15,
+			.lost_reply_share = 0.02,
+			.failed_end_share = 0.03,
+			.mean_crash_interval_ms = 6000,
+			.mean_restart_interval_ms = 6000,
+			.mean_leader_change_interval_ms = 7000,
+			.mean_commit_stall_interval_ms = 8000,
+			.seed = seed,
+		};
+
+		run_random_load(&config);
+	}
+}
+
 /* Guards against starts that bring an organisation above its limit, while VMs crash or lose their
  * network, responses are lost, requests are late, limits change and the leader changes. */
 static void test_guarantees_with_limited_organisations(void **state)
@@ -1828,6 +1985,10 @@
 		cmocka_unit_test(test_tickets_for_many_vms_add_up),
 		cmocka_unit_test(test_refused_vms_are_asked_about_seldom),
 		cmocka_unit_test(test_policy_request_of_an_earlier_term_is_repeated),
+		cmocka_unit_test(test_jobs_start_with_short_lived_tickets),
+		cmocka_unit_test(test_gangs_start_with_short_lived_tickets),
+		cmocka_unit_test(test_tickets_that_expire_during_the_commit_are_renewed),
+		cmocka_unit_test(test_runs_that_wait_for_tickets_are_settled),
 		cmocka_unit_test(test_idle_machines_move_to_a_busy_pool),
 		cmocka_unit_test(test_task_of_a_removed_machine_runs_soon),
 		cmocka_unit_test(test_runs_on_a_restarted_vm_stay_there),
@@ -1868,6 +2029,7 @@
 		cmocka_unit_test(test_capacity_changes_under_faults),
 		cmocka_unit_test(test_run_is_not_started_while_its_loss_is_committed),
 		cmocka_unit_test(test_guarantees_under_faults),
+		cmocka_unit_test(test_guarantees_with_short_lived_tickets),
 		cmocka_unit_test(test_guarantees_with_limited_organisations),
 		cmocka_unit_test(test_guarantees_with_restarted_vms),
 		cmocka_unit_test(test_wave_limits_under_faults),
