batch_calls: jobs of removed queues are read and cancelled as before

DELETE was answered 404 each time, and the tasks worked on for good.

Cause: a call whose path matches no queue of the present configuration was answered 404 before the job was looked for. Only repeated submissions were excepted. The state could not be read either.

Change: a call at the host and path of an accepted job is about this job, whether or not the configuration has its queue. It needs a key if the queue did when the job was accepted. A log line names such calls. Other ids at removed queues are answered 404 as before.

Ruled out: a leader that does not stop the tasks, as it no longer knows their service; test_cancelled_job_of_a_removed_queue_stops passes on the code before.

--- a/src/batch_calls.c
+++ b/src/batch_calls.c
@@ -194,6 +194,7 @@
 	return true;
 }
 
+/* The queue of an accepted job may have been removed: found->queue is NULL then. */
 static void handle_submit(batch_node_t *node, const Lp__BatchCall *call,
 			  const batch_lookup_t *found, const char *organisation,
 			  batch_reply_fn done, void *arg)
@@ -246,8 +247,8 @@
 	Lp__BatchCancel message = LP__BATCH_CANCEL__INIT;
 
 	message.id = (char *)job_id;
-	message.host = found->queue->host;
-	message.prefix = found->queue->prefix;
+	message.host = found->job != NULL ? found->job->spec->host : found->queue->host;
+	message.prefix = found->job != NULL ? found->job->spec->prefix : found->queue->prefix;
 	message.organisation = (char *)organisation;
 	command.body_case = LP__BATCH_COMMAND__BODY_CANCEL;
 	command.cancel = &message;
@@ -297,19 +298,6 @@
 		g_hash_table_contains(node->submitting, job_id));
 }
 
-/* Replies to a call for which the configuration has no queue. A submission that is repeated is
- * still answered as accepted: another answer would say that the job does not run. */
-static void reply_without_queue(const Lp__BatchCall *call, const batch_lookup_t *found,
-				batch_reply_fn done, void *arg)
-{
-	bool accepted = call->kind == LP__BATCH_CALL_KIND__BATCH_CALL_SUBMIT && found->job != NULL;
-
-	reply_with_answer(call->seq,
-			  accepted ? LP__BATCH_ANSWER__BATCH_ANSWER_OK
-				   : LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE,
-			  0, done, arg);
-}
-
 void batch_node_handle_call(batch_node_t *node, const Lp__BatchCall *call, batch_reply_fn done,
 			    void *arg)
 {
@@ -327,12 +315,16 @@
 		return;
 	}
 	found = batch_lookup(&node->state, call->host, call->path);
-	if (found.queue == NULL) {
-		reply_without_queue(call, &found, done, arg);
+	if (found.queue == NULL && found.job == NULL) {
+		reply_with_answer(call->seq, LP__BATCH_ANSWER__BATCH_ANSWER_NO_QUEUE, 0, done, arg);
 		return;
 	}
-	caller = org_access_identify(&node->access, node->state.config, found.queue,
-				     &call->key_digest, clock_now_us(), clock_wall_ms());
+	if (found.queue == NULL)
+		log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("request", call->path),
+			  "call for a job whose queue is not in the configuration");
+	caller = org_access_identify(
+		&node->access, node->state.config, found.queue != NULL ? found.queue->name : "",
+		batch_lookup_is_public(&found), &call->key_digest, clock_now_us(), clock_wall_ms());
 	if (!caller.known) {
 		reply_with_reason(call->seq,
 				  maybe_accepted(node, call, found.job_id)
--- a/src/batch_lookup.c
+++ b/src/batch_lookup.c
@@ -54,3 +54,14 @@
 		found.queue = NULL;
 	return found;
 }
+
+bool batch_lookup_is_public(const batch_lookup_t *found)
+{
+	if (found->queue != NULL)
+		return found->queue->is_public;
+	/* The queue was removed; its settings are those with which the job was accepted. An
+	 * archived job has none any more, but a job of a public queue has no organisation. */
+	if (found->job->queue != NULL)
+		return found->job->queue->is_public;
+	return found->job->spec->organisation[0] == '\0';
+}
--- a/src/batch_lookup.h
+++ b/src/batch_lookup.h
@@ -25,3 +25,8 @@
  * @param path of the call, without a query
  */
 batch_lookup_t batch_lookup(const batch_state_t *state, const char *host, const char *path);
+/**
+ * True when the call needs no key of an organisation, whether or not the configuration has any. The
+ * call must have found a job or a queue.
+ */
+bool batch_lookup_is_public(const batch_lookup_t *found);
--- a/src/org_access.c
+++ b/src/org_access.c
@@ -53,8 +53,8 @@
 	metrics_set(gauge, wall_ms / 1000);
 }
 
-static void count_refusal(org_access_t *access, const Lp__BatchQueue *queue, bool has_key,
-			  uint64_t version, uint64_t now_us)
+static void count_refusal(org_access_t *access, const char *queue, bool has_key, uint64_t version,
+			  uint64_t now_us)
 {
 	char unlogged[24];
 	char version_text[24];
@@ -69,18 +69,19 @@
 	access->logged_us = now_us;
 	access->unlogged = 0;
 	log_event(G_LOG_LEVEL_INFO,
-		  LOG_FIELDS("queue", queue->name, "cause", has_key ? "unknown key" : "no key",
-			     "version", version_text, "others", unlogged),
+		  LOG_FIELDS("queue", queue, "cause", has_key ? "unknown key" : "no key", "version",
+			     version_text, "others", unlogged),
 		  "call refused, its key is of no organisation");
 }
 
 org_caller_t org_access_identify(org_access_t *access, const Lp__BatchConfig *config,
-				 const Lp__BatchQueue *queue, const ProtobufCBinaryData *digest,
-				 uint64_t now_us, uint64_t wall_ms)
+				 const char *queue, bool is_public,
+				 const ProtobufCBinaryData *digest, uint64_t now_us,
+				 uint64_t wall_ms)
 {
 	const Lp__BatchOrganisation *organisation;
 
-	if (!config->checks_keys || queue->is_public)
+	if (!config->checks_keys || is_public)
 		return (org_caller_t){.known = true, .organisation = ""};
 	organisation = org_keys_find(config, digest);
 	if (organisation == NULL) {
--- a/src/org_access.h
+++ b/src/org_access.h
@@ -38,9 +38,12 @@
 
 /**
  * Identifies the caller.
+ * @param queue name of the queue, for the log
+ * @param is_public whether calls to the queue need no key
  * @param digest of the caller's key; empty: the call has no key
  * @param now_us monotonic time, for the limit of log lines
  */
 org_caller_t org_access_identify(org_access_t *access, const Lp__BatchConfig *config,
-				 const Lp__BatchQueue *queue, const ProtobufCBinaryData *digest,
-				 uint64_t now_us, uint64_t wall_ms);
+				 const char *queue, bool is_public,
+				 const ProtobufCBinaryData *digest, uint64_t now_us,
+				 uint64_t wall_ms);
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -1119,6 +1119,32 @@
 	vm_sim_destroy(sim);
 }
 
+/* Guards against tasks of a cancelled job that work on, because a configuration has removed the
+ * job's queue and service; also when the core processes have started again since. */
+static void test_cancelled_job_of_a_removed_queue_stops(void **state)
+{
+	for (unsigned restart = 0; restart <= 1; restart++) {
+		const vm_sim_config_t config = {.services = 2, .vms_per_service = 4, .seed = 5};
+		vm_sim_t *sim = vm_sim_create(&config);
+		job_fixture_t fixture;
+
+		make_long_running_job(&fixture, 3, 0);
+		vm_sim_run(sim, 3000);
+		vm_sim_submit(sim, "a", 1, &fixture.job);
+		vm_sim_run(sim, 6000);
+		vm_sim_configure(sim, 1);
+		if (restart)
+			vm_sim_restart_processes(sim);
+		vm_sim_run(sim, 9000);
+		assert_int_equal(vm_sim_running_count(sim), 3);
+		vm_sim_cancel(sim, "a");
+		vm_sim_run(sim, 9800);
+		assert_int_equal(vm_sim_running_count(sim), 0);
+		assert_no_violations(sim);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against retrying a job for ever that always fails. */
 static void test_failing_job_fails(void **state)
 {
@@ -2016,6 +2042,7 @@
 		cmocka_unit_test(test_tasks_move_off_a_stalled_vm),
 		cmocka_unit_test(test_failing_jobs_do_not_block_a_pool),
 		cmocka_unit_test(test_cancelled_job_stops),
+		cmocka_unit_test(test_cancelled_job_of_a_removed_queue_stops),
 		cmocka_unit_test(test_failing_job_fails),
 		cmocka_unit_test(test_task_that_crashes_vms_is_given_up),
 		cmocka_unit_test(test_crashes_are_counted_across_leader_changes),
--- a/tests/test_cluster_routes.c
+++ b/tests/test_cluster_routes.c
@@ -93,6 +93,54 @@
 	assert_int_equal(waiting_jobs("/q/"), 1);
 }
 
+static void assert_state(const char *path, const char *expected)
+{
+	long status = 0;
+	json_t *reply = cluster_http("GET", roles.edge.url, path, NULL, &status);
+
+	assert_int_equal(status, 200);
+	assert_string_equal(json_string_value(json_object_get(reply, "state")), expected);
+	json_decref(reply);
+}
+
+/* Guards against an accepted job that can be neither read nor cancelled, and works on for good,
+ * because its queue was removed, replaced by one above it or below it, or moved. */
+static void test_job_outlives_its_queue(void **state)
+{
+	const roles_queue_t moved = {.prefix = "/q/in/", .service = "third"};
+	const roles_queue_t elsewhere = {.prefix = "/e/", .service = "svc"};
+	const roles_queue_t below = {.prefix = "/q/in/5a", .service = "third"};
+	const struct {
+		roles_queue_t queues[2];
+		unsigned count;
+	} cases[] = {
+		{{elsewhere}, 1},
+		{{outer}, 1},
+		{{outer, moved}, 2},
+		{{inner, below}, 2},
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *path = g_strdup_printf("/q/in/5a3e7a21d94b36f%u", i);
+
+		configure_both();
+		assert_int_equal(submit(path), 200);
+		roles_configure(&roles, cases[i].queues, cases[i].count);
+		assert_state(path, "queued");
+		assert_int_equal(submit(path), 200);
+		assert_int_equal(call("DELETE", path), 200);
+		assert_state(path, "canceled");
+		assert_int_equal(call("DELETE", path), 200);
+		assert_int_equal(submit(path), 200);
+		assert_state(path, "canceled");
+	}
+	configure_both();
+	assert_int_equal(call("GET", "/q/in/5a3e7a21d94b36ff"), 410);
+	roles_configure(&roles, &outer, 1);
+	assert_int_equal(call("GET", "/q/in/5a3e7a21d94b36ff"), 404);
+	assert_int_equal(call("DELETE", "/q/in/5a3e7a21d94b36ff"), 404);
+}
+
 /* Guards against text that cannot be the id of a job, and is accepted as one. */
 static void test_other_text_is_no_job_id(void **state)
 {
@@ -116,6 +164,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_queue_above_a_removed_one_takes_no_job_of_it,
 						start_roles, stop_roles),
+		cmocka_unit_test_setup_teardown(test_job_outlives_its_queue, start_roles,
+						stop_roles),
 		cmocka_unit_test_setup_teardown(test_other_text_is_no_job_id, start_roles,
 						stop_roles),
 	};
--- a/tests/test_org.c
+++ b/tests/test_org.c
@@ -116,7 +116,8 @@
 
 	if (key != NULL)
 		digest = digest_of(key, buffer);
-	return org_access_identify(access, &test->config, &test->queue, &digest, 1, 5000);
+	return org_access_identify(access, &test->config, test->queue.name, test->queue.is_public,
+				   &digest, 1, 5000);
 }
 
 /* Guards against a call that is accepted without a known key, and against a key that counts for
