tests: jobs with numbers at the ends of their types against the leader

Cause: the tests of the leader draw small numbers only, and the simulated VMs add CPU and memory in 32 bits.

Change: test_extreme_numbers_end_nothing plays 480 jobs whose numbers are ordinary or at the ends of their types, with a restart of the processes. The simulated VMs add in 64 bits.

--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -623,11 +623,11 @@
 
 static bool has_room(const sim_vm_t *vm, const Lp__BatchStep *spec)
 {
-	uint32_t mem = spec->mem_mib;
+	uint64_t mem = spec->mem_mib;
 
 	for (guint i = 0; i < vm->runs->len; i++)
 		mem += g_array_index(vm->runs, sim_run_t, i).mem;
-	return used_cpu(vm) + spec->cpu_milli <= vm->cpu_milli && mem <= VM_MEM_MIB;
+	return (uint64_t)used_cpu(vm) + spec->cpu_milli <= vm->cpu_milli && mem <= VM_MEM_MIB;
 }
 
 /* Records a violation if a start exceeds the capacity. A lower capacity counts from SHRINK_GRACE_MS
@@ -642,7 +642,7 @@
 		if (sim->now_us < vm->past_cpu[i].until_us)
 			limit = MAX(limit, vm->past_cpu[i].cpu_milli);
 	}
-	if (used_cpu(vm) + spec->cpu_milli > limit)
+	if ((uint64_t)used_cpu(vm) + spec->cpu_milli > limit)
 		add_violation(sim, "LIMIT", key);
 }
 
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -1145,6 +1145,76 @@
 	}
 }
 
+static uint32_t draw(GRand *rand, const uint32_t *numbers, size_t count)
+{
+	return numbers[g_rand_int_range(rand, 0, (gint32)count)];
+}
+
+static bool draw_rarely(GRand *rand)
+{
+	return g_rand_int_range(rand, 0, 4) == 0;
+}
+
+/* Fills in a job whose numbers are ordinary or at the ends of their types. */
+static void make_extreme_job(job_fixture_t *fixture, GRand *rand)
+{
+	/* The checks of the simulated VMs take too long for more tasks. */
+	static const uint32_t counts[] = {1, 2, 8, 40};
+	static const uint32_t numbers[] = {
+		0, 1, 2, 1000, 5000, INT32_MAX, 1U << 31, UINT32_MAX - 1, UINT32_MAX};
+	static const uint64_t times_ms[] = {0, 1, 1000, INT64_MAX, UINT64_MAX - 1, UINT64_MAX};
+	const size_t n = G_N_ELEMENTS(numbers);
+
+	make_job(fixture, (unsigned)g_rand_int_range(rand, 1, 4), 1, 1000, 500);
+	for (size_t i = 0; i < fixture->job.n_steps; i++) {
+		Lp__BatchStep *step = &fixture->steps[i];
+
+		step->count = draw(rand, counts, G_N_ELEMENTS(counts));
+		step->cpu_milli = draw(rand, numbers, n);
+		step->mem_mib = draw(rand, numbers, n);
+		step->gpu = draw_rarely(rand) ? draw(rand, numbers, n) : 0;
+		step->estimate_ms = draw(rand, numbers, n);
+		step->max_per_vm = draw(rand, numbers, n);
+		step->tail_goal_ms = draw(rand, numbers, n);
+		step->max_unavailable = draw(rand, numbers, n);
+		step->gang = draw_rarely(rand);
+		step->rack_local = draw_rarely(rand);
+		step->best_effort = draw_rarely(rand);
+		step->long_running = draw_rarely(rand);
+		step->speculative = draw_rarely(rand);
+	}
+	fixture->job.times = draw_rarely(rand) ? draw(rand, counts, G_N_ELEMENTS(counts)) : 0;
+	fixture->job.first_due_ms = times_ms[g_rand_int_range(rand, 0, G_N_ELEMENTS(times_ms))];
+	fixture->job.interval_ms = times_ms[g_rand_int_range(rand, 0, G_N_ELEMENTS(times_ms))];
+}
+
+/* Guards against a job with numbers at the ends of their types that ends the leader, or is started
+ * where it does not fit. */
+static void test_extreme_numbers_end_nothing(void **state)
+{
+	for (uint64_t seed = 1; seed <= 12; seed++) {
+		const vm_sim_config_t config = {
+			.services = 2, .vms_per_service = 5, .standby_vms = 2, .seed = seed};
+		vm_sim_t *sim = vm_sim_create(&config);
+		GRand *rand = g_rand_new_with_seed((guint32)seed);
+		job_fixture_t fixture;
+
+		vm_sim_run(sim, 3000);
+		for (unsigned i = 0; i < 40; i++) {
+			g_autofree char *id = g_strdup_printf("x%u", i);
+
+			make_extreme_job(&fixture, rand);
+			vm_sim_submit(sim, id, i % 2, &fixture.job);
+			vm_sim_run(sim, 3000 + 200 * (i + 1));
+		}
+		vm_sim_restart_processes(sim);
+		vm_sim_run(sim, 15000);
+		assert_no_violations(sim);
+		g_rand_free(rand);
+		vm_sim_destroy(sim);
+	}
+}
+
 /* Guards against retrying a job for ever that always fails. */
 static void test_failing_job_fails(void **state)
 {
@@ -2043,6 +2113,7 @@
 		cmocka_unit_test(test_failing_jobs_do_not_block_a_pool),
 		cmocka_unit_test(test_cancelled_job_stops),
 		cmocka_unit_test(test_cancelled_job_of_a_removed_queue_stops),
+		cmocka_unit_test(test_extreme_numbers_end_nothing),
 		cmocka_unit_test(test_failing_job_fails),
 		cmocka_unit_test(test_task_that_crashes_vms_is_given_up),
 		cmocka_unit_test(test_crashes_are_counted_across_leader_changes),
