--- a/tests/test_batch_plan.c
+++ b/tests/test_batch_plan.c
@@ -671,6 +671,51 @@
 	return g_array_index(candidates, batch_candidate_t, i).step->job->spec->id;
 }
 
+/* Guards against a job that counts as very late at once, as its objective wraps. */
+static void test_objectives_do_not_wrap(void **state)
+{
+	Lp__BatchStep steps[] = {make_step(1000), make_step(1000), make_step(1000)};
+	Lp__BatchStep *list[] = {&steps[0], &steps[1], &steps[2]};
+	uint32_t after[] = {0, 1};
+	/* 2^64 is between the products of the path with the third and the fourth one. */
+	static const uint32_t stretches[] = {100,	 1U << 30, 1431655766,
+					     1431655767, 1U << 31, UINT32_MAX};
+	uint64_t objective_ms = 0;
+	Lp__BatchJob job = LP__BATCH_JOB__INIT;
+	Lp__BatchCommand command = LP__BATCH_COMMAND__INIT;
+	Lp__BatchQueue queue = LP__BATCH_QUEUE__INIT;
+	batch_job_t *accepted;
+	batch_state_t batch;
+
+	batch_state_init(&batch);
+	queue.objective_ms = UINT32_MAX;
+	queue.timeout_ms = 3000;
+	assert_int_equal(batch_test_configure(&batch, 1000, 1, &queue), LP__RESULT_CODE__RESULT_OK);
+	for (unsigned i = 0; i < 3; i++) {
+		steps[i].estimate_ms = UINT32_MAX;
+		steps[i].n_after = i > 0;
+		steps[i].after = i > 0 ? &after[i - 1] : NULL;
+	}
+	job.id = (char *)"a";
+	job.host = (char *)"h";
+	job.prefix = (char *)"/q/";
+	job.steps = list;
+	job.n_steps = 3;
+	command.body_case = LP__BATCH_COMMAND__BODY_SUBMIT;
+	command.submit = &job;
+	assert_int_equal(batch_test_apply(&batch, 1000, &command), LP__RESULT_CODE__RESULT_OK);
+	accepted = batch_state_job(&batch, "a");
+	for (size_t i = 0; i < G_N_ELEMENTS(stretches); i++) {
+		uint64_t previous_ms = objective_ms;
+
+		queue.stretch_percent = stretches[i];
+		objective_ms = batch_objective_ms(accepted, &queue);
+		assert_true(objective_ms >= previous_ms);
+	}
+	assert_true(objective_ms >= batch_critical_path_ms(accepted, 0, false));
+	batch_state_finish(&batch);
+}
+
 /* Guards against late jobs that use capacity needed by jobs which can still be on time, and against
  * long-running tasks that come after others. */
 static void test_candidate_order(void **state)
@@ -751,6 +796,7 @@
 		cmocka_unit_test(test_drains_end_when_no_longer_needed),
 		cmocka_unit_test(test_late_work_gets_spare_machines_only),
 		cmocka_unit_test(test_machines_do_not_go_to_and_fro),
+		cmocka_unit_test(test_objectives_do_not_wrap),
 		cmocka_unit_test(test_candidate_order),
 		cmocka_unit_test(test_starved_jobs_take_turns),
 	};
