test_cluster_batch: a queue below another one comes and goes

Change: every second configuration has a queue below the other one, to which half of the jobs are submitted. Accepted jobs are also submitted again; a 400, 404 or 410 for one is a lost job, whatever the configuration.

--- a/tests/test_cluster_batch.c
+++ b/tests/test_cluster_batch.c
@@ -3,8 +3,9 @@
  * addresses, simulates a fleet of VMs, and acts as the clients that submit, query and cancel jobs.
  * Injected faults: SIGKILL with and without loss of the disk, SIGSTOP, SIGTERM, and VMs that fall
  * silent, lose responses or restart, and reports of another system on their machines. Keys of the
- * clients' organisation come and go by new configurations. Checks all the time, from what clients
- *and VMs see, that no accepted job is lost and no task runs twice, and which keys are accepted.
+ * clients' organisation, and a queue below the other one, come and go by new configurations. Checks
+ * all the time, from what clients and VMs see, that no accepted job is lost and no task runs twice,
+ * and which keys are accepted.
  *
  *	LAVENDERPASS_SEED=N	first random seed (default 1)
  *	LAVENDERPASS_SEEDS=N	number of consecutive seeds to run (default 1)
@@ -108,6 +109,7 @@
 
 typedef struct {
 	char id[20];
+	bool inner; /* submitted to the queue that configurations add and remove */
 	bool accepted;
 	bool unknown;			/* a response was lost, so the job may have been accepted */
 	bool started;			/* a VM was told to start a task of the job */
@@ -704,6 +706,9 @@
 
 	if (result->complete && result->status == 401)
 		report_violation("valid key refused", job->id);
+	if (result->complete && job->accepted &&
+	    (result->status == 404 || result->status == 410 || result->status == 400))
+		report_violation("accepted job lost", job->id);
 	if (strcmp(client_call->method, "POST") == 0) {
 		bool accepted = result->complete && result->status == 200;
 		bool rejected =
@@ -722,8 +727,6 @@
 		job->cancelled |= result->status == 200;
 		return;
 	}
-	if (result->status == 410 && job->accepted)
-		report_violation("accepted job lost", job->id);
 	if (result->status != 200)
 		return;
 	body = json_loadb(result->body, result->body_length, 0, NULL);
@@ -776,8 +779,8 @@
 	g_autofree char *key = authorization(config_version);
 	const http_header_t headers[] = {
 		{"Content-Type", "application/json"}, {"Host", "h"}, {"Authorization", key}};
-	g_autofree char *url =
-		g_strdup_printf("http://%s:%u/q/%s", edge->ip, client_api_port(), job->id);
+	g_autofree char *url = g_strdup_printf("http://%s:%u/q/%s%s", edge->ip, client_api_port(),
+					       job->inner ? "in/" : "", job->id);
 	char *text = body != NULL ? json_dumps(body, JSON_COMPACT) : NULL;
 	client_call_t *client_call = g_new0(client_call_t, 1);
 	const http_call_request_t request = {
@@ -815,6 +818,7 @@
 	job_t *job = g_new0(job_t, 1);
 
 	g_snprintf(job->id, sizeof(job->id), "%08x%08x", g_rand_int(rng), jobs->len);
+	job->inner = jobs->len % 2 == 1;
 	g_ptr_array_add(jobs, job);
 	send_client_request(job, "POST", job_body());
 }
@@ -831,6 +835,8 @@
 			send_client_request(job, "POST", job_body());
 		else if (faults_on && random_chance(0.02))
 			send_client_request(job, "DELETE", NULL);
+		else if (random_chance(0.05))
+			send_client_request(job, "POST", job_body());
 		else
 			send_client_request(job, "GET", NULL);
 	}
@@ -860,18 +866,28 @@
 	return json_pack("{s:s, s:o, s:i}", "name", "a", "apiKeys", keys, "weight", 1);
 }
 
+static json_t *make_queue(const char *prefix)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f}", "name", prefix, "host", "h",
+			 "prefix", prefix, "service", "svc", "timeoutMs", 3000, "sloMs", 600,
+			 "attempts", 3, "stretch", 1.6);
+}
+
+/* Sends the next version, with new keys. Every second one has a queue below the other. */
 static void send_config(void)
 {
-	json_t *body = json_pack("{s:i, s:[{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f}], "
-				 "s:[{s:s, s:b, s:b}], s:[o]}",
-				 "version", (int)config_version + 1, "routes", "name", "q", "host",
-				 "h", "prefix", "/q/", "service", "svc", "timeoutMs", 3000, "sloMs",
-				 600, "attempts", 3, "stretch", 1.6, "services", "name", "svc",
-				 "admissionCheck", 1, "standby", 0, "tenants",
-				 organisation_of(config_version + 1));
+	unsigned version = config_version + 1;
+	json_t *queues = json_array();
+	json_t *body;
 
+	json_array_append_new(queues, make_queue("/q/"));
+	if (version % 2 == 1)
+		json_array_append_new(queues, make_queue("/q/in/"));
+	body = json_pack("{s:i, s:o, s:[{s:s, s:b, s:b}], s:[o]}", "version", (int)version,
+			 "routes", queues, "services", "name", "svc", "admissionCheck", 1,
+			 "standby", 0, "tenants", organisation_of(version));
 	send_to_core("PUT", (unsigned)g_rand_int_range(rng, 0, CORES), "/config", body, on_config,
-		     GUINT_TO_POINTER(config_version + 1));
+		     GUINT_TO_POINTER(version));
 }
 
 /* --- soak test --- */
