--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -580,8 +580,7 @@
 		reason = "the VM cannot take it any more";
 	if (reason == NULL)
 		return true;
-	task->local.phase = RUN_REFUSED;
-	leader_mark_run_lost(vm->leader, task, reason);
+	leader_refuse_run(vm->leader, task, reason);
 	return false;
 }
 
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -187,6 +187,12 @@
 	propose_lost_runs(leader, &task, 1, NULL);
 }
 
+void leader_refuse_run(batch_leader_t *leader, batch_task_t *task, const char *reason)
+{
+	task->local.phase = RUN_REFUSED;
+	leader_mark_run_lost(leader, task, reason);
+}
+
 void leader_mark_all_runs_lost(leader_vm_t *vm, const char *reason)
 {
 	batch_vm_t *record = leader_vm_record(vm);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -425,6 +425,8 @@
 bool leader_lease_has_ended(const leader_vm_t *vm, uint64_t now_us);
 /** Proposes to commit the latest run of the task as lost, so that the task is placed again. */
 void leader_mark_run_lost(batch_leader_t *leader, batch_task_t *task, const char *reason);
+/** Marks the run as certainly not started, and gives it up as lost. */
+void leader_refuse_run(batch_leader_t *leader, batch_task_t *task, const char *reason);
 /** Marks all runs of the VM as lost, except those that are being handed over. */
 void leader_mark_all_runs_lost(leader_vm_t *vm, const char *reason);
 /** Updates the estimates of the VM's speed and health after a run of the task has ended. */
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -71,8 +71,7 @@
 		vm->backoff_until_us = now_us + REFUSED_BACKOFF_US;
 	if (code == VM_REPLY_BAD_TICKET)
 		ticket_remove(task->step, vm->id, now_us);
-	task->local.phase = RUN_REFUSED;
-	leader_mark_run_lost(vm->leader, task, vm_reply_name(code));
+	leader_refuse_run(vm->leader, task, vm_reply_name(code));
 }
 
 /* Handles a start request whose result is unknown: asks the VM for its runs. A run that it does not
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -21,9 +21,7 @@
 /* Most VMs listed in one request to the policy service. Job objectives leave time for about 30
  * decisions of the service. */
 #define ADVICE_VMS_MAX 30
-/* The same for the members of a gang, which have to start together. The policy service takes no
- * more.
- */
+/* The same for a gang, whose members have to start together: what the policy service takes. */
 #define ADVICE_GANG_VMS_MAX 100
 
 /* Latest answer of the policy service about a VM. */
@@ -159,12 +157,6 @@
 	return false;
 }
 
-static void give_up_run(batch_leader_t *leader, batch_task_t *task, const char *reason)
-{
-	task->local.phase = RUN_REFUSED;
-	leader_mark_run_lost(leader, task, reason);
-}
-
 /* Starts a run that waits for a ticket, or gives it up, after an answer of the policy service.
  * @return false when it still waits, as the request was made without its VM */
 static bool settle_awaited(batch_leader_t *leader, batch_task_t *task, const advice_call_t *call,
@@ -174,13 +166,13 @@
 	leader_vm_t *vm = task->vm->leader;
 
 	if (vm == NULL) {
-		give_up_run(leader, task, "the VM has ended before the start");
+		leader_refuse_run(leader, task, "the VM has ended before the start");
 	} else if (!answered) {
-		give_up_run(leader, task, "no answer of the policy service");
+		leader_refuse_run(leader, task, "no answer of the policy service");
 	} else if (!has_valid_ticket(task->step, id, now_us)) {
 		if (!call_lists(call, id))
 			return false;
-		give_up_run(leader, task, "the policy service does not allow it any more");
+		leader_refuse_run(leader, task, "the policy service does not allow it any more");
 	} else if (leader_may_start(vm, task)) {
 		start_window_add(&leader->window);
 		leader_request_start(vm, task);
@@ -220,7 +212,8 @@
 		if (!awaits_ticket(task))
 			continue;
 		if (refused)
-			give_up_run(leader, task, "the policy service does not allow the gang");
+			leader_refuse_run(leader, task,
+					  "the policy service does not allow the gang");
 		else
 			request |= !settle_awaited(leader, task, call, answered, now_us);
 	}
