tests: roles_spawn starts the processes of the soak, too

Cause: lib_roles repeated how test_cluster_batch starts a process.

Change: test_cluster_batch calls roles_spawn(). No check is changed.

--- a/tests/lib_roles.c
+++ b/tests/lib_roles.c
@@ -38,24 +38,25 @@
 	assert_true(g_file_set_contents(process->settings, all, -1, NULL));
 }
 
-static void start_role(role_process_t *process, const char *role)
+pid_t roles_spawn(const char *settings, const char *role)
 {
 	const char *build = getenv("LAVENDERPASS_BUILD");
 	g_autofree char *program =
 		g_strdup_printf("%s/lavenderpass", build != NULL ? build : "build/release");
-	g_autofree char *log = g_strconcat(process->settings, ".log", NULL);
+	g_autofree char *log = g_strconcat(settings, ".log", NULL);
+	pid_t pid = fork();
 
-	process->pid = fork();
-	assert_true(process->pid >= 0);
-	if (process->pid == 0) {
+	assert_true(pid >= 0);
+	if (pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
-		setenv("LAVENDERPASS_SETTINGS", process->settings, 1);
+		setenv("LAVENDERPASS_SETTINGS", settings, 1);
 		execl(program, "lavenderpass", role, (char *)NULL);
 		_exit(127);
 	}
+	return pid;
 }
 
 static void init_role(const roles_t *roles, role_process_t *process, bool core, unsigned number,
@@ -68,7 +69,7 @@
 	process->url = g_strdup_printf("http://%s:%u", process->ip,
 				       core ? roles->control_port : roles->front_port);
 	write_settings(roles, process, core, memory_mib);
-	start_role(process, core ? "core" : "edge");
+	process->pid = roles_spawn(process->settings, core ? "core" : "edge");
 }
 
 static json_t *make_config(const roles_t *roles, const roles_queue_t *queues, unsigned count)
--- a/tests/lib_roles.h
+++ b/tests/lib_roles.h
@@ -15,6 +15,12 @@
 
 #define ROLES_CORES 3
 
+/**
+ * Starts a process of the role with the settings file. Its output is appended to the file with the
+ * same name and ".log". Fails the test when it cannot be forked. @return its process id
+ */
+pid_t roles_spawn(const char *settings, const char *role);
+
 /** A process of a role. */
 typedef struct {
 	pid_t pid;
--- a/tests/test_cluster_batch.c
+++ b/tests/test_cluster_batch.c
@@ -18,7 +18,6 @@
 
 #include <cmocka.h>
 
-#include <fcntl.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
@@ -38,6 +37,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "json_reply.h"
+#include "lib_roles.h"
 #include "timer.h"
 
 #define CORES 3
@@ -187,35 +187,13 @@
 	assert_true(g_file_set_contents(process->settings, all, -1, NULL));
 }
 
-static const char *program_path(void)
-{
-	static char path[256];
-	const char *build = getenv("LAVENDERPASS_BUILD");
-
-	snprintf(path, sizeof(path), "%s/lavenderpass", build != NULL ? build : "build/release");
-	return path;
-}
-
 static void start_process(process_t *process)
 {
-	g_autofree char *log = g_strconcat(process->settings, ".log", NULL);
-
 	write_settings(process, !process->started);
 	process->started = true;
 	process->restart_us = 0;
 	process->suspended = false;
-	process->pid = fork();
-	assert_true(process->pid >= 0);
-	if (process->pid == 0) {
-		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
-
-		dup2(fd, STDOUT_FILENO);
-		dup2(fd, STDERR_FILENO);
-		setenv("LAVENDERPASS_SETTINGS", process->settings, 1);
-		execl(program_path(), "lavenderpass", process->core ? "core" : "edge",
-		      (char *)NULL);
-		_exit(127);
-	}
+	process->pid = roles_spawn(process->settings, process->core ? "core" : "edge");
 }
 
 static void collect_exit_status(process_t *process)
