call_queue: requests to a VM wait in a queue of the leader, not for a connection

Cause: five connections to a VM, of which the hold request takes one. Other requests wait inside libcurl, where their time limit runs: of the stops, 15 to 19 are sent in 700 ms, the rest is given up unsent and asked for again 500 ms later.

Ruled out: a late commit (the first stops arrive 25 ms after the acknowledgement), a slow VM (it stops any number of runs at a time).

Change: `call_queue` decides for each VM which request is sent next (stops, pace, starts) and how many are in flight: by Little's law from the VM's response times and the time that is left, never below four, with the limit of a TCP congestion window. What waits has no time limit and does not count as refused; it is checked again before it is sent and withdrawn if it is pointless. The HTTP client's limit is above the window. A stop has the longest time of a stop and 500 ms.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -26,6 +26,9 @@
 /* Most task sizes that a pool remembers as not placeable. */
 #define UNPLACEABLE_MAX 8
 
+/* Delay of the next placement pass after one that left out a VM because calls wait there. */
+#define CALLS_WAIT_US (25 * US_PER_MS)
+
 /* Interval between placement passes while a suspected task waits for a VM of its own. */
 #define SUSPECT_INTERVAL_US (50 * US_PER_MS)
 
@@ -80,6 +83,13 @@
 	       vm->vm_clock_read_us != 0 && now_us >= vm->backoff_until_us;
 }
 
+/* True while starts would wait at the VM for longer than a response may take. They wait in the
+ * order of their urgency instead, and can go to another VM. */
+static bool vm_calls_wait(const leader_vm_t *vm, uint64_t now_us)
+{
+	return call_queue_wait_us(&vm->calls, CALL_START, now_us) > START_WINDOW_LATENCY_US;
+}
+
 static place_vm_t make_place_vm(leader_vm_t *vm, uint64_t now_us)
 {
 	const batch_vm_t *record = leader_vm_record(vm);
@@ -155,6 +165,13 @@
 	}
 }
 
+/* Lets a placement pass run at due_us at the latest. */
+static void wait_until(batch_leader_t *leader, uint64_t due_us)
+{
+	if (leader->waiting_due_us == 0 || due_us < leader->waiting_due_us)
+		leader->waiting_due_us = due_us;
+}
+
 static pool_t *new_pool(placement_pass_t *pass, const char *service)
 {
 	pool_t *pool = g_new0(pool_t, 1);
@@ -175,6 +192,10 @@
 		pass->vms_examined++;
 		if (!place_vm.usable)
 			continue;
+		if (vm_calls_wait(vm, pass->now_us)) {
+			wait_until(pass->leader, pass->now_us + CALLS_WAIT_US);
+			continue;
+		}
 		suspect_scan_vm(vm);
 		vm->pass_number = pass->number;
 		vm->place_index = pool->vms->len;
@@ -255,13 +276,6 @@
 	}
 }
 
-/* Lets a placement pass run at due_us at the latest. */
-static void wait_until(batch_leader_t *leader, uint64_t due_us)
-{
-	if (leader->waiting_due_us == 0 || due_us < leader->waiting_due_us)
-		leader->waiting_due_us = due_us;
-}
-
 /* Updates place_vms for the placement of the step: counts the tasks of the step and its job on
  * each VM, and marks the VMs where its tasks have failed and those that the policy service
  * allows. */
--- a/src/batch_hold.c
+++ b/src/batch_hold.c
@@ -193,6 +193,21 @@
 	leader_mark_run_lost(leader, task, reason);
 }
 
+void leader_refuse_queued_runs(leader_vm_t *vm, batch_task_t **tasks, size_t count,
+			       const char *reason)
+{
+	char count_text[16];
+
+	for (size_t i = 0; i < count; i++)
+		tasks[i]->local.phase = RUN_REFUSED;
+	g_snprintf(count_text, sizeof(count_text), "%zu", count);
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", tasks[0]->step->job->spec->id, "vm", vm->id, "runs",
+			     count_text, "reason", reason),
+		  "start requests are withdrawn before they were sent");
+	propose_lost_runs(vm->leader, tasks, count, NULL);
+}
+
 void leader_mark_all_runs_lost(leader_vm_t *vm, const char *reason)
 {
 	batch_vm_t *record = leader_vm_record(vm);
@@ -449,6 +464,7 @@
 					     "not started under an earlier leader");
 		break;
 	case RUN_AWAITS_TICKET:
+	case RUN_START_QUEUED:
 	case RUN_START_SENT:
 		break;
 	case RUN_CONFIRMED:
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -18,6 +18,11 @@
 #define INPUT_DELAY_NORMAL_US (25 * US_PER_MS)
 #define ESTIMATE_PERIOD_US (500 * US_PER_MS)
 #define SLOW_PART_US (30 * US_PER_MS)
+/* Most calls under way above CALL_WINDOW_MIN for each VM. A core process has 4,096 descriptors, of
+ * which 1,500 are for its clients, and an edge process that relays calls has some 700 left for
+ * them.
+ */
+#define CALL_BUDGET_MAX 256
 
 uint64_t leader_now_us(const batch_leader_t *leader)
 {
@@ -158,6 +163,10 @@
 	leader->stats.holds = metrics_counter(metrics, "batch_holds_total", "");
 	leader->stats.holds_overtaken = metrics_counter(metrics, "batch_holds_overtaken_total", "");
 	leader->stats.stops = metrics_counter(metrics, "batch_stops_total", "");
+	leader->stats.calls_waiting = metrics_counter(metrics, "batch_vm_calls_waiting", "");
+	leader->stats.calls_withdrawn =
+		metrics_counter(metrics, "batch_vm_calls_withdrawn_total", "");
+	leader->stats.calls_budgeted = metrics_counter(metrics, "batch_vm_calls_budgeted", "");
 	leader->stats.dead = metrics_counter(metrics, "batch_vms_ended_total", "");
 	leader->stats.shutdowns_refuted =
 		metrics_counter(metrics, "batch_shutdowns_refuted_total", "");
@@ -210,6 +219,7 @@
 	leader->arg = options->arg;
 	leader->metrics = options->metrics;
 	leader->mean_slowness = 1.0;
+	leader->call_budget.max = CALL_BUDGET_MAX;
 	leader_vms_init(leader);
 	leader_challenges_init(leader);
 	leader->known_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -368,6 +378,7 @@
 		leader_vm_free_if_done(vm);
 		return;
 	}
+	leader_calls_tick(vm, now_us);
 	leader_stop_tick(vm, now_us);
 	leader_pace_tick(vm, now_us);
 	leader_evacuate_tick(vm, now_us);
@@ -399,6 +410,17 @@
 	leader_observe_demand(leader, leader_now_us(leader));
 }
 
+static void show_calls(const batch_leader_t *leader)
+{
+	const leader_vm_t *vm;
+	uint64_t waiting = 0;
+
+	LIST_FOREACH (vm, &leader->vms, link)
+		waiting += call_queue_waiting(&vm->calls);
+	metrics_set(leader->stats.calls_waiting, waiting);
+	metrics_set(leader->stats.calls_budgeted, leader->call_budget.used);
+}
+
 void batch_leader_tick(batch_leader_t *leader)
 {
 	uint64_t now_us = leader_now_us(leader);
@@ -418,6 +440,7 @@
 		tick_vm(vm, now_us);
 		vm = next;
 	}
+	show_calls(leader);
 	leader_challenges_tick(leader, now_us);
 	leader_adopt_vm_records(leader, now_us);
 	part_start_us = end_part(leader, LEADER_PART_VMS, now_us);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -6,6 +6,7 @@
 #include "batch_leader.h"
 #include "batch_lease.h"
 #include "batch_outcome.h"
+#include "call_queue.h"
 #include "clock.h"
 #include "start_window.h"
 
@@ -107,6 +108,8 @@
 	unsigned orphan_count; /**< number of runs that the VM lists as running although the log
 				  does not assign them to it */
 	unsigned starts_in_flight;
+	call_queue_t calls;	  /**< start, stop and pace requests */
+	uint64_t calls_logged_us; /**< time of the latest log line about waiting calls */
 
 	uint64_t pass_number; /**< number of the placement pass in which place_index is valid */
 	guint place_index;
@@ -210,6 +213,7 @@
 	bool placement_due;
 	uint64_t next_placement_us; /**< earliest time of the next placement pass */
 	start_window_t window;
+	call_budget_t call_budget; /**< shared by the calls to all VMs */
 	uint64_t window_logged_us;
 	bool window_full; /**< the latest placement pass left out steps because of the window */
 	uint64_t waiting_due_us; /**< time of the next placement pass for steps that wait for a VM
@@ -250,6 +254,12 @@
 		metrics_counter_t *holds_overtaken; /**< number of hold requests for which a probe
 						       was answered first */
 		metrics_counter_t *stops;
+		metrics_counter_t *calls_waiting;   /**< number of VM requests that wait to be sent
+						     */
+		metrics_counter_t *calls_withdrawn; /**< number of VM requests that were not sent,
+						       as they had become pointless */
+		metrics_counter_t *calls_budgeted;  /**< number of VM requests under way above
+						       CALL_WINDOW_MIN for each VM */
 		metrics_counter_t *dead;
 		metrics_counter_t *shutdowns_refuted; /**< number of notices of a shutdown after
 							 which the VM still ran */
@@ -427,6 +437,12 @@
 void leader_mark_run_lost(batch_leader_t *leader, batch_task_t *task, const char *reason);
 /** Marks the run as certainly not started, and gives it up as lost. */
 void leader_refuse_run(batch_leader_t *leader, batch_task_t *task, const char *reason);
+/**
+ * Gives up runs of the VM whose start requests have waited and were not sent.
+ * @param tasks at least one, none of which is being committed as lost
+ */
+void leader_refuse_queued_runs(leader_vm_t *vm, batch_task_t **tasks, size_t count,
+			       const char *reason);
 /** Marks all runs of the VM as lost, except those that are being handed over. */
 void leader_mark_all_runs_lost(leader_vm_t *vm, const char *reason);
 /** Updates the estimates of the VM's speed and health after a run of the task has ended. */
@@ -441,17 +457,24 @@
  */
 void leader_hand_over_runs(leader_vm_t *vm);
 
-/* batch_orders.c */
+/* batch_orders.c: all requests wait in leader_vm_t.calls until the VM takes more of them */
 void leader_request_start(leader_vm_t *vm, batch_task_t *task);
 /**
- * Sends a stop request for the task's run, unless one is in flight or was sent too recently, or the
- * loss of the run is being committed.
+ * Requests a stop of the task's run, unless a request waits, is in flight or was sent too recently,
+ * or the run cannot start any more because its start request is withdrawn or its loss is being
+ * committed.
  */
 void leader_request_stop(leader_vm_t *vm, batch_task_t *task);
 void leader_stop_orphan(leader_vm_t *vm, const task_id_t *id, uint32_t run);
 void leader_request_pace(leader_vm_t *vm, batch_task_t *task, uint32_t percent);
 /** Sends stop requests for the VM's runs that are no longer needed or must move to another VM. */
 void leader_stop_tick(leader_vm_t *vm, uint64_t now_us);
+/** Withdraws waiting requests that have become pointless, and sends those that are due. */
+void leader_calls_tick(leader_vm_t *vm, uint64_t now_us);
+/** Withdraws all waiting requests to a VM that has ended. Their runs have not started there. */
+void leader_withdraw_calls(leader_vm_t *vm, const char *reason);
+/** Drops all waiting requests to a VM that is about to be freed. */
+void leader_free_calls(leader_vm_t *vm);
 
 /* batch_dispatch.c */
 void leader_place_tasks(batch_leader_t *leader, uint64_t now_us);
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -469,6 +469,7 @@
 					    .vm_count = vm_count,
 					    .is_leader = is_sole_leader,
 					    .arg = node,
+					    .stop_ms = node->settings->vm_stop_max_ms,
 					    .metrics = node->metrics};
 
 	node->relay = vm_relay_create(node->timers, &options);
--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -16,25 +16,53 @@
  * so repeating the request is safe. A repetition takes a fraction of a second, whereas stopping the
  * run and starting another one takes two seconds. */
 #define START_ATTEMPTS_MAX 3
+/* Shortest interval between two log lines about the calls that wait for a VM. */
+#define CALLS_LOG_PERIOD_US (1 * US_PER_S)
 
+typedef enum {
+	REQUEST_START,
+	REQUEST_STOP,
+	REQUEST_ORPHAN_STOP, /* stops a run that is not assigned to the VM */
+	REQUEST_PACE,
+} request_kind_t;
+
+/* A request that waits or is in flight. */
 typedef struct {
+	call_t call; /* first member, so that a call_t is a vm_request_t */
+	request_kind_t kind;
 	vm_handle_t vm;
-	Lp__BatchTask task;
-	uint64_t sent_us;
-	uint32_t percent;
-	unsigned attempt; /* number of this attempt to send a start request, from 1 */
+	Lp__BatchTask task;  /* the run; unused in REQUEST_ORPHAN_STOP */
+	uint64_t created_us; /* time since which it waits or is in flight */
+	union {
+		unsigned attempt; /* REQUEST_START: number of this attempt, from 1 */
+		vm_stop_t orphan; /* REQUEST_ORPHAN_STOP */
+		uint32_t percent; /* REQUEST_PACE */
+	};
 } vm_request_t;
 
-static vm_request_t *new_request(const leader_vm_t *vm, const batch_task_t *task)
+static vm_request_t *new_request(const leader_vm_t *vm, request_kind_t kind,
+				 const batch_task_t *task)
 {
 	vm_request_t *request = g_new0(vm_request_t, 1);
 
+	request->kind = kind;
+	request->created_us = leader_now_us(vm->leader);
 	vm_handle_set(&request->vm, vm);
-	batch_task_ref(task, &request->task);
-	request->sent_us = leader_now_us(vm->leader);
+	if (task != NULL)
+		batch_task_ref(task, &request->task);
 	return request;
 }
 
+static void send_calls(leader_vm_t *vm);
+
+/* Ends the call of a request that was answered or has timed out. */
+static void end_call(vm_request_t *request, const vm_reply_t *reply)
+{
+	bool responded = reply->code != VM_REPLY_NO_RESPONSE && reply->code != VM_REPLY_NOT_SENT;
+
+	call_answered(&request->call, responded, leader_now_us(request->vm.leader));
+}
+
 /* @return the task of the request, or NULL when its run is no longer assigned to the VM */
 static batch_task_t *find_requested_task(const vm_request_t *request, leader_vm_t *vm)
 {
@@ -95,7 +123,21 @@
 	       leader_start_fits(vm, task, leader_now_us(vm->leader));
 }
 
-static void send_start(leader_vm_t *vm, batch_task_t *task, unsigned attempt);
+static void queue_start(leader_vm_t *vm, batch_task_t *task, unsigned attempt)
+{
+	vm_request_t *request = new_request(vm, REQUEST_START, task);
+	uint64_t now_us = leader_now_us(vm->leader);
+
+	request->attempt = attempt;
+	if (attempt > 1) {
+		call_queue_add_first(&vm->calls, &request->call, CALL_START, now_us);
+	} else {
+		task->local.phase = RUN_START_QUEUED;
+		task->local.phase_since_us = now_us;
+		call_queue_add(&vm->calls, &request->call, CALL_START, now_us);
+	}
+	send_calls(vm);
+}
 
 static void handle_start_reply(leader_vm_t *vm, batch_task_t *task, const vm_reply_t *reply,
 			       unsigned attempt)
@@ -138,7 +180,7 @@
 		task->local.start_unanswered = true;
 		if (attempt < START_ATTEMPTS_MAX && may_retry_start(vm, task)) {
 			start_window_add(&vm->leader->window);
-			send_start(vm, task, attempt + 1);
+			queue_start(vm, task, attempt + 1);
 		} else {
 			handle_start_unknown(vm, task);
 		}
@@ -146,16 +188,42 @@
 	}
 }
 
+static void withdraw_starts(leader_vm_t *vm, bool (*is_pointless)(leader_vm_t *vm, batch_task_t *),
+			    const char *reason);
+
+static bool is_single_start(leader_vm_t *vm, batch_task_t *task)
+{
+	return !task->step->spec->gang;
+}
+
+/* Takes back the starts that wait for a VM which has answered nothing since a start was sent that
+ * has failed now. They have certainly not begun, and can be placed elsewhere at once. Members of a
+ * gang keep waiting, because the others of their run already do. */
+static void check_silence(leader_vm_t *vm, uint64_t sent_us)
+{
+	uint64_t now_us = leader_now_us(vm->leader);
+
+	if (vm->calls.answered_us >= sent_us || vm->hold_answered_us >= sent_us)
+		return;
+	if (TAILQ_EMPTY(&vm->calls.waiting[CALL_START]))
+		return;
+	vm->backoff_until_us = MAX(vm->backoff_until_us, now_us + REFUSED_BACKOFF_US);
+	withdraw_starts(vm, is_single_start, "the VM does not answer");
+}
+
 static void on_start_reply(void *arg, const vm_reply_t *reply)
 {
 	g_autofree vm_request_t *request = arg;
 	batch_leader_t *leader = request->vm.leader;
-	uint64_t latency_us = leader_now_us(leader) - request->sent_us;
+	uint64_t sent_us = request->call.sent_us;
+	uint64_t latency_us = leader_now_us(leader) - request->created_us;
 	leader_vm_t *vm = vm_handle_get(&request->vm);
 	batch_task_t *task;
 
+	end_call(request, reply);
 	if (!leader->active || request->vm.generation != leader->generation)
 		return;
+	/* While this process is behind, requests wait here for the responses to earlier ones. */
 	start_window_answered(&leader->window, latency_us, leader_now_us(leader));
 	leader_window_changed(leader);
 	if (vm == NULL)
@@ -165,17 +233,22 @@
 		leader_vm_read_other_life(vm, reply);
 		return;
 	}
-	metrics_record_us(leader->stats.start_latency, latency_us);
-	leader_update_lease(vm, reply, request->sent_us);
+	metrics_record_us(leader->stats.start_latency, leader_now_us(leader) - sent_us);
+	leader_update_lease(vm, reply, sent_us);
 	leader_vm_read_clock(vm, reply);
 	task = find_requested_task(request, vm);
 	if (task != NULL)
-		suspect_start_replied(vm, task, reply, request->sent_us);
+		suspect_start_replied(vm, task, reply, sent_us);
 	if (task != NULL && task->local.phase != RUN_CONFIRMED)
 		handle_start_reply(vm, task, reply, request->attempt);
+	if (vm->dead)
+		return;
+	if (reply->code == VM_REPLY_NO_RESPONSE || reply->code == VM_REPLY_NOT_SENT)
+		check_silence(vm, sent_us);
+	send_calls(vm);
 }
 
-static void send_start(leader_vm_t *vm, batch_task_t *task, unsigned attempt)
+static void send_start(leader_vm_t *vm, batch_task_t *task, vm_request_t *request)
 {
 	batch_leader_t *leader = vm->leader;
 	uint64_t now_us = leader_now_us(leader);
@@ -188,9 +261,7 @@
 		.checkpoint = task->checkpoint,
 		.ticket = ticket_latest(task->step, vm->id),
 	};
-	vm_request_t *request = new_request(vm, task);
 
-	request->attempt = attempt;
 	task_id_set(&start.task, task);
 	task->local.phase = RUN_START_SENT;
 	task->local.phase_since_us = now_us;
@@ -201,7 +272,7 @@
 
 void leader_request_start(leader_vm_t *vm, batch_task_t *task)
 {
-	send_start(vm, task, 1);
+	queue_start(vm, task, 1);
 }
 
 /* --- stop requests --- */
@@ -213,21 +284,24 @@
 	uint64_t now_us;
 	batch_task_t *task;
 
+	end_call(request, reply);
 	if (vm == NULL)
 		return;
 	now_us = leader_now_us(vm->leader);
 	task = find_requested_task(request, vm);
-	if (task == NULL)
-		return;
-	task->local.stop_in_flight = false;
-	task->local.stop_due_us = now_us + STOP_RETRY_US;
-	if (reply->code == VM_REPLY_OK) {
+	if (task != NULL) {
+		task->local.stop_in_flight = false;
+		task->local.stop_due_us = now_us + STOP_RETRY_US;
+	}
+	if (task != NULL && reply->code == VM_REPLY_OK) {
 		task->local.stop_acked = true;
 		task->local.stop_acked_us = now_us;
 		vm->hold_due_us = now_us;
-	} else if (reply->code == VM_REPLY_OTHER_INCARNATION) {
+	} else if (task != NULL && reply->code == VM_REPLY_OTHER_INCARNATION) {
 		leader_vm_mark_dead(vm, "its address has another VM");
+		return;
 	}
+	send_calls(vm);
 }
 
 static void send_stop(leader_vm_t *vm, const vm_stop_t *stop, vm_reply_fn done, void *arg)
@@ -241,34 +315,67 @@
 void leader_request_stop(leader_vm_t *vm, batch_task_t *task)
 {
 	uint64_t now_us = leader_now_us(vm->leader);
-	vm_stop_t stop = {.run = task->run, .fence = vm->leader->term};
+	vm_request_t *request;
 
 	if (task->local.stop_in_flight || now_us < task->local.stop_due_us ||
-	    task->local.loss_pending)
+	    task->local.loss_pending || task->local.phase == RUN_START_QUEUED)
 		return;
-	task_id_set(&stop.task, task);
 	task->local.stop_in_flight = true;
-	send_stop(vm, &stop, on_stop_reply, new_request(vm, task));
+	request = new_request(vm, REQUEST_STOP, task);
+	call_queue_add(&vm->calls, &request->call, CALL_STOP, now_us);
+	send_calls(vm);
 }
 
 static void on_orphan_stopped(void *arg, const vm_reply_t *reply)
 {
-	g_autofree vm_handle_t *handle = arg;
-	leader_vm_t *vm = vm_handle_get(handle);
+	g_autofree vm_request_t *request = arg;
+	leader_vm_t *vm = vm_handle_get(&request->vm);
 
-	if (vm != NULL)
-		vm->hold_due_us = leader_now_us(vm->leader) + 50 * US_PER_MS;
+	end_call(request, reply);
+	if (vm == NULL)
+		return;
+	vm->hold_due_us = leader_now_us(vm->leader) + 50 * US_PER_MS;
+	send_calls(vm);
+}
+
+static bool stops_orphan(const call_t *call, const task_id_t *id, uint32_t run)
+{
+	const vm_request_t *request = (const vm_request_t *)call;
+	const task_id_t *task = &request->orphan.task;
+
+	return request->kind == REQUEST_ORPHAN_STOP && request->orphan.run == run &&
+	       task->occurrence == id->occurrence && task->step == id->step &&
+	       task->index == id->index && strcmp(task->job, id->job) == 0;
+}
+
+/* True while a stop request for the run waits or is in flight: each hold response lists the run. */
+static bool orphan_stop_requested(const leader_vm_t *vm, const task_id_t *id, uint32_t run)
+{
+	const call_t *call;
+
+	TAILQ_FOREACH (call, &vm->calls.waiting[CALL_STOP], link) {
+		if (stops_orphan(call, id, run))
+			return true;
+	}
+	TAILQ_FOREACH (call, &vm->calls.under_way[CALL_STOP], link) {
+		if (stops_orphan(call, id, run))
+			return true;
+	}
+	return false;
 }
 
 void leader_stop_orphan(leader_vm_t *vm, const task_id_t *id, uint32_t run)
 {
-	vm_handle_t *handle = g_new0(vm_handle_t, 1);
-	vm_stop_t stop = {.task = *id, .run = run, .fence = vm->leader->term};
+	vm_request_t *request;
 
+	if (orphan_stop_requested(vm, id, run))
+		return;
 	log_event(G_LOG_LEVEL_INFO, LOG_FIELDS("request", id->job, "vm", vm->id),
 		  "stopping a run that is not assigned to the VM");
-	vm_handle_set(handle, vm);
-	send_stop(vm, &stop, on_orphan_stopped, handle);
+	request = new_request(vm, REQUEST_ORPHAN_STOP, NULL);
+	request->orphan = (vm_stop_t){.task = *id, .run = run, .fence = vm->leader->term};
+	call_queue_add(&vm->calls, &request->call, CALL_STOP, leader_now_us(vm->leader));
+	send_calls(vm);
 }
 
 static bool must_stop(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
@@ -308,25 +415,201 @@
 	leader_vm_t *vm = vm_handle_get(&request->vm);
 	batch_task_t *task = vm != NULL ? find_requested_task(request, vm) : NULL;
 
-	if (task == NULL)
-		return;
-	task->local.pace_in_flight = false;
-	if (reply->code == VM_REPLY_OK)
-		task->local.pace_percent = request->percent;
+	end_call(request, reply);
+	if (task != NULL) {
+		task->local.pace_in_flight = false;
+		if (reply->code == VM_REPLY_OK)
+			task->local.pace_percent = request->percent;
+	}
+	if (vm != NULL)
+		send_calls(vm);
 }
 
 void leader_request_pace(leader_vm_t *vm, batch_task_t *task, uint32_t percent)
 {
-	batch_leader_t *leader = vm->leader;
-	vm_ref_t ref = leader_vm_ref(vm);
-	vm_pace_t pace = {.run = task->run, .percent = percent, .fence = leader->term};
 	vm_request_t *request;
 
 	if (task->local.pace_in_flight || task->local.pace_percent == percent)
 		return;
 	task->local.pace_in_flight = true;
-	task_id_set(&pace.task, task);
-	request = new_request(vm, task);
+	request = new_request(vm, REQUEST_PACE, task);
 	request->percent = percent;
+	call_queue_add(&vm->calls, &request->call, CALL_PACE, leader_now_us(vm->leader));
+	send_calls(vm);
+}
+
+static void send_pace(leader_vm_t *vm, const batch_task_t *task, vm_request_t *request)
+{
+	batch_leader_t *leader = vm->leader;
+	vm_ref_t ref = leader_vm_ref(vm);
+	vm_pace_t pace = {.run = task->run, .percent = request->percent, .fence = leader->term};
+
+	task_id_set(&pace.task, task);
 	leader->port.pace(leader->port.arg, &ref, &pace, on_pace_reply, request);
 }
+
+/* --- waiting requests --- */
+
+/* Frees a request that was not sent. */
+static void drop_request(leader_vm_t *vm, vm_request_t *request)
+{
+	call_withdraw(&request->call);
+	metrics_add(vm->leader->stats.calls_withdrawn, 1);
+	if (request->kind == REQUEST_START)
+		start_window_remove(&vm->leader->window);
+	g_free(request);
+}
+
+/* Withdraws the starts that wait for the VM and that are pointless. */
+static void withdraw_starts(leader_vm_t *vm, bool (*is_pointless)(leader_vm_t *vm, batch_task_t *),
+			    const char *reason)
+{
+	g_autoptr(GPtrArray) tasks = g_ptr_array_new();
+	call_t *call;
+	call_t *next;
+
+	for (call = TAILQ_FIRST(&vm->calls.waiting[CALL_START]); call != NULL; call = next) {
+		vm_request_t *request = (vm_request_t *)call;
+		batch_task_t *task = find_requested_task(request, vm);
+		unsigned attempt = request->attempt;
+
+		next = TAILQ_NEXT(call, link);
+		if (task != NULL && !task->local.loss_pending && !is_pointless(vm, task))
+			continue;
+		drop_request(vm, request);
+		if (task == NULL || task->local.loss_pending)
+			continue;
+		if (attempt > 1)
+			handle_start_unknown(vm, task);
+		else
+			g_ptr_array_add(tasks, task);
+	}
+	if (tasks->len == 0)
+		return;
+	leader_refuse_queued_runs(vm, (batch_task_t **)tasks->pdata, tasks->len, reason);
+	leader_window_changed(vm->leader);
+}
+
+static bool job_has_ended(leader_vm_t *vm, batch_task_t *task)
+{
+	return batch_job_ended(task->step->job) || task->status != BATCH_TASK_ASSIGNED;
+}
+
+static bool cannot_take_starts(leader_vm_t *vm, batch_task_t *task)
+{
+	return vm->unresponsive || vm->draining;
+}
+
+/* True when a stop request that has waited is still needed. */
+static bool stop_is_needed(const leader_vm_t *vm, const batch_task_t *task, uint64_t now_us)
+{
+	return !task->local.loss_pending &&
+	       (must_stop(vm, task, now_us) || task->local.phase == RUN_UNSURE);
+}
+
+/* Sends the request, or withdraws it if it has become pointless while it waited. */
+static void send_request(leader_vm_t *vm, vm_request_t *request)
+{
+	uint64_t now_us = leader_now_us(vm->leader);
+	batch_task_t *task =
+		request->kind != REQUEST_ORPHAN_STOP ? find_requested_task(request, vm) : NULL;
+	vm_stop_t stop = {.run = request->task.run, .fence = vm->leader->term};
+
+	switch (request->kind) {
+	case REQUEST_START:
+		if (task == NULL || task->local.loss_pending)
+			break;
+		if (request->attempt > 1 && !may_retry_start(vm, task)) {
+			handle_start_unknown(vm, task);
+			break;
+		}
+		if (request->attempt == 1 && !leader_may_start(vm, task))
+			break;
+		if (request->attempt == 1 && !ticket_ready(vm, task)) {
+			ticket_request_awaited(vm->leader, task->step);
+			break;
+		}
+		send_start(vm, task, request);
+		return;
+	case REQUEST_STOP:
+		if (task == NULL)
+			break;
+		if (!stop_is_needed(vm, task, now_us)) {
+			task->local.stop_in_flight = false;
+			break;
+		}
+		task_id_set(&stop.task, task);
+		send_stop(vm, &stop, on_stop_reply, request);
+		return;
+	case REQUEST_ORPHAN_STOP:
+		send_stop(vm, &request->orphan, on_orphan_stopped, request);
+		return;
+	case REQUEST_PACE:
+		if (task == NULL)
+			break;
+		send_pace(vm, task, request);
+		return;
+	}
+	drop_request(vm, request);
+}
+
+static void log_waiting(leader_vm_t *vm, uint64_t now_us)
+{
+	char waiting[16];
+	char under_way[16];
+	char window[16];
+	char answer_ms[16];
+
+	if (call_queue_waiting(&vm->calls) == 0 ||
+	    now_us < vm->calls_logged_us + CALLS_LOG_PERIOD_US)
+		return;
+	vm->calls_logged_us = now_us;
+	g_snprintf(waiting, sizeof(waiting), "%u", call_queue_waiting(&vm->calls));
+	g_snprintf(under_way, sizeof(under_way), "%u", vm->calls.under_way_count);
+	g_snprintf(window, sizeof(window), "%u", call_queue_window(&vm->calls, now_us));
+	g_snprintf(answer_ms, sizeof(answer_ms), "%u",
+		   (unsigned)(call_queue_answer_us(&vm->calls) / US_PER_MS));
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("vm", vm->id, "waiting", waiting, "under_way", under_way, "window",
+			     window, "answer_ms", answer_ms),
+		  "requests wait until the VM answers earlier ones");
+}
+
+static void send_calls(leader_vm_t *vm)
+{
+	call_t *call;
+
+	while (!vm->dead && (call = call_queue_next(&vm->calls, leader_now_us(vm->leader))) != NULL)
+		send_request(vm, (vm_request_t *)call);
+}
+
+void leader_calls_tick(leader_vm_t *vm, uint64_t now_us)
+{
+	if (call_queue_waiting(&vm->calls) == 0)
+		return;
+	withdraw_starts(vm, job_has_ended, "the job has ended before the start");
+	withdraw_starts(vm, cannot_take_starts, "the VM cannot take it any more");
+	send_calls(vm);
+	log_waiting(vm, now_us);
+}
+
+static bool is_any_start(leader_vm_t *vm, batch_task_t *task)
+{
+	return true;
+}
+
+void leader_free_calls(leader_vm_t *vm)
+{
+	call_t *call;
+
+	for (int kind = 0; kind < CALL_KIND_COUNT; kind++) {
+		while ((call = TAILQ_FIRST(&vm->calls.waiting[kind])) != NULL)
+			drop_request(vm, (vm_request_t *)call);
+	}
+	call_queue_finish(&vm->calls);
+}
+
+void leader_withdraw_calls(leader_vm_t *vm, const char *reason)
+{
+	withdraw_starts(vm, is_any_start, reason);
+}
--- a/src/batch_state.h
+++ b/src/batch_state.h
@@ -78,6 +78,7 @@
 	RUN_INHERITED, /**< an earlier leader assigned the run, or its start request was not sent
 			  yet */
 	RUN_AWAITS_TICKET, /**< the start request waits for an answer of the policy service */
+	RUN_START_QUEUED,  /**< the first start request waits until the VM takes more calls */
 	RUN_START_SENT,	   /**< the start request is in flight */
 	RUN_CONFIRMED,	   /**< the VM has acknowledged the start or listed the run */
 	RUN_UNSURE,  /**< no conclusive response: unknown whether the VM has started the run */
--- a/src/batch_suspect.c
+++ b/src/batch_suspect.c
@@ -46,6 +46,7 @@
 
 	switch (local->phase) {
 	case RUN_AWAITS_TICKET:
+	case RUN_START_QUEUED:
 	case RUN_REFUSED:
 		return true;
 	case RUN_CONFIRMED:
--- a/src/batch_vms.c
+++ b/src/batch_vms.c
@@ -8,6 +8,10 @@
 #include "batch_suspect.h"
 #include "log.h"
 
+/* Time of a response from which on a VM counts as overloaded, in addition to the longest time that
+ * it takes to stop a run. */
+#define SLOW_MARGIN_US (100 * US_PER_MS)
+
 /* @return the VM of the incarnation, which may have ended; NULL: unknown */
 static leader_vm_t *find_incarnation(const batch_leader_t *leader, const char *id, uint64_t born_ms)
 {
@@ -125,6 +129,8 @@
 		.slowness = 1.0,
 		.known_since_us = leader_now_us(leader),
 	};
+	call_queue_init(&vm->calls, &leader->call_budget,
+			leader->config.stop_ms * US_PER_MS + SLOW_MARGIN_US);
 	LIST_INSERT_HEAD(&leader->vms, vm, link);
 	g_hash_table_insert(leader->by_id, vm->id, vm);
 	record = batch_state_vm(leader->state, vm->id, vm->born_ms);
@@ -220,6 +226,7 @@
 {
 	batch_vm_t *record = leader_vm_record(vm);
 
+	leader_free_calls(vm);
 	if (record != NULL && record->leader == vm)
 		record->leader = NULL;
 	LIST_REMOVE(vm, link);
@@ -253,6 +260,7 @@
 	log_event(G_LOG_LEVEL_MESSAGE,
 		  LOG_FIELDS("vm", vm->id, "born", born, "machine", vm->machine, "reason", reason),
 		  "VM has ended");
+	leader_withdraw_calls(vm, reason);
 	suspect_log_crash(vm);
 	leader_hand_over_runs(vm);
 	leader_mark_all_runs_lost(vm, reason);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -385,6 +385,8 @@
 		curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
 				 (long)request->connect_timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+	if (request->receive_buffer > 0)
+		curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)request->receive_buffer);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body_data);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -32,6 +32,9 @@
 	uint32_t progress_timeout_ms; /**< longest time without a byte sent or received; 0: none */
 	/** Largest response body in bytes; the call fails when the body is larger. */
 	size_t response_limit;
+	/** Size of the buffer for received data, in bytes; 0: libcurl's default of 16 KB. A smaller
+	 * one saves memory where many calls with short responses are in progress. */
+	uint32_t receive_buffer;
 	/**
 	 * Called right before the request is written to the connection. Returns false to cancel the
 	 * call.
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -18,9 +18,10 @@
  * on the way. */
 #define DIRECT_VMS_MAX 120
 /* Timeouts of requests forwarded to an edge process. Longer than the edge process's own timeouts
- * (700 ms, 300 ms for a start, 450 ms plus the wait for a hold), to leave time for its result to
- * arrive. */
+ * (700 ms, 300 ms for a start, 450 ms plus the wait for a hold, 500 ms plus the longest time of a
+ * stop), to leave time for its result to arrive. */
 #define VM_TIMEOUT_MS 1000
+#define STOP_MARGIN_MS 800
 #define START_TIMEOUT_MS 450
 #define HOLD_MARGIN_MS 650
 #define TIMEOUT_CHECK_MS 100
@@ -259,7 +260,8 @@
 
 	set_task_run(&order, &stop->task, stop->run, stop->fence);
 	order.kind = LP__VM_ORDER_KIND__VM_ORDER_STOP;
-	if (!forward_request(relay, vm, &order, VM_TIMEOUT_MS, done, done_arg))
+	if (!forward_request(relay, vm, &order, relay->options.stop_ms + STOP_MARGIN_MS, done,
+			     done_arg))
 		relay->options.direct.stop(relay->options.direct.arg, vm, stop, done, done_arg);
 }
 
--- a/src/vm_relay.h
+++ b/src/vm_relay.h
@@ -27,7 +27,8 @@
 	/** Returns whether this process is certainly the leader now. If not, for example after a
 	 * pause, starts and platform requests are not sent and get VM_REPLY_NOT_SENT. */
 	bool (*is_leader)(void *arg);
-	void *arg; /**< first argument of the other functions */
+	void *arg;	  /**< first argument of the other functions */
+	uint32_t stop_ms; /**< longest time that a VM takes to stop a run */
 	metrics_t *metrics;
 } vm_relay_options_t;
 
--- a/tests/test_adapter_vm.c
+++ b/tests/test_adapter_vm.c
@@ -63,7 +63,7 @@
 	metrics = metrics_create();
 	assert_int_equal(http_server_init(&vm_server, ev, &config, handle_vm_request, NULL), 0);
 	assert_int_equal(http_client_init(&client, ev, 60), 0);
-	adapter_vm_client_init(&vm_client, &client, &settings, metrics);
+	adapter_vm_client_init(&vm_client, &client, &client, &settings, metrics);
 	g_snprintf(vm_address, sizeof(vm_address), "127.0.0.1:%u", config.port);
 	return 0;
 }
