serial_queue: the policy service gets as many calls as it answers in time

Each call has 5 s from when it is made, and five are sent at once to a service that handles one at a time. They time out there and are made anew.

Change: a call is sent while the declared time of those in flight is at most 2.5 s, or if there is none; the others wait in the order of their arrival, renewed tickets of committed runs first. A call has twice its declared time and 1 s, at least 5 s. While calls wait, a step asks about two VMs for each of its tasks. The simulated policy service can work in turn, by its declared times.

--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -220,6 +220,7 @@
 	leader->metrics = options->metrics;
 	leader->mean_slowness = 1.0;
 	leader->call_budget.max = CALL_BUDGET_MAX;
+	serial_queue_init(&leader->advice_calls);
 	leader_vms_init(leader);
 	leader_challenges_init(leader);
 	leader->known_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -286,6 +287,7 @@
 	leader->placement_due = true;
 	leader->window_full = false;
 	start_window_init(&leader->window, leader->activated_us);
+	serial_queue_init(&leader->advice_calls);
 	leader->list_in_flight = false;
 	leader->list_complete = false;
 	leader->list_requested_us = 0;
@@ -303,6 +305,7 @@
 	leader->active = false;
 	leader_clear_planned(leader);
 	leader_vms_clear(leader);
+	ticket_drop_requests(leader);
 	g_hash_table_remove_all(leader->challenges);
 	start_window_finish(&leader->window);
 	g_hash_table_remove_all(leader->machines);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -8,6 +8,7 @@
 #include "batch_outcome.h"
 #include "call_queue.h"
 #include "clock.h"
+#include "serial_queue.h"
 #include "start_window.h"
 
 /**
@@ -213,7 +214,8 @@
 	bool placement_due;
 	uint64_t next_placement_us; /**< earliest time of the next placement pass */
 	start_window_t window;
-	call_budget_t call_budget; /**< shared by the calls to all VMs */
+	call_budget_t call_budget;   /**< shared by the calls to all VMs */
+	serial_queue_t advice_calls; /**< requests to the policy service */
 	uint64_t window_logged_us;
 	bool window_full; /**< the latest placement pass left out steps because of the window */
 	uint64_t waiting_due_us; /**< time of the next placement pass for steps that wait for a VM
@@ -529,6 +531,8 @@
  */
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
 			const char *const *vms, size_t count, uint64_t now_us);
+/** Drops the requests that wait, when this process does not lead any more. */
+void ticket_drop_requests(batch_leader_t *leader);
 /** Forgets a ticket that the VM has refused. */
 void ticket_remove(batch_step_t *step, const char *vm, uint64_t now_us);
 
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -23,6 +23,10 @@
 #define ADVICE_VMS_MAX 30
 /* The same for a gang, whose members have to start together: what the policy service takes. */
 #define ADVICE_GANG_VMS_MAX 100
+/* Fewest VMs listed in a request while others wait. Otherwise two for each task of the step: the
+ * service takes time for each VM, and possibly allows only some. */
+#define ADVICE_BUSY_VMS_MIN 4
+#define ADVICE_BUSY_VMS_PER_TASK 2
 
 /* Latest answer of the policy service about a VM. */
 typedef struct {
@@ -41,7 +45,9 @@
 	GHashTable *vms;     /* VM id -> advice_t */
 };
 
+/* A request to the policy service that waits or is in flight. */
 typedef struct {
+	serial_call_t call; /* first member, so that a serial_call_t is an advice_call_t */
 	batch_leader_t *leader;
 	uint64_t generation;
 	Lp__BatchTask first_task; /* first task of the step, which identifies the step */
@@ -221,6 +227,8 @@
 		ticket_request_awaited(leader, step);
 }
 
+static void send_waiting(batch_leader_t *leader);
+
 static void on_advice(void *arg, const advice_reply_t *reply)
 {
 	g_autofree advice_call_t *call = arg;
@@ -231,6 +239,8 @@
 
 	if (!leader->active || call->generation != leader->generation)
 		return;
+	serial_queue_ended(&leader->advice_calls, &call->call);
+	send_waiting(leader);
 	task = batch_state_task(leader->state, &call->first_task);
 	if (task == NULL || task->step->tickets == NULL)
 		return;
@@ -266,9 +276,19 @@
 	return now_us >= advice->answered_us + TICKET_RECHECK_US ? ASK_AGAIN : ASK_NOT;
 }
 
-/* Chooses the VMs to ask about, in the order of their ranks. @return their number */
+/* @return most VMs to ask about for the step */
+static size_t most_vms(const batch_leader_t *leader, const batch_step_t *step)
+{
+	size_t wanted = (size_t)step->spec->count * ADVICE_BUSY_VMS_PER_TASK;
+
+	if (!serial_queue_is_full(&leader->advice_calls))
+		return ADVICE_VMS_MAX;
+	return CLAMP(wanted, ADVICE_BUSY_VMS_MIN, ADVICE_VMS_MAX);
+}
+
+/* Chooses at most `most` VMs to ask about, in the order of their ranks. @return their number */
 static size_t choose_vms(const batch_ticket_cache_t *cache, const char *const *vms, size_t count,
-			 uint64_t now_us, const char *chosen[ADVICE_VMS_MAX])
+			 size_t most, uint64_t now_us, const char *chosen[ADVICE_VMS_MAX])
 {
 	g_autofree ask_rank_t *ranks = g_new(ask_rank_t, count);
 	size_t chosen_count = 0;
@@ -276,7 +296,7 @@
 	for (size_t i = 0; i < count; i++)
 		ranks[i] = ask_rank(cache, vms[i], now_us);
 	for (ask_rank_t rank = ASK_ALLOWED; rank < ASK_NOT; rank++) {
-		for (size_t i = 0; i < count && chosen_count < ADVICE_VMS_MAX; i++) {
+		for (size_t i = 0; i < count && chosen_count < most; i++) {
 			if (ranks[i] == rank)
 				chosen[chosen_count++] = vms[i];
 		}
@@ -284,23 +304,70 @@
 	return chosen_count;
 }
 
-static void send_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-			 const char *const *vms, size_t count)
+static void send_request(advice_call_t *call, const batch_step_t *step)
 {
-	advice_call_t *call = g_malloc0(sizeof(*call) + count * sizeof(call->vms[0]));
+	batch_leader_t *leader = call->leader;
+	g_autofree const char **vms = g_new(const char *, call->vm_count);
 	task_id_t id;
 
+	for (size_t i = 0; i < call->vm_count; i++)
+		vms[i] = call->vms[i];
+	task_id_set(&id, &step->tasks[0]);
+	leader->port.advise(leader->port.arg, &id, vms, call->vm_count,
+			    call->call.work_us / US_PER_MS, on_advice, call);
+}
+
+/* Sends the requests that the policy service answers soon, but none for a job that has ended. */
+static void send_waiting(batch_leader_t *leader)
+{
+	serial_call_t *next;
+
+	while ((next = serial_queue_next(&leader->advice_calls)) != NULL) {
+		advice_call_t *call = (advice_call_t *)next;
+		batch_task_t *task = batch_state_task(leader->state, &call->first_task);
+
+		if (task != NULL && task->step->tickets != NULL &&
+		    !batch_job_ended(task->step->job)) {
+			send_request(call, task->step);
+			continue;
+		}
+		if (task != NULL && task->step->tickets != NULL)
+			task->step->tickets->request_generation = 0;
+		serial_queue_ended(&leader->advice_calls, next);
+		g_free(call);
+	}
+}
+
+void ticket_drop_requests(batch_leader_t *leader)
+{
+	serial_call_t *call;
+
+	while ((call = serial_queue_withdraw(&leader->advice_calls)) != NULL)
+		g_free(call);
+}
+
+/* @param first whether the request goes before those that wait */
+static void add_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
+			const char *const *vms, size_t count, bool first)
+{
+	advice_call_t *call = g_malloc0(sizeof(*call) + count * sizeof(call->vms[0]));
+	const Lp__BatchAdvice *advice = queue->advice;
+	uint64_t work_us = (advice->decide_ms + (uint64_t)advice->per_vm_ms * count) * US_PER_MS;
+
 	call->leader = leader;
 	call->generation = leader->generation;
 	/* A ticket that is valid for no time can only be tried at once. */
-	call->valid_us = MAX(queue->advice->valid_ms, 1) * US_PER_MS;
+	call->valid_us = MAX(advice->valid_ms, 1) * US_PER_MS;
 	call->vm_count = count;
 	for (size_t i = 0; i < count; i++)
 		g_strlcpy(call->vms[i], vms[i], VM_NAME_MAX);
 	batch_task_ref(&step->tasks[0], &call->first_task);
-	task_id_set(&id, &step->tasks[0]);
 	step->tickets->request_generation = leader->generation;
-	leader->port.advise(leader->port.arg, &id, vms, count, on_advice, call);
+	if (first)
+		serial_queue_add_first(&leader->advice_calls, &call->call, work_us);
+	else
+		serial_queue_add(&leader->advice_calls, &call->call, work_us);
+	send_waiting(leader);
 }
 
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
@@ -308,6 +375,7 @@
 {
 	batch_ticket_cache_t *cache = step->tickets;
 	const char *chosen[ADVICE_VMS_MAX];
+	size_t most;
 
 	if (count == 0)
 		return 0;
@@ -316,16 +384,17 @@
 		cache->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 		step->tickets = cache;
 	}
-	count = choose_vms(cache, vms, count, now_us, chosen);
+	most = most_vms(leader, step);
+	count = choose_vms(cache, vms, count, most, now_us, chosen);
 	if (count == 0) {
 		cache->retry_us = now_us + TICKET_SEARCH_US;
 		return cache->retry_us;
 	}
-	if (count < ADVICE_VMS_MAX && ticket_allows_any(step) && now_us < cache->few_due_us) {
+	if (count < most && ticket_allows_any(step) && now_us < cache->few_due_us) {
 		cache->retry_us = cache->few_due_us;
 		return cache->retry_us;
 	}
-	send_request(leader, step, queue, chosen, count);
+	add_request(leader, step, queue, chosen, count, false);
 	return 0;
 }
 
@@ -377,5 +446,5 @@
 			vms[count++] = task->vm->id;
 	}
 	if (count > 0)
-		send_request(leader, step, step->job->queue, vms, count);
+		add_request(leader, step, step->job->queue, vms, count, true);
 }
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -174,8 +174,9 @@
 		     void *done_arg);
 	void (*hold)(void *arg, const vm_ref_t *vm, const vm_hold_t *hold, vm_reply_fn done,
 		     void *done_arg);
+	/** @param expected_ms declared time of the response, from the start of the service's work */
 	void (*advise)(void *arg, const task_id_t *step, const char *const *vms, size_t count,
-		       advice_done_fn done, void *done_arg);
+		       uint64_t expected_ms, advice_done_fn done, void *done_arg);
 	void (*machines)(void *arg, const char *page, machine_list_fn done, void *done_arg);
 	void (*order)(void *arg, const platform_request_t *request, vm_reply_fn done,
 		      void *done_arg);
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -294,11 +294,11 @@
 }
 
 static void relay_advise(void *arg, const task_id_t *step, const char *const *vms, size_t count,
-			 advice_done_fn done, void *done_arg)
+			 uint64_t expected_ms, advice_done_fn done, void *done_arg)
 {
 	const vm_port_t *direct = &((vm_relay_t *)arg)->options.direct;
 
-	direct->advise(direct->arg, step, vms, count, done, done_arg);
+	direct->advise(direct->arg, step, vms, count, expected_ms, done, done_arg);
 }
 
 static void relay_machines(void *arg, const char *page, machine_list_fn done, void *done_arg)
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -150,6 +150,8 @@
 #define CRASH_DELAY_MAX_MS 15
 
 /* Most VMs that a request to the policy service may list, and the usual validity of its tickets. */
+/* Shortest time that a request to a policy service with declared times is given. */
+#define POLICY_TIMEOUT_MS 5000
 #define POLICY_VMS_MAX 100
 #define POLICY_VALID_MS 3000
 
@@ -200,6 +202,7 @@
 	unsigned allowed_first; /* see vm_sim_set_policy() */
 	unsigned allowed_count;
 	uint32_t policy_answer_ms;
+	uint64_t policy_free_us; /* time until which the policy service works on earlier requests */
 	unsigned policy_requests;
 	unsigned bad_tickets; /* number of start requests refused for want of a valid ticket */
 	bool shutting_down;   /* no further periodic events are scheduled */
@@ -1193,15 +1196,16 @@
 	vm_sim_t *sim;
 	advice_done_fn done;
 	void *arg;
+	bool timed_out;
 	GArray *tickets; /* of vm_ticket_t */
 } advise_call_t;
 
 static void deliver_advice(void *arg)
 {
 	g_autofree advise_call_t *call = arg;
-	const advice_reply_t reply = {.answered = true,
+	const advice_reply_t reply = {.answered = !call->timed_out,
 				      .tickets = (const vm_ticket_t *)call->tickets->data,
-				      .ticket_count = call->tickets->len};
+				      .ticket_count = call->timed_out ? 0 : call->tickets->len};
 
 	call->done(call->arg, &reply);
 	g_array_unref(call->tickets);
@@ -1226,16 +1230,35 @@
 	return false;
 }
 
+/* Lets the policy service work on a request. @return time of its response; the request times out if
+ * that is later than *timeout_us */
+static uint64_t policy_answers_us(vm_sim_t *sim, size_t vms, uint64_t expected_ms,
+				  uint64_t *timeout_us)
+{
+	const vm_sim_config_t *config = &sim->config;
+	uint64_t work_ms = config->policy_decide_ms + (uint64_t)config->policy_per_vm_ms * vms;
+
+	*timeout_us = UINT64_MAX;
+	if (work_ms == 0)
+		return sim->now_us + sim->policy_answer_ms * US_PER_MS;
+	*timeout_us = sim->now_us + MAX(POLICY_TIMEOUT_MS, 2 * expected_ms + 1000) * US_PER_MS;
+	sim->policy_free_us = MAX(sim->policy_free_us, sim->now_us) + work_ms * US_PER_MS;
+	return sim->policy_free_us;
+}
+
 static void port_advise(void *arg, const task_id_t *step, const char *const *vms, size_t count,
-			advice_done_fn done, void *done_arg)
+			uint64_t expected_ms, advice_done_fn done, void *done_arg)
 {
 	vm_sim_t *sim = arg;
 	advise_call_t *call = g_new(advise_call_t, 1);
+	uint64_t timeout_us;
+	uint64_t answer_us = policy_answers_us(sim, count, expected_ms, &timeout_us);
 
 	*call = (advise_call_t){
 		.sim = sim,
 		.done = done,
 		.arg = done_arg,
+		.timed_out = answer_us > timeout_us,
 		.tickets = g_array_new(FALSE, TRUE, sizeof(vm_ticket_t)),
 	};
 	if (count > POLICY_VMS_MAX)
@@ -1246,13 +1269,11 @@
 		if (!policy_allows(sim, step->job, vms[i]))
 			continue;
 		g_strlcpy(ticket.vm, vms[i], sizeof(ticket.vm));
-		make_ticket(sim, ticket.ticket, vms[i],
-			    sim->now_us + sim->policy_answer_ms * US_PER_MS);
+		make_ticket(sim, ticket.ticket, vms[i], answer_us);
 		g_array_append_val(call->tickets, ticket);
 	}
 	sim->policy_requests++;
-	schedule_at(sim, LEADER_MESSAGE, sim->now_us + sim->policy_answer_ms * US_PER_MS,
-		    deliver_advice, call);
+	schedule_at(sim, LEADER_MESSAGE, MIN(answer_us, timeout_us), deliver_advice, call);
 }
 
 /* --- platform --- */
@@ -1974,6 +1995,8 @@
 	Lp__Result result = LP__RESULT__INIT;
 
 	advice.valid_ms = policy_valid_ms(sim);
+	advice.decide_ms = sim->config.policy_decide_ms;
+	advice.per_vm_ms = sim->config.policy_per_vm_ms;
 	for (unsigned i = 0; i <= count; i++) {
 		g_snprintf(names[i], sizeof(names[i]), "s%u", i);
 		lp__batch_service__init(&services[i]);
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -87,7 +87,12 @@
 	bool declared_times; /**< the leader takes run times as declared */
 	bool advised;	     /**< a policy service allows some VMs only, see vm_sim_set_policy() */
 	uint32_t policy_valid_ms; /**< validity of its tickets; 0: 3000 */
-	bool unguarded;		  /**< VMs carry out start requests that exceed their capacity */
+	/** Declared and true times of a decision and of each VM listed. The policy service handles
+	 * one request at a time, and a request that takes too long gets no response, like one of
+	 * the adapter. Both 0: it answers each request after the time of vm_sim_set_policy(). */
+	uint32_t policy_decide_ms;
+	uint32_t policy_per_vm_ms;
+	bool unguarded; /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
 } vm_sim_config_t;
 
--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -285,6 +285,62 @@
 	}
 }
 
+/* Number of VMs in this test, about all of which the policy service is asked. */
+#define BUSY_VMS 12
+
+/* Guards against requests to the policy service that time out because they wait there for many
+ * others, are repeated, and make the others wait even longer: jobs would never start. */
+static void test_jobs_start_while_the_policy_service_is_busy(void **state)
+{
+	const vm_sim_config_t config = {.services = 1,
+					.vms_per_service = BUSY_VMS,
+					.advised = true,
+					.policy_decide_ms = 600,
+					.policy_per_vm_ms = 50,
+					.seed = 61};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	vm_sim_set_policy(sim, 0, BUSY_VMS, 0);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS);
+	make_job(&fixture, 1, 4, 2000, 800);
+	for (unsigned i = 0; i < 12; i++) {
+		g_autofree char *id = g_strdup_printf("j%u", i);
+
+		vm_sim_submit(sim, id, 0, &fixture.job);
+	}
+	vm_sim_run(sim, ADVISED_SUBMIT_MS + 1000);
+	for (unsigned i = 0; i < 12; i++) {
+		g_autofree char *id = g_strdup_printf("j%u", i);
+
+		/* Twelve decisions about all VMs take 14.4 s. */
+		run_until_complete(sim, id, ADVISED_SUBMIT_MS + 14400 + 2000);
+	}
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
+/* Guards against a request to the policy service that is given less time than its declared one. */
+static void test_job_starts_with_a_slow_policy_service(void **state)
+{
+	const vm_sim_config_t config = {.services = 1,
+					.vms_per_service = ADVISED_VMS,
+					.advised = true,
+					.policy_decide_ms = 5100,
+					.seed = 62};
+	vm_sim_t *sim = vm_sim_create(&config);
+	job_fixture_t fixture;
+
+	vm_sim_set_policy(sim, 0, ADVISED_VMS, 0);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS);
+	make_job(&fixture, 1, 4, 2000, 800);
+	vm_sim_submit(sim, "a", 0, &fixture.job);
+	vm_sim_run(sim, ADVISED_SUBMIT_MS + 1000);
+	run_until_complete(sim, "a", ADVISED_SUBMIT_MS + 8000);
+	assert_no_violations(sim);
+	vm_sim_destroy(sim);
+}
+
 /* Guards against members of a gang whose tickets expire while its other members are asked about. */
 static void test_gangs_start_with_short_lived_tickets(void **state)
 {
@@ -2110,6 +2166,8 @@
 		cmocka_unit_test(test_refused_vms_are_asked_about_seldom),
 		cmocka_unit_test(test_policy_request_of_an_earlier_term_is_repeated),
 		cmocka_unit_test(test_jobs_start_with_short_lived_tickets),
+		cmocka_unit_test(test_jobs_start_while_the_policy_service_is_busy),
+		cmocka_unit_test(test_job_starts_with_a_slow_policy_service),
 		cmocka_unit_test(test_gangs_start_with_short_lived_tickets),
 		cmocka_unit_test(test_gang_members_start_together_with_renewed_tickets),
 		cmocka_unit_test(test_tickets_that_expire_during_the_commit_are_renewed),
