--- a/src/batch_orders.c
+++ b/src/batch_orders.c
@@ -605,10 +605,13 @@
 void leader_free_calls(leader_vm_t *vm)
 {
 	call_t *call;
+	call_t *next;
 
 	for (int kind = 0; kind < CALL_KIND_COUNT; kind++) {
-		while ((call = TAILQ_FIRST(&vm->calls.waiting[kind])) != NULL)
+		for (call = TAILQ_FIRST(&vm->calls.waiting[kind]); call != NULL; call = next) {
+			next = TAILQ_NEXT(call, link);
 			drop_request(vm, (vm_request_t *)call);
+		}
 	}
 	call_queue_finish(&vm->calls);
 }
