--- a/tests/test_batch_leader.c
+++ b/tests/test_batch_leader.c
@@ -285,35 +285,46 @@
 	}
 }
 
-/* Number of VMs in this test, about all of which the policy service is asked. */
+/* Number of VMs about all of which a busy policy service is asked. */
 #define BUSY_VMS 12
 
-/* Guards against requests to the policy service that time out because they wait there for many
- * others, are repeated, and make the others wait even longer: jobs would never start. */
-static void test_jobs_start_while_the_policy_service_is_busy(void **state)
+#define BUSY_JOBS 12
+
+/* @return a simulation with BUSY_JOBS jobs, j0 and so on, 1 s after they were submitted at once to
+ * a queue whose policy service takes 1.2 s for a decision about all VMs */
+static vm_sim_t *create_busy_sim(uint64_t seed)
 {
 	const vm_sim_config_t config = {.services = 1,
 					.vms_per_service = BUSY_VMS,
 					.advised = true,
 					.policy_decide_ms = 600,
 					.policy_per_vm_ms = 50,
-					.seed = 61};
+					.seed = seed};
 	vm_sim_t *sim = vm_sim_create(&config);
 	job_fixture_t fixture;
 
 	vm_sim_set_policy(sim, 0, BUSY_VMS, 0);
 	vm_sim_run(sim, ADVISED_SUBMIT_MS);
 	make_job(&fixture, 1, 4, 2000, 800);
-	for (unsigned i = 0; i < 12; i++) {
+	for (unsigned i = 0; i < BUSY_JOBS; i++) {
 		g_autofree char *id = g_strdup_printf("j%u", i);
 
 		vm_sim_submit(sim, id, 0, &fixture.job);
 	}
 	vm_sim_run(sim, ADVISED_SUBMIT_MS + 1000);
-	for (unsigned i = 0; i < 12; i++) {
+	return sim;
+}
+
+/* Guards against requests to the policy service that time out because they wait there for many
+ * others, are repeated, and make the others wait even longer: jobs would never start. */
+static void test_jobs_start_while_the_policy_service_is_busy(void **state)
+{
+	vm_sim_t *sim = create_busy_sim(61);
+
+	for (unsigned i = 0; i < BUSY_JOBS; i++) {
 		g_autofree char *id = g_strdup_printf("j%u", i);
 
-		/* Twelve decisions about all VMs take 14.4 s. */
+		/* The decisions about all VMs take 14.4 s. */
 		run_until_complete(sim, id, ADVISED_SUBMIT_MS + 14400 + 2000);
 	}
 	assert_no_violations(sim);
@@ -324,25 +335,9 @@
  * they would hold up the requests of other jobs. */
 static void test_requests_of_cancelled_jobs_are_not_sent(void **state)
 {
-	const vm_sim_config_t config = {.services = 1,
-					.vms_per_service = BUSY_VMS,
-					.advised = true,
-					.policy_decide_ms = 600,
-					.policy_per_vm_ms = 50,
-					.seed = 63};
-	vm_sim_t *sim = vm_sim_create(&config);
-	job_fixture_t fixture;
-
-	vm_sim_set_policy(sim, 0, BUSY_VMS, 0);
-	vm_sim_run(sim, ADVISED_SUBMIT_MS);
-	make_job(&fixture, 1, 4, 2000, 800);
-	for (unsigned i = 0; i < 12; i++) {
-		g_autofree char *id = g_strdup_printf("j%u", i);
+	vm_sim_t *sim = create_busy_sim(63);
 
-		vm_sim_submit(sim, id, 0, &fixture.job);
-	}
-	vm_sim_run(sim, ADVISED_SUBMIT_MS + 1000);
-	for (unsigned i = 0; i < 11; i++) {
+	for (unsigned i = 0; i < BUSY_JOBS - 1; i++) {
 		g_autofree char *id = g_strdup_printf("j%u", i);
 
 		vm_sim_cancel(sim, id);
--- a/tests/test_cluster_calls.c
+++ b/tests/test_cluster_calls.c
@@ -390,15 +390,15 @@
 	start_answer_ms = answer_ms;
 }
 
-/* Guards against tasks of a cancelled job that work on because few of their stops are requested at
- * a time, and those that wait for a connection are given up and asked for again later. */
-static void test_wide_job_is_stopped_in_time(void **state)
+/* Cancels a job whose tasks have worked for a while, and checks that all are told to stop in time.
+ */
+static void check_cancel(const char *job, unsigned count, unsigned cpu_milli)
 {
 	begin(2);
-	submit("00000000000000a1", 96, 500, false);
-	wait_for_starts(96);
+	submit(job, count, cpu_milli, false);
+	wait_for_starts(count);
 	run_until(clock_now_us() + 500 * US_PER_MS);
-	assert_int_equal(call_edge("DELETE", "00000000000000a1", NULL), 200);
+	assert_int_equal(call_edge("DELETE", job, NULL), 200);
 	run_until(clock_now_us() + CANCEL_MS * US_PER_MS);
 	assert_int_equal(working_count(), 0);
 	assert_in_range(most_pending, 1, VM_CONNECTIONS);
@@ -406,19 +406,17 @@
 	assert_int_equal(runs->len, 0);
 }
 
+/* Guards against tasks of a cancelled job that work on because few of their stops are requested at
+ * a time, and those that wait for a connection are given up and asked for again later. */
+static void test_wide_job_is_stopped_in_time(void **state)
+{
+	check_cancel("00000000000000a1", 96, 500);
+}
+
 /* Guards against stops that take so many connections or so long that a wider job works on. */
 static void test_job_of_many_tasks_is_stopped_in_time(void **state)
 {
-	begin(2);
-	submit("00000000000000a2", 400, 150, false);
-	wait_for_starts(400);
-	run_until(clock_now_us() + 500 * US_PER_MS);
-	assert_int_equal(call_edge("DELETE", "00000000000000a2", NULL), 200);
-	run_until(clock_now_us() + CANCEL_MS * US_PER_MS);
-	assert_int_equal(working_count(), 0);
-	assert_in_range(most_pending, 1, VM_CONNECTIONS);
-	run_until(clock_now_us() + US_PER_S);
-	assert_int_equal(runs->len, 0);
+	check_cancel("00000000000000a2", 400, 150);
 }
 
 /* Guards against starts that wait while their job is cancelled and are sent nevertheless, or hold
