http_client: a handle of libcurl serves one call

Any VM, or the platform, could write past the heap of a process that calls it.

The client kept handles for reuse, so that a later call received 16,384 bytes into 2,049.

Ruled out: a pool for each size, which leaves open what else outlives a reset.

Change: each call has a handle of its own, which is freed with it.

Each one alone reports a WRITE of size 16384, 0 bytes past a region of 2,049 bytes, on the code before; all pass now, with and without the sanitizer.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -23,8 +23,6 @@
 /* Longest time that a connection can have been idle to be reused. Below the usual keep-alive
  * timeout of 60 s, so that the peer has not closed the connection. */
 #define IDLE_CONNECTION_AGE_MAX_S 20
-/* Limit of the libcurl handles kept for reuse; each takes about 10 KB. */
-#define IDLE_HANDLES_MAX 64
 /* Time after which a connection with unacknowledged data is closed. */
 #define TCP_USER_TIMEOUT_MS 3000
 
@@ -146,32 +144,16 @@
 	g_free((char *)header->value);
 }
 
-/* Keeps a libcurl handle for reuse, because creating one takes longer than a request on an open
- * connection. */
-static void recycle_handle(http_client_t *client, CURL *easy)
-{
-	if (g_queue_get_length(&client->idle_handles) >= IDLE_HANDLES_MAX) {
-		curl_easy_cleanup(easy);
-		return;
-	}
-	curl_easy_reset(easy);
-	g_queue_push_head(&client->idle_handles, easy);
-}
-
-static CURL *take_handle(http_client_t *client)
-{
-	CURL *easy = g_queue_pop_head(&client->idle_handles);
-
-	return easy != NULL ? easy : curl_easy_init();
-}
-
 static void call_free(http_call_t *call)
 {
 	g_queue_unlink(&call->client->in_progress, &call->queue_link);
 	call->client->call_count--;
 	TALLOC_FREE(call->progress_timer);
 	curl_multi_remove_handle(call->client->multi, call->easy);
-	recycle_handle(call->client, call->easy);
+	/* A handle is not used again: curl_easy_reset() keeps the receive buffer of a call that
+	 * never got a connection, but not its size (libcurl 7.88.1), and the next call would write
+	 * past its end. A new handle takes 2 us of the 35 us of a call. */
+	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
 	g_array_unref(call->response_headers);
 	g_byte_array_unref(call->body);
@@ -462,7 +444,6 @@
 	if (multi == NULL)
 		return -1;
 	g_queue_init(&client->in_progress);
-	g_queue_init(&client->idle_handles);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, on_socket);
 	curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, set_timer);
@@ -485,7 +466,6 @@
 		call->error = "the HTTP client is shutting down";
 		finish_call(call, CURLE_ABORTED_BY_CALLBACK);
 	}
-	g_queue_clear_full(&client->idle_handles, curl_easy_cleanup);
 	curl_multi_cleanup(client->multi);
 	TALLOC_FREE(client->timer);
 }
@@ -493,7 +473,7 @@
 http_call_t *http_client_send(http_client_t *client, const http_call_request_t *request,
 			      http_call_done_fn done, void *arg)
 {
-	CURL *easy = take_handle(client);
+	CURL *easy = curl_easy_init();
 	http_call_t *call;
 
 	if (easy == NULL)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -80,8 +80,7 @@
 	unsigned call_count;
 	/** Age in seconds above which connections are not reused. */
 	uint32_t connection_age_max_s;
-	GQueue in_progress;  /**< elements: http_call_t in progress */
-	GQueue idle_handles; /**< elements: CURL handles kept for reuse */
+	GQueue in_progress; /**< elements: http_call_t in progress */
 } http_client_t;
 
 /**
@@ -91,7 +90,10 @@
  */
 int http_client_init(http_client_t *client, struct tevent_context *ev,
 		     uint32_t connection_age_max_s);
-/** Limits the connections to each host. Calls beyond the limit wait until a connection is free. */
+/**
+ * Limits the connections to each host. Calls beyond the limit wait until a connection is free, and
+ * their timeout ends them only then (libcurl 7.88.1).
+ */
 void http_client_set_host_connection_limit(http_client_t *client, unsigned connections);
 /**
  * Ends the calls in progress as failed (their done functions are called) and frees the client's
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -18,6 +18,9 @@
 #include "http_server.h"
 #include "lib_port.h"
 
+/* Size of a response that takes many reads of any receive buffer. */
+#define LARGE_RESPONSE_BYTES 300000
+
 static uint16_t server_port;
 static uint16_t raw_port;
 
@@ -27,6 +30,7 @@
 	http_client_t client;
 	http_request_t *held_request; /* request received and not replied to yet; NULL: none */
 	bool hold_requests;	      /* true: the handler does not reply */
+	unsigned held_count;	      /* number of requests that were held */
 	unsigned disconnect_count;
 	bool done;
 	/* Result of the latest call; its headers and body are not valid. */
@@ -53,6 +57,7 @@
 	};
 
 	if (f->hold_requests) {
+		f->held_count++;
 		f->held_request = request;
 		http_request_set_disconnect_handler(request, on_disconnect, f);
 		return;
@@ -170,6 +175,120 @@
 	g_free(body);
 }
 
+static void on_tick(struct tevent_context *ev, struct tevent_timer *timer, struct timeval now,
+		    void *arg)
+{
+}
+
+static http_call_t *start_sized_call(fixture_t *f, uint32_t receive_buffer, uint32_t timeout_ms,
+				     uint32_t progress_timeout_ms)
+{
+	g_autofree char *url = g_strdup_printf("http://127.0.0.1:%u/", server_port);
+	const http_call_request_t request = {
+		.method = "GET",
+		.url = url,
+		.timeout_ms = timeout_ms,
+		.progress_timeout_ms = progress_timeout_ms,
+		.response_limit = LARGE_RESPONSE_BYTES,
+		.receive_buffer = receive_buffer,
+	};
+
+	f->done = false;
+	return http_client_send(&f->client, &request, on_done, f);
+}
+
+static void run_for_ms(fixture_t *f, unsigned ms)
+{
+	uint64_t end_us = clock_now_us() + ms * US_PER_MS;
+
+	while (clock_now_us() < end_us) {
+		assert_non_null(tevent_add_timer(f->ev, f->ev, tevent_timeval_current_ofs(0, 10000),
+						 on_tick, NULL));
+		tevent_loop_once(f->ev);
+	}
+}
+
+/* Lets one request occupy the only connection, and a call with a short receive buffer wait for it.
+ * @return the call that waits */
+static http_call_t *start_waiting_call(fixture_t *f, uint32_t timeout_ms,
+				       uint32_t progress_timeout_ms)
+{
+	http_call_t *waiting;
+
+	http_client_set_host_connection_limit(&f->client, 1);
+	f->hold_requests = true;
+	start_sized_call(f, 0, 5000, 0);
+	while (f->held_request == NULL)
+		tevent_loop_once(f->ev);
+	waiting = start_sized_call(f, 2048, timeout_ms, progress_timeout_ms);
+	run_for_ms(f, 200);
+	assert_int_equal(f->held_count, 1);
+	return waiting;
+}
+
+/* Receives a large response to a new call over the connection, once that is free. */
+static void receive_large_response(fixture_t *f)
+{
+	g_autofree char *large = g_strnfill(LARGE_RESPONSE_BYTES, 'x');
+
+	start_sized_call(f, 0, 5000, 0);
+	http_request_reply(f->held_request, 200, NULL, 0, "", 0);
+	while (f->held_count < 2)
+		tevent_loop_once(f->ev);
+	f->done = false;
+	http_request_reply(f->held_request, 200, NULL, 0, large, LARGE_RESPONSE_BYTES);
+	wait_for_result(f);
+	assert_true(f->result.complete);
+	assert_int_equal(f->result.body_length, LARGE_RESPONSE_BYTES);
+	assert_string_equal(f->body, large);
+}
+
+/* Guards against a response that is written past the end of the receive buffer of an earlier call,
+ * which was cancelled while it waited for a connection. The address sanitizer finds it. */
+static void test_large_response_after_a_cancelled_waiting_call(void **state)
+{
+	http_call_cancel(start_waiting_call(*state, 5000, 0));
+	receive_large_response(*state);
+}
+
+/* Guards against the same after a waiting call that the progress timeout has ended. */
+static void test_large_response_after_a_waiting_call_without_progress(void **state)
+{
+	fixture_t *f = *state;
+
+	start_waiting_call(f, 5000, 100);
+	assert_true(f->result.timed_out);
+	assert_false(f->result.sent);
+	receive_large_response(f);
+}
+
+/* Guards against the same after waiting calls that have timed out. libcurl ends them only once a
+ * connection is free. */
+static void test_large_responses_after_waiting_calls_timed_out(void **state)
+{
+	g_autofree char *large = g_strnfill(LARGE_RESPONSE_BYTES, 'x');
+	fixture_t *f = *state;
+
+	start_waiting_call(f, 100, 0);
+	for (unsigned i = 0; i < 3; i++)
+		start_sized_call(f, 2048, 100, 0);
+	run_for_ms(f, 200);
+	http_request_reply(f->held_request, 200, NULL, 0, "", 0);
+	run_for_ms(f, 200);
+	assert_true(f->result.timed_out);
+	for (unsigned i = 0; i < 5; i++)
+		start_sized_call(f, 0, 5000, 0);
+	for (unsigned i = 0; i < 5; i++) {
+		while (f->held_count < i + 2)
+			tevent_loop_once(f->ev);
+		f->done = false;
+		http_request_reply(f->held_request, 200, NULL, 0, large, LARGE_RESPONSE_BYTES);
+		wait_for_result(f);
+		assert_true(f->result.complete);
+		assert_string_equal(f->body, large);
+	}
+}
+
 static void *reply_in_thread(void *arg)
 {
 	http_request_reply(arg, 202, NULL, 0, "late", 4);
@@ -536,6 +655,9 @@
 	const struct CMUnitTest tests[] = {
 		CASE(test_request_and_response_arrive_unchanged),
 		CASE(test_large_body_is_refused),
+		CASE(test_large_response_after_a_cancelled_waiting_call),
+		CASE(test_large_response_after_a_waiting_call_without_progress),
+		CASE(test_large_responses_after_waiting_calls_timed_out),
 		CASE(test_reply_from_another_thread),
 		CASE(test_disconnect_is_reported_once_and_reply_dropped),
 		CASE(test_server_finish_before_reply),
