--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 CFLAGS_asan := -O1 -fsanitize=address,undefined -fno-omit-frame-pointer -fno-sanitize-recover=undefined
 CFLAGS_tsan := -O1 -fsanitize=thread -fno-omit-frame-pointer
 LDFLAGS_asan := -fsanitize=address,undefined
+# The asan variant for plays of the bench, which loads a library of its own into the processes.
+CFLAGS_asan-static := $(CFLAGS_asan) -DASAN_DEFAULT_OPTIONS
+LDFLAGS_asan-static := $(LDFLAGS_asan) -static-libasan -static-libubsan
 LDFLAGS_tsan := -fsanitize=thread
 CFLAGS_all := $(CFLAGS_common) $(CFLAGS_$(VARIANT)) $(PKG_CFLAGS) $(CFLAGS)
 LDFLAGS_all := $(LDFLAGS_$(VARIANT)) $(LDFLAGS)
