--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -305,26 +305,80 @@
 	count_job_tasks(pass, place_vms, step);
 }
 
+#define TICKET_RANKS 4
+
+/* @return rank of the VM among those for which the step needs tickets, 0 first: VMs on the rack of
+ * its data, then VMs that run tasks, as idle machines may leave the pool before the answer */
+static unsigned ticket_rank(const place_vm_t *place, const Lp__BatchStep *spec)
+{
+	bool local = spec->data_rack[0] != '\0' && strcmp(place->rack, spec->data_rack) == 0;
+	bool idle = place->cpu_milli == place->cpu_total;
+
+	return (local ? 0 : 2) + (idle ? 1 : 0);
+}
+
+/* Lists the VMs that can take a task of the step and for which it has no ticket.
+ * @return their number */
+static size_t list_ticket_vms(const pool_t *pool, const batch_step_t *step, const char **ids)
+{
+	/* Steps that are asked about at the same time should not all get tickets for the same VMs.
+	 */
+	guint start = g_str_hash(step->job->spec->id) + step->number;
+	size_t count = 0;
+
+	for (unsigned rank = 0; rank < TICKET_RANKS; rank++) {
+		for (guint i = 0; i < pool->vms->len; i++) {
+			guint at = (start + i) % pool->vms->len;
+			const leader_vm_t *vm = g_ptr_array_index(pool->vms, at);
+			const place_vm_t *place = &g_array_index(pool->place_vms, place_vm_t, at);
+
+			if (place_suits(place, step->spec) && !ticket_allows(step, vm->id) &&
+			    ticket_rank(place, step->spec) == rank)
+				ids[count++] = vm->id;
+		}
+	}
+	return count;
+}
+
+/* @return number of VMs for which tasks of the step need tickets, at least 1
+ * @param wanted number of tasks without a VM */
+static size_t count_needed_vms(const pool_t *pool, const Lp__BatchStep *spec, size_t wanted)
+{
+	size_t allowed = 0;
+	size_t others = 0;
+	size_t needed = 0;
+
+	for (guint i = 0; i < pool->vms->len && allowed < wanted; i++) {
+		const place_vm_t *vm = &g_array_index(pool->place_vms, place_vm_t, i);
+
+		if (vm->allowed)
+			allowed += place_capacity(vm, spec, wanted);
+	}
+	for (guint i = 0; i < pool->vms->len && allowed + others < wanted; i++) {
+		const place_vm_t *vm = &g_array_index(pool->place_vms, place_vm_t, i);
+		size_t capacity = vm->allowed ? 0 : place_capacity(vm, spec, wanted);
+
+		others += capacity;
+		needed += capacity > 0;
+	}
+	return MAX(needed, 1);
+}
+
 /* Requests tickets for VMs that can take a task of the step now and for which it has none. The pool
- * must be prepared for the step. */
+ * must be prepared for the step. @param wanted number of tasks without a VM */
 static void request_tickets(placement_pass_t *pass, const pool_t *pool, batch_step_t *step,
-			    const Lp__BatchQueue *queue)
+			    const Lp__BatchQueue *queue, size_t wanted)
 {
 	g_autofree const char **ids = NULL;
 	uint64_t due_us;
-	size_t count = 0;
+	size_t count;
 
 	if (!ticket_may_request(pass->leader, step, pass->now_us))
 		return;
 	ids = g_new(const char *, pool->vms->len);
-	for (guint i = 0; i < pool->vms->len; i++) {
-		const leader_vm_t *vm = g_ptr_array_index(pool->vms, i);
-
-		if (place_suits(&g_array_index(pool->place_vms, place_vm_t, i), step->spec) &&
-		    !ticket_allows(step, vm->id))
-			ids[count++] = vm->id;
-	}
-	due_us = ticket_request(pass->leader, step, queue, ids, count, pass->now_us);
+	count = list_ticket_vms(pool, step, ids);
+	due_us = ticket_request(pass->leader, step, queue, ids, count,
+				count_needed_vms(pool, step->spec, wanted), pass->now_us);
 	if (due_us != 0)
 		wait_until(pass->leader, due_us);
 }
@@ -511,7 +565,8 @@
 	placed = place_step((place_vm_t *)pool->place_vms->data, pool->place_vms->len, spec, wanted,
 			    chosen);
 	if (placed < wanted && advised)
-		request_tickets(pass, pool, step, candidate->queue);
+		request_tickets(pass, pool, step, candidate->queue,
+				spec->gang ? wanted : wanted - placed);
 	if (placed < wanted && !suspect)
 		remember_unplaceable(pool, candidate);
 	for (size_t i = 0; i < placed; i++)
--- a/src/batch_leader.c
+++ b/src/batch_leader.c
@@ -213,7 +213,7 @@
 	leader->arg = options->arg;
 	leader->metrics = options->metrics;
 	leader->mean_slowness = 1.0;
-	serial_queue_init(&leader->advice_calls);
+	ticket_init(leader);
 	leader_vms_init(leader);
 	leader_challenges_init(leader);
 	leader->known_services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -230,6 +230,7 @@
 void batch_leader_destroy(batch_leader_t *leader)
 {
 	batch_leader_deactivate(leader);
+	policy_calls_finish(&leader->policy_calls);
 	leader_vms_finish(leader);
 	leader_challenges_finish(leader);
 	g_hash_table_destroy(leader->known_services);
@@ -280,7 +281,6 @@
 	leader->placement_due = true;
 	leader->window_full = false;
 	start_window_init(&leader->window, leader->activated_us);
-	serial_queue_init(&leader->advice_calls);
 	leader->list_in_flight = false;
 	leader->list_complete = false;
 	leader->list_requested_us = 0;
@@ -298,7 +298,7 @@
 	leader->active = false;
 	leader_clear_planned(leader);
 	leader_vms_clear(leader);
-	ticket_drop_requests(leader);
+	policy_calls_reset(&leader->policy_calls);
 	g_hash_table_remove_all(leader->challenges);
 	start_window_finish(&leader->window);
 	g_hash_table_remove_all(leader->machines);
@@ -436,6 +436,7 @@
 		vm = next;
 	}
 	show_calls(leader);
+	policy_calls_tick(&leader->policy_calls);
 	leader_challenges_tick(leader, now_us);
 	leader_adopt_vm_records(leader, now_us);
 	part_start_us = end_part(leader, LEADER_PART_VMS, now_us);
--- a/src/batch_leader_internal.h
+++ b/src/batch_leader_internal.h
@@ -8,7 +8,7 @@
 #include "batch_outcome.h"
 #include "call_queue.h"
 #include "clock.h"
-#include "serial_queue.h"
+#include "policy_calls.h"
 #include "start_window.h"
 
 /**
@@ -214,7 +214,7 @@
 	bool placement_due;
 	uint64_t next_placement_us; /**< earliest time of the next placement pass */
 	start_window_t window;
-	serial_queue_t advice_calls; /**< requests to the policy service */
+	policy_calls_t policy_calls;
 	uint64_t window_logged_us;
 	bool window_full; /**< the latest placement pass left out steps because of the window */
 	uint64_t waiting_due_us; /**< time of the next placement pass for steps that wait for a VM
@@ -523,13 +523,14 @@
  * repeated requests come to all of them. May be called only while ticket_may_request().
  * @param vms ids of VMs that can take a task of the step and that are not allowed as far as is
  * known
+ * @param needed number of VMs that the tasks without a VM need, at least 1
  * @return time from which on the call is to be repeated; 0: a request is in flight, or there is no
  * VM
  */
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-			const char *const *vms, size_t count, uint64_t now_us);
-/** Drops the requests that wait, when this process does not lead any more. */
-void ticket_drop_requests(batch_leader_t *leader);
+			const char *const *vms, size_t count, size_t needed, uint64_t now_us);
+/** Prepares the calls to the policy service. */
+void ticket_init(batch_leader_t *leader);
 /** Forgets a ticket that the VM has refused. */
 void ticket_remove(batch_step_t *step, const char *vm, uint64_t now_us);
 
--- a/src/batch_node.c
+++ b/src/batch_node.c
@@ -295,6 +295,12 @@
 	case LP__ENVELOPE__BODY_VM_RESULT:
 		vm_relay_handle_result(node->relay, from, envelope->vm_result);
 		break;
+	case LP__ENVELOPE__BODY_POLICY_QUERY:
+		policy_agent_handle_query(&node->policy_agent, from, envelope->policy_query);
+		break;
+	case LP__ENVELOPE__BODY_POLICY_ANSWER:
+		policy_relay_handle_answer(node->policy_relay, from, envelope->policy_answer);
+		break;
 	default:
 		break;
 	}
@@ -462,16 +468,18 @@
 	return replica_is_sole_leader(node->replica);
 }
 
-static void create_relay(batch_node_t *node, const vm_port_t *direct)
+static void create_relays(batch_node_t *node, const vm_port_t *direct)
 {
-	const vm_relay_options_t options = {.direct = *direct,
-					    .data_centre = data_centre_of_vm,
-					    .vm_count = vm_count,
-					    .is_leader = is_sole_leader,
-					    .arg = node,
-					    .stop_ms = node->settings->vm_stop_max_ms,
-					    .metrics = node->metrics};
+	vm_relay_options_t options = {.direct = *direct,
+				      .data_centre = data_centre_of_vm,
+				      .vm_count = vm_count,
+				      .is_leader = is_sole_leader,
+				      .arg = node,
+				      .stop_ms = node->settings->vm_stop_max_ms,
+				      .metrics = node->metrics};
 
+	node->policy_relay = policy_relay_create(node->timers, direct, node->metrics);
+	options.policy = node->policy_relay;
 	node->relay = vm_relay_create(node->timers, &options);
 }
 
@@ -629,11 +637,13 @@
 		random_seed = clock_wall_ms();
 	if (create_replica(node, random_seed, error, error_size) != 0)
 		goto fail_state;
-	create_relay(node, &options->port);
+	create_relays(node, &options->port);
 	create_leader(node);
 	if (create_peers(node, random_seed, error, error_size) != 0)
 		goto fail_replica;
 	vm_relay_set_peers(node->relay, node->peers);
+	policy_relay_set_peers(node->policy_relay, node->peers);
+	policy_agent_init(&node->policy_agent, &options->port, node->peers, node->metrics);
 	batch_calls_init(node);
 	timer_subscribe(node->timers, &node->tick_timer, LEADER_TICK_MS * US_PER_MS, on_leader_tick,
 			node);
@@ -643,6 +653,7 @@
 
 fail_replica:
 	vm_relay_destroy(node->relay);
+	policy_relay_destroy(node->policy_relay);
 	batch_leader_destroy(node->leader);
 	replica_destroy(node->replica);
 fail_state:
@@ -666,6 +677,7 @@
 	batch_leader_deactivate(node->leader);
 	replica_destroy(node->replica);
 	vm_relay_destroy(node->relay);
+	policy_relay_destroy(node->policy_relay);
 	batch_calls_finish(node);
 	peer_set_destroy(node->peers);
 	batch_leader_destroy(node->leader);
--- a/src/batch_node_internal.h
+++ b/src/batch_node_internal.h
@@ -7,6 +7,7 @@
 #include "batch_queued.h"
 #include "duty_limit.h"
 #include "org_access.h"
+#include "policy_relay.h"
 #include "reply_queue.h"
 #include "vm_cache.h"
 #include "vm_relay.h"
@@ -39,6 +40,8 @@
 	org_access_t access;
 	vm_cache_t report_cache;
 	vm_relay_t *relay;
+	policy_relay_t *policy_relay;
+	policy_agent_t policy_agent;
 	reply_queue_t replies; /* replies to edge processes that could not be sent yet */
 	timer_sub_t reply_timer;
 	/* Set by batch_node_resign(): batch_node_is_active_leader() returns false from then on. */
--- a/src/batch_place.c
+++ b/src/batch_place.c
@@ -68,18 +68,12 @@
 	return place_has_label(vm, step->constraint);
 }
 
-static bool can_run(const place_vm_t *vm, const Lp__BatchStep *step)
-{
-	return vm->allowed && place_suits(vm, step);
-}
-
-/* @return number of tasks of the step that fit on the VM, at most want */
-static size_t task_capacity(const place_vm_t *vm, const Lp__BatchStep *step, size_t want)
+size_t place_capacity(const place_vm_t *vm, const Lp__BatchStep *step, size_t want)
 {
 	int64_t cpu = place_reserved_cpu_milli(step);
 	int64_t capacity = (int64_t)want;
 
-	if (!can_run(vm, step))
+	if (!place_suits(vm, step))
 		return 0;
 	if (cpu > 0)
 		capacity = MIN(capacity, vm->cpu_milli / cpu);
@@ -92,6 +86,12 @@
 	return (size_t)capacity;
 }
 
+/* @return number of tasks of the step that fit on the VM, at most want */
+static size_t task_capacity(const place_vm_t *vm, const Lp__BatchStep *step, size_t want)
+{
+	return vm->allowed ? place_capacity(vm, step, want) : 0;
+}
+
 /* True when the tasks of the step should share VMs, because one late task makes the whole job
  * late. */
 static bool prefers_shared_vm(const Lp__BatchStep *step)
--- a/src/batch_place.h
+++ b/src/batch_place.h
@@ -59,5 +59,8 @@
 bool place_has_label(const place_vm_t *vm, const char *label);
 /** @return true when the VM can take one more task of the step, if the policy service allows it */
 bool place_suits(const place_vm_t *vm, const Lp__BatchStep *step);
+/** @return number of tasks of the step that the VM can take, at most want, if the policy service
+ * allows it */
+size_t place_capacity(const place_vm_t *vm, const Lp__BatchStep *step, size_t want);
 /** @return true when the VM has enough unreserved resources for one task of the step */
 bool place_fits(const place_vm_t *vm, const Lp__BatchStep *step);
--- a/src/batch_ticket.c
+++ b/src/batch_ticket.c
@@ -23,10 +23,6 @@
 #define ADVICE_VMS_MAX 30
 /* The same for a gang, whose members have to start together: what the policy service takes. */
 #define ADVICE_GANG_VMS_MAX 100
-/* Fewest VMs listed in a request while others wait. Otherwise two for each task of the step: the
- * service takes time for each VM, and possibly allows only some. */
-#define ADVICE_BUSY_VMS_MIN 4
-#define ADVICE_BUSY_VMS_PER_TASK 2
 
 /* Latest answer of the policy service about a VM. */
 typedef struct {
@@ -38,24 +34,14 @@
 } advice_t;
 
 struct batch_ticket_cache {
-	uint64_t request_generation; /* leader generation of the request in flight; 0: none */
+	uint64_t request_generation; /* leader generation of the request under way; 0: none */
+	uint64_t request_id;	     /* its id, see policy_calls_next_id() */
 	bool any_allowed;	     /* the service has allowed a VM */
 	uint64_t retry_us;	     /* earliest time of the next request */
 	uint64_t few_due_us; /* earliest time of a request about few VMs once one is allowed */
 	GHashTable *vms;     /* VM id -> advice_t */
 };
 
-/* A request to the policy service that waits or is in flight. */
-typedef struct {
-	serial_call_t call; /* first member, so that a serial_call_t is an advice_call_t */
-	batch_leader_t *leader;
-	uint64_t generation;
-	Lp__BatchTask first_task; /* first task of the step, which identifies the step */
-	uint64_t valid_us;
-	size_t vm_count;
-	char vms[][VM_NAME_MAX]; /* VMs that the request lists */
-} advice_call_t;
-
 /* Order in which VMs are asked about. */
 typedef enum {
 	ASK_ALLOWED, /* the VM was allowed, and has refused the ticket */
@@ -131,9 +117,11 @@
 }
 
 /* Notes for each VM that the request listed whether the policy service allows it. */
-static void store_advice(batch_ticket_cache_t *cache, const advice_call_t *call,
+static void store_advice(batch_ticket_cache_t *cache, const policy_call_t *call,
 			 const advice_reply_t *reply, uint64_t now_us)
 {
+	uint64_t valid_us = call->valid_us - MIN(call->valid_us, reply->age_us);
+
 	for (size_t i = 0; i < call->vm_count; i++) {
 		advice_t *advice = g_new0(advice_t, 1);
 
@@ -148,13 +136,13 @@
 			continue;
 		advice->allowed = true;
 		advice->valid_us = call->valid_us;
-		advice->valid_until_us = now_us + call->valid_us;
+		advice->valid_until_us = now_us + valid_us;
 		g_strlcpy(advice->ticket, reply->tickets[i].ticket, sizeof(advice->ticket));
 		cache->any_allowed = true;
 	}
 }
 
-static bool call_lists(const advice_call_t *call, const char *vm)
+static bool call_lists(const policy_call_t *call, const char *vm)
 {
 	for (size_t i = 0; i < call->vm_count; i++) {
 		if (strcmp(call->vms[i], vm) == 0)
@@ -165,7 +153,7 @@
 
 /* Starts a run that waits for a ticket, or gives it up, after an answer of the policy service.
  * @return false when it still waits, as the request was made without its VM */
-static bool settle_awaited(batch_leader_t *leader, batch_task_t *task, const advice_call_t *call,
+static bool settle_awaited(batch_leader_t *leader, batch_task_t *task, const policy_call_t *call,
 			   bool answered, uint64_t now_us)
 {
 	const char *id = task->vm->id;
@@ -196,7 +184,7 @@
 
 /* True when the policy service has not allowed a VM of the gang, whose members cannot start without
  * each other. */
-static bool gang_was_refused(const batch_step_t *step, const advice_call_t *call, uint64_t now_us)
+static bool gang_was_refused(const batch_step_t *step, const policy_call_t *call, uint64_t now_us)
 {
 	for (uint32_t i = 0; step->spec->gang && i < step->spec->count; i++) {
 		const batch_task_t *task = &step->tasks[i];
@@ -209,7 +197,7 @@
 }
 
 static void settle_awaited_runs(batch_leader_t *leader, batch_step_t *step,
-				const advice_call_t *call, bool answered, uint64_t now_us)
+				const policy_call_t *call, bool answered, uint64_t now_us)
 {
 	bool refused = answered && gang_was_refused(step, call, now_us);
 	bool request = false;
@@ -229,44 +217,74 @@
 		ticket_request_awaited(leader, step);
 }
 
-static void send_waiting(batch_leader_t *leader);
+static bool is_wanted(void *arg, const policy_call_t *call)
+{
+	const batch_leader_t *leader = arg;
+	const batch_task_t *task = batch_state_task(leader->state, &call->first_task);
+
+	return task != NULL && task->step->tickets != NULL && !batch_job_ended(task->step->job);
+}
+
+static bool is_usable(void *arg, const char *id)
+{
+	const batch_leader_t *leader = arg;
+	const leader_vm_t *vm = g_hash_table_lookup(leader->by_id, id);
+
+	return vm != NULL && !vm->draining && !vm->cordoned && !vm->drained_for_move;
+}
 
-static void on_advice(void *arg, const advice_reply_t *reply)
+static void log_unusable(const batch_step_t *step, const policy_call_t *call, bool answered)
 {
-	g_autofree advice_call_t *call = arg;
-	batch_leader_t *leader = call->leader;
-	batch_task_t *task;
+	char asked[16];
+
+	g_snprintf(asked, sizeof(asked), "%zu", call->vm_count);
+	log_event(G_LOG_LEVEL_INFO,
+		  LOG_FIELDS("request", step->job->spec->id, "answered", answered ? "yes" : "no",
+			     "vms", asked),
+		  "policy service allowed no VM for a step");
+}
+
+static void on_advice(void *arg, const policy_call_t *call, const advice_reply_t *reply)
+{
+	batch_leader_t *leader = arg;
+	batch_task_t *task = batch_state_task(leader->state, &call->first_task);
+	bool answered = reply->code == ADVICE_ANSWERED;
+	uint64_t now_us = leader_now_us(leader);
 	batch_ticket_cache_t *cache;
-	uint64_t now_us;
 
-	if (!leader->active || call->generation != leader->generation)
-		return;
-	serial_queue_ended(&leader->advice_calls, &call->call);
-	send_waiting(leader);
-	task = batch_state_task(leader->state, &call->first_task);
 	if (task == NULL || task->step->tickets == NULL)
 		return;
-	now_us = leader_now_us(leader);
 	cache = task->step->tickets;
+	if (cache->request_id != call->id)
+		return;
 	cache->request_generation = 0;
 	cache->few_due_us = now_us + TICKET_RETRY_US;
-	if (reply->answered)
+	if (answered)
 		store_advice(cache, call, reply, now_us);
 	else
 		cache->retry_us = now_us + TICKET_RETRY_US;
-	settle_awaited_runs(leader, task->step, call, reply->answered, now_us);
-	if (!reply->answered || reply->ticket_count == 0) {
-		char asked[16];
-
-		g_snprintf(asked, sizeof(asked), "%zu", call->vm_count);
-		log_event(G_LOG_LEVEL_INFO,
-			  LOG_FIELDS("request", task->step->job->spec->id, "answered",
-				     reply->answered ? "yes" : "no", "vms", asked),
-			  "policy service allowed no VM for a step");
-	}
+	settle_awaited_runs(leader, task->step, call, answered, now_us);
+	if (!answered || reply->ticket_count == 0)
+		log_unusable(task->step, call, answered);
 	leader->placement_due = true;
 }
 
+static uint64_t calls_now_us(void *arg)
+{
+	return leader_now_us(arg);
+}
+
+void ticket_init(batch_leader_t *leader)
+{
+	const policy_calls_user_t user = {.is_wanted = is_wanted,
+					  .is_usable = is_usable,
+					  .done = on_advice,
+					  .now_us = calls_now_us,
+					  .arg = leader};
+
+	policy_calls_init(&leader->policy_calls, &leader->port, &user, leader->metrics);
+}
+
 static ask_rank_t ask_rank(const batch_ticket_cache_t *cache, const char *vm, uint64_t now_us)
 {
 	const advice_t *advice = g_hash_table_lookup(cache->vms, vm);
@@ -278,19 +296,10 @@
 	return now_us >= advice->answered_us + TICKET_RECHECK_US ? ASK_AGAIN : ASK_NOT;
 }
 
-/* @return most VMs to ask about for the step */
-static size_t most_vms(const batch_leader_t *leader, const batch_step_t *step)
-{
-	size_t wanted = (size_t)step->spec->count * ADVICE_BUSY_VMS_PER_TASK;
-
-	if (!serial_queue_is_full(&leader->advice_calls))
-		return ADVICE_VMS_MAX;
-	return CLAMP(wanted, ADVICE_BUSY_VMS_MIN, ADVICE_VMS_MAX);
-}
-
-/* Chooses at most `most` VMs to ask about, in the order of their ranks. @return their number */
+/* Chooses at most ADVICE_VMS_MAX VMs to ask about, in the order of their ranks. @return their
+ * number */
 static size_t choose_vms(const batch_ticket_cache_t *cache, const char *const *vms, size_t count,
-			 size_t most, uint64_t now_us, const char *chosen[ADVICE_VMS_MAX])
+			 uint64_t now_us, const char *chosen[ADVICE_VMS_MAX])
 {
 	g_autofree ask_rank_t *ranks = g_new(ask_rank_t, count);
 	size_t chosen_count = 0;
@@ -298,7 +307,7 @@
 	for (size_t i = 0; i < count; i++)
 		ranks[i] = ask_rank(cache, vms[i], now_us);
 	for (ask_rank_t rank = ASK_ALLOWED; rank < ASK_NOT; rank++) {
-		for (size_t i = 0; i < count && chosen_count < most; i++) {
+		for (size_t i = 0; i < count && chosen_count < ADVICE_VMS_MAX; i++) {
 			if (ranks[i] == rank)
 				chosen[chosen_count++] = vms[i];
 		}
@@ -306,80 +315,29 @@
 	return chosen_count;
 }
 
-static void send_request(advice_call_t *call, const batch_step_t *step)
-{
-	batch_leader_t *leader = call->leader;
-	g_autofree const char **vms = g_new(const char *, call->vm_count);
-	task_id_t id;
-
-	for (size_t i = 0; i < call->vm_count; i++)
-		vms[i] = call->vms[i];
-	task_id_set(&id, &step->tasks[0]);
-	leader->port.advise(leader->port.arg, &id, vms, call->vm_count,
-			    call->call.work_us / US_PER_MS, on_advice, call);
-}
-
-/* Sends the requests that the policy service answers soon, but none for a job that has ended. */
-static void send_waiting(batch_leader_t *leader)
-{
-	serial_call_t *next;
-
-	while ((next = serial_queue_next(&leader->advice_calls)) != NULL) {
-		advice_call_t *call = (advice_call_t *)next;
-		batch_task_t *task = batch_state_task(leader->state, &call->first_task);
-
-		if (task != NULL && task->step->tickets != NULL &&
-		    !batch_job_ended(task->step->job)) {
-			send_request(call, task->step);
-			continue;
-		}
-		serial_queue_ended(&leader->advice_calls, next);
-		if (task != NULL && task->step->tickets != NULL) {
-			task->step->tickets->request_generation = 0;
-			settle_awaited_runs(leader, task->step, call, false, leader_now_us(leader));
-		}
-		g_free(call);
-	}
-}
-
-void ticket_drop_requests(batch_leader_t *leader)
-{
-	serial_call_t *call;
-
-	while ((call = serial_queue_withdraw(&leader->advice_calls)) != NULL)
-		g_free(call);
-}
-
-/* @param first whether the request goes before those that wait */
+/* @param renewal whether runs wait for the tickets */
 static void add_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-			const char *const *vms, size_t count, bool first)
+			const char *const *vms, size_t count, size_t needed, bool renewal)
 {
-	advice_call_t *call = g_malloc0(sizeof(*call) + count * sizeof(call->vms[0]));
-	const Lp__BatchAdvice *advice = queue->advice;
-	uint64_t work_us = (advice->decide_ms + (uint64_t)advice->per_vm_ms * count) * US_PER_MS;
-
-	call->leader = leader;
-	call->generation = leader->generation;
-	/* A ticket that is valid for no time can only be tried at once. */
-	call->valid_us = MAX(advice->valid_ms, 1) * US_PER_MS;
-	call->vm_count = count;
-	for (size_t i = 0; i < count; i++)
-		g_strlcpy(call->vms[i], vms[i], VM_NAME_MAX);
-	batch_task_ref(&step->tasks[0], &call->first_task);
+	policy_question_t question = {.queue = queue,
+				      .vms = vms,
+				      .vm_count = count,
+				      .needed = needed,
+				      .is_renewal = renewal};
+
+	task_id_set(&question.step, &step->tasks[0]);
+	batch_task_ref(&step->tasks[0], &question.first_task);
+	/* The request can be given up before policy_calls_add() returns. */
 	step->tickets->request_generation = leader->generation;
-	if (first)
-		serial_queue_add_first(&leader->advice_calls, &call->call, work_us);
-	else
-		serial_queue_add(&leader->advice_calls, &call->call, work_us);
-	send_waiting(leader);
+	step->tickets->request_id = policy_calls_next_id(&leader->policy_calls);
+	policy_calls_add(&leader->policy_calls, &question);
 }
 
 uint64_t ticket_request(batch_leader_t *leader, batch_step_t *step, const Lp__BatchQueue *queue,
-			const char *const *vms, size_t count, uint64_t now_us)
+			const char *const *vms, size_t count, size_t needed, uint64_t now_us)
 {
 	batch_ticket_cache_t *cache = step->tickets;
 	const char *chosen[ADVICE_VMS_MAX];
-	size_t most;
 
 	if (count == 0)
 		return 0;
@@ -388,17 +346,16 @@
 		cache->vms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 		step->tickets = cache;
 	}
-	most = most_vms(leader, step);
-	count = choose_vms(cache, vms, count, most, now_us, chosen);
+	count = choose_vms(cache, vms, count, now_us, chosen);
 	if (count == 0) {
 		cache->retry_us = now_us + TICKET_SEARCH_US;
 		return cache->retry_us;
 	}
-	if (count < most && ticket_allows_any(step) && now_us < cache->few_due_us) {
+	if (count < ADVICE_VMS_MAX && ticket_allows_any(step) && now_us < cache->few_due_us) {
 		cache->retry_us = cache->few_due_us;
 		return cache->retry_us;
 	}
-	add_request(leader, step, queue, chosen, count, false);
+	add_request(leader, step, queue, chosen, count, needed, false);
 	return 0;
 }
 
@@ -450,5 +407,5 @@
 			vms[count++] = task->vm->id;
 	}
 	if (count > 0)
-		add_request(leader, step, step->job->queue, vms, count, true);
+		add_request(leader, step, step->job->queue, vms, count, count, true);
 }
--- a/src/edge_link.c
+++ b/src/edge_link.c
@@ -76,6 +76,7 @@
 	timer_sub_t call_check;
 	peer_set_t *peers;
 	vm_agent_t vm_agent;
+	policy_agent_t policy_agent;
 	TAILQ_HEAD(edge_calls, edge_call) calls;
 	unsigned open_calls;
 	uint64_t next_seq;
@@ -281,6 +282,8 @@
 		on_batch_reply(link, from, envelope->batch_reply);
 	else if (envelope->body_case == LP__ENVELOPE__BODY_VM_ORDER)
 		vm_agent_handle_request(&link->vm_agent, from, envelope->vm_order);
+	else if (envelope->body_case == LP__ENVELOPE__BODY_POLICY_QUERY)
+		policy_agent_handle_query(&link->policy_agent, from, envelope->policy_query);
 }
 
 static void on_peer_change(void *arg, const peer_info_t *info)
@@ -380,6 +383,7 @@
 		return NULL;
 	}
 	vm_agent_init(&link->vm_agent, &options->port, link->peers, options->metrics);
+	policy_agent_init(&link->policy_agent, &options->port, link->peers, options->metrics);
 	edge_link_set_seeds(link, settings);
 	timer_subscribe(link->timers, &link->call_check, CALL_CHECK_MS * US_PER_MS, check_calls,
 			link);
--- a/src/peer.pb-c.c
+++ b/src/peer.pb-c.c
@@ -1492,6 +1492,141 @@
   assert(message->base.descriptor == &lp__load_report__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   lp__policy_query__init
+                     (Lp__PolicyQuery         *message)
+{
+  static const Lp__PolicyQuery init_value = LP__POLICY_QUERY__INIT;
+  *message = init_value;
+}
+size_t lp__policy_query__get_packed_size
+                     (const Lp__PolicyQuery *message)
+{
+  assert(message->base.descriptor == &lp__policy_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__policy_query__pack
+                     (const Lp__PolicyQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__policy_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__policy_query__pack_to_buffer
+                     (const Lp__PolicyQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__policy_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__PolicyQuery *
+       lp__policy_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__PolicyQuery *)
+     protobuf_c_message_unpack (&lp__policy_query__descriptor,
+                                allocator, len, data);
+}
+void   lp__policy_query__free_unpacked
+                     (Lp__PolicyQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__policy_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lp__policy_ticket__init
+                     (Lp__PolicyTicket         *message)
+{
+  static const Lp__PolicyTicket init_value = LP__POLICY_TICKET__INIT;
+  *message = init_value;
+}
+size_t lp__policy_ticket__get_packed_size
+                     (const Lp__PolicyTicket *message)
+{
+  assert(message->base.descriptor == &lp__policy_ticket__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__policy_ticket__pack
+                     (const Lp__PolicyTicket *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__policy_ticket__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__policy_ticket__pack_to_buffer
+                     (const Lp__PolicyTicket *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__policy_ticket__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__PolicyTicket *
+       lp__policy_ticket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__PolicyTicket *)
+     protobuf_c_message_unpack (&lp__policy_ticket__descriptor,
+                                allocator, len, data);
+}
+void   lp__policy_ticket__free_unpacked
+                     (Lp__PolicyTicket *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__policy_ticket__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   lp__policy_answer__init
+                     (Lp__PolicyAnswer         *message)
+{
+  static const Lp__PolicyAnswer init_value = LP__POLICY_ANSWER__INIT;
+  *message = init_value;
+}
+size_t lp__policy_answer__get_packed_size
+                     (const Lp__PolicyAnswer *message)
+{
+  assert(message->base.descriptor == &lp__policy_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t lp__policy_answer__pack
+                     (const Lp__PolicyAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &lp__policy_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t lp__policy_answer__pack_to_buffer
+                     (const Lp__PolicyAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &lp__policy_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Lp__PolicyAnswer *
+       lp__policy_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Lp__PolicyAnswer *)
+     protobuf_c_message_unpack (&lp__policy_answer__descriptor,
+                                allocator, len, data);
+}
+void   lp__policy_answer__free_unpacked
+                     (Lp__PolicyAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &lp__policy_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   lp__envelope__init
                      (Lp__Envelope         *message)
 {
@@ -4261,7 +4396,251 @@
   (ProtobufCMessageInit) lp__load_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor lp__envelope__field_descriptors[20] =
+static const ProtobufCFieldDescriptor lp__policy_query__field_descriptors[7] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyQuery, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyQuery, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "occurrence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyQuery, occurrence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyQuery, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vms",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Lp__PolicyQuery, n_vms),
+    offsetof(Lp__PolicyQuery, vms),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyQuery, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expires_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyQuery, expires_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__policy_query__field_indices_by_name[] = {
+  6,   /* field[6] = expires_us */
+  1,   /* field[1] = job */
+  2,   /* field[2] = occurrence */
+  0,   /* field[0] = seq */
+  3,   /* field[3] = step */
+  5,   /* field[5] = timeout_ms */
+  4,   /* field[4] = vms */
+};
+static const ProtobufCIntRange lp__policy_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor lp__policy_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.PolicyQuery",
+  "PolicyQuery",
+  "Lp__PolicyQuery",
+  "lp",
+  sizeof(Lp__PolicyQuery),
+  7,
+  lp__policy_query__field_descriptors,
+  lp__policy_query__field_indices_by_name,
+  1,  lp__policy_query__number_ranges,
+  (ProtobufCMessageInit) lp__policy_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__policy_ticket__field_descriptors[2] =
+{
+  {
+    "vm",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyTicket, vm),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ticket",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyTicket, ticket),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__policy_ticket__field_indices_by_name[] = {
+  1,   /* field[1] = ticket */
+  0,   /* field[0] = vm */
+};
+static const ProtobufCIntRange lp__policy_ticket__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor lp__policy_ticket__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.PolicyTicket",
+  "PolicyTicket",
+  "Lp__PolicyTicket",
+  "lp",
+  sizeof(Lp__PolicyTicket),
+  2,
+  lp__policy_ticket__field_descriptors,
+  lp__policy_ticket__field_indices_by_name,
+  1,  lp__policy_ticket__number_ranges,
+  (ProtobufCMessageInit) lp__policy_ticket__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__policy_answer__field_descriptors[4] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyAnswer, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyAnswer, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tickets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__PolicyAnswer, n_tickets),
+    offsetof(Lp__PolicyAnswer, tickets),
+    &lp__policy_ticket__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Lp__PolicyAnswer, elapsed_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned lp__policy_answer__field_indices_by_name[] = {
+  1,   /* field[1] = code */
+  3,   /* field[3] = elapsed_us */
+  0,   /* field[0] = seq */
+  2,   /* field[2] = tickets */
+};
+static const ProtobufCIntRange lp__policy_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor lp__policy_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "lp.PolicyAnswer",
+  "PolicyAnswer",
+  "Lp__PolicyAnswer",
+  "lp",
+  sizeof(Lp__PolicyAnswer),
+  4,
+  lp__policy_answer__field_descriptors,
+  lp__policy_answer__field_indices_by_name,
+  1,  lp__policy_answer__number_ranges,
+  (ProtobufCMessageInit) lp__policy_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor lp__envelope__field_descriptors[22] =
 {
   {
     "hello",
@@ -4503,6 +4882,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "policy_query",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Envelope, body_case),
+    offsetof(Lp__Envelope, policy_query),
+    &lp__policy_query__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "policy_answer",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Lp__Envelope, body_case),
+    offsetof(Lp__Envelope, policy_answer),
+    &lp__policy_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned lp__envelope__field_indices_by_name[] = {
   14,   /* field[14] = batch_call */
@@ -4515,6 +4918,8 @@
   16,   /* field[16] = leader_hint */
   13,   /* field[13] = load */
   1,   /* field[1] = ping */
+  21,   /* field[21] = policy_answer */
+  20,   /* field[20] = policy_query */
   2,   /* field[2] = pong */
   4,   /* field[4] = propose */
   5,   /* field[5] = propose_reply */
@@ -4529,7 +4934,7 @@
 static const ProtobufCIntRange lp__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor lp__envelope__descriptor =
 {
@@ -4539,7 +4944,7 @@
   "Lp__Envelope",
   "lp",
   sizeof(Lp__Envelope),
-  20,
+  22,
   lp__envelope__field_descriptors,
   lp__envelope__field_indices_by_name,
   1,  lp__envelope__number_ranges,
--- a/src/peer.pb-c.h
+++ b/src/peer.pb-c.h
@@ -50,6 +50,9 @@
 typedef struct Lp__SlotLoan Lp__SlotLoan;
 typedef struct Lp__PoolLoad Lp__PoolLoad;
 typedef struct Lp__LoadReport Lp__LoadReport;
+typedef struct Lp__PolicyQuery Lp__PolicyQuery;
+typedef struct Lp__PolicyTicket Lp__PolicyTicket;
+typedef struct Lp__PolicyAnswer Lp__PolicyAnswer;
 typedef struct Lp__Envelope Lp__Envelope;
 
 
@@ -721,6 +724,63 @@
     , 0,NULL }
 
 
+/*
+ * Sent by the leader: asks the policy service which of the VMs may run a step.
+ */
+struct  Lp__PolicyQuery
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  char *job;
+  uint32_t occurrence;
+  uint32_t step;
+  size_t n_vms;
+  char **vms;
+  /*
+   * longest time for the call
+   */
+  uint32_t timeout_ms;
+  /*
+   * receiver's monotonic time from which on it is not sent; 0: unknown
+   */
+  uint64_t expires_us;
+};
+#define LP__POLICY_QUERY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__policy_query__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
+
+
+struct  Lp__PolicyTicket
+{
+  ProtobufCMessage base;
+  char *vm;
+  char *ticket;
+};
+#define LP__POLICY_TICKET__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__policy_ticket__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Lp__PolicyAnswer
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  /*
+   * advice_code_t
+   */
+  uint32_t code;
+  size_t n_tickets;
+  Lp__PolicyTicket **tickets;
+  /*
+   * time from the query to the answer at the process that called
+   */
+  uint64_t elapsed_us;
+};
+#define LP__POLICY_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&lp__policy_answer__descriptor) \
+    , 0, 0, 0,NULL, 0 }
+
+
 typedef enum {
   LP__ENVELOPE__BODY__NOT_SET = 0,
   LP__ENVELOPE__BODY_HELLO = 1,
@@ -742,7 +802,9 @@
   LP__ENVELOPE__BODY_LEADER_HINT = 17,
   LP__ENVELOPE__BODY_VM_REPORTS = 18,
   LP__ENVELOPE__BODY_VM_ORDER = 19,
-  LP__ENVELOPE__BODY_VM_RESULT = 20
+  LP__ENVELOPE__BODY_VM_RESULT = 20,
+  LP__ENVELOPE__BODY_POLICY_QUERY = 21,
+  LP__ENVELOPE__BODY_POLICY_ANSWER = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(LP__ENVELOPE__BODY__CASE)
 } Lp__Envelope__BodyCase;
 
@@ -774,6 +836,8 @@
     Lp__VmReportCopies *vm_reports;
     Lp__VmOrder *vm_order;
     Lp__VmResult *vm_result;
+    Lp__PolicyQuery *policy_query;
+    Lp__PolicyAnswer *policy_answer;
   };
 };
 #define LP__ENVELOPE__INIT \
@@ -1408,6 +1472,63 @@
 void   lp__load_report__free_unpacked
                      (Lp__LoadReport *message,
                       ProtobufCAllocator *allocator);
+/* Lp__PolicyQuery methods */
+void   lp__policy_query__init
+                     (Lp__PolicyQuery         *message);
+size_t lp__policy_query__get_packed_size
+                     (const Lp__PolicyQuery   *message);
+size_t lp__policy_query__pack
+                     (const Lp__PolicyQuery   *message,
+                      uint8_t             *out);
+size_t lp__policy_query__pack_to_buffer
+                     (const Lp__PolicyQuery   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__PolicyQuery *
+       lp__policy_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__policy_query__free_unpacked
+                     (Lp__PolicyQuery *message,
+                      ProtobufCAllocator *allocator);
+/* Lp__PolicyTicket methods */
+void   lp__policy_ticket__init
+                     (Lp__PolicyTicket         *message);
+size_t lp__policy_ticket__get_packed_size
+                     (const Lp__PolicyTicket   *message);
+size_t lp__policy_ticket__pack
+                     (const Lp__PolicyTicket   *message,
+                      uint8_t             *out);
+size_t lp__policy_ticket__pack_to_buffer
+                     (const Lp__PolicyTicket   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__PolicyTicket *
+       lp__policy_ticket__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__policy_ticket__free_unpacked
+                     (Lp__PolicyTicket *message,
+                      ProtobufCAllocator *allocator);
+/* Lp__PolicyAnswer methods */
+void   lp__policy_answer__init
+                     (Lp__PolicyAnswer         *message);
+size_t lp__policy_answer__get_packed_size
+                     (const Lp__PolicyAnswer   *message);
+size_t lp__policy_answer__pack
+                     (const Lp__PolicyAnswer   *message,
+                      uint8_t             *out);
+size_t lp__policy_answer__pack_to_buffer
+                     (const Lp__PolicyAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Lp__PolicyAnswer *
+       lp__policy_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   lp__policy_answer__free_unpacked
+                     (Lp__PolicyAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Lp__Envelope methods */
 void   lp__envelope__init
                      (Lp__Envelope         *message);
@@ -1528,6 +1649,15 @@
 typedef void (*Lp__LoadReport_Closure)
                  (const Lp__LoadReport *message,
                   void *closure_data);
+typedef void (*Lp__PolicyQuery_Closure)
+                 (const Lp__PolicyQuery *message,
+                  void *closure_data);
+typedef void (*Lp__PolicyTicket_Closure)
+                 (const Lp__PolicyTicket *message,
+                  void *closure_data);
+typedef void (*Lp__PolicyAnswer_Closure)
+                 (const Lp__PolicyAnswer *message,
+                  void *closure_data);
 typedef void (*Lp__Envelope_Closure)
                  (const Lp__Envelope *message,
                   void *closure_data);
@@ -1573,6 +1703,9 @@
 extern const ProtobufCMessageDescriptor lp__slot_loan__descriptor;
 extern const ProtobufCMessageDescriptor lp__pool_load__descriptor;
 extern const ProtobufCMessageDescriptor lp__load_report__descriptor;
+extern const ProtobufCMessageDescriptor lp__policy_query__descriptor;
+extern const ProtobufCMessageDescriptor lp__policy_ticket__descriptor;
+extern const ProtobufCMessageDescriptor lp__policy_answer__descriptor;
 extern const ProtobufCMessageDescriptor lp__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/serial_queue.c
+++ b/src/serial_queue.c
@@ -1,7 +1,5 @@
 #include "serial_queue.h"
 
-#include <stddef.h>
-
 #include "clock.h"
 
 void serial_queue_init(serial_queue_t *queue)
@@ -10,15 +8,40 @@
 	TAILQ_INIT(&queue->waiting);
 }
 
-void serial_queue_add(serial_queue_t *queue, serial_call_t *call, uint64_t work_us)
+/* Inserts the call behind the last waiting one that does not go after it. */
+static void insert(serial_queue_t *queue, serial_call_t *call)
+{
+	serial_call_t *before = TAILQ_LAST(&queue->waiting, serial_calls);
+
+	while (before != NULL && !before->first && (call->first || before->tag_us > call->tag_us))
+		before = TAILQ_PREV(before, serial_calls, link);
+	if (before != NULL)
+		TAILQ_INSERT_AFTER(&queue->waiting, before, call, link);
+	else
+		TAILQ_INSERT_HEAD(&queue->waiting, call, link);
+}
+
+void serial_queue_add(serial_queue_t *queue, serial_source_t *source, serial_call_t *call,
+		      uint64_t work_us)
 {
 	call->work_us = work_us;
-	TAILQ_INSERT_TAIL(&queue->waiting, call, link);
+	call->first = false;
+	call->tag_us =
+		source->next_tag_us > queue->virtual_us ? source->next_tag_us : queue->virtual_us;
+	source->next_tag_us = call->tag_us + work_us;
+	insert(queue, call);
 }
 
 void serial_queue_add_first(serial_queue_t *queue, serial_call_t *call, uint64_t work_us)
 {
 	call->work_us = work_us;
+	call->first = true;
+	insert(queue, call);
+}
+
+void serial_queue_return(serial_queue_t *queue, serial_call_t *call)
+{
+	call->first = true;
 	TAILQ_INSERT_HEAD(&queue->waiting, call, link);
 }
 
@@ -35,16 +58,14 @@
 	return !TAILQ_EMPTY(&queue->waiting) || !has_room(queue, 0);
 }
 
-serial_call_t *serial_queue_next(serial_queue_t *queue)
+size_t serial_queue_length(const serial_queue_t *queue)
 {
-	serial_call_t *call = TAILQ_FIRST(&queue->waiting);
+	const serial_call_t *call;
+	size_t length = 0;
 
-	if (call == NULL || !has_room(queue, call->work_us))
-		return NULL;
-	TAILQ_REMOVE(&queue->waiting, call, link);
-	queue->under_way_count++;
-	queue->under_way_us += call->work_us;
-	return call;
+	TAILQ_FOREACH (call, &queue->waiting, link)
+		length++;
+	return length;
 }
 
 serial_call_t *serial_queue_withdraw(serial_queue_t *queue)
@@ -56,6 +77,26 @@
 	return call;
 }
 
+serial_call_t *serial_queue_hand_over(serial_queue_t *queue)
+{
+	serial_call_t *call = serial_queue_withdraw(queue);
+
+	if (call != NULL && !call->first)
+		queue->virtual_us = call->tag_us;
+	return call;
+}
+
+serial_call_t *serial_queue_next(serial_queue_t *queue)
+{
+	serial_call_t *call = TAILQ_FIRST(&queue->waiting);
+
+	if (call == NULL || !has_room(queue, call->work_us))
+		return NULL;
+	queue->under_way_count++;
+	queue->under_way_us += call->work_us;
+	return serial_queue_hand_over(queue);
+}
+
 void serial_queue_ended(serial_queue_t *queue, const serial_call_t *call)
 {
 	queue->under_way_count--;
--- a/src/serve.c
+++ b/src/serve.c
@@ -85,6 +85,8 @@
 	case LP__ENVELOPE__BODY_VM_REPORTS:
 	case LP__ENVELOPE__BODY_VM_ORDER:
 	case LP__ENVELOPE__BODY_VM_RESULT:
+	case LP__ENVELOPE__BODY_POLICY_QUERY:
+	case LP__ENVELOPE__BODY_POLICY_ANSWER:
 	case LP__ENVELOPE__BODY__NOT_SET:
 	case _LP__ENVELOPE__BODY__CASE_IS_INT_SIZE:
 		break;
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -137,10 +137,29 @@
 	char ticket[VM_NAME_MAX];
 } vm_ticket_t;
 
+typedef enum {
+	ADVICE_ANSWERED,
+	ADVICE_BUSY,	 /**< the service, or the process that calls it, takes no more calls now */
+	ADVICE_NOT_SENT, /**< the request did not reach the service */
+	ADVICE_NO_RESPONSE, /**< no usable response in time */
+} advice_code_t;
+
+/** Request to the policy service. */
 typedef struct {
-	bool answered;
+	uint32_t node;	/**< process that makes the call, from advisers(); 0: this process */
+	task_id_t step; /**< the index of the task is not used */
+	const char *const *vms;
+	size_t vm_count;
+	uint64_t timeout_ms;
+} advice_request_t;
+
+typedef struct {
+	advice_code_t code;
 	const vm_ticket_t *tickets;
 	size_t ticket_count;
+	uint64_t elapsed_us; /**< time of the call at the process that made it */
+	/** Longest time since the service has issued the tickets. */
+	uint64_t age_us;
 } advice_reply_t;
 
 typedef void (*advice_done_fn)(void *arg, const advice_reply_t *reply);
@@ -183,10 +202,11 @@
 		     void *done_arg);
 	void (*hold)(void *arg, const vm_ref_t *vm, const vm_hold_t *hold, vm_reply_fn done,
 		     void *done_arg);
-	/** @param expected_ms declared time of the response, from the start of the service's work
-	 */
-	void (*advise)(void *arg, const task_id_t *step, const char *const *vms, size_t count,
-		       uint64_t expected_ms, advice_done_fn done, void *done_arg);
+	/** Lists the other processes that can call the policy service. @return their number, at
+	 * most max */
+	size_t (*advisers)(void *arg, uint32_t *nodes, size_t max);
+	void (*advise)(void *arg, const advice_request_t *request, advice_done_fn done,
+		       void *done_arg);
 	void (*machines)(void *arg, const char *page, machine_list_fn done, void *done_arg);
 	void (*order)(void *arg, const platform_request_t *request, vm_reply_fn done,
 		      void *done_arg);
--- a/src/vm_relay.c
+++ b/src/vm_relay.c
@@ -293,12 +293,15 @@
 		relay->options.direct.hold(relay->options.direct.arg, vm, hold, done, done_arg);
 }
 
-static void relay_advise(void *arg, const task_id_t *step, const char *const *vms, size_t count,
-			 uint64_t expected_ms, advice_done_fn done, void *done_arg)
+static size_t relay_advisers(void *arg, uint32_t *nodes, size_t max)
 {
-	const vm_port_t *direct = &((vm_relay_t *)arg)->options.direct;
+	return policy_relay_advisers(((vm_relay_t *)arg)->options.policy, nodes, max);
+}
 
-	direct->advise(direct->arg, step, vms, count, expected_ms, done, done_arg);
+static void relay_advise(void *arg, const advice_request_t *request, advice_done_fn done,
+			 void *done_arg)
+{
+	policy_relay_advise(((vm_relay_t *)arg)->options.policy, request, done, done_arg);
 }
 
 static void relay_machines(void *arg, const char *page, machine_list_fn done, void *done_arg)
@@ -325,6 +328,7 @@
 		.stop = relay_stop,
 		.pace = relay_pace,
 		.hold = relay_hold,
+		.advisers = relay_advisers,
 		.advise = relay_advise,
 		.machines = relay_machines,
 		.order = relay_platform_request,
--- a/src/vm_relay.h
+++ b/src/vm_relay.h
@@ -2,6 +2,7 @@
 
 #include "metrics.h"
 #include "peer.h"
+#include "policy_relay.h"
 #include "timer.h"
 #include "vm_port.h"
 
@@ -20,7 +21,8 @@
 typedef struct vm_relay vm_relay_t;
 
 typedef struct {
-	vm_port_t direct; /**< sends the requests that are not forwarded */
+	vm_port_t direct;	/**< sends the requests that are not forwarded */
+	policy_relay_t *policy; /**< makes the calls to the policy service */
 	/** Returns the data centre of a VM; NULL: unknown. */
 	const char *(*data_centre)(void *arg, const char *vm);
 	size_t (*vm_count)(void *arg); /**< returns the number of known VMs */
--- a/tests/lib_roles.c
+++ b/tests/lib_roles.c
@@ -24,10 +24,10 @@
 	g_autofree char *text = g_strdup_printf(
 		"nodeName=%s\nip=%s\nzone=z\nportRange=%u,%u\nseeds=127.%u.1.1:%u,127.%u.1.2:%u,"
 		"127.%u.1.3:%u\nbootstrap=true\nheartbeatMs=500\nfaultTolerance.machines=1\n"
-		"limits.memoryMb=%u\nlimits.maxFds=4096\n",
+		"limits.memoryMb=%u\nlimits.maxFds=4096\nadvice=127.%u.4.1:%u\n",
 		process->ip, process->ip, roles->port_base, roles->port_base + 9, roles->network,
 		roles->control_port, roles->network, roles->control_port, roles->network,
-		roles->control_port, memory_mib);
+		roles->control_port, memory_mib, roles->network, roles->port_base + 14);
 	g_autofree char *role =
 		core ? g_strdup_printf("dataDir=%s\nlisten.control=%s:%u\n", process->data_dir,
 				       process->ip, roles->control_port)
@@ -78,12 +78,20 @@
 	json_t *services = json_array();
 
 	for (unsigned i = 0; i < count; i++) {
-		json_array_append_new(routes,
-				      json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f}", "name",
-						queues[i].prefix, "host", roles->edge.ip, "prefix",
-						queues[i].prefix, "service", queues[i].service,
-						"timeoutMs", 3000, "sloMs", 600, "attempts", 3,
-						"stretch", 1.6));
+		const roles_advice_t *advice = queues[i].advice;
+		json_t *route =
+			json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:f}", "name",
+				  queues[i].prefix, "host", roles->edge.ip, "prefix",
+				  queues[i].prefix, "service", queues[i].service, "timeoutMs", 3000,
+				  "sloMs", 600, "attempts", 3, "stretch", 1.6);
+
+		if (advice != NULL)
+			json_object_set_new(route, "advice",
+					    json_pack("{s:i, s:i, s:i}", "decideMs",
+						      advice->decide_ms, "perWorkerMs",
+						      advice->per_vm_ms, "validMs",
+						      advice->valid_ms));
+		json_array_append_new(routes, route);
 		json_array_append_new(services,
 				      json_pack("{s:s, s:b, s:b}", "name", queues[i].service,
 						"admissionCheck", 1, "standby", 0));
--- a/tests/lib_roles.h
+++ b/tests/lib_roles.h
@@ -10,7 +10,8 @@
  * @file
  * Fixture for integration tests of the platform roles: three core processes and an edge process on
  * loopback addresses, with their files in a temporary directory. The program is in
- * $LAVENDERPASS_BUILD, by default build/release. No platform, VMs or policy service are started.
+ * $LAVENDERPASS_BUILD, by default build/release. No platform, VMs or policy service are
+ * started; the processes are told that the policy service is at 127.NETWORK.4.1 and port_base + 14.
  */
 
 #define ROLES_CORES 3
@@ -46,10 +47,18 @@
 	role_process_t edge;
 } roles_t;
 
+/** Declared times of the policy service for a queue. */
+typedef struct {
+	int decide_ms;
+	int per_vm_ms;
+	int valid_ms;
+} roles_advice_t;
+
 /** A queue of a configuration, for the host that is the edge process's address. */
 typedef struct {
 	const char *prefix;
 	const char *service;
+	const roles_advice_t *advice; /**< NULL: its steps need no tickets */
 } roles_queue_t;
 
 /**
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -150,8 +150,6 @@
 #define CRASH_DELAY_MAX_MS 15
 
 /* Most VMs that a request to the policy service may list, and the usual validity of its tickets. */
-/* Shortest time that a request to a policy service with declared times is given. */
-#define POLICY_TIMEOUT_MS 5000
 #define POLICY_VMS_MAX 100
 #define POLICY_VALID_MS 3000
 
@@ -202,8 +200,12 @@
 	unsigned allowed_first; /* see vm_sim_set_policy() */
 	unsigned allowed_count;
 	uint32_t policy_answer_ms;
-	uint64_t policy_free_us; /* time until which the policy service works on earlier requests */
 	unsigned policy_requests;
+	unsigned policy_refusals;
+	struct sim_caller *policy_callers; /* by node, see policy_helpers; 0: the leader */
+	GArray *policy_ends_us; /* times at which the policy service ends its work on requests */
+	bool *helper_silent;	/* by node */
+	bool *helper_gone;
 	unsigned bad_tickets; /* number of start requests refused for want of a valid ticket */
 	bool shutting_down;   /* no further periodic events are scheduled */
 };
@@ -1201,16 +1203,19 @@
 	vm_sim_t *sim;
 	advice_done_fn done;
 	void *arg;
-	bool timed_out;
+	advice_code_t code;
+	uint64_t sent_us;
 	GArray *tickets; /* of vm_ticket_t */
 } advise_call_t;
 
 static void deliver_advice(void *arg)
 {
 	g_autofree advise_call_t *call = arg;
-	const advice_reply_t reply = {.answered = !call->timed_out,
+	bool answered = call->code == ADVICE_ANSWERED;
+	const advice_reply_t reply = {.code = call->code,
 				      .tickets = (const vm_ticket_t *)call->tickets->data,
-				      .ticket_count = call->timed_out ? 0 : call->tickets->len};
+				      .ticket_count = answered ? call->tickets->len : 0,
+				      .elapsed_us = call->sim->now_us - call->sent_us};
 
 	call->done(call->arg, &reply);
 	g_array_unref(call->tickets);
@@ -1235,52 +1240,115 @@
 	return false;
 }
 
-/* Lets the policy service work on a request. @return time of its response; the request times out if
- * that is later than *timeout_us */
-static uint64_t policy_answers_us(vm_sim_t *sim, size_t vms, uint64_t expected_ms,
-				  uint64_t *timeout_us)
+/* Calls of one process at the policy service. */
+typedef struct sim_caller {
+	uint64_t free_us; /* time until which it works on them */
+} sim_caller_t;
+
+static sim_caller_t *policy_caller(vm_sim_t *sim, uint32_t node)
+{
+	return &sim->policy_callers[sim->config.policy_in_turn ? 0 : node];
+}
+
+static unsigned policy_waiting(const vm_sim_t *sim)
+{
+	unsigned waiting = 0;
+
+	for (guint i = 0; i < sim->policy_ends_us->len; i++)
+		waiting += g_array_index(sim->policy_ends_us, uint64_t, i) > sim->now_us;
+	return waiting;
+}
+
+/* Lets the policy service work on a request. @return time of its response */
+static uint64_t policy_answers_us(vm_sim_t *sim, const advice_request_t *request)
 {
 	const vm_sim_config_t *config = &sim->config;
-	uint64_t work_ms = config->policy_decide_ms + (uint64_t)config->policy_per_vm_ms * vms;
+	uint64_t work_ms = (config->policy_decide_ms +
+			    (uint64_t)config->policy_per_vm_ms * request->vm_count) *
+			   MAX(config->policy_slowness, 1);
+	sim_caller_t *caller = policy_caller(sim, request->node);
+	uint64_t end_us;
 
-	*timeout_us = UINT64_MAX;
 	if (work_ms == 0)
 		return sim->now_us + sim->policy_answer_ms * US_PER_MS;
-	*timeout_us = sim->now_us + MAX(POLICY_TIMEOUT_MS, 2 * expected_ms + 1000) * US_PER_MS;
-	sim->policy_free_us = MAX(sim->policy_free_us, sim->now_us) + work_ms * US_PER_MS;
-	return sim->policy_free_us;
+	end_us = MAX(caller->free_us, sim->now_us) + work_ms * US_PER_MS;
+	/* A call whose turn comes after it was given up is left out. */
+	if (config->policy_works_on ||
+	    end_us - work_ms * US_PER_MS < sim->now_us + request->timeout_ms * US_PER_MS)
+		caller->free_us = end_us;
+	g_array_append_val(sim->policy_ends_us, end_us);
+	return end_us;
+}
+
+static size_t port_advisers(void *arg, uint32_t *nodes, size_t max)
+{
+	const vm_sim_t *sim = arg;
+	size_t count = 0;
+
+	for (uint32_t i = 1; i <= sim->config.policy_helpers && count < max; i++) {
+		if (!sim->helper_gone[i])
+			nodes[count++] = i;
+	}
+	return count;
+}
+
+/* @return result of a call that the service does not answer, ADVICE_ANSWERED if it does */
+static advice_code_t policy_failure(const vm_sim_t *sim, const advice_request_t *request)
+{
+	unsigned most = sim->config.policy_waiting_max;
+
+	if (most > 0 && policy_waiting(sim) > most)
+		return ADVICE_BUSY;
+	return sim->helper_silent[request->node] ? ADVICE_NO_RESPONSE : ADVICE_ANSWERED;
 }
 
-static void port_advise(void *arg, const task_id_t *step, const char *const *vms, size_t count,
-			uint64_t expected_ms, advice_done_fn done, void *done_arg)
+static void port_advise(void *arg, const advice_request_t *request, advice_done_fn done,
+			void *done_arg)
 {
 	vm_sim_t *sim = arg;
 	advise_call_t *call = g_new(advise_call_t, 1);
-	uint64_t timeout_us;
-	uint64_t answer_us = policy_answers_us(sim, count, expected_ms, &timeout_us);
+	uint64_t timeout_us = sim->now_us + request->timeout_ms * US_PER_MS;
+	advice_code_t failure = policy_failure(sim, request);
+	uint64_t answer_us = failure == ADVICE_ANSWERED ? policy_answers_us(sim, request)
+			     : failure == ADVICE_BUSY	? sim->now_us + US_PER_MS
+							: UINT64_MAX;
 
 	*call = (advise_call_t){
 		.sim = sim,
 		.done = done,
 		.arg = done_arg,
-		.timed_out = answer_us > timeout_us,
+		.code = answer_us > timeout_us ? ADVICE_NO_RESPONSE : failure,
+		.sent_us = sim->now_us,
 		.tickets = g_array_new(FALSE, TRUE, sizeof(vm_ticket_t)),
 	};
-	if (count > POLICY_VMS_MAX)
-		add_violation(sim, "too many VMs in a request to the policy service", step->job);
-	for (size_t i = 0; i < count; i++) {
+	if (request->vm_count > POLICY_VMS_MAX)
+		add_violation(sim, "too many VMs in a request to the policy service",
+			      request->step.job);
+	for (size_t i = 0; call->code == ADVICE_ANSWERED && i < request->vm_count; i++) {
 		vm_ticket_t ticket = {.ticket = ""};
 
-		if (!policy_allows(sim, step->job, vms[i]))
+		if (!policy_allows(sim, request->step.job, request->vms[i]))
 			continue;
-		g_strlcpy(ticket.vm, vms[i], sizeof(ticket.vm));
-		make_ticket(sim, ticket.ticket, vms[i], answer_us);
+		g_strlcpy(ticket.vm, request->vms[i], sizeof(ticket.vm));
+		make_ticket(sim, ticket.ticket, request->vms[i], answer_us);
 		g_array_append_val(call->tickets, ticket);
 	}
 	sim->policy_requests++;
+	sim->policy_refusals += failure == ADVICE_BUSY;
 	schedule_at(sim, LEADER_MESSAGE, MIN(answer_us, timeout_us), deliver_advice, call);
 }
 
+void vm_sim_set_policy_helper(vm_sim_t *sim, unsigned number, bool silent, bool gone)
+{
+	sim->helper_silent[number] = silent;
+	sim->helper_gone[number] = gone;
+}
+
+unsigned vm_sim_policy_refusal_count(const vm_sim_t *sim)
+{
+	return sim->policy_refusals;
+}
+
 /* --- platform --- */
 
 typedef struct {
@@ -2093,6 +2161,10 @@
 	sim->foreign_listings = g_array_new(FALSE, FALSE, sizeof(machine_info_t));
 	sim->waves = g_array_new(FALSE, FALSE, sizeof(sim_wave_t));
 	sim->waiting = g_ptr_array_new();
+	sim->policy_callers = g_new0(sim_caller_t, config->policy_helpers + 1);
+	sim->policy_ends_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	sim->helper_silent = g_new0(bool, config->policy_helpers + 1);
+	sim->helper_gone = g_new0(bool, config->policy_helpers + 1);
 	sim->completed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sim->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -2112,6 +2184,7 @@
 				   .stop = port_stop,
 				   .pace = port_pace,
 				   .hold = port_hold,
+				   .advisers = port_advisers,
 				   .advise = port_advise,
 				   .machines = port_machines,
 				   .order = port_order,
@@ -2170,6 +2243,10 @@
 	g_hash_table_destroy(sim->cancelled);
 	g_string_free(sim->violations, TRUE);
 	g_rand_free(sim->rand);
+	g_free(sim->policy_callers);
+	g_array_unref(sim->policy_ends_us);
+	g_free(sim->helper_silent);
+	g_free(sim->helper_gone);
 	g_free(sim);
 }
 
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -92,7 +92,16 @@
 	 * the adapter. Both 0: it answers each request after the time of vm_sim_set_policy(). */
 	uint32_t policy_decide_ms;
 	uint32_t policy_per_vm_ms;
-	bool unguarded; /**< VMs carry out start requests that exceed their capacity */
+	/** True time of its work, as a multiple of the declared one; 0: 1. */
+	unsigned policy_slowness;
+	/** Number of other processes that can call it for the leader. It handles one call at a time
+	 * for each process. */
+	unsigned policy_helpers;
+	bool policy_in_turn;	     /**< it handles the calls of all processes in turn */
+	unsigned policy_waiting_max; /**< most calls that wait before it refuses further ones; 0:
+					none */
+	bool policy_works_on;	     /**< it also works on calls that were given up */
+	bool unguarded;		     /**< VMs carry out start requests that exceed their capacity */
 	uint64_t seed;
 } vm_sim_config_t;
 
@@ -129,6 +138,11 @@
  * @param answer_ms time after which it answers
  */
 void vm_sim_set_policy(vm_sim_t *sim, unsigned first, unsigned count, uint32_t answer_ms);
+/** Lets a process stop to answer for the policy service, or end. @param number from 1 to
+ * policy_helpers */
+void vm_sim_set_policy_helper(vm_sim_t *sim, unsigned number, bool silent, bool gone);
+/** @return number of requests that the policy service has refused */
+unsigned vm_sim_policy_refusal_count(const vm_sim_t *sim);
 /** @return number of requests to the policy service */
 unsigned vm_sim_policy_request_count(const vm_sim_t *sim);
 /** @return number of start requests that VMs have refused for want of a valid ticket */
--- a/tests/test_serial_queue.c
+++ b/tests/test_serial_queue.c
@@ -24,11 +24,12 @@
 static void test_calls_under_way_are_answered_in_time(void **state)
 {
 	serial_queue_t queue;
+	serial_source_t source = {0};
 	serial_call_t calls[CALLS];
 
 	serial_queue_init(&queue);
 	for (unsigned i = 0; i < CALLS; i++)
-		serial_queue_add(&queue, &calls[i], 1200 * US_PER_MS);
+		serial_queue_add(&queue, &source, &calls[i], 1200 * US_PER_MS);
 	assert_int_equal(send_all(&queue), 2);
 	assert_true(serial_queue_is_full(&queue));
 	serial_queue_ended(&queue, &calls[0]);
@@ -45,11 +46,12 @@
 static void test_long_call_is_sent_alone(void **state)
 {
 	serial_queue_t queue;
+	serial_source_t source = {0};
 	serial_call_t calls[2];
 
 	serial_queue_init(&queue);
 	for (unsigned i = 0; i < 2; i++)
-		serial_queue_add(&queue, &calls[i], 60 * US_PER_S);
+		serial_queue_add(&queue, &source, &calls[i], 60 * US_PER_S);
 	assert_int_equal(send_all(&queue), 1);
 	serial_queue_ended(&queue, &calls[0]);
 	assert_int_equal(send_all(&queue), 1);
@@ -59,11 +61,12 @@
 static void test_few_short_calls_are_under_way(void **state)
 {
 	serial_queue_t queue;
+	serial_source_t source = {0};
 	serial_call_t calls[CALLS];
 
 	serial_queue_init(&queue);
 	for (unsigned i = 0; i < CALLS; i++)
-		serial_queue_add(&queue, &calls[i], 0);
+		serial_queue_add(&queue, &source, &calls[i], 0);
 	assert_int_equal(send_all(&queue), SERIAL_CALLS_MAX);
 }
 
@@ -71,17 +74,57 @@
 static void test_first_call_goes_before_those_that_wait(void **state)
 {
 	serial_queue_t queue;
+	serial_source_t source = {0};
 	serial_call_t calls[3];
 
 	serial_queue_init(&queue);
-	serial_queue_add(&queue, &calls[0], US_PER_MS);
-	serial_queue_add(&queue, &calls[1], US_PER_MS);
+	serial_queue_add(&queue, &source, &calls[0], US_PER_MS);
+	serial_queue_add(&queue, &source, &calls[1], US_PER_MS);
 	serial_queue_add_first(&queue, &calls[2], US_PER_MS);
 	assert_ptr_equal(serial_queue_next(&queue), &calls[2]);
 	assert_ptr_equal(serial_queue_next(&queue), &calls[0]);
 	assert_ptr_equal(serial_queue_next(&queue), &calls[1]);
 }
 
+/* Guards against renewals of tickets that overtake each other. */
+static void test_first_calls_go_in_the_order_of_their_arrival(void **state)
+{
+	serial_queue_t queue;
+	serial_source_t source = {0};
+	serial_call_t calls[4];
+
+	serial_queue_init(&queue);
+	serial_queue_add(&queue, &source, &calls[0], US_PER_MS);
+	serial_queue_add_first(&queue, &calls[1], US_PER_MS);
+	serial_queue_add_first(&queue, &calls[2], US_PER_MS);
+	assert_ptr_equal(serial_queue_next(&queue), &calls[1]);
+	serial_queue_return(&queue, &calls[1]);
+	assert_ptr_equal(serial_queue_next(&queue), &calls[1]);
+	assert_ptr_equal(serial_queue_next(&queue), &calls[2]);
+	assert_ptr_equal(serial_queue_next(&queue), &calls[0]);
+}
+
+/* Guards against a call of one source that waits for all calls of another one. */
+static void test_sources_share_the_time_of_the_peer(void **state)
+{
+	serial_queue_t queue;
+	serial_source_t sources[2] = {0};
+	serial_call_t calls[CALLS];
+	serial_call_t other;
+	unsigned before = 0;
+
+	serial_queue_init(&queue);
+	for (unsigned i = 0; i < CALLS; i++)
+		serial_queue_add(&queue, &sources[0], &calls[i], 600 * US_PER_MS);
+	for (unsigned i = 0; i < 3; i++)
+		assert_ptr_equal(serial_queue_hand_over(&queue), &calls[i]);
+	serial_queue_add(&queue, &sources[1], &other, 5 * US_PER_MS);
+	while (serial_queue_hand_over(&queue) != &other)
+		before++;
+	assert_true(before <= 1);
+	assert_int_equal(serial_queue_length(&queue), CALLS - 3 - before);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -89,6 +132,8 @@
 		cmocka_unit_test(test_long_call_is_sent_alone),
 		cmocka_unit_test(test_few_short_calls_are_under_way),
 		cmocka_unit_test(test_first_call_goes_before_those_that_wait),
+		cmocka_unit_test(test_first_calls_go_in_the_order_of_their_arrival),
+		cmocka_unit_test(test_sources_share_the_time_of_the_peer),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
