policy_calls: renewals that arrive too late are not taken as refusals

Cause: an answer about a renewed ticket that comes late, from a process that was frozen or over long links, has expired when it arrives, and the run was given up as "not allowed any more", a gang as a whole. With tickets that are valid for less time than the links take, no renewal by another process could be used.

Change: such an answer counts as none. The time of the links is learned from the age of answers; tickets that are valid for less than twice that and 50 ms are renewed by the leader itself, while other processes make the calls behind them.

--- a/src/policy_calls.c
+++ b/src/policy_calls.c
@@ -15,6 +15,12 @@
 #define HELPERS_READ_US (100 * US_PER_MS)
 /* Attempts after which a call is given up. The part that made it then asks anew, behind others. */
 #define ATTEMPTS_MAX 3
+/* Time that a ticket needs from the answer to the start, in addition to twice the time of the links
+ * to the process that has asked for it. */
+#define START_MARGIN_US (50 * US_PER_MS)
+/* Time of these links before any answer, and the weight of one answer in its falling average. */
+#define LINK_TIME_START_US (100 * US_PER_MS)
+#define LINK_TIME_DECAY 8
 /* Number of VMs asked about after which the older answers of a queue's policy count half. */
 #define SHARE_WINDOW 64
 
@@ -79,18 +85,18 @@
 				 calls->port->advisers(calls->port->arg, nodes, HELPERS_MAX));
 }
 
-/* Gives up the calls at the head of the queue that have become pointless. */
-static void drop_pointless(policy_calls_t *calls)
+/* Gives up the calls that have become pointless before the next one. */
+static void drop_pointless(policy_calls_t *calls, uint64_t time_us)
 {
 	static const advice_reply_t reply = {.code = ADVICE_NOT_SENT};
-	serial_call_t *entry;
+	shared_call_t *first;
 
-	while ((entry = TAILQ_FIRST(&calls->share.queue.waiting)) != NULL) {
-		policy_call_t *call = (policy_call_t *)entry;
+	while ((first = serial_share_first(&calls->share, time_us)) != NULL) {
+		policy_call_t *call = (policy_call_t *)first;
 
 		if (calls->user.is_wanted(calls->user.arg, call))
 			return;
-		serial_queue_withdraw(&calls->share.queue);
+		TAILQ_REMOVE(&calls->share.queue.waiting, &first->call, link);
 		call->group->waiting = NULL;
 		settle(call, &reply);
 		free_call(call);
@@ -141,12 +147,13 @@
 /* Leaves out VMs of the call that is next, if others wait behind it or will soon. */
 static void shorten_next(policy_calls_t *calls, uint64_t time_us)
 {
-	policy_call_t *call = (policy_call_t *)TAILQ_FIRST(&calls->share.queue.waiting);
+	policy_call_t *call = (policy_call_t *)serial_share_first(&calls->share, time_us);
 	advice_size_input_t input;
 
 	if (call == NULL || call->is_renewal)
 		return;
 	drop_unusable_vms(calls, call);
+	call->shared.call.work_us = work_us(call);
 	if (TAILQ_NEXT(&call->shared.call, link) == NULL &&
 	    serial_share_is_idle(&calls->share, time_us))
 		return;
@@ -170,7 +177,7 @@
 	calls->sending = true;
 	read_helpers(calls, time_us);
 	for (;;) {
-		drop_pointless(calls);
+		drop_pointless(calls, time_us);
 		shorten_next(calls, time_us);
 		next = serial_share_next(&calls->share, time_us);
 		if (next == NULL)
@@ -220,6 +227,7 @@
 	memcpy(copy->vms, call->vms, call->vm_count * sizeof(call->vms[0]));
 	copy->shared.call.work_us = call->shared.call.work_us;
 	copy->shared.repeated = true;
+	copy->shared.own_only = call->shared.own_only;
 	copy->group->calls++;
 	copy->group->waiting = copy;
 	serial_queue_return(&calls->share.queue, &copy->shared.call);
@@ -268,6 +276,15 @@
 	return SERIAL_NO_ANSWER;
 }
 
+/* A longer time counts at once, a shorter one by and by. */
+static void learn_link_time(policy_calls_t *calls, uint64_t time_us)
+{
+	if (time_us > calls->link_time_us)
+		calls->link_time_us = time_us;
+	else
+		calls->link_time_us -= (calls->link_time_us - time_us) / LINK_TIME_DECAY;
+}
+
 static void learn_share(policy_call_t *call, const advice_reply_t *reply)
 {
 	const policy_calls_t *calls = call->owner;
@@ -298,6 +315,8 @@
 	if (!call->late) {
 		serial_share_ended(&calls->share, &call->shared, result_of(reply->code),
 				   reply->elapsed_us, time_us);
+		if (reply->code == ADVICE_ANSWERED && call->shared.node != 0)
+			learn_link_time(calls, reply->age_us);
 	} else if (reply->code == ADVICE_ANSWERED) {
 		serial_share_late_answer(&calls->share, &call->shared, reply->elapsed_us);
 		/* When the service has answered is unknown: the process was possibly frozen
@@ -305,13 +324,17 @@
 		used.age_us =
 			time_us - MIN(time_us, call->shared.sent_us + call->shared.call.work_us);
 	}
-	if (reply->code == ADVICE_ANSWERED) {
+	if (reply->code == ADVICE_ANSWERED)
 		learn_share(call, reply);
+	/* Runs wait for valid tickets; for steps, it is enough to know what is allowed. */
+	if (used.code == ADVICE_ANSWERED && call->is_renewal && used.age_us >= call->valid_us)
+		used.code = ADVICE_NO_RESPONSE;
+	if (used.code == ADVICE_ANSWERED) {
 		settle(call, &used);
-	} else if (try_again(calls, call, reply)) {
+	} else if (try_again(calls, call, &used)) {
 		call = NULL;
 	} else if (call->group->calls == 1) {
-		settle(call, reply);
+		settle(call, &used);
 	}
 	if (call != NULL)
 		free_call(call);
@@ -341,6 +364,8 @@
 	call->is_renewal = question->is_renewal;
 	/* A ticket that is valid for no time can only be tried at once. */
 	call->valid_us = MAX(advice->valid_ms, 1) * US_PER_MS;
+	call->shared.own_only =
+		call->is_renewal && call->valid_us < 2 * calls->link_time_us + START_MARGIN_US;
 	for (size_t i = 0; i < question->vm_count; i++)
 		g_strlcpy(call->vms[i], question->vms[i], VM_NAME_MAX);
 	if (question->is_renewal)
@@ -358,6 +383,7 @@
 		.port = port,
 		.user = *user,
 		.queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
+		.link_time_us = LINK_TIME_START_US,
 		.waiting = metrics_counter(metrics, "policy_calls_waiting", ""),
 		.window = metrics_counter(metrics, "policy_window", ""),
 		.repeated = metrics_counter(metrics, "policy_calls_repeated_total", ""),
@@ -375,6 +401,7 @@
 	/* The calls under way are freed with their replies. */
 	calls->generation++;
 	calls->helpers_read_us = 0;
+	calls->link_time_us = LINK_TIME_START_US;
 	serial_share_finish(&calls->share);
 	g_hash_table_remove_all(calls->queues);
 }
--- a/src/policy_calls.h
+++ b/src/policy_calls.h
@@ -64,7 +64,8 @@
 	uint64_t generation;
 	uint64_t last_id;
 	uint64_t helpers_read_us; /**< time when the processes that can help were last listed */
-	bool sending;		  /**< policy_calls_t is sending what waits */
+	uint64_t link_time_us;	  /**< time of the links to other processes, there and back */
+	bool sending;		  /**< what waits is being sent */
 	metrics_counter_t *waiting;
 	metrics_counter_t *window;
 	metrics_counter_t *repeated;
--- a/src/serial_queue.c
+++ b/src/serial_queue.c
@@ -77,13 +77,11 @@
 	return call;
 }
 
-serial_call_t *serial_queue_hand_over(serial_queue_t *queue)
+void serial_queue_hand_over(serial_queue_t *queue, serial_call_t *call)
 {
-	serial_call_t *call = serial_queue_withdraw(queue);
-
-	if (call != NULL && !call->first)
+	TAILQ_REMOVE(&queue->waiting, call, link);
+	if (!call->first && call->tag_us > queue->virtual_us)
 		queue->virtual_us = call->tag_us;
-	return call;
 }
 
 serial_call_t *serial_queue_next(serial_queue_t *queue)
@@ -94,7 +92,8 @@
 		return NULL;
 	queue->under_way_count++;
 	queue->under_way_us += call->work_us;
-	return serial_queue_hand_over(queue);
+	serial_queue_hand_over(queue, call);
+	return call;
 }
 
 void serial_queue_ended(serial_queue_t *queue, const serial_call_t *call)
--- a/src/serial_share.c
+++ b/src/serial_share.c
@@ -153,17 +153,32 @@
 	return scale(scale(MAX(work_us, WORK_MIN_US), ratio) + LATE_MARGIN_US, share->patience);
 }
 
+shared_call_t *serial_share_first(const serial_share_t *share, uint64_t now_us)
+{
+	shared_call_t *first = (shared_call_t *)TAILQ_FIRST(&share->queue.waiting);
+	serial_call_t *entry;
+
+	if (first == NULL || own_is_idle(share, now_us) ||
+	    idle_helper(share, false, now_us) == NULL)
+		return first;
+	TAILQ_FOREACH (entry, &share->queue.waiting, link) {
+		if (!((shared_call_t *)entry)->own_only)
+			return (shared_call_t *)entry;
+	}
+	return first;
+}
+
 shared_call_t *serial_share_next(serial_share_t *share, uint64_t now_us)
 {
-	shared_call_t *call = (shared_call_t *)TAILQ_FIRST(&share->queue.waiting);
+	shared_call_t *call = serial_share_first(share, now_us);
 	serial_helper_t *helper = NULL;
 
 	if (call == NULL)
 		return NULL;
 	if (own_is_idle(share, now_us))
 		serial_queue_next(&share->queue);
-	else if ((helper = idle_helper(share, call->repeated, now_us)) != NULL)
-		serial_queue_hand_over(&share->queue);
+	else if (!call->own_only && (helper = idle_helper(share, call->repeated, now_us)) != NULL)
+		serial_queue_hand_over(&share->queue, &call->call);
 	else if (!own_takes_more(share, &call->call, now_us) ||
 		 serial_queue_next(&share->queue) == NULL)
 		return NULL;
--- a/src/serial_share.h
+++ b/src/serial_share.h
@@ -41,6 +41,7 @@
 	uint32_t node;	    /**< helper that makes it; 0: this process */
 	bool alone;	    /**< no helper had a call under way when it was sent */
 	bool repeated; /**< another process has not answered it; set by the owner of the call */
+	bool own_only; /**< only this process may make it; set by the owner of the call */
 	uint64_t sent_us;
 	uint64_t load_us;  /**< declared time of all calls under way when it was sent */
 	uint64_t limit_us; /**< longest time for the call */
@@ -70,6 +71,8 @@
 void serial_share_set_helpers(serial_share_t *share, const uint32_t *nodes, size_t count);
 /** @return whether a process without a call under way may make the next one */
 bool serial_share_is_idle(const serial_share_t *share, uint64_t now_us);
+/** @return the waiting call that serial_share_next() takes if it takes any; NULL: none waits */
+shared_call_t *serial_share_first(const serial_share_t *share, uint64_t now_us);
 /** Takes the next call, for the process that its node names. @return NULL: none may be sent */
 shared_call_t *serial_share_next(serial_share_t *share, uint64_t now_us);
 /** Ends a call that was taken. @param elapsed_us its time at the process that made it */
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -1205,7 +1205,8 @@
 	void *arg;
 	advice_code_t code;
 	uint64_t sent_us;
-	GArray *tickets; /* of vm_ticket_t */
+	uint64_t link_us; /* time on the links between the leader and the process that calls */
+	GArray *tickets;  /* of vm_ticket_t */
 } advise_call_t;
 
 static void deliver_advice(void *arg)
@@ -1215,7 +1216,9 @@
 	const advice_reply_t reply = {.code = call->code,
 				      .tickets = (const vm_ticket_t *)call->tickets->data,
 				      .ticket_count = answered ? call->tickets->len : 0,
-				      .elapsed_us = call->sim->now_us - call->sent_us};
+				      .elapsed_us =
+					      call->sim->now_us - call->sent_us - call->link_us,
+				      .age_us = call->link_us};
 
 	call->done(call->arg, &reply);
 	g_array_unref(call->tickets);
@@ -1319,6 +1322,7 @@
 		.arg = done_arg,
 		.code = answer_us > timeout_us ? ADVICE_NO_RESPONSE : failure,
 		.sent_us = sim->now_us,
+		.link_us = request->node != 0 ? sim->config.policy_link_ms * US_PER_MS : 0,
 		.tickets = g_array_new(FALSE, TRUE, sizeof(vm_ticket_t)),
 	};
 	if (request->vm_count > POLICY_VMS_MAX)
@@ -1335,7 +1339,8 @@
 	}
 	sim->policy_requests++;
 	sim->policy_refusals += failure == ADVICE_BUSY;
-	schedule_at(sim, LEADER_MESSAGE, MIN(answer_us, timeout_us), deliver_advice, call);
+	schedule_at(sim, LEADER_MESSAGE, MIN(answer_us, timeout_us) + call->link_us, deliver_advice,
+		    call);
 }
 
 void vm_sim_set_policy_helper(vm_sim_t *sim, unsigned number, bool silent, bool gone)
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -97,6 +97,7 @@
 	/** Number of other processes that can call it for the leader. It handles one call at a time
 	 * for each process. */
 	unsigned policy_helpers;
+	uint32_t policy_link_ms;     /**< time of the links to and from these processes */
 	bool policy_in_turn;	     /**< it handles the calls of all processes in turn */
 	unsigned policy_waiting_max; /**< most calls that wait before it refuses further ones; 0:
 					none */
--- a/tests/test_policy_calls.c
+++ b/tests/test_policy_calls.c
@@ -151,6 +151,7 @@
 		vm_sim_config_t config = advised_config(30 + i, 3);
 		vm_sim_t *sim;
 
+		config.policy_link_ms = 50;
 		config.policy_valid_ms = valid_ms[i];
 		sim = start(&config);
 		submit_many(sim, "g", 2, 40, true);
@@ -228,6 +229,76 @@
 	}
 }
 
+/* Seeds of the drawn services; LAVENDERPASS_SEED and LAVENDERPASS_SEEDS choose others. */
+#define FIRST_SEED 1000
+#define SEEDS 60
+
+static uint64_t environment_number(const char *name, uint64_t value)
+{
+	const char *text = g_getenv(name);
+
+	return text != NULL ? g_ascii_strtoull(text, NULL, 10) : value;
+}
+
+/* @return time within which all jobs have begun: what the service needs for requests about four VMs
+ * each, three times over, by the processes that it answers at the same time, and FINISH_MS */
+static uint64_t longest_ms(const vm_sim_config_t *config, unsigned jobs, unsigned answered)
+{
+	/* Tickets that are valid for less time than the links to another process take are asked for
+	 * a second time, by the leader itself. */
+	bool leader_only = config->policy_valid_ms < 2 * config->policy_link_ms + 50;
+	uint64_t call_ms = (config->policy_decide_ms + 4ULL * config->policy_per_vm_ms) *
+			   MAX(config->policy_slowness, 1);
+
+	return FINISH_MS +
+	       3 * jobs * call_ms / (config->policy_in_turn || leader_only ? 1 : answered);
+}
+
+static void play_drawn_service(uint64_t seed)
+{
+	static const uint32_t valid_ms[] = {20, 200, 1000, 3000};
+	g_autoptr(GRand) random = g_rand_new_with_seed((guint32)seed);
+	vm_sim_config_t config = advised_config(seed, (unsigned)g_rand_int_range(random, 0, 8));
+	unsigned jobs = (unsigned)g_rand_int_range(random, 1, 40);
+	unsigned silent = 0;
+	vm_sim_t *sim;
+
+	config.policy_decide_ms = (uint32_t)g_rand_int_range(random, 0, 1500);
+	config.policy_per_vm_ms = (uint32_t)g_rand_int_range(random, 1, 80);
+	config.policy_valid_ms = valid_ms[g_rand_int_range(random, 0, 4)];
+	config.policy_slowness = (unsigned)g_rand_int_range(random, 1, 5);
+	config.policy_in_turn = g_rand_int_range(random, 0, 3) == 0;
+	config.policy_works_on = g_rand_boolean(random);
+	config.policy_link_ms = (uint32_t)g_rand_int_range(random, 0, 60);
+	config.policy_waiting_max = (unsigned)g_rand_int_range(random, 0, 2) * 32;
+	sim = start(&config);
+	for (unsigned i = 1; i <= config.policy_helpers; i++) {
+		if (g_rand_int_range(random, 0, 5) != 0)
+			continue;
+		silent++;
+		vm_sim_set_policy_helper(sim, i, true, false);
+	}
+	submit_many(sim, "j", jobs, 4, false);
+	submit_many(sim, "g", 1, 20, true);
+	vm_sim_run(sim,
+		   SUBMIT_MS + longest_ms(&config, jobs + 1, config.policy_helpers + 1 - silent));
+	check_begun(sim, "j", jobs);
+	check_begun(sim, "g", 1);
+	vm_sim_destroy(sim);
+}
+
+/* Guards against figures of the service for which jobs never begin. */
+static void test_drawn_services(void **state)
+{
+	uint64_t first = environment_number("LAVENDERPASS_SEED", FIRST_SEED);
+	uint64_t seeds = environment_number("LAVENDERPASS_SEEDS", SEEDS);
+
+	for (uint64_t seed = first; seed < first + seeds; seed++) {
+		print_message("seed %" G_GUINT64_FORMAT "\n", seed);
+		play_drawn_service(seed);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -240,6 +311,7 @@
 		cmocka_unit_test(test_helpers_that_do_not_answer),
 		cmocka_unit_test(test_leader_is_cut_off_from_the_service),
 		cmocka_unit_test(test_leader_changes_while_calls_wait),
+		cmocka_unit_test(test_drawn_services),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_serial_queue.c
+++ b/tests/test_serial_queue.c
@@ -117,11 +117,13 @@
 	for (unsigned i = 0; i < CALLS; i++)
 		serial_queue_add(&queue, &sources[0], &calls[i], 600 * US_PER_MS);
 	for (unsigned i = 0; i < 3; i++)
-		assert_ptr_equal(serial_queue_hand_over(&queue), &calls[i]);
+		serial_queue_hand_over(&queue, TAILQ_FIRST(&queue.waiting));
+	assert_ptr_equal(TAILQ_FIRST(&queue.waiting), &calls[3]);
 	serial_queue_add(&queue, &sources[1], &other, 5 * US_PER_MS);
-	while (serial_queue_hand_over(&queue) != &other)
-		before++;
+	for (; TAILQ_FIRST(&queue.waiting) != &other; before++)
+		serial_queue_hand_over(&queue, TAILQ_FIRST(&queue.waiting));
 	assert_true(before <= 1);
+	serial_queue_hand_over(&queue, &other);
 	assert_int_equal(serial_queue_length(&queue), CALLS - 3 - before);
 }
 
