--- a/src/serial_share.c
+++ b/src/serial_share.c
@@ -121,11 +121,11 @@
 	return NULL;
 }
 
-/* @return whether this process may make the call while another one of its own is under way. With
- * helpers, that is worth it only where a call takes as long as the links. */
-static bool own_takes_more(const serial_share_t *share, const serial_call_t *call, uint64_t now_us)
+/* @return whether this process may make the first waiting call while another one of its own is
+ * under way. With helpers, that is worth it only where a call takes as long as the links. */
+static bool own_takes_more(const serial_share_t *share, uint64_t now_us)
 {
-	uint64_t work_us = share->queue.under_way_us + call->work_us;
+	uint64_t work_us = share->queue.under_way_us + TAILQ_FIRST(&share->queue.waiting)->work_us;
 
 	return now_us >= share->rests_until_us &&
 	       (share->helper_count == 0 || scale(work_us, share->slowness) <= OVERLAP_MAX_US);
@@ -136,51 +136,73 @@
 	return own_is_idle(share, now_us) || idle_helper(share, false, now_us) != NULL;
 }
 
-/* @return time after which the answer to a call is late, as for a retransmission
- * (RFC 6298): the mean time and four deviations, at least twice the mean. Before any is known, the
- * peer possibly handles the calls of all machines in turn. */
-static uint64_t late_after_us(const serial_share_t *share, const shared_call_t *call)
+/* @return whether a process that has answered its latest call is free, and no call waits for it */
+static bool has_spare_process(const serial_share_t *share, uint64_t now_us)
 {
-	double ratio = MAX(2 * share->mean_ratio, share->mean_ratio + 4 * share->ratio_deviation);
+	return TAILQ_EMPTY(&share->queue.waiting) &&
+	       (own_is_idle(share, now_us) || idle_helper(share, true, now_us) != NULL);
+}
+
+/* @return time after which the answer to a call is late: twice the mean time, and as for a
+ * retransmission (RFC 6298) the mean and four deviations, unless a second call holds up no other
+ * one. Before any answer is known, the peer possibly handles the calls of all machines in turn. */
+static uint64_t late_after_us(const serial_share_t *share, const shared_call_t *call,
+			      uint64_t now_us)
+{
+	double ratio = 2 * share->mean_ratio;
 	uint64_t work_us;
 
 	if (share->mean_ratio == 0)
 		return scale(scale(call->load_us, IN_TURN_FACTOR * share->slowness) +
 				     LATE_MARGIN_US,
 			     share->patience);
+	if (!has_spare_process(share, now_us))
+		ratio = MAX(ratio, share->mean_ratio + 4 * share->ratio_deviation);
 	/* This process may have several calls under way, which the peer handles in turn. */
 	work_us = call->node == 0 ? share->queue.under_way_us : call->call.work_us;
 	return scale(scale(MAX(work_us, WORK_MIN_US), ratio) + LATE_MARGIN_US, share->patience);
 }
 
-shared_call_t *serial_share_first(const serial_share_t *share, uint64_t now_us)
+/* @return the next call that a helper may make; NULL: none may */
+static shared_call_t *first_for_helpers(const serial_share_t *share, uint64_t now_us)
 {
-	shared_call_t *first = (shared_call_t *)TAILQ_FIRST(&share->queue.waiting);
+	bool any_idle = idle_helper(share, false, now_us) != NULL;
+	bool proven_idle = idle_helper(share, true, now_us) != NULL;
 	serial_call_t *entry;
 
-	if (first == NULL || own_is_idle(share, now_us) ||
-	    idle_helper(share, false, now_us) == NULL)
-		return first;
+	if (!any_idle)
+		return NULL;
 	TAILQ_FOREACH (entry, &share->queue.waiting, link) {
-		if (!((shared_call_t *)entry)->own_only)
-			return (shared_call_t *)entry;
+		shared_call_t *call = (shared_call_t *)entry;
+
+		if (!call->own_only && (proven_idle || !call->repeated))
+			return call;
 	}
-	return first;
+	return NULL;
+}
+
+shared_call_t *serial_share_first(const serial_share_t *share, uint64_t now_us)
+{
+	shared_call_t *call = own_is_idle(share, now_us) ? NULL : first_for_helpers(share, now_us);
+
+	return call != NULL ? call : (shared_call_t *)TAILQ_FIRST(&share->queue.waiting);
 }
 
 shared_call_t *serial_share_next(serial_share_t *share, uint64_t now_us)
 {
-	shared_call_t *call = serial_share_first(share, now_us);
+	bool own_idle = own_is_idle(share, now_us);
+	shared_call_t *call = own_idle ? NULL : first_for_helpers(share, now_us);
 	serial_helper_t *helper = NULL;
 
-	if (call == NULL)
+	if (TAILQ_EMPTY(&share->queue.waiting))
 		return NULL;
-	if (own_is_idle(share, now_us))
-		serial_queue_next(&share->queue);
-	else if (!call->own_only && (helper = idle_helper(share, call->repeated, now_us)) != NULL)
+	if (call != NULL) {
+		helper = idle_helper(share, call->repeated, now_us);
 		serial_queue_hand_over(&share->queue, &call->call);
-	else if (!own_takes_more(share, &call->call, now_us) ||
-		 serial_queue_next(&share->queue) == NULL)
+	} else if (own_idle || own_takes_more(share, now_us)) {
+		call = (shared_call_t *)serial_queue_next(&share->queue);
+	}
+	if (call == NULL)
 		return NULL;
 	share->under_way_us += call->call.work_us;
 	call->node = helper != NULL ? helper->node : 0;
@@ -326,7 +348,7 @@
 		shared_call_t *call = (shared_call_t *)entry;
 
 		/* This process is not asked in vain unless others are answered. */
-		if (now_us < call->sent_us + late_after_us(share, call) ||
+		if (now_us < call->sent_us + late_after_us(share, call, now_us) ||
 		    (call->node == 0 && (share->helper_count == 0 || share->mean_ratio == 0)))
 			continue;
 		serial_share_ended(share, call, SERIAL_NO_ANSWER, 0, now_us);
--- a/tests/test_serial_share.c
+++ b/tests/test_serial_share.c
@@ -262,6 +262,33 @@
 	serial_share_finish(&share);
 }
 
+/* Guards against a call that is made by one process and counted as another call, when one that only
+ * this process may make waits before one that an unproven helper may not make. */
+static void test_calls_that_only_some_processes_may_make(void **state)
+{
+	const uint32_t node = 7;
+	serial_source_t source = {0};
+	serial_share_t share;
+	shared_call_t calls[3] = {0};
+
+	serial_share_init(&share);
+	serial_share_set_helpers(&share, &node, 1);
+	calls[1].own_only = true;
+	calls[2].repeated = true;
+	for (unsigned i = 0; i < G_N_ELEMENTS(calls); i++)
+		serial_queue_add(&share.queue, &source, &calls[i].call, US_PER_MS);
+	assert_ptr_equal(serial_share_next(&share, US_PER_S), &calls[0]);
+	assert_ptr_equal(serial_share_next(&share, US_PER_S), &calls[1]);
+	assert_int_equal(calls[1].node, 0);
+	assert_ptr_equal(serial_share_next(&share, US_PER_S), &calls[2]);
+	assert_int_equal(calls[2].node, 0);
+	for (unsigned i = 0; i < G_N_ELEMENTS(calls); i++)
+		serial_share_ended(&share, &calls[i], SERIAL_ANSWERED, US_PER_MS, 2 * US_PER_S);
+	assert_true(TAILQ_EMPTY(&share.queue.waiting));
+	assert_int_equal(share.under_way_us, 0);
+	serial_share_finish(&share);
+}
+
 /* Guards against requests that list more VMs than their time is worth, or too few for the tasks. */
 static void test_size_of_requests(void **state)
 {
@@ -297,6 +324,7 @@
 		cmocka_unit_test(test_silent_helpers_are_replaced),
 		cmocka_unit_test(test_helpers_call_while_this_process_is_cut_off),
 		cmocka_unit_test(test_helpers_come_and_go),
+		cmocka_unit_test(test_calls_that_only_some_processes_may_make),
 		cmocka_unit_test(test_size_of_requests),
 	};
 
