policy_calls: what the second reading found, without a change of behaviour

Change: the relay's calls are relayed_query_t; a copy is a copy; serial_queue_remove() is new; the rank of a VM is compared before its room and its ticket.

--- a/src/batch_dispatch.c
+++ b/src/batch_dispatch.c
@@ -332,8 +332,8 @@
 			const leader_vm_t *vm = g_ptr_array_index(pool->vms, at);
 			const place_vm_t *place = &g_array_index(pool->place_vms, place_vm_t, at);
 
-			if (place_suits(place, step->spec) && !ticket_allows(step, vm->id) &&
-			    ticket_rank(place, step->spec) == rank)
+			if (ticket_rank(place, step->spec) == rank &&
+			    place_suits(place, step->spec) && !ticket_allows(step, vm->id))
 				ids[count++] = vm->id;
 		}
 	}
--- a/src/policy_calls.c
+++ b/src/policy_calls.c
@@ -68,7 +68,7 @@
 		return;
 	call->group->settled = true;
 	if (waiting != NULL && waiting != call) {
-		TAILQ_REMOVE(&calls->share.queue.waiting, &waiting->shared.call, link);
+		serial_queue_remove(&calls->share.queue, &waiting->shared.call);
 		free_call(waiting);
 	}
 	calls->user.done(calls->user.arg, call, reply);
@@ -96,8 +96,7 @@
 
 		if (calls->user.is_wanted(calls->user.arg, call))
 			return;
-		TAILQ_REMOVE(&calls->share.queue.waiting, &first->call, link);
-		call->group->waiting = NULL;
+		serial_queue_remove(&calls->share.queue, &first->call);
 		settle(call, &reply);
 		free_call(call);
 	}
@@ -188,14 +187,9 @@
 	metrics_set(calls->window, calls->share.window);
 }
 
-static policy_call_t *new_call(policy_calls_t *calls, size_t vm_count)
+static size_t call_size(size_t vm_count)
 {
-	policy_call_t *call = g_malloc0(sizeof(*call) + vm_count * sizeof(call->vms[0]));
-
-	call->owner = calls;
-	call->generation = calls->generation;
-	call->vm_count = vm_count;
-	return call;
+	return sizeof(policy_call_t) + vm_count * VM_NAME_MAX;
 }
 
 /* Asks a second process what the first one, which may be frozen or cut off, has not answered. */
@@ -212,22 +206,10 @@
 	if (call->group->settled || call->group->waiting != NULL ||
 	    !calls->user.is_wanted(calls->user.arg, call))
 		return;
-	copy = new_call(calls, call->vm_count);
-	copy->group = call->group;
-	copy->id = call->id;
-	copy->attempts = call->attempts + 1;
-	copy->step = call->step;
-	copy->first_task = call->first_task;
-	copy->queue = call->queue;
-	copy->decide_us = call->decide_us;
-	copy->per_vm_us = call->per_vm_us;
-	copy->valid_us = call->valid_us;
-	copy->needed = call->needed;
-	copy->is_renewal = call->is_renewal;
-	memcpy(copy->vms, call->vms, call->vm_count * sizeof(call->vms[0]));
-	copy->shared.call.work_us = call->shared.call.work_us;
+	copy = g_memdup2(call, call_size(call->vm_count));
+	copy->attempts++;
+	copy->late = false;
 	copy->shared.repeated = true;
-	copy->shared.own_only = call->shared.own_only;
 	copy->group->calls++;
 	copy->group->waiting = copy;
 	serial_queue_return(&calls->share.queue, &copy->shared.call);
@@ -349,8 +331,11 @@
 void policy_calls_add(policy_calls_t *calls, const policy_question_t *question)
 {
 	const Lp__BatchAdvice *advice = question->queue->advice;
-	policy_call_t *call = new_call(calls, question->vm_count);
+	policy_call_t *call = g_malloc0(call_size(question->vm_count));
 
+	call->owner = calls;
+	call->generation = calls->generation;
+	call->vm_count = question->vm_count;
 	call->group = g_new0(policy_call_group_t, 1);
 	call->group->calls = 1;
 	call->group->waiting = call;
--- a/src/policy_relay.c
+++ b/src/policy_relay.c
@@ -22,8 +22,8 @@
 
 /* --- leader --- */
 
-typedef struct policy_call {
-	TAILQ_ENTRY(policy_call) link;
+typedef struct relayed_query {
+	TAILQ_ENTRY(relayed_query) link;
 	uint64_t seq;
 	uint32_t node;
 	uint64_t connections_ended; /* see peer_info_t, when the query was sent */
@@ -31,28 +31,30 @@
 	uint64_t deadline_us;
 	advice_done_fn done;
 	void *arg;
-} policy_call_t;
+} relayed_query_t;
 
 struct policy_relay {
 	timer_service_t *timers;
 	timer_sub_t check;
 	vm_port_t direct;
 	peer_set_t *peers;
-	TAILQ_HEAD(policy_calls, policy_call) calls;
+	TAILQ_HEAD(relayed_queries, relayed_query) calls;
 	uint64_t next_seq;
 	metrics_counter_t *own;
 	metrics_counter_t *helped;
 	metrics_counter_t *lost;
 };
 
-static void complete(policy_relay_t *relay, policy_call_t *call, const advice_reply_t *reply)
+static const advice_reply_t no_response = {.code = ADVICE_NO_RESPONSE};
+
+static void complete(policy_relay_t *relay, relayed_query_t *call, const advice_reply_t *reply)
 {
 	TAILQ_REMOVE(&relay->calls, call, link);
 	call->done(call->arg, reply);
 	g_free(call);
 }
 
-static bool is_lost(const policy_relay_t *relay, const policy_call_t *call, uint64_t now_us)
+static bool is_lost(const policy_relay_t *relay, const relayed_query_t *call, uint64_t now_us)
 {
 	const peer_info_t *info;
 
@@ -64,10 +66,9 @@
 
 static void check_calls(void *arg, uint64_t now_us)
 {
-	static const advice_reply_t reply = {.code = ADVICE_NO_RESPONSE};
 	policy_relay_t *relay = arg;
-	policy_call_t *call;
-	policy_call_t *next;
+	relayed_query_t *call;
+	relayed_query_t *next;
 
 	/* A completed call lets the leader add calls at the end of the list only. */
 	for (call = TAILQ_FIRST(&relay->calls); call != NULL; call = next) {
@@ -75,7 +76,7 @@
 		if (!is_lost(relay, call, now_us))
 			continue;
 		metrics_add(relay->lost, 1);
-		complete(relay, call, &reply);
+		complete(relay, call, &no_response);
 	}
 }
 
@@ -103,14 +104,13 @@
 
 void policy_relay_destroy(policy_relay_t *relay)
 {
-	static const advice_reply_t reply = {.code = ADVICE_NO_RESPONSE};
-	policy_call_t *call;
-	policy_call_t *next;
+	relayed_query_t *call;
+	relayed_query_t *next;
 
 	timer_unsubscribe(relay->timers, &relay->check);
 	for (call = TAILQ_FIRST(&relay->calls); call != NULL; call = next) {
 		next = TAILQ_NEXT(call, link);
-		complete(relay, call, &reply);
+		complete(relay, call, &no_response);
 	}
 	g_free(relay);
 }
@@ -157,7 +157,7 @@
 {
 	uint64_t now_us = clock_now_us();
 	const peer_info_t *info;
-	policy_call_t *call;
+	relayed_query_t *call;
 
 	if (request->node == 0) {
 		metrics_add(relay->own, 1);
@@ -166,7 +166,7 @@
 	}
 	metrics_add(relay->helped, 1);
 	relay->next_seq++;
-	call = g_new0(policy_call_t, 1);
+	call = g_new0(relayed_query_t, 1);
 	call->seq = relay->next_seq;
 	call->node = request->node;
 	call->sent_us = now_us;
@@ -187,7 +187,7 @@
 	uint64_t now_us = clock_now_us();
 	advice_reply_t reply = {.elapsed_us = answer->elapsed_us};
 	vm_ticket_t *tickets;
-	policy_call_t *call;
+	relayed_query_t *call;
 
 	TAILQ_FOREACH (call, &relay->calls, link) {
 		if (call->seq == answer->seq && call->node == from)
--- a/src/serial_queue.c
+++ b/src/serial_queue.c
@@ -68,18 +68,23 @@
 	return length;
 }
 
+void serial_queue_remove(serial_queue_t *queue, serial_call_t *call)
+{
+	TAILQ_REMOVE(&queue->waiting, call, link);
+}
+
 serial_call_t *serial_queue_withdraw(serial_queue_t *queue)
 {
 	serial_call_t *call = TAILQ_FIRST(&queue->waiting);
 
 	if (call != NULL)
-		TAILQ_REMOVE(&queue->waiting, call, link);
+		serial_queue_remove(queue, call);
 	return call;
 }
 
 void serial_queue_hand_over(serial_queue_t *queue, serial_call_t *call)
 {
-	TAILQ_REMOVE(&queue->waiting, call, link);
+	serial_queue_remove(queue, call);
 	if (!call->first && call->tag_us > queue->virtual_us)
 		queue->virtual_us = call->tag_us;
 }
--- a/src/serial_queue.h
+++ b/src/serial_queue.h
@@ -59,6 +59,8 @@
 size_t serial_queue_length(const serial_queue_t *queue);
 /** Takes the next waiting call, which is under way from now on. @return NULL: none may be sent */
 serial_call_t *serial_queue_next(serial_queue_t *queue);
+/** Takes a waiting call, which will not be sent. */
+void serial_queue_remove(serial_queue_t *queue, serial_call_t *call);
 /** Takes a waiting call, which another process sends. */
 void serial_queue_hand_over(serial_queue_t *queue, serial_call_t *call);
 /** Takes any waiting call, which will not be sent. @return NULL: none waits */
--- a/src/serial_share.c
+++ b/src/serial_share.c
@@ -31,7 +31,7 @@
 #define DOUBLINGS_MAX 16
 /* Failures as which a call counts that a helper has not answered: it is frozen or cut off. */
 #define SILENT_FAILURES 4
-/* Most times by which the time limit is raised after calls without an answer. */
+/* Most times by which time limits are raised after calls without an answer. */
 #define SLOWNESS_MAX 1000.0
 
 void serial_share_init(serial_share_t *share)
--- a/src/serial_share.h
+++ b/src/serial_share.h
@@ -57,8 +57,8 @@
 	uint64_t under_way_us; /**< declared time of all calls under way */
 	double slowness;   /**< time of a single call at the peer, relative to the declared one */
 	double mean_ratio; /**< the same of the calls of helpers, smoothed; 0: none has ended */
-	double patience;   /**< factor of the time after which an answer is late */
-	double ratio_deviation;
+	double ratio_deviation;	 /**< smoothed deviation from it */
+	double patience;	 /**< factor of the time after which an answer is late */
 	unsigned failures;	 /**< calls in a row of this process without an answer */
 	uint64_t rests_until_us; /**< this process makes no call before */
 	uint64_t own_ended_us;	 /**< time when the latest call of this process has ended */
--- a/src/vm_port.h
+++ b/src/vm_port.h
@@ -202,8 +202,8 @@
 		     void *done_arg);
 	void (*hold)(void *arg, const vm_ref_t *vm, const vm_hold_t *hold, vm_reply_fn done,
 		     void *done_arg);
-	/** Lists the other processes that can call the policy service. @return their number, at
-	 * most max */
+	/** Lists the other processes that can call the policy service. Only the port of the leader
+	 * has it. @return their number, at most max */
 	size_t (*advisers)(void *arg, uint32_t *nodes, size_t max);
 	void (*advise)(void *arg, const advice_request_t *request, advice_done_fn done,
 		       void *done_arg);
--- a/tests/lib_role_vm.c
+++ b/tests/lib_role_vm.c
@@ -97,7 +97,6 @@
 		json_array_append(finished, g_ptr_array_index(ends, i));
 	for (guint i = 0; i < role_vm.runs->len; i++) {
 		const role_vm_run_t *run = &g_array_index(role_vm.runs, role_vm_run_t, i);
-
 		uint64_t worked_ms = (clock_now_us() - run->started_us) / US_PER_MS;
 
 		json_array_append_new(
--- a/tests/lib_vm_sim.c
+++ b/tests/lib_vm_sim.c
@@ -201,13 +201,13 @@
 	unsigned allowed_count;
 	uint32_t policy_answer_ms;
 	unsigned policy_requests;
-	unsigned policy_refusals;
-	struct sim_caller *policy_callers; /* by node, see policy_helpers; 0: the leader */
+	/* Time until which the policy service works on the calls of each process, by node, see
+	 * policy_helpers; 0: the leader */
+	uint64_t *policy_free_us;
 	GArray *policy_ends_us; /* times at which the policy service ends its work on requests */
 	bool *helper_silent;	/* by node */
-	bool *helper_gone;
-	unsigned bad_tickets; /* number of start requests refused for want of a valid ticket */
-	bool shutting_down;   /* no further periodic events are scheduled */
+	unsigned bad_tickets;	/* number of start requests refused for want of a valid ticket */
+	bool shutting_down;	/* no further periodic events are scheduled */
 };
 
 /* --- events --- */
@@ -1243,16 +1243,6 @@
 	return false;
 }
 
-/* Calls of one process at the policy service. */
-typedef struct sim_caller {
-	uint64_t free_us; /* time until which it works on them */
-} sim_caller_t;
-
-static sim_caller_t *policy_caller(vm_sim_t *sim, uint32_t node)
-{
-	return &sim->policy_callers[sim->config.policy_in_turn ? 0 : node];
-}
-
 static unsigned policy_waiting(const vm_sim_t *sim)
 {
 	unsigned waiting = 0;
@@ -1269,16 +1259,16 @@
 	uint64_t work_ms = (config->policy_decide_ms +
 			    (uint64_t)config->policy_per_vm_ms * request->vm_count) *
 			   MAX(config->policy_slowness, 1);
-	sim_caller_t *caller = policy_caller(sim, request->node);
+	uint64_t *free_us = &sim->policy_free_us[config->policy_in_turn ? 0 : request->node];
 	uint64_t end_us;
 
 	if (work_ms == 0)
 		return sim->now_us + sim->policy_answer_ms * US_PER_MS;
-	end_us = MAX(caller->free_us, sim->now_us) + work_ms * US_PER_MS;
+	end_us = MAX(*free_us, sim->now_us) + work_ms * US_PER_MS;
 	/* A call whose turn comes after it was given up is left out. */
 	if (config->policy_works_on ||
 	    end_us - work_ms * US_PER_MS < sim->now_us + request->timeout_ms * US_PER_MS)
-		caller->free_us = end_us;
+		*free_us = end_us;
 	g_array_append_val(sim->policy_ends_us, end_us);
 	return end_us;
 }
@@ -1288,9 +1278,9 @@
 	const vm_sim_t *sim = arg;
 	size_t count = 0;
 
-	for (uint32_t i = 1; i <= sim->config.policy_helpers && count < max; i++) {
-		if (!sim->helper_gone[i])
-			nodes[count++] = i;
+	while (count < sim->config.policy_helpers && count < max) {
+		nodes[count] = (uint32_t)count + 1;
+		count++;
 	}
 	return count;
 }
@@ -1338,20 +1328,13 @@
 		g_array_append_val(call->tickets, ticket);
 	}
 	sim->policy_requests++;
-	sim->policy_refusals += failure == ADVICE_BUSY;
 	schedule_at(sim, LEADER_MESSAGE, MIN(answer_us, timeout_us) + call->link_us, deliver_advice,
 		    call);
 }
 
-void vm_sim_set_policy_helper(vm_sim_t *sim, unsigned number, bool silent, bool gone)
-{
-	sim->helper_silent[number] = silent;
-	sim->helper_gone[number] = gone;
-}
-
-unsigned vm_sim_policy_refusal_count(const vm_sim_t *sim)
+void vm_sim_silence_policy_helper(vm_sim_t *sim, unsigned number)
 {
-	return sim->policy_refusals;
+	sim->helper_silent[number] = true;
 }
 
 /* --- platform --- */
@@ -2166,10 +2149,9 @@
 	sim->foreign_listings = g_array_new(FALSE, FALSE, sizeof(machine_info_t));
 	sim->waves = g_array_new(FALSE, FALSE, sizeof(sim_wave_t));
 	sim->waiting = g_ptr_array_new();
-	sim->policy_callers = g_new0(sim_caller_t, config->policy_helpers + 1);
+	sim->policy_free_us = g_new0(uint64_t, config->policy_helpers + 1);
 	sim->policy_ends_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	sim->helper_silent = g_new0(bool, config->policy_helpers + 1);
-	sim->helper_gone = g_new0(bool, config->policy_helpers + 1);
 	sim->completed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sim->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sim->absences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -2248,10 +2230,9 @@
 	g_hash_table_destroy(sim->cancelled);
 	g_string_free(sim->violations, TRUE);
 	g_rand_free(sim->rand);
-	g_free(sim->policy_callers);
+	g_free(sim->policy_free_us);
 	g_array_unref(sim->policy_ends_us);
 	g_free(sim->helper_silent);
-	g_free(sim->helper_gone);
 	g_free(sim);
 }
 
--- a/tests/lib_vm_sim.h
+++ b/tests/lib_vm_sim.h
@@ -139,11 +139,9 @@
  * @param answer_ms time after which it answers
  */
 void vm_sim_set_policy(vm_sim_t *sim, unsigned first, unsigned count, uint32_t answer_ms);
-/** Lets a process stop to answer for the policy service, or end. @param number from 1 to
- * policy_helpers */
-void vm_sim_set_policy_helper(vm_sim_t *sim, unsigned number, bool silent, bool gone);
-/** @return number of requests that the policy service has refused */
-unsigned vm_sim_policy_refusal_count(const vm_sim_t *sim);
+/** Lets a process get no more answers of the policy service. @param number from 1 to
+ * policy_helpers; 0: the leader */
+void vm_sim_silence_policy_helper(vm_sim_t *sim, unsigned number);
 /** @return number of requests to the policy service */
 unsigned vm_sim_policy_request_count(const vm_sim_t *sim);
 /** @return number of start requests that VMs have refused for want of a valid ticket */
--- a/tests/test_cluster_policy.c
+++ b/tests/test_cluster_policy.c
@@ -10,7 +10,6 @@
 #include <cmocka.h>
 
 #include <dirent.h>
-#include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -45,10 +44,6 @@
 	uint64_t handled_turn; /* turn that is being handled */
 } caller_t;
 
-typedef struct {
-	GString *body;
-} call_body_t;
-
 static struct MHD_Daemon *policy;
 static GMutex lock;
 static GCond turn_ended;
--- a/tests/test_policy_calls.c
+++ b/tests/test_policy_calls.c
@@ -190,7 +190,7 @@
 		vm_sim_t *sim = start(&config);
 
 		for (unsigned i = 1; i <= silent; i++)
-			vm_sim_set_policy_helper(sim, i, true, false);
+			vm_sim_silence_policy_helper(sim, i);
 		submit_many(sim, "j", 12, 4, false);
 		vm_sim_run(sim, SUBMIT_MS + FINISH_MS);
 		check_begun(sim, "j", 12);
@@ -204,7 +204,7 @@
 	const vm_sim_config_t config = advised_config(55, 3);
 	vm_sim_t *sim = start(&config);
 
-	vm_sim_set_policy_helper(sim, 0, true, false);
+	vm_sim_silence_policy_helper(sim, 0);
 	submit_many(sim, "j", 12, 4, false);
 	vm_sim_run(sim, SUBMIT_MS + FINISH_MS);
 	check_begun(sim, "j", 12);
@@ -276,7 +276,7 @@
 		if (g_rand_int_range(random, 0, 5) != 0)
 			continue;
 		silent++;
-		vm_sim_set_policy_helper(sim, i, true, false);
+		vm_sim_silence_policy_helper(sim, i);
 	}
 	submit_many(sim, "j", jobs, 4, false);
 	submit_many(sim, "g", 1, 20, true);
